--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.stamp
+PACKAGES := packages/buckthornwall packages/buckthornwall-ctl packages/buckthornwall-standins
+
+.PHONY: demo test lint format bench faults model clean
+
+$(STAMP): requirements.txt $(addsuffix /pyproject.toml,$(PACKAGES))
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(addprefix --editable ,$(PACKAGES))
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m buckthornwall_standins.demo
+
+test: $(STAMP)
+	$(BIN)/python -m pytest packages
+
+lint: $(STAMP)
+	$(BIN)/ruff check packages
+	$(BIN)/ruff format --check packages
+
+format: $(STAMP)
+	$(BIN)/ruff check --fix packages
+	$(BIN)/ruff format packages
+
+bench: $(STAMP)
+	$(BIN)/python -m buckthornwall_standins.bench
+
+faults: $(STAMP)
+	$(BIN)/python -m pytest packages -m faults
+
+model: $(STAMP)
+	$(BIN)/python -m pytest packages -m model
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' command line: check what is to be published, watch the fleet."""
--- /dev/null
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/main.py
@@ -0,0 +1,115 @@
+"""The command line of ``buckthornwallctl``."""
+
+import argparse
+import sys
+import time
+from pathlib import Path
+
+from buckthornwall import __version__
+from buckthornwall.codes import BuckthornwallError, ResultCode
+
+from .checks import check_records, check_settings
+from .views import fleet_lines
+
+__all__ = ["main"]
+
+EXIT_OK = 0
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+EXIT_UNREACHABLE = 3
+EPILOG = (
+    "Exit status: 0 fine, 1 the check found a fault, 2 wrong usage, "
+    "3 an instance could not be read."
+)
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="buckthornwallctl",
+        description="Check settings and records, and watch a fleet.",
+        epilog=EPILOG,
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
+
+    settings = commands.add_parser("check-settings", help="check a settings file")
+    settings.add_argument("file", type=Path)
+    settings.set_defaults(run=_check_settings)
+
+    records = commands.add_parser("check-records", help="check a set of records")
+    records.add_argument("file", type=Path)
+    records.add_argument(
+        "--against", metavar="IP:PORT", help="operators' address of an instance"
+    )
+    records.set_defaults(run=_check_records)
+
+    status = commands.add_parser("status", help="show the instances once")
+    status.add_argument("address", nargs="+", metavar="IP:PORT")
+    status.set_defaults(run=_status)
+
+    watch = commands.add_parser("watch", help="show the instances again and again")
+    watch.add_argument("address", nargs="+", metavar="IP:PORT")
+    watch.add_argument("--every", type=float, default=2.0, metavar="SECONDS")
+    watch.add_argument("--times", type=int, default=0, help="stop after so many looks")
+    watch.set_defaults(run=_watch)
+
+    explain = commands.add_parser("explain", help="explain a result code")
+    explain.add_argument("code", help="number or name")
+    explain.set_defaults(run=_explain)
+    return parser
+
+
+def _check_settings(options: argparse.Namespace) -> int:
+    print("\n".join(check_settings(options.file)))
+    return EXIT_OK
+
+
+def _check_records(options: argparse.Namespace) -> int:
+    print("\n".join(check_records(options.file, options.against)))
+    return EXIT_OK
+
+
+def _status(options: argparse.Namespace) -> int:
+    lines, failed = fleet_lines(options.address)
+    print("\n".join(lines))
+    return EXIT_UNREACHABLE if failed else EXIT_OK
+
+
+def _watch(options: argparse.Namespace) -> int:
+    looks = 0
+    while True:
+        lines, failed = fleet_lines(options.address)
+        print("\n".join(lines), flush=True)
+        looks += 1
+        if options.times and looks >= options.times:
+            return EXIT_UNREACHABLE if failed else EXIT_OK
+        time.sleep(options.every)
+
+
+def _explain(options: argparse.Namespace) -> int:
+    for code in ResultCode:
+        if options.code.upper() in (str(code.number), code.name):
+            print(f"{code.number} {code.name} (HTTP {code.status})")
+            print(f"meaning: {code.meaning}")
+            print(f"what to do: {code.action}")
+            return EXIT_OK
+    print(f"no code {options.code}", file=sys.stderr)
+    return EXIT_REFUSED
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run a command; return its exit status."""
+    options = build_parser().parse_args(arguments)
+    try:
+        return options.run(options)
+    except BuckthornwallError as error:
+        print(f"buckthornwallctl: {error}", file=sys.stderr)
+        unreachable = error.code is ResultCode.UPSTREAM_UNREACHABLE
+        return EXIT_UNREACHABLE if unreachable else EXIT_REFUSED
+    except KeyboardInterrupt:
+        return EXIT_OK
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/views.py
@@ -0,0 +1,57 @@
+"""What the fleet looks like, as text."""
+
+from typing import Any
+
+from buckthornwall.codes import PeerError
+
+from .client import read_json
+
+__all__ = ["fleet_lines"]
+
+HEADER = (
+    f"{'instance':<16}{'state':<9}{'records':>8}  {'in flight':>9}  pools scheduled"
+)
+
+
+def _pools(status: dict[str, Any]) -> str:
+    pooled = [each for each in status["pools"] if not each["alone"]]
+    return (
+        ", ".join(
+            f"{each['pool']} ({sum(each['waiting'].values())} waiting)"
+            for each in pooled
+        )
+        or "-"
+    )
+
+
+def _line(status: dict[str, Any]) -> str:
+    records = status["records"]
+    return (
+        f"{status['node']:<16}{status['state']:<9}{records['number']:>8}"
+        f"  {status['in_flight']:>9}  {_pools(status)}"
+    )
+
+
+def fleet_lines(addresses: list[str]) -> tuple[list[str], int]:
+    """Read every instance; return a table and how many could not be read."""
+    lines = [HEADER]
+    failed = 0
+    numbers = set()
+    for address in addresses:
+        try:
+            status = read_json(address, "/status")
+        except PeerError as error:
+            lines.append(f"{address}: {error}")
+            failed += 1
+            continue
+        numbers.add((status["records"]["number"], status["records"]["digest"]))
+        lines.append(_line(status))
+        lines += [
+            f"  refused alone: {code} {detail}"
+            for code, detail in status["records"]["refused"]
+        ]
+        if status["records"]["last_error"]:
+            lines.append(f"  last set refused: {status['records']['last_error']}")
+    if len(numbers) > 1:
+        lines.append(f"records differ: {sorted(numbers)}")
+    return lines, failed
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/callers.py
@@ -0,0 +1,385 @@
+"""Callers: an open-loop load whose arrivals do not wait for answers.
+
+Arrivals, classes, teams, prompts and lengths come from one seed, so that two
+policies meet the same load. Every answer is checked word by word.
+"""
+
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+import httpcore
+import msgspec
+import trio
+from buckthornwall.upstreams.engine import sse_events
+
+from .deployments import ORDER_ROUTE, ClassLoad, Deployment, key_of
+from .engine import EngineModel
+
+__all__ = ["Arrival", "Callers", "Outcome", "Verdict", "plan_arrivals"]
+
+LENGTH_SIGMA = 0.9
+LONGEST_TOKENS = 400
+SHORTEST_TOKENS = 3
+PLANS = 12
+DONE = b"[DONE]"
+PICK_S = 0.3
+CONNECT_TRIES = 3
+KEYED_TRIES = 4
+READ_LIMIT_S = 20.0
+
+Rate = Callable[[ClassLoad, float], float]
+
+
+class Verdict(Enum):
+    """How a request ended, as its caller saw it."""
+
+    WHOLE = "whole"
+    REFUSED = "refused"
+    BROKEN = "broken"
+    MIXED = "mixed up"
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """One request to come, at `at` seconds from the start of the load."""
+
+    at: float
+    load: ClassLoad
+    team: str
+    nonce: str
+    length: int
+    plan: int
+
+
+@dataclass
+class Outcome:
+    """What a caller saw; times in seconds from the start of the load."""
+
+    arrival: Arrival
+    verdict: Verdict = Verdict.BROKEN
+    node: str = ""
+    tokens: int = 0
+    first_token_s: float = math.inf
+    total_s: float = math.inf
+    code: int = 0
+    run: str = ""
+    detail: str = ""
+
+    @property
+    def inter_token_s(self) -> float:
+        """Mean seconds between tokens."""
+        if self.tokens < 2:
+            return 0.0
+        return (self.total_s - self.first_token_s) / (self.tokens - 1)
+
+    @property
+    def attained(self) -> bool:
+        """Whether the whole answer came within the class's targets."""
+        load = self.arrival.load
+        return (
+            self.verdict is Verdict.WHOLE
+            and self.first_token_s <= load.first_token_s
+            and self.inter_token_s <= load.inter_token_s
+            and self.total_s <= load.total_s
+        )
+
+
+@dataclass
+class OrderOutcome:
+    """What became of one order confirmation."""
+
+    order: str
+    status: int = 0
+    run: str = ""
+    tries: int = 0
+    times: int = 0
+
+
+def pool_capacity(deployment: Deployment, pool: str, model: EngineModel) -> float:
+    """Return the tokens a second that a pool can generate with full batches."""
+    step_s = (model.step_ms + model.slots * model.load_ms) / 1000
+    return deployment.pools[pool] * model.slots / step_s
+
+
+def plan_arrivals(
+    deployment: Deployment,
+    model: EngineModel,
+    seconds: float,
+    seed: int,
+    rate: Rate,
+    flood: Callable[[str, float], float] = lambda team, at: 1.0,
+) -> list[Arrival]:
+    """Draw the arrivals of a run.
+
+    Parameters
+    ----------
+    deployment, model
+        What is loaded.
+    seconds
+        Length of the load.
+    seed
+        Of every draw.
+    rate
+        Demand of a class at a time, as a part of its pool's capacity times
+        its share.
+    flood
+        Factor on one team's arrivals at a time.
+    """
+    arrivals: list[Arrival] = []
+    for load in deployment.loads:
+        generator = random.Random(f"{seed}/{load.id}")
+        capacity = pool_capacity(deployment, load.pool, model)
+        mean_tokens = load.median_tokens * math.exp(LENGTH_SIGMA**2 / 2)
+        for team, part in load.teams:
+            base = capacity * load.share * part / mean_tokens
+            arrivals += _team_arrivals(
+                load, team, seconds, generator, _product(base, rate, flood, load, team)
+            )
+    arrivals.sort(key=lambda each: each.at)
+    return arrivals
+
+
+def _product(base: float, rate: Rate, flood, load: ClassLoad, team: str):
+    return lambda at: base * rate(load, at) * flood(team, at)
+
+
+def _team_arrivals(
+    load: ClassLoad,
+    team: str,
+    seconds: float,
+    generator: random.Random,
+    rate_at: Callable[[float], float],
+) -> list[Arrival]:
+    """Draw a Poisson process of varying rate by thinning."""
+    peak = max(rate_at(tenth / 10) for tenth in range(int(seconds * 10) + 1))
+    arrivals = []
+    at = 0.0
+    while peak > 0:
+        at += generator.expovariate(peak)
+        if at >= seconds:
+            break
+        drawn = generator.random()
+        length = load.median_tokens * math.exp(generator.gauss(0, LENGTH_SIGMA))
+        nonce = f"{generator.getrandbits(48):012x}"
+        plan = generator.randrange(PLANS)
+        if drawn < rate_at(at) / peak:
+            tokens = int(min(LONGEST_TOKENS, max(SHORTEST_TOKENS, length)))
+            arrivals.append(Arrival(at, load, team, nonce, tokens, plan))
+    return arrivals
+
+
+class Callers:
+    """Sends a plan of arrivals to the instances that the platform lists.
+
+    Parameters
+    ----------
+    fleet
+        What to call.
+    arrivals
+        The plan.
+    order_rate
+        Order confirmations a second beside it.
+    one_way_s
+        Delay that each caller adds on its way to an instance.
+    """
+
+    def __init__(
+        self,
+        fleet,
+        arrivals: list[Arrival],
+        order_rate: float = 0.0,
+        one_way_s: float = 0.001,
+    ) -> None:
+        self.fleet = fleet
+        self.arrivals = arrivals
+        self.order_rate = order_rate
+        self.one_way_s = one_way_s
+        self.outcomes: list[Outcome] = []
+        self.orders: list[OrderOutcome] = []
+        self.started = 0.0
+        self.ready = list(fleet.nodes)
+        self.turn = 0
+        self.pool = httpcore.AsyncConnectionPool(
+            max_connections=5000, keepalive_expiry=2.0
+        )
+
+    async def run(self, seconds: float) -> None:
+        """Send everything and wait for the last answer."""
+        self.started = trio.current_time()
+        async with self.pool, trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow_list, nursery.cancel_scope)
+            async with trio.open_nursery() as requests:
+                requests.start_soon(self._send_orders, requests, seconds)
+                for arrival in self.arrivals:
+                    due = self.started + arrival.at
+                    await trio.sleep_until(due)
+                    requests.start_soon(self._one, arrival)
+            nursery.cancel_scope.cancel()
+
+    def pick(self):
+        """Return the next ready instance, as a balancer would."""
+        self.turn += 1
+        return self.ready[self.turn % len(self.ready)]
+
+    async def _follow_list(self, _scope) -> None:
+        while True:
+            try:
+                listed = await self.fleet.read(
+                    self.fleet.platform_address, "/v1/instances?after=0&wait=0"
+                )
+                live = {
+                    each["id"] for each in listed["instances"] if not each["leaving"]
+                }
+                ready = [node for node in self.fleet.nodes if node.id in live]
+                self.ready = ready or self.ready
+            except (httpcore.NetworkError, httpcore.TimeoutException, KeyError):
+                pass
+            await trio.sleep(PICK_S)
+
+    async def _one(self, arrival: Arrival) -> None:
+        outcome = Outcome(arrival)
+        self.outcomes.append(outcome)
+        await trio.sleep(self.one_way_s)
+        for _ in range(CONNECT_TRIES):
+            node = self.pick()
+            outcome.node = node.id
+            try:
+                await self._stream(node, arrival, outcome)
+                return
+            except httpcore.ConnectError:
+                continue  # nothing was sent: a balancer tries the next one
+            except (
+                httpcore.NetworkError,
+                httpcore.ProtocolError,
+                httpcore.TimeoutException,
+            ) as error:
+                outcome.detail = repr(error)
+                return
+
+    async def _stream(self, node, arrival: Arrival, outcome: Outcome) -> None:
+        async with self.pool.stream(
+            "POST",
+            f"http://{node.callers}/v1/chat/completions",
+            headers=_headers(arrival.team, arrival.load.id),
+            content=msgspec.json.encode(_body(arrival)),
+            extensions={"timeout": {"connect": 1.0, "read": READ_LIMIT_S}},
+        ) as response:
+            if response.status != 200:
+                _note_refusal(outcome, await response.aread())
+                return
+            buffer = bytearray()
+            async for part in response.aiter_stream():
+                buffer += part
+                for event in sse_events(buffer):
+                    self._take_event(event, outcome)
+
+    def _take_event(self, event: bytes, outcome: Outcome) -> None:
+        arrival = outcome.arrival
+        now = trio.current_time() - self.started - arrival.at
+        if event == DONE:
+            outcome.total_s = now
+            whole = outcome.tokens == arrival.length
+            if outcome.verdict is not Verdict.MIXED:
+                outcome.verdict = Verdict.WHOLE if whole else Verdict.MIXED
+            return
+        chunk = msgspec.json.decode(event)
+        if "error" in chunk:
+            _note_refusal(outcome, event)
+            outcome.verdict = Verdict.BROKEN
+            return
+        for choice in chunk["choices"]:
+            text = choice["delta"].get("content")
+            if not text:
+                continue
+            if text != f"{arrival.nonce}.{outcome.tokens} ":
+                outcome.verdict = Verdict.MIXED
+                outcome.detail = text
+            if not outcome.tokens:
+                outcome.first_token_s = now
+            outcome.tokens += 1
+
+    # Orders
+
+    async def _send_orders(self, nursery: trio.Nursery, seconds: float) -> None:
+        if not self.order_rate:
+            return
+        for index in range(int(seconds * self.order_rate)):
+            await trio.sleep_until(self.started + index / self.order_rate)
+            nursery.start_soon(self._order, f"order-{index}")
+
+    async def _order(self, order: str) -> None:
+        """Confirm one order, repeating it under one key until it is settled."""
+        outcome = OrderOutcome(order)
+        self.orders.append(outcome)
+        key = None
+        for _ in range(KEYED_TRIES):
+            outcome.tries += 1
+            try:
+                status, body = await self._confirm(order, key)
+            except (
+                httpcore.NetworkError,
+                httpcore.ProtocolError,
+                httpcore.TimeoutException,
+            ):
+                outcome.run = "unknown" if key else "no"
+                continue
+            outcome.status = status
+            error = body.get("error", {})
+            outcome.run = error.get("run", "yes")
+            outcome.times = body.get("times", 0)
+            if status == 428:
+                key = error["idempotency_key"]
+                continue
+            if status == 200 or outcome.run == "no":
+                return
+            await trio.sleep(1.0)
+
+    async def _confirm(self, order: str, key: str | None) -> tuple[int, dict]:
+        team = self.fleet.deployment.teams()[0]
+        headers = [("authorization", f"Bearer {key_of(team)}")]
+        if key:
+            headers.append(("idempotency-key", key))
+        response = await self.pool.request(
+            "POST",
+            f"http://{self.pick().callers}/services/{ORDER_ROUTE}/confirm",
+            headers=headers,
+            content=msgspec.json.encode({"order": order}),
+            extensions={"timeout": {"connect": 1.0, "read": READ_LIMIT_S}},
+        )
+        return response.status, msgspec.json.decode(response.content)
+
+
+def _headers(team: str, class_id: str) -> list[tuple[str, str]]:
+    return [
+        ("authorization", f"Bearer {key_of(team)}"),
+        ("x-service-class", class_id),
+        ("content-type", "application/json"),
+    ]
+
+
+def _body(arrival: Arrival) -> dict:
+    plan = f"{arrival.team} plan {arrival.plan}. "
+    filler = plan * (arrival.load.prompt_chars // len(plan))
+    question = f"nonce={arrival.nonce} length={arrival.length}"
+    return {
+        "model": arrival.load.pool,
+        "stream": True,
+        "messages": [
+            {"role": "system", "content": filler},
+            {"role": "user", "content": question},
+        ],
+    }
+
+
+def _note_refusal(outcome: Outcome, body: bytes) -> None:
+    outcome.verdict = Verdict.REFUSED
+    try:
+        error = msgspec.json.decode(body)["error"]
+        outcome.code = error["code"]
+        outcome.run = error["run"]
+        outcome.detail = error["message"]
+    except (msgspec.DecodeError, KeyError, TypeError):
+        outcome.detail = body[:200].decode(errors="replace")
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/fleet.py
@@ -0,0 +1,392 @@
+"""Start, watch and disturb a whole deployment as real processes."""
+
+import os
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import httpcore
+import msgspec
+import trio
+
+from .deployments import Deployment, records_of
+from .engine import EngineModel
+
+__all__ = ["Fleet", "NodeProcess"]
+
+CALLER_PORT = 8080
+OPERATOR_PORT = 8081
+PEER_PORT = 8082
+UPSTREAM_PORT = 8090
+PLATFORM_PORT = 8070
+READY_LIMIT_S = 30.0
+STOP_LIMIT_S = 30.0
+FIRST_NETWORK = 10
+LAST_NETWORK = 250
+
+SETTINGS = """\
+[node]
+id = {id}
+zone = {zone}
+[gateway]
+listen = {host}:{caller_port}
+drain_s = {drain_s}
+[operators]
+listen = {host}:{operator_port}
+[platform]
+address = {platform}
+watch_s = 5
+[links]
+listen = {host}:{peer_port}
+peer_secret = a-secret-of-the-demonstration
+[telemetry]
+log_level = {log_level}
+"""
+
+
+@dataclass
+class NodeProcess:
+    """One entry instance."""
+
+    id: str
+    zone: str
+    host: str
+    process: subprocess.Popen | None = None
+    stopped: bool = False
+    killed: bool = False
+
+    @property
+    def callers(self) -> str:
+        """Address of the callers' listener."""
+        return f"{self.host}:{CALLER_PORT}"
+
+    @property
+    def operators(self) -> str:
+        """Address of the operators' listener."""
+        return f"{self.host}:{OPERATOR_PORT}"
+
+    @property
+    def peers(self) -> str:
+        """Address that peers dial."""
+        return f"{self.host}:{PEER_PORT}"
+
+
+@dataclass
+class UpstreamProcess:
+    """One engine or plain service."""
+
+    id: str
+    kind: str
+    address: str
+    serves: str
+    process: subprocess.Popen | None = None
+    last_counts: dict[str, Any] = field(default_factory=dict)
+
+
+class Fleet:
+    """Every process of one deployment, on addresses of one loopback network.
+
+    Parameters
+    ----------
+    deployment
+        Sizes and records.
+    engine_model
+        How fast the engines are.
+    scheduling
+        Mode that the records give to every pool.
+    log_level
+        Of the entry instances, whose logs go to files in `folder`.
+    drain_s
+        How long a stopping instance serves on.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        engine_model: EngineModel | None = None,
+        scheduling: str = "pooled",
+        log_level: str = "WARNING",
+        drain_s: float = 1.5,
+    ) -> None:
+        self.deployment = deployment
+        self.engine_model = engine_model or EngineModel(slots=deployment.slots)
+        self.scheduling = scheduling
+        self.log_level = log_level
+        self.drain_s = drain_s
+        self.folder = Path(tempfile.mkdtemp(prefix="buckthornwall-"))
+        self.network = f"127.{random.randint(FIRST_NETWORK, LAST_NETWORK)}"
+        self.platform_address = f"{self.network}.0.1:{PLATFORM_PORT}"
+        self.platform: subprocess.Popen | None = None
+        self.number = 1
+        self.http = httpcore.AsyncConnectionPool(max_keepalive_connections=0)
+        self.nodes = self._plan_nodes()
+        self.upstreams = self._plan_upstreams()
+
+    def _plan_nodes(self) -> list[NodeProcess]:
+        zones = self.deployment.zones
+        return [
+            NodeProcess(
+                f"{zones[index % len(zones)]}-{index + 1}",
+                zones[index % len(zones)],
+                f"{self.network}.1.{index + 1}",
+            )
+            for index in range(self.deployment.nodes)
+        ]
+
+    def _plan_upstreams(self) -> list[UpstreamProcess]:
+        planned = []
+        for pool, count in self.deployment.pools.items():
+            for index in range(count):
+                host = f"{self.network}.2.{len(planned) + 1}"
+                planned.append(
+                    UpstreamProcess(
+                        f"{pool}-{index + 1}", "engine", f"{host}:{UPSTREAM_PORT}", pool
+                    )
+                )
+        if self.deployment.service:
+            address = f"{self.network}.3.1:{UPSTREAM_PORT}"
+            planned.append(
+                UpstreamProcess("orders-1", "service", address, "order-service")
+            )
+        return planned
+
+    def engines(self) -> list[UpstreamProcess]:
+        """Return the engines."""
+        return [each for each in self.upstreams if each.kind == "engine"]
+
+    def node(self, node_id: str) -> NodeProcess:
+        """Return an entry instance by id."""
+        return next(each for each in self.nodes if each.id == node_id)
+
+    # Start and end
+
+    @classmethod
+    @asynccontextmanager
+    async def running(cls, *args, **kwargs) -> AsyncIterator["Fleet"]:
+        """Start everything, and end everything afterwards."""
+        fleet = cls(*args, **kwargs)
+        try:
+            await fleet.start()
+            yield fleet
+        finally:
+            fleet.end()
+            with trio.CancelScope(shield=True):
+                await fleet.http.aclose()
+
+    async def start(self) -> None:
+        """Start every process and wait until every instance is ready."""
+        self.platform = self._spawn(
+            "buckthornwall_standins.platform", "--listen", self.platform_address
+        )
+        for upstream in self.upstreams:
+            self.start_upstream(upstream)
+        await self._wait_for(self.platform_address, "/control/counts")
+        for upstream in self.upstreams:
+            await self._wait_for(upstream.address, "/counts")
+        await self.publish()
+        await self.publish_instances()
+        for node in self.nodes:
+            self.start_node(node)
+        for node in self.nodes:
+            await self.wait_ready(node)
+
+    def _spawn(self, module: str, *arguments: str, log: str = "") -> subprocess.Popen:
+        path = self.folder / (log or f"{module.rpartition('.')[2]}.log")
+        with path.open("ab") as output:
+            return subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdout=output,
+                stderr=output,
+                start_new_session=True,
+            )
+
+    def start_upstream(self, upstream: UpstreamProcess) -> None:
+        """Start one engine or service."""
+        if upstream.kind == "engine":
+            model = msgspec.json.encode(self.engine_model).decode()
+            upstream.process = self._spawn(
+                "buckthornwall_standins.engine",
+                *("--listen", upstream.address),
+                *("--name", upstream.id, "--model", model),
+            )
+        else:
+            upstream.process = self._spawn(
+                "buckthornwall_standins.service", "--listen", upstream.address
+            )
+
+    def start_node(self, node: NodeProcess) -> None:
+        """Write one instance's settings and start it."""
+        path = self.folder / f"{node.id}.ini"
+        text = SETTINGS.format(
+            id=node.id,
+            zone=node.zone,
+            host=node.host,
+            caller_port=CALLER_PORT,
+            operator_port=OPERATOR_PORT,
+            peer_port=PEER_PORT,
+            platform=self.platform_address,
+            drain_s=self.drain_s,
+            log_level=self.log_level,
+        )
+        path.write_text(text, encoding="utf-8")
+        node.process = self._spawn(
+            "buckthornwall.node.main", "--settings", str(path), log=f"{node.id}.log"
+        )
+
+    async def wait_ready(self, node: NodeProcess) -> None:
+        """Wait until an instance says that it is ready."""
+        await self._wait_for(node.operators, "/readyz")
+
+    async def _wait_for(self, address: str, path: str) -> None:
+        with trio.fail_after(READY_LIMIT_S):
+            while True:
+                try:
+                    status, _ = await self.request("GET", address, path)
+                    if status == 200:
+                        return
+                except (httpcore.NetworkError, httpcore.TimeoutException):
+                    pass
+                await trio.sleep(0.05)
+
+    def end(self) -> None:
+        """End every process that is still there."""
+        processes = [self.platform]
+        processes += [each.process for each in self.upstreams]
+        processes += [each.process for each in self.nodes]
+        alive = [each for each in processes if each is not None]
+        for process in alive:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in alive:
+            process.wait()
+
+    # Talking to the processes
+
+    async def request(
+        self, method: str, address: str, path: str, body: Any = None
+    ) -> tuple[int, bytes]:
+        """Send one plain request; return status and body."""
+        response = await self.http.request(
+            method,
+            f"http://{address}{path}",
+            content=msgspec.json.encode(body) if body is not None else b"",
+            extensions={"timeout": {"connect": 1.0, "read": 5.0}},
+        )
+        return response.status, response.content
+
+    async def read(self, address: str, path: str) -> Any:
+        """Return the JSON that a process serves at a path."""
+        _, content = await self.request("GET", address, path)
+        return msgspec.json.decode(content)
+
+    async def status(self, node: NodeProcess) -> dict[str, Any]:
+        """Return what an instance says of itself."""
+        return await self.read(node.operators, "/status")
+
+    def upstream_records(self) -> list[dict[str, Any]]:
+        """Return the records of the upstreams."""
+        return [
+            {
+                "kind": "upstream",
+                "schema": 2,
+                "id": each.id,
+                "type": each.kind,
+                "address": each.address,
+                "serves": [each.serves],
+                "slots": self.engine_model.slots,
+            }
+            for each in self.upstreams
+        ]
+
+    async def publish(self, records: dict[str, Any] | None = None) -> None:
+        """Publish a set of records as the operators do."""
+        if records is None:
+            records = records_of(
+                self.deployment, self.number, self.upstream_records(), self.scheduling
+            )
+        await self.request("POST", self.platform_address, "/control/records", records)
+
+    async def publish_instances(self, leaving: tuple[str, ...] = ()) -> None:
+        """Tell the platform which instances there are."""
+        instances = [
+            {
+                "id": node.id,
+                "kind": "entry",
+                "address": node.peers,
+                "zone": node.zone,
+                "health": node.operators,
+            }
+            for node in self.nodes
+        ]
+        instances += [
+            {
+                "id": each.id,
+                "kind": each.kind,
+                "address": each.address,
+                "leaving": each.id in leaving,
+            }
+            for each in self.upstreams
+        ]
+        await self.request(
+            "POST", self.platform_address, "/control/instances", instances
+        )
+
+    async def platform_fault(self, **fault: Any) -> None:
+        """Set a fault of the platform."""
+        await self.request("POST", self.platform_address, "/control/fault", fault)
+
+    async def engine_fault(self, upstream: UpstreamProcess, **fault: Any) -> None:
+        """Set a fault of an engine."""
+        await self.request("POST", upstream.address, "/control", fault)
+
+    async def collect_counts(self) -> None:
+        """Read every upstream's counts, keeping the last ones of a dead one."""
+        for each in self.upstreams:
+            try:
+                each.last_counts = await self.read(each.address, "/counts")
+            except (httpcore.NetworkError, httpcore.TimeoutException):
+                continue
+
+    # Disturbances
+
+    def kill(self, what: NodeProcess | UpstreamProcess) -> None:
+        """End a process without warning."""
+        if isinstance(what, NodeProcess):
+            what.killed = True
+        what.process.kill()
+
+    def freeze(self, node: NodeProcess) -> None:
+        """Stop a process from running."""
+        os.kill(node.process.pid, signal.SIGSTOP)
+
+    def thaw(self, node: NodeProcess) -> None:
+        """Let a frozen process run on."""
+        os.kill(node.process.pid, signal.SIGCONT)
+
+    async def stop(self, node: NodeProcess) -> int:
+        """Stop an instance as planned; return its exit status."""
+        node.stopped = True
+        node.process.terminate()
+        with trio.fail_after(STOP_LIMIT_S):
+            while node.process.poll() is None:
+                await trio.sleep(0.05)
+        return node.process.returncode
+
+    async def scheduler_of(self, pool: str) -> NodeProcess:
+        """Return the instance that schedules a pool, as the others see it."""
+        votes: dict[str, int] = {}
+        for node in self.nodes:
+            if node.process is None or node.process.poll() is not None:
+                continue
+            holder = (await self.status(node))["supports"].get(pool)
+            if holder:
+                votes[holder] = votes.get(holder, 0) + 1
+        return self.node(max(votes, key=votes.get))
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/report.py
@@ -0,0 +1,199 @@
+"""Attainment by class, goodput, wasted work and the checks of a run."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from .callers import Callers, Outcome, Verdict
+
+__all__ = ["ClassFigures", "RunReport", "quantile"]
+
+
+def quantile(values: list[float], part: float) -> float:
+    """Return the value below which `part` of the values lie; 0 for none."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
+
+
+@dataclass
+class ClassFigures:
+    """Figures of one service class."""
+
+    class_id: str
+    tier: int
+    asked: int = 0
+    attained: int = 0
+    late: int = 0
+    refused: int = 0
+    broken: int = 0
+    first_token_p50_s: float = 0.0
+    first_token_p99_s: float = 0.0
+
+    @property
+    def attainment(self) -> float:
+        """Share of what was asked that was served within target."""
+        return self.attained / self.asked if self.asked else 1.0
+
+
+@dataclass
+class RunReport:
+    """Everything that one run showed."""
+
+    classes: list[ClassFigures]
+    useful_tokens: int
+    delivered_tokens: int
+    generated_tokens: int
+    seconds: float
+    refusals: int
+    false_refusals: int
+    mixed_up: int
+    doubled_orders: int
+    false_order_refusals: int
+    lost_confirmations: int
+    cut_by_planned_stop: int
+    broken_elsewhere: int
+    orders: int
+    codes: dict[int, int] = field(default_factory=dict)
+    prefix_hit_share: float = 0.0
+
+    @classmethod
+    def from_run(cls, fleet, callers: Callers, seconds: float) -> "RunReport":
+        """Work out the figures; the stand-ins' counts must be collected."""
+        outcomes = callers.outcomes
+        started = _started(fleet)
+        service = _service_counts(fleet)
+        unrun = [
+            each
+            for each in outcomes
+            if each.verdict is Verdict.REFUSED and each.run == "no"
+        ]
+        stopped = {node.id for node in fleet.nodes if node.stopped}
+        broken = [each for each in outcomes if each.verdict is Verdict.BROKEN]
+        engine_counts = [each.last_counts for each in fleet.engines()]
+        starts = sum(each.get("starts", 0) for each in engine_counts)
+        hits = sum(each.get("prefix_hits", 0) for each in engine_counts)
+        return cls(
+            classes=_class_figures(outcomes),
+            useful_tokens=sum(each.tokens for each in outcomes if each.attained),
+            delivered_tokens=sum(
+                each.tokens for each in outcomes if each.verdict is Verdict.WHOLE
+            ),
+            generated_tokens=_generated(fleet),
+            seconds=seconds,
+            refusals=sum(each.verdict is Verdict.REFUSED for each in outcomes),
+            false_refusals=sum(each.arrival.nonce in started for each in unrun),
+            mixed_up=sum(each.verdict is Verdict.MIXED for each in outcomes),
+            doubled_orders=sum(count > 1 for count in service.values()),
+            false_order_refusals=sum(
+                each.run == "no" and each.status != 428 and each.order in service
+                for each in callers.orders
+            ),
+            lost_confirmations=sum(
+                each.status == 200 and each.order not in service
+                for each in callers.orders
+            ),
+            cut_by_planned_stop=sum(each.node in stopped for each in broken),
+            broken_elsewhere=sum(each.node not in stopped for each in broken),
+            orders=len(callers.orders),
+            codes=dict(Counter(each.code for each in outcomes if each.code)),
+            prefix_hit_share=hits / starts if starts else 0.0,
+        )
+
+    @property
+    def goodput(self) -> float:
+        """Useful tokens a second, within target."""
+        return self.useful_tokens / self.seconds
+
+    @property
+    def wasted_share(self) -> float:
+        """Share of the generated tokens that reached nobody as a whole answer."""
+        if not self.generated_tokens:
+            return 0.0
+        return max(0.0, 1 - self.delivered_tokens / self.generated_tokens)
+
+    def checks(self) -> dict[str, bool]:
+        """Return what must hold in any run, by name."""
+        return {
+            "no call doubled": self.doubled_orders == 0,
+            "no answer mixed up": self.mixed_up == 0,
+            "none cut by a planned stop": self.cut_by_planned_stop == 0,
+            "every refusal true": self.false_refusals == 0
+            and self.false_order_refusals == 0
+            and self.lost_confirmations == 0,
+        }
+
+    def table(self) -> str:
+        """Return the figures as a Markdown table and a few lines."""
+        lines = [
+            "| class | tier | asked | attained | late | refused | broken "
+            "| first token p50 / p99 s |",
+            "|---|---|---|---|---|---|---|---|",
+        ]
+        lines += [
+            f"| {each.class_id} | {each.tier} | {each.asked} "
+            f"| {each.attainment:.1%} | {each.late} | {each.refused} "
+            f"| {each.broken} "
+            f"| {each.first_token_p50_s:.2f} / {each.first_token_p99_s:.2f} |"
+            for each in self.classes
+        ]
+        codes = ", ".join(f"{code}: {n}" for code, n in sorted(self.codes.items()))
+        lines += [
+            "",
+            f"Goodput {self.goodput:.0f} tokens/s; "
+            f"wasted work {self.wasted_share:.2%} of "
+            f"{self.generated_tokens} tokens generated; "
+            f"prefix hits {self.prefix_hit_share:.0%}.",
+            f"Orders {self.orders}; refusals {self.refusals} "
+            f"(by code: {codes or 'none'}); broken elsewhere {self.broken_elsewhere}.",
+        ]
+        return "\n".join(lines)
+
+
+def _class_figures(outcomes: list[Outcome]) -> list[ClassFigures]:
+    loads = {each.arrival.load.id: each.arrival.load for each in outcomes}
+    figures = []
+    for load in sorted(loads.values(), key=lambda each: (each.pool, each.tier)):
+        own = [each for each in outcomes if each.arrival.load.id == load.id]
+        whole = [each for each in own if each.verdict is Verdict.WHOLE]
+        firsts = [each.first_token_s for each in whole]
+        attained = sum(each.attained for each in own)
+        broken = sum(each.verdict in (Verdict.BROKEN, Verdict.MIXED) for each in own)
+        figures.append(
+            ClassFigures(
+                load.id,
+                load.tier,
+                asked=len(own),
+                attained=attained,
+                late=len(whole) - attained,
+                refused=sum(each.verdict is Verdict.REFUSED for each in own),
+                broken=broken,
+                first_token_p50_s=quantile(firsts, 0.5),
+                first_token_p99_s=quantile(firsts, 0.99),
+            )
+        )
+    return figures
+
+
+def _started(fleet) -> set[str]:
+    """Return every nonce that any engine began."""
+    return {
+        nonce
+        for engine in fleet.engines()
+        for nonce in engine.last_counts.get("started", [])
+    }
+
+
+def _generated(fleet) -> int:
+    return sum(
+        sum(engine.last_counts.get("generated", {}).values())
+        for engine in fleet.engines()
+    )
+
+
+def _service_counts(fleet) -> dict[str, int]:
+    counts: Counter[str] = Counter()
+    for each in fleet.upstreams:
+        if each.kind == "service":
+            counts.update(each.last_counts)
+    return counts
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/service.py
@@ -0,0 +1,67 @@
+"""A plain service that confirms orders and counts each confirmation."""
+
+import argparse
+from collections import Counter
+
+import msgspec
+import trio
+from buckthornwall.gateway.http import Exchange
+
+from .asgi import json_app, serve_until_signal
+
+__all__ = ["OrderService"]
+
+BODY_LIMIT = 2**20
+
+
+class OrderService:
+    """Counts the calls for each order.
+
+    Parameters
+    ----------
+    work_s
+        Seconds that a confirmation takes.
+    """
+
+    def __init__(self, work_s: float) -> None:
+        self.work_s = work_s
+        self.confirmed: Counter[str] = Counter()
+
+    def routes(self) -> dict:
+        """Return the handlers by path."""
+        return {
+            "/confirm": self.confirm,
+            "/echo": self.echo,
+            "/counts": self.counts,
+        }
+
+    async def confirm(self, exchange: Exchange) -> None:
+        """Confirm an order; the call counts even if nobody waits for it."""
+        body = msgspec.json.decode(await exchange.read_body(BODY_LIMIT, 10))
+        order = body["order"]
+        self.confirmed[order] += 1
+        await trio.sleep(self.work_s)
+        answer = {"order": order, "times": self.confirmed[order]}
+        await exchange.respond_json(answer)
+
+    async def echo(self, exchange: Exchange) -> None:
+        """Return the body."""
+        await exchange.respond(200, await exchange.read_body(BODY_LIMIT, 10))
+
+    async def counts(self, exchange: Exchange) -> None:
+        """Serve the number of calls for each order."""
+        await exchange.respond_json(self.confirmed)
+
+
+def main() -> None:
+    """Run the stand-in."""
+    parser = argparse.ArgumentParser(description="Stand-in of a plain service.")
+    parser.add_argument("--listen", required=True)
+    parser.add_argument("--work-s", type=float, default=0.03)
+    options = parser.parse_args()
+    service = OrderService(options.work_s)
+    trio.run(serve_until_signal, json_app(service.routes()), options.listen)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/gateway/__init__.py
@@ -0,0 +1,15 @@
+"""HTTP for callers and for operators, as ASGI applications."""
+
+from .app import CallerApp, GatewaySettings
+from .completions import CompletionHandler
+from .operators import OperatorApp, OperatorSettings
+from .services import ServiceHandler
+
+__all__ = [
+    "CallerApp",
+    "CompletionHandler",
+    "GatewaySettings",
+    "OperatorApp",
+    "OperatorSettings",
+    "ServiceHandler",
+]
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/gateway/answer.py
@@ -0,0 +1,137 @@
+"""The one answer a caller gets, put together from the chunks of attempts."""
+
+from typing import Any
+
+import msgspec
+
+from .http import EVENT_STREAM, Exchange
+
+__all__ = ["Answer", "CollectedAnswer", "StreamedAnswer"]
+
+DONE_EVENT = b"data: [DONE]\n\n"
+
+
+def text_of(chunk: dict[str, Any]) -> str:
+    """Return the text that a chunk adds to the first choice."""
+    parts = []
+    for choice in chunk.get("choices") or []:
+        content = (choice.get("delta") or {}).get("content") or choice.get("text")
+        if content:
+            parts.append(content)
+    return "".join(parts)
+
+
+class Answer:
+    """What has been delivered so far; subclasses write it to the caller.
+
+    Parameters
+    ----------
+    exchange
+        The caller.
+    chat
+        Whether it is a chat completion, else a text completion.
+    """
+
+    def __init__(self, exchange: Exchange, chat: bool) -> None:
+        self.exchange = exchange
+        self.chat = chat
+        self.parts: list[str] = []
+        self.tokens = 0
+        self.finished = False
+        self.ident: str | None = None
+
+    @property
+    def text(self) -> str:
+        """All text delivered so far."""
+        return "".join(self.parts)
+
+    def count(self, chunks: list[dict[str, Any]]) -> int:
+        """Keep the chunks' text; return how many tokens they hold."""
+        fresh = 0
+        for chunk in chunks:
+            text = text_of(chunk)
+            if text:
+                self.parts.append(text)
+                fresh += 1
+        self.tokens += fresh
+        return fresh
+
+    def own(self, chunk: dict[str, Any]) -> dict[str, Any]:
+        """Give a chunk the id of the answer, whichever attempt it is from."""
+        if self.ident is None:
+            self.ident = chunk.get("id")
+        chunk["id"] = self.ident
+        return chunk
+
+    async def add(self, chunks: list[dict[str, Any]]) -> None:
+        """Take chunks that came together."""
+        raise NotImplementedError
+
+    async def finish(self) -> None:
+        """End the answer, which is whole."""
+        raise NotImplementedError
+
+
+class StreamedAnswer(Answer):
+    """Server-sent events, those that came together in one write."""
+
+    async def add(self, chunks: list[dict[str, Any]]) -> None:
+        """Send the chunks on."""
+        if not self.exchange.started:
+            headers = [("content-type", EVENT_STREAM), ("cache-control", "no-store")]
+            await self.exchange.start(200, headers)
+        encode = msgspec.json.encode
+        events = [b"data: " + encode(self.own(chunk)) + b"\n\n" for chunk in chunks]
+        await self.exchange.write(b"".join(events))
+
+    async def finish(self) -> None:
+        """Send the closing event."""
+        if not self.exchange.started:
+            await self.add([])
+        self.finished = True
+        await self.exchange.write(DONE_EVENT, more=False)
+
+
+class CollectedAnswer(Answer):
+    """One JSON object, sent when the answer is whole."""
+
+    def __init__(self, exchange: Exchange, chat: bool) -> None:
+        super().__init__(exchange, chat)
+        self.first: dict[str, Any] = {}
+        self.finish_reasons: dict[int, str] = {}
+        self.texts: dict[int, list[str]] = {}
+        self.usage: dict[str, Any] | None = None
+
+    async def add(self, chunks: list[dict[str, Any]]) -> None:
+        """Gather the chunks by choice."""
+        for chunk in chunks:
+            self.first = self.first or self.own(chunk)
+            self.usage = chunk.get("usage") or self.usage
+            for choice in chunk.get("choices") or []:
+                index = choice.get("index", 0)
+                texts = self.texts.setdefault(index, [])
+                texts.append(text_of({"choices": [choice]}))
+                if choice.get("finish_reason"):
+                    self.finish_reasons[index] = choice["finish_reason"]
+
+    def _choice(self, index: int) -> dict[str, Any]:
+        text = "".join(self.texts[index])
+        content: dict[str, Any] = {"text": text}
+        if self.chat:
+            content = {"message": {"role": "assistant", "content": text}}
+        reason = self.finish_reasons.get(index, "stop")
+        return {"index": index, **content, "finish_reason": reason}
+
+    async def finish(self) -> None:
+        """Send the object."""
+        body = {
+            "id": self.ident,
+            "object": "chat.completion" if self.chat else "text_completion",
+            "created": self.first.get("created", 0),
+            "model": self.first.get("model", ""),
+            "choices": [self._choice(index) for index in sorted(self.texts)],
+        }
+        if self.usage:
+            body["usage"] = self.usage
+        self.finished = True
+        await self.exchange.respond_json(body)
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/gateway/app.py
@@ -0,0 +1,149 @@
+"""The callers' ASGI application: paths, limits, and errors."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from buckthornwall.admission import Admission
+from buckthornwall.codes import Refusal, ResultCode, Run
+from buckthornwall.telemetry import Metrics, log_event
+from buckthornwall.utils import ConfigItem, ConfigNamespace
+
+from .completions import CompletionHandler
+from .http import CallerGone, Exchange
+from .services import ServiceHandler
+
+__all__ = ["CallerApp", "GatewaySettings"]
+
+SERVICES_PREFIX = "/services/"
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+class GatewaySettings(ConfigNamespace):
+    """Settings of the callers' listener."""
+
+    section = "gateway"
+
+    listen = ConfigItem("", "Address and port for callers.", required=True)
+    body_limit_bytes = ConfigItem(1_000_000, "Largest body taken.", minimum=1)
+    header_limit_bytes = ConfigItem(16_384, "Largest head of a request.", minimum=512)
+    body_timeout_s = ConfigItem(10.0, "Seconds for a body to arrive.", minimum=0.1)
+    keep_alive_s = ConfigItem(30.0, "Seconds an idle connection is kept.", minimum=1)
+    drain_s = ConfigItem(
+        2.0, "Seconds of serving on after a stop has been announced.", minimum=0
+    )
+    stop_limit_s = ConfigItem(
+        600.0, "Longest wait in seconds for requests in flight at a stop.", minimum=1
+    )
+    tls_certificate = ConfigItem("", "PEM file of the listener's certificate.")
+    tls_key = ConfigItem("", "PEM file of the certificate's key.")
+
+
+class CallerApp:
+    """Dispatches callers' requests and answers whatever goes wrong.
+
+    Parameters
+    ----------
+    settings
+        The ``[gateway]`` section.
+    admission, completions, services
+        What handles the requests.
+    metrics
+        Collectors of this instance.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        admission: Admission,
+        completions: CompletionHandler,
+        services: ServiceHandler,
+        metrics: Metrics,
+    ) -> None:
+        self.settings = settings
+        self.admission = admission
+        self.completions = completions
+        self.services = services
+        self.metrics = metrics
+        self.in_flight = 0
+        self.draining = False
+        self.idle = trio.Event()
+        self.routes: dict[str, tuple[str, Handler]] = {
+            "/v1/chat/completions": ("POST", completions.handle),
+            "/v1/completions": ("POST", completions.handle),
+            "/v1/models": ("GET", self._models),
+            "/idempotency-keys": ("POST", services.issue_key),
+        }
+
+    async def __call__(self, scope: dict, receive, send) -> None:
+        """Serve one ASGI connection scope."""
+        if scope["type"] == "lifespan":
+            await _lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        exchange = Exchange(scope, receive, send)
+        exchange.close_after = self.draining
+        self.in_flight += 1
+        try:
+            await self._serve(exchange)
+        finally:
+            self.in_flight -= 1
+            if self.draining and not self.in_flight:
+                self.idle.set()
+
+    async def _serve(self, exchange: Exchange) -> None:
+        try:
+            await self._dispatch(exchange)
+        except CallerGone:
+            log_event("caller_gone", "DEBUG", path=exchange.path)
+        except Refusal as refusal:
+            await self._refuse(exchange, refusal)
+        except Exception as error:
+            # The last resort: a fault of ours must not leave a caller waiting.
+            log_event("internal_error", "ERROR", detail=repr(error))
+            refusal = Refusal(ResultCode.UPSTREAM_BROKEN, "internal error", Run.UNKNOWN)
+            await self._refuse(exchange, refusal)
+
+    async def _refuse(self, exchange: Exchange, refusal: Refusal) -> None:
+        self.metrics.refusals.inc({"code": str(refusal.code.number)})
+        needs_key = refusal.code in (ResultCode.KEY_REQUIRED, ResultCode.KEY_FOREIGN)
+        key = self.services.fresh_key() if needs_key else None
+        await exchange.refuse(refusal, key)
+
+    async def _dispatch(self, exchange: Exchange) -> None:
+        if exchange.path.startswith(SERVICES_PREFIX):
+            await self.services.handle(exchange)
+            return
+        route = self.routes.get(exchange.path)
+        if route is None:
+            raise Refusal(ResultCode.UNKNOWN_PATH, exchange.path)
+        method, handler = route
+        if exchange.method != method:
+            raise Refusal(ResultCode.METHOD_NOT_ALLOWED, f"use {method}")
+        await handler(exchange)
+
+    async def _models(self, exchange: Exchange) -> None:
+        self.admission.authenticate(exchange.headers.get("authorization"))
+        data = [
+            {"id": route.id, "object": "model", "owned_by": "buckthornwall"}
+            for route in self.admission.view.routes.values()
+            if route.to.value == "model"
+        ]
+        await exchange.respond_json({"object": "list", "data": data})
+
+    async def wait_idle(self) -> None:
+        """Return once no request is in flight."""
+        while self.in_flight:
+            self.idle = trio.Event()
+            await self.idle.wait()
+
+
+async def _lifespan(receive, send) -> None:
+    while True:
+        event = await receive()
+        if event["type"] == "lifespan.startup":
+            await send({"type": "lifespan.startup.complete"})
+        elif event["type"] == "lifespan.shutdown":
+            await send({"type": "lifespan.shutdown.complete"})
+            return
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/gateway/completions.py
@@ -0,0 +1,380 @@
+"""Chat and text completions: from a caller to engines and back."""
+
+from collections.abc import Callable
+from contextlib import aclosing
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Any
+
+import msgspec
+import trio
+
+from buckthornwall.admission import Admission, Admitted, TeamGauge
+from buckthornwall.codes import Refusal, ResultCode, Run, UpstreamError
+from buckthornwall.links import ReleaseKind
+from buckthornwall.records import TargetKind, Upstream
+from buckthornwall.scheduling import EntryAgent, SlotRequest
+from buckthornwall.scheduling.entry import HeldSlot
+from buckthornwall.telemetry import Metrics, Tracing
+from buckthornwall.upstreams import EngineClient, RetryBudget
+from buckthornwall.utils import AttemptId, Clock, ModelId, UpstreamId, new_id
+
+from .answer import Answer, CollectedAnswer, StreamedAnswer
+from .http import CallerGone, Exchange
+
+__all__ = ["CompletionHandler"]
+
+CHARS_PER_TOKEN = 4
+PREFIX_CHARS = 1024
+PREFIX_BYTES = 6
+MOST_ATTEMPTS = 4
+CLASS_HEADER = "x-service-class"
+CHAT_PATH = "/v1/chat/completions"
+
+
+@dataclass
+class _Job:
+    """One caller's request on its way through the attempts."""
+
+    path: str
+    body: dict[str, Any]
+    admitted: Admitted
+    answer: Answer
+    started: float
+    traceparent: str | None
+    prefix: int
+    prompt_tokens: int
+
+    @property
+    def resumable(self) -> bool:
+        """Whether a broken answer can go on from what was delivered."""
+        body = self.body
+        return (
+            body.get("n", 1) == 1
+            and not body.get("tools")
+            and not body.get("logprobs")
+            and (self.path == CHAT_PATH or isinstance(body.get("prompt"), str))
+        )
+
+
+def check_body(path: str, raw: bytes) -> dict[str, Any]:
+    """Decode and check the fields that the router itself reads.
+
+    Raises
+    ------
+    Refusal
+        Naming the bad field.
+    """
+
+    def bad(detail: str) -> Refusal:
+        return Refusal(ResultCode.MALFORMED_BODY, detail)
+
+    try:
+        body = msgspec.json.decode(raw)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise bad(str(error)) from error
+    if not isinstance(body, dict):
+        raise bad("expected an object")
+    if not isinstance(body.get("model"), str):
+        raise bad("model: expected a name")
+    if type(body.get("stream", False)) is not bool:
+        raise bad("stream: expected true or false")
+    limit = body.get("max_tokens")
+    if limit is not None and (type(limit) is not int or limit < 1):
+        raise bad("max_tokens: expected 1 or more")
+    if path == CHAT_PATH:
+        messages = body.get("messages")
+        if not isinstance(messages, list) or not messages:
+            raise bad("messages: expected a list that is not empty")
+        if not all(isinstance(each, dict) for each in messages):
+            raise bad("messages: expected objects")
+    elif not isinstance(body.get("prompt"), str | list):
+        raise bad("prompt: expected a text or a list")
+    return body
+
+
+def prefix_of(body: dict[str, Any]) -> int:
+    """Return a hash of the prompt's beginning, for the engines' prefix caches."""
+    prompt = body.get("messages", body.get("prompt"))
+    head = msgspec.json.encode(prompt)[:PREFIX_CHARS]
+    return int.from_bytes(blake2b(head, digest_size=PREFIX_BYTES).digest())
+
+
+class CompletionHandler:
+    """Serves completions: waits for a slot, streams, resumes what broke.
+
+    Parameters
+    ----------
+    admission, teams
+        Who may ask for what.
+    entry
+        Gets slots.
+    engines
+        Opens the streams.
+    budget
+        Allows attempts after the first.
+    metrics, tracing, clock
+        As elsewhere.
+    limits
+        The ``[gateway]`` section.
+    coalesce_s
+        Seconds within which chunks are sent on together.
+    note_leaving
+        Told of an engine that refuses new work.
+    """
+
+    def __init__(
+        self,
+        admission: Admission,
+        teams: TeamGauge,
+        entry: EntryAgent,
+        engines: EngineClient,
+        budget: RetryBudget,
+        metrics: Metrics,
+        tracing: Tracing,
+        clock: Clock,
+        limits: Any,
+        coalesce_s: float,
+        note_leaving: Callable[[UpstreamId], None],
+    ) -> None:
+        self.admission = admission
+        self.teams = teams
+        self.entry = entry
+        self.engines = engines
+        self.budget = budget
+        self.metrics = metrics
+        self.tracing = tracing
+        self.clock = clock
+        self.limits = limits
+        self.coalesce_s = coalesce_s
+        self.note_leaving = note_leaving
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Serve one request; cancel its work as soon as the caller is gone."""
+        started = self.clock.now()
+        team = self.admission.authenticate(exchange.headers.get("authorization"))
+        raw = await exchange.read_body(
+            self.limits.body_limit_bytes, self.limits.body_timeout_s
+        )
+        body = check_body(exchange.path, raw)
+        wanted = exchange.headers.get(CLASS_HEADER)
+        admitted = self.admission.admit(team, TargetKind.MODEL, body["model"], wanted)
+        answer_type = StreamedAnswer if body.get("stream") else CollectedAnswer
+        answer = answer_type(exchange, exchange.path == CHAT_PATH)
+        job = _Job(
+            exchange.path,
+            body,
+            admitted,
+            answer,
+            started,
+            exchange.headers.get("traceparent"),
+            prefix_of(body),
+            len(raw) // CHARS_PER_TOKEN,
+        )
+        outcome = "cut"
+        try:
+            with self.teams.hold(team):
+                await self._run_until_gone(exchange, job)
+            outcome = "served"
+        except Refusal:
+            outcome = "refused"
+            raise
+        except CallerGone:
+            outcome = "gone"
+            raise
+        finally:
+            self._count(job, outcome)
+
+    async def _run_until_gone(self, exchange: Exchange, job: _Job) -> None:
+        gone = False
+        failure: Refusal | None = None
+        async with trio.open_nursery() as nursery:
+
+            async def watch() -> None:
+                nonlocal gone
+                await exchange.wait_gone()
+                gone = True
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(watch)
+            try:
+                with self.tracing.span(
+                    "completion", job.traceparent, route=job.admitted.route.id
+                ) as onwards:
+                    job.traceparent = onwards
+                    await self._run(job)
+            except Refusal as refusal:
+                failure = refusal
+            nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        if gone and not job.answer.finished:
+            raise CallerGone
+
+    async def _run(self, job: _Job) -> None:
+        """Make attempts until the answer is whole or there is no use in more."""
+        self.budget.earn()
+        excluded: list[UpstreamId] = []
+        for attempt in range(MOST_ATTEMPTS):
+            slot = await self._acquire(job, excluded)
+            try:
+                await self._attempt(job, slot)
+                return
+            except UpstreamError as error:
+                excluded.append(slot.engine)
+                refusal = self._refusal_for(job, error)
+                if error.code is ResultCode.UPSTREAM_REJECTED:
+                    raise refusal from error
+                if job.answer.tokens and not job.resumable:
+                    raise refusal from error
+                last = attempt == MOST_ATTEMPTS - 1
+                if last or not self.budget.spend():
+                    raise refusal from error
+                self.metrics.retries.inc({"code": str(error.code.number)})
+
+    @staticmethod
+    def _refusal_for(job: _Job, error: UpstreamError) -> Refusal:
+        ran = error.sent or bool(job.answer.tokens)
+        run = Run.YES if job.answer.tokens else Run.UNKNOWN if ran else Run.NO
+        return Refusal(error.code, error.detail, run, retry_after_s=1.0)
+
+    async def _acquire(self, job: _Job, excluded: list[UpstreamId]) -> HeldSlot:
+        service_class = job.admitted.service_class
+        request = SlotRequest(
+            ModelId(job.admitted.route.target),
+            service_class,
+            job.admitted.team.id,
+            job.prompt_tokens,
+            job.prefix,
+            job.started,
+            list(excluded),
+            resumed=bool(excluded),
+        )
+        asked = self.clock.now()
+        with self.tracing.span("slot", job.traceparent, pool=request.pool):
+            try:
+                slot = await self.entry.acquire(request)
+                self.entry.check_still_due(request)
+            except Refusal as refusal:
+                if job.answer.tokens:
+                    refusal.run = Run.YES
+                elif excluded:
+                    refusal.run = Run.UNKNOWN
+                raise
+        waited_s = self.clock.now() - asked
+        self.metrics.slot_wait.observe({"class": service_class.id}, waited_s)
+        return slot
+
+    async def _attempt(self, job: _Job, slot: HeldSlot) -> None:
+        """Stream one attempt, and give its slot back however it ends."""
+        kind = ReleaseKind.CANCELLED
+        pace = _Pace(self.clock)
+        try:
+            engine = self.admission.view.upstreams.get(slot.engine)
+            if engine is None:
+                raise UpstreamError(ResultCode.UPSTREAM_UNREACHABLE, sent=False)
+            with self.tracing.span(
+                "upstream", job.traceparent, engine=engine.id
+            ) as onwards:
+                await self._relay(job, slot, engine, pace, onwards)
+            kind = ReleaseKind.DONE
+        except UpstreamError as error:
+            kind = self._kind_of(error, slot)
+            raise
+        finally:
+            self.entry.release(slot, kind, pace.first_s, pace.mean_s(slot.tokens))
+
+    def _kind_of(self, error: UpstreamError, slot: HeldSlot) -> ReleaseKind:
+        if error.code is ResultCode.UPSTREAM_REJECTED:
+            return ReleaseKind.DONE
+        if "leaving" in error.detail:
+            self.note_leaving(slot.engine)
+            return ReleaseKind.LEAVING
+        return ReleaseKind.FAILED
+
+    async def _relay(
+        self,
+        job: _Job,
+        slot: HeldSlot,
+        engine: Upstream,
+        pace: "_Pace",
+        traceparent: str | None,
+    ) -> None:
+        attempt = AttemptId(f"{new_id():x}")
+        body = self._engine_body(job)
+        # The loop's own pause is what gathers chunks: while it sleeps they
+        # collect in the socket, and one read then brings them all.
+        stream = self.engines.stream(engine, job.path, body, attempt, traceparent)
+        async with aclosing(stream):
+            async for chunks in stream:
+                fresh = job.answer.count(chunks)
+                slot.tokens += fresh
+                if fresh:
+                    first = job.answer.tokens == fresh
+                    pace.note()
+                    if first:
+                        self._observe_first_token(job)
+                await job.answer.add(chunks)
+                if self.coalesce_s:
+                    await trio.sleep(self.coalesce_s)
+        await job.answer.finish()
+
+    def _observe_first_token(self, job: _Job) -> None:
+        class_id = job.admitted.service_class.id
+        self.metrics.first_token.observe(
+            {"class": class_id}, self.clock.now() - job.started
+        )
+
+    def _engine_body(self, job: _Job) -> dict[str, Any]:
+        """Return the body for the next attempt, going on from what came before."""
+        body = dict(job.body)
+        body["stream"] = True
+        body["stream_options"] = {"include_usage": True}
+        body["priority"] = job.admitted.service_class.tier
+        body["model"] = job.admitted.route.target
+        delivered = job.answer.text
+        if not delivered:
+            return body
+        if job.path == CHAT_PATH:
+            partial = {"role": "assistant", "content": delivered}
+            body["messages"] = [*job.body["messages"], partial]
+            body["add_generation_prompt"] = False
+            body["continue_final_message"] = True
+        else:
+            body["prompt"] = job.body["prompt"] + delivered
+        if job.body.get("max_tokens"):
+            body["max_tokens"] = max(1, job.body["max_tokens"] - job.answer.tokens)
+        return body
+
+    def _count(self, job: _Job, outcome: str) -> None:
+        class_id = job.admitted.service_class.id
+        self.metrics.requests.inc({"class": class_id, "outcome": outcome})
+        if job.answer.tokens:
+            self.metrics.tokens.add({"class": class_id}, job.answer.tokens)
+            if outcome != "served":
+                self.metrics.wasted_tokens.add({"class": class_id}, job.answer.tokens)
+
+
+class _Pace:
+    """First-token time and mean inter-token time of one attempt."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.opened = clock.now()
+        self.first_s = 0.0
+        self.first_at = 0.0
+        self.last_at = 0.0
+
+    def note(self) -> None:
+        """Note that tokens came."""
+        now = self.clock.now()
+        if not self.first_at:
+            self.first_at = now
+            self.first_s = now - self.opened
+        self.last_at = now
+
+    def mean_s(self, tokens: int) -> float:
+        """Return the mean seconds between tokens, 0 if too few came."""
+        if tokens < 2:
+            return 0.0
+        return (self.last_at - self.first_at) / (tokens - 1)
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/gateway/http.py
@@ -0,0 +1,144 @@
+"""One HTTP exchange over ASGI."""
+
+import math
+from typing import Any
+
+import msgspec
+import trio
+
+from buckthornwall.codes import Refusal, ResultCode
+
+__all__ = ["CallerGone", "Exchange", "error_object"]
+
+JSON = "application/json"
+EVENT_STREAM = "text/event-stream"
+
+
+class CallerGone(Exception):  # noqa: N818 - it is a signal, not an error
+    """The caller has closed the connection."""
+
+
+def error_object(refusal: Refusal) -> dict[str, Any]:
+    """Return the body that tells a caller of a refusal."""
+    error: dict[str, Any] = {
+        "message": str(refusal),
+        "type": refusal.code.name.lower(),
+        "code": refusal.code.number,
+        "run": refusal.run.value,
+    }
+    if refusal.retry_after_s is not None:
+        error["retry_after_s"] = refusal.retry_after_s
+    return {"error": error}
+
+
+class Exchange:
+    """A request and the one answer to it.
+
+    Parameters
+    ----------
+    scope, receive, send
+        As ASGI gives them.
+    """
+
+    def __init__(self, scope: dict, receive: Any, send: Any) -> None:
+        self.method: str = scope["method"]
+        self.path: str = scope["path"]
+        self.query: bytes = scope["query_string"]
+        self.headers: dict[str, str] = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in scope["headers"]
+        }
+        self.receive = receive
+        self.send = send
+        self.started = False
+        self.close_after = False
+
+    async def read_body(self, limit_bytes: int, timeout_s: float) -> bytes:
+        """Return the whole body.
+
+        Raises
+        ------
+        Refusal
+            If it is too large or too slow.
+        CallerGone
+            If the caller closed the connection meanwhile.
+        """
+        body = bytearray()
+        try:
+            with trio.fail_after(timeout_s):
+                while True:
+                    event = await self.receive()
+                    if event["type"] == "http.disconnect":
+                        raise CallerGone
+                    body += event.get("body", b"")
+                    if len(body) > limit_bytes:
+                        self.close_after = True
+                        raise Refusal(ResultCode.BODY_TOO_LARGE, f"{limit_bytes} bytes")
+                    if not event.get("more_body", False):
+                        return bytes(body)
+        except trio.TooSlowError:
+            self.close_after = True
+            raise Refusal(ResultCode.BODY_TOO_SLOW, f"{timeout_s} s") from None
+
+    async def wait_gone(self) -> None:
+        """Return when the caller has closed the connection."""
+        while (await self.receive())["type"] != "http.disconnect":
+            pass
+
+    async def start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Send the status and the headers."""
+        self.started = True
+        raw = [(name.encode(), value.encode("latin-1")) for name, value in headers]
+        if self.close_after:
+            raw.append((b"connection", b"close"))
+        await self.send(
+            {"type": "http.response.start", "status": status, "headers": raw}
+        )
+
+    async def write(self, body: bytes, more: bool = True) -> None:
+        """Send a part of the body."""
+        await self.send({"type": "http.response.body", "body": body, "more_body": more})
+
+    async def respond(
+        self,
+        status: int,
+        body: bytes,
+        content_type: str = JSON,
+        headers: list[tuple[str, str]] | None = None,
+    ) -> None:
+        """Send a whole answer."""
+        own = [("content-type", content_type), ("content-length", str(len(body)))]
+        await self.start(status, own + (headers or []))
+        await self.write(body, more=False)
+
+    async def respond_json(
+        self,
+        value: Any,
+        status: int = 200,
+        headers: list[tuple[str, str]] | None = None,
+    ) -> None:
+        """Send a whole answer as JSON."""
+        await self.respond(status, msgspec.json.encode(value), headers=headers)
+
+    async def refuse(self, refusal: Refusal, key: str | None = None) -> None:
+        """Send a refusal, or end a stream that has begun with one.
+
+        Parameters
+        ----------
+        refusal
+            What to say.
+        key
+            A fresh idempotency key to offer with it.
+        """
+        body = error_object(refusal)
+        if self.started:
+            event = b"data: " + msgspec.json.encode(body) + b"\n\n"
+            await self.write(event, more=False)
+            return
+        headers = []
+        if refusal.retry_after_s is not None:
+            headers.append(("retry-after", str(math.ceil(refusal.retry_after_s))))
+        if key is not None:
+            headers.append(("idempotency-key", key))
+            body["error"]["idempotency_key"] = key
+        await self.respond_json(body, refusal.code.status, headers)
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/gateway/operators.py
@@ -0,0 +1,72 @@
+"""The operators' ASGI application, on a listener of its own."""
+
+from collections.abc import Callable
+from typing import Any
+
+from buckthornwall.codes import Refusal, ResultCode
+from buckthornwall.telemetry import Metrics
+from buckthornwall.utils import ConfigItem, ConfigNamespace
+
+from .app import _lifespan
+from .http import Exchange
+
+__all__ = ["OperatorApp", "OperatorSettings"]
+
+
+class OperatorSettings(ConfigNamespace):
+    """Settings of the operators' listener."""
+
+    section = "operators"
+
+    listen = ConfigItem("", "Address and port for operators.", required=True)
+
+
+class OperatorApp:
+    """Serves health, status, records and metrics.
+
+    Parameters
+    ----------
+    status
+        Returns what ``/status`` shows.
+    is_ready
+        Tells whether callers should be sent here.
+    records
+        Returns the published bytes of the records in force.
+    metrics
+        Collectors of this instance.
+    """
+
+    def __init__(
+        self,
+        status: Callable[[], dict[str, Any]],
+        is_ready: Callable[[], bool],
+        records: Callable[[], bytes],
+        metrics: Metrics,
+    ) -> None:
+        self.status = status
+        self.is_ready = is_ready
+        self.records = records
+        self.metrics = metrics
+
+    async def __call__(self, scope: dict, receive, send) -> None:
+        """Serve one ASGI connection scope."""
+        if scope["type"] == "lifespan":
+            await _lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        exchange = Exchange(scope, receive, send)
+        if exchange.path == "/livez":
+            await exchange.respond_json({"live": True})
+        elif exchange.path == "/readyz":
+            ready = self.is_ready()
+            await exchange.respond_json({"ready": ready}, 200 if ready else 503)
+        elif exchange.path == "/status":
+            await exchange.respond_json(self.status())
+        elif exchange.path == "/records":
+            await exchange.respond(200, self.records())
+        elif exchange.path == "/metrics":
+            body, headers = self.metrics.render(exchange.headers.get("accept", ""))
+            await exchange.respond(200, body, headers["Content-Type"])
+        else:
+            await exchange.refuse(Refusal(ResultCode.UNKNOWN_PATH, exchange.path))
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/gateway/services.py
@@ -0,0 +1,210 @@
+"""Calls to plain services, repeatable or not."""
+
+from urllib.parse import quote
+
+from buckthornwall.admission import Admission, Admitted, TeamGauge
+from buckthornwall.codes import Refusal, ResultCode, Run, UpstreamError
+from buckthornwall.idempotency import CallRequest, IdempotencyAgent, StoredOutcome
+from buckthornwall.records import TargetKind, Upstream
+from buckthornwall.telemetry import Tracing
+from buckthornwall.upstreams import RetryBudget, ServiceClient
+from buckthornwall.utils import Clock, rendezvous_order
+
+from .http import Exchange
+
+__all__ = ["ServiceHandler"]
+
+PREFIX = "/services/"
+KEY_HEADER = "idempotency-key"
+CLASS_HEADER = "x-service-class"
+DROPPED_HEADERS = {
+    "authorization",
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    KEY_HEADER,
+    CLASS_HEADER,
+}
+
+
+class ServiceHandler:
+    """Serves ``ANY /services/<route>/...`` and ``POST /idempotency-keys``.
+
+    Parameters
+    ----------
+    admission, teams
+        Who may call what.
+    agent
+        Runs the calls that may not be repeated.
+    client
+        Makes the calls that may.
+    budget
+        Allows their retries.
+    tracing, clock
+        As elsewhere.
+    limits
+        The ``[gateway]`` section.
+    is_leaving
+        Tells whether an upstream should get no new work, at a time.
+    """
+
+    def __init__(
+        self,
+        admission: Admission,
+        teams: TeamGauge,
+        agent: IdempotencyAgent,
+        client: ServiceClient,
+        budget: RetryBudget,
+        tracing: Tracing,
+        clock: Clock,
+        limits,
+        is_leaving,
+    ) -> None:
+        self.admission = admission
+        self.teams = teams
+        self.agent = agent
+        self.client = client
+        self.budget = budget
+        self.tracing = tracing
+        self.clock = clock
+        self.limits = limits
+        self.is_leaving = is_leaving
+
+    def fresh_key(self) -> str:
+        """Return a new idempotency key."""
+        return self.agent.issue()
+
+    async def issue_key(self, exchange: Exchange) -> None:
+        """Serve ``POST /idempotency-keys``."""
+        self.admission.authenticate(exchange.headers.get("authorization"))
+        await exchange.respond_json({"idempotency_key": self.fresh_key()}, 201)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Serve a call to a plain service."""
+        team = self.admission.authenticate(exchange.headers.get("authorization"))
+        name, _, rest = exchange.path[len(PREFIX) :].partition("/")
+        wanted = exchange.headers.get(CLASS_HEADER)
+        admitted = self.admission.admit(team, TargetKind.SERVICE, name, wanted)
+        body = await exchange.read_body(
+            self.limits.body_limit_bytes, self.limits.body_timeout_s
+        )
+        request = self._request(exchange, admitted, rest, body)
+        traceparent = exchange.headers.get("traceparent")
+        with (
+            self.teams.hold(team),
+            self.tracing.span("service_call", traceparent, route=name) as onwards,
+        ):
+            if onwards:
+                request.headers.append(("traceparent", onwards))
+            if admitted.route.repeatable:
+                outcome = await self._call_repeatable(request)
+            else:
+                outcome = await self._call_once(exchange, request)
+        await exchange.start(outcome.status, outcome.headers)
+        await exchange.write(outcome.body, more=False)
+
+    def _request(
+        self, exchange: Exchange, admitted: Admitted, rest: str, body: bytes
+    ) -> CallRequest:
+        path = "/" + quote(rest)
+        if exchange.query:
+            path += "?" + exchange.query.decode("latin-1")
+        headers = [
+            (key, value)
+            for key, value in exchange.headers.items()
+            if key not in DROPPED_HEADERS and key != "traceparent"
+        ]
+        return CallRequest(
+            admitted.route.id,
+            admitted.team.id,
+            exchange.method,
+            path,
+            headers,
+            body,
+            admitted.route.timeout_s,
+        )
+
+    async def _call_once(
+        self, exchange: Exchange, request: CallRequest
+    ) -> StoredOutcome:
+        key = exchange.headers.get(KEY_HEADER)
+        if not key:
+            raise Refusal(ResultCode.KEY_REQUIRED)
+        return await self.agent.call(key, request)
+
+    async def _call_repeatable(self, request: CallRequest) -> StoredOutcome:
+        """Call, and once more on another upstream if the first try fails."""
+        self.budget.earn()
+        excluded: set[str] = set()
+        while True:
+            try:
+                return await self._call_some(request, excluded)
+            except UpstreamError as error:
+                run = Run.UNKNOWN if error.sent else Run.NO
+                if len(excluded) > 1 or not self.budget.spend():
+                    raise Refusal(error.code, error.detail, run, 1.0) from error
+
+    async def _call_some(
+        self, request: CallRequest, excluded: set[str]
+    ) -> StoredOutcome:
+        candidates = self.candidates(request.route)
+        fresh = [each for each in candidates if each.id not in excluded] or candidates
+        if not fresh:
+            raise Refusal(ResultCode.UPSTREAM_UNREACHABLE, retry_after_s=1.0)
+        excluded.add(fresh[0].id)
+        status, headers, body = await self.client.call(
+            fresh[0],
+            request.method,
+            request.path,
+            request.headers,
+            request.body,
+            request.timeout_s,
+        )
+        return StoredOutcome(status, headers, body)
+
+    def candidates(self, route_id: str) -> list[Upstream]:
+        """Return the upstreams of a route, in an order that spreads the load."""
+        view = self.admission.view
+        route = view.routes.get(route_id)
+        if route is None:
+            return []
+        now = self.clock.now()
+        upstreams = {
+            each.id: each
+            for each in view.services_of(route.target)
+            if not self.is_leaving(each.id, now)
+        }
+        return [upstreams[each] for each in rendezvous_order(str(now), upstreams)]
+
+    async def dispatch_once(self, request: CallRequest) -> StoredOutcome:
+        """Make the one call of an idempotency key.
+
+        Another upstream is tried only where nothing can have been sent.
+
+        Raises
+        ------
+        UpstreamError
+            Saying whether anything may have been sent.
+        """
+        failure = UpstreamError(ResultCode.UPSTREAM_UNREACHABLE, sent=False)
+        for upstream in self.candidates(request.route):
+            try:
+                status, headers, body = await self.client.call(
+                    upstream,
+                    request.method,
+                    request.path,
+                    request.headers,
+                    request.body,
+                    request.timeout_s,
+                )
+                return StoredOutcome(status, headers, body)
+            except UpstreamError as error:
+                failure = error
+                if error.sent:
+                    break
+        raise failure
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/links/codec.py
@@ -0,0 +1,37 @@
+"""CBOR for batches of messages."""
+
+from collections.abc import Iterable
+from typing import Any
+
+import cbor2
+import msgspec
+
+from buckthornwall.codes import PeerError, ResultCode
+
+from .messages import Message
+
+__all__ = ["decode_batch", "encode_batch"]
+
+
+def encode_batch(messages: Iterable[Message]) -> bytes:
+    """Return one frame that carries the messages in order."""
+    return cbor2.dumps(
+        [msgspec.to_builtins(each, builtin_types=(bytes,)) for each in messages]
+    )
+
+
+def decode_batch(frame: bytes | str) -> list[Message]:
+    """Return the messages of one frame.
+
+    Raises
+    ------
+    PeerError
+        If the frame is not CBOR or holds a message that is not known.
+    """
+    if isinstance(frame, str):
+        raise PeerError(ResultCode.PEER_MESSAGE, "a text frame")
+    try:
+        items: Any = cbor2.loads(frame)
+        return msgspec.convert(items, list[Message], builtin_types=(bytes,))
+    except (cbor2.CBORDecodeError, msgspec.ValidationError, TypeError) as error:
+        raise PeerError(ResultCode.PEER_MESSAGE, str(error)) from error
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/links/core.py
@@ -0,0 +1,333 @@
+"""The hub that owns every link of this instance.
+
+A link carries messages one way: each instance dials the peers it sends to.
+A broken link loses what it carried, and every protocol above repeats what it
+needs, so there is nothing to acknowledge here.
+"""
+
+import hmac
+import secrets
+import ssl
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+from functools import partial
+
+import trio
+from websockets.exceptions import WebSocketException
+from websockets.trio.client import connect
+from websockets.trio.server import serve
+
+from buckthornwall.codes import PeerError, ResultCode
+from buckthornwall.telemetry import log_event
+from buckthornwall.utils import (
+    Backoff,
+    ConfigItem,
+    ConfigNamespace,
+    Incarnation,
+    NodeId,
+)
+
+from .codec import decode_batch, encode_batch
+from .messages import Challenge, Hello, Message
+
+__all__ = ["LinkHub", "LinkSettings"]
+
+NONCE_BYTES = 16
+MAX_FRAME_BYTES = 4 * 2**20
+QUEUE_LIMIT = 10_000
+REDIAL_FIRST_S = 0.05
+REDIAL_LIMIT_S = 1.0
+
+Deliver = Callable[[NodeId, Message], None]
+
+
+class LinkSettings(ConfigNamespace):
+    """Settings of the links between instances."""
+
+    section = "links"
+
+    listen = ConfigItem("", "Address and port peers dial, as IP:port.", required=True)
+    peer_secret = ConfigItem("", "Secret that every instance shares.", required=True)
+    seeds = ConfigItem([], "Peers to dial before any list is known: node=IP:port.")
+    linger_ms = ConfigItem(
+        1.0, "Milliseconds to gather messages for one frame.", minimum=0, maximum=20
+    )
+    open_timeout_s = ConfigItem(2.0, "Seconds to open a link.", minimum=0.1)
+    tls_certificate = ConfigItem("", "PEM file of this instance's certificate.")
+    tls_key = ConfigItem("", "PEM file of the certificate's key.")
+    tls_ca = ConfigItem("", "PEM file of the CA that signs all peers.")
+
+
+def proof(secret: str, nonce: bytes, node: NodeId, incarnation: Incarnation) -> bytes:
+    """Return the code that proves `secret` to whoever chose `nonce`."""
+    text = b"%b\0%b\0%d" % (nonce, node.encode(), incarnation)
+    return hmac.digest(secret.encode(), text, "sha256")
+
+
+def _contexts(
+    settings: LinkSettings,
+) -> tuple[ssl.SSLContext | None, ssl.SSLContext | None]:
+    """Return the TLS contexts to listen and to dial with, both or neither."""
+    if not settings.tls_certificate:
+        return None, None
+    pair = []
+    for purpose in (ssl.Purpose.CLIENT_AUTH, ssl.Purpose.SERVER_AUTH):
+        context = ssl.create_default_context(purpose, cafile=settings.tls_ca)
+        context.load_cert_chain(settings.tls_certificate, settings.tls_key)
+        context.verify_mode = ssl.CERT_REQUIRED
+        context.check_hostname = False  # peers are known by IP number and CA
+        pair.append(context)
+    pair[1].verify_mode = ssl.CERT_REQUIRED
+    return pair[0], pair[1]
+
+
+class _OutboundLink:
+    """Queue and task of one dialled peer."""
+
+    def __init__(self, node: NodeId, address: str) -> None:
+        self.node = node
+        self.address = address
+        self.queue: deque[Message] = deque()
+        self.wake = trio.Event()
+        self.up = False
+        self.scope = trio.CancelScope()
+
+    def put(self, message: Message) -> bool:
+        """Queue a message; refuse it when the link is down or far behind."""
+        if not self.up or len(self.queue) >= QUEUE_LIMIT:
+            return False
+        self.queue.append(message)
+        self.wake.set()
+        return True
+
+    async def take(self, linger_s: float) -> list[Message]:
+        """Wait for messages, linger for more, and return them all."""
+        while not self.queue:
+            self.wake = trio.Event()
+            await self.wake.wait()
+        if linger_s:
+            await trio.sleep(linger_s)
+        batch = list(self.queue)
+        self.queue.clear()
+        return batch
+
+
+class LinkHub:
+    """Owns the listener and every link of this instance.
+
+    Parameters
+    ----------
+    node, incarnation
+        Who this instance is.
+    settings
+        The ``[links]`` section.
+    deliver
+        Called with each message received and the peer that sent it.
+    """
+
+    def __init__(
+        self,
+        node: NodeId,
+        incarnation: Incarnation,
+        settings: LinkSettings,
+        deliver: Deliver,
+    ) -> None:
+        self.node = node
+        self.incarnation = incarnation
+        self.settings = settings
+        self.deliver = deliver
+        self.on_hello: Callable[[NodeId, str], None] = lambda node, address: None
+        self.on_up: Callable[[NodeId], None] = lambda node: None
+        self.on_down: Callable[[NodeId], None] = lambda node: None
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.messages_sent = 0
+        self._links: dict[NodeId, _OutboundLink] = {}
+        self._nursery: trio.Nursery | None = None
+        self._listen_tls, self._dial_tls = _contexts(settings)
+
+    @classmethod
+    def from_config(
+        cls,
+        node: NodeId,
+        incarnation: Incarnation,
+        settings: LinkSettings,
+        deliver: Deliver,
+    ) -> "LinkHub":
+        """Build a hub from checked settings."""
+        return cls(node, incarnation, settings, deliver)
+
+    def send(self, node: NodeId, message: Message) -> bool:
+        """Queue a message for a peer.
+
+        Returns
+        -------
+        bool
+            False if the link is down; the message is then dropped.
+        """
+        if node == self.node:
+            self.deliver(node, message)
+            return True
+        link = self._links.get(node)
+        return link is not None and link.put(message)
+
+    def is_up(self, node: NodeId) -> bool:
+        """Tell whether a link to the peer stands."""
+        link = self._links.get(node)
+        return node == self.node or (link is not None and link.up)
+
+    def set_peer(self, node: NodeId, address: str) -> None:
+        """Dial a peer, or dial it anew where its address has changed."""
+        if node == self.node:
+            return
+        link = self._links.get(node)
+        if link is not None:
+            if link.address == address:
+                return
+            link.scope.cancel()
+        link = _OutboundLink(node, address)
+        self._links[node] = link
+        self._nursery.start_soon(self._dial_forever, link)
+
+    def drop_peer(self, node: NodeId) -> None:
+        """Stop dialling a peer."""
+        link = self._links.pop(node, None)
+        if link is not None:
+            link.scope.cancel()
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Listen and keep every link until cancelled."""
+        host, port = self.settings.listen.rsplit(":", 1)
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await nursery.start(
+                partial(
+                    serve,
+                    self._accept,
+                    int(port),
+                    host=host,
+                    ssl=self._listen_tls,
+                    compression=None,
+                    max_size=MAX_FRAME_BYTES,
+                    ping_interval=None,
+                    open_timeout=self.settings.open_timeout_s,
+                    close_timeout=self.settings.open_timeout_s,
+                )
+            )
+            task_status.started()
+
+    async def _accept(self, socket) -> None:
+        try:
+            with trio.fail_after(self.settings.open_timeout_s):
+                peer = await self._authenticate(socket)
+        except (PeerError, WebSocketException, trio.TooSlowError) as error:
+            code = ResultCode.PEER_UNAUTHENTICATED.number
+            log_event("peer_refused", "WARNING", code=code, detail=error)
+            return
+        try:
+            await self._receive(socket, peer)
+        except WebSocketException:
+            pass
+        finally:
+            self.on_down(peer)
+
+    async def _authenticate(self, socket) -> NodeId:
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        await socket.send(encode_batch([Challenge(nonce)]))
+        messages = decode_batch(await socket.recv())
+        if len(messages) != 1 or not isinstance(messages[0], Hello):
+            raise PeerError(ResultCode.PEER_UNAUTHENTICATED, "no hello")
+        hello = messages[0]
+        expected = proof(
+            self.settings.peer_secret, nonce, hello.node, hello.incarnation
+        )
+        if not hmac.compare_digest(expected, hello.mac):
+            raise PeerError(ResultCode.PEER_UNAUTHENTICATED, "wrong secret")
+        self.on_hello(hello.node, hello.address)
+        return hello.node
+
+    async def _receive(self, socket, peer: NodeId) -> None:
+        async for frame in socket:
+            self.bytes_received += len(frame)
+            try:
+                messages = decode_batch(frame)
+            except PeerError as error:
+                log_event("peer_message_refused", "WARNING", peer=peer, detail=error)
+                continue
+            for message in messages:
+                self.deliver(peer, message)
+
+    async def _dial_forever(self, link: _OutboundLink) -> None:
+        backoff = Backoff(REDIAL_FIRST_S, REDIAL_LIMIT_S)
+        with link.scope:
+            while True:
+                try:
+                    await self._dial(link, backoff)
+                except (
+                    OSError,
+                    WebSocketException,
+                    PeerError,
+                    TimeoutError,
+                    EOFError,
+                ) as error:
+                    log_event("link_down", "DEBUG", peer=link.node, detail=error)
+                finally:
+                    if link.up:
+                        link.up = False
+                        link.queue.clear()
+                        self.on_down(link.node)
+                await trio.sleep(backoff.next_delay())
+
+    async def _dial(self, link: _OutboundLink, backoff: Backoff) -> None:
+        scheme = "wss" if self._dial_tls else "ws"
+        async with connect(
+            f"{scheme}://{link.address}",
+            ssl=self._dial_tls,
+            compression=None,
+            max_size=MAX_FRAME_BYTES,
+            ping_interval=None,
+            proxy=None,
+            open_timeout=self.settings.open_timeout_s,
+            close_timeout=self.settings.open_timeout_s,
+        ) as socket:
+            await self._introduce(socket)
+            backoff.reset()
+            link.up = True
+            self.on_up(link.node)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._watch_closing, socket, nursery.cancel_scope)
+                # Neither task may raise out of the nursery: a broken link is
+                # an everyday event, and the loop around dials again.
+                with suppress(WebSocketException):
+                    await self._send_forever(socket, link)
+                nursery.cancel_scope.cancel()
+
+    async def _introduce(self, socket) -> None:
+        with trio.fail_after(self.settings.open_timeout_s):
+            messages = decode_batch(await socket.recv())
+            if len(messages) != 1 or not isinstance(messages[0], Challenge):
+                raise PeerError(ResultCode.PEER_MESSAGE, "no challenge")
+            mac = proof(
+                self.settings.peer_secret,
+                messages[0].nonce,
+                self.node,
+                self.incarnation,
+            )
+            hello = Hello(self.node, self.incarnation, self.settings.listen, mac)
+            await socket.send(encode_batch([hello]))
+
+    async def _watch_closing(self, socket, scope: trio.CancelScope) -> None:
+        with suppress(WebSocketException):
+            async for _ in socket:
+                pass  # nothing is sent this way after the challenge
+        scope.cancel()
+
+    async def _send_forever(self, socket, link: _OutboundLink) -> None:
+        linger_s = self.settings.linger_ms / 1000
+        while True:
+            batch = await link.take(linger_s)
+            frame = encode_batch(batch)
+            await socket.send(frame)
+            self.bytes_sent += len(frame)
+            self.messages_sent += len(batch)
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/links/messages.py
@@ -0,0 +1,299 @@
+"""Every message that one instance sends another.
+
+Messages are encoded as arrays headed by a small integer tag, since a pool's
+scheduler handles several for each request.
+"""
+
+from enum import Enum
+
+from msgspec import Struct
+
+from buckthornwall.utils import (
+    ClassId,
+    GrantId,
+    Incarnation,
+    ModelId,
+    NodeId,
+    RequestId,
+    TeamId,
+    UpstreamId,
+    ZoneId,
+)
+
+__all__ = [
+    "Accepted",
+    "CallForward",
+    "CallOutcome",
+    "Challenge",
+    "Enqueue",
+    "EnqueueRefused",
+    "Grant",
+    "HandOver",
+    "HandOverTaken",
+    "Heartbeat",
+    "Hello",
+    "Holding",
+    "Holdings",
+    "KeyEntry",
+    "Message",
+    "NodeState",
+    "OwnerMoved",
+    "PeerAddress",
+    "RecordsReply",
+    "RecordsRequest",
+    "Release",
+    "ReleaseKind",
+    "SupportEnded",
+    "Withdraw",
+]
+
+
+class NodeState(Enum):
+    """What an instance says of itself."""
+
+    JOINING = 0
+    READY = 1
+    LEAVING = 2
+
+
+class ReleaseKind(Enum):
+    """How a granted slot ended."""
+
+    DONE = 0
+    FAILED = 1
+    CANCELLED = 2
+    UNUSED = 3
+    LEAVING = 4
+
+
+class Challenge(Struct, array_like=True, tag=1):
+    """The accepting side's nonce, to be answered by `Hello`."""
+
+    nonce: bytes
+
+
+class Hello(Struct, array_like=True, tag=2):
+    """The dialling side's name and its proof of the shared secret."""
+
+    node: NodeId
+    incarnation: Incarnation
+    address: str
+    mac: bytes
+
+
+class PeerAddress(Struct, array_like=True):
+    """Where an instance can be dialled."""
+
+    node: NodeId
+    address: str
+    zone: ZoneId
+
+
+class Heartbeat(Struct, array_like=True, tag=3):
+    """Sign of life with the sender's state and the records it has in force."""
+
+    incarnation: Incarnation
+    state: NodeState
+    zone: ZoneId
+    records_number: int
+    records_digest: str
+    leaving_upstreams: list[UpstreamId]
+    peers: list[PeerAddress]
+
+
+class RecordsRequest(Struct, array_like=True, tag=4):
+    """Ask a peer for the records it has in force."""
+
+
+class RecordsReply(Struct, array_like=True, tag=5):
+    """The published bytes of the records in force; empty if there are none."""
+
+    raw: bytes
+
+
+class Enqueue(Struct, array_like=True, tag=6):
+    """Ask a pool's scheduler for a slot; repeating it changes nothing.
+
+    `start_within_s` counts from sending. With `alone` the receiver, always
+    the sender itself, decides within its own part of the pool.
+    """
+
+    request: RequestId
+    pool: ModelId
+    service_class: ClassId
+    team: TeamId
+    prompt_tokens: int
+    prefix: int
+    start_within_s: float
+    waited_s: float = 0.0
+    excluded: list[UpstreamId] = []
+    resumed: bool = False
+    alone: bool = False
+
+
+class Accepted(Struct, array_like=True, tag=7):
+    """The scheduler holds the request in its queue."""
+
+    request: RequestId
+
+
+class EnqueueRefused(Struct, array_like=True, tag=8):
+    """The scheduler gives the request up; `code` is a result code's number."""
+
+    request: RequestId
+    code: int
+    retry_after_s: float
+
+
+class Grant(Struct, array_like=True, tag=9):
+    """A slot on an engine, valid for a short time.
+
+    `age_s` is the time from the scheduler's receipt of the request to the
+    grant, so that the entry can tell a late grant without comparing clocks.
+    """
+
+    request: RequestId
+    grant: GrantId
+    engine: UpstreamId
+    scheduler: Incarnation
+    age_s: float
+    valid_s: float
+    alone: bool = False
+
+
+class Release(Struct, array_like=True, tag=10):
+    """A slot given back, with what the entry saw of the engine."""
+
+    grant: GrantId
+    kind: ReleaseKind
+    tokens: int = 0
+    first_token_s: float = 0.0
+    inter_token_s: float = 0.0
+
+
+class Withdraw(Struct, array_like=True, tag=11):
+    """The caller is gone; forget the request."""
+
+    request: RequestId
+    alone: bool = False
+
+
+class Holding(Struct, array_like=True):
+    """One slot in use, as its entry sees it."""
+
+    grant: GrantId
+    engine: UpstreamId
+    service_class: ClassId
+    team: TeamId
+    tokens: int
+
+
+class Holdings(Struct, array_like=True, tag=12):
+    """Every slot of a pool that the sender uses now.
+
+    With `support` it renews a lease: for so long the receiver may give out
+    the sender's part of the pool. Without, it ends the lease at once.
+    """
+
+    pool: ModelId
+    support: bool
+    running: list[Holding]
+
+
+class SupportEnded(Struct, array_like=True, tag=13):
+    """A scheduler no longer counts on the receiver's part of a pool."""
+
+    pool: ModelId
+
+
+class CallForward(Struct, array_like=True, tag=14):
+    """A call handed to the owner of its idempotency key."""
+
+    call: RequestId
+    key: str
+    route: str
+    team: TeamId
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+class CallOutcome(Struct, array_like=True, tag=15):
+    """The owner's answer to `CallForward`.
+
+    `code` is 0 when `status`, `headers` and `body` are the service's own.
+    """
+
+    call: RequestId
+    code: int
+    detail: str = ""
+    run: str = ""
+    status: int = 0
+    headers: list[tuple[str, str]] = []
+    body: bytes = b""
+
+
+class KeyEntry(Struct, array_like=True):
+    """What an owner knows of one key, in the form that a hand-over carries."""
+
+    serial: int
+    state: int
+    fingerprint: str
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+class HandOver(Struct, array_like=True, tag=16):
+    """A part of the keys of an owner that stops, for its successor.
+
+    It is for one incarnation of the successor only: a later one might get it
+    again after an earlier one took it, dispatched, and crashed.
+    """
+
+    owner: NodeId
+    incarnation: Incarnation
+    next_serial: int
+    oldest_serial: int
+    entries: list[KeyEntry]
+    part: int
+    parts: int
+    successor: Incarnation
+
+
+class HandOverTaken(Struct, array_like=True, tag=17):
+    """The successor holds the keys now."""
+
+    owner: NodeId
+    incarnation: Incarnation
+
+
+class OwnerMoved(Struct, array_like=True, tag=18):
+    """News that an owner's keys are held by a successor."""
+
+    owner: NodeId
+    incarnation: Incarnation
+    successor: NodeId
+
+
+Message = (
+    Challenge
+    | Hello
+    | Heartbeat
+    | RecordsRequest
+    | RecordsReply
+    | Enqueue
+    | Accepted
+    | EnqueueRefused
+    | Grant
+    | Release
+    | Withdraw
+    | Holdings
+    | SupportEnded
+    | CallForward
+    | CallOutcome
+    | HandOver
+    | HandOverTaken
+    | OwnerMoved
+)
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/membership/core.py
@@ -0,0 +1,236 @@
+"""The table of instances: the platform's list and what heartbeats say."""
+
+from dataclasses import dataclass
+
+from buckthornwall.links import NodeState, PeerAddress
+from buckthornwall.utils import (
+    ConfigItem,
+    ConfigNamespace,
+    Incarnation,
+    NodeId,
+    UpstreamId,
+    ZoneId,
+    rendezvous_winner,
+)
+
+__all__ = ["Member", "MemberTable", "MembershipSettings"]
+
+
+class MembershipSettings(ConfigNamespace):
+    """Settings of heartbeats and suspicion."""
+
+    section = "membership"
+
+    heartbeat_s = ConfigItem(
+        0.5, "Seconds between heartbeats to a peer.", minimum=0.05, maximum=60
+    )
+    suspect_after_s = ConfigItem(
+        2.0, "Seconds of silence after which a peer is suspected.", minimum=0.1
+    )
+    forget_after_s = ConfigItem(
+        30.0, "Seconds of silence after which an unlisted peer is dropped.", minimum=1
+    )
+    freeze_s = ConfigItem(
+        1.0, "Gap in seconds that counts as a freeze of this process.", minimum=0.2
+    )
+    leaving_ttl_s = ConfigItem(
+        30.0, "Seconds for which an upstream is held to be leaving.", minimum=1
+    )
+
+
+@dataclass
+class Member:
+    """What is known of one other instance; `last_heard` is None if suspected."""
+
+    node: NodeId
+    address: str
+    zone: ZoneId = ZoneId("")
+    listed: bool = False
+    state: NodeState = NodeState.JOINING
+    incarnation: Incarnation = Incarnation(0)
+    last_heard: float | None = None
+    silent_since: float = 0.0
+
+
+class MemberTable:
+    """Members by node; a pure state machine, given the time at each call.
+
+    Parameters
+    ----------
+    node
+        This instance.
+    settings
+        The ``[membership]`` section.
+    """
+
+    def __init__(self, node: NodeId, settings: MembershipSettings) -> None:
+        self.node = node
+        self.settings = settings
+        self.own_state = NodeState.JOINING
+        self.members: dict[NodeId, Member] = {}
+        self.list_seen = False
+        self._winners: dict[str, NodeId | None] = {}
+        self._leaving_until: dict[UpstreamId, float] = {}
+        self._leaving_first_hand: dict[UpstreamId, float] = {}
+
+    def apply_list(self, listed: dict[NodeId, PeerAddress], now: float) -> None:
+        """Take the platform's list of entry instances, however old it is."""
+        self.list_seen = True
+        for node, peer in listed.items():
+            if node != self.node:
+                member = self._member(node, peer.address, now)
+                member.zone = peer.zone
+                member.listed = True
+                if member.last_heard is None:
+                    member.address = peer.address
+        for node, member in list(self.members.items()):
+            member.listed = node in listed
+            self._forget_if_gone(member, now)
+
+    def _member(self, node: NodeId, address: str, now: float) -> Member:
+        if node not in self.members:
+            self.members[node] = Member(node, address, silent_since=now)
+        return self.members[node]
+
+    def learn(self, peer: PeerAddress, now: float) -> None:
+        """Note an instance that a peer or a setting names."""
+        if peer.node != self.node:
+            self._member(peer.node, peer.address, now)
+
+    def heard(
+        self,
+        node: NodeId,
+        incarnation: Incarnation,
+        state: NodeState,
+        zone: ZoneId,
+        now: float,
+    ) -> bool:
+        """Take a heartbeat.
+
+        Returns
+        -------
+        bool
+            True if the member was not live in this state just before.
+        """
+        member = self._member(node, "", now)
+        fresh = (
+            member.last_heard is None
+            or member.state is not state
+            or member.incarnation != incarnation
+        )
+        if fresh:
+            self._winners.clear()
+        member.incarnation = incarnation
+        member.state = state
+        member.zone = zone
+        member.last_heard = now
+        return fresh
+
+    def suspect(self, node: NodeId, now: float) -> None:
+        """Take a broken link as a sign that the member is gone."""
+        member = self.members.get(node)
+        if member is not None and member.last_heard is not None:
+            member.last_heard = None
+            member.silent_since = now
+            self._winners.clear()
+
+    def expire(self, now: float) -> list[NodeId]:
+        """Suspect the members that fell silent; return them."""
+        silent = [
+            member.node
+            for member in self.members.values()
+            if member.last_heard is not None
+            and now - member.last_heard > self.settings.suspect_after_s
+        ]
+        for node in silent:
+            self.suspect(node, now)
+        for member in list(self.members.values()):
+            self._forget_if_gone(member, now)
+        return silent
+
+    def _forget_if_gone(self, member: Member, now: float) -> None:
+        silent_s = now - member.silent_since
+        if (
+            self.list_seen
+            and not member.listed
+            and member.last_heard is None
+            and silent_s > self.settings.forget_after_s
+        ):
+            del self.members[member.node]
+
+    def forget_views(self, now: float) -> None:
+        """After a freeze: nobody counts as heard until heard again."""
+        for node in self.members:
+            self.suspect(node, now)
+
+    def live(self) -> list[NodeId]:
+        """Return the instances that may hold a role, this one included."""
+        nodes = [
+            member.node
+            for member in self.members.values()
+            if member.last_heard is not None and member.state is NodeState.READY
+        ]
+        if self.own_state is NodeState.READY:
+            nodes.append(self.node)
+        return nodes
+
+    def heard_nodes(self) -> set[NodeId]:
+        """Return every instance that is not suspected, this one included."""
+        nodes = {
+            member.node
+            for member in self.members.values()
+            if member.last_heard is not None
+        }
+        return nodes | {self.node}
+
+    def expected(self) -> int:
+        """Count the instances that may hold a part of the pools' slots.
+
+        A suspected instance counts for as long as the platform lists it: it
+        may be on the far side of a partition and still use its part.
+        """
+        return 1 + sum(
+            member.listed or member.last_heard is not None
+            for member in self.members.values()
+        )
+
+    def winner(self, role: str) -> NodeId | None:
+        """Return the live instance that holds `role` in this view."""
+        if role not in self._winners:
+            self._winners[role] = rendezvous_winner(role, self.live())
+        return self._winners[role]
+
+    def set_own_state(self, state: NodeState) -> None:
+        """Change what this instance says of itself."""
+        self.own_state = state
+        self._winners.clear()
+
+    def upstream_leaving(
+        self, upstream: UpstreamId, now: float, first_hand: bool
+    ) -> None:
+        """Believe at once that an upstream is leaving.
+
+        Only what came first hand, from the platform's list or the upstream, is
+        told to peers, so that old news does not echo between them for ever.
+        """
+        until = now + self.settings.leaving_ttl_s
+        self._leaving_until[upstream] = until
+        if first_hand:
+            self._leaving_first_hand[upstream] = until
+
+    def upstream_listed_live(self, upstream: UpstreamId) -> None:
+        """Take a newer list's word that an upstream is back."""
+        self._leaving_until.pop(upstream, None)
+        self._leaving_first_hand.pop(upstream, None)
+
+    def is_leaving(self, upstream: UpstreamId, now: float) -> bool:
+        """Tell whether an upstream should get no new work."""
+        return self._leaving_until.get(upstream, now) > now
+
+    def leaving_news(self, now: float) -> list[UpstreamId]:
+        """Return the upstreams known first hand to be leaving."""
+        return [
+            upstream
+            for upstream, until in self._leaving_first_hand.items()
+            if until > now
+        ]
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/node/core.py
@@ -0,0 +1,603 @@
+"""One instance: its parts, the messages between them, its start and stop."""
+
+import math
+from functools import partial
+from typing import Any
+
+import httpcore
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+from buckthornwall.admission import Admission, TeamGauge
+from buckthornwall.codes import PeerError
+from buckthornwall.gateway import (
+    CallerApp,
+    CompletionHandler,
+    OperatorApp,
+    ServiceHandler,
+)
+from buckthornwall.idempotency import IdempotencyAgent, KeyMint
+from buckthornwall.links import (
+    Accepted,
+    CallForward,
+    CallOutcome,
+    Enqueue,
+    EnqueueRefused,
+    Grant,
+    HandOver,
+    HandOverTaken,
+    Heartbeat,
+    Holdings,
+    LinkHub,
+    Message,
+    NodeState,
+    OwnerMoved,
+    PeerAddress,
+    RecordsReply,
+    RecordsRequest,
+    Release,
+    SupportEnded,
+    Withdraw,
+)
+from buckthornwall.membership import FreezeDetector, MemberTable
+from buckthornwall.platform import InstanceKind, InstanceList, PlatformClient
+from buckthornwall.records import RecordStore
+from buckthornwall.scheduling import EntryAgent, SchedulerAgent
+from buckthornwall.settings import Settings
+from buckthornwall.telemetry import Metrics, Tracing, log_event
+from buckthornwall.upstreams import (
+    EngineClient,
+    OrderAgent,
+    RetryBudget,
+    ServiceClient,
+)
+from buckthornwall.utils import (
+    Backoff,
+    Clock,
+    Incarnation,
+    NodeId,
+    TrioClock,
+    UpstreamId,
+    ZoneId,
+    new_id,
+)
+
+from .records_agent import RecordsAgent
+
+__all__ = ["Node"]
+
+BEAT_S = 0.1
+JOIN_LIMIT_S = 3.0
+JOIN_LOOK_S = 0.02
+LAST_WORDS_S = 0.2
+NEVER = -math.inf
+
+TO_SCHEDULER = (Enqueue, Release, Withdraw, Holdings)
+TO_ENTRY = (Accepted, EnqueueRefused, Grant, SupportEnded)
+TO_RECORDS = (RecordsRequest, RecordsReply)
+TO_IDEMPOTENCY = (CallForward, CallOutcome, HandOver, HandOverTaken, OwnerMoved)
+
+
+class Node:
+    """Everything that one instance runs.
+
+    Parameters
+    ----------
+    settings
+        The checked settings file.
+    clock
+        Source of time for every decision.
+    """
+
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.node = NodeId(settings.node.id)
+        self.zone = ZoneId(settings.node.zone)
+        self.incarnation = Incarnation(new_id())
+        self.stopping = trio.Event()
+        self.close_callers = trio.Event()
+        self.close_operators = trio.Event()
+        self.started_at = clock.now()
+        self.heard_since_freeze = clock.now()
+        self.last_freeze = NEVER
+        self.list_number = 0
+        self.list_asked = False
+
+        self.store = RecordStore()
+        self.members = MemberTable(self.node, settings.membership)
+        self.freeze = FreezeDetector(clock, settings.membership.freeze_s)
+        self.hub = LinkHub.from_config(
+            self.node, self.incarnation, settings.links, self.deliver
+        )
+        self.metrics = Metrics()
+        self.tracing = Tracing(settings.node.id, settings.telemetry.trace_ratio)
+        self._make_upstreams()
+        self._make_agents()
+        self._make_gateway()
+        self._connect_events()
+
+    @classmethod
+    def from_config(cls, settings: Settings) -> "Node":
+        """Build a node from checked settings, on the running trio clock."""
+        return cls(settings, TrioClock())
+
+    def _make_upstreams(self) -> None:
+        upstreams = self.settings.upstreams
+        self.engine_pool = httpcore.AsyncConnectionPool(
+            max_connections=upstreams.max_connections
+        )
+        self.platform_pool = httpcore.AsyncConnectionPool()
+        self.engines = EngineClient(upstreams, self.engine_pool, self.clock)
+        self.service_client = ServiceClient(upstreams)
+        self.budget = RetryBudget(upstreams.retry_ratio, upstreams.retry_reserve)
+        self.orders = OrderAgent(
+            upstreams, self.store, self.members, self.freeze, self.is_caught_up
+        )
+
+    def _make_agents(self) -> None:
+        settings = self.settings
+        self.records = RecordsAgent(
+            PlatformClient(settings.platform, self.platform_pool),
+            self.store,
+            self.clock,
+            self.hub.send,
+            self._records_changed,
+        )
+        common = (
+            self.node,
+            self.clock,
+            settings.scheduling,
+            self.store,
+            self.members,
+            self.freeze,
+            self.hub.send,
+        )
+        self.entry = EntryAgent(*common)
+        self.scheduler = SchedulerAgent(*common)
+        self.idempotency = IdempotencyAgent(
+            self.node,
+            self.incarnation,
+            self.clock,
+            settings.idempotency,
+            KeyMint(settings.links.peer_secret),
+            self.members,
+            self.hub.send,
+            self.hub.is_up,
+            lambda request: self.services.dispatch_once(request),
+        )
+        self.idempotency.timeout_of = self._route_timeout
+
+    def _make_gateway(self) -> None:
+        settings = self.settings
+        admission = Admission(self.store)
+        teams = TeamGauge()
+        completions = CompletionHandler(
+            admission,
+            teams,
+            self.entry,
+            self.engines,
+            self.budget,
+            self.metrics,
+            self.tracing,
+            self.clock,
+            settings.gateway,
+            settings.upstreams.coalesce_ms / 1000,
+            self._engine_is_leaving,
+        )
+        self.services = ServiceHandler(
+            admission,
+            teams,
+            self.idempotency,
+            self.service_client,
+            self.budget,
+            self.tracing,
+            self.clock,
+            settings.gateway,
+            self.members.is_leaving,
+        )
+        self.app = CallerApp(
+            settings.gateway, admission, completions, self.services, self.metrics
+        )
+        self.operator_app = OperatorApp(
+            self.status, self.is_ready, self._raw_records, self.metrics
+        )
+
+    def _connect_events(self) -> None:
+        self.hub.on_hello = self._peer_introduced
+        self.hub.on_up = self._link_up
+        self.hub.on_down = self._link_down
+        self.freeze.listeners.append(self._woke_late)
+
+    # Messages
+
+    def deliver(self, node: NodeId, message: Message) -> None:
+        """Hand a peer's message to the part that it is for."""
+        if isinstance(message, Heartbeat):
+            self._heartbeat(node, message)
+        elif isinstance(message, TO_SCHEDULER):
+            self.scheduler.deliver(node, message)
+        elif isinstance(message, TO_ENTRY):
+            self.entry.handle(node, message)
+        elif isinstance(message, TO_RECORDS):
+            self.records.handle(node, message)
+        elif isinstance(message, TO_IDEMPOTENCY):
+            self.idempotency.handle(node, message)
+
+    def _heartbeat(self, node: NodeId, message: Heartbeat) -> None:
+        now = self.clock.now()
+        self.heard_since_freeze = now
+        fresh = self.members.heard(
+            node, message.incarnation, message.state, message.zone, now
+        )
+        for upstream in message.leaving_upstreams:
+            self.members.upstream_leaving(upstream, now, first_hand=False)
+        for peer in message.peers:
+            self.members.learn(peer, now)
+        if message.peers:
+            self._dial_members()
+        self.records.handle(node, message)
+        if fresh:
+            self.entry.renew_supports()
+
+    def _peer_introduced(self, node: NodeId, address: str) -> None:
+        self.members.learn(PeerAddress(node, address, ZoneId("")), self.clock.now())
+        member = self.members.members[node]
+        member.address = member.address or address
+        self._dial_members()
+
+    def _link_up(self, node: NodeId) -> None:
+        peers = [
+            PeerAddress(member.node, member.address, member.zone)
+            for member in self.members.members.values()
+            if member.node != node and member.address
+        ]
+        self.hub.send(node, self._own_heartbeat(peers))
+        self.idempotency.news_for(node)
+
+    def _link_down(self, node: NodeId) -> None:
+        self.members.suspect(node, self.clock.now())
+        self._node_lost(node)
+
+    def _node_lost(self, node: NodeId) -> None:
+        self.scheduler.node_lost(node)
+        self.entry.renew_supports()
+
+    def _woke_late(self) -> None:
+        now = self.clock.now()
+        log_event("woke_late", "WARNING", freezes=self.freeze.count)
+        self.last_freeze = now
+        self.members.forget_views(now)
+
+    def _records_changed(self) -> None:
+        self.scheduler.records_changed()
+        self.entry.renew_supports()
+        self._send_heartbeats()
+
+    def _dial_members(self) -> None:
+        for member in self.members.members.values():
+            if member.address:
+                self.hub.set_peer(member.node, member.address)
+
+    def _own_heartbeat(self, peers: list[PeerAddress]) -> Heartbeat:
+        return Heartbeat(
+            self.incarnation,
+            self.members.own_state,
+            self.zone,
+            self.store.number,
+            self.store.digest,
+            self.members.leaving_news(self.clock.now()),
+            peers,
+        )
+
+    def _send_heartbeats(self) -> None:
+        heartbeat = self._own_heartbeat([])
+        for node in list(self.members.members):
+            self.hub.send(node, heartbeat)
+
+    # What others ask
+
+    def is_ready(self) -> bool:
+        """Tell whether callers should be sent here."""
+        return self.members.own_state is NodeState.READY
+
+    def is_caught_up(self) -> bool:
+        """Tell whether anybody was heard since the start or the last freeze."""
+        alone = not self.members.members
+        platform_at = self.records.platform_ok_at
+        heard = max(self.heard_since_freeze, platform_at or NEVER)
+        return self.is_ready() and (alone or heard > self.last_freeze)
+
+    def _route_timeout(self, route_id: str) -> float:
+        view = self.store.view
+        route = view.routes.get(route_id) if view else None
+        return route.timeout_s if route else self.settings.idempotency.hand_over_s
+
+    def _engine_is_leaving(self, engine: UpstreamId) -> None:
+        self.members.upstream_leaving(engine, self.clock.now(), first_hand=True)
+        self._send_heartbeats()
+
+    def _raw_records(self) -> bytes:
+        return self.store.view.raw if self.store.view else b"{}"
+
+    def status(self) -> dict[str, Any]:
+        """Return what ``/status`` shows."""
+        now = self.clock.now()
+        view = self.store.view
+        return {
+            "node": self.node,
+            "zone": self.zone,
+            "incarnation": self.incarnation,
+            "state": self.members.own_state.name.lower(),
+            "freezes": self.freeze.count,
+            "in_flight": self.app.in_flight,
+            "records": {
+                "number": self.store.number,
+                "digest": self.store.digest,
+                "refused": [[code.number, detail] for code, detail in view.refused]
+                if view
+                else [],
+                "last_error": str(self.store.last_error or ""),
+            },
+            "members": [
+                {
+                    "node": member.node,
+                    "state": member.state.name.lower(),
+                    "heard_s_ago": round(now - member.last_heard, 2)
+                    if member.last_heard is not None
+                    else None,
+                    "listed": member.listed,
+                }
+                for member in self.members.members.values()
+            ],
+            "supports": {
+                pool: support.scheduler for pool, support in self.entry.supports.items()
+            },
+            "pools": [self._pool_status(key) for key in self.scheduler.roles],
+            "keys": {
+                "issued": self.idempotency.own.next_serial - 1,
+                "ledgers": len(self.idempotency.ledgers),
+            },
+            "links": {
+                "bytes_sent": self.hub.bytes_sent,
+                "bytes_received": self.hub.bytes_received,
+                "messages_sent": self.hub.messages_sent,
+            },
+            "entry": {
+                "held": len(self.entry.held),
+                "waiting": len(self.entry.waiting),
+                "decided_alone": self.entry.decided_alone,
+                "late_grants": self.entry.grants_dropped_late,
+            },
+        }
+
+    def _pool_status(self, key: tuple) -> dict[str, Any]:
+        role = self.scheduler.roles[key]
+        scheduler = role.scheduler
+        return {
+            "pool": key[0],
+            "alone": role.alone,
+            "fraction": round(scheduler.fraction, 3),
+            "supporters": sorted(role.supporters),
+            "waiting": scheduler.queue.waiting_by_class(),
+            "engines": {
+                engine.id: {
+                    "in_use": len(engine.running),
+                    "limit": round(engine.limit, 1),
+                    "inter_token_ms": round(engine.inter_token_s * 1000, 1),
+                }
+                for engine in scheduler.engines.values()
+            },
+        }
+
+    # Tasks
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Run until `stopping` is set, then stop without cutting anything off."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.hub.run)
+            await nursery.start(self.idempotency.run)
+            self._learn_seeds()
+            for task in (
+                self._beat,
+                self._heartbeats,
+                self.records.run,
+                self._watch_instances,
+                self.scheduler.run,
+                self.entry.run,
+                self._poll_loads,
+                self.orders.run,
+            ):
+                nursery.start_soon(task)
+            await nursery.start(self._serve_operators)
+            await self._catch_up()
+            serving = trio.Event()
+            nursery.start_soon(self._serve_callers, serving)
+            task_status.started()
+            await self.stopping.wait()
+            await self._stop(serving)
+            nursery.cancel_scope.cancel()
+
+    def _learn_seeds(self) -> None:
+        now = self.clock.now()
+        for seed in self.settings.links.seeds:
+            node, _, address = seed.partition("=")
+            self.members.learn(PeerAddress(NodeId(node), address, ZoneId("")), now)
+        self._dial_members()
+
+    async def _catch_up(self) -> None:
+        """Serve only once the newest records that can be heard of are in force."""
+        deadline = self.clock.now() + JOIN_LIMIT_S
+        while not self._has_asked_all(deadline):
+            await trio.sleep(JOIN_LOOK_S)
+        self.members.set_own_state(NodeState.READY)
+        self._send_heartbeats()
+        log_event("ready", node=self.node, records=self.store.number)
+
+    def _has_asked_all(self, deadline: float) -> bool:
+        if self.stopping.is_set():
+            return True
+        if self.store.view is None:
+            return False
+        if self.clock.now() >= deadline:
+            return True
+        asked = self.records.asked_platform and self.list_asked
+        heard = all(
+            member.last_heard is not None for member in self.members.members.values()
+        )
+        return asked and heard and not self.records.behind
+
+    async def _beat(self) -> None:
+        """Look at the clock often, and at who has fallen silent."""
+        while True:
+            self.freeze.look()
+            for node in self.members.expire(self.clock.now()):
+                log_event("member_suspected", "WARNING", member=node)
+                self._node_lost(node)
+            await trio.sleep(BEAT_S)
+
+    async def _heartbeats(self) -> None:
+        while True:
+            self._send_heartbeats()
+            await trio.sleep(self.settings.membership.heartbeat_s)
+
+    async def _watch_instances(self) -> None:
+        """Follow the platform's list for ever, through its outages."""
+        settings = self.settings.platform
+        backoff = Backoff(BEAT_S, settings.retry_limit_s)
+        wait_s = 0.0
+        while True:
+            try:
+                listed = await self.records.platform.watch_instances(
+                    self.list_number, wait_s
+                )
+            except PeerError:
+                self.list_asked = True
+                await trio.sleep(backoff.next_delay())
+                continue
+            self.list_asked = True
+            wait_s = settings.watch_s
+            if listed is not None and listed.number > self.list_number:
+                backoff.reset()
+                self._apply_list(listed)
+            elif listed is not None:
+                await trio.sleep(backoff.next_delay())
+
+    def _apply_list(self, listed: InstanceList) -> None:
+        now = self.clock.now()
+        self.list_number = listed.number
+        entries = {
+            NodeId(each.id): PeerAddress(NodeId(each.id), each.address, each.zone)
+            for each in listed.instances
+            if each.kind is InstanceKind.ENTRY
+        }
+        self.members.apply_list(entries, now)
+        for each in listed.instances:
+            if each.kind is InstanceKind.ENTRY:
+                continue
+            if each.leaving:
+                self.members.upstream_leaving(UpstreamId(each.id), now, first_hand=True)
+            else:
+                self.members.upstream_listed_live(UpstreamId(each.id))
+        self._dial_members()
+        self._send_heartbeats()
+
+    async def _poll_loads(self) -> None:
+        """Read the load of the engines that this instance schedules."""
+        while True:
+            await trio.sleep(self.settings.scheduling.load_poll_s)
+            for role in list(self.scheduler.roles.values()):
+                async with trio.open_nursery() as nursery:
+                    for engine_id in role.scheduler.engines:
+                        nursery.start_soon(self._poll_load, role.scheduler, engine_id)
+
+    async def _poll_load(self, scheduler, engine_id: UpstreamId) -> None:
+        record = self.store.view.upstreams.get(engine_id)
+        if record is None:
+            return
+        report = await self.engines.read_load(record)
+        engine = scheduler.engines.get(engine_id)
+        if report is not None and engine is not None:
+            engine.take_report(report[0])
+            if report[1]:
+                self._engine_is_leaving(engine_id)
+
+    # Listeners
+
+    async def _serve_operators(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        config = Config()
+        config.bind = [self.settings.operators.listen]
+        config.errorlog = None
+        await serve(
+            self.operator_app,
+            config,
+            shutdown_trigger=self.close_operators.wait,
+            task_status=task_status,
+        )
+
+    async def _serve_callers(self, ended: trio.Event) -> None:
+        settings = self.settings.gateway
+        config = Config()
+        config.bind = [settings.listen]
+        config.errorlog = None
+        config.keep_alive_timeout = settings.keep_alive_s
+        config.keep_alive_max_requests = 1_000_000
+        config.h11_max_incomplete_size = settings.header_limit_bytes
+        config.graceful_timeout = settings.stop_limit_s
+        config.backlog = 1024
+        if settings.tls_certificate:
+            config.certfile = settings.tls_certificate
+            config.keyfile = settings.tls_key
+        await serve(self.app, config, shutdown_trigger=self.close_callers.wait)
+        ended.set()
+
+    # Stop
+
+    async def _stop(self, callers_closed: trio.Event) -> None:
+        """Announce, drain, hand over, and leave.
+
+        The balancer learns of the stop late, so the listener stays open for a
+        while and every answer asks its caller to connect elsewhere.
+        """
+        log_event("stopping", node=self.node, in_flight=self.app.in_flight)
+        self.members.set_own_state(NodeState.LEAVING)
+        self.app.draining = True
+        self._send_heartbeats()
+        self.scheduler.lay_down()
+        self.entry.renew_supports()
+        await trio.sleep(self.settings.gateway.drain_s)
+        self.close_callers.set()
+        with trio.move_on_after(self.settings.gateway.stop_limit_s):
+            await self.app.wait_idle()
+            await callers_closed.wait()
+        await self.idempotency.hand_over()
+        await trio.sleep(LAST_WORDS_S)
+        log_event("stopped", node=self.node)
+
+
+def run_node(settings: Settings, stop_signals: Any) -> None:
+    """Run a node until a signal asks it to stop.
+
+    Parameters
+    ----------
+    settings
+        Checked settings.
+    stop_signals
+        Signals that mean a planned stop.
+    """
+    trio.run(partial(_run_with_signals, settings, stop_signals))
+
+
+async def _run_with_signals(settings: Settings, stop_signals: Any) -> None:
+    node = Node.from_config(settings)
+    with trio.open_signal_receiver(*stop_signals) as signals:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_stop_on_signal, signals, node)
+            await node.run()
+            nursery.cancel_scope.cancel()
+
+
+async def _stop_on_signal(signals: Any, node: Node) -> None:
+    async for _ in signals:
+        node.stopping.set()
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/node/main.py
@@ -0,0 +1,50 @@
+"""The command line of ``buckthornwalld``."""
+
+import argparse
+import signal
+import sys
+from pathlib import Path
+
+from buckthornwall import __version__
+from buckthornwall.codes import SettingsError
+from buckthornwall.settings import Settings
+from buckthornwall.telemetry import configure_logs, log_event
+
+from .core import run_node
+
+__all__ = ["main"]
+
+EXIT_SETTINGS = 2
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="buckthornwalld",
+        description="Run one instance of the buckthornwall router.",
+        epilog="Exit status: 0 after a planned stop, 2 for bad settings.",
+    )
+    parser.add_argument(
+        "--settings", type=Path, required=True, help="INI file of this instance"
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    return parser
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the daemon; return its exit status."""
+    options = build_parser().parse_args(arguments)
+    try:
+        settings = Settings.from_file(options.settings)
+    except SettingsError as error:
+        print(f"buckthornwalld: {error}", file=sys.stderr)
+        return EXIT_SETTINGS
+    configure_logs(settings.telemetry.log_level)
+    log_event("starting", node=settings.node.id, zone=settings.node.zone)
+    run_node(settings, STOP_SIGNALS)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/records/__init__.py
@@ -0,0 +1,33 @@
+"""The published, versioned configuration and how an instance adopts it."""
+
+from .core import RecordView, parse_records
+from .schema import (
+    EngineOrder,
+    Model,
+    Route,
+    SchedulingMode,
+    ServiceClass,
+    TargetKind,
+    Targets,
+    Team,
+    Upstream,
+    UpstreamKind,
+)
+from .store import Adoption, RecordStore
+
+__all__ = [
+    "Adoption",
+    "EngineOrder",
+    "Model",
+    "RecordStore",
+    "RecordView",
+    "Route",
+    "SchedulingMode",
+    "ServiceClass",
+    "TargetKind",
+    "Targets",
+    "Team",
+    "Upstream",
+    "UpstreamKind",
+    "parse_records",
+]
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/records/core.py
@@ -0,0 +1,201 @@
+"""From published bytes to the view of the records that decisions read."""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+from hashlib import sha256
+from typing import Any
+
+import msgspec
+
+from buckthornwall.codes import RecordError, ResultCode
+from buckthornwall.utils import ClassId, ModelId, RouteId, TeamId, UpstreamId
+
+from .schema import (
+    SCHEMAS,
+    Model,
+    Route,
+    ServiceClass,
+    TargetKind,
+    Team,
+    Upstream,
+    UpstreamKind,
+    convert,
+)
+
+__all__ = ["RecordView", "digest_of", "parse_records"]
+
+DIGEST_CHARS = 16
+
+
+@dataclass
+class RecordView:
+    """One adopted set of records, indexed for the decisions.
+
+    `refused` lists the records that this version of the program cannot read,
+    and those that depend on them, as ``(code, detail)``.
+    """
+
+    number: int
+    digest: str
+    raw: bytes
+    classes: dict[ClassId, ServiceClass] = field(default_factory=dict)
+    teams: dict[TeamId, Team] = field(default_factory=dict)
+    models: dict[ModelId, Model] = field(default_factory=dict)
+    routes: dict[RouteId, Route] = field(default_factory=dict)
+    upstreams: dict[UpstreamId, Upstream] = field(default_factory=dict)
+    refused: list[tuple[ResultCode, str]] = field(default_factory=list)
+    team_by_key_hash: dict[str, Team] = field(default_factory=dict)
+
+    def engines_of(self, model: ModelId) -> list[Upstream]:
+        """Return the engines whose records say that they serve `model`."""
+        return self._serving(UpstreamKind.ENGINE, model)
+
+    def services_of(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a plain service."""
+        return self._serving(UpstreamKind.SERVICE, service)
+
+    def _serving(self, kind: UpstreamKind, name: str) -> list[Upstream]:
+        return [
+            upstream
+            for upstream in self.upstreams.values()
+            if upstream.type is kind and name in upstream.serves
+        ]
+
+    def table(self, kind: str) -> dict[str, Any]:
+        """Return the records of one kind by id."""
+        return {
+            "class": self.classes,
+            "team": self.teams,
+            "model": self.models,
+            "route": self.routes,
+            "upstream": self.upstreams,
+        }[kind]
+
+
+def digest_of(raw: bytes) -> str:
+    """Return the digest by which instances compare sets."""
+    return sha256(raw).hexdigest()[:DIGEST_CHARS]
+
+
+def parse_records(raw: bytes) -> RecordView:
+    """Validate a published set and index it.
+
+    A record of an unknown schema version is refused alone; of several known
+    versions of one record the newest is used. Anything else that is wrong
+    refuses the whole set, alike on every instance.
+
+    Parameters
+    ----------
+    raw
+        JSON: ``{"number": 7, "records": [{"kind": ..., "schema": ...}, ...]}``.
+
+    Raises
+    ------
+    RecordError
+        With the path of the bad field.
+    """
+    number, entries = _decode_envelope(raw)
+    view = RecordView(number, digest_of(raw), raw)
+    unknown: set[tuple[str, str]] = set()
+    chosen_schema: dict[tuple[str, str], int] = {}
+    for index, entry in enumerate(entries):
+        _take_entry(view, f"records[{index}]", entry, unknown, chosen_schema)
+    _check_references(view, unknown - set(chosen_schema))
+    for team in view.teams.values():
+        for key_hash in team.key_sha256:
+            view.team_by_key_hash[key_hash] = team
+    return view
+
+
+def _decode_envelope(raw: bytes) -> tuple[int, list[Any]]:
+    try:
+        document = msgspec.json.decode(raw)
+    except msgspec.DecodeError as error:
+        raise RecordError(ResultCode.RECORDS_MALFORMED, str(error)) from error
+    if not isinstance(document, dict):
+        raise RecordError(ResultCode.RECORDS_MALFORMED, "expected an object")
+    number = document.get("number")
+    entries = document.get("records")
+    if type(number) is not int or number < 1:
+        raise RecordError(ResultCode.RECORDS_MALFORMED, "number: expected 1 or more")
+    if not isinstance(entries, list):
+        raise RecordError(ResultCode.RECORDS_MALFORMED, "records: expected a list")
+    return number, entries
+
+
+def _take_entry(
+    view: RecordView,
+    path: str,
+    entry: Any,
+    unknown: set[tuple[str, str]],
+    chosen_schema: dict[tuple[str, str], int],
+) -> None:
+    kind, schema, ident = _identify(path, entry)
+    if schema not in SCHEMAS[kind]:
+        unknown.add((kind, ident))
+        view.refused.append(
+            (ResultCode.RECORD_SCHEMA, f"{path} {kind} {ident} schema {schema}")
+        )
+        return
+    try:
+        record = convert(entry, kind, schema)
+    except msgspec.ValidationError as error:
+        raise RecordError(
+            ResultCode.RECORD_INVALID, f"{path} {kind} {ident}: {error}"
+        ) from error
+    seen = chosen_schema.get((kind, ident))
+    if seen == schema:
+        raise RecordError(
+            ResultCode.RECORD_INVALID, f"{path} {kind} {ident}: stands twice"
+        )
+    if seen is None or schema > seen:
+        chosen_schema[kind, ident] = schema
+        view.table(kind)[ident] = record
+
+
+def _identify(path: str, entry: Any) -> tuple[str, int, str]:
+    if not isinstance(entry, dict):
+        raise RecordError(ResultCode.RECORD_INVALID, f"{path}: expected an object")
+    kind, schema, ident = entry.get("kind"), entry.get("schema"), entry.get("id")
+    if not isinstance(kind, str) or kind not in SCHEMAS:
+        raise RecordError(ResultCode.RECORD_INVALID, f"{path}.kind: not known")
+    if type(schema) is not int or schema < 1:
+        raise RecordError(ResultCode.RECORD_INVALID, f"{path}.schema: expected 1 up")
+    if not isinstance(ident, str) or not ident:
+        raise RecordError(ResultCode.RECORD_INVALID, f"{path}.id: expected a name")
+    return kind, schema, ident
+
+
+def _references(view: RecordView) -> list[tuple[str, str, str, str]]:
+    """List ``(kind, id, kind named, id named)`` for every reference."""
+    found = [
+        ("team", team.id, "class", class_id)
+        for team in view.teams.values()
+        for class_id in team.classes
+    ]
+    for route in view.routes.values():
+        found += [("route", route.id, "class", each) for each in route.classes]
+        if route.to is TargetKind.MODEL:
+            found.append(("route", route.id, "model", route.target))
+    for upstream in view.upstreams.values():
+        if upstream.type is UpstreamKind.ENGINE:
+            found += [
+                ("upstream", upstream.id, "model", each) for each in upstream.serves
+            ]
+    return found
+
+
+def _check_references(view: RecordView, unknown: set[tuple[str, str]]) -> None:
+    """Refuse dangling references; drop what depends on an unknown schema."""
+    dropped: dict[str, set[str]] = defaultdict(set)
+    for kind, ident, named_kind, named in _references(view):
+        if named in view.table(named_kind):
+            continue
+        detail = f"{kind} {ident} names {named_kind} {named}"
+        if (named_kind, named) not in unknown:
+            raise RecordError(ResultCode.RECORD_REFERENCE, detail)
+        view.refused.append((ResultCode.RECORD_REFERENCE, detail))
+        dropped[kind].add(ident)
+    for kind, idents in dropped.items():
+        for ident in idents:
+            del view.table(kind)[ident]
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/records/schema.py
@@ -0,0 +1,262 @@
+"""Schemas of the record kinds: version 2 is in use, version 1 is moved up.
+
+The classes without a version in their names are version 2 and the form that
+the rest of the package reads. `SCHEMAS` holds, for each kind and version, the
+type to decode and the function that moves it to the form in use.
+"""
+
+from collections.abc import Callable
+from enum import Enum
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct
+
+from buckthornwall.utils import ClassId, ModelId, RouteId, TeamId, UpstreamId, ZoneId
+
+__all__ = [
+    "SCHEMAS",
+    "EngineOrder",
+    "Model",
+    "Route",
+    "SchedulingMode",
+    "ServiceClass",
+    "TargetKind",
+    "Targets",
+    "Team",
+    "Upstream",
+    "UpstreamKind",
+]
+
+Positive = Annotated[float, Meta(gt=0)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+Name = Annotated[str, Meta(min_length=1, max_length=128)]
+KeyHash = Annotated[str, Meta(pattern="^[0-9a-f]{64}$")]
+Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]+$")]
+
+MS_PER_S = 1000.0
+URGENT_TIER = 0
+
+
+class SchedulingMode(Enum):
+    """Who chooses the engine: one scheduler for the pool, or each node alone."""
+
+    POOLED = "pooled"
+    ALONE = "alone"
+
+
+class TargetKind(Enum):
+    """What a route leads to."""
+
+    MODEL = "model"
+    SERVICE = "service"
+
+
+class UpstreamKind(Enum):
+    """What an upstream is."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class _Record(Struct, kw_only=True, forbid_unknown_fields=True, frozen=True):
+    """Fields that every record carries."""
+
+    kind: str
+    schema: int
+
+
+class Targets(Struct, kw_only=True, forbid_unknown_fields=True, frozen=True):
+    """Latency targets in seconds."""
+
+    first_token_s: Positive
+    inter_token_s: Positive
+    total_s: Positive
+
+
+class ServiceClass(_Record, frozen=True):
+    """A service class; tier 0 is urgent, and a higher tier less so.
+
+    `weight` is the class's part in fair queueing by tokens among the classes
+    that are not urgent; `floor` the share of tokens that no load takes away
+    from it.
+    """
+
+    id: ClassId
+    tier: Annotated[int, Meta(ge=0, le=99)]
+    targets: Targets
+    weight: Positive = 1.0
+    floor: Share = 0.0
+
+    @property
+    def urgent(self) -> bool:
+        """Whether the class is of the urgent tier."""
+        return self.tier == URGENT_TIER
+
+
+class Team(_Record, frozen=True):
+    """A team: hashes of its bearer keys, its classes and its share."""
+
+    id: TeamId
+    key_sha256: Annotated[list[KeyHash], Meta(min_length=1)]
+    classes: Annotated[list[ClassId], Meta(min_length=1)]
+    share: Positive = 1.0
+    max_in_flight: Annotated[int, Meta(ge=1)] = 10_000
+
+
+class Model(_Record, frozen=True):
+    """A model and the way its pool of engines is scheduled.
+
+    `urgent_reserve` is the share of the pool's slots that only urgent requests
+    may take.
+    """
+
+    id: ModelId
+    urgent_reserve: Share = 0.15
+    scheduling: SchedulingMode = SchedulingMode.POOLED
+
+
+class Route(_Record, frozen=True):
+    """A name that callers use, and the model or service that it leads to."""
+
+    id: RouteId
+    to: TargetKind
+    target: Name
+    repeatable: bool = True
+    timeout_s: Positive = 30.0
+    classes: list[ClassId] = []
+
+
+class EngineOrder(Struct, kw_only=True, forbid_unknown_fields=True, frozen=True):
+    """What an engine should hold: adapters by name with their version."""
+
+    adapters: dict[str, str] = {}
+
+
+class Upstream(_Record, frozen=True):
+    """An engine or a service at an address, and what it serves."""
+
+    id: UpstreamId
+    type: UpstreamKind
+    address: Address
+    serves: Annotated[list[Name], Meta(min_length=1)]
+    zone: ZoneId = ZoneId("")
+    slots: Annotated[int, Meta(ge=1, le=100_000)] = 16
+    order: EngineOrder = EngineOrder()
+
+
+class _ServiceClassV1(_Record, frozen=True):
+    id: ClassId
+    tier: Annotated[int, Meta(ge=0, le=99)]
+    first_token_ms: Positive
+    inter_token_ms: Positive
+    total_ms: Positive
+    weight: Positive = 1.0
+
+
+class _TeamV1(_Record, frozen=True):
+    id: TeamId
+    key_sha256: KeyHash
+    classes: Annotated[list[ClassId], Meta(min_length=1)]
+
+
+class _ModelV1(_Record, frozen=True):
+    id: ModelId
+
+
+class _RouteV1(_Record, frozen=True):
+    id: RouteId
+    model: str = ""
+    service: str = ""
+    idempotent: bool = True
+
+    def __post_init__(self) -> None:
+        if bool(self.model) == bool(self.service):
+            raise ValueError("exactly one of model and service is needed")
+
+
+class _UpstreamV1(_Record, frozen=True):
+    id: UpstreamId
+    type: UpstreamKind
+    host: Name
+    port: Annotated[int, Meta(ge=1, le=65535)]
+    serves: Name
+    slots: Annotated[int, Meta(ge=1, le=100_000)] = 16
+
+
+def _upgrade_class(old: _ServiceClassV1) -> ServiceClass:
+    targets = Targets(
+        first_token_s=old.first_token_ms / MS_PER_S,
+        inter_token_s=old.inter_token_ms / MS_PER_S,
+        total_s=old.total_ms / MS_PER_S,
+    )
+    return ServiceClass(
+        kind=old.kind,
+        schema=old.schema,
+        id=old.id,
+        tier=old.tier,
+        targets=targets,
+        weight=old.weight,
+    )
+
+
+def _upgrade_team(old: _TeamV1) -> Team:
+    return Team(
+        kind=old.kind,
+        schema=old.schema,
+        id=old.id,
+        key_sha256=[old.key_sha256],
+        classes=old.classes,
+    )
+
+
+def _upgrade_model(old: _ModelV1) -> Model:
+    return Model(kind=old.kind, schema=old.schema, id=old.id)
+
+
+def _upgrade_route(old: _RouteV1) -> Route:
+    return Route(
+        kind=old.kind,
+        schema=old.schema,
+        id=old.id,
+        to=TargetKind.MODEL if old.model else TargetKind.SERVICE,
+        target=old.model or old.service,
+        repeatable=old.idempotent,
+    )
+
+
+def _upgrade_upstream(old: _UpstreamV1) -> Upstream:
+    return Upstream(
+        kind=old.kind,
+        schema=old.schema,
+        id=old.id,
+        type=old.type,
+        address=f"{old.host}:{old.port}",
+        serves=[old.serves],
+        slots=old.slots,
+    )
+
+
+def _same(record: Any) -> Any:
+    return record
+
+
+SCHEMAS: dict[str, dict[int, tuple[type[Struct], Callable[[Any], Any]]]] = {
+    "class": {1: (_ServiceClassV1, _upgrade_class), 2: (ServiceClass, _same)},
+    "team": {1: (_TeamV1, _upgrade_team), 2: (Team, _same)},
+    "model": {1: (_ModelV1, _upgrade_model), 2: (Model, _same)},
+    "route": {1: (_RouteV1, _upgrade_route), 2: (Route, _same)},
+    "upstream": {1: (_UpstreamV1, _upgrade_upstream), 2: (Upstream, _same)},
+}
+
+
+def convert(raw: dict[str, Any], kind: str, schema: int) -> Any:
+    """Decode one raw record and move it to the form in use.
+
+    Raises
+    ------
+    msgspec.ValidationError
+        With the path of the bad field.
+    """
+    record_type, upgrade = SCHEMAS[kind][schema]
+    return upgrade(msgspec.convert(raw, type=record_type))
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/__init__.py
@@ -0,0 +1,28 @@
+"""Order of service and the choice of an engine.
+
+`queue` and `engines` hold state, `core` decides, `agent` and `entry` are the
+tasks at the two ends of the messages in `buckthornwall.links`.
+"""
+
+from .agent import SchedulerAgent
+from .core import Decision, GrantDecision, PoolScheduler, RefusalDecision
+from .engines import EngineState, exact_share, reported_load
+from .entry import EntryAgent, SlotRequest
+from .queue import FairQueue, Ticket
+from .settings import SchedulingSettings
+
+__all__ = [
+    "Decision",
+    "EngineState",
+    "EntryAgent",
+    "FairQueue",
+    "GrantDecision",
+    "PoolScheduler",
+    "RefusalDecision",
+    "SchedulerAgent",
+    "SchedulingSettings",
+    "SlotRequest",
+    "Ticket",
+    "exact_share",
+    "reported_load",
+]
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/agent.py
@@ -0,0 +1,269 @@
+"""The task that runs the schedulers of this instance."""
+
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import trio
+
+from buckthornwall.codes import ResultCode
+from buckthornwall.links import (
+    Accepted,
+    Enqueue,
+    EnqueueRefused,
+    Grant,
+    Holdings,
+    Message,
+    NodeState,
+    Release,
+    SupportEnded,
+    Withdraw,
+)
+from buckthornwall.membership import FreezeDetector, MemberTable
+from buckthornwall.records import RecordStore, SchedulingMode
+from buckthornwall.utils import Clock, Incarnation, ModelId, NodeId, RequestId, new_id
+
+from .core import Decision, GrantDecision, PoolScheduler
+from .engines import exact_share, reported_load
+from .settings import SchedulingSettings
+
+__all__ = ["SchedulerAgent"]
+
+INBOX_SIZE = math.inf
+UNKNOWN_RETRY_S = 1.0
+Send = Callable[[NodeId, Message], bool]
+
+
+@dataclass
+class _Role:
+    """One pool that this instance schedules, for others or alone.
+
+    `supporters` holds when each instance last left us its part of the pool.
+    """
+
+    scheduler: PoolScheduler
+    alone: bool
+    supporters: dict[NodeId, float] = field(default_factory=dict)
+    unacknowledged: list[tuple[NodeId, RequestId]] = field(default_factory=list)
+
+
+class SchedulerAgent:
+    """Owns every `PoolScheduler` of this instance and feeds it messages.
+
+    Each entry stands for an equal part of a pool's slots, and leaves it to one
+    scheduler at a time by a short lease, which its report of the slots in use
+    renews. A scheduler gives out no more than the parts left to it, so two
+    schedulers that do not know of each other never give out more than there
+    is, and a new one knows what is in use before it may give out any of it.
+    """
+
+    def __init__(
+        self,
+        node: NodeId,
+        clock: Clock,
+        settings: SchedulingSettings,
+        store: RecordStore,
+        members: MemberTable,
+        freeze: FreezeDetector,
+        send: Send,
+    ) -> None:
+        self.node = node
+        self.clock = clock
+        self.settings = settings
+        self.store = store
+        self.members = members
+        self.freeze = freeze
+        self.send = send
+        self.incarnation = Incarnation(new_id())
+        self.roles: dict[tuple[ModelId, bool], _Role] = {}
+        self.inbox_in, self.inbox = trio.open_memory_channel(INBOX_SIZE)
+        freeze.listeners.append(self.forget_everything)
+
+    def deliver(self, node: NodeId, message: Message) -> None:
+        """Take a message for the task to handle."""
+        self.inbox_in.send_nowait((node, message))
+
+    def forget_everything(self) -> None:
+        """After a freeze: every view is old, so start with empty ones.
+
+        Entries repeat what still waits, and say what they still hold.
+        """
+        self.roles.clear()
+        self.incarnation = Incarnation(new_id())
+
+    def records_changed(self) -> None:
+        """Follow newer records in every pool."""
+        for key, role in list(self.roles.items()):
+            for decision in role.scheduler.set_records(self.store.view):
+                self._announce(decision, role)
+            if role.scheduler.model is None and not role.scheduler.slots:
+                del self.roles[key]
+
+    async def run(self) -> None:
+        """Handle messages as they come, and look at deadlines at every tick."""
+        next_tick = self.clock.now()
+        while True:
+            with trio.move_on_after(max(0.0, next_tick - self.clock.now())):
+                await self._receive_batch()
+            self.freeze.look()
+            if self.clock.now() >= next_tick:
+                self.renew()
+                self.decide(self.roles.values())
+                next_tick = self.clock.now() + self.settings.tick_s
+
+    async def _receive_batch(self) -> None:
+        """Handle all that has arrived, then decide for the pools it touched."""
+        node, message = await self.inbox.receive()
+        self.freeze.look()
+        touched = {id(role): role for role in self.handle(node, message)}
+        while self.inbox.statistics().current_buffer_used:
+            node, message = self.inbox.receive_nowait()
+            touched.update({id(role): role for role in self.handle(node, message)})
+        self.decide(touched.values())
+
+    def decide(self, roles: Iterable[_Role]) -> None:
+        """Announce what the schedulers decide, then acknowledge what waits on."""
+        now = self.clock.now()
+        for role in list(roles):
+            for decision in role.scheduler.decide(now):
+                self._announce(decision, role)
+            for node, request in role.unacknowledged:
+                if request in role.scheduler.queue:
+                    self.send(node, Accepted(request))
+            role.unacknowledged.clear()
+
+    def handle(self, node: NodeId, message: Message) -> list[_Role]:
+        """Take one message into the state of its pool; return the pools touched."""
+        now = self.clock.now()
+        roles = list(self.roles.values())
+        if isinstance(message, Enqueue):
+            return self._enqueue(node, message, now)
+        if isinstance(message, Release):
+            touched = [r for r in roles if message.grant in r.scheduler.slots]
+            for role in touched:
+                role.scheduler.release(message, now)
+            return touched
+        if isinstance(message, Withdraw):
+            touched = [r for r in roles if r.alone == message.alone]
+            for role in touched:
+                role.scheduler.withdraw(message.request)
+            return touched
+        if isinstance(message, Holdings):
+            return self._holdings(node, message, now)
+        return []
+
+    def _enqueue(self, node: NodeId, message: Enqueue, now: float) -> list[_Role]:
+        if self.store.view is None or message.pool not in self.store.view.models:
+            code = ResultCode.UNKNOWN_MODEL.number
+            self.send(node, EnqueueRefused(message.request, code, UNKNOWN_RETRY_S))
+            return []
+        role = self.roles.get((message.pool, message.alone))
+        if role is None and not message.alone:
+            return []  # not left to us; the sender finds out whose it is
+        role = role or self._role(message.pool, alone=True)
+        for decision in role.scheduler.enqueue(node, message, now):
+            self._announce(decision, role)
+        role.unacknowledged.append((node, message.request))
+        return [role]
+
+    def _role(self, pool: ModelId, alone: bool) -> _Role:
+        role = self.roles.get((pool, alone))
+        if role is None:
+            mode = self.store.view.models[pool].scheduling
+            by_report = alone and mode is SchedulingMode.ALONE
+            scheduler = PoolScheduler.from_config(
+                pool,
+                self.store.view,
+                self.members.is_leaving,
+                reported_load if by_report else exact_share,
+            )
+            role = self.roles[pool, alone] = _Role(scheduler, alone)
+            self._set_fraction(role, self.clock.now())
+        return role
+
+    def _holdings(self, node: NodeId, message: Holdings, now: float) -> list[_Role]:
+        if node == self.node:
+            role = self.roles.get((message.pool, True))
+            if role is not None:
+                role.scheduler.take_holdings(node, message.running, now)
+        if not message.support:
+            return self._end_support(node, message.pool)
+        if self.members.own_state is NodeState.LEAVING:
+            return []
+        if self.store.view is None or message.pool not in self.store.view.models:
+            return []
+        role = self._role(message.pool, alone=False)
+        role.supporters[node] = now
+        role.scheduler.take_holdings(node, message.running, now)
+        self._set_fraction(role, now)
+        return [role]
+
+    def _end_support(self, node: NodeId, pool: ModelId) -> list[_Role]:
+        role = self.roles.get((pool, False))
+        touched = []
+        if role is not None:
+            role.supporters.pop(node, None)
+            role.scheduler.forget_node(node)
+            self._set_fraction(role, self.clock.now())
+            touched.append(role)
+        self.send(node, SupportEnded(pool))
+        return touched
+
+    def renew(self) -> None:
+        """Renew the parts we may use, and lay down pools without supporters."""
+        now = self.clock.now()
+        if self.store.view is None:
+            return
+        for key, role in list(self.roles.items()):
+            self._set_fraction(role, now)
+            if not role.alone and not role.supporters:
+                del self.roles[key]
+
+    def lay_down(self) -> None:
+        """At a planned stop: schedule for nobody else any more.
+
+        Whoever waits here hears that its part is its own again, and asks the
+        next scheduler.
+        """
+        for pool, alone in list(self.roles):
+            if not alone:
+                role = self.roles.pop((pool, alone))
+                for node in role.supporters:
+                    self.send(node, SupportEnded(pool))
+
+    def node_lost(self, node: NodeId) -> None:
+        """Forget what a suspected instance asked for and held."""
+        for role in self.roles.values():
+            if not role.alone and node in role.supporters:
+                del role.supporters[node]
+                role.scheduler.forget_node(node)
+
+    def _set_fraction(self, role: _Role, now: float) -> None:
+        """Set the part of the slots that this scheduler may use."""
+        expected = self.members.expected()
+        if role.alone:
+            role.scheduler.fraction = 1 / expected
+            return
+        for node, renewed_at in list(role.supporters.items()):
+            if now - renewed_at > self.settings.support_s:
+                del role.supporters[node]
+                role.scheduler.forget_node(node)
+        role.scheduler.fraction = min(1.0, len(role.supporters) / expected)
+
+    def _announce(self, decision: Decision, role: _Role) -> None:
+        ticket = decision.ticket
+        if isinstance(decision, GrantDecision):
+            message: Message = Grant(
+                ticket.request,
+                decision.grant,
+                decision.engine,
+                self.incarnation,
+                self.clock.now() - ticket.received,
+                self.settings.grant_valid_s,
+                role.alone,
+            )
+        else:
+            message = EnqueueRefused(
+                ticket.request, decision.code.number, decision.retry_after_s
+            )
+        self.send(ticket.node, message)
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/core.py
@@ -0,0 +1,449 @@
+"""The decisions of one pool's scheduler: state and time in, decisions out."""
+
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from buckthornwall.codes import ResultCode
+from buckthornwall.links import Enqueue, Holding, Release, ReleaseKind
+from buckthornwall.records import Model, RecordView, ServiceClass
+from buckthornwall.utils import (
+    GrantId,
+    ModelId,
+    NodeId,
+    RequestId,
+    TeamId,
+    UpstreamId,
+    new_id,
+    rendezvous_winner,
+)
+
+from .engines import EngineState, Slot, exact_share
+from .queue import FairQueue, Ticket
+
+__all__ = ["Decision", "GrantDecision", "PoolScheduler", "RefusalDecision"]
+
+STARVATION_S = 10.0
+SERVICE_WEIGHT = 0.1  # weight of a new sample in the moving averages
+FIRST_SERVICE_S = 2.0
+FIRST_ANSWER_TOKENS = 100.0
+UNCONFIRMED_S = 3.0
+AFFINITY_LOAD_BOUND = 1.25
+AFFINITY_BONUS = 0.7
+SHORTEST_RETRY_S = 1.0
+LONGEST_RETRY_S = 60.0
+
+Capacity = Callable[[EngineState, float], int]
+
+
+@dataclass(slots=True)
+class GrantDecision:
+    """Give the ticket a slot on the engine."""
+
+    ticket: Ticket
+    engine: UpstreamId
+    grant: GrantId
+
+
+@dataclass(slots=True)
+class RefusalDecision:
+    """Give the ticket up, with a code and a time to come back."""
+
+    ticket: Ticket
+    code: ResultCode
+    retry_after_s: float
+
+
+Decision = GrantDecision | RefusalDecision
+
+
+class PoolScheduler:
+    """Queue and slots of one pool, as one scheduler sees them.
+
+    Parameters
+    ----------
+    pool
+        The model whose engines these are.
+    view
+        The records in force.
+    is_leaving
+        Tells whether an upstream should get no new work, at a time.
+    capacity
+        How many slots of an engine may be used; see `exact_share`.
+    """
+
+    def __init__(
+        self,
+        pool: ModelId,
+        view: RecordView,
+        is_leaving: Callable[[UpstreamId, float], bool],
+        capacity: Capacity = exact_share,
+    ) -> None:
+        self.pool = pool
+        self.is_leaving = is_leaving
+        self.capacity = capacity
+        self.fraction = 1.0
+        self.engines: dict[UpstreamId, EngineState] = {}
+        self.slots: dict[GrantId, tuple[EngineState, Slot]] = {}
+        self.granted: dict[RequestId, GrantDecision] = {}
+        self.teams = view.teams
+        self.queue = FairQueue(view.classes, self._share_of)
+        self.service_s: dict[str, float] = {}
+        self.answer_tokens: dict[str, float] = {}
+        self.first_token_s = 0.0
+        self.set_records(view)
+
+    @classmethod
+    def from_config(
+        cls,
+        pool: ModelId,
+        view: RecordView,
+        is_leaving: Callable[[UpstreamId, float], bool],
+        capacity: Capacity = exact_share,
+    ) -> "PoolScheduler":
+        """Build a scheduler for `pool` from the records in force."""
+        return cls(pool, view, is_leaving, capacity)
+
+    def _share_of(self, team: TeamId) -> float:
+        record = self.teams.get(team)
+        return record.share if record else 1.0
+
+    def set_records(self, view: RecordView) -> list[RefusalDecision]:
+        """Follow newer records; refuse what waits in a class now deleted."""
+        self.model: Model | None = view.models.get(self.pool)
+        self.teams = view.teams
+        records = {engine.id: engine for engine in view.engines_of(self.pool)}
+        for engine_id, record in records.items():
+            state = self.engines.get(engine_id)
+            if state is None:
+                self.engines[engine_id] = EngineState(
+                    engine_id, record.slots, float(record.slots)
+                )
+            elif state.slots != record.slots:
+                state.slots = record.slots
+                state.limit = min(state.limit, float(record.slots))
+        for engine_id in set(self.engines) - set(records):
+            for grant in self.engines.pop(engine_id).running:
+                self.slots.pop(grant, None)
+        return [
+            RefusalDecision(ticket, ResultCode.CLASS_WITHDRAWN, SHORTEST_RETRY_S)
+            for ticket in self.queue.set_classes(view.classes)
+        ]
+
+    # What arrives
+
+    def enqueue(self, node: NodeId, message: Enqueue, now: float) -> list[Decision]:
+        """Queue a request, or refuse it at once when it cannot start in time.
+
+        A repeated request that was granted already gets the same grant again.
+        """
+        if message.request in self.queue:
+            return []
+        repeated = self.granted.get(message.request)
+        if repeated is not None and repeated.grant in self.slots:
+            return [repeated]
+        ticket = Ticket(
+            request=message.request,
+            node=node,
+            service_class=message.service_class,
+            team=message.team,
+            prompt_tokens=message.prompt_tokens,
+            prefix=message.prefix,
+            received=now,
+            deadline=now + message.start_within_s,
+            waited_s=message.waited_s,
+            excluded=frozenset(message.excluded),
+            resumed=message.resumed,
+        )
+        if not self.queue.knows(ticket.service_class):
+            return [RefusalDecision(ticket, ResultCode.CLASS_WITHDRAWN, 1.0)]
+        if not self.engines:
+            return [RefusalDecision(ticket, ResultCode.NO_ENGINE, SHORTEST_RETRY_S)]
+        self.queue.note_demand(ticket.service_class, now)
+        refusal = self._refuse_early(ticket, now)
+        if refusal is not None:
+            return [refusal]
+        self.queue.push(ticket)
+        return []
+
+    def _refuse_early(self, ticket: Ticket, now: float) -> RefusalDecision | None:
+        record = self.queue.record(ticket.service_class)
+        if record.urgent or ticket.resumed:
+            return None
+        if not self.queue.waiting(record.id) and self.queue.is_starving(
+            record.id, now, STARVATION_S
+        ):
+            return None  # let one wait for the slot that a starving class gets
+        wait_s = self.predicted_wait(ticket, now)
+        if now + wait_s + self.first_token_s <= ticket.deadline:
+            return None
+        return RefusalDecision(ticket, ResultCode.OVERLOADED, self._retry_after(wait_s))
+
+    @staticmethod
+    def _retry_after(wait_s: float) -> float:
+        return min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, math.ceil(wait_s)))
+
+    def predicted_wait(self, ticket: Ticket, now: float) -> float:
+        """Predict the seconds until a new ticket of this class would start."""
+        total = self._total_slots(now)
+        urgent = len(self.slots) - self._fair_in_use()
+        slots = min(self._fair_slots(now), max(1, total - urgent))
+        free = slots - self._fair_in_use()
+        if free > len(self.queue):
+            return 0.0
+        ahead, part = self.queue.tickets_ahead(ticket)
+        service_s = self.service_s.get(ticket.service_class, FIRST_SERVICE_S)
+        return (ahead + 1) * service_s / (slots * part)
+
+    def withdraw(self, request: RequestId) -> None:
+        """Forget a request whose caller is gone."""
+        self.queue.remove(request)
+        decision = self.granted.pop(request, None)
+        if decision is not None:
+            self._end_slot(decision.grant)
+
+    def release(self, message: Release, now: float) -> None:
+        """Take a slot back and learn from what its entry saw."""
+        found = self._end_slot(message.grant)
+        if found is None:
+            return
+        engine, slot = found
+        if message.kind is ReleaseKind.FAILED:
+            engine.failed(now)
+        elif message.kind is ReleaseKind.DONE:
+            engine.worked()
+            self._learn(engine, slot, message, now)
+        if message.kind is ReleaseKind.LEAVING:
+            engine.down_until = now + STARVATION_S
+        self.queue.charge(
+            slot.service_class, slot.team, message.tokens - slot.charged, now
+        )
+
+    def _end_slot(self, grant: GrantId) -> tuple[EngineState, Slot] | None:
+        found = self.slots.pop(grant, None)
+        if found is not None:
+            engine, slot = found
+            engine.running.pop(grant, None)
+            self.granted.pop(slot.request, None)
+        return found
+
+    def _learn(
+        self, engine: EngineState, slot: Slot, message: Release, now: float
+    ) -> None:
+        key = slot.service_class
+        took_s = now - slot.granted_at
+        old_s = self.service_s.get(key, took_s)
+        self.service_s[key] = old_s + SERVICE_WEIGHT * (took_s - old_s)
+        old_tokens = self.answer_tokens.get(key, float(message.tokens))
+        self.answer_tokens[key] = old_tokens + SERVICE_WEIGHT * (
+            message.tokens - old_tokens
+        )
+        if message.first_token_s:
+            self.first_token_s += SERVICE_WEIGHT * (
+                message.first_token_s - self.first_token_s
+            )
+        target_s = self._pace_target()
+        if message.inter_token_s and target_s is not None:
+            engine.observe_inter_token(message.inter_token_s, target_s, now)
+
+    def take_holdings(
+        self, node: NodeId, running: Iterable[Holding], now: float
+    ) -> None:
+        """Make our count of a node's slots agree with what the node says."""
+        said = {holding.grant: holding for holding in running}
+        for grant, (_, slot) in list(self.slots.items()):
+            if slot.node != node:
+                continue
+            if grant in said:
+                slot.confirmed = True
+            elif slot.confirmed or now - slot.granted_at > UNCONFIRMED_S:
+                self._end_slot(grant)
+        for holding in said.values():
+            self._take_holding(node, holding, now)
+
+    def _take_holding(self, node: NodeId, holding: Holding, now: float) -> None:
+        found = self.slots.get(holding.grant)
+        if found is None:
+            engine = self.engines.get(holding.engine)
+            if engine is None or not self.queue.knows(holding.service_class):
+                return
+            slot = Slot(
+                holding.grant,
+                node,
+                holding.service_class,
+                holding.team,
+                self.queue.record(holding.service_class).urgent,
+                now,
+                charged=holding.tokens,
+                tokens=holding.tokens,
+                seen_at=now,
+                confirmed=True,
+            )
+            self._start_slot(engine, slot)
+            return
+        engine, slot = found
+        self._take_progress(engine, slot, holding.tokens, now)
+
+    def _take_progress(
+        self, engine: EngineState, slot: Slot, tokens: int, now: float
+    ) -> None:
+        """Charge tokens beyond the estimate and learn the engine's pace."""
+        fresh = tokens - slot.tokens
+        target_s = self._pace_target()
+        if fresh > 0 and slot.tokens > 0 and target_s is not None:
+            engine.observe_inter_token((now - slot.seen_at) / fresh, target_s, now)
+        if fresh > 0 or not slot.seen_at:
+            slot.tokens = tokens
+            slot.seen_at = now
+        if tokens > slot.charged:
+            self.queue.charge(slot.service_class, slot.team, tokens - slot.charged, now)
+            slot.charged = tokens
+
+    def forget_node(self, node: NodeId) -> None:
+        """Drop what a dead or suspected node asked for and held."""
+        for ticket in self.queue.tickets():
+            if ticket.node == node:
+                self.queue.remove(ticket.request)
+        for grant, (_, slot) in list(self.slots.items()):
+            if slot.node == node:
+                self._end_slot(grant)
+
+    # What is decided
+
+    def decide(self, now: float) -> list[Decision]:
+        """Refuse what is too late and grant every slot that may be used."""
+        decisions: list[Decision] = [
+            RefusalDecision(
+                ticket,
+                ResultCode.START_DEADLINE,
+                self._retry_after(
+                    self.service_s.get(ticket.service_class, FIRST_SERVICE_S)
+                ),
+            )
+            for ticket in self.queue.pop_expired(now)
+        ]
+        while (ticket := self._next_ticket(now)) is not None:
+            engine = self._choose_engine(ticket, now)
+            if engine is None:
+                break
+            decisions.append(self._grant(ticket, engine, now))
+        return decisions
+
+    def _next_ticket(self, now: float) -> Ticket | None:
+        """Return who is next, or None when nobody may have a slot now.
+
+        Urgent tickets go before all others, with one exception that keeps the
+        lower classes from starving: a class that was served nothing for
+        `STARVATION_S` gets one slot. Others leave the urgent reserve free.
+        """
+        if not len(self.queue):
+            return None
+        starving = self.queue.starving_head(now, STARVATION_S)
+        if starving is not None:
+            return starving
+        urgent = self.queue.urgent_head()
+        if urgent is not None:
+            return urgent
+        if self._fair_in_use() >= self._fair_slots(now):
+            return None
+        return self.queue.fair_head(now)
+
+    def _usable(self, engine: EngineState, now: float) -> bool:
+        return engine.down_until <= now and not self.is_leaving(engine.id, now)
+
+    def _fair_in_use(self) -> int:
+        return sum(not slot.urgent for _, slot in self.slots.values())
+
+    def _total_slots(self, now: float) -> int:
+        return sum(
+            self.capacity(engine, self.fraction)
+            for engine in self.engines.values()
+            if self._usable(engine, now)
+        )
+
+    def _fair_slots(self, now: float) -> int:
+        """Return how many slots work that is not urgent may hold in all."""
+        total = self._total_slots(now)
+        reserve = self.model.urgent_reserve if self.model else 0.0
+        return max(1, total - math.ceil(total * reserve))
+
+    def _pace_target(self) -> float | None:
+        """Return the strictest inter-token target among what runs here."""
+        classes = {slot.service_class for _, slot in self.slots.values()}
+        return min(
+            (
+                self.queue.record(each).targets.inter_token_s
+                for each in classes
+                if self.queue.knows(each)
+            ),
+            default=None,
+        )
+
+    def _choose_engine(self, ticket: Ticket, now: float) -> EngineState | None:
+        """Return the engine with room that should answer soonest.
+
+        The score is the observed inter-token time grown by the load, less for
+        an engine that has the prompt's prefix in cache, unless that engine is
+        loaded past a bound: consistent hashing with bounded loads [1]_.
+
+        References
+        ----------
+        .. [1] Mirrokni, V., Thorup, M. and Zadimoghaddam, M., "Consistent
+           Hashing with Bounded Loads", SODA, 2018.
+        """
+        with_room = [
+            engine
+            for engine in self.engines.values()
+            if self._usable(engine, now)
+            and len(engine.running) < self.capacity(engine, self.fraction)
+        ]
+        others = [each for each in with_room if each.id not in ticket.excluded]
+        candidates = others or with_room
+        if not candidates:
+            return None
+        mean_load = sum(len(e.running) for e in candidates) / len(candidates)
+        bound = AFFINITY_LOAD_BOUND * mean_load + 1
+        home = rendezvous_winner(str(ticket.prefix), [e.id for e in candidates])
+        paces = [e.inter_token_s for e in candidates if e.inter_token_s]
+        usual_pace = sum(paces) / len(paces) if paces else 1.0
+
+        def score(engine: EngineState) -> float:
+            pace = engine.inter_token_s or usual_pace
+            expected = pace * (1 + len(engine.running) / engine.limit)
+            has_prefix = ticket.prefix in engine.prefixes
+            if ticket.prefix and len(engine.running) < bound:
+                if has_prefix:
+                    expected *= AFFINITY_BONUS
+                elif engine.id == home:
+                    expected *= (1 + AFFINITY_BONUS) / 2
+            return expected
+
+        return min(candidates, key=score)
+
+    def _grant(self, ticket: Ticket, engine: EngineState, now: float) -> GrantDecision:
+        self.queue.remove(ticket.request)
+        record: ServiceClass = self.queue.record(ticket.service_class)
+        estimate = self.answer_tokens.get(ticket.service_class, FIRST_ANSWER_TOKENS)
+        slot = Slot(
+            GrantId(new_id()),
+            ticket.node,
+            ticket.service_class,
+            ticket.team,
+            record.urgent,
+            now,
+            charged=estimate,
+            request=ticket.request,
+        )
+        self._start_slot(engine, slot)
+        self.queue.charge(ticket.service_class, ticket.team, estimate, now)
+        self.queue.mark_served(ticket.service_class)
+        engine.granted_since_report += 1
+        if ticket.prefix:
+            engine.remember_prefix(ticket.prefix)
+        decision = GrantDecision(ticket, engine.id, slot.grant)
+        self.granted[ticket.request] = decision
+        return decision
+
+    def _start_slot(self, engine: EngineState, slot: Slot) -> None:
+        engine.running[slot.grant] = slot
+        self.slots[slot.grant] = (engine, slot)
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/engines.py
@@ -0,0 +1,114 @@
+"""What a scheduler knows of one engine, and the limit it has learned."""
+
+import math
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from buckthornwall.utils import ClassId, GrantId, NodeId, TeamId, UpstreamId
+
+__all__ = ["EngineState", "Slot", "exact_share", "reported_load"]
+
+FIRST_BACKOFF_S = 0.5
+LONGEST_BACKOFF_S = 8.0
+INTER_TOKEN_WEIGHT = 0.3  # weight of a new sample in the moving average
+DECREASE = 0.85
+INCREASE = 0.5
+ADJUST_EVERY_S = 0.5
+COMFORT = 0.8  # below this part of the target the limit may grow
+PREFIX_MEMORY = 256
+
+
+@dataclass(slots=True)
+class Slot:
+    """One grant that is in use."""
+
+    grant: GrantId
+    node: NodeId
+    service_class: ClassId
+    team: TeamId
+    urgent: bool
+    granted_at: float
+    charged: float = 0.0
+    tokens: int = 0
+    seen_at: float = 0.0
+    request: int = 0
+    confirmed: bool = False
+
+
+@dataclass
+class EngineState:
+    """One engine of a pool.
+
+    `limit` is the learned number of slots to use: additive increase while the
+    inter-token time leaves room below the target, multiplicative decrease when
+    it is past the target, as in congestion control [1]_.
+
+    References
+    ----------
+    .. [1] Chiu, D.-M. and Jain, R., "Analysis of the Increase and Decrease
+       Algorithms for Congestion Avoidance in Computer Networks", Computer
+       Networks and ISDN Systems 17, 1989.
+    """
+
+    id: UpstreamId
+    slots: int
+    limit: float
+    running: dict[GrantId, Slot] = field(default_factory=dict)
+    inter_token_s: float = 0.0
+    down_until: float = 0.0
+    backoff_s: float = FIRST_BACKOFF_S
+    adjusted_at: float = 0.0
+    reported: int = 0
+    granted_since_report: int = 0
+    prefixes: OrderedDict[int, None] = field(default_factory=OrderedDict)
+
+    def failed(self, now: float) -> None:
+        """Keep the engine out for a while, longer after each failure."""
+        self.down_until = now + self.backoff_s
+        self.backoff_s = min(LONGEST_BACKOFF_S, 2 * self.backoff_s)
+
+    def worked(self) -> None:
+        """Forget earlier failures."""
+        self.backoff_s = FIRST_BACKOFF_S
+
+    def observe_inter_token(self, seconds: float, target_s: float, now: float) -> None:
+        """Take a measured inter-token time; adjust the limit now and then."""
+        if not self.inter_token_s:
+            self.inter_token_s = seconds
+        self.inter_token_s += INTER_TOKEN_WEIGHT * (seconds - self.inter_token_s)
+        if now - self.adjusted_at < ADJUST_EVERY_S:
+            return
+        if self.inter_token_s > target_s:
+            self.limit = max(1.0, self.limit * DECREASE)
+            self.adjusted_at = now
+        elif self.inter_token_s < COMFORT * target_s and self.limit < self.slots:
+            self.limit = min(float(self.slots), self.limit + INCREASE)
+            self.adjusted_at = now
+
+    def remember_prefix(self, prefix: int) -> None:
+        """Note that the engine has just read a prompt with this prefix."""
+        self.prefixes[prefix] = None
+        self.prefixes.move_to_end(prefix)
+        if len(self.prefixes) > PREFIX_MEMORY:
+            self.prefixes.popitem(last=False)
+
+    def take_report(self, in_use: int) -> None:
+        """Take the engine's own, lagging count of requests in it."""
+        self.reported = in_use
+        self.granted_since_report = 0
+
+
+def exact_share(engine: EngineState, fraction: float) -> int:
+    """Capacity by exact count: the learned limit times our part of the pool."""
+    return max(1, math.floor(engine.limit * fraction + 1e-9))
+
+
+def reported_load(engine: EngineState, fraction: float) -> int:
+    """Capacity by the engine's lagging report, for a node that decides alone.
+
+    What others use is what the engine reported less what we ran then; the
+    pool's fraction plays no part, as in a plain least-loaded balancer.
+    """
+    ours_at_report = len(engine.running) - engine.granted_since_report
+    others = max(0, engine.reported - max(0, ours_at_report))
+    return max(0, engine.slots - others)
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/engine.py
@@ -0,0 +1,201 @@
+"""Streams from engines that speak the OpenAI-style API."""
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+import httpcore
+import msgspec
+
+from buckthornwall.codes import ResultCode, UpstreamError
+from buckthornwall.records import Upstream
+from buckthornwall.utils import AttemptId, Clock, ConfigItem, ConfigNamespace
+
+__all__ = ["EngineClient", "UpstreamSettings"]
+
+EVENT_END = b"\n\n"
+DATA_PREFIX = b"data:"
+DONE = b"[DONE]"
+EVENT_LIMIT_BYTES = 2**20
+ERROR_LIMIT_CHARS = 300
+REFUSED_UNRUN = {429, 503}  # an engine says so before it starts
+
+
+class UpstreamSettings(ConfigNamespace):
+    """Settings of the connections to upstreams."""
+
+    section = "upstreams"
+
+    connect_s = ConfigItem(1.0, "Seconds to connect.", minimum=0.05)
+    stall_s = ConfigItem(
+        5.0, "Seconds without a byte after which a stream is broken.", minimum=0.1
+    )
+    coalesce_ms = ConfigItem(
+        10.0,
+        "Milliseconds within which chunks are sent on together.",
+        minimum=0,
+        maximum=25,
+    )
+    retry_ratio = ConfigItem(
+        0.1, "Retries allowed for each first attempt.", minimum=0, maximum=1
+    )
+    retry_reserve = ConfigItem(20.0, "Most retries saved up.", minimum=1)
+    max_connections = ConfigItem(2000, "Most connections to upstreams.", minimum=1)
+
+
+def sse_events(buffer: bytearray) -> list[bytes]:
+    """Take the data of every whole server-sent event out of `buffer`."""
+    end = buffer.rfind(EVENT_END)
+    if end < 0:
+        return []
+    whole = bytes(buffer[:end])
+    del buffer[: end + len(EVENT_END)]
+    return [
+        event[len(DATA_PREFIX) :].strip()
+        for event in whole.split(EVENT_END)
+        if event.startswith(DATA_PREFIX)
+    ]
+
+
+class EngineClient:
+    """Opens streams to engines and tells apart the ways they fail.
+
+    Parameters
+    ----------
+    settings
+        The ``[upstreams]`` section.
+    pool
+        Connections to use.
+    clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        settings: UpstreamSettings,
+        pool: httpcore.AsyncConnectionPool,
+        clock: Clock,
+    ) -> None:
+        self.settings = settings
+        self.pool = pool
+        self.clock = clock
+        self.foreign_chunks = 0
+
+    def _timeouts(self) -> dict[str, float]:
+        return {
+            "connect": self.settings.connect_s,
+            "read": self.settings.stall_s,
+            "write": self.settings.stall_s,
+            "pool": self.settings.stall_s,
+        }
+
+    async def stream(
+        self,
+        engine: Upstream,
+        path: str,
+        body: dict[str, Any],
+        attempt: AttemptId,
+        traceparent: str | None,
+    ) -> AsyncIterator[list[dict[str, Any]]]:
+        """Yield the chunks of one attempt, those that came together at once.
+
+        A chunk that does not carry the attempt's id is dropped. Leaving the
+        iteration early closes the connection, which cancels the engine's work.
+
+        Raises
+        ------
+        UpstreamError
+            Saying whether the engine may have begun to run the request.
+        """
+        headers = [
+            (b"content-type", b"application/json"),
+            (b"x-request-id", attempt.encode()),
+        ]
+        if traceparent:
+            headers.append((b"traceparent", traceparent.encode()))
+        opened = self.pool.stream(
+            "POST",
+            f"http://{engine.address}{path}",
+            headers=headers,
+            content=msgspec.json.encode(body),
+            extensions={"timeout": self._timeouts()},
+        )
+        try:
+            async with opened as response:
+                if response.status != 200:
+                    await self._raise_status(response)
+                async for chunks in self._chunks(response, attempt):
+                    yield chunks
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            raise UpstreamError(
+                ResultCode.UPSTREAM_UNREACHABLE, repr(error), sent=False
+            ) from error
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            raise UpstreamError(ResultCode.UPSTREAM_BROKEN, repr(error)) from error
+
+    async def _raise_status(self, response: httpcore.Response) -> None:
+        text = (await response.aread())[:ERROR_LIMIT_CHARS].decode(errors="replace")
+        detail = f"status {response.status}: {text}"
+        if response.status in REFUSED_UNRUN:
+            raise UpstreamError(ResultCode.UPSTREAM_UNREACHABLE, detail, sent=False)
+        if 400 <= response.status < 500:
+            raise UpstreamError(ResultCode.UPSTREAM_REJECTED, detail, sent=False)
+        raise UpstreamError(ResultCode.UPSTREAM_BROKEN, detail)
+
+    async def _chunks(
+        self, response: httpcore.Response, attempt: AttemptId
+    ) -> AsyncIterator[list[dict[str, Any]]]:
+        buffer = bytearray()
+        async for part in response.aiter_stream():
+            buffer += part
+            if len(buffer) > EVENT_LIMIT_BYTES:
+                raise UpstreamError(ResultCode.UPSTREAM_GARBAGE, "an endless event")
+            events = sse_events(buffer)
+            done = bool(events) and events[-1] == DONE
+            chunks = self._decode(events[:-1] if done else events, attempt)
+            if chunks:
+                yield chunks
+            if done:
+                return
+        raise UpstreamError(ResultCode.UPSTREAM_BROKEN, "ended before [DONE]")
+
+    def _decode(self, events: list[bytes], attempt: AttemptId) -> list[dict[str, Any]]:
+        chunks = []
+        for event in events:
+            try:
+                chunk = msgspec.json.decode(event)
+            except msgspec.DecodeError as error:
+                raise UpstreamError(ResultCode.UPSTREAM_GARBAGE, str(error)) from error
+            if not isinstance(chunk, dict):
+                raise UpstreamError(ResultCode.UPSTREAM_GARBAGE, "not an object")
+            if "error" in chunk:
+                raise UpstreamError(ResultCode.UPSTREAM_BROKEN, str(chunk["error"]))
+            if not str(chunk.get("id", "")).endswith(attempt):
+                self.foreign_chunks += 1
+                continue
+            chunks.append(chunk)
+        return chunks
+
+    async def read_load(self, engine: Upstream) -> tuple[int, bool] | None:
+        """Return the engine's count of requests and whether it is leaving."""
+        try:
+            response = await self.pool.request(
+                "GET",
+                f"http://{engine.address}/load",
+                extensions={"timeout": self._timeouts()},
+            )
+            report = msgspec.json.decode(response.content)
+            return int(report["server_load"]), bool(report.get("leaving", False))
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+            msgspec.DecodeError,
+            KeyError,
+            TypeError,
+            ValueError,
+        ):
+            return None
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/orders.py
@@ -0,0 +1,153 @@
+"""Orders to engines, worked out from the records in force.
+
+One node, by rendezvous, brings each engine to what its record says. An order
+carries the records' number as its fencing number [1]_. An engine that ignores
+the number is protected as far as can be: its state is read right before the
+order, an order is only for a state that differs, and the last check of our own
+freshness stands in the same step that writes the request.
+
+References
+----------
+.. [1] Kleppmann, M., "Designing Data-Intensive Applications", chapter 8,
+   O'Reilly, 2017 (fencing tokens).
+"""
+
+from collections.abc import Callable
+
+import httpcore
+import msgspec
+import trio
+
+from buckthornwall.codes import ResultCode, UpstreamError
+from buckthornwall.membership import FreezeDetector, MemberTable
+from buckthornwall.records import RecordStore, Upstream, UpstreamKind
+from buckthornwall.telemetry import log_event
+
+from .engine import UpstreamSettings
+
+__all__ = ["OrderAgent"]
+
+PERIOD_S = 1.0
+CONFLICT = 409
+
+
+class OrderAgent:
+    """Brings engines to their records.
+
+    Parameters
+    ----------
+    settings
+        The ``[upstreams]`` section.
+    store, members, freeze
+        Records in force, the view of the fleet, and our own freezes.
+    is_caught_up
+        Tells whether others were heard since the start or the last freeze.
+    """
+
+    def __init__(
+        self,
+        settings: UpstreamSettings,
+        store: RecordStore,
+        members: MemberTable,
+        freeze: FreezeDetector,
+        is_caught_up: Callable[[], bool],
+    ) -> None:
+        self.settings = settings
+        self.store = store
+        self.members = members
+        self.freeze = freeze
+        self.is_caught_up = is_caught_up
+        # A connection of its own for each order: one that waited through a
+        # freeze must not carry an order afterwards.
+        self.pool = httpcore.AsyncConnectionPool(max_keepalive_connections=0)
+        self.sent = 0
+        self.fenced = 0
+
+    async def run(self) -> None:
+        """Compare and mend, again and again."""
+        while True:
+            await trio.sleep(PERIOD_S)
+            if self.store.view is None or not self.is_caught_up():
+                continue
+            async with trio.open_nursery() as nursery:
+                for engine in self._ours():
+                    nursery.start_soon(self._reconcile, engine)
+
+    def _ours(self) -> list[Upstream]:
+        return [
+            engine
+            for engine in self.store.view.upstreams.values()
+            if engine.type is UpstreamKind.ENGINE
+            and engine.order.adapters
+            and self.members.winner(f"orders:{engine.id}") == self.members.node
+        ]
+
+    async def _reconcile(self, engine: Upstream) -> None:
+        number = self.store.number
+        try:
+            held = await self._read(engine)
+            for name, version in engine.order.adapters.items():
+                if held.get(name) != version:
+                    await self._order(engine, name, version, number)
+        except UpstreamError as error:
+            fenced = error.code is ResultCode.ORDER_FENCED
+            self.fenced += fenced
+            log_event("order_failed", "WARNING", engine=engine.id, detail=error)
+
+    def _check_fresh(self, number: int) -> None:
+        """Refuse to order when we slept or newer records are in force."""
+        if self.freeze.look() or not self.is_caught_up():
+            raise UpstreamError(ResultCode.ORDER_FENCED, "woke late", sent=False)
+        if self.store.number != number:
+            raise UpstreamError(ResultCode.ORDER_FENCED, "newer records", sent=False)
+
+    async def _read(self, engine: Upstream) -> dict[str, str]:
+        content = await self._request(engine, "GET", "/v1/models", None, 0)
+        try:
+            models = msgspec.json.decode(content)["data"]
+            return {each["id"]: each.get("root", "") for each in models}
+        except (msgspec.DecodeError, KeyError, TypeError, AttributeError) as error:
+            raise UpstreamError(ResultCode.UPSTREAM_GARBAGE, repr(error)) from error
+
+    async def _order(
+        self, engine: Upstream, name: str, version: str, number: int
+    ) -> None:
+        body = {"lora_name": name, "lora_path": version}
+        await self._request(engine, "POST", "/v1/load_lora_adapter", body, number)
+        self.sent += 1
+        log_event("order_sent", engine=engine.id, adapter=name, version=version)
+
+    async def _request(
+        self, engine: Upstream, method: str, path: str, body: dict | None, number: int
+    ) -> bytes:
+        async def trace(event: str, _info: dict) -> None:
+            if number and event.endswith("send_request_headers.started"):
+                self._check_fresh(number)
+
+        limit_s = self.settings.connect_s
+        headers = [("content-type", "application/json")]
+        if number:
+            headers.append(("x-fencing-number", str(number)))
+        try:
+            response = await self.pool.request(
+                method,
+                f"http://{engine.address}{path}",
+                headers=headers,
+                content=msgspec.json.encode(body) if body else b"",
+                extensions={
+                    "timeout": {"connect": limit_s, "read": limit_s, "write": limit_s},
+                    "trace": trace,
+                },
+            )
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            raise UpstreamError(ResultCode.UPSTREAM_BROKEN, repr(error)) from error
+        if response.status == CONFLICT:
+            raise UpstreamError(ResultCode.ORDER_FENCED, engine.id)
+        if response.status != 200:
+            detail = f"{engine.id} status {response.status}"
+            raise UpstreamError(ResultCode.UPSTREAM_BROKEN, detail)
+        return response.content
