--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/service.py
@@ -0,0 +1,96 @@
+"""Calls to plain services."""
+
+import httpcore
+
+from buckthornwall.codes import ResultCode, UpstreamError
+from buckthornwall.records import Upstream
+
+from .engine import UpstreamSettings
+
+__all__ = ["ServiceClient", "ServiceResponse"]
+
+HOP_BY_HOP = {
+    b"connection",
+    b"keep-alive",
+    b"proxy-authenticate",
+    b"proxy-authorization",
+    b"te",
+    b"trailer",
+    b"transfer-encoding",
+    b"upgrade",
+    b"content-length",
+    b"host",
+    b"date",
+    b"server",
+}
+ServiceResponse = tuple[int, list[tuple[str, str]], bytes]
+
+
+class ServiceClient:
+    """Makes single calls, each on a fresh connection.
+
+    A kept connection may turn out to be closed only after a request was
+    written to it, and then nobody knows whether the service saw the request.
+    On a fresh one a failure to connect proves that nothing was sent.
+    """
+
+    def __init__(self, settings: UpstreamSettings) -> None:
+        self.settings = settings
+        self.pool = httpcore.AsyncConnectionPool(
+            max_connections=settings.max_connections, max_keepalive_connections=0
+        )
+
+    async def call(
+        self,
+        upstream: Upstream,
+        method: str,
+        path: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        timeout_s: float,
+    ) -> ServiceResponse:
+        """Send one request once.
+
+        Raises
+        ------
+        UpstreamError
+            With `sent` False only if no byte can have reached the service.
+        """
+        timeouts = {
+            "connect": self.settings.connect_s,
+            "read": timeout_s,
+            "write": timeout_s,
+            "pool": timeout_s,
+        }
+        raw_headers = [(name.encode(), value.encode()) for name, value in headers]
+        sending = False
+
+        async def trace(event: str, _info: dict) -> None:
+            nonlocal sending
+            sending = sending or event.endswith("send_request_headers.started")
+
+        try:
+            response = await self.pool.request(
+                method,
+                f"http://{upstream.address}{path}",
+                headers=raw_headers,
+                content=body,
+                extensions={"timeout": timeouts, "trace": trace},
+            )
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            code = (
+                ResultCode.UPSTREAM_BROKEN
+                if sending
+                else ResultCode.UPSTREAM_UNREACHABLE
+            )
+            raise UpstreamError(code, repr(error), sent=sending) from error
+        kept = [
+            (name.decode("latin-1").lower(), value.decode("latin-1"))
+            for name, value in response.headers
+            if name.lower() not in HOP_BY_HOP
+        ]
+        return response.status, kept, response.content
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/utils/hashing.py
@@ -0,0 +1,26 @@
+"""Rendezvous hashing [1]_.
+
+References
+----------
+.. [1] Thaler, D. G. and Ravishankar, C. V., "Using name-based mappings to
+   increase hit rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+"""
+
+from collections.abc import Iterable
+from hashlib import blake2b
+
+__all__ = ["rendezvous_order", "rendezvous_winner"]
+
+
+def _weight(key: str, candidate: str) -> bytes:
+    return blake2b(f"{key}\0{candidate}".encode(), digest_size=8).digest()
+
+
+def rendezvous_order(key: str, candidates: Iterable[str]) -> list[str]:
+    """Return the candidates, the highest weight for `key` first."""
+    return sorted(candidates, key=lambda each: _weight(key, each), reverse=True)
+
+
+def rendezvous_winner(key: str, candidates: Iterable[str]) -> str | None:
+    """Return the candidate of highest weight for `key`, or None without any."""
+    return max(candidates, key=lambda each: _weight(key, each), default=None)
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/utils/ids.py
@@ -0,0 +1,39 @@
+"""Typed identifiers."""
+
+import secrets
+from typing import NewType
+
+__all__ = [
+    "AttemptId",
+    "ClassId",
+    "GrantId",
+    "Incarnation",
+    "ModelId",
+    "NodeId",
+    "RequestId",
+    "RouteId",
+    "TeamId",
+    "UpstreamId",
+    "ZoneId",
+    "new_id",
+]
+
+NodeId = NewType("NodeId", str)
+ZoneId = NewType("ZoneId", str)
+ClassId = NewType("ClassId", str)
+TeamId = NewType("TeamId", str)
+ModelId = NewType("ModelId", str)
+RouteId = NewType("RouteId", str)
+UpstreamId = NewType("UpstreamId", str)
+AttemptId = NewType("AttemptId", str)
+# Short integers keep the messages between instances small.
+RequestId = NewType("RequestId", int)
+GrantId = NewType("GrantId", int)
+Incarnation = NewType("Incarnation", int)
+
+ID_BITS = 48
+
+
+def new_id() -> int:
+    """Return a random identifier of 48 bits, unique for all practical uses."""
+    return secrets.randbits(ID_BITS)
