--- a/packages/buckthornwall-standins/src/buckthornwall_standins/callers.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/callers.py
@@ -184,6 +184,8 @@
         Order confirmations a second beside it.
     one_way_s
         Delay that each caller adds on its way to an instance.
+    backend
+        Network to call through; sockets if None.
     """
 
     def __init__(
@@ -192,6 +194,7 @@
         arrivals: list[Arrival],
         order_rate: float = 0.0,
         one_way_s: float = 0.001,
+        backend: httpcore.AsyncNetworkBackend | None = None,
     ) -> None:
         self.fleet = fleet
         self.arrivals = arrivals
@@ -203,7 +206,7 @@
         self.ready = list(fleet.nodes)
         self.turn = 0
         self.pool = httpcore.AsyncConnectionPool(
-            max_connections=5000, keepalive_expiry=2.0
+            max_connections=5000, keepalive_expiry=2.0, network_backend=backend
         )
 
     async def run(self, seconds: float) -> None:
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/memory_fleet.py
@@ -0,0 +1,382 @@
+"""A whole deployment in one trio run, on the network in memory.
+
+Instances are real `Node` objects with real HTTP clients; engines, service and
+platform are the stand-ins' own applications. Under trio's mock clock a minute
+of the fleet takes well under a second.
+"""
+
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from functools import partial
+from typing import Any
+
+import httpcore
+import msgspec
+import trio
+from buckthornwall.node import Node
+from buckthornwall.node.connections import Connections
+from buckthornwall.settings import Settings
+from buckthornwall.utils import ids
+
+from .asgi import json_app
+from .deployments import ClassLoad, Deployment, records_of
+from .engine import Engine, EngineModel
+from .memory import MemoryBackend, MemoryHub, MemoryNetwork, serve_http
+from .platform import Platform
+from .service import OrderService
+
+__all__ = ["SMALL", "MemoryFleet", "MemoryNode", "PausableClock", "make_deterministic"]
+
+CALLER_HOST = "10.0.7.1"
+PLATFORM_HOST = "10.0.9.1"
+SERVICE_ADDRESS = "10.0.3.1:90"
+POLL_S = 0.005
+NOTE_S = 0.02
+WAIT_LIMIT_S = 60.0
+
+SMALL = Deployment(
+    name="small",
+    zones=("north", "south", "west"),
+    nodes=3,
+    pools={"m": 2},
+    slots=2,
+    loads=(
+        ClassLoad(
+            "urgent", "m", 0, 2.0, 0.1, 20.0, 1.0, 0.0, 0.3, 20, 100, (("one", 1.0),)
+        ),
+        ClassLoad(
+            "routine", "m", 1, 8.0, 0.2, 40.0, 2.0, 0.1, 0.5, 30, 100, (("one", 1.0),)
+        ),
+        ClassLoad(
+            "low", "m", 2, 20.0, 0.5, 60.0, 1.0, 0.05, 0.2, 30, 100, (("one", 1.0),)
+        ),
+    ),
+)
+
+SETTINGS = """\
+[node]
+id = {id}
+zone = {zone}
+[gateway]
+listen = {host}:80
+drain_s = 0.5
+[operators]
+listen = {host}:81
+[platform]
+address = {platform}:70
+watch_s = 5
+[links]
+listen = {host}:82
+peer_secret = a-secret-of-the-tests
+"""
+
+
+def make_deterministic(seed: int) -> None:
+    """Make ids, jitter and trio's choice among ready tasks repeat themselves.
+
+    trio has no public switch for the last; the two names below are the ones
+    that its own hypothesis plugin uses.
+    """
+    random.seed(seed)
+    ids.source = random.Random(seed)
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio._core._run._r = random.Random(seed)
+
+
+class PausableClock:
+    """trio's clock as one host sees it, standing still while it is frozen.
+
+    A frozen process reads no clock; the first reading after it wakes shows
+    the whole gap at once.
+    """
+
+    def __init__(self) -> None:
+        self.frozen_at: float | None = None
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+        return trio.current_time() if self.frozen_at is None else self.frozen_at
+
+    def freeze(self) -> None:
+        """Stand still."""
+        self.frozen_at = trio.current_time()
+
+    def thaw(self) -> None:
+        """Run on, with the gap."""
+        self.frozen_at = None
+
+
+class MemoryNode:
+    """One instance: a `Node`, its host and clock, and the scope it runs in."""
+
+    def __init__(self, node_id: str, zone: str, host: str) -> None:
+        self.id = node_id
+        self.zone = zone
+        self.host = host
+        self.callers = f"{host}:80"
+        self.operators = f"{host}:81"
+        self.peers = f"{host}:82"
+        self.clock = PausableClock()
+        self.node: Node | None = None
+        self.scope = trio.CancelScope()
+        self.ended = trio.Event()
+        self.stopped = False
+        self.killed = False
+        self.numbers: list[int] = []
+
+
+class MemoryFleet:
+    """Every part of a deployment; the same names as `Fleet` where it can be.
+
+    Parameters
+    ----------
+    deployment
+        Sizes and records.
+    engine_model
+        How fast the engines are.
+    """
+
+    def __init__(
+        self, deployment: Deployment = SMALL, engine_model: EngineModel | None = None
+    ) -> None:
+        self.deployment = deployment
+        self.engine_model = engine_model or EngineModel(slots=deployment.slots)
+        self.network = MemoryNetwork()
+        self.number = 1
+        self.platform_address = f"{PLATFORM_HOST}:70"
+        self.platform = Platform(0.3, MemoryBackend(self.network, PLATFORM_HOST))
+        self.service = OrderService(0.3)
+        self.engine_hosts: dict[str, str] = {}
+        self.engines: dict[str, Engine] = {}
+        self.leaving: set[str] = set()
+        self.backend = MemoryBackend(self.network, CALLER_HOST)
+        self.http = httpcore.AsyncConnectionPool(
+            max_keepalive_connections=0, network_backend=self.backend
+        )
+        zones = deployment.zones
+        self.nodes = [
+            MemoryNode(
+                f"n{index + 1}", zones[index % len(zones)], f"10.0.1.{index + 1}"
+            )
+            for index in range(deployment.nodes)
+        ]
+
+    @classmethod
+    @asynccontextmanager
+    async def running(cls, *args, **kwargs) -> AsyncIterator["MemoryFleet"]:
+        """Start everything, and cancel everything afterwards."""
+        fleet = cls(*args, **kwargs)
+        async with trio.open_nursery() as fleet.nursery:
+            await fleet.start()
+            yield fleet
+            fleet.nursery.cancel_scope.cancel()
+
+    async def start(self) -> None:
+        """Start every part and wait until every instance is ready."""
+        self._serve(self.platform_address, json_app(self.platform.routes()))
+        self.nursery.start_soon(self.platform.probe_forever)
+        for pool, count in self.deployment.pools.items():
+            for index in range(count):
+                self._start_engine(f"{pool}-{index + 1}")
+        self._serve(SERVICE_ADDRESS, json_app(self.service.routes()))
+        self.publish(self.number)
+        self.publish_instances()
+        for node in self.nodes:
+            self.start_node(node)
+        for node in self.nodes:
+            await self.until(lambda node=node: node.node.is_ready())
+        await self.until(lambda: all(n.node.entry.supports for n in self.nodes))
+        self.nursery.start_soon(self._note_numbers)
+
+    def _serve(self, address: str, app: Any) -> None:
+        self.network.listen(address, partial(serve_http, app), self.nursery)
+
+    def _start_engine(self, engine_id: str) -> None:
+        host = f"10.0.2.{len(self.engine_hosts) + 1}"
+        self.engine_hosts[engine_id] = host
+        engine = self.engines[engine_id] = Engine(
+            engine_id, msgspec.structs.replace(self.engine_model), fencing=True
+        )
+        self._serve(f"{host}:90", json_app(engine.routes()))
+        self.nursery.start_soon(engine.generate_forever)
+        self.nursery.start_soon(engine.report_forever)
+
+    def start_node(self, node: MemoryNode) -> None:
+        """Start an instance, or start it anew as another incarnation."""
+        self.network.revive(node.host)
+        text = SETTINGS.format(
+            id=node.id, zone=node.zone, host=node.host, platform=PLATFORM_HOST
+        )
+        settings = Settings.from_config(text)
+        connections = Connections.from_config(
+            settings,
+            backend=MemoryBackend(self.network, node.host),
+            make_hub=partial(MemoryHub, self.network),
+            serve_callers=self._serve_app,
+            serve_operators=self._serve_app,
+        )
+        node.clock = PausableClock()
+        node.node = Node(settings, node.clock, connections)
+        node.scope = trio.CancelScope()
+        node.ended = trio.Event()
+        node.killed = node.stopped = False
+        node.numbers = []
+        self.nursery.start_soon(self._run_node, node)
+
+    async def _run_node(self, node: MemoryNode) -> None:
+        ended = node.ended
+        with node.scope:
+            await node.node.run()
+        ended.set()
+
+    async def _serve_app(self, app, settings, closing, task_status) -> None:
+        async with trio.open_nursery() as nursery:
+            handler = partial(serve_http, app)
+            self.network.listen(settings.listen, handler, nursery)
+            task_status.started()
+            await closing()
+            self.network.close_listener(settings.listen)
+            while app.in_flight:
+                await trio.sleep(POLL_S)
+            nursery.cancel_scope.cancel()
+
+    async def _note_numbers(self) -> None:
+        """Note every number that each instance has in force."""
+        while True:
+            for node in self.nodes:
+                number = node.node.store.number
+                if not node.numbers or node.numbers[-1] != number:
+                    node.numbers.append(number)
+            await trio.sleep(NOTE_S)
+
+    async def until(
+        self, condition, limit_s: float = WAIT_LIMIT_S, poll_s: float = POLL_S
+    ) -> None:
+        """Wait for a condition; TooSlowError if it does not come."""
+        with trio.fail_after(limit_s):
+            while not condition():
+                await trio.sleep(poll_s)
+
+    # What operators do
+
+    def upstream_records(self) -> list[dict[str, Any]]:
+        """Return the records of the engines and the service."""
+        records = [
+            {
+                "kind": "upstream",
+                "schema": 2,
+                "id": engine_id,
+                "type": "engine",
+                "address": f"{host}:90",
+                "serves": [engine_id.rpartition("-")[0]],
+                "slots": self.engine_model.slots,
+            }
+            for engine_id, host in self.engine_hosts.items()
+        ]
+        service = {
+            "kind": "upstream",
+            "schema": 2,
+            "id": "orders-1",
+            "type": "service",
+            "address": SERVICE_ADDRESS,
+            "serves": ["order-service"],
+        }
+        return [*records, service]
+
+    def records(self, number: int) -> dict[str, Any]:
+        """Return the deployment's records under a number."""
+        return records_of(self.deployment, number, self.upstream_records())
+
+    def publish(self, number: int, records: dict[str, Any] | None = None) -> None:
+        """Make the platform serve a set, whatever its number."""
+        raw = msgspec.json.encode(records or self.records(number))
+        self.platform.records.publish(number, raw)
+
+    def publish_instances(self) -> None:
+        """Tell the platform which instances there are."""
+        known = [
+            {
+                "id": node.id,
+                "kind": "entry",
+                "address": node.peers,
+                "zone": node.zone,
+                "health": node.operators,
+            }
+            for node in self.nodes
+        ]
+        known += [
+            {
+                "id": engine_id,
+                "kind": "engine",
+                "address": f"{host}:90",
+                "leaving": engine_id in self.leaving,
+            }
+            for engine_id, host in self.engine_hosts.items()
+        ]
+        self.platform.known = {each["id"]: each for each in known}
+        self.platform._publish_list()
+
+    async def read(self, address: str, path: str) -> Any:
+        """Return the JSON that a part serves at a path."""
+        response = await self.http.request("GET", f"http://{address}{path}")
+        return msgspec.json.decode(response.content)
+
+    # Disturbances
+
+    def alive(self) -> list[MemoryNode]:
+        """Return the instances that run."""
+        return [each for each in self.nodes if not (each.killed or each.stopped)]
+
+    def kill(self, node: MemoryNode) -> None:
+        """End an instance without warning."""
+        node.killed = True
+        node.scope.cancel()
+        self.network.kill(node.host)
+
+    def freeze(self, node: MemoryNode) -> None:
+        """Let an instance stand still."""
+        node.clock.freeze()
+        self.network.freeze(node.host)
+
+    def thaw(self, node: MemoryNode) -> None:
+        """Let a frozen instance run on."""
+        node.clock.thaw()
+        self.network.thaw(node.host)
+
+    def crash_engine(self, engine_id: str) -> None:
+        """End an engine without warning; what it counted stays readable."""
+        self.network.kill(self.engine_hosts[engine_id])
+
+    def restart_engine(self, engine_id: str) -> None:
+        """Let a crashed engine serve again."""
+        host = self.engine_hosts[engine_id]
+        if host in self.network.dead:
+            self.network.revive(host)
+            self._serve(f"{host}:90", json_app(self.engines[engine_id].routes()))
+
+    async def stop(self, node: MemoryNode) -> None:
+        """Stop an instance as planned and wait until it has left."""
+        node.stopped = True
+        node.node.stopping.set()
+        with trio.fail_after(WAIT_LIMIT_S):
+            await node.ended.wait()
+        self.network.kill(node.host)
+
+    def scheduler_of(self, pool: str) -> MemoryNode:
+        """Return the instance that most others leave their part of a pool to."""
+        votes: dict[str, int] = {}
+        for node in self.alive():
+            support = node.node.entry.supports.get(pool)
+            if support is not None:
+                votes[support.scheduler] = votes.get(support.scheduler, 0) + 1
+        winner = max(votes, key=votes.get)
+        return next(node for node in self.nodes if node.id == winner)
+
+    # What the stand-ins counted
+
+    def started(self) -> set[str]:
+        """Return every nonce that any engine began."""
+        return {
+            nonce for engine in self.engines.values() for nonce in engine.first_index
+        }
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/platform.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/platform.py
@@ -51,15 +51,21 @@
     ----------
     list_lag_s
         Seconds by which the list of instances lags behind.
+    backend
+        Network to probe instances through; sockets if None.
     """
 
-    def __init__(self, list_lag_s: float) -> None:
+    def __init__(
+        self,
+        list_lag_s: float,
+        backend: httpcore.AsyncNetworkBackend | None = None,
+    ) -> None:
         self.list_lag_s = list_lag_s
+        self.backend = backend
         self.records = Published()
         self.instances = Published()
         self.known: dict[str, dict[str, Any]] = {}
         self.states: dict[str, str] = {}
-        self.down_for: set[str] = set()
         self.down = False
         self.reads = 0
 
@@ -142,7 +148,9 @@
     async def probe_forever(self) -> None:
         """Learn late which entry instances are ready, leaving or gone."""
         async with (
-            httpcore.AsyncConnectionPool(max_keepalive_connections=0) as pool,
+            httpcore.AsyncConnectionPool(
+                max_keepalive_connections=0, network_backend=self.backend
+            ) as pool,
             trio.open_nursery() as nursery,
         ):
             while True:
@@ -160,7 +168,11 @@
                 extensions={"timeout": timeouts},
             )
             state = "live" if response.status == 200 else "leaving"
-        except (httpcore.NetworkError, httpcore.TimeoutException):
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ):
             state = "gone"
         await trio.sleep(self.list_lag_s)
         if self.states.get(each["id"], "live") != state:
--- a/packages/buckthornwall/src/buckthornwall/node/core.py
+++ b/packages/buckthornwall/src/buckthornwall/node/core.py
@@ -4,10 +4,7 @@
 from functools import partial
 from typing import Any
 
-import httpcore
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
 
 from buckthornwall.admission import Admission, TeamGauge
 from buckthornwall.codes import PeerError
@@ -29,7 +26,6 @@
     HandOverTaken,
     Heartbeat,
     Holdings,
-    LinkHub,
     Message,
     NodeState,
     OwnerMoved,
@@ -63,6 +59,7 @@
     new_id,
 )
 
+from .connections import Connections
 from .records_agent import RecordsAgent
 
 __all__ = ["Node"]
@@ -88,11 +85,16 @@
         The checked settings file.
     clock
         Source of time for every decision.
+    connections
+        Everything that touches a network.
     """
 
-    def __init__(self, settings: Settings, clock: Clock) -> None:
+    def __init__(
+        self, settings: Settings, clock: Clock, connections: Connections
+    ) -> None:
         self.settings = settings
         self.clock = clock
+        self.connections = connections
         self.node = NodeId(settings.node.id)
         self.zone = ZoneId(settings.node.zone)
         self.incarnation = Incarnation(new_id())
@@ -108,7 +110,7 @@
         self.store = RecordStore()
         self.members = MemberTable(self.node, settings.membership)
         self.freeze = FreezeDetector(clock, settings.membership.freeze_s)
-        self.hub = LinkHub.from_config(
+        self.hub = connections.make_hub(
             self.node, self.incarnation, settings.links, self.deliver
         )
         self.metrics = Metrics()
@@ -121,25 +123,27 @@
     @classmethod
     def from_config(cls, settings: Settings) -> "Node":
         """Build a node from checked settings, on the running trio clock."""
-        return cls(settings, TrioClock())
+        return cls(settings, TrioClock(), Connections.from_config(settings))
 
     def _make_upstreams(self) -> None:
         upstreams = self.settings.upstreams
-        self.engine_pool = httpcore.AsyncConnectionPool(
-            max_connections=upstreams.max_connections
-        )
-        self.platform_pool = httpcore.AsyncConnectionPool()
-        self.engines = EngineClient(upstreams, self.engine_pool, self.clock)
-        self.service_client = ServiceClient(upstreams)
+        pools = self.connections
+        self.engines = EngineClient(upstreams, pools.engine_pool, self.clock)
+        self.service_client = ServiceClient(upstreams, pools.service_pool)
         self.budget = RetryBudget(upstreams.retry_ratio, upstreams.retry_reserve)
         self.orders = OrderAgent(
-            upstreams, self.store, self.members, self.freeze, self.is_caught_up
+            upstreams,
+            pools.order_pool,
+            self.store,
+            self.members,
+            self.freeze,
+            self.is_caught_up,
         )
 
     def _make_agents(self) -> None:
         settings = self.settings
         self.records = RecordsAgent(
-            PlatformClient(settings.platform, self.platform_pool),
+            PlatformClient(settings.platform, self.connections.platform_pool),
             self.store,
             self.clock,
             self.hub.send,
@@ -526,30 +530,16 @@
     # Listeners
 
     async def _serve_operators(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
-        config = Config()
-        config.bind = [self.settings.operators.listen]
-        config.errorlog = None
-        await serve(
-            self.operator_app,
-            config,
-            shutdown_trigger=self.close_operators.wait,
-            task_status=task_status,
+        settings = self.settings.operators
+        await self.connections.serve_operators(
+            self.operator_app, settings, self.close_operators.wait, task_status
         )
 
     async def _serve_callers(self, ended: trio.Event) -> None:
         settings = self.settings.gateway
-        config = Config()
-        config.bind = [settings.listen]
-        config.errorlog = None
-        config.keep_alive_timeout = settings.keep_alive_s
-        config.keep_alive_max_requests = 1_000_000
-        config.h11_max_incomplete_size = settings.header_limit_bytes
-        config.graceful_timeout = settings.stop_limit_s
-        config.backlog = 1024
-        if settings.tls_certificate:
-            config.certfile = settings.tls_certificate
-            config.keyfile = settings.tls_key
-        await serve(self.app, config, shutdown_trigger=self.close_callers.wait)
+        await self.connections.serve_callers(
+            self.app, settings, self.close_callers.wait, trio.TASK_STATUS_IGNORED
+        )
         ended.set()
 
     # Stop
--- a/packages/buckthornwall/src/buckthornwall/upstreams/orders.py
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/orders.py
@@ -38,6 +38,9 @@
     ----------
     settings
         The ``[upstreams]`` section.
+    pool
+        Connections to use; it must keep none, since one that waited through a
+        freeze must not carry an order afterwards.
     store, members, freeze
         Records in force, the view of the fleet, and our own freezes.
     is_caught_up
@@ -47,6 +50,7 @@
     def __init__(
         self,
         settings: UpstreamSettings,
+        pool: httpcore.AsyncConnectionPool,
         store: RecordStore,
         members: MemberTable,
         freeze: FreezeDetector,
@@ -57,9 +61,7 @@
         self.members = members
         self.freeze = freeze
         self.is_caught_up = is_caught_up
-        # A connection of its own for each order: one that waited through a
-        # freeze must not carry an order afterwards.
-        self.pool = httpcore.AsyncConnectionPool(max_keepalive_connections=0)
+        self.pool = pool
         self.sent = 0
         self.fenced = 0
 
--- a/packages/buckthornwall/src/buckthornwall/upstreams/service.py
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/service.py
@@ -32,13 +32,20 @@
     A kept connection may turn out to be closed only after a request was
     written to it, and then nobody knows whether the service saw the request.
     On a fresh one a failure to connect proves that nothing was sent.
+
+    Parameters
+    ----------
+    settings
+        The ``[upstreams]`` section.
+    pool
+        Connections to use; it must keep none.
     """
 
-    def __init__(self, settings: UpstreamSettings) -> None:
+    def __init__(
+        self, settings: UpstreamSettings, pool: httpcore.AsyncConnectionPool
+    ) -> None:
         self.settings = settings
-        self.pool = httpcore.AsyncConnectionPool(
-            max_connections=settings.max_connections, max_keepalive_connections=0
-        )
+        self.pool = pool
 
     async def call(
         self,
--- a/packages/buckthornwall/src/buckthornwall/utils/ids.py
+++ b/packages/buckthornwall/src/buckthornwall/utils/ids.py
@@ -1,6 +1,6 @@
 """Typed identifiers."""
 
-import secrets
+import random
 from typing import NewType
 
 __all__ = [
@@ -32,8 +32,10 @@
 Incarnation = NewType("Incarnation", int)
 
 ID_BITS = 48
+# The system's own randomness; tests that must repeat put a seeded one here.
+source: random.Random = random.SystemRandom()
 
 
 def new_id() -> int:
     """Return a random identifier of 48 bits, unique for all practical uses."""
-    return secrets.randbits(ID_BITS)
+    return source.getrandbits(ID_BITS)
