Check the core protocol by model and tests, and mend what they found

Found by the fault matrix (freeze of entry while queued): an urgent request was never granted again after its entry woke. Cause: a late grant was judged against the first sending, but its age counted from the latest receipt, so each further grant looked late too (48 dropped in 4 s in that cell). Ruled out: the scheduler's queue, which granted at once each time.

A lease now counts from sending, not from receipt; the variant that counts from receipt is refuted.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/faults.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/faults.py
@@ -31,6 +31,7 @@
 MAIN_TOKENS = 20
 FILL_TOKENS = 60
 FAULT_S = 3.0
+RESTART_S = 1.5
 ANSWER_LIMIT_S = 40.0
 SETTLE_S = 4.0
 SPREAD_LIMIT_S = 8.0
@@ -273,7 +274,10 @@
     if step is Step.QUEUED:
         await _fill_engines(run, nursery)
     nursery.start_soon(run.run_main)
-    await run.fleet.until(_condition(run, step), poll_s=FINE_POLL_S)
+    reached = _condition(run, step)
+    await run.fleet.until(
+        lambda: reached() or run.main_ended.is_set(), poll_s=FINE_POLL_S
+    )
 
 
 async def _fill_engines(run: _Run, nursery: trio.Nursery) -> None:
@@ -371,7 +375,8 @@
         run.undo.append(lambda: setattr(fleet.platform, "down", False))
     elif fault is Fault.SERVICE_STALE:
         fleet.publish(STALE_NUMBER)
-        run.undo.append(lambda: fleet.publish(fleet.number))
+        fleet.platform.records.shows_always = True
+        run.undo.append(lambda: _refresh(fleet))
     elif fault is Fault.LIST_LATE:
         fleet.platform.list_lag_s = 10.0
         run.undo.append(lambda: setattr(fleet.platform, "list_lag_s", 0.3))
@@ -380,7 +385,7 @@
         run.undo.append(lambda: fleet.thaw(node))
     elif fault in (Fault.KILL_ENTRY, Fault.KILL_SCHEDULER):
         fleet.kill(node)
-        run.undo.append(lambda: fleet.start_node(node))
+        nursery.start_soon(_replace_killed, fleet, node)
     elif fault is Fault.CUT_NODES:
         fleet.network.cut(run.entry.host, run.scheduler.host)
     elif fault is Fault.CUT_UPSTREAM:
@@ -394,6 +399,17 @@
         run.undo.append(lambda: _replace(fleet, node))
 
 
+def _refresh(fleet: MemoryFleet) -> None:
+    fleet.platform.records.shows_always = False
+    fleet.publish(fleet.number)
+
+
+async def _replace_killed(fleet: MemoryFleet, node: MemoryNode) -> None:
+    """Start an instance anew while whatever else is wrong still is."""
+    await trio.sleep(RESTART_S)
+    fleet.start_node(node)
+
+
 async def _replace(fleet: MemoryFleet, node: MemoryNode) -> None:
     """Start an instance anew once it has left."""
     await node.ended.wait()
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/memory_fleet.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/memory_fleet.py
@@ -242,9 +242,11 @@
             nursery.cancel_scope.cancel()
 
     async def _note_numbers(self) -> None:
-        """Note every number that each instance has in force."""
+        """Note every number that each instance serves under."""
         while True:
             for node in self.nodes:
+                if not node.node.is_ready():
+                    continue
                 number = node.node.store.number
                 if not node.numbers or node.numbers[-1] != number:
                     node.numbers.append(number)
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/model/pool_parts.py
@@ -0,0 +1,178 @@
+"""Specification: a pool's parts are given out by one scheduler at a time.
+
+Two entries, each standing for one part of a pool; two nodes are looked
+upon as the scheduler, in views that differ. An entry leaves its part to one
+scheduler by a lease with a number. A lease may run out at any time; a message
+that carries it then counts as late, however long it is held up.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from minicheck import Protocol
+
+__all__ = ["Variant", "specification"]
+
+ENTRIES = 2
+SCHEDULERS = 2
+MOST_LEASES = 2
+OWN = -1
+
+
+class Variant(Enum):
+    """The protocol as it is, and ways to break it."""
+
+    AS_IS = "as it is"
+    COUNT_FROM_RECEIPT = "count a lease from receipt, not from sending"
+    GRANT_BEFORE_REPORTS = "give out every part before the entries have reported"
+    MOVE_WITHOUT_END = "leave a part to another before the first has ended"
+
+
+@dataclass(frozen=True)
+class State:
+    """One state.
+
+    `lent` says to whom an entry has left its part, or OWN; `lease` numbers
+    its leases, and those up to `expired` have run out. `counted` holds, for
+    each scheduler and entry, the lease that the scheduler counts on, or 0.
+    `messages` are reports under way: scheduler, entry and lease; `ends` are
+    requests to end, and `ended` their answers.
+    """
+
+    lent: tuple[int, ...]
+    lease: tuple[int, ...]
+    expired: tuple[int, ...]
+    counted: tuple[tuple[int, ...], ...]
+    messages: frozenset[tuple[int, int, int]]
+    ends: frozenset[tuple[int, int, int]]
+    ended: frozenset[tuple[int, int, int]]
+
+
+FIELDS = tuple(State.__dataclass_fields__)
+
+
+def _put(values: tuple, index: int, value) -> tuple:
+    return (*values[:index], value, *values[index + 1 :])
+
+
+def _change(state: State, **changes) -> State:
+    fields = {name: getattr(state, name) for name in FIELDS}
+    fields.update(changes)
+    return State(**fields)
+
+
+def _count(state: State, scheduler: int, entry: int, lease: int) -> tuple:
+    row = _put(state.counted[scheduler], entry, lease)
+    return _put(state.counted, scheduler, row)
+
+
+def _entry_steps(state: State, entry: int, variant: Variant) -> list[tuple[str, State]]:
+    steps = []
+    name = f"entry {entry}"
+    lent, lease = state.lent[entry], state.lease[entry]
+    free = lent == OWN or variant is Variant.MOVE_WITHOUT_END
+    if free and lease < MOST_LEASES:
+        for scheduler in range(SCHEDULERS):
+            if scheduler == lent:
+                continue
+            given = _change(
+                state,
+                lent=_put(state.lent, entry, scheduler),
+                lease=_put(state.lease, entry, lease + 1),
+                messages=state.messages | {(scheduler, entry, lease + 1)},
+            )
+            steps.append((f"{name} leaves its part to scheduler {scheduler}", given))
+    if lent != OWN:
+        asked = _change(state, ends=state.ends | {(lent, entry, lease)})
+        steps.append((f"{name} asks scheduler {lent} to end", asked))
+        counted = state.counted
+        if variant is not Variant.COUNT_FROM_RECEIPT:
+            # The scheduler's lease has run out before, by the margin.
+            for scheduler in range(SCHEDULERS):
+                if counted[scheduler][entry] == lease:
+                    counted = _count(state, scheduler, entry, 0)
+        elif state.counted[lent][entry] == lease:
+            counted = _count(state, lent, entry, 0)
+        out = _change(
+            state,
+            lent=_put(state.lent, entry, OWN),
+            expired=_put(state.expired, entry, lease),
+            counted=counted,
+        )
+        steps.append((f"{name}'s lease runs out", out))
+        if (lent, entry, lease) in state.ended:
+            back = _change(
+                state,
+                lent=_put(state.lent, entry, OWN),
+                expired=_put(state.expired, entry, lease),
+            )
+            steps.append((f"{name} hears that it has ended", back))
+    return steps
+
+
+def _scheduler_steps(state: State, variant: Variant) -> list[tuple[str, State]]:
+    steps = []
+    for scheduler, entry, lease in state.messages:
+        late = lease <= state.expired[entry]
+        ended = (scheduler, entry, lease) in state.ended
+        if ended or (late and variant is not Variant.COUNT_FROM_RECEIPT):
+            continue
+        counted = _change(state, counted=_count(state, scheduler, entry, lease))
+        steps.append((f"scheduler {scheduler} counts on entry {entry}", counted))
+    for scheduler, entry, lease in state.ends:
+        if (scheduler, entry, lease) in state.ended:
+            continue
+        ended = _change(
+            state,
+            counted=_count(state, scheduler, entry, 0),
+            ended=state.ended | {(scheduler, entry, lease)},
+        )
+        steps.append((f"scheduler {scheduler} ends for entry {entry}", ended))
+    if variant is Variant.GRANT_BEFORE_REPORTS:
+        for scheduler in range(SCHEDULERS):
+            everything = _put(state.counted, scheduler, (MOST_LEASES + 1,) * ENTRIES)
+            label = f"scheduler {scheduler} counts on everyone"
+            steps.append((label, _change(state, counted=everything)))
+    return steps
+
+
+def _holders(state: dict, entry: int) -> int:
+    """Count who would give out an entry's part now."""
+    schedulers = sum(row[entry] > 0 for row in state["counted"])
+    return schedulers + (state["lent"][entry] == OWN)
+
+
+def specification(variant: Variant = Variant.AS_IS) -> Protocol:
+    """Return the specification, or one of its broken variants."""
+    initial = State(
+        lent=(OWN,) * ENTRIES,
+        lease=(0,) * ENTRIES,
+        expired=(0,) * ENTRIES,
+        counted=((0,) * ENTRIES,) * SCHEDULERS,
+        messages=frozenset(),
+        ends=frozenset(),
+        ended=frozenset(),
+    )
+
+    def transitions(values: tuple) -> list[tuple[str, tuple]]:
+        state = State(*values)
+        steps = _scheduler_steps(state, variant)
+        for entry in range(ENTRIES):
+            steps += _entry_steps(state, entry, variant)
+        return [
+            (label, tuple(getattr(after, name) for name in FIELDS))
+            for label, after in steps
+        ]
+
+    return Protocol(
+        name="pool parts",
+        candidate=False,
+        fields=FIELDS,
+        initial=tuple(getattr(initial, name) for name in FIELDS),
+        transitions=transitions,
+        invariants={
+            "a_part_is_given_out_by_one": lambda s: all(
+                _holders(s, entry) <= 1 for entry in range(ENTRIES)
+            ),
+        },
+    )
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/platform.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/platform.py
@@ -28,6 +28,7 @@
         self.number = 0
         self.body = b""
         self.changed = trio.Event()
+        self.shows_always = False
 
     def publish(self, number: int, body: bytes) -> None:
         """Replace the value, whatever number it had: the service may be stale."""
@@ -37,7 +38,12 @@
         self.changed = trio.Event()
 
     async def watch(self, after: int, wait_s: float) -> bytes | None:
-        """Return the value once its number is over `after`, else None."""
+        """Return the value once its number is over `after`, else None.
+
+        A stale replica may have lost its place and show what it has to anyone.
+        """
+        if self.shows_always:
+            return self.body
         with trio.move_on_after(wait_s):
             while self.number <= after:
                 await self.changed.wait()
@@ -118,9 +124,10 @@
         await exchange.respond_json({})
 
     async def control_fault(self, exchange: Exchange) -> None:
-        """Set ``down`` or ``list_lag_s``."""
+        """Set ``down``, ``stale`` or ``list_lag_s``."""
         body = msgspec.json.decode(await exchange.read_body(BODY_LIMIT, 10))
         self.down = body.get("down", self.down)
+        self.records.shows_always = body.get("stale", self.records.shows_always)
         self.list_lag_s = body.get("list_lag_s", self.list_lag_s)
         await exchange.respond_json({})
 
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_faults.py
@@ -0,0 +1,158 @@
+"""The fault matrix, and a fault planted in the code for each point."""
+
+import pytest
+from buckthornwall.codes import ResultCode, Run, UpstreamError
+from buckthornwall.gateway.completions import CompletionHandler
+from buckthornwall.idempotency import BeginResult, KeyLedger
+from buckthornwall.links import NodeState
+from buckthornwall.membership import MemberTable
+from buckthornwall.node import Node
+from buckthornwall.records import RecordStore
+from buckthornwall.records.core import parse_records
+from buckthornwall.records.store import Adoption
+from buckthornwall.scheduling.core import PoolScheduler, RefusalDecision
+from buckthornwall.upstreams.engine import EngineClient
+
+from buckthornwall_standins.faults import (
+    JOBS,
+    Fault,
+    Point,
+    Step,
+    all_cells,
+    render_grid,
+    run_cell,
+    run_cells,
+)
+
+pytestmark = pytest.mark.faults
+
+
+def test_every_point_holds_in_every_cell():
+    cells = run_cells(all_cells(), JOBS)
+    failed = {cell.name: cell.failed for cell in cells if cell.failed}
+    assert not failed
+    assert "## Points that failed\n\nnone" in render_grid(cells)
+
+
+def test_a_cell_repeats_itself():
+    once = run_cell(Step.GRANTED, (Fault.KILL_SCHEDULER,))
+    again = run_cell(Step.GRANTED, (Fault.KILL_SCHEDULER,))
+    assert once == again
+
+
+def refuse_urgent(monkeypatch):
+    """Shed urgent work as if it were any other, and early."""
+    original = PoolScheduler.enqueue
+
+    def enqueue(self, node, message, now):
+        decisions = original(self, node, message, now)
+        ticket = self.queue.remove(message.request)
+        if ticket is not None and self.queue.record(ticket.service_class).urgent:
+            return [RefusalDecision(ticket, ResultCode.OVERLOADED, 1.0)]
+        if ticket is not None:
+            self.queue.push(ticket)
+        return decisions
+
+    monkeypatch.setattr(PoolScheduler, "enqueue", enqueue)
+
+
+def starve_low(monkeypatch):
+    """Never choose the lowest class."""
+    original = PoolScheduler.enqueue
+
+    def enqueue(self, node, message, now):
+        if message.service_class == "low":
+            return []
+        return original(self, node, message, now)
+
+    monkeypatch.setattr(PoolScheduler, "enqueue", enqueue)
+
+
+def start_over_instead_of_resuming(monkeypatch):
+    """Send the whole answer again after a break."""
+
+    def engine_body(self, job):
+        return {**job.body, "stream": True}
+
+    monkeypatch.setattr(CompletionHandler, "_engine_body", engine_body)
+
+
+def claim_not_run(monkeypatch):
+    """Say that a broken request was not run."""
+    original = CompletionHandler._refusal_for
+
+    def refusal_for(job, error):
+        refusal = original(job, error)
+        refusal.run = Run.NO
+        return refusal
+
+    async def stream(self, *arguments):
+        async for chunks in original_stream(self, *arguments):
+            raise UpstreamError(ResultCode.UPSTREAM_BROKEN, "planted")
+            yield chunks
+
+    original_stream = EngineClient.stream
+    monkeypatch.setattr(EngineClient, "stream", stream)
+    monkeypatch.setattr(CompletionHandler, "_refusal_for", staticmethod(refusal_for))
+
+
+def dispatch_again(monkeypatch):
+    """Forget that a key was dispatched."""
+    original = KeyLedger.begin
+
+    def begin(self, serial, fingerprint):
+        result = original(self, serial, fingerprint)
+        known = (BeginResult.JOIN, BeginResult.DONE, BeginResult.UNKNOWN)
+        return BeginResult.DISPATCH if result in known else result
+
+    monkeypatch.setattr(KeyLedger, "begin", begin)
+
+
+def ignore_leaving(monkeypatch):
+    """Believe no news of a leaving upstream."""
+    monkeypatch.setattr(MemberTable, "is_leaving", lambda self, upstream, now: False)
+
+
+def stop_at_once(monkeypatch):
+    """Leave without waiting for what is in flight."""
+
+    async def stop(self, callers_closed):
+        self.members.set_own_state(NodeState.LEAVING)
+
+    monkeypatch.setattr(Node, "_stop", stop)
+
+
+def adopt_anything(monkeypatch):
+    """Adopt whatever comes last."""
+
+    def offer(self, raw):
+        self.view = parse_records(raw)
+        return Adoption.ADOPTED
+
+    monkeypatch.setattr(RecordStore, "offer", offer)
+
+
+PLANTED = [
+    (Point.URGENT, refuse_urgent, Step.MID_STREAM, Fault.NONE),
+    (Point.NO_STARVATION, starve_low, Step.MID_STREAM, Fault.NONE),
+    (
+        Point.OWN_ANSWER,
+        start_over_instead_of_resuming,
+        Step.MID_STREAM,
+        Fault.ENGINE_CRASH,
+    ),
+    (Point.TRUE_REFUSAL, claim_not_run, Step.OPENED, Fault.NONE),
+    (Point.AT_MOST_ONCE, dispatch_again, Step.MID_STREAM, Fault.NONE),
+    (Point.LEAVING, ignore_leaving, Step.MID_STREAM, Fault.NONE),
+    (Point.GRACEFUL, stop_at_once, Step.MID_STREAM, Fault.NONE),
+    (Point.RECORDS, adopt_anything, Step.MID_STREAM, Fault.SERVICE_STALE),
+]
+
+
+@pytest.mark.parametrize(
+    ("point", "plant", "step", "fault"), PLANTED, ids=[p[0].name for p in PLANTED]
+)
+def test_a_planted_fault_is_caught(monkeypatch, point, plant, step, fault):
+    assert point not in run_cell(step, (fault,)).failed
+    plant(monkeypatch)
+    assert point in run_cell(step, (fault,)).failed
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/idempotency/tests/test_ledger.py
@@ -0,0 +1,159 @@
+"""The ledger, held against a restatement of the specification's transitions."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from buckthornwall.idempotency import (
+    BeginResult,
+    IdempotencyKey,
+    KeyLedger,
+    KeyMint,
+    KeyState,
+    StoredOutcome,
+)
+
+OUTCOME = StoredOutcome(200, [("a", "b")], b"body")
+SERIALS = 3
+
+
+def make_ledger(issued=SERIALS, keep=100):
+    ledger = KeyLedger("n1", 7, keep)
+    for _ in range(issued):
+        ledger.issue()
+    return ledger
+
+
+def hand_over(ledger):
+    return KeyLedger.from_hand_over(
+        ledger.owner,
+        ledger.incarnation,
+        ledger.keep,
+        ledger.next_serial,
+        ledger.oldest_serial,
+        ledger.export_entries(),
+    )
+
+
+class LedgerMatchesSpecification(RuleBasedStateMachine):
+    """Drive the ledger and the specification's states by the same steps.
+
+    The reference is the table of `buckthornwall_standins.model.at_most_once`:
+    UNUSED may become MARKED; MARKED may become SENT, or VOID; SENT may become
+    DONE or UNKNOWN; a sealed ledger begins nothing; a hand-over carries what
+    is not in flight. `runs` counts the sends.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.ledger = make_ledger()
+        self.reference = dict.fromkeys(range(1, SERIALS + 1), "unused")
+        self.runs = dict.fromkeys(range(1, SERIALS + 1), 0)
+
+    @rule(serial=st.integers(1, SERIALS))
+    def begin(self, serial):
+        result = self.ledger.begin(serial, "f")
+        state = self.reference[serial]
+        if self.ledger.sealed:
+            assert result is BeginResult.SEALED
+        elif state == "unused":
+            assert result is BeginResult.DISPATCH
+            self.reference[serial] = "marked"
+        else:
+            expected = {
+                "marked": BeginResult.JOIN,
+                "sent": BeginResult.JOIN,
+                "done": BeginResult.DONE,
+                "unknown": BeginResult.UNKNOWN,
+                "void": BeginResult.VOID,
+            }
+            assert result is expected[state]
+
+    @rule(serial=st.integers(1, SERIALS))
+    def send(self, serial):
+        if self.reference[serial] == "marked":
+            self.runs[serial] += 1
+            self.reference[serial] = "sent"
+
+    @rule(serial=st.integers(1, SERIALS))
+    def cannot_connect(self, serial):
+        if self.reference[serial] == "marked":
+            self.ledger.void(serial)
+            self.reference[serial] = "void"
+
+    @rule(serial=st.integers(1, SERIALS), answered=st.booleans())
+    def end(self, serial, answered):
+        if self.reference[serial] == "sent":
+            if answered:
+                self.ledger.finish(serial, OUTCOME)
+            else:
+                self.ledger.lose(serial)
+            self.reference[serial] = "done" if answered else "unknown"
+
+    @rule()
+    def seal_and_hand_over(self):
+        self.ledger.seal()
+        if not self.ledger.in_flight():
+            self.ledger = hand_over(self.ledger)
+
+    @invariant()
+    def states_agree(self):
+        for serial, state in self.reference.items():
+            expected = {
+                "unused": None,
+                "marked": KeyState.DISPATCHED,
+                "sent": KeyState.DISPATCHED,
+                "done": KeyState.DONE,
+                "unknown": KeyState.UNKNOWN,
+                "void": KeyState.VOID,
+            }[state]
+            assert self.ledger.state(serial) is expected
+
+    @invariant()
+    def runs_at_most_once(self):
+        assert max(self.runs.values()) <= 1
+
+
+LedgerMatchesSpecification.TestCase.settings = settings(
+    max_examples=150, stateful_step_count=30, deadline=None, derandomize=True
+)
+TestLedgerMatchesSpecification = LedgerMatchesSpecification.TestCase
+
+
+def test_one_key_is_for_one_call():
+    ledger = make_ledger()
+    ledger.begin(1, "f")
+    assert ledger.begin(1, "other") is BeginResult.REUSED
+
+
+def test_a_key_never_issued_is_not_run():
+    assert make_ledger(issued=1).begin(2, "f") is BeginResult.NOT_ISSUED
+
+
+def test_an_unused_key_older_than_what_is_remembered_is_not_run():
+    ledger = make_ledger(issued=5, keep=1)
+    for serial in (2, 4):
+        ledger.begin(serial, "f")
+        ledger.finish(serial, OUTCOME)
+    assert ledger.begin(1, "f") is BeginResult.EXPIRED
+    assert ledger.begin(2, "f") is BeginResult.EXPIRED
+    assert ledger.begin(5, "f") is BeginResult.DISPATCH
+
+
+def test_a_call_in_flight_at_a_hand_over_is_unknown_at_the_successor():
+    ledger = make_ledger()
+    ledger.begin(1, "f")
+    assert hand_over(ledger).begin(1, "f") is BeginResult.UNKNOWN
+
+
+@pytest.mark.parametrize("text", ["", "x", "bw1.n.1.1.0000", "bw1.n1.7.1." + "0" * 20])
+def test_a_text_that_was_not_issued_is_no_key(text):
+    assert KeyMint("secret").read(text) is None
+
+
+def test_a_key_reads_back_and_another_fleet_cannot_read_it():
+    key = IdempotencyKey("n1", 7, 12)
+    text = KeyMint("secret").write(key)
+    assert KeyMint("secret").read(text) == key
+    assert KeyMint("other").read(text) is None
--- a/packages/buckthornwall/src/buckthornwall/links/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/links/messages.py
@@ -114,7 +114,8 @@
 class Enqueue(Struct, array_like=True, tag=6):
     """Ask a pool's scheduler for a slot; repeating it changes nothing.
 
-    `start_within_s` counts from sending. With `alone` the receiver, always
+    `start_within_s` counts from sending, which was at `sent_at` on the entry's
+    clock. With `alone` the receiver, always
     the sender itself, decides within its own part of the pool.
     """
 
@@ -125,6 +126,7 @@
     prompt_tokens: int
     prefix: int
     start_within_s: float
+    sent_at: float
     waited_s: float = 0.0
     excluded: list[UpstreamId] = []
     resumed: bool = False
@@ -149,13 +151,15 @@
     """A slot on an engine, valid for a short time.
 
     `age_s` is the time from the scheduler's receipt of the request to the
-    grant, so that the entry can tell a late grant without comparing clocks.
+    grant, and `asked_at` the entry's own time of sending it, so that the entry
+    can tell a late grant without comparing clocks.
     """
 
     request: RequestId
     grant: GrantId
     engine: UpstreamId
     scheduler: Incarnation
+    asked_at: float
     age_s: float
     valid_s: float
     alone: bool = False
@@ -193,10 +197,12 @@
 
     With `support` it renews a lease: for so long the receiver may give out
     the sender's part of the pool. Without, it ends the lease at once.
+    `sent_at` is on the sender's clock; see `LeaseClock` for its use.
     """
 
     pool: ModelId
     support: bool
+    sent_at: float
     running: list[Holding]
 
 
--- a/packages/buckthornwall/src/buckthornwall/membership/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/membership/__init__.py
@@ -2,5 +2,12 @@
 
 from .core import Member, MembershipSettings, MemberTable
 from .freeze import FreezeDetector
+from .lease import LeaseClock
 
-__all__ = ["FreezeDetector", "Member", "MemberTable", "MembershipSettings"]
+__all__ = [
+    "FreezeDetector",
+    "LeaseClock",
+    "Member",
+    "MemberTable",
+    "MembershipSettings",
+]
--- a/packages/buckthornwall/src/buckthornwall/node/core.py
+++ b/packages/buckthornwall/src/buckthornwall/node/core.py
@@ -440,17 +440,22 @@
         log_event("ready", node=self.node, records=self.store.number)
 
     def _has_asked_all(self, deadline: float) -> bool:
+        """Tell whether the newest records that can be heard of are in force.
+
+        Some peers may be dead and still listed, so the wait for all of them
+        has a limit; but where any is known, at least one must have answered,
+        or a stale service alone would decide what is in force here.
+        """
         if self.stopping.is_set():
             return True
-        if self.store.view is None:
+        if self.store.view is None or self.records.behind:
             return False
-        if self.clock.now() >= deadline:
-            return True
-        asked = self.records.asked_platform and self.list_asked
-        heard = all(
+        heard = [
             member.last_heard is not None for member in self.members.members.values()
-        )
-        return asked and heard and not self.records.behind
+        ]
+        if self.clock.now() >= deadline:
+            return any(heard) or not heard
+        return self.records.asked_platform and self.list_asked and all(heard)
 
     async def _beat(self) -> None:
         """Look at the clock often, and at who has fallen silent."""
--- a/packages/buckthornwall/src/buckthornwall/scheduling/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/agent.py
@@ -19,7 +19,7 @@
     SupportEnded,
     Withdraw,
 )
-from buckthornwall.membership import FreezeDetector, MemberTable
+from buckthornwall.membership import FreezeDetector, LeaseClock, MemberTable
 from buckthornwall.records import RecordStore, SchedulingMode
 from buckthornwall.utils import Clock, Incarnation, ModelId, NodeId, RequestId, new_id
 
@@ -75,6 +75,7 @@
         self.freeze = freeze
         self.send = send
         self.incarnation = Incarnation(new_id())
+        self.leases = LeaseClock()
         self.roles: dict[tuple[ModelId, bool], _Role] = {}
         self.inbox_in, self.inbox = trio.open_memory_channel(INBOX_SIZE)
         freeze.listeners.append(self.forget_everything)
@@ -192,12 +193,22 @@
             return []
         if self.store.view is None or message.pool not in self.store.view.models:
             return []
+        sent_at = now - self._lateness(node, message, now)
+        if now - sent_at > self.settings.support_s:
+            return []  # held up for so long that the lease has ended
         role = self._role(message.pool, alone=False)
-        role.supporters[node] = now
+        role.supporters[node] = sent_at
         role.scheduler.take_holdings(node, message.running, now)
         self._set_fraction(role, now)
         return [role]
 
+    def _lateness(self, node: NodeId, message: Holdings, now: float) -> float:
+        if node == self.node:
+            return 0.0
+        member = self.members.members.get(node)
+        incarnation = member.incarnation if member else Incarnation(0)
+        return self.leases.lateness(node, incarnation, message.sent_at, now)
+
     def _end_support(self, node: NodeId, pool: ModelId) -> list[_Role]:
         role = self.roles.get((pool, False))
         touched = []
@@ -258,6 +269,7 @@
                 decision.grant,
                 decision.engine,
                 self.incarnation,
+                ticket.asked_at,
                 self.clock.now() - ticket.received,
                 self.settings.grant_valid_s,
                 role.alone,
--- a/packages/buckthornwall/src/buckthornwall/scheduling/core.py
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/core.py
@@ -151,6 +151,7 @@
             prefix=message.prefix,
             received=now,
             deadline=now + message.start_within_s,
+            asked_at=message.sent_at,
             waited_s=message.waited_s,
             excluded=frozenset(message.excluded),
             resumed=message.resumed,
@@ -242,8 +243,9 @@
             self.first_token_s += SERVICE_WEIGHT * (
                 message.first_token_s - self.first_token_s
             )
-        target_s = self._pace_target()
-        if message.inter_token_s and target_s is not None:
+        if message.inter_token_s and self.queue.knows(key):
+            own_s = self.queue.record(key).targets.inter_token_s
+            target_s = min(own_s, self._pace_target() or own_s)
             engine.observe_inter_token(message.inter_token_s, target_s, now)
 
     def take_holdings(
@@ -405,10 +407,12 @@
         bound = AFFINITY_LOAD_BOUND * mean_load + 1
         home = rendezvous_winner(str(ticket.prefix), [e.id for e in candidates])
         paces = [e.inter_token_s for e in candidates if e.inter_token_s]
-        usual_pace = sum(paces) / len(paces) if paces else 1.0
+        best_pace = min(paces, default=1.0)
 
         def score(engine: EngineState) -> float:
-            pace = engine.inter_token_s or usual_pace
+            # One that was not measured yet is taken to be as good as the best,
+            # or a pool would never look beyond the first engine it tried.
+            pace = engine.inter_token_s or best_pace
             expected = pace * (1 + len(engine.running) / engine.limit)
             has_prefix = ticket.prefix in engine.prefixes
             if ticket.prefix and len(engine.running) < bound:
--- a/packages/buckthornwall/src/buckthornwall/scheduling/entry.py
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/entry.py
@@ -96,7 +96,7 @@
     """One request on its way to a slot."""
 
     slot_request: SlotRequest
-    sent_at: dict[tuple[NodeId, bool], float] = field(default_factory=dict)
+    asked: set[tuple[NodeId, bool]] = field(default_factory=set)
     acknowledged: bool = False
     ask_again: bool = False
     slot: HeldSlot | None = None
@@ -219,7 +219,7 @@
     ) -> None:
         slot_request = waiting.slot_request
         now = self.clock.now()
-        waiting.sent_at.setdefault((target, alone), now)
+        waiting.asked.add((target, alone))
         message = Enqueue(
             request,
             slot_request.pool,
@@ -228,6 +228,7 @@
             slot_request.prompt_tokens,
             slot_request.prefix,
             left_s,
+            now,
             now - slot_request.started,
             slot_request.excluded,
             slot_request.resumed,
@@ -236,7 +237,7 @@
         self.send(target, message)
 
     def _decide_alone(self, request: RequestId, waiting: _Waiting) -> None:
-        if (self.node, True) in waiting.sent_at:
+        if (self.node, True) in waiting.asked:
             return
         left_s = waiting.slot_request.start_deadline() - self.clock.now()
         if left_s > 0:
@@ -245,10 +246,10 @@
 
     def _withdraw_elsewhere(self, request: RequestId, waiting: _Waiting) -> None:
         slot = waiting.slot
-        for node, alone in waiting.sent_at:
+        for node, alone in waiting.asked:
             if slot and (slot.scheduler_node, slot.alone) == (node, alone):
                 continue
-            if waiting.refusal is not None and len(waiting.sent_at) == 1:
+            if waiting.refusal is not None and len(waiting.asked) == 1:
                 continue
             self.send(node, Withdraw(request, alone))
 
@@ -316,8 +317,7 @@
             self.send(node, Release(message.grant, ReleaseKind.UNUSED))
             return
         now = self.clock.now()
-        sent_at = waiting.sent_at.get((node, message.alone))
-        if sent_at is None or now > sent_at + message.age_s + message.valid_s:
+        if now > message.asked_at + message.age_s + message.valid_s:
             self.grants_dropped_late += 1
             self.send(node, Release(message.grant, ReleaseKind.UNUSED))
             return
@@ -338,6 +338,7 @@
         return Holdings(
             pool,
             True,
+            self.clock.now(),
             [
                 Holding(
                     slot.grant,
@@ -381,7 +382,7 @@
             lease_s = self.settings.support_s + self.settings.support_margin_s
             if now - support.renewed_at <= lease_s:
                 support.ending = True
-                self.send(support.scheduler, Holdings(pool, False, []))
+                self.send(support.scheduler, Holdings(pool, False, now, []))
                 return
             self._support_ended(support.scheduler, pool)
             return
@@ -417,4 +418,6 @@
         """Tell our own scheduler what we hold, without a part to go with it."""
         support = self.supports.get(pool)
         if support is None or support.scheduler != self.node:
-            self.send(self.node, Holdings(pool, False, self.holdings(pool).running))
+            holdings = self.holdings(pool)
+            holdings.support = False
+            self.send(self.node, holdings)
--- a/packages/buckthornwall/src/buckthornwall/scheduling/queue.py
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/queue.py
@@ -27,7 +27,10 @@
 
 @dataclass(slots=True)
 class Ticket:
-    """What a scheduler knows of one waiting request; times on its own clock."""
+    """What a scheduler knows of one waiting request.
+
+    Times are on its own clock, but for `asked_at`, which is the entry's.
+    """
 
     request: RequestId
     node: NodeId
@@ -37,6 +40,7 @@
     prefix: int
     received: float
     deadline: float
+    asked_at: float = 0.0
     waited_s: float = 0.0
     excluded: frozenset[UpstreamId] = frozenset()
     resumed: bool = False
@@ -280,7 +284,8 @@
         shares = own_share + sum(
             each.share for name, each in line.backlogged() if name != ticket.team
         )
-        return ahead, line.record.weight / weights * own_share / shares
+        class_part = max(line.record.weight / weights, line.record.floor)
+        return ahead, class_part * own_share / shares
 
     def waiting_by_class(self) -> dict[ClassId, int]:
         """Return the number waiting for each class."""
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/tests/test_scheduler.py
@@ -0,0 +1,250 @@
+"""Tests of the decisions of one pool's scheduler."""
+
+import pytest
+
+from buckthornwall.codes import ResultCode
+from buckthornwall.conftest import encode, make_records
+from buckthornwall.links import Enqueue, Holding, Release, ReleaseKind
+from buckthornwall.records import parse_records
+from buckthornwall.scheduling import GrantDecision, PoolScheduler, RefusalDecision
+from buckthornwall.scheduling.core import STARVATION_S
+
+NODE = "n1"
+TOTAL_SLOTS = 8
+FAIR_SLOTS = 6  # 8 less the reserve of 15%, rounded up
+
+
+@pytest.fixture
+def leaving():
+    return set()
+
+
+@pytest.fixture
+def scheduler(view, leaving):
+    return PoolScheduler.from_config("m", view, lambda engine, now: engine in leaving)
+
+
+def ask(request, class_id, team="one", within_s=100.0, **fields):
+    return Enqueue(
+        request,
+        "m",
+        class_id,
+        team,
+        10,
+        0,
+        start_within_s=within_s,
+        sent_at=0.0,
+        **fields,
+    )
+
+
+def enqueue(scheduler, count, class_id, now=0.0, first=0, **fields):
+    for number in range(first, first + count):
+        scheduler.enqueue(NODE, ask(number, class_id, **fields), now)
+
+
+def granted(decisions):
+    return [each for each in decisions if isinstance(each, GrantDecision)]
+
+
+def done(grant, tokens=10, pace_s=0.02):
+    return Release(grant, ReleaseKind.DONE, tokens, 0.1, pace_s)
+
+
+def test_lower_tiers_leave_the_reserve_to_urgent_work(scheduler):
+    enqueue(scheduler, 20, "routine")
+    assert len(granted(scheduler.decide(0.0))) == FAIR_SLOTS
+    enqueue(scheduler, 5, "urgent", first=100)
+    decisions = granted(scheduler.decide(0.0))
+    assert len(decisions) == TOTAL_SLOTS - FAIR_SLOTS
+    assert all(each.ticket.service_class == "urgent" for each in decisions)
+
+
+def test_urgent_work_is_next_whatever_waits(scheduler):
+    enqueue(scheduler, 20, "routine")
+    running = granted(scheduler.decide(0.0))
+    enqueue(scheduler, 5, "urgent", first=100)
+    scheduler.decide(0.0)
+    for each in running[:3]:
+        scheduler.release(done(each.grant), 1.0)
+        assert [d.ticket.service_class for d in granted(scheduler.decide(1.0))] == [
+            "urgent"
+        ]
+
+
+def test_urgent_work_is_never_refused_early(scheduler):
+    enqueue(scheduler, 20, "urgent")
+    scheduler.decide(0.0)
+    assert scheduler.enqueue(NODE, ask(99, "urgent", within_s=0.01), 0.0) == []
+
+
+def serve_all(scheduler, rounds, tokens=10):
+    """Serve one at a time; return the classes and teams in order of service."""
+    order = []
+    running = granted(scheduler.decide(0.0))
+    for step in range(rounds):
+        now = 0.1 * step
+        scheduler.release(done(running.pop(0).grant, tokens), now)
+        fresh = granted(scheduler.decide(now))
+        order += [(d.ticket.service_class, d.ticket.team) for d in fresh]
+        running += fresh
+    return order
+
+
+def test_classes_share_by_weight(scheduler):
+    enqueue(scheduler, 200, "routine")
+    enqueue(scheduler, 200, "low", first=1000)
+    order = serve_all(scheduler, 120)
+    routine = sum(class_id == "routine" for class_id, _ in order)
+    assert 80 <= routine <= 100  # 3 to 1 by tokens
+
+
+def test_a_large_team_crowds_only_itself():
+    records = make_records()
+    team = {**records["records"][3], "id": "two", "key_sha256": ["1" * 64]}
+    records["records"].append(team)
+    view = parse_records(encode(records))
+    scheduler = PoolScheduler.from_config("m", view, lambda engine, now: False)
+    enqueue(scheduler, 300, "routine", team="one")
+    enqueue(scheduler, 60, "routine", team="two", first=1000)
+    order = serve_all(scheduler, 100)
+    assert 40 <= sum(team == "two" for _, team in order) <= 60
+
+
+def test_a_class_below_its_floor_goes_first():
+    view = parse_records(
+        encode(make_records(low={"floor": 0.5, "weight": 0.01}, routine={"weight": 9}))
+    )
+    scheduler = PoolScheduler.from_config("m", view, lambda engine, now: False)
+    enqueue(scheduler, 200, "routine")
+    enqueue(scheduler, 200, "low", first=1000)
+    order = serve_all(scheduler, 100)
+    assert sum(class_id == "low" for class_id, _ in order) >= 40
+
+
+def test_a_starving_class_gets_a_slot_in_spite_of_urgent_demand(scheduler):
+    enqueue(scheduler, 100, "urgent")
+    running = granted(scheduler.decide(0.0))
+    scheduler.enqueue(NODE, ask(500, "low"), 0.0)
+    late = STARVATION_S + 1
+    scheduler.release(done(running[0].grant), late)
+    assert granted(scheduler.decide(late))[0].ticket.service_class == "low"
+    scheduler.release(done(running[1].grant), late)
+    assert granted(scheduler.decide(late))[0].ticket.service_class == "urgent"
+
+
+def test_a_starving_class_may_queue_though_its_wait_is_predicted_too_long(scheduler):
+    enqueue(scheduler, 100, "urgent")
+    scheduler.decide(0.0)
+    refused = scheduler.enqueue(NODE, ask(500, "low", within_s=0.5), 0.0)
+    assert refused[0].code is ResultCode.OVERLOADED
+    late = STARVATION_S + 1
+    assert scheduler.enqueue(NODE, ask(501, "low", within_s=0.5), late) == []
+
+
+def test_what_cannot_start_in_time_is_refused_at_once_with_a_time(scheduler):
+    enqueue(scheduler, 60, "routine")
+    scheduler.decide(0.0)
+    refusal = scheduler.enqueue(NODE, ask(99, "routine", within_s=1.0), 0.0)[0]
+    assert isinstance(refusal, RefusalDecision)
+    assert refusal.code is ResultCode.OVERLOADED
+    assert refusal.retry_after_s >= 1
+
+
+def test_a_deadline_that_passes_gives_the_final_answer_at_once(scheduler):
+    enqueue(scheduler, FAIR_SLOTS, "routine")
+    scheduler.decide(0.0)
+    scheduler.enqueue(NODE, ask(99, "routine", within_s=5.0), 0.0)
+    assert scheduler.decide(4.9) == []
+    refusal = scheduler.decide(5.1)[0]
+    assert refusal.code is ResultCode.START_DEADLINE
+
+
+def test_a_repeated_request_gets_the_same_grant(scheduler):
+    scheduler.enqueue(NODE, ask(1, "urgent"), 0.0)
+    first = granted(scheduler.decide(0.0))[0]
+    again = scheduler.enqueue(NODE, ask(1, "urgent"), 0.1)
+    assert [each.grant for each in again] == [first.grant]
+    assert scheduler.decide(0.1) == []
+
+
+def test_a_leaving_engine_gets_no_grant(scheduler, leaving):
+    leaving.add("e1")
+    enqueue(scheduler, 20, "urgent")
+    assert {each.engine for each in granted(scheduler.decide(0.0))} == {"e2"}
+
+
+def test_an_engine_that_failed_rests_and_the_request_goes_elsewhere(scheduler):
+    scheduler.enqueue(NODE, ask(1, "urgent"), 0.0)
+    first = granted(scheduler.decide(0.0))[0]
+    scheduler.release(Release(first.grant, ReleaseKind.FAILED), 0.1)
+    scheduler.enqueue(NODE, ask(2, "urgent", excluded=[first.engine]), 0.1)
+    assert granted(scheduler.decide(0.1))[0].engine != first.engine
+
+
+def test_a_slow_engine_is_learned_and_used_last(scheduler):
+    for step in range(40):
+        now = float(step)
+        scheduler.enqueue(NODE, ask(step, "urgent"), now)
+        grant = granted(scheduler.decide(now))[0]
+        pace_s = 0.2 if grant.engine == "e1" else 0.02
+        scheduler.release(done(grant.grant, pace_s=pace_s), now + 0.5)
+    assert scheduler.engines["e1"].limit < scheduler.engines["e2"].limit
+    scheduler.enqueue(NODE, ask(99, "urgent"), 50.0)
+    assert granted(scheduler.decide(50.0))[0].engine == "e2"
+
+
+def test_an_engine_with_the_prefix_is_preferred_until_it_is_loaded(scheduler):
+    scheduler.engines["e2"].remember_prefix(42)
+    scheduler.engines["e1"].inter_token_s = scheduler.engines["e2"].inter_token_s = 0.02
+    for number in range(TOTAL_SLOTS):
+        message = ask(number, "urgent")
+        message.prefix = 42
+        scheduler.enqueue(NODE, message, 0.0)
+    engines = [each.engine for each in granted(scheduler.decide(0.0))]
+    assert engines[0] == "e2"
+    assert engines.count("e1") >= 3
+
+
+def test_a_scheduler_uses_no_more_than_its_part(scheduler):
+    scheduler.fraction = 0.5
+    enqueue(scheduler, 20, "urgent")
+    assert len(granted(scheduler.decide(0.0))) == TOTAL_SLOTS // 2
+
+
+def test_what_entries_hold_counts_before_anything_is_granted(scheduler):
+    held = [Holding(900 + n, "e1", "urgent", "one", 5) for n in range(4)]
+    scheduler.take_holdings("n2", held, 0.0)
+    enqueue(scheduler, 20, "urgent")
+    assert {each.engine for each in granted(scheduler.decide(0.0))} == {"e2"}
+    scheduler.forget_node("n2")
+    assert len(granted(scheduler.decide(0.0))) == 4
+
+
+def test_a_slot_whose_release_was_lost_comes_back(scheduler):
+    scheduler.enqueue(NODE, ask(1, "urgent"), 0.0)
+    grant = granted(scheduler.decide(0.0))[0].grant
+    scheduler.take_holdings(NODE, [Holding(grant, "e1", "urgent", "one", 3)], 1.0)
+    assert len(scheduler.slots) == 1
+    scheduler.take_holdings(NODE, [], 2.0)
+    assert not scheduler.slots
+
+
+def test_a_withdrawn_request_frees_its_place_and_its_slot(scheduler):
+    enqueue(scheduler, 1, "urgent")
+    scheduler.decide(0.0)
+    scheduler.withdraw(0)
+    assert not scheduler.slots
+    scheduler.enqueue(NODE, ask(7, "low"), 0.0)
+    scheduler.withdraw(7)
+    assert len(scheduler.queue) == 0
+
+
+def test_a_deleted_class_refuses_what_waits_in_it(scheduler):
+    enqueue(scheduler, FAIR_SLOTS, "routine")
+    scheduler.decide(0.0)
+    scheduler.enqueue(NODE, ask(50, "low"), 0.0)
+    records = make_records(2, one={"classes": ["urgent", "routine"]})
+    records["records"] = [r for r in records["records"] if r["id"] != "low"]
+    refusals = scheduler.set_records(parse_records(encode(records)))
+    assert [each.code for each in refusals] == [ResultCode.CLASS_WITHDRAWN]
