Prove the whole path with real processes and bad input

Live tests: the openai client, kill, freeze and planned stop of the scheduler's instance under load, records from a platform that answers one instance, a leaving upstream, orders to engines with and without fencing, the operators' commands.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/fleet.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/fleet.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import tempfile
+from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -28,6 +29,7 @@
 PLATFORM_PORT = 8070
 READY_LIMIT_S = 30.0
 STOP_LIMIT_S = 30.0
+SECRET = "a-secret-of-the-demonstration"
 FIRST_NETWORK = 10
 LAST_NETWORK = 250
 
@@ -45,7 +47,8 @@
 watch_s = 5
 [links]
 listen = {host}:{peer_port}
-peer_secret = a-secret-of-the-demonstration
+peer_secret = {secret}
+seeds = {seeds}
 [telemetry]
 log_level = {log_level}
 """
@@ -105,6 +108,11 @@
         Of the entry instances, whose logs go to files in `folder`.
     drain_s
         How long a stopping instance serves on.
+    platform_answers
+        How many of the instances can reach the platform; all if None. Others
+        know their peers from their settings.
+    ignoring_fencing
+        Engines that ignore the fencing number of an order.
     """
 
     def __init__(
@@ -114,12 +122,16 @@
         scheduling: str = "pooled",
         log_level: str = "WARNING",
         drain_s: float = 1.5,
+        platform_answers: int | None = None,
+        ignoring_fencing: frozenset[str] = frozenset(),
     ) -> None:
         self.deployment = deployment
         self.engine_model = engine_model or EngineModel(slots=deployment.slots)
         self.scheduling = scheduling
         self.log_level = log_level
         self.drain_s = drain_s
+        self.platform_answers = platform_answers
+        self.ignoring_fencing = ignoring_fencing
         self.folder = Path(tempfile.mkdtemp(prefix="buckthornwall-"))
         self.network = f"127.{random.randint(FIRST_NETWORK, LAST_NETWORK)}"
         self.platform_address = f"{self.network}.0.1:{PLATFORM_PORT}"
@@ -215,6 +227,7 @@
                 "buckthornwall_standins.engine",
                 *("--listen", upstream.address),
                 *("--name", upstream.id, "--model", model),
+                *(["--ignore-fencing"] if upstream.id in self.ignoring_fencing else []),
             )
         else:
             upstream.process = self._spawn(
@@ -231,7 +244,9 @@
             caller_port=CALLER_PORT,
             operator_port=OPERATOR_PORT,
             peer_port=PEER_PORT,
-            platform=self.platform_address,
+            platform=self._platform_for(node),
+            secret=SECRET,
+            seeds=self._seeds_for(node),
             drain_s=self.drain_s,
             log_level=self.log_level,
         )
@@ -240,6 +255,23 @@
             "buckthornwall.node.main", "--settings", str(path), log=f"{node.id}.log"
         )
 
+    def _reaches_platform(self, node: NodeProcess) -> bool:
+        if self.platform_answers is None:
+            return True
+        return self.nodes.index(node) < self.platform_answers
+
+    def _platform_for(self, node: NodeProcess) -> str:
+        """Return the platform's address, or one where nothing listens."""
+        if self._reaches_platform(node):
+            return self.platform_address
+        return f"{self.network}.0.2:{PLATFORM_PORT}"
+
+    def _seeds_for(self, node: NodeProcess) -> str:
+        if self._reaches_platform(node):
+            return ""
+        peers = [each for each in self.nodes if each is not node]
+        return ", ".join(f"{each.id}={each.peers}" for each in peers)
+
     async def wait_ready(self, node: NodeProcess) -> None:
         """Wait until an instance says that it is ready."""
         await self._wait_for(node.operators, "/readyz")
@@ -381,12 +413,18 @@
         return node.process.returncode
 
     async def scheduler_of(self, pool: str) -> NodeProcess:
-        """Return the instance that schedules a pool, as the others see it."""
-        votes: dict[str, int] = {}
+        """Return the instance to which most have left their part of a pool."""
+        with trio.fail_after(READY_LIMIT_S):
+            while True:
+                votes = await self._votes(pool)
+                if votes and votes.most_common(1)[0][1] > len(self.nodes) // 2:
+                    return self.node(votes.most_common(1)[0][0])
+                await trio.sleep(0.1)
+
+    async def _votes(self, pool: str) -> Counter[str]:
+        votes: Counter[str] = Counter()
         for node in self.nodes:
-            if node.process is None or node.process.poll() is not None:
-                continue
-            holder = (await self.status(node))["supports"].get(pool)
-            if holder:
-                votes[holder] = votes.get(holder, 0) + 1
-        return self.node(max(votes, key=votes.get))
+            if node.process is not None and node.process.poll() is None:
+                votes[(await self.status(node))["supports"].get(pool, "")] += 1
+        del votes[""]
+        return votes
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/conftest.py
@@ -0,0 +1,49 @@
+"""Fixtures of the tests with real processes."""
+
+from dataclasses import replace
+
+import pytest
+import trio
+
+from buckthornwall_standins.callers import Callers, plan_arrivals
+from buckthornwall_standins.deployments import MANIZALES
+
+POOL = "kit-assistant"
+TRIAL = replace(
+    MANIZALES,
+    nodes=4,
+    pools={POOL: 4},
+    loads=tuple(load for load in MANIZALES.loads if load.pool == POOL),
+)
+
+
+@pytest.fixture
+def trial():
+    """Return a deployment of four instances before four engines."""
+    return TRIAL
+
+
+@pytest.fixture
+def load_of():
+    """Return a function that makes callers for a fleet at a part of its capacity."""
+
+    def make(fleet, seconds, part, orders=0.0, seed=1):
+        arrivals = plan_arrivals(
+            fleet.deployment, fleet.engine_model, seconds, seed, lambda load, at: part
+        )
+        return Callers(fleet, arrivals, orders)
+
+    return make
+
+
+@pytest.fixture
+def run_load():
+    """Return a function that runs callers beside an action started after a while."""
+
+    async def run(callers, seconds, after_s, action):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(callers.run, seconds)
+            await trio.sleep(after_s)
+            await action()
+
+    return run
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_live.py
@@ -0,0 +1,226 @@
+"""A fleet of real processes: callers' libraries, stops, kills and freezes."""
+
+import subprocess
+import sys
+from functools import partial
+
+import openai
+import pytest
+import trio
+
+from buckthornwall_standins.callers import Verdict
+from buckthornwall_standins.deployments import key_of, records_of
+from buckthornwall_standins.fleet import Fleet
+from buckthornwall_standins.report import RunReport
+
+from .conftest import POOL
+
+pytestmark = pytest.mark.live
+
+SECONDS = 8.0
+DISTURB_AT_S = 3.0
+FREEZE_S = 3.0
+PROMPT = "nonce={} length={}"
+
+
+def words(nonce, count):
+    return "".join(f"{nonce}.{index} " for index in range(count))
+
+
+async def report_of(fleet, callers):
+    await fleet.collect_counts()
+    return RunReport.from_run(fleet, callers, SECONDS)
+
+
+def urgent_outcomes(callers):
+    return [each for each in callers.outcomes if each.arrival.load.tier == 0]
+
+
+def attainment(outcomes):
+    return sum(each.attained for each in outcomes) / len(outcomes)
+
+
+async def test_the_openai_client_gets_whole_answers(trial):
+    async with Fleet.running(trial) as fleet:
+        node = fleet.nodes[0]
+        client = openai.OpenAI(
+            base_url=f"http://{node.callers}/v1", api_key=key_of("obra-norte")
+        )
+
+        def create(**fields):
+            return client.chat.completions.create(model=POOL, **fields)
+
+        def ask(nonce):
+            messages = [{"role": "user", "content": PROMPT.format(nonce, 12)}]
+            plain = create(messages=messages).choices[0].message.content
+            stream = create(messages=messages, stream=True)
+            parts = [chunk.choices[0].delta.content or "" for chunk in stream]
+            text = client.completions.create(model=POOL, prompt=PROMPT.format(nonce, 5))
+            return plain, "".join(parts), text.choices[0].text
+
+        plain, streamed, text = await trio.to_thread.run_sync(ask, "q1")
+        assert plain == streamed == words("q1", 12)
+        assert text == words("q1", 5)
+        models = await trio.to_thread.run_sync(client.models.list)
+        assert [model.id for model in models.data] == [POOL]
+        with pytest.raises(openai.NotFoundError) as caught:
+            client.chat.completions.create(
+                model="no-such", messages=[{"role": "user", "content": "x"}]
+            )
+        assert caught.value.body["code"] == 1005
+
+
+async def test_the_scheduler_is_killed_under_load(trial, load_of, run_load):
+    async with Fleet.running(trial) as fleet:
+        callers = load_of(fleet, SECONDS, 0.6, orders=4)
+        scheduler = await fleet.scheduler_of(POOL)
+
+        async def kill():
+            fleet.kill(scheduler)
+
+        await run_load(callers, SECONDS, DISTURB_AT_S, kill)
+        report = await report_of(fleet, callers)
+        assert all(report.checks().values()), report.table()
+        others = [o for o in urgent_outcomes(callers) if o.node != scheduler.id]
+        first_second = [o for o in others if 0 <= o.arrival.at - DISTURB_AT_S <= 1.0]
+        assert all(o.verdict is Verdict.WHOLE for o in first_second)
+        assert attainment(others) >= 0.97, report.table()
+
+
+async def test_the_scheduler_is_frozen_and_wakes_under_load(trial, load_of, run_load):
+    async with Fleet.running(trial) as fleet:
+        callers = load_of(fleet, SECONDS, 0.6, orders=4)
+        scheduler = await fleet.scheduler_of(POOL)
+
+        async def freeze():
+            fleet.freeze(scheduler)
+            await trio.sleep(FREEZE_S)
+            fleet.thaw(scheduler)
+
+        await run_load(callers, SECONDS, DISTURB_AT_S, freeze)
+        report = await report_of(fleet, callers)
+        assert all(report.checks().values()), report.table()
+        others = [o for o in urgent_outcomes(callers) if o.node != scheduler.id]
+        assert attainment(others) >= 0.97, report.table()
+        status = await fleet.status(scheduler)
+        assert status["freezes"] >= 1
+        assert status["state"] == "ready"
+
+
+async def test_the_scheduler_stops_as_planned_under_load(trial, load_of, run_load):
+    async with Fleet.running(trial) as fleet:
+        callers = load_of(fleet, SECONDS, 0.6, orders=4)
+        scheduler = await fleet.scheduler_of(POOL)
+        statuses = []
+
+        async def stop():
+            statuses.append(await fleet.stop(scheduler))
+
+        await run_load(callers, SECONDS, DISTURB_AT_S, stop)
+        report = await report_of(fleet, callers)
+        assert statuses == [0]
+        assert all(report.checks().values()), report.table()
+        assert report.broken_elsewhere == 0, report.table()
+        assert all(order.status == 200 for order in callers.orders)
+
+
+async def test_records_reach_all_though_the_platform_answers_one(trial):
+    async with Fleet.running(trial, platform_answers=1) as fleet:
+        started = trio.current_time()
+        fleet.number = 2
+        await fleet.publish()
+        with trio.fail_after(14):
+            for node in fleet.nodes:
+                while (await fleet.status(node))["records"]["number"] != 2:
+                    await trio.sleep(0.01)
+        assert trio.current_time() - started < 14
+        stale = records_of(trial, 1, fleet.upstream_records())
+        await fleet.publish(stale)
+        await fleet.platform_fault(stale=True)
+        late = fleet.nodes[-1]
+        fleet.kill(late)
+        late.process.wait()
+        fleet.start_node(late)
+        await fleet.wait_ready(late)
+        for node in fleet.nodes:
+            assert (await fleet.status(node))["records"]["number"] == 2
+
+
+async def test_an_upstream_that_leaves_is_soon_asked_for_nothing(
+    trial, load_of, run_load
+):
+    async with Fleet.running(trial) as fleet:
+        callers = load_of(fleet, SECONDS, 0.5)
+        leaving = fleet.engines()[0]
+        starts = []
+
+        async def leave():
+            await fleet.publish_instances(leaving=(leaving.id,))
+            await trio.sleep(3.0)
+            starts.append((await fleet.read(leaving.address, "/counts"))["starts"])
+
+        await run_load(callers, SECONDS, 2.0, leave)
+        counts = await fleet.read(leaving.address, "/counts")
+        assert counts["starts"] == starts[0]
+        assert len(callers.outcomes) > 20
+
+
+def with_order(fleet, number, version):
+    """Return records that want an adapter in this version on every engine."""
+    upstreams = fleet.upstream_records()
+    for record in upstreams:
+        if record["type"] == "engine":
+            record["order"] = {"adapters": {"kit": version}}
+    return records_of(fleet.deployment, number, upstreams)
+
+
+async def adapters_are(fleet, version):
+    with trio.fail_after(10):
+        for engine in fleet.engines():
+            while True:
+                counts = await fleet.read(engine.address, "/counts")
+                if counts["adapters"].get("kit") == version:
+                    break
+                await trio.sleep(0.05)
+
+
+async def test_no_engine_is_moved_back_by_an_instance_that_woke_late(trial):
+    ignoring = frozenset({f"{POOL}-1", f"{POOL}-2"})
+    async with Fleet.running(trial, ignoring_fencing=ignoring) as fleet:
+        await fleet.publish(with_order(fleet, 2, "v1"))
+        await adapters_are(fleet, "v1")
+        for frozen in fleet.nodes[:2]:
+            fleet.freeze(frozen)
+        await fleet.publish(with_order(fleet, 3, "v2"))
+        await adapters_are(fleet, "v2")
+        for frozen in fleet.nodes[:2]:
+            fleet.thaw(frozen)
+        await trio.sleep(4.0)
+        for engine in fleet.engines():
+            counts = await fleet.read(engine.address, "/counts")
+            versions = [version for _, version, _ in counts["orders"]]
+            assert versions == sorted(versions), (engine.id, counts["orders"])
+            assert counts["adapters"] == {"kit": "v2"}
+
+
+async def test_the_operators_commands_read_a_fleet(trial, tmp_path):
+    async with Fleet.running(trial) as fleet:
+        addresses = [node.operators for node in fleet.nodes]
+
+        async def ctl(*arguments):
+            command = [sys.executable, "-m", "buckthornwall_ctl.main", *arguments]
+            run = partial(subprocess.run, command, capture_output=True, text=True)
+            return await trio.to_thread.run_sync(run)
+
+        status = await ctl("status", *addresses)
+        assert status.returncode == 0
+        assert all(node.id in status.stdout for node in fleet.nodes)
+        watched = await ctl("watch", addresses[0], "127.0.0.1:1", "--times", "1")
+        assert watched.returncode == 3
+        path = tmp_path / "records.json"
+        path.write_bytes((await fleet.request("GET", addresses[0], "/records"))[1])
+        against = await ctl("check-records", str(path), "--against", addresses[0])
+        assert against.returncode == 1
+        assert "5004" in against.stderr
+        metrics = await fleet.request("GET", addresses[0], "/metrics")
+        assert metrics[0] == 200
