--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/bench.py
@@ -0,0 +1,194 @@
+"""Compare two policies on the same arrivals, case by case.
+
+Each case is run with real processes, policy after policy and seed after seed.
+The table, ``build/bench.json`` and a plot of attainment over time are written.
+"""
+
+import argparse
+import statistics
+import sys
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import trio
+
+from .bound import bound_tokens
+from .callers import Callers, Outcome, plan_arrivals
+from .cases import CASES, Case
+from .deployments import CASCADE, MANIZALES, Deployment
+from .fleet import Fleet
+from .plots import plot_attainment
+from .report import RunReport
+
+__all__ = ["Run", "main"]
+
+DEPLOYMENTS = {each.name: each for each in (MANIZALES, CASCADE)}
+POLICIES = ("pooled", "alone")
+COUNTS_S = 1.0
+
+
+@dataclass
+class Run:
+    """One run: what was run, and what it showed."""
+
+    case: str
+    deployment: str
+    policy: str
+    seed: int
+    report: RunReport
+    bound_goodput: float
+    outcomes: list[Outcome] = field(default_factory=list)
+
+    def summary(self) -> dict[str, Any]:
+        """Return the figures that go into the JSON file."""
+        report = self.report
+        return {
+            "case": self.case,
+            "deployment": self.deployment,
+            "policy": self.policy,
+            "seed": self.seed,
+            "goodput": report.goodput,
+            "bound_goodput": self.bound_goodput,
+            "wasted_share": report.wasted_share,
+            "way_in_ms": report.way_in_ms,
+            "way_out_ms": report.way_out_ms,
+            "refusals": report.refusals,
+            "false_refusals": report.false_refusals,
+            "checks": report.checks(),
+            "codes": {str(code): n for code, n in report.codes.items()},
+            "prefix_hit_share": report.prefix_hit_share,
+            "classes": [asdict(each) for each in report.classes],
+        }
+
+
+async def run_case(
+    case: Case, deployment: Deployment, policy: str, seed: int, seconds: float
+) -> Run:
+    """Run one case under one policy."""
+    async with Fleet.running(
+        deployment, scheduling=policy, relayed=case.relayed
+    ) as fleet:
+        arrivals = plan_arrivals(
+            deployment,
+            fleet.engine_model,
+            seconds,
+            seed,
+            case.rate(deployment, seconds),
+            case.flood(deployment, seconds),
+        )
+        way_s = (1.0 + deployment.one_way_ms) / 1000
+        callers = Callers(fleet, arrivals, order_rate=3.0, one_way_s=way_s)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(case.disturb, fleet, seconds)
+            await callers.run(seconds)
+            nursery.cancel_scope.cancel()
+        await fleet.collect_counts()
+        report = RunReport.from_run(fleet, callers, seconds)
+    bound = bound_tokens(deployment, fleet.engine_model, arrivals) / seconds
+    return Run(
+        case.name, deployment.name, policy, seed, report, bound, callers.outcomes
+    )
+
+
+def _spread(values: list[float], form: str) -> str:
+    middle = statistics.median(values)
+    if len(values) < 2:
+        return form.format(middle)
+    low, high = form.format(min(values)), form.format(max(values))
+    return f"{form.format(middle)} ({low}-{high})"
+
+
+def summary_table(runs: list[Run]) -> str:
+    """Return one line for each case and deployment, the policies compared."""
+    lines = [
+        "| deployment | case | policy | urgent attained | goodput tokens/s "
+        "| of the bound | wasted | refused | false |",
+        "|---|---|---|---|---|---|---|---|---|",
+    ]
+    groups: dict[tuple[str, str, str], list[Run]] = {}
+    for run in runs:
+        groups.setdefault((run.deployment, run.case, run.policy), []).append(run)
+    for (deployment, case, policy), group in groups.items():
+        urgent = [_urgent_attainment(run) for run in group]
+        goodput = [run.report.goodput for run in group]
+        part = [run.report.goodput / run.bound_goodput for run in group]
+        wasted = [run.report.wasted_share for run in group]
+        refused = sum(run.report.refusals for run in group)
+        false = sum(run.report.false_refusals for run in group)
+        lines.append(
+            f"| {deployment} | {case} | {policy} | {_spread(urgent, '{:.1%}')} "
+            f"| {_spread(goodput, '{:.0f}')} | {_spread(part, '{:.0%}')} "
+            f"| {_spread(wasted, '{:.2%}')} | {refused} | {false} |"
+        )
+    return "\n".join([*lines, "", *_ratios(groups)])
+
+
+def _urgent_attainment(run: Run) -> float:
+    urgent = [each for each in run.report.classes if each.tier == 0]
+    return sum(e.attained for e in urgent) / max(1, sum(e.asked for e in urgent))
+
+
+def _ratios(groups: dict[tuple[str, str, str], list[Run]]) -> list[str]:
+    """Return goodput of the first policy over the second, seed by seed."""
+    lines = ["Goodput pooled / alone, seed by seed:", ""]
+    for (deployment, case, policy), group in groups.items():
+        others = groups.get((deployment, case, POLICIES[1]))
+        if policy != POLICIES[0] or not others:
+            continue
+        by_seed = {run.seed: run.report.goodput for run in others}
+        ratios = [
+            run.report.goodput / by_seed[run.seed]
+            for run in group
+            if by_seed.get(run.seed)
+        ]
+        lines.append(f"- {deployment} {case}: {_spread(ratios, '{:.2f}')}")
+    return lines
+
+
+def parse_options() -> argparse.Namespace:
+    """Return the options of the command line."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    names = [case.name for case in CASES]
+    parser.add_argument("--cases", nargs="*", default=names, choices=names)
+    parser.add_argument(
+        "--deployments", nargs="*", default=["manizales"], choices=list(DEPLOYMENTS)
+    )
+    parser.add_argument("--policies", nargs="*", default=POLICIES, choices=POLICIES)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--seeds", type=int, nargs="*", default=[1])
+    parser.add_argument("--out", type=Path, default=Path("build"))
+    return parser.parse_args()
+
+
+def main() -> int:
+    """Run the bench; return 1 if a check that must always hold failed."""
+    options = parse_options()
+    options.out.mkdir(exist_ok=True)
+    runs = []
+    for name in options.deployments:
+        deployment = DEPLOYMENTS[name]
+        for case in (each for each in CASES if each.name in options.cases):
+            for seed in options.seeds:
+                for policy in options.policies:
+                    run = trio.run(
+                        run_case, case, deployment, policy, seed, options.seconds
+                    )
+                    runs.append(run)
+                    print(f"\n## {name} {case.name}, {policy}, seed {seed}\n")
+                    print(run.report.table())
+                    print({k: v for k, v in run.report.checks().items() if not v})
+                    sys.stdout.flush()
+            case_runs = [r for r in runs if (r.case, r.deployment) == (case.name, name)]
+            plot_attainment(case_runs, options.out / f"{name}-{case.name}.png")
+    text = summary_table(runs)
+    print("\n" + text)
+    (options.out / "bench.md").write_text(text + "\n", encoding="utf-8")
+    summaries = msgspec.json.encode([run.summary() for run in runs])
+    (options.out / "bench.json").write_bytes(msgspec.json.format(summaries))
+    return 0 if all(all(run.report.checks().values()) for run in runs) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/bound.py
@@ -0,0 +1,54 @@
+"""What a scheduler that knows every length and every load would have served."""
+
+import heapq
+import itertools
+
+from .callers import Arrival
+from .deployments import Deployment
+from .engine import EngineModel
+
+__all__ = ["bound_tokens"]
+
+
+def bound_tokens(
+    deployment: Deployment, model: EngineModel, arrivals: list[Arrival]
+) -> int:
+    """Return the tokens that an all-knowing scheduler serves within target.
+
+    Each pool is so many slots, each of which makes a token in the time of a
+    full batch's step; prompts cost nothing, nothing fails, and no message
+    takes time. Whenever a slot is free the most urgent class goes next, and
+    within it what must start first; what cannot start in time is left out.
+    """
+    return sum(
+        _pool_tokens(
+            deployment.pools[pool] * model.slots,
+            (model.step_ms + model.slots * model.load_ms) / 1000,
+            [each for each in arrivals if each.load.pool == pool],
+        )
+        for pool in deployment.pools
+    )
+
+
+def _pool_tokens(slots: int, step_s: float, arrivals: list[Arrival]) -> int:
+    order = itertools.count()
+    free_at = [0.0] * slots
+    waiting: list[tuple[int, float, int, Arrival]] = []
+    pending = iter(sorted(arrivals, key=lambda each: each.at))
+    upcoming = next(pending, None)
+    served = 0
+    while upcoming is not None or waiting:
+        now = free_at[0]
+        if not waiting and upcoming is not None:
+            now = max(now, upcoming.at)
+        while upcoming is not None and upcoming.at <= now:
+            deadline = upcoming.at + upcoming.load.first_token_s - step_s
+            entry = (upcoming.load.tier, deadline, next(order), upcoming)
+            heapq.heappush(waiting, entry)
+            upcoming = next(pending, None)
+        _, deadline, _, arrival = heapq.heappop(waiting)
+        if deadline < now:
+            continue
+        heapq.heapreplace(free_at, now + arrival.length * step_s)
+        served += arrival.length
+    return served
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/cases.py
@@ -0,0 +1,144 @@
+"""The cases of the bench: a load over time, and what goes wrong meanwhile."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import trio
+
+from .callers import Rate
+from .deployments import ClassLoad, Deployment
+from .fleet import Fleet
+
+__all__ = ["CASES", "Case"]
+
+EVEN = 0.7
+BUSY = 0.85
+CALM = 0.5
+STORM = 3.0
+BURST = 10.0
+FLOOD = 20.0
+SLOW = 4.0
+LATE_S = 5.0
+FREEZE_S = 5.0
+CUT_S = 6.0
+
+Disturb = Callable[[Fleet, float], Awaitable[None]]
+
+
+async def _nothing(fleet: Fleet, seconds: float) -> None:
+    pass
+
+
+def _constant(part: float) -> Callable[[Deployment, float], Rate]:
+    return lambda deployment, seconds: lambda load, at: part
+
+
+def _no_flood(deployment: Deployment, seconds: float):
+    return lambda team, at: 1.0
+
+
+def _middle(at: float, seconds: float) -> bool:
+    return seconds / 3 <= at < 2 * seconds / 3
+
+
+def _storm(deployment: Deployment, seconds: float) -> Rate:
+    return lambda load, at: STORM if _middle(at, seconds) else CALM
+
+
+def _burst(deployment: Deployment, seconds: float) -> Rate:
+    """Let the first class that is not urgent ask for ten times as much."""
+    bursting = next(load.id for load in deployment.loads if load.tier)
+
+    def rate(load: ClassLoad, at: float) -> float:
+        return CALM * (BURST if load.id == bursting and _middle(at, seconds) else 1.0)
+
+    return rate
+
+
+def _flood(deployment: Deployment, seconds: float):
+    """Let one large team flood its class."""
+    flooding = max(
+        (team for load in deployment.loads if load.tier for team in load.teams),
+        key=lambda each: each[1],
+    )[0]
+    return lambda team, at: FLOOD if team == flooding and at > seconds / 4 else 1.0
+
+
+async def _slow_engine(fleet: Fleet, seconds: float) -> None:
+    await trio.sleep(seconds / 4)
+    await fleet.engine_fault(fleet.engines()[0], slow=SLOW)
+
+
+async def _crashes(fleet: Fleet, seconds: float) -> None:
+    """Crash two engines in turn; each comes back after a while."""
+    for engine in fleet.engines()[:2]:
+        await trio.sleep(seconds / 4)
+        await fleet.collect_counts()
+        fleet.kill(engine)
+        engine.process.wait()
+        engine.earlier_counts.append(engine.last_counts)
+        await trio.sleep(seconds / 8)
+        fleet.start_upstream(engine)
+
+
+async def _late_reports(fleet: Fleet, seconds: float) -> None:
+    for engine in fleet.engines():
+        await fleet.engine_fault(engine, report_lag_s=LATE_S)
+
+
+async def _kill_and_freeze(fleet: Fleet, seconds: float) -> None:
+    await trio.sleep(seconds / 4)
+    killed = await fleet.scheduler_of(next(iter(fleet.deployment.pools)))
+    fleet.kill(killed)
+    frozen = next(node for node in fleet.nodes if node is not killed)
+    await trio.sleep(seconds / 8)
+    fleet.freeze(frozen)
+    await trio.sleep(FREEZE_S)
+    fleet.thaw(frozen)
+
+
+async def _cut(fleet: Fleet, seconds: float) -> None:
+    await trio.sleep(seconds / 4)
+    await fleet.cut(fleet.nodes[: len(fleet.nodes) // 2])
+    await trio.sleep(CUT_S)
+    await fleet.cut([])
+
+
+async def _stale(fleet: Fleet, seconds: float) -> None:
+    """Publish, then let the service show the older set again."""
+    await trio.sleep(seconds / 4)
+    fleet.number = 2
+    await fleet.publish()
+    await trio.sleep(seconds / 8)
+    fleet.number = 1
+    await fleet.publish()
+    await fleet.platform_fault(stale=True)
+
+
+@dataclass(frozen=True)
+class Case:
+    """One case: rates by class, a factor by team, and disturbances.
+
+    `engines_fail` tells that tokens must be lost with a crashed engine.
+    """
+
+    name: str
+    rate: Callable[[Deployment, float], Rate]
+    flood: Callable = _no_flood
+    disturb: Disturb = _nothing
+    relayed: bool = False
+    engines_fail: bool = False
+
+
+CASES = [
+    Case("even", _constant(EVEN)),
+    Case("storm", _storm),
+    Case("burst", _burst),
+    Case("flood", _constant(CALM), flood=_flood),
+    Case("slow-engine", _constant(EVEN), disturb=_slow_engine),
+    Case("crashes", _constant(CALM), disturb=_crashes, engines_fail=True),
+    Case("late-reports", _constant(BUSY), disturb=_late_reports),
+    Case("kill-and-freeze", _constant(CALM), disturb=_kill_and_freeze),
+    Case("cut", _constant(EVEN), disturb=_cut, relayed=True),
+    Case("stale-records", _constant(CALM), disturb=_stale),
+]
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/faults.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/faults.py
@@ -374,8 +374,8 @@
         fleet.platform.down = True
         run.undo.append(lambda: setattr(fleet.platform, "down", False))
     elif fault is Fault.SERVICE_STALE:
-        fleet.publish(STALE_NUMBER)
         fleet.platform.records.shows_always = True
+        fleet.publish(STALE_NUMBER)
         run.undo.append(lambda: _refresh(fleet))
     elif fault is Fault.LIST_LATE:
         fleet.platform.list_lag_s = 10.0
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/memory_fleet.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/memory_fleet.py
@@ -141,7 +141,9 @@
         self, deployment: Deployment = SMALL, engine_model: EngineModel | None = None
     ) -> None:
         self.deployment = deployment
-        self.engine_model = engine_model or EngineModel(slots=deployment.slots)
+        self.engine_model = engine_model or EngineModel(
+            slots=deployment.slots, step_ms=20.0
+        )
         self.network = MemoryNetwork()
         self.number = 1
         self.platform_address = f"{PLATFORM_HOST}:70"
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/relay.py
@@ -0,0 +1,96 @@
+"""A relay in front of the instances' peer listeners, so that links can be cut.
+
+It tells dialling instances apart by their source address. A cut holds bytes
+back silently, as a broken network does, and lets them through when it heals.
+"""
+
+import argparse
+from functools import partial
+
+import msgspec
+import trio
+from buckthornwall.gateway.http import Exchange
+
+from .asgi import json_app, serve_until_signal
+
+__all__ = ["Relay"]
+
+READ_BYTES = 65536
+BODY_LIMIT = 2**20
+
+
+class Relay:
+    """Forwards connections between hosts unless they are in different groups.
+
+    Parameters
+    ----------
+    routes
+        Address listened on by address forwarded to.
+    """
+
+    def __init__(self, routes: dict[str, str]) -> None:
+        self.routes = routes
+        self.group_of: dict[str, int] = {}
+        self.changed = trio.Event()
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Tell whether nothing passes between two hosts now."""
+        return self.group_of.get(one, 0) != self.group_of.get(other, 0)
+
+    async def control(self, exchange: Exchange) -> None:
+        """Put hosts into groups; hosts that are not named are in group 0."""
+        self.group_of = msgspec.json.decode(await exchange.read_body(BODY_LIMIT, 10))
+        self.changed.set()
+        self.changed = trio.Event()
+        await exchange.respond_json({})
+
+    async def serve(self) -> None:
+        """Listen on every route."""
+        async with trio.open_nursery() as nursery:
+            for listen, target in self.routes.items():
+                host, port = listen.rsplit(":", 1)
+                handler = partial(self._forward, target)
+                nursery.start_soon(
+                    partial(trio.serve_tcp, handler, int(port), host=host)
+                )
+
+    async def _forward(self, target: str, near: trio.SocketStream) -> None:
+        source = near.socket.getpeername()[0]
+        host, port = target.rsplit(":", 1)
+        while self.is_cut(source, host):
+            await self.changed.wait()
+        try:
+            far = await trio.open_tcp_stream(host, int(port))
+        except OSError:
+            await near.aclose()
+            return
+        async with near, far, trio.open_nursery() as nursery:
+            for one, other in ((near, far), (far, near)):
+                nursery.start_soon(
+                    self._copy, one, other, source, host, nursery.cancel_scope
+                )
+
+    async def _copy(self, one, other, source, host, scope) -> None:
+        try:
+            async for data in one:
+                while self.is_cut(source, host):
+                    await self.changed.wait()
+                await other.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        scope.cancel()
+
+
+def main() -> None:
+    """Run the stand-in."""
+    parser = argparse.ArgumentParser(description="Relay between instances.")
+    parser.add_argument("--control", required=True)
+    parser.add_argument("--routes", required=True, help="JSON: listen to target")
+    options = parser.parse_args()
+    relay = Relay(msgspec.json.decode(options.routes))
+    app = json_app({"/control": relay.control})
+    trio.run(serve_until_signal, app, options.control, relay.serve)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/buckthornwall/src/buckthornwall/links/core.py
+++ b/packages/buckthornwall/src/buckthornwall/links/core.py
@@ -48,6 +48,9 @@
     section = "links"
 
     listen = ConfigItem("", "Address and port peers dial, as IP:port.", required=True)
+    advertise = ConfigItem(
+        "", "Address and port told to peers, if it is not the one listened on."
+    )
     peer_secret = ConfigItem("", "Secret that every instance shares.", required=True)
     seeds = ConfigItem([], "Peers to dial before any list is known: node=IP:port.")
     linger_ms = ConfigItem(
@@ -269,6 +272,7 @@
                     WebSocketException,
                     PeerError,
                     TimeoutError,
+                    trio.TooSlowError,
                     EOFError,
                 ) as error:
                     log_event("link_down", "DEBUG", peer=link.node, detail=error)
@@ -281,8 +285,13 @@
 
     async def _dial(self, link: _OutboundLink, backoff: Backoff) -> None:
         scheme = "wss" if self._dial_tls else "ws"
+        host, port = link.address.rsplit(":", 1)
+        own_host = self.settings.listen.rsplit(":", 1)[0]
+        with trio.fail_after(self.settings.open_timeout_s):
+            stream = await trio.open_tcp_stream(host, int(port), local_address=own_host)
         async with connect(
             f"{scheme}://{link.address}",
+            stream=stream,
             ssl=self._dial_tls,
             compression=None,
             max_size=MAX_FRAME_BYTES,
@@ -314,7 +323,8 @@
                 self.node,
                 self.incarnation,
             )
-            hello = Hello(self.node, self.incarnation, self.settings.listen, mac)
+            address = self.settings.advertise or self.settings.listen
+            hello = Hello(self.node, self.incarnation, address, mac)
             await socket.send(encode_batch([hello]))
 
     async def _watch_closing(self, socket, scope: trio.CancelScope) -> None:
--- a/packages/buckthornwall/src/buckthornwall/settings/core.py
+++ b/packages/buckthornwall/src/buckthornwall/settings/core.py
@@ -105,6 +105,8 @@
         )
         for namespace, key in addresses:
             _check_address(origin, namespace.section, key, getattr(namespace, key))
+        if self.links.advertise:
+            _check_address(origin, "links", "advertise", self.links.advertise)
         for seed in self.links.seeds:
             _check_address(origin, "links", "seeds", seed.partition("=")[2])
         heartbeat_s = self.membership.heartbeat_s
