--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.stamp
 PACKAGES := packages/buckthornwall packages/buckthornwall-ctl packages/buckthornwall-standins
 
-.PHONY: demo test lint format bench faults model clean
+.PHONY: demo test lint format bench micro faults model docs clean
 
 $(STAMP): requirements.txt $(addsuffix /pyproject.toml,$(PACKAGES))
 	$(PYTHON) -m venv $(VENV)
@@ -30,10 +30,17 @@
 	$(BIN)/python -m buckthornwall_standins.bench
 
 faults: $(STAMP)
-	$(BIN)/python -m pytest packages -m faults
+	$(BIN)/python -m buckthornwall_standins.faults --write docs/fault-matrix.md
 
 model: $(STAMP)
-	$(BIN)/python -m pytest packages -m model
+	$(BIN)/python -m buckthornwall_standins.model.check --write docs/model.md
+
+micro: $(STAMP)
+	$(BIN)/python -m buckthornwall_standins.slopes
+
+docs: $(STAMP)
+	$(BIN)/python -m buckthornwall.codes > docs/codes.md
+	$(BIN)/python -m buckthornwall.settings > docs/settings.md
 
 clean:
 	rm -rf build
--- a/packages/buckthornwall/src/buckthornwall/links/core.py
+++ b/packages/buckthornwall/src/buckthornwall/links/core.py
@@ -267,14 +267,9 @@
             while True:
                 try:
                     await self._dial(link, backoff)
-                except (
-                    OSError,
-                    WebSocketException,
-                    PeerError,
-                    TimeoutError,
-                    trio.TooSlowError,
-                    EOFError,
-                ) as error:
+                except Exception as error:
+                    # Whatever a peer, its TLS or the network does, this end
+                    # dials again; nothing of it may stop the instance.
                     log_event("link_down", "DEBUG", peer=link.node, detail=error)
                 finally:
                     if link.up:
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/settings/__main__.py
@@ -0,0 +1,5 @@
+"""Print the table of settings that docs/settings.md holds."""
+
+from .core import render_table
+
+print(render_table(), end="")
--- a/packages/buckthornwall/src/buckthornwall/settings/tests/test_settings.py
+++ b/packages/buckthornwall/src/buckthornwall/settings/tests/test_settings.py
@@ -1,11 +1,14 @@
 """Tests of the settings file."""
 
+from pathlib import Path
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from buckthornwall.codes import ResultCode, SettingsError
 from buckthornwall.settings import Settings
+from buckthornwall.settings.core import render_table
 
 GOOD = """
 [node]
@@ -24,6 +27,13 @@
 """
 
 
+PAGE = Path(__file__).parents[6] / "docs" / "settings.md"
+
+
+def test_page_in_docs_is_the_table():
+    assert PAGE.read_text(encoding="utf-8") == render_table()
+
+
 def test_defaults_fill_what_the_file_leaves_out():
     settings = Settings.from_config(GOOD)
     assert settings.membership.heartbeat_s == 0.5
