Give each module one job, and number the leases of a part

Reading as a newcomer: node/core.py held status, list and load tasks, the idempotency agent its hand-over, the entry its leases, the scheduler its placement. Each stands alone now; behaviour and assertions stay. One fault found while reading: the answer to the end of a lease that had been taken back could end the renewed one, since the code, unlike its specification, did not number leases.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/memory_fleet.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/memory_fleet.py
@@ -194,7 +194,7 @@
             self.start_node(node)
         for node in self.nodes:
             await self.until(lambda node=node: node.node.is_ready())
-        await self.until(lambda: all(n.node.entry.supports for n in self.nodes))
+        await self.until(lambda: all(n.node.entry.parts.supports for n in self.nodes))
         self.nursery.start_soon(self._note_numbers)
 
     def _serve(self, address: str, app: Any) -> None:
@@ -379,7 +379,7 @@
         """Return the instance that most others leave their part of a pool to."""
         votes: dict[str, int] = {}
         for node in self.alive():
-            support = node.node.entry.supports.get(pool)
+            support = node.node.entry.parts.supports.get(pool)
             if support is not None:
                 votes[support.scheduler] = votes.get(support.scheduler, 0) + 1
         winner = max(votes, key=votes.get)
--- a/packages/buckthornwall/src/buckthornwall/idempotency/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/idempotency/__init__.py
@@ -1,8 +1,11 @@
 """Calls that may run at most once: keys that name their owner."""
 
-from .agent import CallRequest, CallResult, IdempotencyAgent, IdempotencySettings
+from .agent import IdempotencyAgent
+from .calls import CallRequest, CallResult
 from .keys import IdempotencyKey, KeyMint
 from .ledger import BeginResult, KeyLedger, KeyState, StoredOutcome
+from .settings import IdempotencySettings
+from .transfer import LedgerTransfer
 
 __all__ = [
     "BeginResult",
@@ -14,5 +17,6 @@
     "KeyLedger",
     "KeyMint",
     "KeyState",
+    "LedgerTransfer",
     "StoredOutcome",
 ]
--- a/packages/buckthornwall/src/buckthornwall/idempotency/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/idempotency/agent.py
@@ -1,13 +1,11 @@
-"""The tasks around the ledgers: run, forward, and hand over calls.
+"""The tasks around the ledgers: run a call here, or hand it to its owner.
 
-Only the owner that a key names opens the upstream call. An owner that stops
-as planned hands its ledger to one successor and to no other, even if it never
-hears that the successor took it: two holders could both dispatch.
+Only the owner that a key names opens the upstream call, or whoever the owner's
+ledger was handed to.
 """
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from hashlib import blake2b
 
 import trio
 
@@ -17,7 +15,6 @@
     CallOutcome,
     HandOver,
     HandOverTaken,
-    KeyEntry,
     Message,
     OwnerMoved,
 )
@@ -25,68 +22,24 @@
 from buckthornwall.telemetry import log_event
 from buckthornwall.utils import (
     Clock,
-    ConfigItem,
-    ConfigNamespace,
     Incarnation,
     NodeId,
     RequestId,
-    TeamId,
     new_id,
-    rendezvous_winner,
 )
 
+from .calls import CallRequest
 from .keys import IdempotencyKey, KeyMint
 from .ledger import BeginResult, KeyLedger, StoredOutcome
+from .settings import IdempotencySettings
+from .transfer import LedgerTransfer, OwnerId
 
-__all__ = ["CallRequest", "CallResult", "IdempotencyAgent", "IdempotencySettings"]
+__all__ = ["IdempotencyAgent"]
 
 CODES = {code.number: code for code in ResultCode}
-ENTRIES_A_PART = 200
-OwnerId = tuple[NodeId, Incarnation]
 Send = Callable[[NodeId, Message], bool]
 
 
-class IdempotencySettings(ConfigNamespace):
-    """Settings of idempotent calls."""
-
-    section = "idempotency"
-
-    keys_kept = ConfigItem(
-        5000, "Used keys that an instance remembers.", minimum=1, maximum=100_000
-    )
-    forward_repeat_s = ConfigItem(
-        0.5, "Seconds after which a call is handed to its owner again.", minimum=0.05
-    )
-    owner_patience_s = ConfigItem(
-        2.0, "Seconds to wait for a link to a key's owner.", minimum=0.1
-    )
-    hand_over_s = ConfigItem(
-        5.0, "Seconds that a stopping owner tries to hand over.", minimum=0.1
-    )
-
-
-@dataclass
-class CallRequest:
-    """One call to a plain service that may not be repeated."""
-
-    route: str
-    team: TeamId
-    method: str
-    path: str
-    headers: list[tuple[str, str]]
-    body: bytes
-    timeout_s: float
-
-    def fingerprint(self) -> str:
-        """Return a digest of everything that makes it this call."""
-        digest = blake2b(digest_size=12)
-        for part in (self.route, self.team, self.method, self.path):
-            digest.update(part.encode() + b"\0")
-        digest.update(self.body)
-        return digest.hexdigest()
-
-
-CallResult = StoredOutcome
 Dispatch = Callable[[CallRequest], Awaitable[StoredOutcome]]
 
 
@@ -145,14 +98,16 @@
         self.is_up = is_up
         self.dispatch = dispatch
         self.own = KeyLedger(node, incarnation, settings.keys_kept)
-        self.ledgers: dict[OwnerId, KeyLedger] = {(node, incarnation): self.own}
-        self.moved: dict[OwnerId, NodeId] = {}
         self.timeout_of: Callable[[str], float] = lambda route: 30.0
         self._ended: dict[tuple[OwnerId, int], trio.Event] = {}
         self._forwarded: dict[RequestId, _Forwarded] = {}
         self._serving: set[RequestId] = set()
-        self._parts: dict[OwnerId, dict[int, HandOver]] = {}
-        self._taken: dict[OwnerId, trio.Event] = {}
+        self.transfer = LedgerTransfer(
+            node, incarnation, settings, members, send, is_up, self._ask_again
+        )
+        self.ledgers = self.transfer.ledgers
+        self.ledgers[node, incarnation] = self.own
+        self.moved = self.transfer.moved
         self._nursery: trio.Nursery | None = None
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -328,14 +283,8 @@
             if forwarded is not None:
                 forwarded.outcome = message
                 forwarded.tell()
-        elif isinstance(message, HandOver):
-            self._take_part(node, message)
-        elif isinstance(message, HandOverTaken):
-            event = self._taken.get((message.owner, message.incarnation))
-            if event is not None:
-                event.set()
-        elif isinstance(message, OwnerMoved):
-            self._take_news(message)
+        elif isinstance(message, HandOver | HandOverTaken | OwnerMoved):
+            self.transfer.handle(node, message)
 
     async def _serve_forward(self, node: NodeId, message: CallForward) -> None:
         request = CallRequest(
@@ -378,6 +327,10 @@
             message.call, 0, "", "", outcome.status, outcome.headers, outcome.body
         )
 
+    def _ask_again(self) -> None:
+        for forwarded in self._forwarded.values():
+            forwarded.tell()
+
     def _answer_not_held(
         self, node: NodeId, call: RequestId, owner: OwnerId
     ) -> CallOutcome | None:
@@ -388,120 +341,6 @@
         code = ResultCode.OUTCOME_UNKNOWN
         return CallOutcome(call, code.number, run=Run.UNKNOWN.value)
 
-    # Hand-over
-
-    async def hand_over(self) -> None:
-        """Seal every ledger held here and give each to one successor."""
-        for ledger in self.ledgers.values():
-            ledger.seal()
-        while any(ledger.in_flight() for ledger in self.ledgers.values()):
-            await trio.sleep(self.settings.forward_repeat_s / 10)
-        async with trio.open_nursery() as nursery:
-            for ledger in list(self.ledgers.values()):
-                nursery.start_soon(self._hand_over_one, ledger)
-
-    async def _hand_over_one(self, ledger: KeyLedger) -> None:
-        if ledger.next_serial == 1:
-            return  # no key of it exists
-        owner = (ledger.owner, ledger.incarnation)
-        taken = self._taken[owner] = trio.Event()
-        parts: list[HandOver] = []
-        successor: NodeId | None = None
-        with trio.move_on_after(self.settings.hand_over_s):
-            while not taken.is_set():
-                successor = successor or self._choose_successor(owner)
-                if successor is not None:
-                    parts = parts or self._split(ledger, successor)
-                    for part in parts:
-                        self.send(successor, part)
-                with trio.move_on_after(self.settings.forward_repeat_s):
-                    await taken.wait()
-        log_event(
-            "keys_handed_over" if taken.is_set() else "keys_lost",
-            "INFO" if taken.is_set() else "WARNING",
-            owner=ledger.owner,
-            successor=successor,
-            keys=ledger.next_serial - 1,
-        )
-        if taken.is_set():
-            self._tell_moved(OwnerMoved(*owner, successor))
-
-    def _choose_successor(self, owner: OwnerId) -> NodeId | None:
-        """Choose once; a choice that was sent anything is never changed."""
-        peers = [
-            node
-            for node in self.members.live()
-            if node != self.node and self.is_up(node)
-        ]
-        return rendezvous_winner(f"keys:{owner[0]}:{owner[1]}", peers)
-
-    def _split(self, ledger: KeyLedger, successor: NodeId) -> list[HandOver]:
-        entries = ledger.export_entries()
-        slices: list[list[KeyEntry]] = [
-            entries[start : start + ENTRIES_A_PART]
-            for start in range(0, len(entries), ENTRIES_A_PART)
-        ] or [[]]
-        return [
-            HandOver(
-                ledger.owner,
-                ledger.incarnation,
-                ledger.next_serial,
-                ledger.oldest_serial,
-                part,
-                index,
-                len(slices),
-                self.members.members[successor].incarnation,
-            )
-            for index, part in enumerate(slices)
-        ]
-
-    def _take_part(self, node: NodeId, message: HandOver) -> None:
-        if message.successor != self.incarnation:
-            return
-        owner = (message.owner, message.incarnation)
-        if owner not in self.ledgers:
-            parts = self._parts.setdefault(owner, {})
-            parts[message.part] = message
-            if len(parts) < message.parts:
-                return
-            self._take_ledger(owner, self._parts.pop(owner))
-        self.send(node, HandOverTaken(*owner))
-
-    def _take_ledger(self, owner: OwnerId, parts: dict[int, HandOver]) -> None:
-        entries = [entry for part in parts.values() for entry in part.entries]
-        self.ledgers[owner] = KeyLedger.from_hand_over(
-            *owner,
-            self.settings.keys_kept,
-            parts[0].next_serial,
-            parts[0].oldest_serial,
-            entries,
-        )
-        self.moved.pop(owner, None)
-        self._tell_moved(OwnerMoved(*owner, self.node))
-
-    def _tell_moved(self, message: OwnerMoved) -> None:
-        if message.successor != self.node:
-            self.moved[message.owner, message.incarnation] = message.successor
-        for node in list(self.members.members):
-            self.send(node, message)
-
-    def _take_news(self, message: OwnerMoved) -> None:
-        owner = (message.owner, message.incarnation)
-        ledger = self.ledgers.get(owner)
-        if ledger is not None and not ledger.sealed:
-            return  # it is held here now
-        self.moved[owner] = message.successor
-        for forwarded in self._forwarded.values():
-            forwarded.tell()
-
-    def news_for(self, node: NodeId) -> None:
-        """Tell a peer whose link has come up what has moved where."""
-        for (owner, incarnation), successor in self.moved.items():
-            self.send(node, OwnerMoved(owner, incarnation, successor))
-        for owner, incarnation in self.ledgers:
-            if owner != self.node:
-                self.send(node, OwnerMoved(owner, incarnation, self.node))
-
 
 def _raise_unless_known(result: BeginResult) -> None:
     refusals = {
--- a/packages/buckthornwall/src/buckthornwall/links/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/links/messages.py
@@ -205,19 +205,23 @@
 
     With `support` it renews a lease: for so long the receiver may give out
     the sender's part of the pool. Without, it ends the lease at once.
-    `sent_at` is on the sender's clock; see `LeaseClock` for its use.
+    `lease` numbers the sender's leases of the pool, so that the answer to the
+    end of one is not taken for the end of the next; it is 0 in a report that
+    is about no lease. `sent_at` is on the sender's clock; see `LeaseClock`.
     """
 
     pool: ModelId
     support: bool
+    lease: int
     sent_at: float
     running: list[Holding]
 
 
 class SupportEnded(Struct, array_like=True, tag=13):
-    """A scheduler no longer counts on the receiver's part of a pool."""
+    """A scheduler no longer counts on a lease of the receiver's part."""
 
     pool: ModelId
+    lease: int
 
 
 class CallForward(Struct, array_like=True, tag=14):
--- a/packages/buckthornwall/src/buckthornwall/node/core.py
+++ b/packages/buckthornwall/src/buckthornwall/node/core.py
@@ -7,7 +7,6 @@
 import trio
 
 from buckthornwall.admission import Admission, TeamGauge
-from buckthornwall.codes import PeerError
 from buckthornwall.gateway import (
     CallerApp,
     CompletionHandler,
@@ -38,7 +37,7 @@
     Withdraw,
 )
 from buckthornwall.membership import FreezeDetector, MemberTable
-from buckthornwall.platform import InstanceKind, InstanceList, PlatformClient
+from buckthornwall.platform import PlatformClient
 from buckthornwall.records import RecordStore
 from buckthornwall.scheduling import EntryAgent, SchedulerAgent
 from buckthornwall.settings import Settings
@@ -50,7 +49,6 @@
     ServiceClient,
 )
 from buckthornwall.utils import (
-    Backoff,
     Clock,
     Incarnation,
     NodeId,
@@ -61,7 +59,10 @@
 )
 
 from .connections import Connections
+from .instance_list import InstanceListAgent
+from .loads import LoadPoller
 from .records_agent import RecordsAgent
+from .status import describe_node
 
 __all__ = ["Node"]
 
@@ -105,8 +106,6 @@
         self.started_at = clock.now()
         self.heard_since_freeze = clock.now()
         self.last_freeze = NEVER
-        self.list_number = 0
-        self.list_asked = False
 
         self.store = RecordStore()
         self.members = MemberTable(self.node, settings.membership)
@@ -150,6 +149,9 @@
             self.hub.send,
             self._records_changed,
         )
+        self.instances = InstanceListAgent(
+            self.records.platform, self.members, self.clock, self._list_changed
+        )
         common = (
             self.node,
             self.clock,
@@ -161,6 +163,13 @@
         )
         self.entry = EntryAgent(*common)
         self.scheduler = SchedulerAgent(*common)
+        self.loads = LoadPoller(
+            settings.scheduling,
+            self.store,
+            self.scheduler,
+            self.engines,
+            self._engine_is_leaving,
+        )
         self.idempotency = IdempotencyAgent(
             self.node,
             self.incarnation,
@@ -244,7 +253,7 @@
             self._dial_members()
         self.records.handle(node, message)
         if fresh:
-            self.entry.renew_supports()
+            self.entry.parts.renew()
 
     def _peer_introduced(self, node: NodeId, address: str) -> None:
         self.members.learn(PeerAddress(node, address, ZoneId("")), self.clock.now())
@@ -259,7 +268,7 @@
             if member.node != node and member.address
         ]
         self.hub.send(node, self._own_heartbeat(peers))
-        self.idempotency.news_for(node)
+        self.idempotency.transfer.news_for(node)
 
     def _link_down(self, node: NodeId) -> None:
         self.members.suspect(node, self.clock.now())
@@ -267,7 +276,7 @@
 
     def _node_lost(self, node: NodeId) -> None:
         self.scheduler.node_lost(node)
-        self.entry.renew_supports()
+        self.entry.parts.renew()
 
     def _woke_late(self) -> None:
         now = self.clock.now()
@@ -277,7 +286,11 @@
 
     def _records_changed(self) -> None:
         self.scheduler.records_changed()
-        self.entry.renew_supports()
+        self.entry.parts.renew()
+        self._send_heartbeats()
+
+    def _list_changed(self) -> None:
+        self._dial_members()
         self._send_heartbeats()
 
     def _dial_members(self) -> None:
@@ -328,73 +341,7 @@
 
     def status(self) -> dict[str, Any]:
         """Return what ``/status`` shows."""
-        now = self.clock.now()
-        view = self.store.view
-        return {
-            "node": self.node,
-            "zone": self.zone,
-            "incarnation": self.incarnation,
-            "state": self.members.own_state.name.lower(),
-            "freezes": self.freeze.count,
-            "in_flight": self.app.in_flight,
-            "records": {
-                "number": self.store.number,
-                "digest": self.store.digest,
-                "refused": [[code.number, detail] for code, detail in view.refused]
-                if view
-                else [],
-                "last_error": str(self.store.last_error or ""),
-            },
-            "members": [
-                {
-                    "node": member.node,
-                    "state": member.state.name.lower(),
-                    "heard_s_ago": round(now - member.last_heard, 2)
-                    if member.last_heard is not None
-                    else None,
-                    "listed": member.listed,
-                }
-                for member in self.members.members.values()
-            ],
-            "supports": {
-                pool: support.scheduler for pool, support in self.entry.supports.items()
-            },
-            "pools": [self._pool_status(key) for key in self.scheduler.roles],
-            "keys": {
-                "issued": self.idempotency.own.next_serial - 1,
-                "ledgers": len(self.idempotency.ledgers),
-            },
-            "links": {
-                "bytes_sent": self.hub.bytes_sent,
-                "bytes_received": self.hub.bytes_received,
-                "messages_sent": self.hub.messages_sent,
-            },
-            "entry": {
-                "held": len(self.entry.held),
-                "waiting": len(self.entry.waiting),
-                "decided_alone": self.entry.decided_alone,
-                "late_grants": self.entry.grants_dropped_late,
-            },
-        }
-
-    def _pool_status(self, key: tuple) -> dict[str, Any]:
-        role = self.scheduler.roles[key]
-        scheduler = role.scheduler
-        return {
-            "pool": key[0],
-            "alone": role.alone,
-            "fraction": round(scheduler.fraction, 3),
-            "supporters": sorted(role.supporters),
-            "waiting": scheduler.queue.waiting_by_class(),
-            "engines": {
-                engine.id: {
-                    "in_use": len(engine.running),
-                    "limit": round(engine.limit, 1),
-                    "inter_token_ms": round(engine.inter_token_s * 1000, 1),
-                }
-                for engine in scheduler.engines.values()
-            },
-        }
+        return describe_node(self)
 
     # Tasks
 
@@ -408,10 +355,10 @@
                 self._beat,
                 self._heartbeats,
                 self.records.run,
-                self._watch_instances,
+                self.instances.run,
                 self.scheduler.run,
-                self.entry.run,
-                self._poll_loads,
+                self.entry.parts.run,
+                self.loads.run,
                 self.orders.run,
             ):
                 nursery.start_soon(task)
@@ -456,7 +403,7 @@
         ]
         if self.clock.now() >= deadline:
             return any(heard) or not heard
-        return self.records.asked_platform and self.list_asked and all(heard)
+        return self.records.asked_platform and self.instances.asked and all(heard)
 
     async def _beat(self) -> None:
         """Look at the clock often, and at who has fallen silent."""
@@ -472,67 +419,6 @@
             self._send_heartbeats()
             await trio.sleep(self.settings.membership.heartbeat_s)
 
-    async def _watch_instances(self) -> None:
-        """Follow the platform's list for ever, through its outages."""
-        settings = self.settings.platform
-        backoff = Backoff(BEAT_S, settings.retry_limit_s)
-        wait_s = 0.0
-        while True:
-            try:
-                listed = await self.records.platform.watch_instances(
-                    self.list_number, wait_s
-                )
-            except PeerError:
-                self.list_asked = True
-                await trio.sleep(backoff.next_delay())
-                continue
-            self.list_asked = True
-            wait_s = settings.watch_s
-            if listed is not None and listed.number > self.list_number:
-                backoff.reset()
-                self._apply_list(listed)
-            elif listed is not None:
-                await trio.sleep(backoff.next_delay())
-
-    def _apply_list(self, listed: InstanceList) -> None:
-        now = self.clock.now()
-        self.list_number = listed.number
-        entries = {
-            NodeId(each.id): PeerAddress(NodeId(each.id), each.address, each.zone)
-            for each in listed.instances
-            if each.kind is InstanceKind.ENTRY
-        }
-        self.members.apply_list(entries, now)
-        for each in listed.instances:
-            if each.kind is InstanceKind.ENTRY:
-                continue
-            if each.leaving:
-                self.members.upstream_leaving(UpstreamId(each.id), now, first_hand=True)
-            else:
-                self.members.upstream_listed_live(UpstreamId(each.id))
-        self._dial_members()
-        self._send_heartbeats()
-
-    async def _poll_loads(self) -> None:
-        """Read the load of the engines that this instance schedules."""
-        while True:
-            await trio.sleep(self.settings.scheduling.load_poll_s)
-            for role in list(self.scheduler.roles.values()):
-                async with trio.open_nursery() as nursery:
-                    for engine_id in role.scheduler.engines:
-                        nursery.start_soon(self._poll_load, role.scheduler, engine_id)
-
-    async def _poll_load(self, scheduler, engine_id: UpstreamId) -> None:
-        record = self.store.view.upstreams.get(engine_id)
-        if record is None:
-            return
-        report = await self.engines.read_load(record)
-        engine = scheduler.engines.get(engine_id)
-        if report is not None and engine is not None:
-            engine.take_report(report[0])
-            if report[1]:
-                self._engine_is_leaving(engine_id)
-
     # Listeners
 
     async def _serve_operators(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -561,13 +447,13 @@
         self.app.draining = True
         self._send_heartbeats()
         self.scheduler.lay_down()
-        self.entry.renew_supports()
+        self.entry.parts.renew()
         await trio.sleep(self.settings.gateway.drain_s)
         self.close_callers.set()
         with trio.move_on_after(self.settings.gateway.stop_limit_s):
             await self.app.wait_idle()
             await callers_closed.wait()
-        await self.idempotency.hand_over()
+        await self.idempotency.transfer.hand_over()
         await trio.sleep(LAST_WORDS_S)
         log_event("stopped", node=self.node)
 
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/node/loads.py
@@ -0,0 +1,68 @@
+"""The task that reads the load of the engines this instance schedules."""
+
+from collections.abc import Callable
+
+import trio
+
+from buckthornwall.records import RecordStore
+from buckthornwall.scheduling import (
+    PoolScheduler,
+    SchedulerAgent,
+    SchedulingSettings,
+)
+from buckthornwall.upstreams import EngineClient
+from buckthornwall.utils import UpstreamId
+
+__all__ = ["LoadPoller"]
+
+
+class LoadPoller:
+    """Polls engines; their reports lag, and are hints only.
+
+    Parameters
+    ----------
+    settings
+        The ``[scheduling]`` section.
+    store, scheduler
+        Records in force, and whose engines to poll.
+    engines
+        Client of the engines.
+    is_leaving
+        Told of an engine that says it is leaving.
+    """
+
+    def __init__(
+        self,
+        settings: SchedulingSettings,
+        store: RecordStore,
+        scheduler: SchedulerAgent,
+        engines: EngineClient,
+        is_leaving: Callable[[UpstreamId], None],
+    ) -> None:
+        self.settings = settings
+        self.store = store
+        self.scheduler = scheduler
+        self.engines = engines
+        self.is_leaving = is_leaving
+
+    async def run(self) -> None:
+        """Poll again and again."""
+        while True:
+            await trio.sleep(self.settings.load_poll_s)
+            for role in list(self.scheduler.roles.values()):
+                async with trio.open_nursery() as nursery:
+                    for engine_id in role.scheduler.engines:
+                        nursery.start_soon(self._poll, role.scheduler, engine_id)
+
+    async def _poll(self, scheduler: PoolScheduler, engine_id: UpstreamId) -> None:
+        record = self.store.view.upstreams.get(engine_id)
+        if record is None:
+            return
+        report = await self.engines.read_load(record)
+        engine = scheduler.engines.get(engine_id)
+        if report is None or engine is None:
+            return
+        in_use, leaving = report
+        engine.take_report(in_use)
+        if leaving:
+            self.is_leaving(engine_id)
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/node/status.py
@@ -0,0 +1,88 @@
+"""What an instance shows of itself to operators."""
+
+from typing import Any
+
+from buckthornwall.membership import Member
+from buckthornwall.scheduling import PoolScheduler
+
+__all__ = ["describe_node"]
+
+
+def describe_node(node: Any) -> dict[str, Any]:
+    """Return the status of a `Node` in plain values."""
+    return {
+        "node": node.node,
+        "zone": node.zone,
+        "incarnation": node.incarnation,
+        "state": node.members.own_state.name.lower(),
+        "freezes": node.freeze.count,
+        "in_flight": node.app.in_flight,
+        "records": _records(node.store),
+        "members": [
+            _member(member, node.clock.now())
+            for member in node.members.members.values()
+        ],
+        "supports": {
+            pool: support.scheduler
+            for pool, support in node.entry.parts.supports.items()
+        },
+        "pools": [
+            {
+                "pool": pool,
+                "alone": alone,
+                "supporters": sorted(role.supporters),
+                **_scheduler(role.scheduler),
+            }
+            for (pool, alone), role in node.scheduler.roles.items()
+        ],
+        "keys": {
+            "issued": node.idempotency.own.next_serial - 1,
+            "ledgers": len(node.idempotency.ledgers),
+        },
+        "links": {
+            "bytes_sent": node.hub.bytes_sent,
+            "bytes_received": node.hub.bytes_received,
+            "messages_sent": node.hub.messages_sent,
+        },
+        "entry": {
+            "held": len(node.entry.held),
+            "waiting": len(node.entry.waiting),
+            "decided_alone": node.entry.decided_alone,
+            "late_grants": node.entry.grants_dropped_late,
+        },
+    }
+
+
+def _records(store: Any) -> dict[str, Any]:
+    refused = store.view.refused if store.view else []
+    return {
+        "number": store.number,
+        "digest": store.digest,
+        "refused": [[code.number, detail] for code, detail in refused],
+        "last_error": str(store.last_error or ""),
+    }
+
+
+def _member(member: Member, now: float) -> dict[str, Any]:
+    heard = member.last_heard
+    return {
+        "node": member.node,
+        "state": member.state.name.lower(),
+        "heard_s_ago": None if heard is None else round(now - heard, 2),
+        "listed": member.listed,
+    }
+
+
+def _scheduler(scheduler: PoolScheduler) -> dict[str, Any]:
+    return {
+        "fraction": round(scheduler.fraction, 3),
+        "waiting": scheduler.queue.waiting_by_class(),
+        "engines": {
+            engine.id: {
+                "in_use": len(engine.running),
+                "limit": round(engine.limit, 1),
+                "inter_token_ms": round(engine.inter_token_s * 1000, 1),
+            }
+            for engine in scheduler.engines.values()
+        },
+    }
--- a/packages/buckthornwall/src/buckthornwall/scheduling/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/agent.py
@@ -39,12 +39,14 @@
 class _Role:
     """One pool that this instance schedules, for others or alone.
 
-    `supporters` holds when each instance last left us its part of the pool.
+    `supporters` holds when each instance last left us its part of the pool,
+    and `leases` under which number.
     """
 
     scheduler: PoolScheduler
     alone: bool
     supporters: dict[NodeId, float] = field(default_factory=dict)
+    leases: dict[NodeId, int] = field(default_factory=dict)
     unacknowledged: list[tuple[NodeId, RequestId]] = field(default_factory=list)
 
 
@@ -189,7 +191,7 @@
             if role is not None:
                 role.scheduler.take_holdings(node, message.running, now)
         if not message.support:
-            return self._end_support(node, message.pool)
+            return self._end_support(node, message) if message.lease else []
         if self.members.own_state is NodeState.LEAVING:
             return []
         if self.store.view is None or message.pool not in self.store.view.models:
@@ -199,6 +201,7 @@
             return []  # held up for so long that the lease has ended
         role = self._role(message.pool, alone=False)
         role.supporters[node] = sent_at
+        role.leases[node] = message.lease
         role.scheduler.take_holdings(node, message.running, now)
         self._set_fraction(role, now)
         return [role]
@@ -210,15 +213,15 @@
         incarnation = member.incarnation if member else Incarnation(0)
         return self.leases.lateness(node, incarnation, message.sent_at, now)
 
-    def _end_support(self, node: NodeId, pool: ModelId) -> list[_Role]:
-        role = self.roles.get((pool, False))
+    def _end_support(self, node: NodeId, message: Holdings) -> list[_Role]:
+        role = self.roles.get((message.pool, False))
         touched = []
         if role is not None:
             role.supporters.pop(node, None)
             role.scheduler.forget_node(node)
             self._set_fraction(role, self.clock.now())
             touched.append(role)
-        self.send(node, SupportEnded(pool))
+        self.send(node, SupportEnded(message.pool, message.lease))
         return touched
 
     def renew(self) -> None:
@@ -241,7 +244,7 @@
             if not alone:
                 role = self.roles.pop((pool, alone))
                 for node in role.supporters:
-                    self.send(node, SupportEnded(pool))
+                    self.send(node, SupportEnded(pool, role.leases[node]))
 
     def node_lost(self, node: NodeId) -> None:
         """Forget what a suspected instance asked for and held."""
--- a/packages/buckthornwall/src/buckthornwall/scheduling/core.py
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/core.py
@@ -17,10 +17,10 @@
     TeamId,
     UpstreamId,
     new_id,
-    rendezvous_winner,
 )
 
 from .engines import EngineState, Slot, exact_share
+from .placement import soonest
 from .queue import FairQueue, Ticket
 
 __all__ = [
@@ -37,9 +37,6 @@
 FIRST_ANSWER_TOKENS = 100.0
 UNCONFIRMED_S = 3.0
 TOTAL_FOR_S = 0.01
-AFFINITY_LOAD_BOUND = 1.25
-AFFINITY_BONUS = 0.7
-OPTIMISM = 0.9
 # A prediction takes it that everyone who waits goes on waiting and that the
 # others' demand lasts; docs/design/scheduling.md says which run chose this.
 PATIENCE = 2.0
@@ -452,17 +449,7 @@
         )
 
     def _choose_engine(self, ticket: Ticket, now: float) -> EngineState | None:
-        """Return the engine with room that should answer soonest.
-
-        The score is the observed inter-token time grown by the load, less for
-        an engine that has the prompt's prefix in cache, unless that engine is
-        loaded past a bound: consistent hashing with bounded loads [1]_.
-
-        References
-        ----------
-        .. [1] Mirrokni, V., Thorup, M. and Zadimoghaddam, M., "Consistent
-           Hashing with Bounded Loads", SODA, 2018.
-        """
+        """Return the engine with room that should answer soonest, if any has."""
         with_room = [
             engine
             for engine in self.engines.values()
@@ -473,26 +460,7 @@
         candidates = others or with_room
         if not candidates:
             return None
-        mean_load = sum(len(e.running) for e in candidates) / len(candidates)
-        bound = AFFINITY_LOAD_BOUND * mean_load + 1
-        home = rendezvous_winner(str(ticket.prefix), [e.id for e in candidates])
-        paces = [e.inter_token_s for e in candidates if e.inter_token_s]
-        best_pace = min(paces, default=1.0)
-
-        def score(engine: EngineState) -> float:
-            # One that was not measured yet is taken to beat the best, or a
-            # pool would never look beyond the first engine it tried.
-            pace = engine.inter_token_s or best_pace * OPTIMISM
-            expected = pace * (1 + len(engine.running) / engine.limit)
-            has_prefix = ticket.prefix in engine.prefixes
-            if ticket.prefix and len(engine.running) < bound:
-                if has_prefix:
-                    expected *= AFFINITY_BONUS
-                elif engine.id == home:
-                    expected *= (1 + AFFINITY_BONUS) / 2
-            return expected
-
-        return min(candidates, key=score)
+        return soonest(candidates, ticket.prefix)
 
     def _grant(self, ticket: Ticket, engine: EngineState, now: float) -> GrantDecision:
         self.queue.remove(ticket.request)
--- a/packages/buckthornwall/src/buckthornwall/scheduling/entry.py
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/entry.py
@@ -21,7 +21,7 @@
     Withdraw,
 )
 from buckthornwall.membership import FreezeDetector, MemberTable
-from buckthornwall.records import RecordStore, SchedulingMode, ServiceClass
+from buckthornwall.records import Model, RecordStore, ServiceClass
 from buckthornwall.utils import (
     Clock,
     GrantId,
@@ -33,6 +33,7 @@
     new_id,
 )
 
+from .parts import PartLeases
 from .settings import SchedulingSettings
 
 __all__ = ["EntryAgent", "SlotRequest"]
@@ -85,15 +86,6 @@
     preempted: bool = False
 
 
-@dataclass
-class _Support:
-    """Whom this entry has left its part of a pool to, and since when."""
-
-    scheduler: NodeId
-    renewed_at: float
-    ending: bool = False
-
-
 @dataclass
 class _Waiting:
     """One request on its way to a slot."""
@@ -147,7 +139,16 @@
         self.send = send
         self.waiting: dict[RequestId, _Waiting] = {}
         self.held: dict[GrantId, HeldSlot] = {}
-        self.supports: dict[ModelId, _Support] = {}
+        self.parts = PartLeases(
+            node,
+            clock,
+            settings,
+            members,
+            send,
+            self.pools,
+            self.holdings,
+            self._ask_again,
+        )
         self.grants_dropped_late = 0
         self.decided_alone = 0
 
@@ -203,14 +204,8 @@
     def _whom_to_ask(self, waiting: _Waiting) -> tuple[NodeId, bool]:
         """Return the scheduler that has our part, or ourselves alone."""
         pool = waiting.slot_request.pool
-        support = self.supports.get(pool)
-        if support is None or support.ending or not self._is_pooled(pool):
-            return self.node, True
-        return support.scheduler, False
-
-    def _is_pooled(self, pool: ModelId) -> bool:
-        model = self.store.view.models.get(pool)
-        return model is None or model.scheduling is SchedulingMode.POOLED
+        holder = self.parts.holder(pool)
+        return (self.node, True) if holder is None else (holder, False)
 
     def _send_enqueue(
         self,
@@ -280,11 +275,8 @@
         if self.held.pop(slot.grant, None) is None:
             return
         message = Release(slot.grant, kind, slot.tokens, first_token_s, inter_token_s)
-        support = self.supports.get(slot.request.pool)
-        nodes = {slot.scheduler_node}
-        if support is not None:
-            nodes.add(support.scheduler)
-        for node in nodes:
+        holder = self.parts.holder(slot.request.pool)
+        for node in {slot.scheduler_node, holder or slot.scheduler_node}:
             self.send(node, message)
 
     # What arrives
@@ -305,7 +297,7 @@
             if slot is not None:
                 slot.preempted = True
         elif isinstance(message, SupportEnded):
-            self._support_ended(node, message.pool)
+            self.parts.ended(node, message.pool, message.lease)
 
     def _take_refusal(self, node: NodeId, message: EnqueueRefused) -> None:
         waiting = self.waiting.get(message.request)
@@ -341,11 +333,16 @@
         waiting.slot = slot
         waiting.tell()
 
+    def pools(self) -> list[Model]:
+        """Return the pools of the records in force."""
+        return list(self.store.view.models.values()) if self.store.view else []
+
     def holdings(self, pool: ModelId) -> Holdings:
-        """Return what this entry holds of a pool."""
+        """Return what this entry holds of a pool, as a report about no lease."""
         return Holdings(
             pool,
-            True,
+            False,
+            0,
             self.clock.now(),
             [
                 Holding(
@@ -360,72 +357,8 @@
             ],
         )
 
-    async def run(self) -> None:
-        """Report the slots in use to the pools' schedulers, again and again."""
-        while True:
-            self.renew_supports()
-            await trio.sleep(self.settings.holdings_s)
-
-    def renew_supports(self) -> None:
-        """Leave our part of each pool to its scheduler, as the fleet looks now."""
-        if self.store.view is None:
-            return
-        for pool in list(self.store.view.models):
-            self._renew_support(pool)
-            for slot in self.held.values():
-                if slot.alone and slot.request.pool == pool:
-                    self._report_to_self(pool)
-                    break
-
-    def _renew_support(self, pool: ModelId) -> None:
-        """Renew, end or begin the lease by which a scheduler has our part.
-
-        A lease that was given ends when its holder says so, or by time where
-        the holder is not heard; only then may another have our part.
-        """
-        now = self.clock.now()
-        winner = self.members.winner(pool) if self._is_pooled(pool) else None
-        support = self.supports.get(pool)
-        if support is not None and support.scheduler != winner:
-            lease_s = self.settings.support_s + self.settings.support_margin_s
-            if now - support.renewed_at <= lease_s:
-                support.ending = True
-                self.send(support.scheduler, Holdings(pool, False, now, []))
-                return
-            self._support_ended(support.scheduler, pool)
-            return
-        if support is not None and support.ending:
-            support.ending = False  # the fleet looks again as it did
-            self._ask_again(pool)
-        if winner is not None:
-            self._give_support(pool, winner, now)
-
-    def _give_support(self, pool: ModelId, winner: NodeId, now: float) -> None:
-        sent = self.send(winner, self.holdings(pool))
-        support = self.supports.get(pool)
-        if support is not None:
-            support.renewed_at = now if sent else support.renewed_at
-        elif sent:
-            self.supports[pool] = _Support(winner, now)
-            self._ask_again(pool)
-
-    def _support_ended(self, node: NodeId, pool: ModelId) -> None:
-        support = self.supports.get(pool)
-        if support is not None and support.scheduler == node:
-            del self.supports[pool]
-            self._ask_again(pool)
-            self._renew_support(pool)
-
     def _ask_again(self, pool: ModelId) -> None:
         for waiting in self.waiting.values():
             if waiting.slot_request.pool == pool:
                 waiting.ask_again = True
                 waiting.tell()
-
-    def _report_to_self(self, pool: ModelId) -> None:
-        """Tell our own scheduler what we hold, without a part to go with it."""
-        support = self.supports.get(pool)
-        if support is None or support.scheduler != self.node:
-            holdings = self.holdings(pool)
-            holdings.support = False
-            self.send(self.node, holdings)
