Split the fault matrix and the network in memory by job

Reading as a newcomer: one file of 685 lines held kinds, steps, injection, checks and the grid, another the network, HTTP and links.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/__init__.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/__init__.py
@@ -7,6 +7,12 @@
 `callers`      open-loop load, seeded, counting what callers see
 `deployments`  sizes and records of Manizales and Cascade
 `fleet`        starts and disturbs all of these as real processes
+`memory_fleet` the same in one trio run, on a network in memory
+`faults`       the fault matrix
+`model`        specifications and their model checking
+`cases`        the loads and disturbances of the bench
+`bound`        what an all-knowing scheduler would have served
+`slopes`       how costs grow with sizes
 `report`       tables of attainment, goodput and wasted work
 `demo`         the demonstration that ``make demo`` runs
 `bench`        the comparison of policies that ``make bench`` runs
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/faults/cell_run.py
@@ -0,0 +1,153 @@
+"""The state of one cell while it runs: its fleet, requests and orders."""
+
+import itertools
+from collections.abc import Awaitable, Callable
+
+import httpcore
+import msgspec
+import trio
+
+from buckthornwall_standins.callers import Arrival, Callers, Outcome
+from buckthornwall_standins.deployments import ORDER_ROUTE, ClassLoad, key_of
+from buckthornwall_standins.memory_fleet import MemoryFleet, MemoryNode
+
+from .kinds import Cell, Point, Step
+
+__all__ = ["CellRun", "MAIN_TOKENS"]
+
+MAIN_TOKENS = 20
+ANSWER_LIMIT_S = 40.0
+TRICKLE_S = 0.25
+TRICKLE_TOKENS = 6
+ORDER_TRIES = 8
+
+
+class CellRun:
+    """The state of one cell while it runs.
+
+    `scheduler` is the instance that schedules the pool, `entry` the one that
+    the main request goes through, and `third` the remaining one.
+    """
+
+    def __init__(self, fleet: MemoryFleet, cell: Cell) -> None:
+        self.fleet = fleet
+        self.cell = cell
+        self.callers = Callers(fleet, [], backend=fleet.backend)
+        self.callers.started = trio.current_time()
+        self.scheduler = fleet.scheduler_of("m")
+        others = [node for node in fleet.nodes if node is not self.scheduler]
+        self.entry, self.third = others
+        self.outcomes: list[Outcome] = []
+        self.main: Outcome | None = None
+        self.main_scope = trio.CancelScope()
+        self.main_ended = trio.Event()
+        self.orders: list[str] = []
+        self.serial = 0
+        self.undo: list[Callable[[], Awaitable[None] | None]] = []
+        self.answers_not_run: set[str] = set()
+        self.order_void: set[str] = set()
+        self.quiet = trio.Event()
+
+    def load(self, class_id: str) -> ClassLoad:
+        """Return the load of a class."""
+        return next(each for each in self.fleet.deployment.loads if each.id == class_id)
+
+    def fail(self, point: Point, detail: str) -> None:
+        """Note that a point failed; the first detail is kept."""
+        self.cell.failed.setdefault(point, detail)
+
+    # Requests
+
+    async def ask(self, node: MemoryNode, class_id: str, tokens: int) -> Outcome:
+        """Send one completion through a node and wait for its end."""
+        outcome = self.new_outcome(node, class_id, tokens)
+        await self.send(node, outcome)
+        return outcome
+
+    def new_outcome(self, node: MemoryNode, class_id: str, tokens: int) -> Outcome:
+        """Return the outcome of a request that is yet to be sent."""
+        self.serial += 1
+        at = trio.current_time() - self.callers.started
+        nonce = f"x{self.serial}"
+        arrival = Arrival(at, self.load(class_id), "one", nonce, tokens, 0)
+        outcome = Outcome(arrival, node=node.id)
+        self.outcomes.append(outcome)
+        return outcome
+
+    async def send(self, node: MemoryNode, outcome: Outcome) -> None:
+        """Send the request of an outcome and wait for its end."""
+        with trio.move_on_after(ANSWER_LIMIT_S):
+            try:
+                await self.callers._stream(node, outcome.arrival, outcome)
+            except (
+                httpcore.NetworkError,
+                httpcore.ProtocolError,
+                httpcore.TimeoutException,
+            ) as error:
+                outcome.detail = repr(error)
+
+    async def run_main(self) -> None:
+        """Send the main request."""
+        with self.main_scope:
+            await self.send(self.node_for_main(), self.main)
+        self.main_ended.set()
+
+    def node_for_main(self) -> MemoryNode:
+        """Return the instance that the main request goes through."""
+        handed_over = self.cell.step is Step.KEY_HANDED_OVER
+        return self.third if handed_over else self.entry
+
+    async def trickle(self) -> None:
+        """Keep some work of a lower tier going, to compete with the urgent."""
+        async with trio.open_nursery() as nursery:
+            while not self.quiet.is_set():
+                nursery.start_soon(self.ask, self.third, "routine", TRICKLE_TOKENS)
+                await trio.sleep(TRICKLE_S)
+
+    # Orders
+
+    async def get_key(self, node: MemoryNode) -> str:
+        """Return a fresh idempotency key of an instance."""
+        response = await self.callers.pool.request(
+            "POST",
+            f"http://{node.callers}/idempotency-keys",
+            headers=[("authorization", f"Bearer {key_of('one')}")],
+        )
+        return msgspec.json.decode(response.content)["idempotency_key"]
+
+    async def confirm(self, node: MemoryNode, order: str, key: str) -> tuple[int, str]:
+        """Send a confirmation once; return its status and what it says of a run."""
+        headers = [
+            ("authorization", f"Bearer {key_of('one')}"),
+            ("idempotency-key", key),
+        ]
+        timeouts = {"connect": 1.0, "read": 15.0}
+        try:
+            response = await self.callers.pool.request(
+                "POST",
+                f"http://{node.callers}/services/{ORDER_ROUTE}/confirm",
+                headers=headers,
+                content=msgspec.json.encode({"order": order}),
+                extensions={"timeout": timeouts},
+            )
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ):
+            return 0, "unknown"
+        body = msgspec.json.decode(response.content)
+        run = body.get("error", {}).get("run", "yes")
+        if run == "no":
+            self.order_void.add(order)
+        return response.status, run
+
+    async def confirm_until_settled(self, order: str, key: str) -> None:
+        """Repeat a confirmation through one node after another."""
+        nodes = itertools.cycle([self.third, self.scheduler, self.entry])
+        for _ in range(ORDER_TRIES):
+            node = next(each for each in nodes if each in self.fleet.alive())
+            status, run = await self.confirm(node, order, key)
+            if status == 200 or (status and run == "no"):
+                return
+            await trio.sleep(0.5)
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/faults/checks.py
@@ -0,0 +1,124 @@
+"""The checks of the eight points, made in every cell."""
+
+import trio
+
+from buckthornwall_standins.callers import Verdict
+from buckthornwall_standins.memory_fleet import MemoryNode
+
+from .cell_run import MAIN_TOKENS, TRICKLE_TOKENS, CellRun
+from .kinds import Fault, Point
+
+__all__ = ["FIRST_NUMBER", "check_all"]
+
+FIRST_NUMBER = 5
+SPREAD_LIMIT_S = 8.0
+LEAVING_GRACE_S = 3.0
+
+
+async def check_all(run: CellRun) -> None:
+    """Check every point, once the fault is undone."""
+    _check_main(run)
+    await _check_records(run)
+    await _check_classes(run)
+    await _check_leaving(run)
+    await _check_graceful(run)
+    _check_counts(run)
+
+
+def _check_main(run: CellRun) -> None:
+    """Check that the urgent request is whole, or broken by what had to break it."""
+    faults = run.cell.faults
+    outcome = run.main
+    if outcome.verdict is Verdict.REFUSED:
+        run.fail(Point.URGENT, f"refused: {outcome.detail}")
+    excused = Fault.CALLER_GONE in faults or Fault.KILL_ENTRY in faults
+    if outcome.verdict is not Verdict.WHOLE and not excused:
+        stopped = Fault.STOP_ENTRY in faults
+        point = Point.GRACEFUL if stopped else Point.OWN_ANSWER
+        run.fail(point, f"main {outcome.verdict.value}: {outcome.detail}")
+
+
+def _check_counts(run: CellRun) -> None:
+    """Compare what the stand-ins counted with what callers were told."""
+    started = run.fleet.started()
+    confirmed = run.fleet.service.confirmed
+    for outcome in run.outcomes:
+        if outcome.verdict is Verdict.MIXED:
+            run.fail(Point.OWN_ANSWER, f"mixed up: {outcome.detail}")
+        untrue = outcome.verdict is Verdict.REFUSED and outcome.run == "no"
+        if untrue and outcome.arrival.nonce in started:
+            run.fail(Point.TRUE_REFUSAL, f"{outcome.arrival.nonce} had run")
+    for order, count in confirmed.items():
+        if count > 1:
+            run.fail(Point.AT_MOST_ONCE, f"{order} ran {count} times")
+    for order in run.order_void:
+        if confirmed[order]:
+            run.fail(Point.TRUE_REFUSAL, f"{order} had run")
+
+
+async def _check_records(run: CellRun) -> None:
+    """Check that a newer set reaches every instance, and none ever went back."""
+    fleet = run.fleet
+    fleet.number += 1
+    fleet.publish(fleet.number)
+    try:
+        await fleet.until(
+            lambda: all(n.node.store.number == fleet.number for n in fleet.alive()),
+            SPREAD_LIMIT_S,
+        )
+    except trio.TooSlowError:
+        numbers = [node.node.store.number for node in fleet.alive()]
+        run.fail(Point.RECORDS, f"numbers {numbers}, published {fleet.number}")
+    for node in fleet.nodes:
+        shown = [number for number in node.numbers if number]
+        if shown != sorted(shown):
+            run.fail(Point.RECORDS, f"{node.id} went back: {shown}")
+        if shown and shown[0] < FIRST_NUMBER:
+            run.fail(Point.RECORDS, f"{node.id} began with {shown[0]}")
+
+
+async def _check_classes(run: CellRun) -> None:
+    """Check that every class is served through every instance."""
+
+    async def probe(node: MemoryNode, class_id: str) -> None:
+        outcome = await run.ask(node, class_id, TRICKLE_TOKENS)
+        if outcome.verdict is not Verdict.WHOLE:
+            detail = f"{class_id} through {node.id}: {outcome.detail}"
+            run.fail(Point.NO_STARVATION, detail)
+
+    async with trio.open_nursery() as nursery:
+        for node in run.fleet.alive():
+            for load in run.fleet.deployment.loads:
+                nursery.start_soon(probe, node, load.id)
+
+
+async def _check_leaving(run: CellRun) -> None:
+    """Check that an engine listed as leaving is soon asked for nothing."""
+    fleet = run.fleet
+    engine_id = next(iter(fleet.engines))
+    fleet.leaving.add(engine_id)
+    fleet.publish_instances()
+    await trio.sleep(LEAVING_GRACE_S)
+    before = fleet.engines[engine_id].starts
+    async with trio.open_nursery() as nursery:
+        for node in fleet.alive():
+            nursery.start_soon(run.ask, node, "urgent", TRICKLE_TOKENS)
+            nursery.start_soon(run.ask, node, "routine", TRICKLE_TOKENS)
+    after = fleet.engines[engine_id].starts
+    if after != before:
+        run.fail(Point.LEAVING, f"{after - before} new requests")
+
+
+async def _check_graceful(run: CellRun) -> None:
+    """Check that an instance that stops as planned finishes its answers."""
+    node = run.fleet.alive()[-1]
+    async with trio.open_nursery() as nursery:
+        outcome = run.new_outcome(node, "urgent", 2 * MAIN_TOKENS)
+        nursery.start_soon(run.send, node, outcome)
+        await trio.sleep(0.1)
+        try:
+            await run.fleet.stop(node)
+        except trio.TooSlowError:
+            run.fail(Point.GRACEFUL, f"{node.id} never left")
+    if outcome.verdict is not Verdict.WHOLE:
+        run.fail(Point.GRACEFUL, f"{outcome.verdict.value}: {outcome.detail}")
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/faults/core.py
@@ -0,0 +1,97 @@
+"""Run cells, each on a fleet of its own in memory."""
+
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+
+import trio
+from loguru import logger
+from trio.testing import MockClock
+
+from buckthornwall_standins.memory_fleet import MemoryFleet, make_deterministic
+
+from .cell_run import ANSWER_LIMIT_S, CellRun
+from .checks import FIRST_NUMBER, check_all
+from .injection import inject, undo
+from .kinds import Cell, Fault, Step, cannot_occur
+from .steps import reach
+
+__all__ = ["JOBS", "run_cell", "run_cells"]
+
+SEED = 7
+JOBS = 6
+FAULT_S = 3.0
+SETTLE_S = 4.0
+CELLS_A_CHUNK = 4
+
+
+async def _run(cell: Cell, plant: Callable[[MemoryFleet], None] | None) -> None:
+    fleet = MemoryFleet()
+    fleet.number = FIRST_NUMBER
+    async with trio.open_nursery() as fleet.nursery:
+        await fleet.start()
+        if plant is not None:
+            plant(fleet)
+        run = CellRun(fleet, cell)
+        async with trio.open_nursery() as requests:
+            requests.start_soon(run.trickle)
+            key = await run.get_key(run.entry)
+            await reach(run, requests)
+            order = f"order-{cell.name}"
+            run.orders.append(order)
+            if cell.step is not Step.KEY_HANDED_OVER:
+                requests.start_soon(run.confirm, run.third, order, key)
+                await trio.sleep(0.004)
+            async with trio.open_nursery() as injected:
+                for fault in cell.faults:
+                    inject(run, fault, injected)
+                await trio.sleep(FAULT_S)
+                await undo(run)
+            with trio.move_on_after(ANSWER_LIMIT_S):
+                await run.main_ended.wait()
+            run.quiet.set()
+            await trio.sleep(SETTLE_S)
+            if cell.step is not Step.KEY_HANDED_OVER:
+                await run.confirm_until_settled(order, key)
+        await check_all(run)
+        await run.callers.pool.aclose()
+        fleet.nursery.cancel_scope.cancel()
+
+
+def run_cell(
+    step: Step,
+    faults: tuple[Fault, ...],
+    plant: Callable[[MemoryFleet], None] | None = None,
+    seed: int = SEED,
+) -> Cell:
+    """Run one cell on the mock clock.
+
+    Parameters
+    ----------
+    step, faults
+        Which cell.
+    plant
+        Breaks the running fleet's code on purpose, to show that it is caught.
+    seed
+        Of ids, jitter and scheduling.
+
+    Returns
+    -------
+    Cell
+        With the points that failed.
+    """
+    cell = Cell(step, faults, why_not=cannot_occur(step, faults))
+    if not cell.why_not:
+        make_deterministic(seed)
+        trio.run(_run, cell, plant, clock=MockClock(autojump_threshold=0))
+    return cell
+
+
+def _run_quietly(cell: tuple[Step, tuple[Fault, ...]]) -> Cell:
+    logger.remove()
+    return run_cell(*cell)
+
+
+def run_cells(cells: list[tuple[Step, tuple[Fault, ...]]], jobs: int) -> list[Cell]:
+    """Run many cells, spread over processes; each cell repeats by itself."""
+    with ProcessPoolExecutor(jobs) as pool:
+        return list(pool.map(_run_quietly, cells, chunksize=CELLS_A_CHUNK))
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/faults/grid.py
@@ -0,0 +1,50 @@
+"""The matrix as Markdown."""
+
+from .kinds import Cell, Fault, Point, Step
+
+__all__ = ["render_grid"]
+
+
+def render_grid(cells: list[Cell]) -> str:
+    """Return the matrix as Markdown: the number of points that held."""
+    points = len(Point)
+    steps = [step.value for step in Step]
+    lines = [
+        "# Fault matrix",
+        "",
+        "Written by `make faults` as it ran. A cell shows how many of the eight "
+        "points held; all eight are checked in each. `-` cannot occur, as said "
+        "below.",
+        "",
+        "| fault | " + " | ".join(steps) + " |",
+        "|---|" + "---|" * len(steps),
+    ]
+    shown = {(cell.step, cell.faults): cell for cell in cells}
+    for fault in Fault:
+        row = [shown.get((step, (fault,))) for step in Step]
+        marks = [_mark(cell, points) for cell in row]
+        lines.append(f"| {fault.value} | " + " | ".join(marks) + " |")
+    pairs = [cell for cell in cells if len(cell.faults) > 1]
+    lines += ["", f"## Two faults together, {Step.MID_STREAM.value}", ""]
+    lines += [
+        f"- {cell.name.partition(': ')[2]}: {_mark(cell, points)}" for cell in pairs
+    ]
+    lines += ["", "## Cells that cannot occur", ""]
+    reasons = sorted({(c.name, c.why_not) for c in cells if c.why_not})
+    lines += [f"- {name}: {why}" for name, why in reasons]
+    failures = [cell for cell in cells if cell.failed]
+    lines += ["", "## Points that failed", ""]
+    lines += [
+        f"- {cell.name}: {point.value}: {detail}"
+        for cell in failures
+        for point, detail in cell.failed.items()
+    ] or ["none"]
+    lines += ["", "## The points", ""]
+    lines += [f"{index}. {point.value}" for index, point in enumerate(Point, 1)]
+    return "\n".join(lines) + "\n"
+
+
+def _mark(cell: Cell | None, points: int) -> str:
+    if cell is None or cell.why_not:
+        return "-"
+    return f"{points - len(cell.failed)}/{points}"
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/memory_fleet.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/memory_fleet.py
@@ -22,7 +22,9 @@
 from .asgi import json_app
 from .deployments import ClassLoad, Deployment, records_of
 from .engine import Engine, EngineModel
-from .memory import MemoryBackend, MemoryHub, MemoryNetwork, serve_http
+from .memory import MemoryNetwork
+from .memory_http import MemoryBackend, serve_http
+from .memory_hub import MemoryHub
 from .platform import Platform
 from .service import OrderService
 
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_bad_input.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_bad_input.py
@@ -13,7 +13,7 @@
 
 from buckthornwall_standins.callers import Callers, Verdict
 from buckthornwall_standins.deployments import key_of
-from buckthornwall_standins.faults import Cell, Fault, Step, _Run
+from buckthornwall_standins.faults import Cell, CellRun, Fault, Step
 from buckthornwall_standins.fleet import Fleet
 from buckthornwall_standins.memory_fleet import MemoryFleet, make_deterministic
 
@@ -29,7 +29,7 @@
     def run(body):
         async def main():
             async with MemoryFleet.running() as fleet:
-                await body(fleet, _Run(fleet, Cell(Step.RECEIVED, (Fault.NONE,))))
+                await body(fleet, CellRun(fleet, Cell(Step.RECEIVED, (Fault.NONE,))))
 
         make_deterministic(3)
         trio.run(main, clock=MockClock(autojump_threshold=0))
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_races.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_races.py
@@ -7,7 +7,7 @@
 from trio.testing import MockClock
 
 from buckthornwall_standins.callers import Verdict
-from buckthornwall_standins.faults import Cell, Fault, Step, _fill_engines, _Run
+from buckthornwall_standins.faults import Cell, CellRun, Fault, Step, fill_engines
 from buckthornwall_standins.memory_fleet import MemoryFleet, make_deterministic
 
 from .test_bad_input import post
@@ -16,7 +16,7 @@
 def run_beside_fleet(body):
     async def main():
         async with MemoryFleet.running() as fleet:
-            await body(fleet, _Run(fleet, Cell(Step.RECEIVED, (Fault.NONE,))))
+            await body(fleet, CellRun(fleet, Cell(Step.RECEIVED, (Fault.NONE,))))
 
     make_deterministic(5)
     trio.run(main, clock=MockClock(autojump_threshold=0))
@@ -54,7 +54,7 @@
 def test_a_class_deleted_with_requests_waiting_gets_them_an_answer_at_once():
     async def body(fleet, run):
         async with trio.open_nursery() as nursery:
-            await _fill_engines(run, nursery)
+            await fill_engines(run, nursery)
             waiting = run.new_outcome(run.entry, "low", 4)
             nursery.start_soon(run.send, run.entry, waiting)
             await fleet.until(lambda: run.entry.node.entry.waiting)
