--- /dev/null
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/tests/test_ctl.py
@@ -0,0 +1,90 @@
+"""Tests of the operators' commands."""
+
+import msgspec
+import pytest
+from buckthornwall.conftest import make_records
+from buckthornwall.records import parse_records
+
+from buckthornwall_ctl.checks import describe_change
+from buckthornwall_ctl.main import main
+
+SETTINGS = """
+[node]
+id = n1
+zone = z
+[gateway]
+listen = 127.0.0.1:1
+[operators]
+listen = 127.0.0.1:2
+[platform]
+address = 127.0.0.1:3
+[links]
+listen = 127.0.0.1:4
+peer_secret = s
+"""
+
+
+def write(folder, name, text):
+    path = folder / name
+    path.write_text(text, encoding="utf-8")
+    return str(path)
+
+
+def test_good_settings_pass(tmp_path, capsys):
+    assert main(["check-settings", write(tmp_path, "a.ini", SETTINGS)]) == 0
+    assert "n1" in capsys.readouterr().out
+
+
+def test_bad_settings_name_file_section_and_key(tmp_path, capsys):
+    text = SETTINGS.replace("zone = z", "zone = z\ncolour = red")
+    assert main(["check-settings", write(tmp_path, "a.ini", text)]) == 1
+    error = capsys.readouterr().err
+    assert "6001" in error
+    assert "a.ini [node] colour" in error
+
+
+def test_a_missing_file_has_a_code(tmp_path, capsys):
+    assert main(["check-settings", str(tmp_path / "none")]) == 1
+    assert "6004" in capsys.readouterr().err
+    assert main(["check-records", str(tmp_path / "none")]) == 1
+    assert "5005" in capsys.readouterr().err
+
+
+def test_good_and_bad_records(tmp_path, capsys):
+    good = msgspec.json.encode(make_records(4)).decode()
+    assert main(["check-records", write(tmp_path, "good.json", good)]) == 0
+    assert "number 4" in capsys.readouterr().out
+    bad = msgspec.json.encode(make_records(urgent={"tier": -1})).decode()
+    assert main(["check-records", write(tmp_path, "bad.json", bad)]) == 1
+    assert "$.tier" in capsys.readouterr().err
+
+
+def test_records_against_an_instance_that_is_not_there(tmp_path, capsys):
+    good = msgspec.json.encode(make_records(4)).decode()
+    path = write(tmp_path, "good.json", good)
+    assert main(["check-records", path, "--against", "127.0.0.1:1"]) == 3
+
+
+def test_changes_are_listed():
+    old = parse_records(msgspec.json.encode(make_records(1)))
+    changed = make_records(2, low={"weight": 5})
+    changed["records"] = [each for each in changed["records"] if each["id"] != "e2"]
+    changed["records"].append({"kind": "model", "schema": 2, "id": "new"})
+    new = parse_records(msgspec.json.encode(changed))
+    assert describe_change(old, new) == ["~ class low", "+ model new", "- upstream e2"]
+
+
+@pytest.mark.parametrize("word", ["2001", "overloaded"])
+def test_explain(word, capsys):
+    assert main(["explain", word]) == 0
+    assert "2001 OVERLOADED (HTTP 429)" in capsys.readouterr().out
+
+
+def test_explain_an_unknown_code(capsys):
+    assert main(["explain", "9999"]) == 1
+
+
+def test_wrong_usage_exits_with_2():
+    with pytest.raises(SystemExit) as caught:
+        main(["no-such-command"])
+    assert caught.value.code == 2
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/faults/injection.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/faults/injection.py
@@ -84,6 +84,7 @@
 
 
 async def undo(run: CellRun) -> None:
+    """Undo every fault of the cell."""
     run.fleet.network.heal()
     for action in run.undo:
         waiting = action()
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/faults/steps.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/faults/steps.py
@@ -35,6 +35,7 @@
 
 
 async def fill_engines(run: CellRun, nursery: trio.Nursery) -> None:
+    """Fill every slot, so that the next request has to wait."""
     for class_id in ("routine", "routine", "routine", "urgent"):
         nursery.start_soon(run.ask, run.third, class_id, FILL_TOKENS)
     slots = sum(engine.model.slots for engine in run.fleet.engines.values())
--- a/packages/buckthornwall/src/buckthornwall/upstreams/budget.py
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/budget.py
@@ -8,6 +8,8 @@
 
 __all__ = ["RetryBudget"]
 
+ROUNDING = 1e-9  # ten tenths added up are a little less than one
+
 
 class RetryBudget:
     """Allows retries as a share of first attempts, with a small reserve.
@@ -31,7 +33,7 @@
 
     def spend(self) -> bool:
         """Take one retry; False if there is none left."""
-        if self.balance < 1:
+        if self.balance < 1 - ROUNDING:
             return False
         self.balance -= 1
         return True
