Tell 'not run' only if no attempt can have run; never leak a slot

After an attempt that had reached an engine, a last attempt that could not connect made the refusal say 'run: no'. Cause: the refusal looked at the last failure only. The job now remembers. Test: SENT then UNSENT gave no, must be unknown; failed before, passes now. 2. A slot granted in the moment in which its caller went stayed in use for ever, confirmed by every report. Cause: the cancelled wait did not look at whether the slot had come. Test failed before (one slot held), passes now. 3. After a freeze, heartbeats that had waited in the sockets counted as news, so an order could go out on old records; only what is heard half a second after waking counts now, and nobody orders while a peer shows newer records. Ruled out for 2: the reconciling reports, which trust the entry. /metrics gains the gauges that were declared and never set.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/slopes.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/slopes.py
@@ -3,6 +3,7 @@
 ``decisions``  time of a decision against queue length and engines
 ``records``    time and memory of records against engines and teams
 ``fleet``      processor time, memory and bytes of idle instances against their number
+``control``    messages and bytes on the links for each request
 ``relay``      processor time of a streamed chunk against a bare relay
 """
 
@@ -26,7 +27,7 @@
 from buckthornwall.records import parse_records
 from buckthornwall.scheduling import GrantDecision, PoolScheduler
 
-from .callers import Arrival, Callers, Outcome, Verdict
+from .callers import Arrival, Callers, Outcome, Verdict, plan_arrivals
 from .deployments import MANIZALES, ClassLoad
 from .engine import EngineModel
 from .fleet import CALLER_PORT, Fleet
@@ -40,6 +41,7 @@
 TEAMS = (10, 100, 1_000)
 FLEETS = (1, 2, 4, 8, 16, 32)
 IDLE_S = 5.0
+LOAD_S = 8.0
 STREAMS = 100
 STREAM_TOKENS = 200
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
@@ -184,16 +186,9 @@
     async with Fleet.running(deployment, log_level="ERROR") as fleet:
         await trio.sleep(SETTLE_S)
 
-        async def reading() -> tuple[float, int, int]:
-            statuses = [await fleet.status(node) for node in fleet.nodes]
-            cpu = sum(_cpu_s(node.process.pid) for node in fleet.nodes)
-            sent = sum(each["links"]["bytes_sent"] for each in statuses)
-            messages = sum(each["links"]["messages_sent"] for each in statuses)
-            return cpu, sent, messages
-
-        before = await reading()
+        before = await _totals(fleet)
         await trio.sleep(IDLE_S)
-        after = await reading()
+        after = await _totals(fleet)
         memory = sum(_resident_mb(node.process.pid) for node in fleet.nodes) / nodes
     cpu, sent, messages = (
         (new - old) / IDLE_S / nodes for old, new in zip(before, after, strict=True)
@@ -214,6 +209,49 @@
     return lines
 
 
+async def _totals(fleet: Fleet) -> tuple[float, int, int]:
+    """Return processor time, bytes and messages of all instances so far."""
+    statuses = [await fleet.status(node) for node in fleet.nodes]
+    cpu = sum(_cpu_s(node.process.pid) for node in fleet.nodes)
+    sent = sum(each["links"]["bytes_sent"] for each in statuses)
+    messages = sum(each["links"]["messages_sent"] for each in statuses)
+    return cpu, sent, messages
+
+
+async def _control_costs(part: float) -> str:
+    """Run a load; return what the links carried for each request."""
+    deployment = replace(MANIZALES, service=False)
+    async with Fleet.running(deployment, log_level="ERROR") as fleet:
+        await trio.sleep(SETTLE_S)
+        idle = await _totals(fleet)
+        await trio.sleep(IDLE_S)
+        before = await _totals(fleet)
+        arrivals = plan_arrivals(
+            deployment, fleet.engine_model, LOAD_S, 1, lambda load, at: part
+        )
+        started = trio.current_time()
+        callers = Callers(fleet, arrivals)
+        await callers.run(LOAD_S)
+        took_s = trio.current_time() - started
+        after = await _totals(fleet)
+    idle_bytes, idle_messages = (
+        (new - old) / IDLE_S for old, new in zip(idle[1:], before[1:], strict=True)
+    )
+    sent = after[1] - before[1] - idle_bytes * took_s
+    messages = after[2] - before[2] - idle_messages * took_s
+    count = len(arrivals)
+    return f"| {part:.0%} | {count} | {messages / count:.1f} | {sent / count:.0f} |"
+
+
+def measure_control() -> list[str]:
+    """Return the table of what each request costs on the links."""
+    lines = [
+        "| load | requests | messages a request | bytes a request |",
+        "|---|---|---|---|",
+    ]
+    return lines + [trio.run(_control_costs, part) for part in (0.4, 0.8)]
+
+
 STREAM_LOAD = ClassLoad(
     "stream", "m", 0, 5.0, 1.0, 600.0, 1.0, 0.0, 1.0, 100, 100, (("one", 1.0),)
 )
@@ -291,6 +329,7 @@
     "decisions": measure_decisions,
     "records": measure_records,
     "fleet": measure_fleet,
+    "control": measure_control,
     "relay": measure_relay,
 }
 
--- a/packages/buckthornwall/src/buckthornwall/gateway/completions.py
+++ b/packages/buckthornwall/src/buckthornwall/gateway/completions.py
@@ -45,6 +45,14 @@
     prefix: int
     prompt_tokens: int
     preempted: bool = False
+    may_have_run: bool = False
+
+    @property
+    def run(self) -> Run:
+        """Whether any attempt so far has run, as far as can be told."""
+        if self.answer.tokens:
+            return Run.YES
+        return Run.UNKNOWN if self.may_have_run else Run.NO
 
     @property
     def resumable(self) -> bool:
@@ -226,6 +234,7 @@
                 await self._attempt(job, slot)
             except UpstreamError as error:
                 excluded.append(slot.engine)
+                job.may_have_run = job.may_have_run or error.sent
                 if not self._may_retry(job, error, len(excluded)):
                     raise self._refusal_for(job, error) from error
                 self.metrics.retries.inc({"code": str(error.code.number)})
@@ -233,6 +242,7 @@
             if job.answer.finished:
                 return
             job.preempted = True
+            job.may_have_run = True
 
     def _may_retry(self, job: _Job, error: UpstreamError, failures: int) -> bool:
         if error.code is ResultCode.UPSTREAM_REJECTED or failures >= MOST_ATTEMPTS:
@@ -243,9 +253,7 @@
 
     @staticmethod
     def _refusal_for(job: _Job, error: UpstreamError) -> Refusal:
-        ran = error.sent or bool(job.answer.tokens)
-        run = Run.YES if job.answer.tokens else Run.UNKNOWN if ran else Run.NO
-        return Refusal(error.code, error.detail, run, retry_after_s=1.0)
+        return Refusal(error.code, error.detail, job.run, retry_after_s=1.0)
 
     async def _acquire(self, job: _Job, excluded: list[UpstreamId]) -> HeldSlot:
         service_class = job.admitted.service_class
@@ -264,12 +272,8 @@
         with self.tracing.span("slot", job.traceparent, pool=request.pool):
             try:
                 slot = await self.entry.acquire(request)
-                self.entry.check_still_due(request)
             except Refusal as refusal:
-                if job.answer.tokens:
-                    refusal.run = Run.YES
-                elif request.resumed:
-                    refusal.run = Run.UNKNOWN
+                refusal.run = job.run
                 raise
         waited_s = self.clock.now() - asked
         self.metrics.slot_wait.observe({"class": service_class.id}, waited_s)
--- a/packages/buckthornwall/src/buckthornwall/gateway/operators.py
+++ b/packages/buckthornwall/src/buckthornwall/gateway/operators.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 from buckthornwall.codes import Refusal, ResultCode
-from buckthornwall.telemetry import Metrics
 from buckthornwall.utils import ConfigItem, ConfigNamespace
 
 from .app import _lifespan
@@ -33,7 +32,7 @@
     records
         Returns the published bytes of the records in force.
     metrics
-        Collectors of this instance.
+        Returns body and headers of ``/metrics`` for an Accept header.
     """
 
     def __init__(
@@ -41,7 +40,7 @@
         status: Callable[[], dict[str, Any]],
         is_ready: Callable[[], bool],
         records: Callable[[], bytes],
-        metrics: Metrics,
+        metrics: Callable[[str], tuple[bytes, dict[str, str]]],
     ) -> None:
         self.status = status
         self.is_ready = is_ready
@@ -66,7 +65,7 @@
         elif exchange.path == "/records":
             await exchange.respond(200, self.records())
         elif exchange.path == "/metrics":
-            body, headers = self.metrics.render(exchange.headers.get("accept", ""))
+            body, headers = self.metrics(exchange.headers.get("accept", ""))
             await exchange.respond(200, body, headers["Content-Type"])
         else:
             await exchange.refuse(Refusal(ResultCode.UNKNOWN_PATH, exchange.path))
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/gateway/tests/test_completions.py
@@ -0,0 +1,134 @@
+"""Tests of the attempts at a completion, and of the checks of its body."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from buckthornwall.admission import Admission, Admitted
+from buckthornwall.codes import Refusal, ResultCode, Run, UpstreamError
+from buckthornwall.gateway.answer import Answer
+from buckthornwall.gateway.completions import (
+    CHAT_PATH,
+    CompletionHandler,
+    _Job,
+    check_body,
+)
+from buckthornwall.scheduling.entry import HeldSlot
+from buckthornwall.telemetry import Metrics
+from buckthornwall.upstreams import RetryBudget
+
+SENT = UpstreamError(ResultCode.UPSTREAM_BROKEN)
+UNSENT = UpstreamError(ResultCode.UPSTREAM_UNREACHABLE, sent=False)
+REJECTED = UpstreamError(ResultCode.UPSTREAM_REJECTED, sent=False)
+
+
+@pytest.fixture
+def job(store):
+    view = store.view
+    admitted = Admitted(view.teams["one"], view.routes["m"], view.classes["urgent"])
+    body = {"model": "m", "messages": [{"role": "user", "content": "x"}]}
+    return _Job(CHAT_PATH, body, admitted, Answer(None, True), 0.0, None, 0, 1)
+
+
+@pytest.fixture
+def run(job, store):
+    """Return a function that makes attempts which fail in the given ways."""
+
+    async def run(*failures, retries=10):
+        handler = CompletionHandler(
+            Admission(store),
+            None,
+            None,
+            None,
+            RetryBudget(0.0, retries),
+            Metrics(),
+            None,
+            None,
+            None,
+            0.0,
+            None,
+        )
+        left = list(failures)
+
+        async def acquire(job, excluded):
+            return HeldSlot(1, "e1", None, "a", False, 0.0)
+
+        async def attempt(job, slot):
+            if left:
+                raise left.pop(0)
+            job.answer.finished = True
+
+        handler._acquire = acquire
+        handler._attempt = attempt
+        await handler._run(job)
+        return job
+
+    return run
+
+
+async def test_a_failed_attempt_is_made_again(run):
+    assert (await run(SENT, UNSENT)).answer.finished
+
+
+@pytest.mark.parametrize(
+    ("failures", "expected"),
+    [
+        ((UNSENT, UNSENT), Run.NO),
+        ((SENT, UNSENT), Run.UNKNOWN),
+        ((UNSENT, SENT), Run.UNKNOWN),
+    ],
+)
+async def test_not_run_is_said_only_if_no_attempt_can_have_run(run, failures, expected):
+    with pytest.raises(Refusal) as caught:
+        await run(*failures, retries=1)
+    assert caught.value.run is expected
+
+
+async def test_what_the_engine_rejects_is_not_tried_again(run):
+    with pytest.raises(Refusal) as caught:
+        await run(REJECTED)
+    assert caught.value.code is ResultCode.UPSTREAM_REJECTED
+
+
+async def test_an_answer_that_cannot_be_resumed_is_not_started_over(run, job):
+    job.body["n"] = 2
+    job.answer.tokens = 3
+    with pytest.raises(Refusal) as caught:
+        await run(SENT)
+    assert caught.value.run is Run.YES
+
+
+def test_a_resumed_attempt_goes_on_from_what_was_delivered(job, store):
+    handler = CompletionHandler(
+        Admission(store), *[None] * 8, coalesce_s=0.0, note_leaving=None
+    )
+    job.body["max_tokens"] = 10
+    job.answer.count([{"choices": [{"delta": {"content": "so far "}}]}])
+    body = handler._engine_body(job)
+    assert body["messages"][-1] == {"role": "assistant", "content": "so far "}
+    assert body["continue_final_message"] is True
+    assert body["max_tokens"] == 9
+    assert body["priority"] == 0
+
+
+json_bytes = st.recursive(
+    st.sampled_from([None, True, 1, -1, "m", ""]),
+    lambda inner: (
+        st.lists(inner, max_size=2)
+        | st.dictionaries(
+            st.sampled_from(["model", "messages", "prompt", "stream", "max_tokens"]),
+            inner,
+            max_size=5,
+        )
+    ),
+    max_leaves=6,
+).map(msgspec.json.encode)
+
+
+@given(json_bytes | st.binary(max_size=40), st.sampled_from([CHAT_PATH, "/x"]))
+def test_no_body_crashes_the_check(raw, path):
+    try:
+        assert isinstance(check_body(path, raw)["model"], str)
+    except Refusal as refusal:
+        assert refusal.code is ResultCode.MALFORMED_BODY
--- a/packages/buckthornwall/src/buckthornwall/node/core.py
+++ b/packages/buckthornwall/src/buckthornwall/node/core.py
@@ -62,11 +62,12 @@
 from .instance_list import InstanceListAgent
 from .loads import LoadPoller
 from .records_agent import RecordsAgent
-from .status import describe_node
+from .status import describe_node, render_metrics
 
 __all__ = ["Node"]
 
 BEAT_S = 0.1
+CATCH_UP_S = 0.5
 JOIN_LIMIT_S = 3.0
 JOIN_LOOK_S = 0.02
 LAST_WORDS_S = 0.2
@@ -102,9 +103,7 @@
         self.incarnation = Incarnation(new_id())
         self.stopping = trio.Event()
         self.close_callers = trio.Event()
-        self.close_operators = trio.Event()
-        self.started_at = clock.now()
-        self.heard_since_freeze = clock.now()
+        self.heard_at = clock.now()
         self.last_freeze = NEVER
 
         self.store = RecordStore()
@@ -215,7 +214,10 @@
             settings.gateway, admission, completions, self.services, self.metrics
         )
         self.operator_app = OperatorApp(
-            self.status, self.is_ready, self._raw_records, self.metrics
+            self.status,
+            self.is_ready,
+            self._raw_records,
+            lambda accept: render_metrics(self, accept),
         )
 
     def _connect_events(self) -> None:
@@ -241,7 +243,7 @@
 
     def _heartbeat(self, node: NodeId, message: Heartbeat) -> None:
         now = self.clock.now()
-        self.heard_since_freeze = now
+        self.heard_at = now
         fresh = self.members.heard(
             node, message.incarnation, message.state, message.zone, now
         )
@@ -321,11 +323,17 @@
         return self.members.own_state is NodeState.READY
 
     def is_caught_up(self) -> bool:
-        """Tell whether anybody was heard since the start or the last freeze."""
+        """Tell whether what is in force here can be taken for the newest.
+
+        After a freeze the sockets still hold what came meanwhile, oldest
+        first, so only what is heard a while after waking counts.
+        """
+        if not self.is_ready() or self.records.behind:
+            return False
         alone = not self.members.members
         platform_at = self.records.platform_ok_at
-        heard = max(self.heard_since_freeze, platform_at or NEVER)
-        return self.is_ready() and (alone or heard > self.last_freeze)
+        heard = max(self.heard_at, platform_at or NEVER)
+        return alone or heard > self.last_freeze + CATCH_UP_S
 
     def _route_timeout(self, route_id: str) -> float:
         view = self.store.view
@@ -424,7 +432,7 @@
     async def _serve_operators(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         settings = self.settings.operators
         await self.connections.serve_operators(
-            self.operator_app, settings, self.close_operators.wait, task_status
+            self.operator_app, settings, trio.sleep_forever, task_status
         )
 
     async def _serve_callers(self, ended: trio.Event) -> None:
--- a/packages/buckthornwall/src/buckthornwall/node/status.py
+++ b/packages/buckthornwall/src/buckthornwall/node/status.py
@@ -5,7 +5,7 @@
 from buckthornwall.membership import Member
 from buckthornwall.scheduling import PoolScheduler
 
-__all__ = ["describe_node"]
+__all__ = ["describe_node", "render_metrics"]
 
 
 def describe_node(node: Any) -> dict[str, Any]:
@@ -86,3 +86,22 @@
             for engine in scheduler.engines.values()
         },
     }
+
+
+def render_metrics(node: Any, accept: str) -> tuple[bytes, dict[str, str]]:
+    """Return ``/metrics`` of a `Node`, its gauges read anew."""
+    gauges = {
+        "records_number": ("Number of the records in force.", node.store.number),
+        "members_live": ("Instances that may hold a role.", len(node.members.live())),
+        "requests_in_flight": ("Requests being answered.", node.app.in_flight),
+        "slots_held": ("Slots of engines in use.", len(node.entry.held)),
+        "freezes": ("Freezes of this process so far.", node.freeze.count),
+        "foreign_chunks": (
+            "Chunks dropped as not of their attempt so far.",
+            node.engines.foreign_chunks,
+        ),
+        "link_bytes_sent": ("Bytes sent to peers so far.", node.hub.bytes_sent),
+    }
+    for name, (description, value) in gauges.items():
+        node.metrics.set_gauge(name, description, value)
+    return node.metrics.render(accept)
--- a/packages/buckthornwall/src/buckthornwall/scheduling/entry.py
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/entry.py
@@ -171,12 +171,18 @@
         try:
             while waiting.slot is None and waiting.refusal is None:
                 await self._ask_once(request, waiting)
+            if waiting.refusal is not None:
+                raise waiting.refusal
+            self._check_still_due(slot_request)
+            return waiting.slot
+        except BaseException:
+            # The caller went, or we slept, just as the slot came.
+            if waiting.slot is not None:
+                self.release(waiting.slot, ReleaseKind.UNUSED)
+            raise
         finally:
             del self.waiting[request]
             self._withdraw_elsewhere(request, waiting)
-        if waiting.refusal is not None:
-            raise waiting.refusal
-        return waiting.slot
 
     async def _ask_once(self, request: RequestId, waiting: _Waiting) -> None:
         now = self.clock.now()
@@ -252,7 +258,7 @@
                 continue
             self.send(node, Withdraw(request, alone))
 
-    def check_still_due(self, slot_request: SlotRequest) -> None:
+    def _check_still_due(self, slot_request: SlotRequest) -> None:
         """Refuse a request that a freeze has made too late to start.
 
         Raises
--- a/packages/buckthornwall/src/buckthornwall/telemetry/metrics.py
+++ b/packages/buckthornwall/src/buckthornwall/telemetry/metrics.py
@@ -23,9 +23,6 @@
             "wasted_tokens_total", "Tokens of answers cut off, by class."
         )
         self.retries = self._counter("retries_total", "Attempts after the first.")
-        self.foreign_chunks = self._counter(
-            "foreign_chunks_total", "Chunks dropped as not of the attempt."
-        )
         self.first_token = self._histogram(
             "first_token_seconds", "Seconds from request to first token, by class."
         )
