Do not preempt an answer that has ended; end a continued one at once

Ruled out: lost or doubled chunks in the relay (resuming keeps exactly what was written). The router no longer preempts once a finish reason came, and the stand-in ends a whole answer at once, as an engine does. A test that preempts every 30 ms failed before and passes now.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/engine.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/engine.py
@@ -141,7 +141,7 @@
         prefill_s = 0.0
         while self.waiting and len(self.running) < self.model.slots:
             _, _, sequence, prompt_tokens = self.waiting.pop(0)
-            if sequence.cancelled:
+            if sequence.cancelled or sequence.finished:
                 continue
             prefill_s += prompt_tokens * self.model.prefill_us / 1e6
             self.running.append(sequence)
@@ -201,8 +201,9 @@
             await exchange.write(b"data: {{{not json\n\n", more=False)
             return
         while True:
-            await sequence.news.wait()
-            sequence.news = trio.Event()
+            if not sequence.finished or sequence.ready:
+                await sequence.news.wait()
+                sequence.news = trio.Event()
             tokens, sequence.ready = sequence.ready, []
             done = sequence.finished
             events = [
@@ -298,7 +299,6 @@
     length = int(match.group(2))
     if body.get("max_tokens"):
         length = min(length, start + body["max_tokens"])
-    length = max(length, start + 1)
     return Sequence(match.group(1), start, length, body.get("priority", 0))
 
 
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_races.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_races.py
@@ -212,3 +212,39 @@
         assert max(early) == pytest.approx(0, abs=0.2)
 
     run_beside_fleet(body)
+
+
+def test_an_answer_that_is_preempted_over_and_over_is_still_whole():
+    async def body(fleet, run):
+        async def preempt_all():
+            while outcome.verdict is not Verdict.WHOLE:
+                for slot in run.entry.node.entry.held.values():
+                    slot.preempted = True
+                await trio.sleep(0.03)
+
+        async with trio.open_nursery() as nursery:
+            outcome = run.new_outcome(run.entry, "low", 25)
+            nursery.start_soon(preempt_all)
+            await run.send(run.entry, outcome)
+            nursery.cancel_scope.cancel()
+        assert outcome.verdict is Verdict.WHOLE, outcome
+        assert sum(engine.starts for engine in fleet.engines.values()) > 3
+
+    run_beside_fleet(body)
+
+
+def test_an_answer_broken_before_its_closing_event_gains_no_word():
+    async def body(fleet, run):
+        outcome = run.new_outcome(run.entry, "low", 10)
+        engines = fleet.engines.values()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run.send, run.entry, outcome)
+            await fleet.until(lambda: outcome.tokens >= 9, poll_s=0.0002)
+            nonce = outcome.arrival.nonce
+            await fleet.until(
+                lambda: sum(e.generated[nonce] for e in engines) >= 10, poll_s=0.0001
+            )
+            fleet.crash_engine(next(e.name for e in engines if e.running or e.starts))
+        assert outcome.verdict is Verdict.WHOLE, outcome
+
+    run_beside_fleet(body)
--- a/packages/buckthornwall/src/buckthornwall/gateway/answer.py
+++ b/packages/buckthornwall/src/buckthornwall/gateway/answer.py
@@ -6,7 +6,7 @@
 
 from .http import EVENT_STREAM, Exchange
 
-__all__ = ["Answer", "CollectedAnswer", "StreamedAnswer"]
+__all__ = ["Answer", "CollectedAnswer", "StreamedAnswer", "has_finish_reason"]
 
 DONE_EVENT = b"data: [DONE]\n\n"
 
@@ -21,6 +21,15 @@
     return "".join(parts)
 
 
+def has_finish_reason(chunks: list[dict[str, Any]]) -> bool:
+    """Tell whether the text ends with these chunks."""
+    return any(
+        choice.get("finish_reason")
+        for chunk in chunks
+        for choice in chunk.get("choices") or []
+    )
+
+
 class Answer:
     """What has been delivered so far; subclasses write it to the caller.
 
--- a/packages/buckthornwall/src/buckthornwall/gateway/completions.py
+++ b/packages/buckthornwall/src/buckthornwall/gateway/completions.py
@@ -19,7 +19,7 @@
 from buckthornwall.upstreams import EngineClient, RetryBudget
 from buckthornwall.utils import AttemptId, Clock, ModelId, UpstreamId, new_id
 
-from .answer import Answer, CollectedAnswer, StreamedAnswer
+from .answer import Answer, CollectedAnswer, StreamedAnswer, has_finish_reason
 from .http import CallerGone, Exchange
 
 __all__ = ["CompletionHandler"]
@@ -331,7 +331,7 @@
                     if first:
                         self._observe_first_token(job)
                 await job.answer.add(chunks)
-                if slot.preempted:
+                if slot.preempted and not has_finish_reason(chunks):
                     return
                 if pace.is_quick(len(chunks), self.coalesce_s):
                     await trio.sleep(self.coalesce_s)
