--- a/packages/buckthornwall-standins/src/buckthornwall_standins/engine.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/engine.py
@@ -14,8 +14,8 @@
 
 import msgspec
 import trio
-from buckthornwall.gateway.completions import prefix_of
 from buckthornwall.gateway.http import CallerGone, Exchange
+from buckthornwall.gateway.job import prefix_of
 
 from .asgi import json_app, serve_until_signal
 
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/fleet.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/fleet.py
@@ -9,7 +9,6 @@
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -19,12 +18,17 @@
 
 from .deployments import Deployment, records_of
 from .engine import EngineModel
+from .processes import (
+    CALLER_PORT,
+    OPERATOR_PORT,
+    PEER_PORT,
+    SETTINGS,
+    NodeProcess,
+    UpstreamProcess,
+)
 
 __all__ = ["Fleet", "NodeProcess"]
 
-CALLER_PORT = 8080
-OPERATOR_PORT = 8081
-PEER_PORT = 8082
 UPSTREAM_PORT = 8090
 PLATFORM_PORT = 8070
 READY_LIMIT_S = 30.0
@@ -33,67 +37,6 @@
 FIRST_NETWORK = 10
 LAST_NETWORK = 250
 
-SETTINGS = """\
-[node]
-id = {id}
-zone = {zone}
-[gateway]
-listen = {host}:{caller_port}
-drain_s = {drain_s}
-[operators]
-listen = {host}:{operator_port}
-[platform]
-address = {platform}
-watch_s = 5
-[links]
-listen = {host}:{peer_port}
-advertise = {advertise}
-peer_secret = {secret}
-seeds = {seeds}
-[telemetry]
-log_level = {log_level}
-"""
-
-
-@dataclass
-class NodeProcess:
-    """One entry instance."""
-
-    id: str
-    zone: str
-    host: str
-    process: subprocess.Popen | None = None
-    stopped: bool = False
-    killed: bool = False
-
-    @property
-    def callers(self) -> str:
-        """Address of the callers' listener."""
-        return f"{self.host}:{CALLER_PORT}"
-
-    @property
-    def operators(self) -> str:
-        """Address of the operators' listener."""
-        return f"{self.host}:{OPERATOR_PORT}"
-
-    @property
-    def peers(self) -> str:
-        """Address that peers dial."""
-        return f"{self.host}:{PEER_PORT}"
-
-
-@dataclass
-class UpstreamProcess:
-    """One engine or plain service."""
-
-    id: str
-    kind: str
-    address: str
-    serves: str
-    process: subprocess.Popen | None = None
-    last_counts: dict[str, Any] = field(default_factory=dict)
-    earlier_counts: list[dict[str, Any]] = field(default_factory=list)
-
 
 class Fleet:
     """Every process of one deployment, on addresses of one loopback network.
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/processes.py
@@ -0,0 +1,79 @@
+"""The processes of a fleet, and the settings of its instances."""
+
+import subprocess
+from dataclasses import dataclass, field
+from typing import Any
+
+__all__ = [
+    "CALLER_PORT",
+    "OPERATOR_PORT",
+    "PEER_PORT",
+    "SETTINGS",
+    "NodeProcess",
+    "UpstreamProcess",
+]
+
+CALLER_PORT = 8080
+OPERATOR_PORT = 8081
+PEER_PORT = 8082
+
+SETTINGS = """\
+[node]
+id = {id}
+zone = {zone}
+[gateway]
+listen = {host}:{caller_port}
+drain_s = {drain_s}
+[operators]
+listen = {host}:{operator_port}
+[platform]
+address = {platform}
+watch_s = 5
+[links]
+listen = {host}:{peer_port}
+advertise = {advertise}
+peer_secret = {secret}
+seeds = {seeds}
+[telemetry]
+log_level = {log_level}
+"""
+
+
+@dataclass
+class NodeProcess:
+    """One entry instance."""
+
+    id: str
+    zone: str
+    host: str
+    process: subprocess.Popen | None = None
+    stopped: bool = False
+    killed: bool = False
+
+    @property
+    def callers(self) -> str:
+        """Address of the callers' listener."""
+        return f"{self.host}:{CALLER_PORT}"
+
+    @property
+    def operators(self) -> str:
+        """Address of the operators' listener."""
+        return f"{self.host}:{OPERATOR_PORT}"
+
+    @property
+    def peers(self) -> str:
+        """Address that peers dial."""
+        return f"{self.host}:{PEER_PORT}"
+
+
+@dataclass
+class UpstreamProcess:
+    """One engine or plain service."""
+
+    id: str
+    kind: str
+    address: str
+    serves: str
+    process: subprocess.Popen | None = None
+    last_counts: dict[str, Any] = field(default_factory=dict)
+    earlier_counts: list[dict[str, Any]] = field(default_factory=list)
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/slopes.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/slopes.py
@@ -30,7 +30,8 @@
 from .callers import Arrival, Callers, Outcome, Verdict, plan_arrivals
 from .deployments import MANIZALES, ClassLoad
 from .engine import EngineModel
-from .fleet import CALLER_PORT, Fleet
+from .fleet import Fleet
+from .processes import CALLER_PORT
 
 __all__ = ["main"]
 
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_live.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_live.py
@@ -184,7 +184,7 @@
                 await trio.sleep(0.05)
 
 
-async def test_no_engine_is_moved_back_by_an_instance_that_woke_late(trial):
+async def test_no_engine_is_moved_back_by_an_instance_that_after_freeze(trial):
     ignoring = frozenset({f"{POOL}-1", f"{POOL}-2"})
     async with Fleet.running(trial, ignoring_fencing=ignoring) as fleet:
         await fleet.publish(with_order(fleet, 2, "v1"))
--- a/packages/buckthornwall/src/buckthornwall/gateway/completions.py
+++ b/packages/buckthornwall/src/buckthornwall/gateway/completions.py
@@ -2,15 +2,12 @@
 
 from collections.abc import Callable
 from contextlib import aclosing
-from dataclasses import dataclass
-from hashlib import blake2b
 from typing import Any
 
-import msgspec
 import trio
 
-from buckthornwall.admission import Admission, Admitted, TeamGauge
-from buckthornwall.codes import Refusal, ResultCode, Run, UpstreamError
+from buckthornwall.admission import Admission, TeamGauge
+from buckthornwall.codes import Refusal, ResultCode, UpstreamError
 from buckthornwall.links import ReleaseKind
 from buckthornwall.records import TargetKind, Upstream
 from buckthornwall.scheduling import EntryAgent, SlotRequest
@@ -19,94 +16,16 @@
 from buckthornwall.upstreams import EngineClient, RetryBudget
 from buckthornwall.utils import AttemptId, Clock, ModelId, UpstreamId, new_id
 
-from .answer import Answer, CollectedAnswer, StreamedAnswer, has_finish_reason
+from .answer import CollectedAnswer, StreamedAnswer, has_finish_reason
 from .http import CallerGone, Exchange
+from .job import CHAT_PATH, CompletionJob, check_body, prefix_of
+from .pace import Pace
 
 __all__ = ["CompletionHandler"]
 
 CHARS_PER_TOKEN = 4
-PREFIX_CHARS = 1024
-PREFIX_BYTES = 6
 MOST_ATTEMPTS = 4
 CLASS_HEADER = "x-service-class"
-CHAT_PATH = "/v1/chat/completions"
-
-
-@dataclass
-class _Job:
-    """One caller's request on its way through the attempts."""
-
-    path: str
-    body: dict[str, Any]
-    admitted: Admitted
-    answer: Answer
-    started: float
-    traceparent: str | None
-    prefix: int
-    prompt_tokens: int
-    preempted: bool = False
-    may_have_run: bool = False
-
-    @property
-    def run(self) -> Run:
-        """Whether any attempt so far has run, as far as can be told."""
-        if self.answer.tokens:
-            return Run.YES
-        return Run.UNKNOWN if self.may_have_run else Run.NO
-
-    @property
-    def resumable(self) -> bool:
-        """Whether a broken answer can go on from what was delivered."""
-        body = self.body
-        return (
-            body.get("n", 1) == 1
-            and not body.get("tools")
-            and not body.get("logprobs")
-            and (self.path == CHAT_PATH or isinstance(body.get("prompt"), str))
-        )
-
-
-def check_body(path: str, raw: bytes) -> dict[str, Any]:
-    """Decode and check the fields that the router itself reads.
-
-    Raises
-    ------
-    Refusal
-        Naming the bad field.
-    """
-
-    def bad(detail: str) -> Refusal:
-        return Refusal(ResultCode.MALFORMED_BODY, detail)
-
-    try:
-        body = msgspec.json.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise bad(str(error)) from error
-    if not isinstance(body, dict):
-        raise bad("expected an object")
-    if not isinstance(body.get("model"), str):
-        raise bad("model: expected a name")
-    if type(body.get("stream", False)) is not bool:
-        raise bad("stream: expected true or false")
-    limit = body.get("max_tokens")
-    if limit is not None and (type(limit) is not int or limit < 1):
-        raise bad("max_tokens: expected 1 or more")
-    if path == CHAT_PATH:
-        messages = body.get("messages")
-        if not isinstance(messages, list) or not messages:
-            raise bad("messages: expected a list that is not empty")
-        if not all(isinstance(each, dict) for each in messages):
-            raise bad("messages: expected objects")
-    elif not isinstance(body.get("prompt"), str | list):
-        raise bad("prompt: expected a text or a list")
-    return body
-
-
-def prefix_of(body: dict[str, Any]) -> int:
-    """Return a hash of the prompt's beginning, for the engines' prefix caches."""
-    prompt = body.get("messages", body.get("prompt"))
-    head = msgspec.json.encode(prompt)[:PREFIX_CHARS]
-    return int.from_bytes(blake2b(head, digest_size=PREFIX_BYTES).digest())
 
 
 class CompletionHandler:
@@ -170,7 +89,7 @@
         admitted = self.admission.admit(team, TargetKind.MODEL, body["model"], wanted)
         answer_type = StreamedAnswer if body.get("stream") else CollectedAnswer
         answer = answer_type(exchange, exchange.path == CHAT_PATH)
-        job = _Job(
+        job = CompletionJob(
             exchange.path,
             body,
             admitted,
@@ -194,7 +113,7 @@
         finally:
             self._count(job, outcome)
 
-    async def _run_until_gone(self, exchange: Exchange, job: _Job) -> None:
+    async def _run_until_gone(self, exchange: Exchange, job: CompletionJob) -> None:
         gone = False
         failure: Refusal | None = None
         async with trio.open_nursery() as nursery:
@@ -220,7 +139,7 @@
         if gone and not job.answer.finished:
             raise CallerGone
 
-    async def _run(self, job: _Job) -> None:
+    async def _run(self, job: CompletionJob) -> None:
         """Make attempts until the answer is whole or there is no use in more.
 
         An attempt that is preempted is no failure: it neither counts nor
@@ -244,7 +163,9 @@
             job.preempted = True
             job.may_have_run = True
 
-    def _may_retry(self, job: _Job, error: UpstreamError, failures: int) -> bool:
+    def _may_retry(
+        self, job: CompletionJob, error: UpstreamError, failures: int
+    ) -> bool:
         if error.code is ResultCode.UPSTREAM_REJECTED or failures >= MOST_ATTEMPTS:
             return False
         if job.answer.tokens and not job.resumable:
@@ -252,10 +173,12 @@
         return self.budget.spend()
 
     @staticmethod
-    def _refusal_for(job: _Job, error: UpstreamError) -> Refusal:
+    def _refusal_for(job: CompletionJob, error: UpstreamError) -> Refusal:
         return Refusal(error.code, error.detail, job.run, retry_after_s=1.0)
 
-    async def _acquire(self, job: _Job, excluded: list[UpstreamId]) -> HeldSlot:
+    async def _acquire(
+        self, job: CompletionJob, excluded: list[UpstreamId]
+    ) -> HeldSlot:
         service_class = job.admitted.service_class
         request = SlotRequest(
             ModelId(job.admitted.route.target),
@@ -279,10 +202,10 @@
         self.metrics.slot_wait.observe({"class": service_class.id}, waited_s)
         return slot
 
-    async def _attempt(self, job: _Job, slot: HeldSlot) -> None:
+    async def _attempt(self, job: CompletionJob, slot: HeldSlot) -> None:
         """Stream one attempt, and give its slot back however it ends."""
         kind = ReleaseKind.CANCELLED
-        pace = _Pace(self.clock)
+        pace = Pace(self.clock)
         try:
             engine = self.admission.view.upstreams.get(slot.engine)
             if engine is None:
@@ -308,10 +231,10 @@
 
     async def _relay(
         self,
-        job: _Job,
+        job: CompletionJob,
         slot: HeldSlot,
         engine: Upstream,
-        pace: "_Pace",
+        pace: Pace,
         traceparent: str | None,
     ) -> None:
         attempt = AttemptId(f"{new_id():x}")
@@ -337,13 +260,13 @@
                     await trio.sleep(self.coalesce_s)
         await job.answer.finish()
 
-    def _observe_first_token(self, job: _Job) -> None:
+    def _observe_first_token(self, job: CompletionJob) -> None:
         class_id = job.admitted.service_class.id
         self.metrics.first_token.observe(
             {"class": class_id}, self.clock.now() - job.started
         )
 
-    def _engine_body(self, job: _Job) -> dict[str, Any]:
+    def _engine_body(self, job: CompletionJob) -> dict[str, Any]:
         """Return the body for the next attempt, going on from what came before."""
         body = dict(job.body)
         body["stream"] = True
@@ -364,46 +287,10 @@
             body["max_tokens"] = max(1, job.body["max_tokens"] - job.answer.tokens)
         return body
 
-    def _count(self, job: _Job, outcome: str) -> None:
+    def _count(self, job: CompletionJob, outcome: str) -> None:
         class_id = job.admitted.service_class.id
         self.metrics.requests.inc({"class": class_id, "outcome": outcome})
         if job.answer.tokens:
             self.metrics.tokens.add({"class": class_id}, job.answer.tokens)
             if outcome != "served":
                 self.metrics.wasted_tokens.add({"class": class_id}, job.answer.tokens)
-
-
-class _Pace:
-    """First-token time and mean inter-token time of one attempt."""
-
-    def __init__(self, clock: Clock) -> None:
-        self.clock = clock
-        self.opened = clock.now()
-        self.first_s = 0.0
-        self.first_at = 0.0
-        self.last_at = 0.0
-        self.gap_s = 0.0
-
-    def note(self) -> None:
-        """Note that tokens came."""
-        now = self.clock.now()
-        if not self.first_at:
-            self.first_at = now
-            self.first_s = now - self.opened
-        else:
-            self.gap_s = now - self.last_at
-        self.last_at = now
-
-    def is_quick(self, chunks: int, window_s: float) -> bool:
-        """Tell whether more chunks are likely to come within a window.
-
-        Where they come slower, a pause would gather nothing and only cost a
-        timer; a batch of several shows that the last pause was worth while.
-        """
-        return chunks > 1 or 0 < self.gap_s < window_s
-
-    def mean_s(self, tokens: int) -> float:
-        """Return the mean seconds between tokens, 0 if too few came."""
-        if tokens < 2:
-            return 0.0
-        return (self.last_at - self.first_at) / (tokens - 1)
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/gateway/job.py
@@ -0,0 +1,95 @@
+"""One caller's completion on its way through the attempts."""
+
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Any
+
+import msgspec
+
+from buckthornwall.admission import Admitted
+from buckthornwall.codes import Refusal, ResultCode, Run
+
+from .answer import Answer
+
+__all__ = ["CHAT_PATH", "CompletionJob", "check_body", "prefix_of"]
+
+CHAT_PATH = "/v1/chat/completions"
+PREFIX_CHARS = 1024
+PREFIX_BYTES = 6
+
+
+@dataclass
+class CompletionJob:
+    """One caller's request on its way through the attempts."""
+
+    path: str
+    body: dict[str, Any]
+    admitted: Admitted
+    answer: Answer
+    started: float
+    traceparent: str | None
+    prefix: int
+    prompt_tokens: int
+    preempted: bool = False
+    may_have_run: bool = False
+
+    @property
+    def run(self) -> Run:
+        """Whether any attempt so far has run, as far as can be told."""
+        if self.answer.tokens:
+            return Run.YES
+        return Run.UNKNOWN if self.may_have_run else Run.NO
+
+    @property
+    def resumable(self) -> bool:
+        """Whether a broken answer can go on from what was delivered."""
+        body = self.body
+        return (
+            body.get("n", 1) == 1
+            and not body.get("tools")
+            and not body.get("logprobs")
+            and (self.path == CHAT_PATH or isinstance(body.get("prompt"), str))
+        )
+
+
+def check_body(path: str, raw: bytes) -> dict[str, Any]:
+    """Decode and check the fields that the router itself reads.
+
+    Raises
+    ------
+    Refusal
+        Naming the bad field.
+    """
+
+    def bad(detail: str) -> Refusal:
+        return Refusal(ResultCode.MALFORMED_BODY, detail)
+
+    try:
+        body = msgspec.json.decode(raw)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise bad(str(error)) from error
+    if not isinstance(body, dict):
+        raise bad("expected an object")
+    if not isinstance(body.get("model"), str):
+        raise bad("model: expected a name")
+    if type(body.get("stream", False)) is not bool:
+        raise bad("stream: expected true or false")
+    limit = body.get("max_tokens")
+    if limit is not None and (type(limit) is not int or limit < 1):
+        raise bad("max_tokens: expected 1 or more")
+    if path == CHAT_PATH:
+        messages = body.get("messages")
+        if not isinstance(messages, list) or not messages:
+            raise bad("messages: expected a list that is not empty")
+        if not all(isinstance(each, dict) for each in messages):
+            raise bad("messages: expected objects")
+    elif not isinstance(body.get("prompt"), str | list):
+        raise bad("prompt: expected a text or a list")
+    return body
+
+
+def prefix_of(body: dict[str, Any]) -> int:
+    """Return a hash of the prompt's beginning, for the engines' prefix caches."""
+    prompt = body.get("messages", body.get("prompt"))
+    head = msgspec.json.encode(prompt)[:PREFIX_CHARS]
+    return int.from_bytes(blake2b(head, digest_size=PREFIX_BYTES).digest())
--- a/packages/buckthornwall/src/buckthornwall/gateway/tests/test_completions.py
+++ b/packages/buckthornwall/src/buckthornwall/gateway/tests/test_completions.py
@@ -8,12 +8,8 @@
 from buckthornwall.admission import Admission, Admitted
 from buckthornwall.codes import Refusal, ResultCode, Run, UpstreamError
 from buckthornwall.gateway.answer import Answer
-from buckthornwall.gateway.completions import (
-    CHAT_PATH,
-    CompletionHandler,
-    _Job,
-    check_body,
-)
+from buckthornwall.gateway.completions import CompletionHandler
+from buckthornwall.gateway.job import CHAT_PATH, CompletionJob, check_body
 from buckthornwall.scheduling.entry import HeldSlot
 from buckthornwall.telemetry import Metrics
 from buckthornwall.upstreams import RetryBudget
@@ -28,7 +24,7 @@
     view = store.view
     admitted = Admitted(view.teams["one"], view.routes["m"], view.classes["urgent"])
     body = {"model": "m", "messages": [{"role": "user", "content": "x"}]}
-    return _Job(CHAT_PATH, body, admitted, Answer(None, True), 0.0, None, 0, 1)
+    return CompletionJob(CHAT_PATH, body, admitted, Answer(None, True), 0.0, None, 0, 1)
 
 
 @pytest.fixture
--- a/packages/buckthornwall/src/buckthornwall/idempotency/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/idempotency/agent.py
@@ -50,7 +50,7 @@
     outcome: CallOutcome | None = None
     news: trio.Event = field(default_factory=trio.Event)
 
-    def tell(self) -> None:
+    def notify(self) -> None:
         self.news.set()
         self.news = trio.Event()
 
@@ -282,7 +282,7 @@
             forwarded = self._forwarded.get(message.call)
             if forwarded is not None:
                 forwarded.outcome = message
-                forwarded.tell()
+                forwarded.notify()
         elif isinstance(message, HandOver | HandOverTaken | OwnerMoved):
             self.transfer.handle(node, message)
 
@@ -329,7 +329,7 @@
 
     def _ask_again(self) -> None:
         for forwarded in self._forwarded.values():
-            forwarded.tell()
+            forwarded.notify()
 
     def _answer_not_held(
         self, node: NodeId, call: RequestId, owner: OwnerId
--- a/packages/buckthornwall/src/buckthornwall/membership/freeze.py
+++ b/packages/buckthornwall/src/buckthornwall/membership/freeze.py
@@ -8,11 +8,11 @@
 
 
 class FreezeDetector:
-    """Compare successive looks at the clock.
+    """Compare successive readings of the clock.
 
-    A task looks several times within `threshold_s`; a longer gap between two
-    looks means that the process did not run, and that whatever it knew of
-    others is old. Decisions look too, so that the first thing done after
+    A task checks several times within `threshold_s`; a longer gap between two
+    checks means that the process did not run, and that whatever it knew of
+    others is old. Decisions check too, so that the first thing done after
     waking is to notice.
 
     Parameters
@@ -26,15 +26,15 @@
     def __init__(self, clock: Clock, threshold_s: float) -> None:
         self.clock = clock
         self.threshold_s = threshold_s
-        self.last_look = clock.now()
+        self.last_check = clock.now()
         self.listeners: list[Callable[[], None]] = []
         self.count = 0
 
-    def look(self) -> bool:
+    def check(self) -> bool:
         """Note the time; on a gap tell every listener and return True."""
         now = self.clock.now()
-        gap = now - self.last_look
-        self.last_look = now
+        gap = now - self.last_check
+        self.last_check = now
         if gap <= self.threshold_s:
             return False
         self.count += 1
--- a/packages/buckthornwall/src/buckthornwall/membership/tests/test_membership.py
+++ b/packages/buckthornwall/src/buckthornwall/membership/tests/test_membership.py
@@ -72,11 +72,11 @@
     detector = FreezeDetector(clock, 1.0)
     detector.listeners.append(lambda: woken.append(clock.now()))
     clock.time += 0.9
-    assert not detector.look()
+    assert not detector.check()
     clock.time += 5.0
-    assert detector.look()
+    assert detector.check()
     assert woken == [clock.now()]
-    assert not detector.look()
+    assert not detector.check()
 
 
 def test_lateness_is_what_a_message_took_beyond_the_quickest():
--- a/packages/buckthornwall/src/buckthornwall/node/core.py
+++ b/packages/buckthornwall/src/buckthornwall/node/core.py
@@ -70,7 +70,7 @@
 CATCH_UP_S = 0.5
 JOIN_LIMIT_S = 3.0
 JOIN_LOOK_S = 0.02
-LAST_WORDS_S = 0.2
+FLUSH_S = 0.2
 NEVER = -math.inf
 
 TO_SCHEDULER = (Enqueue, Release, Withdraw, Holdings)
@@ -224,7 +224,7 @@
         self.hub.on_hello = self._peer_introduced
         self.hub.on_up = self._link_up
         self.hub.on_down = self._link_down
-        self.freeze.listeners.append(self._woke_late)
+        self.freeze.listeners.append(self._after_freeze)
 
     # Messages
 
@@ -280,9 +280,9 @@
         self.scheduler.node_lost(node)
         self.entry.parts.renew()
 
-    def _woke_late(self) -> None:
+    def _after_freeze(self) -> None:
         now = self.clock.now()
-        log_event("woke_late", "WARNING", freezes=self.freeze.count)
+        log_event("freeze_detected", "WARNING", freezes=self.freeze.count)
         self.last_freeze = now
         self.members.forget_views(now)
 
@@ -416,7 +416,7 @@
     async def _beat(self) -> None:
         """Look at the clock often, and at who has fallen silent."""
         while True:
-            self.freeze.look()
+            self.freeze.check()
             for node in self.members.expire(self.clock.now()):
                 log_event("member_suspected", "WARNING", member=node)
                 self._node_lost(node)
@@ -454,7 +454,7 @@
         self.members.set_own_state(NodeState.LEAVING)
         self.app.draining = True
         self._send_heartbeats()
-        self.scheduler.lay_down()
+        self.scheduler.resign()
         self.entry.parts.renew()
         await trio.sleep(self.settings.gateway.drain_s)
         self.close_callers.set()
@@ -462,7 +462,7 @@
             await self.app.wait_idle()
             await callers_closed.wait()
         await self.idempotency.transfer.hand_over()
-        await trio.sleep(LAST_WORDS_S)
+        await trio.sleep(FLUSH_S)
         log_event("stopped", node=self.node)
 
 
--- a/packages/buckthornwall/src/buckthornwall/scheduling/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/agent.py
@@ -109,7 +109,7 @@
         while True:
             with trio.move_on_after(max(0.0, next_tick - self.clock.now())):
                 await self._receive_batch()
-            self.freeze.look()
+            self.freeze.check()
             if self.clock.now() >= next_tick:
                 self.renew()
                 self.decide(self.roles.values())
@@ -118,7 +118,7 @@
     async def _receive_batch(self) -> None:
         """Handle all that has arrived, then decide for the pools it touched."""
         node, message = await self.inbox.receive()
-        self.freeze.look()
+        self.freeze.check()
         touched = {id(role): role for role in self.handle(node, message)}
         while self.inbox.statistics().current_buffer_used:
             node, message = self.inbox.receive_nowait()
@@ -234,7 +234,7 @@
             if not role.alone and not role.supporters:
                 del self.roles[key]
 
-    def lay_down(self) -> None:
+    def resign(self) -> None:
         """At a planned stop: schedule for nobody else any more.
 
         Whoever waits here hears that its part is its own again, and asks the
--- a/packages/buckthornwall/src/buckthornwall/scheduling/entry.py
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/entry.py
@@ -102,7 +102,7 @@
     def settled(self) -> bool:
         return self.ask_again or self.slot is not None or self.refusal is not None
 
-    def tell(self) -> None:
+    def notify(self) -> None:
         self.news.set()
         self.news = trio.Event()
 
@@ -266,7 +266,7 @@
         Refusal
             If its deadline to start has passed.
         """
-        self.freeze.look()
+        self.freeze.check()
         if self.clock.now() > slot_request.start_deadline():
             raise Refusal(ResultCode.START_DEADLINE, retry_after_s=1.0)
 
@@ -297,7 +297,7 @@
             waiting = self.waiting.get(message.request)
             if waiting is not None:
                 waiting.acknowledged = True
-                waiting.tell()
+                waiting.notify()
         elif isinstance(message, Preempt):
             slot = self.held.get(message.grant)
             if slot is not None:
@@ -311,11 +311,11 @@
             return
         code = CODES.get(message.code, ResultCode.START_DEADLINE)
         waiting.refusal = Refusal(code, retry_after_s=message.retry_after_s)
-        waiting.tell()
+        waiting.notify()
 
     def _take_grant(self, node: NodeId, message: Grant) -> None:
         """Take up a grant, unless it is late or no longer wanted."""
-        self.freeze.look()
+        self.freeze.check()
         if message.grant in self.held:
             return  # the same grant, sent again
         waiting = self.waiting.get(message.request)
@@ -337,7 +337,7 @@
         )
         self.held[slot.grant] = slot
         waiting.slot = slot
-        waiting.tell()
+        waiting.notify()
 
     def pools(self) -> list[Model]:
         """Return the pools of the records in force."""
@@ -367,4 +367,4 @@
         for waiting in self.waiting.values():
             if waiting.slot_request.pool == pool:
                 waiting.ask_again = True
-                waiting.tell()
+                waiting.notify()
--- a/packages/buckthornwall/src/buckthornwall/upstreams/orders.py
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/orders.py
@@ -98,7 +98,7 @@
 
     def _check_fresh(self, number: int) -> None:
         """Refuse to order when we slept or newer records are in force."""
-        if self.freeze.look() or not self.is_caught_up():
+        if self.freeze.check() or not self.is_caught_up():
             raise UpstreamError(ResultCode.ORDER_FENCED, "woke late", sent=False)
         if self.store.number != number:
             raise UpstreamError(ResultCode.ORDER_FENCED, "newer records", sent=False)
