--- a/packages/buckthornwall-standins/src/buckthornwall_standins/cases.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/cases.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 import trio
+from buckthornwall.records import SchedulingMode
 
 from .callers import Rate
 from .deployments import ClassLoad, Deployment
@@ -88,7 +89,9 @@
 
 async def _kill_and_freeze(fleet: Fleet, seconds: float) -> None:
     await trio.sleep(seconds / 4)
-    killed = await fleet.scheduler_of(next(iter(fleet.deployment.pools)))
+    killed = fleet.nodes[0]
+    if fleet.scheduling == SchedulingMode.POOLED.value:
+        killed = await fleet.scheduler_of(next(iter(fleet.deployment.pools)))
     fleet.kill(killed)
     frozen = next(node for node in fleet.nodes if node is not killed)
     await trio.sleep(seconds / 8)
