--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_live.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_live.py
@@ -144,7 +144,7 @@
     trial, load_of, run_load
 ):
     async with Fleet.running(trial) as fleet:
-        callers = load_of(fleet, SECONDS, 0.5)
+        callers = load_of(fleet, SECONDS, 0.9)
         leaving = fleet.engines()[0]
         starts = []
 
@@ -156,7 +156,8 @@
         await run_load(callers, SECONDS, 2.0, leave)
         counts = await fleet.read(leaving.address, "/counts")
         assert counts["starts"] == starts[0]
-        assert len(callers.outcomes) > 20
+        late_arrivals = [o for o in callers.outcomes if o.arrival.at > 5.0]
+        assert len(late_arrivals) >= 5
 
 
 def with_order(fleet, number, version):
