--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_live.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_live.py
@@ -2,6 +2,7 @@
 
 import subprocess
 import sys
+from dataclasses import replace
 from functools import partial
 
 import openai
@@ -119,7 +120,8 @@
 
 
 async def test_records_reach_all_though_the_platform_answers_one(trial):
-    async with Fleet.running(trial, platform_answers=1) as fleet:
+    six = replace(trial, nodes=6)
+    async with Fleet.running(six, platform_answers=1) as fleet:
         started = trio.current_time()
         fleet.number = 2
         await fleet.publish()
@@ -128,7 +130,7 @@
                 while (await fleet.status(node))["records"]["number"] != 2:
                     await trio.sleep(0.01)
         assert trio.current_time() - started < 14
-        stale = records_of(trial, 1, fleet.upstream_records())
+        stale = records_of(six, 1, fleet.upstream_records())
         await fleet.publish(stale)
         await fleet.platform_fault(stale=True)
         late = fleet.nodes[-1]
