--- a/packages/buckthornwall-standins/src/buckthornwall_standins/model/at_most_once.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/model/at_most_once.py
@@ -11,6 +11,8 @@
 
 from minicheck import Protocol
 
+from .tuples import put
+
 __all__ = ["LedgerState", "Variant", "specification"]
 
 NODES = 3
@@ -63,17 +65,13 @@
 FIELDS = tuple(State.__dataclass_fields__)
 
 
-def _put(values: tuple, index: int, value) -> tuple:
-    return (*values[:index], value, *values[index + 1 :])
-
-
 def _as_tuple(state: State) -> tuple:
     return tuple(getattr(state, name) for name in FIELDS)
 
 
 def _ledger(state: State, node: int, value: LedgerState, **changes) -> State:
     fields = {name: getattr(state, name) for name in FIELDS}
-    fields["ledgers"] = _put(state.ledgers, node, value)
+    fields["ledgers"] = put(state.ledgers, node, value)
     fields.update(changes)
     return State(**fields)
 
@@ -121,8 +119,8 @@
             state,
             node,
             LedgerState.ABSENT,
-            up=_put(state.up, node, False),
-            sealed=_put(state.sealed, node, False),
+            up=put(state.up, node, False),
+            sealed=put(state.sealed, node, False),
             sending=state.sending - {node},
         )
         return [(f"{name} crashes", crashed)]
@@ -131,8 +129,8 @@
             state,
             node,
             LedgerState.ABSENT,
-            up=_put(state.up, node, True),
-            incarnations=_put(state.incarnations, node, state.incarnations[node] + 1),
+            up=put(state.up, node, True),
+            incarnations=put(state.incarnations, node, state.incarnations[node] + 1),
         )
         return [(f"{name} starts again", again)]
     return []
@@ -149,7 +147,7 @@
     if held is LedgerState.ABSENT:
         return steps
     if not state.sealed[node]:
-        sealed = _put(state.sealed, node, True)
+        sealed = put(state.sealed, node, True)
         steps.append((f"{name} seals", _ledger(state, node, held, sealed=sealed)))
     may_offer = state.sealed[node] and not in_flight
     if variant is Variant.HAND_OVER_UNSEALED:
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/model/pool_parts.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/model/pool_parts.py
@@ -11,6 +11,8 @@
 
 from minicheck import Protocol
 
+from .tuples import put
+
 __all__ = ["Variant", "specification"]
 
 ENTRIES = 2
@@ -51,10 +53,6 @@
 FIELDS = tuple(State.__dataclass_fields__)
 
 
-def _put(values: tuple, index: int, value) -> tuple:
-    return (*values[:index], value, *values[index + 1 :])
-
-
 def _change(state: State, **changes) -> State:
     fields = {name: getattr(state, name) for name in FIELDS}
     fields.update(changes)
@@ -62,8 +60,8 @@
 
 
 def _count(state: State, scheduler: int, entry: int, lease: int) -> tuple:
-    row = _put(state.counted[scheduler], entry, lease)
-    return _put(state.counted, scheduler, row)
+    row = put(state.counted[scheduler], entry, lease)
+    return put(state.counted, scheduler, row)
 
 
 def _entry_steps(state: State, entry: int, variant: Variant) -> list[tuple[str, State]]:
@@ -77,8 +75,8 @@
                 continue
             given = _change(
                 state,
-                lent=_put(state.lent, entry, scheduler),
-                lease=_put(state.lease, entry, lease + 1),
+                lent=put(state.lent, entry, scheduler),
+                lease=put(state.lease, entry, lease + 1),
                 messages=state.messages | {(scheduler, entry, lease + 1)},
             )
             steps.append((f"{name} leaves its part to scheduler {scheduler}", given))
@@ -95,16 +93,16 @@
             counted = _count(state, lent, entry, 0)
         out = _change(
             state,
-            lent=_put(state.lent, entry, OWN),
-            expired=_put(state.expired, entry, lease),
+            lent=put(state.lent, entry, OWN),
+            expired=put(state.expired, entry, lease),
             counted=counted,
         )
         steps.append((f"{name}'s lease runs out", out))
         if (lent, entry, lease) in state.ended:
             back = _change(
                 state,
-                lent=_put(state.lent, entry, OWN),
-                expired=_put(state.expired, entry, lease),
+                lent=put(state.lent, entry, OWN),
+                expired=put(state.expired, entry, lease),
             )
             steps.append((f"{name} hears that it has ended", back))
     return steps
@@ -130,7 +128,7 @@
         steps.append((f"scheduler {scheduler} ends for entry {entry}", ended))
     if variant is Variant.GRANT_BEFORE_REPORTS:
         for scheduler in range(SCHEDULERS):
-            everything = _put(state.counted, scheduler, (MOST_LEASES + 1,) * ENTRIES)
+            everything = put(state.counted, scheduler, (MOST_LEASES + 1,) * ENTRIES)
             label = f"scheduler {scheduler} counts on everyone"
             steps.append((label, _change(state, counted=everything)))
     return steps
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/model/spread.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/model/spread.py
@@ -10,6 +10,8 @@
 
 from minicheck import Protocol
 
+from .tuples import put
+
 __all__ = ["Variant", "specification"]
 
 NODES = 3
@@ -46,10 +48,6 @@
 FIELDS = tuple(State.__dataclass_fields__)
 
 
-def _put(values: tuple, index: int, value) -> tuple:
-    return (*values[:index], value, *values[index + 1 :])
-
-
 def _change(state: State, **changes) -> State:
     fields = {name: getattr(state, name) for name in FIELDS}
     fields.update(changes)
@@ -67,7 +65,7 @@
     adopted = number if number > mine or always else mine
     return _change(
         state,
-        held=_put(state.held, node, adopted),
+        held=put(state.held, node, adopted),
         reverted=state.reverted or adopted < mine,
         **changes,
     )
@@ -96,20 +94,20 @@
     for peer in range(NODES):
         if peer == node or not state.ready[peer] or not state.held[peer]:
             continue
-        heard = _put(state.heard, node, True)
+        heard = put(state.heard, node, True)
         told = _offer(state, node, state.held[peer], variant, heard=heard)
         steps.append((f"{name} hears from {'ABC'[peer]}", told))
     asked = state.heard[node] or variant is Variant.SERVE_BEFORE_ASKING_PEERS
     if not state.ready[node] and state.held[node] and asked:
-        ready = _change(state, ready=_put(state.ready, node, True))
+        ready = _change(state, ready=put(state.ready, node, True))
         steps.append((f"{name} begins to serve", ready))
     others = any(ready for peer, ready in enumerate(state.ready) if peer != node)
     if others:
         new = _change(
             state,
-            held=_put(state.held, node, 0),
-            ready=_put(state.ready, node, False),
-            heard=_put(state.heard, node, False),
+            held=put(state.held, node, 0),
+            ready=put(state.ready, node, False),
+            heard=put(state.heard, node, False),
         )
         steps.append((f"{name} is replaced", new))
     return steps
