--- a/packages/buckthornwall-standins/src/buckthornwall_standins/callers.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/callers.py
@@ -15,6 +15,7 @@
 import msgspec
 import trio
 from buckthornwall.upstreams.engine import sse_events
+from buckthornwall.utils import TRANSPORT_ERRORS
 
 from .deployments import ORDER_ROUTE, ClassLoad, Deployment, key_of
 from .engine import EngineModel
@@ -261,11 +262,7 @@
                 return
             except httpcore.ConnectError:
                 continue  # nothing was sent: a balancer tries the next one
-            except (
-                httpcore.NetworkError,
-                httpcore.ProtocolError,
-                httpcore.TimeoutException,
-            ) as error:
+            except TRANSPORT_ERRORS as error:
                 outcome.detail = repr(error)
                 return
 
@@ -331,11 +328,7 @@
             outcome.tries += 1
             try:
                 status, body = await self._confirm(order, key)
-            except (
-                httpcore.NetworkError,
-                httpcore.ProtocolError,
-                httpcore.TimeoutException,
-            ):
+            except TRANSPORT_ERRORS:
                 outcome.run = "unknown" if key else "no"
                 continue
             outcome.status = status
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/faults/cell_run.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/faults/cell_run.py
@@ -3,9 +3,9 @@
 import itertools
 from collections.abc import Awaitable, Callable
 
-import httpcore
 import msgspec
 import trio
+from buckthornwall.utils import TRANSPORT_ERRORS
 
 from buckthornwall_standins.callers import Arrival, Callers, Outcome
 from buckthornwall_standins.deployments import ORDER_ROUTE, ClassLoad, key_of
@@ -79,11 +79,7 @@
         with trio.move_on_after(ANSWER_LIMIT_S):
             try:
                 await self.callers._stream(node, outcome.arrival, outcome)
-            except (
-                httpcore.NetworkError,
-                httpcore.ProtocolError,
-                httpcore.TimeoutException,
-            ) as error:
+            except TRANSPORT_ERRORS as error:
                 outcome.detail = repr(error)
 
     async def run_main(self) -> None:
@@ -130,11 +126,7 @@
                 content=msgspec.json.encode({"order": order}),
                 extensions={"timeout": timeouts},
             )
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ):
+        except TRANSPORT_ERRORS:
             return 0, "unknown"
         body = msgspec.json.decode(response.content)
         run = body.get("error", {}).get("run", "yes")
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/platform.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/platform.py
@@ -11,6 +11,7 @@
 import msgspec
 import trio
 from buckthornwall.gateway.http import Exchange
+from buckthornwall.utils import TRANSPORT_ERRORS
 
 from .asgi import json_app, serve_until_signal
 
@@ -174,11 +175,7 @@
                 extensions={"timeout": timeouts},
             )
             state = "live" if response.status == 200 else "leaving"
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ):
+        except TRANSPORT_ERRORS:
             state = "gone"
         await trio.sleep(self.list_lag_s)
         if self.states.get(each["id"], "live") != state:
--- a/packages/buckthornwall/src/buckthornwall/upstreams/engine.py
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/engine.py
@@ -8,7 +8,13 @@
 
 from buckthornwall.codes import ResultCode, UpstreamError
 from buckthornwall.records import Upstream
-from buckthornwall.utils import AttemptId, Clock, ConfigItem, ConfigNamespace
+from buckthornwall.utils import (
+    TRANSPORT_ERRORS,
+    AttemptId,
+    Clock,
+    ConfigItem,
+    ConfigNamespace,
+)
 
 __all__ = ["EngineClient", "UpstreamSettings"]
 
@@ -129,11 +135,7 @@
             raise UpstreamError(
                 ResultCode.UPSTREAM_UNREACHABLE, repr(error), sent=False
             ) from error
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
+        except TRANSPORT_ERRORS as error:
             raise UpstreamError(ResultCode.UPSTREAM_BROKEN, repr(error)) from error
 
     async def _raise_status(self, response: httpcore.Response) -> None:
--- a/packages/buckthornwall/src/buckthornwall/upstreams/orders.py
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/orders.py
@@ -22,6 +22,7 @@
 from buckthornwall.membership import FreezeDetector, MemberTable
 from buckthornwall.records import RecordStore, Upstream, UpstreamKind
 from buckthornwall.telemetry import log_event
+from buckthornwall.utils import TRANSPORT_ERRORS
 
 from .engine import UpstreamSettings
 
@@ -141,11 +142,7 @@
                     "trace": trace,
                 },
             )
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
+        except TRANSPORT_ERRORS as error:
             raise UpstreamError(ResultCode.UPSTREAM_BROKEN, repr(error)) from error
         if response.status == CONFLICT:
             raise UpstreamError(ResultCode.ORDER_FENCED, engine.id)
--- a/packages/buckthornwall/src/buckthornwall/upstreams/service.py
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/service.py
@@ -4,6 +4,7 @@
 
 from buckthornwall.codes import ResultCode, UpstreamError
 from buckthornwall.records import Upstream
+from buckthornwall.utils import TRANSPORT_ERRORS
 
 from .engine import UpstreamSettings
 
@@ -84,11 +85,7 @@
                 content=body,
                 extensions={"timeout": timeouts, "trace": trace},
             )
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
+        except TRANSPORT_ERRORS as error:
             code = (
                 ResultCode.UPSTREAM_BROKEN
                 if sending
--- a/packages/buckthornwall/src/buckthornwall/utils/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/utils/__init__.py
@@ -18,8 +18,10 @@
     ZoneId,
     new_id,
 )
+from .transport import TRANSPORT_ERRORS
 
 __all__ = [
+    "TRANSPORT_ERRORS",
     "AttemptId",
     "Backoff",
     "ClassId",
