--- a/packages/buckthornwall/src/buckthornwall/codes/core.py
+++ b/packages/buckthornwall/src/buckthornwall/codes/core.py
@@ -45,6 +45,7 @@
     UNKNOWN_PATH = (1007, 404, "nothing is served at this path", "check the path")
     METHOD_NOT_ALLOWED = (1008, 405, "the method is not served", "check the method")
     TEAM_LIMIT = (1009, 429, "the team is at its limit in flight", "send later")
+    HEAD_TOO_LARGE = (1010, 431, "the head is over the limit", "send less")
 
     OVERLOADED = (
         2001,
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -0,0 +1,187 @@
+"""The task that reads a source and puts its news in force."""
+
+from collections.abc import Callable
+
+import trio
+
+from buckthornwall.codes import PeerError, RecordError
+from buckthornwall.pools import PoolTable
+from buckthornwall.routing import Published, RoutingTable
+from buckthornwall.telemetry import log_event
+from buckthornwall.utils import (
+    Backoff,
+    Clock,
+    ConfigItem,
+    ConfigNamespace,
+    UpstreamId,
+)
+
+from .news import Feed, HistoryLost, News
+
+__all__ = ["DiscoveryAgent", "DiscoverySettings"]
+
+RETRY_FIRST_S = 0.05
+RETRY_LIMIT_S = 0.5
+MS_PER_S = 1000.0
+
+
+class DiscoverySettings(ConfigNamespace):
+    """Settings of the watch on the platform's store."""
+
+    section = "discovery"
+
+    watch_ms = ConfigItem(
+        1500.0, "Milliseconds that one watch waits for news.", minimum=50
+    )
+    gap_ms = ConfigItem(
+        400.0,
+        "Milliseconds between two watches, so that one call brings the news of "
+        "several upstreams.",
+        minimum=0,
+    )
+    outage_ms = ConfigItem(
+        500.0, "Milliseconds without an answer that count as an outage.", minimum=1
+    )
+    settle_ms = ConfigItem(
+        2200.0,
+        "Milliseconds after an outage in which registrations that are missing "
+        "may come back.",
+        minimum=0,
+    )
+
+
+class DiscoveryAgent:
+    """Keeps routes and upstreams as the newest news says.
+
+    While the source is away nothing changes here. Registrations run out during
+    an outage although their upstreams live, so what is missing after one is
+    only taken to be gone when the upstreams have had time to register again.
+
+    Parameters
+    ----------
+    settings
+        The ``[discovery]`` section.
+    feed
+        The source.
+    decode
+        Reads the operator's configuration.
+    table, pools
+        What is kept up to date.
+    clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        settings: DiscoverySettings,
+        feed: Feed,
+        decode: Callable[[bytes], Published],
+        table: RoutingTable,
+        pools: PoolTable,
+        clock: Clock,
+    ) -> None:
+        self.settings = settings
+        self.feed = feed
+        self.decode = decode
+        self.table = table
+        self.pools = pools
+        self.clock = clock
+        self.revision = 0
+        self.raw = b""
+        self.read_once = False
+        self.answered_at = clock.now()
+        self.is_away = False
+        self.on_change: Callable[[], None] = lambda: None
+        self.on_gone: Callable[[UpstreamId], None] = lambda upstream: None
+        self._settle_until = 0.0
+        self._doubted: set[UpstreamId] = set()
+
+    async def run(self) -> None:
+        """Read and watch until cancelled."""
+        backoff = Backoff(RETRY_FIRST_S, RETRY_LIMIT_S)
+        need_all = True
+        while True:
+            try:
+                news = await self._next(need_all)
+            except HistoryLost:
+                log_event("history_lost", "WARNING", revision=self.revision)
+                need_all = True
+                continue
+            except PeerError as error:
+                self._note_failure(error)
+                await trio.sleep(backoff.next_delay())
+                continue
+            self._note_answer()
+            backoff.reset()
+            need_all = False
+            self.adopt(news)
+            self._settle()
+            await trio.sleep(self.settings.gap_ms / MS_PER_S)
+
+    async def _next(self, need_all: bool) -> News:
+        if need_all:
+            return await self.feed.read_all()
+        return await self.feed.watch(self.revision, self.settings.watch_ms / MS_PER_S)
+
+    def _note_failure(self, error: PeerError) -> None:
+        silent_s = self.clock.now() - self.answered_at
+        if not self.is_away and silent_s * MS_PER_S > self.settings.outage_ms:
+            self.is_away = True
+            log_event(
+                "store_lost", "WARNING", detail=error, silent_ms=round(silent_s * 1000)
+            )
+
+    def _note_answer(self) -> None:
+        now = self.clock.now()
+        if self.is_away:
+            self.is_away = False
+            self._settle_until = now + self.settings.settle_ms / MS_PER_S
+            away_ms = round((now - self.answered_at) * MS_PER_S)
+            log_event("store_regained", away_ms=away_ms, revision=self.revision)
+        self.answered_at = now
+
+    def adopt(self, news: News) -> None:
+        """Put news in force."""
+        if news.published is not None:
+            self._adopt_published(news.published)
+        for entry in news.entries.values():
+            self._doubted.discard(entry.id)
+            self.pools.adopt(entry)
+        gone = set(news.removed)
+        if news.whole:
+            gone |= set(self.pools.views) - set(news.entries)
+        if self.clock.now() < self._settle_until:
+            self._doubted |= gone
+        else:
+            self._remove(gone)
+        self.revision = max(self.revision, news.revision)
+        self.read_once = True
+        self.pools.set_pool_traits(self.table.pools.values())
+        self.on_change()
+
+    def _adopt_published(self, raw: bytes) -> None:
+        try:
+            published = self.decode(raw)
+        except RecordError as error:
+            log_event("config_refused", "ERROR", code=error.code.number, detail=error)
+            return
+        before = self.table.number
+        if self.table.adopt(published):
+            self.raw = raw
+            log_event(
+                "config_adopted",
+                number=published.number,
+                before=before,
+                routes=len(published.routes),
+                teams=len(published.teams),
+            )
+
+    def _settle(self) -> None:
+        if self._doubted and self.clock.now() >= self._settle_until:
+            doubted, self._doubted = self._doubted, set()
+            self._remove(doubted)
+
+    def _remove(self, gone: set[UpstreamId]) -> None:
+        for upstream in gone:
+            self.pools.remove(upstream)
+            self.on_gone(upstream)
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/discovery/news.py
@@ -0,0 +1,52 @@
+"""Changes as a source tells them."""
+
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from buckthornwall.pools import UpstreamEntry
+from buckthornwall.utils import UpstreamId
+
+__all__ = ["Feed", "HistoryLost", "News"]
+
+
+class HistoryLost(Exception):
+    """The source no longer holds the changes that were asked for."""
+
+
+@dataclass(slots=True)
+class News:
+    """What changed up to a revision.
+
+    `whole` tells that everything there is stands here, so that what does not
+    is gone. `published` is the operator's configuration as it was written.
+    """
+
+    revision: int
+    whole: bool
+    published: bytes | None = None
+    entries: dict[UpstreamId, UpstreamEntry] = field(default_factory=dict)
+    removed: set[UpstreamId] = field(default_factory=set)
+
+
+class Feed(Protocol):
+    """A source of news."""
+
+    async def read_all(self) -> News:
+        """Return everything there is.
+
+        Raises
+        ------
+        PeerError
+            If the source does not answer as it should.
+        """
+
+    async def watch(self, after: int, wait_s: float) -> News:
+        """Return what changed after a revision, waiting for it if need be.
+
+        Raises
+        ------
+        HistoryLost
+            If those changes are no longer held.
+        PeerError
+            If the source does not answer as it should.
+        """
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/__init__.py
@@ -0,0 +1,27 @@
+"""From a routed request to its answer: attempts at upstreams, one after another.
+
+============= ============================================================
+`reply`       an upstream's reply in the product's own words
+`connections` connections to upstreams, kept while they are sound
+`events`      event streams, forwarded by whole events and joined by their ids
+`delivery`    what the caller has got so far
+`attempt`     one attempt at one upstream, and how it ended
+`budgets`     this instance's part of the fleet's retries
+`forwarder`   the attempts of a request until it is answered or refused
+============= ============================================================
+"""
+
+from .budgets import RetryBudgets
+from .connections import ConnectionCache
+from .forwarder import Forwarder, ForwardingSettings
+from .reply import Reply, Sending, WireCodec
+
+__all__ = [
+    "ConnectionCache",
+    "Forwarder",
+    "ForwardingSettings",
+    "Reply",
+    "RetryBudgets",
+    "Sending",
+    "WireCodec",
+]
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -0,0 +1,178 @@
+"""One attempt at one upstream, and how it ended."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+import trio
+
+from buckthornwall.http1 import ClientConnection, ExchangeError, ExchangeFailure
+from buckthornwall.pools import Choice, UpstreamView
+from buckthornwall.routing import AnswerForm, Resolution, RoutedRequest
+from buckthornwall.utils import Clock
+
+from .connections import ConnectionCache
+from .delivery import Delivery
+from .reply import Reply, Sending, WireCodec
+
+__all__ = ["Attempt", "AttemptEnd", "AttemptResult"]
+
+MAX_WHOLE_BYTES = 4 * 2**20
+# A reply that names another request is skipped this often before it counts as
+# garbage.
+MOST_FOREIGN_REPLIES = 2
+
+
+class AttemptEnd(Enum):
+    """How an attempt ended."""
+
+    DONE = "done"  # the caller has the whole answer
+    NOT_SENT = "not_sent"  # no byte reached the upstream
+    NOT_RUN = "not_run"  # the upstream states that it did not run it
+    FAILED = "failed"  # it ran and failed, by a whole reply
+    BROKEN = "broken"  # it may have run; no whole reply came
+
+
+@dataclass(slots=True)
+class AttemptResult:
+    """The end of an attempt; `reply` and `body` where a whole reply came."""
+
+    end: AttemptEnd
+    detail: str = ""
+    reply: Reply | None = None
+    body: bytes = b""
+
+
+@dataclass(slots=True)
+class Attempt:
+    """What one attempt needs."""
+
+    request: RoutedRequest
+    resolution: Resolution
+    choice: Choice
+    delivery: Delivery
+    connections: ConnectionCache
+    codec: WireCodec
+    clock: Clock
+    remaining_s: float
+    most_idle_s: float
+    silence_s: float | None
+
+    async def run(self) -> AttemptResult:
+        """Make the attempt; load is counted while it lasts."""
+        view = self.choice.view
+        try:
+            connection = await self.connections.acquire(
+                view.id, view.entry.address, self.most_idle_s
+            )
+        except ExchangeError as error:
+            return AttemptResult(AttemptEnd.NOT_SENT, error.detail)
+        load = view.load
+        unread = _Unread(view, self.choice.fresh_tokens)
+        load.requests += 1
+        view.health.note_sent(self.clock.now())
+        reply = None
+        try:
+            reply, result = await self._exchange(connection, unread)
+        finally:
+            load.requests -= 1
+            unread.clear()
+            if reply is None or reply.closes:
+                connection.close()
+            else:
+                self.connections.release(view.id, connection, reply.idle_limit_s)
+        return result
+
+    async def _exchange(
+        self, connection: ClientConnection, unread: "_Unread"
+    ) -> tuple[Reply | None, AttemptResult]:
+        """Return the result, and the reply if the connection may be kept."""
+        view = self.choice.view
+        if self.request.prompt is not None:
+            view.prefixes.note(self.request.prompt)
+        try:
+            await connection.send(
+                self.request.method,
+                self.request.target,
+                self.codec.encode(self.request, self._sending()),
+                self.request.body,
+            )
+            with trio.fail_after(self.silence_s or float("inf")):
+                reply = await self._own_reply(connection)
+            view.heard_at = self.clock.now()
+            if reply.load is not None:
+                view.load.take_report(reply.load, view.heard_at)
+            return await self._take_reply(connection, reply, unread)
+        except ExchangeError as error:
+            return None, AttemptResult(AttemptEnd.BROKEN, error.detail)
+        except trio.TooSlowError:
+            return None, AttemptResult(AttemptEnd.BROKEN, ExchangeFailure.SILENT.value)
+
+    def _sending(self) -> Sending:
+        return Sending(
+            upstream=self.choice.view.entry,
+            team=self.resolution.team,
+            tier=self.resolution.tier,
+            remaining_s=self.remaining_s,
+            resume_after=self.delivery.joiner.last_id,
+        )
+
+    async def _own_reply(self, connection: ClientConnection) -> Reply:
+        """Return the reply to this request, past late ones to others."""
+        for _ in range(MOST_FOREIGN_REPLIES):
+            reply = self.codec.decode(await connection.receive_head())
+            if reply.request_id in ("", self.request.id):
+                return reply
+            await connection.skip_reply()
+        raise ExchangeError(ExchangeFailure.GARBLED, "replies to other requests")
+
+    async def _take_reply(
+        self, connection: ClientConnection, reply: Reply, unread: "_Unread"
+    ) -> tuple[Reply | None, AttemptResult]:
+        form = self.resolution.route.form
+        if reply.good and form is AnswerForm.EVENTS:
+            await self._relay_events(connection, reply, unread)
+            return reply, AttemptResult(AttemptEnd.DONE)
+        body = await self._read_whole(connection)
+        if reply.not_run:
+            return reply, AttemptResult(AttemptEnd.NOT_RUN, str(reply.status))
+        if 200 <= reply.status < 300 and not reply.good:
+            return None, AttemptResult(AttemptEnd.BROKEN, "success not attested")
+        if reply.status >= 500:
+            detail = f"status {reply.status}"
+            return reply, AttemptResult(AttemptEnd.FAILED, detail, reply, body)
+        if self.delivery.started:
+            return None, AttemptResult(AttemptEnd.BROKEN, f"resumed {reply.status}")
+        await self.delivery.whole(reply, body)
+        return reply, AttemptResult(AttemptEnd.DONE)
+
+    async def _read_whole(self, connection: ClientConnection) -> bytes:
+        body = bytearray()
+        while data := await connection.receive_data():
+            body += data
+            if len(body) > MAX_WHOLE_BYTES:
+                raise ExchangeError(ExchangeFailure.GARBLED, "reply too large")
+        return bytes(body)
+
+    async def _relay_events(
+        self, connection: ClientConnection, reply: Reply, unread: "_Unread"
+    ) -> None:
+        view = self.choice.view
+        while data := await connection.receive_data():
+            view.heard_at = self.clock.now()
+            if await self.delivery.events(reply, data):
+                unread.clear()
+        await self.delivery.end(reply)
+
+
+class _Unread:
+    """Prompt tokens counted at an upstream until the first token comes."""
+
+    def __init__(self, view: UpstreamView, tokens: int) -> None:
+        self.view = view
+        self.tokens = tokens
+        view.load.unread_tokens += tokens
+
+    def clear(self) -> None:
+        """Stop counting them."""
+        self.view.load.unread_tokens -= self.tokens
+        self.tokens = 0
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -0,0 +1,387 @@
+"""The attempts of a request until it is answered or refused."""
+
+import json
+from dataclasses import dataclass, field
+
+import trio
+
+from buckthornwall.codes import Refusal, ResultCode, Run
+from buckthornwall.http1 import Answer, AnswerCut
+from buckthornwall.pools import (
+    Choice,
+    PoolTable,
+    Verdict,
+    choose_engine,
+    choose_service,
+)
+from buckthornwall.pools.overload import is_overloaded, retry_after_s
+from buckthornwall.pools.placement import TOKENS_PER_MS
+from buckthornwall.routing import (
+    AnswerForm,
+    Resolution,
+    RoutedRequest,
+    RoutingTable,
+)
+from buckthornwall.telemetry import log_event
+from buckthornwall.utils import (
+    Clock,
+    ConfigItem,
+    ConfigNamespace,
+    UpstreamId,
+    ZoneId,
+)
+
+from .attempt import Attempt, AttemptEnd, AttemptResult
+from .budgets import RetryBudgets
+from .connections import ConnectionCache
+from .delivery import Delivery
+from .reply import WireCodec
+
+__all__ = ["Forwarder", "ForwardingSettings"]
+
+# Statuses by which HTTP tells a caller that its request was not and will not
+# be run; they are never used for one that may have run.
+PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
+BAD_GATEWAY = 502
+# A silent upstream is given up after this many targets, if others may try.
+SILENCE_TARGETS = 4.0
+SILENCE_SHARE = 0.5
+LEAST_REMAINING_S = 0.02
+NO_ENGINE_RETRY_S = 0.3
+LEAVING_RETRY_S = 0.05
+
+
+class ForwardingSettings(ConfigNamespace):
+    """Settings of attempts at upstreams."""
+
+    section = "forwarding"
+
+    connect_timeout_ms = ConfigItem(
+        250.0, "Milliseconds to connect to an upstream.", minimum=1
+    )
+    once_idle_ms = ConfigItem(
+        1000.0,
+        "Most milliseconds that a connection was idle, to carry a call that may "
+        "not be repeated.",
+        minimum=0,
+    )
+    most_upstreams = ConfigItem(
+        4, "Upstreams that one request is offered to at most.", minimum=1
+    )
+    retry_ratio = ConfigItem(
+        0.2, "Repeats for each request to a pool, over the fleet.", minimum=0
+    )
+    retry_reserve = ConfigItem(
+        20.0, "Repeats besides in one window, over the fleet.", minimum=0
+    )
+
+
+@dataclass(slots=True)
+class Job:
+    """One request on its way through the attempts."""
+
+    request: RoutedRequest
+    resolution: Resolution
+    delivery: Delivery
+    deadline: float
+    tried: set[UpstreamId] = field(default_factory=set)
+    runs: int = 0
+    arrivals: int = 0
+    last_upstream: UpstreamId = UpstreamId("")
+    last_failed: AttemptResult | None = None
+    detail: str = ""
+
+    @property
+    def run(self) -> Run:
+        """Whether any attempt may have run."""
+        return Run.UNKNOWN if self.runs else Run.NO
+
+
+class Forwarder:
+    """Answers requests by attempts at upstreams.
+
+    Parameters
+    ----------
+    settings
+        The ``[forwarding]`` section.
+    zone
+        The zone of this instance.
+    table
+        Routes, teams and pools in force.
+    pools
+        Upstreams and what is known of them.
+    codec
+        Translates requests and replies.
+    clock
+        Source of time, the one that trio runs on.
+    """
+
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        zone: ZoneId,
+        table: RoutingTable,
+        pools: PoolTable,
+        codec: WireCodec,
+        clock: Clock,
+    ) -> None:
+        self.settings = settings
+        self.zone = zone
+        self.table = table
+        self.pools = pools
+        self.codec = codec
+        self.clock = clock
+        self.budgets = RetryBudgets(settings.retry_ratio, settings.retry_reserve)
+        self.connections = ConnectionCache(clock, settings.connect_timeout_ms / 1000)
+
+    async def forward(self, request: RoutedRequest, answer: Answer) -> None:
+        """Answer a request.
+
+        Raises
+        ------
+        AnswerCut
+            If the answer began and cannot be completed.
+        """
+        try:
+            resolution = self.table.resolve(request)
+        except Refusal as refusal:
+            await self._refuse(request.id, None, answer, refusal)
+            return
+        route = resolution.route
+        self.budgets.earn(resolution.pool.id)
+        patience_s = route.timeout_s
+        if request.patience_s is not None:
+            patience_s = min(patience_s, request.patience_s)
+        job = Job(
+            request,
+            resolution,
+            Delivery(answer, self.clock, request.resume_after),
+            request.received_at + patience_s,
+        )
+        try:
+            await self._answer(job, answer)
+        except (AnswerCut, trio.Cancelled):
+            self._log_end(job, "cut" if job.delivery.started else "caller_gone")
+            raise
+
+    async def refuse_unread(self, answer: Answer, refusal: Refusal) -> None:
+        """Answer what could not be read as a request of the platform."""
+        await self._refuse("", None, answer, refusal)
+
+    async def refuse_leaving(self, request: RoutedRequest, answer: Answer) -> None:
+        """Send a caller to another instance while this one stops."""
+        refusal = Refusal(
+            ResultCode.NOT_READY, "leaving", retry_after_s=LEAVING_RETRY_S
+        )
+        await self._refuse(request.id, None, answer, refusal)
+
+    async def _answer(self, job: Job, answer: Answer) -> None:
+        with trio.CancelScope(deadline=job.deadline) as scope:
+            refusal = await self._attempts(job)
+        if scope.cancelled_caught:
+            job.detail = "deadline"
+            code = ResultCode.UPSTREAM_TIMEOUT if job.runs else ResultCode.NO_ENGINE
+            refusal = Refusal(code, run=job.run, retry_after_s=NO_ENGINE_RETRY_S)
+        if job.delivery.done:
+            self._log_end(job, "answered")
+        elif job.delivery.started:
+            raise AnswerCut(job.detail)
+        elif job.last_failed is not None:
+            await job.delivery.whole(job.last_failed.reply, job.last_failed.body)
+            self._log_end(job, "upstream_failed")
+        else:
+            await self._refuse(job.request.id, job, answer, refusal)
+
+    async def _attempts(self, job: Job) -> Refusal | None:
+        """Try upstreams until one answers; return why none did."""
+        while len(job.tried) < self.settings.most_upstreams:
+            choice = self._choose(job)
+            if choice is None:
+                return self._nobody(job)
+            if not job.tried and self._is_overloaded(job, choice):
+                after_s = retry_after_s(choice)
+                return Refusal(ResultCode.OVERLOADED, retry_after_s=after_s)
+            result = await self._try(job, choice)
+            if result.end is AttemptEnd.DONE:
+                return None
+            if not self._may_go_on(job, result):
+                break
+        return self._nobody(job)
+
+    def _choose(self, job: Job) -> Choice | None:
+        now = self.clock.now()
+        views = self.pools.usable(job.resolution.pool.id, job.tried)
+        if job.request.prompt is not None:
+            return choose_engine(views, job.request.prompt, self.zone, now)
+        return choose_service(views, self.zone, now)
+
+    def _is_overloaded(self, job: Job, choice: Choice) -> bool:
+        if job.request.prompt is None:
+            return False
+        own_s = choice.fresh_tokens / TOKENS_PER_MS / 1000
+        members = self.pools.members(job.resolution.pool.id)
+        tier = job.resolution.tier
+        return is_overloaded(choice, own_s, tier, members, self.clock.now())
+
+    async def _try(self, job: Job, choice: Choice) -> AttemptResult:
+        view = choice.view
+        job.tried.add(view.id)
+        job.last_upstream = view.id
+        remaining_s = job.deadline - self.clock.now()
+        attempt = Attempt(
+            request=job.request,
+            resolution=job.resolution,
+            choice=choice,
+            delivery=job.delivery,
+            connections=self.connections,
+            codec=self.codec,
+            clock=self.clock,
+            remaining_s=remaining_s,
+            most_idle_s=self._most_idle_s(job),
+            silence_s=self._silence_s(job, remaining_s),
+        )
+        job.runs += 1  # until it is known better, should this be cut short
+        result = await attempt.run()
+        if result.end in (AttemptEnd.NOT_SENT, AttemptEnd.NOT_RUN):
+            job.runs -= 1
+        if result.end is not AttemptEnd.NOT_SENT:
+            job.arrivals += 1
+        self._judge(choice, result)
+        if result.end is not AttemptEnd.DONE:
+            job.detail = result.detail
+            self._log_attempt(job, choice, result)
+        return result
+
+    def _most_idle_s(self, job: Job) -> float:
+        """Return how long a connection may have been idle for this request.
+
+        On one that the upstream closed meanwhile a request is lost, and it
+        cannot be told that it was not run.
+        """
+        if self._is_repeatable(job):
+            return float("inf")
+        return self.settings.once_idle_ms / 1000
+
+    def _silence_s(self, job: Job, remaining_s: float) -> float | None:
+        """Return how long to wait for the head of a reply, if another may try."""
+        route = job.resolution.route
+        if route.form is not AnswerForm.WHOLE or not route.repeatable:
+            return None
+        if job.runs + 1 >= route.max_runs:
+            return None
+        return min(remaining_s * SILENCE_SHARE, SILENCE_TARGETS * route.target_s)
+
+    def _is_repeatable(self, job: Job) -> bool:
+        route = job.resolution.route
+        if route.form is AnswerForm.EVENTS:
+            return route.resumable
+        return route.repeatable
+
+    def _may_go_on(self, job: Job, result: AttemptResult) -> bool:
+        """Tell whether another upstream may be tried after this end."""
+        if job.deadline - self.clock.now() < LEAST_REMAINING_S:
+            return False
+        pool = job.resolution.pool.id
+        if result.end is AttemptEnd.NOT_SENT:
+            return True
+        if result.end is AttemptEnd.NOT_RUN:
+            return self.budgets.spend(pool)
+        if result.end is AttemptEnd.FAILED:
+            job.last_failed = result
+        if not self._is_repeatable(job) or job.runs >= job.resolution.route.max_runs:
+            return False
+        if not self.budgets.spend(pool):
+            return False
+        job.delivery.joiner.resume()
+        return True
+
+    def _judge(self, choice: Choice, result: AttemptResult) -> None:
+        """Let the end of an attempt count for its upstream's health."""
+        if result.end is AttemptEnd.DONE:
+            verdict = Verdict.GOOD
+        elif result.end is AttemptEnd.NOT_SENT:
+            verdict = Verdict.UNREACHABLE
+        elif result.end is AttemptEnd.NOT_RUN and choice.busy_share >= 1:
+            return  # a full upstream that says so is healthy
+        else:
+            verdict = Verdict.FAILED
+        self.pools.note_end(choice.view, verdict)
+
+    def _nobody(self, job: Job) -> Refusal:
+        if job.runs:
+            return Refusal(ResultCode.UPSTREAM_BROKEN, job.detail, job.run)
+        code = ResultCode.UPSTREAM_UNREACHABLE if job.tried else ResultCode.NO_ENGINE
+        return Refusal(code, job.detail, retry_after_s=NO_ENGINE_RETRY_S)
+
+    async def _refuse(
+        self, request_id: str, job: Job | None, answer: Answer, refusal: Refusal
+    ) -> None:
+        """Send the final answer of a request that is not served."""
+        status = refusal.code.status
+        if refusal.run is not Run.NO and status in PROMISES_NOT_RUN:
+            status = BAD_GATEWAY
+        headers = [(b"Content-Type", b"application/json")]
+        if refusal.run is Run.NO and refusal.retry_after_s is not None:
+            headers.append((b"Retry-After", b"%.2f" % refusal.retry_after_s))
+        body = {
+            "code": refusal.code.number,
+            "message": refusal.code.meaning,
+            "run": refusal.run.value,
+        }
+        log_event(
+            "request_refused",
+            "WARNING",
+            request=request_id,
+            code=refusal.code.number,
+            status=status,
+            run=refusal.run.value,
+            retry_after_s=refusal.retry_after_s,
+            detail=refusal.detail,
+            **self._describe(job),
+        )
+        await answer.whole(status, headers, json.dumps(body).encode())
+
+    def _describe(self, job: Job | None) -> dict[str, object]:
+        """Return the pairs of a log line that tell a request's way."""
+        if job is None:
+            return {"number": self.table.number}
+        now = self.clock.now()
+        first_at = job.delivery.first_at
+        received_at = job.request.received_at
+        return {
+            "route": job.resolution.route.id,
+            "pool": job.resolution.pool.id,
+            "team": job.resolution.team,
+            "tier": job.resolution.tier,
+            "number": job.resolution.number,
+            "upstream": job.last_upstream,
+            "arrivals": job.arrivals,
+            "tried": len(job.tried),
+            "age_ms": round((now - received_at) * 1000),
+            "first_ms": round((first_at - received_at) * 1000) if first_at else "",
+            "pause_ms": round(job.delivery.longest_pause_s * 1000),
+        }
+
+    def _log_attempt(self, job: Job, choice: Choice, result: AttemptResult) -> None:
+        log_event(
+            "attempt_failed",
+            "WARNING",
+            request=job.request.id,
+            upstream=choice.view.id,
+            end=result.end.value,
+            detail=result.detail,
+            busy_share=round(choice.busy_share, 2),
+            remaining_ms=round((job.deadline - self.clock.now()) * 1000),
+        )
+
+    def _log_end(self, job: Job, outcome: str) -> None:
+        log_event(
+            "request_finished",
+            "INFO" if outcome == "answered" else "WARNING",
+            request=job.request.id,
+            outcome=outcome,
+            status=job.delivery.status,
+            detail=job.detail,
+            events=job.delivery.joiner.events,
+            **self._describe(job),
+        )
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/reply.py
@@ -0,0 +1,58 @@
+"""An upstream's reply, and how a request is put to it, in the product's words."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from buckthornwall.http1 import ReplyHead
+from buckthornwall.pools import LoadReport, UpstreamEntry
+from buckthornwall.routing import RoutedRequest
+from buckthornwall.utils import TeamId
+
+__all__ = ["Reply", "Sending", "WireCodec"]
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@dataclass(slots=True)
+class Reply:
+    """The head of an upstream's reply.
+
+    `headers` are those that pass to the caller unchanged. `not_run` is set
+    where the upstream states that it did not and will not run the request.
+    `attested` is set where the reply bears the upstream's signature.
+    """
+
+    status: int
+    headers: Headers
+    request_id: str
+    attested: bool
+    not_run: bool
+    load: LoadReport | None = None
+    idle_limit_s: float | None = None
+    closes: bool = False
+
+    @property
+    def good(self) -> bool:
+        """Whether it is a success that the upstream signed."""
+        return 200 <= self.status < 300 and self.attested
+
+
+@dataclass(frozen=True, slots=True)
+class Sending:
+    """What the system adds to a request for one attempt."""
+
+    upstream: UpstreamEntry
+    team: TeamId
+    tier: int
+    remaining_s: float
+    resume_after: str = ""
+
+
+class WireCodec(Protocol):
+    """Translates between requests and the platform's headers."""
+
+    def encode(self, request: RoutedRequest, sending: Sending) -> Headers:
+        """Return the headers that an upstream is sent."""
+
+    def decode(self, head: ReplyHead) -> Reply:
+        """Return an upstream's reply."""
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/http1/client.py
@@ -0,0 +1,201 @@
+"""One exchange at a time over one connection to a server."""
+
+import socket
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import h11
+import trio
+
+from .failures import ExchangeError, ExchangeFailure
+
+__all__ = ["ClientConnection", "ReplyHead"]
+
+RECEIVE_BYTES = 65_536
+MAX_HEAD_BYTES = 65_536
+# Unacknowledged bytes for this long mean a dead path; Linux waits 15 minutes.
+USER_TIMEOUT_MS = 2_000
+# Probes of a silent path: first after 2 s, then each second, lost after three.
+KEEPALIVE_IDLE_S = 2
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 3
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+
+@dataclass(slots=True)
+class ReplyHead:
+    """Status and headers of a reply; names are in lower case."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+
+
+def _set_options(sock: trio.socket.SocketType) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+class ClientConnection:
+    """A connection and the parser of the exchange on it.
+
+    A parser lives for one exchange only, so that bytes which come after a
+    whole reply never count as the next one.
+
+    Parameters
+    ----------
+    sock
+        A connected socket, owned from now on.
+    """
+
+    def __init__(self, sock: trio.socket.SocketType) -> None:
+        self.sock = sock
+        self.parser = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
+        self.exchanges = 0
+        self.idle_since = 0.0
+        self.closed = False
+        self._request: h11.Request | None = None
+
+    @classmethod
+    async def connect(cls, address: str, timeout_s: float) -> "ClientConnection":
+        """Open a connection to ``IP:port``.
+
+        Raises
+        ------
+        ExchangeError
+            UNREACHABLE, with nothing sent.
+        """
+        host, _, port = address.rpartition(":")
+        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            _set_options(sock)
+            with trio.fail_after(timeout_s):
+                await sock.connect((host, int(port)))
+        except (OSError, ValueError, trio.TooSlowError) as error:
+            sock.close()
+            detail = f"{address} {type(error).__name__}"
+            raise ExchangeError(
+                ExchangeFailure.UNREACHABLE, detail, sent=False
+            ) from error
+        except BaseException:
+            sock.close()
+            raise
+        return cls(sock)
+
+    def close(self) -> None:
+        """Close at once; the server sees its caller gone."""
+        self.closed = True
+        self.sock.close()
+
+    def is_sound(self) -> bool:
+        """Tell whether an idle connection can take another exchange.
+
+        Anything to read before a request was sent, be it an end or bytes,
+        belongs to nobody.
+        """
+        return not self.closed and not self.sock.is_readable()
+
+    async def send(
+        self, method: bytes, target: bytes, headers: Headers, body: bytes
+    ) -> None:
+        """Send a whole request.
+
+        Raises
+        ------
+        ExchangeError
+            RESET if the connection broke off.
+        """
+        self.exchanges += 1
+        self.parser = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
+        self._request = h11.Request(method=method, target=target, headers=headers)
+        data = self.parser.send(self._request)
+        if body:
+            data += self.parser.send(h11.Data(data=body))
+        data += self.parser.send(h11.EndOfMessage())
+        view = memoryview(data)
+        try:
+            while view:
+                view = view[await self.sock.send(view) :]
+        except OSError as error:
+            raise ExchangeError(ExchangeFailure.RESET, str(error)) from error
+
+    async def receive_head(self) -> ReplyHead:
+        """Return the head of the reply, past any informational ones.
+
+        Raises
+        ------
+        ExchangeError
+            RESET, ENDED or GARBLED.
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                return ReplyHead(event.status_code, list(event.headers))
+            if not isinstance(event, h11.InformationalResponse):
+                raise ExchangeError(ExchangeFailure.ENDED, "before a reply")
+
+    async def receive_data(self) -> bytes:
+        """Return the next bytes of the body, or b'' after the last.
+
+        Raises
+        ------
+        ExchangeError
+            RESET, ENDED or GARBLED: the body is not whole.
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                return bytes(event.data)
+            if isinstance(event, h11.EndOfMessage):
+                return b""
+
+    async def skip_reply(self) -> None:
+        """Read a foreign reply to its end, and expect another one after it.
+
+        Raises
+        ------
+        ExchangeError
+            RESET, ENDED or GARBLED.
+        """
+        while await self.receive_data():
+            pass
+        rest, ended = self.parser.trailing_data
+        self.parser = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
+        self.parser.send(self._request)
+        self.parser.send(h11.EndOfMessage())
+        if rest:
+            self.parser.receive_data(rest)
+        if ended:
+            raise ExchangeError(ExchangeFailure.ENDED, "after a foreign reply")
+
+    def is_reusable(self) -> bool:
+        """Tell whether the whole reply was read and nothing came after it."""
+        return (
+            not self.closed
+            and self.parser.their_state is h11.DONE
+            and self.parser.our_state is h11.DONE
+            and not self.parser.trailing_data[0]
+        )
+
+    async def _next_event(self) -> h11.Event:
+        try:
+            while True:
+                event = self.parser.next_event()
+                if event is h11.NEED_DATA:
+                    self.parser.receive_data(await self.sock.recv(RECEIVE_BYTES))
+                elif isinstance(event, h11.ConnectionClosed):
+                    raise ExchangeError(ExchangeFailure.ENDED)
+                elif event is h11.PAUSED:
+                    raise ExchangeError(ExchangeFailure.GARBLED, "bytes after a reply")
+                else:
+                    return event
+        except OSError as error:
+            raise ExchangeError(ExchangeFailure.RESET, str(error)) from error
+        except h11.RemoteProtocolError as error:
+            ended = self.parser.trailing_data[1]
+            failure = ExchangeFailure.ENDED if ended else ExchangeFailure.GARBLED
+            raise ExchangeError(failure, str(error)) from error
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/http1/server.py
@@ -0,0 +1,371 @@
+"""A listener, its callers' connections, and their planned stop."""
+
+import socket
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import h11
+import trio
+
+from buckthornwall.codes import ResultCode
+from buckthornwall.telemetry import log_event
+from buckthornwall.utils import Clock
+
+__all__ = ["Answer", "AnswerCut", "HttpServer", "IncomingRequest", "ServerLimits"]
+
+BACKLOG = 1024
+RECEIVE_BYTES = 65_536
+HEAD_END = b"\r\n\r\n"
+# What a caller may send ahead of an answer before it is no longer read.
+MAX_AHEAD_BYTES = 65_536
+# After an early refusal the rest of a body is read this long, so that the
+# refusal is not lost with a reset of the connection.
+LINGER_S = 0.5
+
+
+class AnswerCut(Exception):
+    """An answer that began cannot be completed; its connection must close."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """Bounds on callers, in bytes and seconds."""
+
+    max_head_bytes: int
+    max_body_bytes: int
+    head_timeout_s: float
+    idle_timeout_s: float
+
+
+@dataclass(slots=True)
+class IncomingRequest:
+    """A whole request as read; header names are in lower case."""
+
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    received_at: float
+
+
+class RequestRefused(Exception):
+    """A request that HTTP itself or the limits refuse."""
+
+    def __init__(self, status: int, code: ResultCode, detail: str = "") -> None:
+        super().__init__(detail)
+        self.status = status
+        self.code = code
+        self.detail = detail
+
+
+class ConnectionEnded(Exception):
+    """The caller closed, or fell silent between two requests."""
+
+
+Handler = Callable[[IncomingRequest, "Answer"], Awaitable[None]]
+
+
+class Answer:
+    """The answer to one request, whole or piece by piece."""
+
+    def __init__(self, connection: "CallerConnection", parser: h11.Connection) -> None:
+        self.connection = connection
+        self.parser = parser
+        self.started = False
+        self.ended = False
+
+    async def whole(
+        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        """Send a whole answer in one write."""
+        self.started = True
+        sized = [*headers, (b"Content-Length", b"%d" % len(body))]
+        data = self._head(status, sized)
+        if body:
+            data += self.parser.send(h11.Data(data=body))
+        data += self.parser.send(h11.EndOfMessage())
+        await self.connection.write(data)
+        self.ended = True
+
+    async def begin(
+        self, status: int, headers: list[tuple[bytes, bytes]], data: bytes = b""
+    ) -> None:
+        """Send the head of an answer of unknown length, and its first bytes."""
+        self.started = True
+        out = self._head(status, headers)
+        if data:
+            out += self.parser.send(h11.Data(data=data))
+        await self.connection.write(out)
+
+    async def send(self, data: bytes) -> None:
+        """Send more of an answer that began."""
+        await self.connection.write(self.parser.send(h11.Data(data=data)))
+
+    async def end(self, data: bytes = b"") -> None:
+        """Send the last bytes, and the mark that the answer is whole."""
+        out = self.parser.send(h11.Data(data=data)) if data else b""
+        out += self.parser.send(h11.EndOfMessage())
+        await self.connection.write(out)
+        self.ended = True
+
+    def _head(self, status: int, headers: list[tuple[bytes, bytes]]) -> bytes:
+        if self.connection.server.closing:
+            headers = [*headers, (b"Connection", b"close")]
+        return self.parser.send(h11.Response(status_code=status, headers=headers))
+
+
+class CallerConnection:
+    """One caller's connection: requests are read and answered in turn."""
+
+    def __init__(self, server: "HttpServer", sock: trio.socket.SocketType) -> None:
+        self.server = server
+        self.sock = sock
+        self.ahead = bytearray()
+        self.ended = False
+        self.idle_scope: trio.CancelScope | None = None
+
+    async def write(self, data: bytes) -> None:
+        """Send all of `data`; raise AnswerCut if the caller is gone."""
+        view = memoryview(data)
+        try:
+            while view:
+                view = view[await self.sock.send(view) :]
+        except OSError as error:
+            raise AnswerCut(str(error)) from error
+
+    async def run(self) -> None:
+        """Serve until the caller, a limit or a planned stop ends it."""
+        try:
+            while await self._serve_one():
+                pass
+        except (ConnectionEnded, AnswerCut, OSError):
+            pass  # an everyday end, and nobody is left to be told
+        finally:
+            self.sock.close()
+
+    async def _serve_one(self) -> bool:
+        parser = h11.Connection(h11.SERVER, self.server.limits().max_head_bytes)
+        try:
+            await self._await_first_bytes()
+            request = await self._read_request(parser)
+        except RequestRefused as refused:
+            await self._refuse(parser, refused)
+            return False
+        answer = Answer(self, parser)
+        gone = await self._handle(request, answer)
+        if gone or not answer.ended:
+            return False
+        self.ahead[:0] = parser.trailing_data[0]
+        return parser.our_state is h11.DONE and not self.server.closing
+
+    async def _handle(self, request: IncomingRequest, answer: Answer) -> bool:
+        """Run the handler; stop it when its caller leaves, and tell whether."""
+        self.server.active += 1
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._watch_caller, nursery.cancel_scope)
+                try:
+                    await self.server.handler(request, answer)
+                except AnswerCut:
+                    self.ended = True
+                nursery.cancel_scope.cancel()
+        finally:
+            self.server.active -= 1
+        return self.ended
+
+    async def _watch_caller(self, scope: trio.CancelScope) -> None:
+        while len(self.ahead) < MAX_AHEAD_BYTES:
+            try:
+                data = await self.sock.recv(RECEIVE_BYTES)
+            except OSError:
+                data = b""
+            if not data:
+                self.ended = True
+                scope.cancel()
+                return
+            self.ahead += data
+
+    async def _await_first_bytes(self) -> None:
+        """Wait for a request for as long as a caller may stay idle."""
+        if self.ahead:
+            return
+        with trio.CancelScope() as scope:
+            scope.deadline = trio.current_time() + self.server.limits().idle_timeout_s
+            self.idle_scope = scope
+            self.server.idle.add(self)
+            try:
+                await self._receive()
+            finally:
+                self.server.idle.discard(self)
+        if scope.cancelled_caught:
+            raise ConnectionEnded
+
+    async def _receive(self) -> None:
+        data = await self.sock.recv(RECEIVE_BYTES)
+        if not data:
+            raise ConnectionEnded
+        self.ahead += data
+
+    async def _read_request(self, parser: h11.Connection) -> IncomingRequest:
+        limits = self.server.limits()
+        with trio.move_on_after(limits.head_timeout_s) as scope:
+            head = await self._read_head(limits.max_head_bytes)
+        if scope.cancelled_caught:
+            raise RequestRefused(408, ResultCode.BODY_TOO_SLOW, "head")
+        received_at = self.server.clock.now()
+        parser.receive_data(head)
+        try:
+            event = parser.next_event()
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint
+            raise RequestRefused(
+                status, ResultCode.MALFORMED_BODY, str(error)
+            ) from error
+        if not isinstance(event, h11.Request):
+            raise RequestRefused(400, ResultCode.MALFORMED_BODY, "no request")
+        self._check_framing(event)
+        body = await self._read_body(parser, event, limits)
+        return IncomingRequest(
+            event.method, event.target, list(event.headers), body, received_at
+        )
+
+    async def _read_head(self, most: int) -> bytes:
+        """Take one head from what was read, and no byte after it."""
+        while True:
+            while self.ahead[:2] == b"\r\n":
+                del self.ahead[:2]
+            end = self.ahead.find(HEAD_END)
+            if end > most or (end < 0 and len(self.ahead) > most):
+                raise RequestRefused(431, ResultCode.HEAD_TOO_LARGE)
+            if end >= 0:
+                break
+            await self._receive()
+        head = bytes(self.ahead[: end + len(HEAD_END)])
+        del self.ahead[: len(head)]
+        if head.count(b"\n") != head.count(b"\r\n") or head.count(b"\r") != head.count(
+            b"\r\n"
+        ):
+            raise RequestRefused(400, ResultCode.MALFORMED_BODY, "bare line end")
+        return head
+
+    def _check_framing(self, request: h11.Request) -> None:
+        """Refuse what two readers could split into requests differently."""
+        names = [name for name, _ in request.headers]
+        lengths = names.count(b"content-length")
+        encodings = names.count(b"transfer-encoding")
+        if lengths + encodings > 1:
+            raise RequestRefused(400, ResultCode.MALFORMED_BODY, "two lengths")
+        if names.count(b"host") != 1:
+            raise RequestRefused(400, ResultCode.MALFORMED_BODY, "host")
+        if not request.target.startswith(b"/"):
+            raise RequestRefused(400, ResultCode.MALFORMED_BODY, "target")
+
+    async def _read_body(
+        self, parser: h11.Connection, request: h11.Request, limits: ServerLimits
+    ) -> bytes:
+        for name, value in request.headers:
+            if name == b"content-length" and int(value) > limits.max_body_bytes:
+                raise RequestRefused(413, ResultCode.BODY_TOO_LARGE)
+        if parser.they_are_waiting_for_100_continue:
+            await self.write(
+                parser.send(h11.InformationalResponse(status_code=100, headers=[]))
+            )
+        body = bytearray()
+        while True:
+            try:
+                event = parser.next_event()
+            except h11.RemoteProtocolError as error:
+                raise RequestRefused(
+                    400, ResultCode.MALFORMED_BODY, str(error)
+                ) from error
+            if isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > limits.max_body_bytes:
+                    raise RequestRefused(413, ResultCode.BODY_TOO_LARGE)
+            elif isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            else:
+                await self._read_more(parser, limits)
+
+    async def _read_more(self, parser: h11.Connection, limits: ServerLimits) -> None:
+        if not self.ahead:
+            with trio.move_on_after(limits.idle_timeout_s) as scope:
+                await self._receive()
+            if scope.cancelled_caught:
+                raise RequestRefused(408, ResultCode.BODY_TOO_SLOW)
+        parser.receive_data(bytes(self.ahead))
+        self.ahead.clear()
+
+    async def _refuse(self, parser: h11.Connection, refused: RequestRefused) -> None:
+        """Answer what could not be read as a request, and close."""
+        log_event(
+            "request_unreadable",
+            "WARNING",
+            status=refused.status,
+            code=refused.code.number,
+            detail=refused.detail,
+        )
+        body = b'{"code":%d,"message":"%s"}' % (
+            refused.code.number,
+            refused.code.meaning.encode(),
+        )
+        head = b"HTTP/1.1 %d Refused\r\nContent-Type: application/json\r\n"
+        head += b"Content-Length: %d\r\nConnection: close\r\n\r\n"
+        await self.write(head % (refused.status, len(body)) + body)
+        self.sock.shutdown(socket.SHUT_WR)
+        with trio.move_on_after(LINGER_S):
+            while await self.sock.recv(RECEIVE_BYTES):
+                pass
+
+
+class HttpServer:
+    """A listener whose connections fail one by one.
+
+    Parameters
+    ----------
+    clock
+        Source of time.
+    limits
+        Called for the limits in force.
+    handler
+        Called with each whole request and its answer.
+    """
+
+    def __init__(
+        self, clock: Clock, limits: Callable[[], ServerLimits], handler: Handler
+    ) -> None:
+        self.clock = clock
+        self.limits = limits
+        self.handler = handler
+        self.active = 0
+        self.closing = False
+        self.idle: set[CallerConnection] = set()
+
+    async def run(self, address: str, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Listen at ``IP:port`` until cancelled."""
+        host, _, port = address.rpartition(":")
+        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        await sock.bind((host, int(port)))
+        sock.listen(BACKLOG)
+        listener = trio.SocketListener(sock)
+        async with trio.open_nursery() as nursery:
+            await trio.serve_listeners(
+                self._accept,
+                [listener],
+                handler_nursery=nursery,
+                task_status=task_status,
+            )
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is being read."""
+        for connection in list(self.idle):
+            connection.idle_scope.cancel()
+
+    async def _accept(self, stream: trio.SocketStream) -> None:
+        connection = CallerConnection(self, stream.socket)
+        try:
+            await connection.run()
+        except Exception as error:
+            # One caller's fault must never reach the others.
+            log_event("connection_failed", "ERROR", detail=repr(error))
--- a/packages/buckthornwall/src/buckthornwall/membership/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/membership/__init__.py
@@ -1,13 +1,23 @@
-"""Which instances are live, leaving or suspected, and freezes of our own."""
+"""Which instances are live, leaving or suspected."""
+
+from buckthornwall.utils import lazy_exports
 
-from .core import Member, MembershipSettings, MemberTable
 from .freeze import FreezeDetector
-from .lease import LeaseClock
 
 __all__ = [
     "FreezeDetector",
-    "LeaseClock",
-    "Member",
-    "MemberTable",
-    "MembershipSettings",
+    "LeaseClock",  # noqa: F822 - imported at its first use
+    "Member",  # noqa: F822 - imported at its first use
+    "MemberTable",  # noqa: F822 - imported at its first use
+    "MembershipSettings",  # noqa: F822 - imported at its first use
 ]
+
+__getattr__ = lazy_exports(
+    __name__,
+    {
+        "LeaseClock": "lease",
+        "Member": "core",
+        "MemberTable": "core",
+        "MembershipSettings": "core",
+    },
+)
--- a/packages/buckthornwall/src/buckthornwall/node/main.py
+++ b/packages/buckthornwall/src/buckthornwall/node/main.py
@@ -7,14 +7,13 @@
 
 from buckthornwall import __version__
 from buckthornwall.codes import SettingsError
-from buckthornwall.settings import Settings
 from buckthornwall.telemetry import configure_logs, log_event
 
-from .core import run_node
-
 __all__ = ["main"]
 
 EXIT_SETTINGS = 2
+COMPLETIONS = "completions"
+PLATFORM = "platform"
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -28,6 +27,12 @@
     parser.add_argument(
         "--settings", type=Path, required=True, help="INI file of this instance"
     )
+    parser.add_argument(
+        "--interface",
+        choices=(COMPLETIONS, PLATFORM),
+        default=COMPLETIONS,
+        help="what callers speak: the completions interface, or the platform's",
+    )
     parser.add_argument("--version", action="version", version=__version__)
     return parser
 
@@ -35,15 +40,35 @@
 def main(arguments: list[str] | None = None) -> int:
     """Run the daemon; return its exit status."""
     options = build_parser().parse_args(arguments)
+    run = _run_platform if options.interface == PLATFORM else _run_completions
     try:
-        settings = Settings.from_file(options.settings)
+        run(options.settings)
     except SettingsError as error:
         print(f"buckthornwalld: {error}", file=sys.stderr)
         return EXIT_SETTINGS
+    return 0
+
+
+def _run_completions(path: Path) -> None:
+    # Imported here, since an instance pays in memory for what it imports.
+    from buckthornwall.settings import Settings
+
+    from .core import run_node
+
+    settings = Settings.from_file(path)
     configure_logs(settings.telemetry.log_level)
     log_event("starting", node=settings.node.id, zone=settings.node.zone)
     run_node(settings, STOP_SIGNALS)
-    return 0
+
+
+def _run_platform(path: Path) -> None:
+    from buckthornwall.router import run_router
+    from buckthornwall.settings import RouterSettings
+
+    settings = RouterSettings.from_file(path)
+    configure_logs(settings.telemetry.log_level)
+    log_event("starting", node=settings.node.id, zone=settings.node.zone)
+    run_router(settings, path)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/peers/views.py
@@ -0,0 +1,65 @@
+"""Asking a peer for what is in force, and answering that."""
+
+import trio
+
+from buckthornwall.codes import PeerError, ResultCode
+from buckthornwall.http1 import (
+    Answer,
+    ClientConnection,
+    ExchangeError,
+    IncomingRequest,
+)
+
+from .messages import PeerView, decode, encode
+
+__all__ = ["ViewClient", "answer_view"]
+
+TIMEOUT_S = 1.0
+VIEW_PATH = b"/view?number="
+CBOR = [(b"Content-Type", b"application/cbor")]
+
+
+class ViewClient:
+    """Asks peers, over a new connection each time."""
+
+    async def ask(self, address: str, number: int) -> PeerView:
+        """Return a peer's view; its configuration only if newer than `number`.
+
+        Raises
+        ------
+        PeerError
+            If the peer does not answer as it should.
+        """
+        try:
+            with trio.fail_after(TIMEOUT_S):
+                return await self._ask(address, number)
+        except (ExchangeError, trio.TooSlowError) as error:
+            raise PeerError(ResultCode.PEER_MESSAGE, str(error)) from error
+
+    async def _ask(self, address: str, number: int) -> PeerView:
+        connection = await ClientConnection.connect(address, TIMEOUT_S)
+        try:
+            headers = [(b"host", address.encode()), (b"connection", b"close")]
+            await connection.send(b"GET", VIEW_PATH + b"%d" % number, headers, b"")
+            head = await connection.receive_head()
+            body = bytearray()
+            while data := await connection.receive_data():
+                body += data
+        finally:
+            connection.close()
+        if head.status != 200:
+            raise PeerError(ResultCode.PEER_MESSAGE, f"status {head.status}")
+        return decode(bytes(body), PeerView)
+
+
+async def answer_view(
+    incoming: IncomingRequest, answer: Answer, view: PeerView, number: int
+) -> None:
+    """Answer a peer that asks for what is in force here."""
+    path, _, theirs = incoming.target.partition(b"number=")
+    if not theirs.isdigit():
+        await answer.whole(404, [], b"")
+        return
+    if int(theirs) >= number:
+        view.published = b""
+    await answer.whole(200, CBOR, encode(view))
--- a/packages/buckthornwall/src/buckthornwall/platform/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/__init__.py
@@ -1,17 +1,41 @@
-"""Client of the platform's services, which are only read and watched."""
+"""The users' platform: the only place that knows its names.
 
-from .client import (
-    InstanceKind,
-    InstanceList,
-    ListedInstance,
-    PlatformClient,
-    PlatformSettings,
-)
+============= ============================================================
+`names`       its headers
+`codec`       requests and replies between its headers and the product's types
+`published`   its form of the operator's configuration
+`store`       its store, read and watched
+`client`      the records service of instances with the completions interface
+============= ============================================================
+"""
+
+from buckthornwall.utils import lazy_exports
 
 __all__ = [
-    "InstanceKind",
-    "InstanceList",
-    "ListedInstance",
-    "PlatformClient",
-    "PlatformSettings",
+    "InstanceKind",  # noqa: F822 - imported at its first use
+    "InstanceList",  # noqa: F822 - imported at its first use
+    "ListedInstance",  # noqa: F822 - imported at its first use
+    "PlatformClient",  # noqa: F822 - imported at its first use
+    "PlatformCodec",  # noqa: F822 - imported at its first use
+    "PlatformSettings",  # noqa: F822 - imported at its first use
+    "StoreClient",  # noqa: F822 - imported at its first use
+    "StoreSettings",  # noqa: F822 - imported at its first use
+    "decode_published",  # noqa: F822 - imported at its first use
+    "decode_request",  # noqa: F822 - imported at its first use
 ]
+
+__getattr__ = lazy_exports(
+    __name__,
+    {
+        "InstanceKind": "client",
+        "InstanceList": "client",
+        "ListedInstance": "client",
+        "PlatformClient": "client",
+        "PlatformCodec": "codec",
+        "PlatformSettings": "client",
+        "StoreClient": "store",
+        "StoreSettings": "store",
+        "decode_published": "published",
+        "decode_request": "codec",
+    },
+)
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/platform/codec.py
@@ -0,0 +1,161 @@
+"""Requests and replies between the platform's headers and the product's types."""
+
+from buckthornwall.codes import Refusal, ResultCode
+from buckthornwall.forwarding import Reply, Sending
+from buckthornwall.http1 import IncomingRequest, ReplyHead
+from buckthornwall.pools import LoadReport
+from buckthornwall.routing import PromptPart, PromptShape, RoutedRequest
+from buckthornwall.utils import ModelId
+
+from . import names
+
+__all__ = ["PlatformCodec", "decode_request"]
+
+MISDIRECTED = 421
+LOWEST_PRIORITY = 9
+MS_PER_S = 1000.0
+MAX_ID_BYTES = 128
+
+Headers = list[tuple[bytes, bytes]]
+
+
+def decode_request(incoming: IncomingRequest) -> RoutedRequest:
+    """Return a caller's request in the product's words.
+
+    Raises
+    ------
+    Refusal
+        MALFORMED_BODY if a header that decides something is not valid.
+    """
+    found = dict(incoming.headers)
+    request_id = found.get(names.REQUEST_ID, b"")
+    if not 0 < len(request_id) <= MAX_ID_BYTES:
+        raise Refusal(ResultCode.MALFORMED_BODY, "request id")
+    target = incoming.target
+    return RoutedRequest(
+        id=request_id.decode("latin-1"),
+        method=incoming.method,
+        target=target,
+        host=_host(found.get(b"host", b"")),
+        path=target.partition(b"?")[0].decode("latin-1"),
+        headers=_passed_on(incoming.headers),
+        body=incoming.body,
+        received_at=incoming.received_at,
+        key=found.get(names.KEY, b"").decode("latin-1"),
+        patience_s=_milliseconds(found.get(names.DEADLINE)),
+        prompt=_prompt(found),
+        resume_after=found.get(names.LAST_EVENT_ID, b"").decode("latin-1"),
+    )
+
+
+def _host(value: bytes) -> str:
+    return value.partition(b":")[0].decode("latin-1").lower()
+
+
+def _milliseconds(value: bytes | None) -> float | None:
+    if value is None:
+        return None
+    try:
+        return max(0.0, float(value) / MS_PER_S)
+    except ValueError as error:
+        raise Refusal(ResultCode.MALFORMED_BODY, "deadline") from error
+
+
+def _passed_on(headers: Headers) -> Headers:
+    """Return the headers that concern the upstream as the caller sent them."""
+    dropped = names.HOP_BY_HOP | names.SYSTEM_ONLY | _named_by_connection(headers)
+    return [(name, value) for name, value in headers if name not in dropped]
+
+
+def _named_by_connection(headers: Headers) -> set[bytes]:
+    return {
+        token.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for token in value.split(b",")
+    }
+
+
+def _prompt(found: dict[bytes, bytes]) -> PromptShape | None:
+    counts = found.get(names.TOKEN_COUNT)
+    if counts is None:
+        return None
+    try:
+        tokens_in, _, tokens_out = counts.partition(b",")
+        return PromptShape(
+            model=ModelId(found.get(names.MODEL, b"").decode("latin-1")),
+            prompt_tokens=int(tokens_in),
+            max_output_tokens=int(tokens_out or b"0"),
+            parts=_parts(found.get(names.PROMPT_PARTS, b"")),
+        )
+    except ValueError as error:
+        raise Refusal(ResultCode.MALFORMED_BODY, "prompt sizes") from error
+
+
+def _parts(value: bytes) -> tuple[PromptPart, ...]:
+    parts = []
+    for entry in value.split(b","):
+        if entry.strip():
+            part_id, _, tokens = entry.strip().rpartition(b":")
+            parts.append(PromptPart(part_id.decode("latin-1"), int(tokens)))
+    return tuple(parts)
+
+
+class PlatformCodec:
+    """The headers that upstreams are sent, and those that they reply with."""
+
+    def encode(self, request: RoutedRequest, sending: Sending) -> Headers:
+        """Return the headers of one attempt."""
+        headers = list(request.headers)
+        remaining_ms = max(1, int(sending.remaining_s * MS_PER_S))
+        headers.append((names.DEADLINE, b"%d" % remaining_ms))
+        headers.append((names.EXPECT_INSTANCE, sending.upstream.id.encode("latin-1")))
+        if sending.team:
+            headers.append((names.TEAM, sending.team.encode("latin-1")))
+        if request.prompt is not None:
+            priority = min(sending.tier, LOWEST_PRIORITY)
+            headers.append((names.PRIORITY, b"%d" % priority))
+        if sending.resume_after:
+            headers.append(
+                (names.LAST_EVENT_ID, sending.resume_after.encode("latin-1"))
+            )
+        if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
+            headers.append((b"content-length", b"%d" % len(request.body)))
+        return headers
+
+    def decode(self, head: ReplyHead) -> Reply:
+        """Return an upstream's reply in the product's words."""
+        found = dict(head.headers)
+        misdirected = head.status == MISDIRECTED
+        return Reply(
+            status=head.status,
+            headers=self._to_caller(head.headers),
+            request_id=found.get(names.REQUEST_ID, b"").decode("latin-1"),
+            attested=names.SIGNATURE in found,
+            not_run=misdirected or names.NOT_RUN in found,
+            load=_load(found.get(names.LOAD)),
+            idle_limit_s=_idle_limit(found.get(b"keep-alive", b"")),
+            closes=b"close" in found.get(b"connection", b"").lower(),
+        )
+
+    def _to_caller(self, headers: Headers) -> Headers:
+        dropped = names.HOP_BY_HOP | _named_by_connection(headers)
+        return [(name, value) for name, value in headers if name not in dropped]
+
+
+def _load(value: bytes | None) -> LoadReport | None:
+    if value is None:
+        return None
+    try:
+        running, waiting, slots = (int(part) for part in value.split(b","))
+    except ValueError:
+        return None  # a hint only; the counts of this instance stand
+    return LoadReport(running, waiting, slots)
+
+
+def _idle_limit(value: bytes) -> float | None:
+    for part in value.lower().split(b","):
+        name, _, seconds = part.strip().partition(b"=")
+        if name == b"timeout" and seconds.isdigit():
+            return float(seconds)
+    return None
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/platform/names.py
@@ -0,0 +1,59 @@
+"""Names of the platform's headers, in lower case as they are read."""
+
+PREFIX = b"x-buckthornwall-"
+
+REQUEST_ID = PREFIX + b"attempt-id"
+# Milliseconds that the caller waits, or that an upstream may work.
+DEADLINE = PREFIX + b"deadline-ms"
+# The bare key of a team, not a scheme and credentials.
+KEY = PREFIX + b"key"
+TEAM = PREFIX + b"tenant"
+EXPECT_INSTANCE = PREFIX + b"expect-instance"
+# Prompt tokens and the most output tokens, separated by a comma.
+TOKEN_COUNT = PREFIX + b"token-count"
+# ID:TOKENS of each part in order; the last belongs to the request alone.
+PROMPT_PARTS = PREFIX + b"prompt-prefix"
+MODEL = PREFIX + b"model"
+# 0 is first, 9 last.
+PRIORITY = PREFIX + b"request-priority"
+SIGNATURE = PREFIX + b"response-seal"
+NOT_RUN = PREFIX + b"not-executed"
+# Running, waiting and slots, separated by commas.
+LOAD = PREFIX + b"engine-load"
+INSTANCE = PREFIX + b"instance-id"
+LAST_EVENT_ID = b"last-event-id"
+
+# What only the system may ask of an upstream; a caller's are dropped.
+SYSTEM_ONLY = frozenset(
+    {
+        TEAM,
+        KEY,
+        DEADLINE,
+        EXPECT_INSTANCE,
+        PRIORITY,
+        PREFIX + b"expect-version",
+        PREFIX + b"hold",
+        PREFIX + b"pin-ms",
+        PREFIX + b"kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+        LAST_EVENT_ID,
+    }
+)
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/platform/published.py
@@ -0,0 +1,165 @@
+"""The operator's configuration, from the platform's form to the product's."""
+
+import msgspec
+
+from buckthornwall.codes import RecordError, ResultCode
+from buckthornwall.routing import (
+    AnswerForm,
+    CallerLimits,
+    EngineTraits,
+    Pool,
+    PoolId,
+    PoolShare,
+    Published,
+    RequestRoute,
+    TeamGrant,
+)
+from buckthornwall.utils import RouteId, TeamId
+
+__all__ = ["decode_published"]
+
+MS_PER_S = 1000.0
+DEFAULT_TIMEOUT_MS = 30_000.0
+DEFAULT_TARGET_MS = 1_000.0
+# What the platform calls the kinds of a route.
+IDEMPOTENT = "idempotent"
+STREAM = "stream"
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    """A route; `priority` 0 is the most urgent, `public` needs no key."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float = DEFAULT_TIMEOUT_MS
+    target_latency_ms: float = DEFAULT_TARGET_MS
+    priority: int = 0
+    service: str | None = None
+    traffic_split: list[_Split] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 0.0
+
+
+class _Engine(msgspec.Struct):
+    """`kv_capacity` counts tokens; `stride` is tokens in an event."""
+
+    slots: int = 1
+    kv_capacity: int = 0
+    stride: int = 1
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = "/"
+    max_connections: int = 100
+    engine: _Engine | None = None
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits | None = None
+    tenants: list[_Tenant] = []
+
+
+def decode_published(value: bytes) -> Published:
+    """Return one whole version of the configuration.
+
+    Raises
+    ------
+    RecordError
+        RECORDS_MALFORMED if it is not what the platform publishes.
+    """
+    try:
+        config = msgspec.json.decode(value, type=_Config)
+    except msgspec.DecodeError as error:
+        raise RecordError(ResultCode.RECORDS_MALFORMED, str(error)) from error
+    return Published(
+        number=config.version,
+        routes=tuple(_route(route) for route in config.routes),
+        pools=tuple(_pool(service) for service in config.services),
+        teams=tuple(_team(tenant) for tenant in config.tenants),
+        limits=_limits(config.limits),
+    )
+
+
+def _route(route: _Route) -> RequestRoute:
+    is_stream = route.kind == STREAM
+    return RequestRoute(
+        id=RouteId(route.name),
+        host=route.host.lower(),
+        path_prefix=route.path_prefix,
+        shares=_shares(route),
+        form=AnswerForm.EVENTS if is_stream else AnswerForm.WHOLE,
+        repeatable=route.kind == IDEMPOTENT or (is_stream and route.resumable),
+        resumable=is_stream and route.resumable,
+        timeout_s=route.timeout_ms / MS_PER_S,
+        target_s=route.target_latency_ms / MS_PER_S,
+        max_pause_s=route.gap_aim_ms / MS_PER_S,
+        max_runs=max(1, route.max_attempts),
+        tier=route.priority,
+        needs_key=not route.public,
+    )
+
+
+def _shares(route: _Route) -> tuple[PoolShare, ...]:
+    if route.traffic_split:
+        return tuple(
+            PoolShare(PoolId(split.service), split.weight)
+            for split in route.traffic_split
+        )
+    return (PoolShare(PoolId(route.service or ""), 1.0),)
+
+
+def _pool(service: _Service) -> Pool:
+    traits = None
+    if service.engine is not None:
+        traits = EngineTraits(
+            slots=service.engine.slots,
+            memory_tokens=service.engine.kv_capacity,
+            tokens_per_event=service.engine.stride,
+        )
+    return Pool(
+        id=PoolId(service.name),
+        health_path=service.health_path,
+        max_connections=service.max_connections,
+        engine=traits,
+    )
+
+
+def _team(tenant: _Tenant) -> TeamGrant:
+    return TeamGrant(TeamId(tenant.name), tuple(tenant.api_keys), tenant.priority)
+
+
+def _limits(limits: _Limits | None) -> CallerLimits:
+    if limits is None:
+        return CallerLimits()
+    return CallerLimits(
+        max_head_bytes=limits.max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        head_timeout_s=limits.header_timeout_ms / MS_PER_S,
+        idle_timeout_s=limits.idle_timeout_ms / MS_PER_S,
+    )
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -0,0 +1,29 @@
+"""The upstreams of each pool: who is there, how loaded, how healthy, who is next.
+
+============= ============================================================
+`entry`       an upstream as it is registered
+`load`        how much work lies at an upstream, as far as is known here
+`prefixes`    which shared parts of prompts an engine is likely to hold
+`health`      which upstreams fail requests, whatever their health check says
+`table`       all of these by upstream; adopts registrations
+`placement`   the choice of an upstream for a request
+============= ============================================================
+"""
+
+from .entry import UpstreamEntry, UpstreamState
+from .health import Verdict
+from .load import LoadReport
+from .placement import Choice, choose_engine, choose_service
+from .table import PoolTable, UpstreamView
+
+__all__ = [
+    "Choice",
+    "LoadReport",
+    "PoolTable",
+    "UpstreamEntry",
+    "UpstreamState",
+    "UpstreamView",
+    "Verdict",
+    "choose_engine",
+    "choose_service",
+]
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/pools/load.py
@@ -0,0 +1,69 @@
+"""How much work lies at an upstream, as far as this instance knows."""
+
+from dataclasses import dataclass
+
+__all__ = ["Load", "LoadReport", "PeerLoad"]
+
+# A report older than this says nothing that own counts do not say better.
+REPORT_LIFE_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What an upstream said of itself: requests running, waiting, and slots."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLoad:
+    """What other instances have sent there and not yet got back."""
+
+    requests: int = 0
+    unread_tokens: int = 0
+
+
+NO_PEERS = PeerLoad()
+
+
+class Load:
+    """Counts of one upstream.
+
+    Attributes
+    ----------
+    requests : int
+        Requests of this instance in flight there.
+    unread_tokens : int
+        Prompt tokens of this instance sent there whose first token is due.
+    peers : PeerLoad
+        The sum of the same over the other instances, as last told.
+    """
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self.unread_tokens = 0
+        self.peers = NO_PEERS
+        self.report: LoadReport | None = None
+        self._report_at = 0.0
+        self._own_at_report = 0
+
+    def take_report(self, report: LoadReport, now: float) -> None:
+        """Note what came with a reply at `now`."""
+        self.report = report
+        self._report_at = now
+        self._own_at_report = self.requests
+
+    def in_flight(self, now: float) -> int:
+        """Return the best guess of the requests there, running or waiting."""
+        counted = self.requests + self.peers.requests
+        if self.report is None or now - self._report_at > REPORT_LIFE_S:
+            return counted
+        said = self.report.running + self.report.waiting
+        since = self.requests - self._own_at_report
+        return max(counted, said + since)
+
+    def unread(self) -> int:
+        """Return the prompt tokens that wait there to be read."""
+        return self.unread_tokens + self.peers.unread_tokens
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/pools/prefixes.py
@@ -0,0 +1,51 @@
+"""Which shared parts of prompts an engine is likely to hold.
+
+An engine that holds a part need not read it again, if it also holds every
+part before it. What is kept here is a guess from what was sent there.
+"""
+
+from collections import OrderedDict
+
+from buckthornwall.routing import PromptShape
+
+__all__ = ["PrefixMemory"]
+
+# Engines keep running requests in the same memory; this share is left to
+# parts that were read for earlier ones.
+MEMORY_SHARE = 0.5
+
+
+class PrefixMemory:
+    """The parts read by one engine, the least recently used first.
+
+    Parameters
+    ----------
+    capacity_tokens
+        Memory of the engine, in tokens.
+    """
+
+    def __init__(self, capacity_tokens: int) -> None:
+        self.capacity_tokens = capacity_tokens * MEMORY_SHARE
+        self.held_tokens = 0
+        self._parts: OrderedDict[str, int] = OrderedDict()
+
+    def held(self, prompt: PromptShape) -> int:
+        """Return how many leading tokens of a prompt lie there."""
+        tokens = 0
+        for part in prompt.parts:
+            if part.id not in self._parts:
+                break
+            tokens += part.tokens
+        return tokens
+
+    def note(self, prompt: PromptShape) -> None:
+        """Take it that the prompt is read there now."""
+        for part in prompt.parts:
+            if part.id in self._parts:
+                self._parts.move_to_end(part.id)
+            else:
+                self._parts[part.id] = part.tokens
+                self.held_tokens += part.tokens
+        while self.held_tokens > self.capacity_tokens and self._parts:
+            _, tokens = self._parts.popitem(last=False)
+            self.held_tokens -= tokens
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -0,0 +1,127 @@
+"""All upstreams by id, and what is known of each."""
+
+from collections.abc import Iterable
+
+from buckthornwall.routing import Pool, PoolId
+from buckthornwall.telemetry import log_event
+from buckthornwall.utils import Clock, UpstreamId
+
+from .entry import UpstreamEntry, UpstreamState
+from .health import Health, Verdict
+from .load import Load
+from .prefixes import PrefixMemory
+
+__all__ = ["PoolTable", "UpstreamView"]
+
+DEFAULT_MEMORY_TOKENS = 300_000
+
+
+class UpstreamView:
+    """One upstream: its registration, load, health and likely memory.
+
+    `heard_at` is when any byte last came from it.
+    """
+
+    def __init__(self, entry: UpstreamEntry) -> None:
+        self.entry = entry
+        self.load = Load()
+        self.health = Health()
+        self.prefixes = PrefixMemory(DEFAULT_MEMORY_TOKENS)
+        self.heard_at = 0.0
+
+    @property
+    def id(self) -> UpstreamId:
+        """The id it is registered under."""
+        return self.entry.id
+
+
+class PoolTable:
+    """Who is registered, as the newest news said.
+
+    Parameters
+    ----------
+    clock
+        Source of time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.views: dict[UpstreamId, UpstreamView] = {}
+        self._members: dict[PoolId, dict[UpstreamId, UpstreamView]] = {}
+
+    def adopt(self, entry: UpstreamEntry) -> None:
+        """Take a registration, new or changed."""
+        view = self.views.get(entry.id)
+        if view is None:
+            view = self.views[entry.id] = UpstreamView(entry)
+            log_event(
+                "upstream_registered",
+                upstream=entry.id,
+                pool=entry.pool,
+                zone=entry.zone,
+                state=entry.state.value,
+            )
+        elif view.entry.state is not entry.state:
+            log_event("upstream_state", upstream=entry.id, state=entry.state.value)
+        if view.entry.pool != entry.pool:
+            self._members[view.entry.pool].pop(entry.id, None)
+        view.entry = entry
+        self._members.setdefault(entry.pool, {})[entry.id] = view
+
+    def remove(self, upstream: UpstreamId) -> None:
+        """Forget an upstream that is gone."""
+        view = self.views.pop(upstream, None)
+        if view is not None:
+            self._members[view.entry.pool].pop(upstream, None)
+            log_event("upstream_gone", upstream=upstream, pool=view.entry.pool)
+
+    def members(self, pool: PoolId) -> Iterable[UpstreamView]:
+        """Return every registered upstream of a pool."""
+        return self._members.get(pool, {}).values()
+
+    def set_pool_traits(self, pools: Iterable[Pool]) -> None:
+        """Take the sizes of engines from a new version of the pools."""
+        for pool in pools:
+            if pool.engine is not None:
+                for view in self.members(pool.id):
+                    view.prefixes.capacity_tokens = pool.engine.memory_tokens / 2
+
+    def usable(
+        self, pool: PoolId, tried: frozenset[UpstreamId] | set[UpstreamId]
+    ) -> list[UpstreamView]:
+        """Return who may take a new request, the healthy before the others.
+
+        If all are set aside, all that are ready count: where everybody
+        fails, sending on is better than refusing everything.
+        """
+        now = self.clock.now()
+        ready = [
+            view
+            for view in self.members(pool)
+            if view.entry.state is UpstreamState.READY
+            and view.entry.loaded
+            and view.id not in tried
+        ]
+        return [view for view in ready if view.health.may_try(now)] or ready
+
+    def note_end(self, view: UpstreamView, verdict: Verdict) -> None:
+        """Take how a request at an upstream ended."""
+        now = self.clock.now()
+        changed = view.health.note(verdict, self._share_of_rest(view), now)
+        if changed:
+            log_event(
+                "upstream_set_aside" if view.health.aside else "upstream_back",
+                "WARNING",
+                upstream=view.id,
+                verdict=verdict.value,
+                pause_s=view.health.pause_s,
+            )
+
+    def _share_of_rest(self, view: UpstreamView) -> float:
+        now = self.clock.now()
+        others = [
+            other.health.failing_share(now)
+            for other in self.members(view.entry.pool)
+            if other is not view
+        ]
+        return sorted(others)[len(others) // 2] if others else 0.0
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -0,0 +1,239 @@
+"""The parts of one instance behind the platform's balancer."""
+
+import trio
+
+from buckthornwall.codes import PeerError, Refusal
+from buckthornwall.discovery import DiscoveryAgent, News
+from buckthornwall.forwarding import Forwarder
+from buckthornwall.http1 import Answer, HttpServer, IncomingRequest, ServerLimits
+from buckthornwall.peers import (
+    Beacon,
+    PeerAgent,
+    PeerState,
+    PeerTable,
+    PeerView,
+    ViewClient,
+    answer_view,
+)
+from buckthornwall.platform import (
+    PlatformCodec,
+    StoreClient,
+    decode_published,
+    decode_request,
+)
+from buckthornwall.pools import PoolTable
+from buckthornwall.pools.load import NO_PEERS
+from buckthornwall.routing import RoutingTable
+from buckthornwall.settings import RouterSettings
+from buckthornwall.telemetry import log_event
+from buckthornwall.utils import (
+    Clock,
+    Incarnation,
+    NodeId,
+    TrioClock,
+    UpstreamId,
+    ZoneId,
+    new_id,
+)
+
+from .stopping import stop_gracefully
+
+__all__ = ["Router"]
+
+HOUSEKEEPING_S = 0.5
+# How often a peer is asked while the store does not answer here.
+ASK_PEERS_S = 0.3
+OPERATOR_LIMITS = ServerLimits(8192, 0, 3.0, 30.0)
+
+
+class Router:
+    """Everything that one instance runs.
+
+    Parameters
+    ----------
+    settings
+        The checked settings file.
+    clock
+        Source of time, the one that trio runs on.
+    """
+
+    def __init__(self, settings: RouterSettings, clock: Clock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.node = NodeId(settings.node.id)
+        self.zone = ZoneId(settings.node.zone)
+        self.incarnation = Incarnation(new_id())
+        self.state = PeerState.JOINING
+        self.stopping = trio.Event()
+        self.refusing = False
+
+        self.table = RoutingTable()
+        self.pools = PoolTable(clock)
+        self.forwarder = Forwarder(
+            settings.forwarding,
+            self.zone,
+            self.table,
+            self.pools,
+            PlatformCodec(),
+            clock,
+        )
+        self.store = StoreClient(settings.store)
+        self.discovery = DiscoveryAgent(
+            settings.discovery,
+            self.store,
+            decode_published,
+            self.table,
+            self.pools,
+            clock,
+        )
+        self.peers = PeerTable(self.node, settings.peers.listen)
+        self.peer_agent = PeerAgent(
+            settings.peers, self.zone, self.peers, self._beacon, clock
+        )
+        self.views = ViewClient()
+        self.callers = HttpServer(clock, self._caller_limits, self._handle_caller)
+        self.operators = HttpServer(
+            clock, lambda: OPERATOR_LIMITS, self._handle_operator
+        )
+        self.balancer = HttpServer(
+            clock, lambda: OPERATOR_LIMITS, self._handle_readiness
+        )
+        self.view_server = HttpServer(clock, lambda: OPERATOR_LIMITS, self._handle_view)
+        self.discovery.on_change = self._news_adopted
+        self.discovery.on_gone = self.forwarder.connections.forget
+        self.peer_agent.on_loads = self._loads_changed
+
+    @classmethod
+    def from_config(cls, settings: RouterSettings) -> "Router":
+        """Build an instance from checked settings, on the running trio clock."""
+        return cls(settings, TrioClock())
+
+    def apply(self, settings: RouterSettings) -> None:
+        """Take the settings that may change while running.
+
+        Addresses of listeners stay as they are until the next start.
+        """
+        self.settings.peers.seeds = settings.peers.seeds
+        self.settings.stop = settings.stop
+        self.settings.discovery = self.discovery.settings = settings.discovery
+        self.store.settings.address = settings.store.address
+
+    # Tasks
+
+    async def run(self) -> None:
+        """Run until `stopping` is set, then stop without cutting anything off."""
+        edge = self.settings.edge
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.balancer.run, edge.ready)
+            await nursery.start(self.operators.run, edge.metrics)
+            await nursery.start(self.view_server.run, self.settings.peers.listen)
+            await nursery.start(self.peer_agent.run)
+            await nursery.start(self.callers.run, edge.listen)
+            nursery.start_soon(self.discovery.run)
+            nursery.start_soon(self._housekeeping)
+            nursery.start_soon(self._ask_peers)
+            await self.stopping.wait()
+            await stop_gracefully(self)
+            nursery.cancel_scope.cancel()
+
+    async def _housekeeping(self) -> None:
+        while True:
+            await trio.sleep(HOUSEKEEPING_S)
+            self.forwarder.connections.expire()
+            self.forwarder.budgets.set_instances(self.peers.serving() + 1)
+
+    async def _ask_peers(self) -> None:
+        """Take from peers what the store does not tell this instance."""
+        while True:
+            await trio.sleep(ASK_PEERS_S)
+            if not self.discovery.is_away:
+                continue
+            informed = self.peers.best_informed(self.discovery.revision, self.zone)
+            if informed is None:
+                continue
+            try:
+                view = await self.views.ask(informed.address, self.table.number)
+            except PeerError as error:
+                log_event("view_not_had", "WARNING", peer=informed.node, detail=error)
+                continue
+            log_event("view_taken", peer=informed.node, revision=view.revision)
+            self.discovery.adopt(
+                News(
+                    revision=view.revision,
+                    whole=True,
+                    published=view.published or None,
+                    entries={entry.id: entry for entry in view.entries},
+                )
+            )
+
+    # Messages
+
+    def _beacon(self, known: list[str]) -> Beacon:
+        loads = {
+            view.id: (view.load.requests, view.load.unread_tokens)
+            for view in self.pools.views.values()
+            if view.load.requests or view.load.unread_tokens
+        }
+        return Beacon(
+            self.node,
+            self.incarnation,
+            self.settings.peers.listen,
+            self.zone,
+            self.state,
+            self.table.number,
+            self.discovery.revision,
+            loads,
+            known,
+        )
+
+    def _loads_changed(self, upstreams: set[UpstreamId]) -> None:
+        for upstream in upstreams:
+            view = self.pools.views.get(upstream)
+            if view is not None:
+                view.load.peers = self.peers.loads.get(upstream, NO_PEERS)
+
+    def _news_adopted(self) -> None:
+        if self.state is PeerState.JOINING and self.table.number:
+            self.state = PeerState.READY
+            log_event(
+                "ready",
+                node=self.node,
+                number=self.table.number,
+                upstreams=len(self.pools.views),
+            )
+
+    # Listeners
+
+    def _caller_limits(self) -> ServerLimits:
+        limits = self.table.limits
+        return ServerLimits(
+            limits.max_head_bytes,
+            limits.max_body_bytes,
+            limits.head_timeout_s,
+            limits.idle_timeout_s,
+        )
+
+    async def _handle_caller(self, incoming: IncomingRequest, answer: Answer) -> None:
+        try:
+            request = decode_request(incoming)
+        except Refusal as refusal:
+            await self.forwarder.refuse_unread(answer, refusal)
+            return
+        if self.refusing:
+            await self.forwarder.refuse_leaving(request, answer)
+            return
+        await self.forwarder.forward(request, answer)
+
+    async def _handle_readiness(
+        self, incoming: IncomingRequest, answer: Answer
+    ) -> None:
+        status = 200 if self.state is PeerState.READY else 503
+        await answer.whole(status, [], b"")
+
+    async def _handle_view(self, incoming: IncomingRequest, answer: Answer) -> None:
+        entries = [view.entry for view in self.pools.views.values()]
+        view = PeerView(self.discovery.revision, self.discovery.raw, entries)
+        await answer_view(incoming, answer, view, self.table.number)
+
+    async def _handle_operator(self, incoming: IncomingRequest, answer: Answer) -> None:
+        await answer.whole(404, [], b"")
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/router/main.py
@@ -0,0 +1,80 @@
+"""Signals, the settings file and its changes."""
+
+import signal
+from functools import partial
+from pathlib import Path
+
+import trio
+
+from buckthornwall.codes import SettingsError
+from buckthornwall.settings import RouterSettings
+from buckthornwall.telemetry import log_event
+
+from .core import Router
+
+__all__ = ["run_router"]
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+RELOAD_SIGNAL = signal.SIGHUP
+# The file may change without a signal; one look costs a system call.
+LOOK_AT_FILE_S = 2.0
+
+
+def run_router(settings: RouterSettings, path: Path) -> None:
+    """Run an instance until a signal asks it to stop.
+
+    Parameters
+    ----------
+    settings
+        Checked settings.
+    path
+        The file they came from, read again when it changes.
+    """
+    trio.run(partial(_run, settings, path))
+
+
+async def _run(settings: RouterSettings, path: Path) -> None:
+    router = Router.from_config(settings)
+    with trio.open_signal_receiver(*STOP_SIGNALS, RELOAD_SIGNAL) as signals:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_take_signals, signals, router, path)
+            nursery.start_soon(_watch_file, router, path)
+            await router.run()
+            nursery.cancel_scope.cancel()
+
+
+async def _take_signals(signals, router: Router, path: Path) -> None:
+    async for number in signals:
+        if number == RELOAD_SIGNAL:
+            _reload(router, path, "signal")
+        else:
+            router.stopping.set()
+
+
+async def _watch_file(router: Router, path: Path) -> None:
+    seen = _stamp(path)
+    while True:
+        await trio.sleep(LOOK_AT_FILE_S)
+        now = _stamp(path)
+        if now != seen:
+            seen = now
+            _reload(router, path, "file")
+
+
+def _stamp(path: Path) -> tuple[int, int] | None:
+    try:
+        found = path.stat()
+    except OSError:
+        return None  # the file is being replaced; it is looked at again
+    return found.st_mtime_ns, found.st_size
+
+
+def _reload(router: Router, path: Path, cause: str) -> None:
+    """Take what may change while running; a bad file changes nothing."""
+    try:
+        settings = RouterSettings.from_file(path)
+    except SettingsError as error:
+        log_event("reload_refused", "ERROR", code=error.code.number, detail=error)
+        return
+    router.apply(settings)
+    log_event("reloaded", cause=cause, seeds=",".join(settings.peers.seeds))
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/router/stopping.py
@@ -0,0 +1,47 @@
+"""The steps of a planned stop."""
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from buckthornwall.peers import PeerState
+from buckthornwall.telemetry import log_event
+
+if TYPE_CHECKING:
+    from .core import Router
+
+__all__ = ["stop_gracefully"]
+
+# What is left of the grace when the last answers are cut off.
+LAST_S = 0.6
+LOOK_S = 0.05
+
+
+async def stop_gracefully(router: "Router") -> None:
+    """Announce, answer on until the balancer has noticed, and leave when idle.
+
+    Parameters
+    ----------
+    router
+        The instance that was asked to stop.
+    """
+    started = router.clock.now()
+    stop = router.settings.stop
+    log_event("stopping", node=router.node, active=router.callers.active)
+    router.state = PeerState.LEAVING
+    router.callers.closing = True
+    await router.peer_agent.tell_all()
+    with trio.move_on_after(stop.notice_s):
+        await trio.sleep_forever()
+    router.refusing = True
+    router.callers.close_idle()
+    limit = started + stop.grace_s - LAST_S
+    while router.callers.active and router.clock.now() < limit:
+        await trio.sleep(LOOK_S)
+        router.callers.close_idle()
+    log_event(
+        "stopped",
+        node=router.node,
+        cut=router.callers.active,
+        after_ms=round((router.clock.now() - started) * 1000),
+    )
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/routing/contract.py
@@ -0,0 +1,112 @@
+"""What the operator published, in the product's own words."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NewType
+
+from buckthornwall.utils import RouteId, TeamId
+
+__all__ = [
+    "AnswerForm",
+    "CallerLimits",
+    "EngineTraits",
+    "Pool",
+    "PoolId",
+    "PoolShare",
+    "Published",
+    "RequestRoute",
+    "TeamGrant",
+]
+
+PoolId = NewType("PoolId", str)
+
+
+class AnswerForm(Enum):
+    """How an answer reaches the caller."""
+
+    WHOLE = "whole"
+    EVENTS = "events"
+
+
+@dataclass(frozen=True, slots=True)
+class PoolShare:
+    """A part of a route's traffic; `weight` is relative to its siblings."""
+
+    pool: PoolId
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class RequestRoute:
+    """A path prefix of a host, and the contract for what arrives there.
+
+    `repeatable` tells whether an upstream may run a request again after it
+    may have run once; `resumable` whether an event stream may go on at
+    another upstream. `tier` 0 is the most urgent. Times are in seconds.
+    """
+
+    id: RouteId
+    host: str
+    path_prefix: str
+    shares: tuple[PoolShare, ...]
+    form: AnswerForm
+    repeatable: bool
+    resumable: bool
+    timeout_s: float
+    target_s: float
+    max_pause_s: float
+    max_runs: int
+    tier: int
+    needs_key: bool
+
+
+@dataclass(frozen=True, slots=True)
+class EngineTraits:
+    """What the operator says of a pool's model engines; memory in tokens."""
+
+    slots: int
+    memory_tokens: int
+    tokens_per_event: int
+
+
+@dataclass(frozen=True, slots=True)
+class Pool:
+    """Upstreams that serve the same; `engine` is None for a plain service."""
+
+    id: PoolId
+    health_path: str
+    max_connections: int
+    engine: EngineTraits | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class TeamGrant:
+    """A team, its keys, and the tier that goes before its routes' tiers."""
+
+    id: TeamId
+    keys: tuple[str, ...]
+    tier: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bounds on what a caller may send and how long it may take.
+
+    The defaults hold until the operator's first version arrives.
+    """
+
+    max_head_bytes: int = 16_384
+    max_body_bytes: int = 4 * 2**20
+    head_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class Published:
+    """One whole version of the operator's configuration."""
+
+    number: int
+    routes: tuple[RequestRoute, ...] = ()
+    pools: tuple[Pool, ...] = ()
+    teams: tuple[TeamGrant, ...] = ()
+    limits: CallerLimits = field(default_factory=CallerLimits)
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/routing/request.py
@@ -0,0 +1,56 @@
+"""One caller's request, as the decisions see it."""
+
+from dataclasses import dataclass
+
+from buckthornwall.utils import ModelId
+
+__all__ = ["PromptPart", "PromptShape", "RoutedRequest"]
+
+OUTPUT_WEIGHT = 10  # a generated token costs about ten prompt tokens' time
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """One part of a prompt that others may share; `tokens` is its length."""
+
+    id: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class PromptShape:
+    """What is known of a generation before it runs."""
+
+    model: ModelId
+    prompt_tokens: int
+    max_output_tokens: int
+    parts: tuple[PromptPart, ...] = ()
+
+    @property
+    def shared_key(self) -> str:
+        """Id of the last part that other requests may share, or ''."""
+        if len(self.parts) >= 2:
+            return self.parts[-2].id
+        return self.parts[0].id if self.parts else ""
+
+
+@dataclass(slots=True)
+class RoutedRequest:
+    """A whole request, read from its caller.
+
+    `headers` are those that pass to an upstream unchanged. `patience_s` is
+    how long the caller waits from `received_at` on, or None if it is silent.
+    """
+
+    id: str
+    method: bytes
+    target: bytes
+    host: str
+    path: str
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    received_at: float
+    key: str = ""
+    patience_s: float | None = None
+    prompt: PromptShape | None = None
+    resume_after: str = ""
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/routing/table.py
@@ -0,0 +1,97 @@
+"""The version in force, and its look-ups."""
+
+import random
+from dataclasses import dataclass
+
+from buckthornwall.codes import Refusal, ResultCode
+from buckthornwall.utils import TeamId
+
+from .contract import CallerLimits, Pool, PoolId, Published, RequestRoute, TeamGrant
+from .request import RoutedRequest
+
+__all__ = ["Resolution", "RoutingTable"]
+
+
+@dataclass(frozen=True, slots=True)
+class Resolution:
+    """Where a request may go, for whom, and how urgent it is."""
+
+    route: RequestRoute
+    pool: Pool
+    team: TeamId
+    tier: int
+    number: int
+
+
+class RoutingTable:
+    """The newest version heard of; an older one is never taken.
+
+    Attributes
+    ----------
+    number : int
+        Version in force; 0 before the first.
+    """
+
+    def __init__(self) -> None:
+        self.number = 0
+        self.limits = CallerLimits()
+        self.pools: dict[PoolId, Pool] = {}
+        self._by_host: dict[str, list[RequestRoute]] = {}
+        self._teams: dict[str, TeamGrant] = {}
+        self._keyed = False
+        self._draw = random.Random()
+
+    def adopt(self, published: Published) -> bool:
+        """Put a version in force if it is newer; tell whether it was."""
+        if published.number <= self.number:
+            return False
+        by_host: dict[str, list[RequestRoute]] = {}
+        for route in published.routes:
+            by_host.setdefault(route.host, []).append(route)
+        for routes in by_host.values():
+            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+        self._by_host = by_host
+        self._teams = {key: team for team in published.teams for key in team.keys}
+        self._keyed = bool(published.teams)
+        self.pools = {pool.id: pool for pool in published.pools}
+        self.limits = published.limits
+        self.number = published.number
+        return True
+
+    def resolve(self, request: RoutedRequest) -> Resolution:
+        """Return the route, pool and team of a request.
+
+        Raises
+        ------
+        Refusal
+            NOT_READY before the first version, UNKNOWN_PATH without a route,
+            UNAUTHENTICATED without a team's key, NO_ENGINE without a pool.
+        """
+        if not self.number:
+            raise Refusal(ResultCode.NOT_READY, retry_after_s=0.5)
+        route = self._route(request)
+        team = self._team(request, route)
+        pool = self.pools.get(self._choose_pool(route))
+        if pool is None:
+            raise Refusal(ResultCode.NO_ENGINE, f"route {route.id}", retry_after_s=0.5)
+        tier = route.tier if team is None or team.tier is None else team.tier
+        team_id = team.id if team else TeamId("")
+        return Resolution(route, pool, team_id, tier, self.number)
+
+    def _route(self, request: RoutedRequest) -> RequestRoute:
+        for route in self._by_host.get(request.host, ()):
+            if request.path.startswith(route.path_prefix):
+                return route
+        raise Refusal(ResultCode.UNKNOWN_PATH)
+
+    def _team(self, request: RoutedRequest, route: RequestRoute) -> TeamGrant | None:
+        team = self._teams.get(request.key) if request.key else None
+        if team is None and self._keyed and route.needs_key:
+            raise Refusal(ResultCode.UNAUTHENTICATED)
+        return team
+
+    def _choose_pool(self, route: RequestRoute) -> PoolId:
+        if len(route.shares) == 1:
+            return route.shares[0].pool
+        weights = [share.weight for share in route.shares]
+        return self._draw.choices(route.shares, weights)[0].pool
--- a/packages/buckthornwall/src/buckthornwall/settings/core.py
+++ b/packages/buckthornwall/src/buckthornwall/settings/core.py
@@ -1,6 +1,5 @@
 """All sections of the settings file together."""
 
-import configparser
 from dataclasses import dataclass, fields
 from pathlib import Path
 
@@ -13,7 +12,9 @@
 from buckthornwall.scheduling import SchedulingSettings
 from buckthornwall.telemetry import TelemetrySettings
 from buckthornwall.upstreams import UpstreamSettings
-from buckthornwall.utils import ConfigItem, ConfigNamespace
+
+from .node import NodeSettings
+from .sections import check_address, read_sections, read_text
 
 __all__ = ["NodeSettings", "Settings", "render_table"]
 
@@ -22,15 +23,6 @@
 )
 
 
-class NodeSettings(ConfigNamespace):
-    """Who this instance is."""
-
-    section = "node"
-
-    id = ConfigItem("", "Name of this instance, unique in the fleet.", required=True)
-    zone = ConfigItem("", "Availability zone of this instance.", required=True)
-
-
 @dataclass
 class Settings:
     """Every section of one instance's settings."""
@@ -55,11 +47,7 @@
         SettingsError
             Naming file, section and key.
         """
-        try:
-            text = path.read_text(encoding="utf-8")
-        except (OSError, UnicodeDecodeError) as error:
-            raise SettingsError(ResultCode.SETTINGS_UNREADABLE, str(error)) from error
-        return cls.from_config(text, str(path))
+        return cls.from_config(read_text(path), str(path))
 
     @classmethod
     def from_config(cls, text: str, origin: str = "settings") -> "Settings":
@@ -70,23 +58,8 @@
         SettingsError
             Naming file, section and key.
         """
-        parser = configparser.ConfigParser(interpolation=None, default_section="-")
-        try:
-            parser.read_string(text, origin)
-        except configparser.Error as error:
-            detail = " ".join(str(error).split())
-            raise SettingsError(ResultCode.SETTINGS_UNREADABLE, detail) from error
         known = {field.name: field.type for field in fields(cls)}
-        for section in parser.sections():
-            if section not in known:
-                raise SettingsError(ResultCode.SETTING_UNKNOWN, f"{origin} [{section}]")
-        sections = {
-            name: namespace.from_config(
-                parser[name] if parser.has_section(name) else {}, origin
-            )
-            for name, namespace in known.items()
-        }
-        settings = cls(**sections)
+        settings = cls(**read_sections(text, origin, known))
         settings._check_together(origin)
         return settings
 
@@ -104,11 +77,11 @@
             (self.links, "listen"),
         )
         for namespace, key in addresses:
-            _check_address(origin, namespace.section, key, getattr(namespace, key))
+            check_address(origin, namespace.section, key, getattr(namespace, key))
         if self.links.advertise:
-            _check_address(origin, "links", "advertise", self.links.advertise)
+            check_address(origin, "links", "advertise", self.links.advertise)
         for seed in self.links.seeds:
-            _check_address(origin, "links", "seeds", seed.partition("=")[2])
+            check_address(origin, "links", "seeds", seed.partition("=")[2])
         heartbeat_s = self.membership.heartbeat_s
         if self.membership.suspect_after_s < 2 * heartbeat_s:
             raise SettingsError(
@@ -133,22 +106,6 @@
                 )
 
 
-def _check_address(origin: str, section: str, key: str, text: str) -> None:
-    host, _, port = text.rpartition(":")
-    octets = host.split(".")
-    valid = (
-        len(octets) == 4
-        and all(octet.isdigit() and int(octet) < 256 for octet in octets)
-        and port.isdigit()
-        and int(port) < 65536
-    )
-    if not valid:
-        raise SettingsError(
-            ResultCode.SETTING_INVALID,
-            f"{origin} [{section}] {key}: expected IP:port, got {text!r}",
-        )
-
-
 def render_table() -> str:
     """Return the Markdown page that lists every setting."""
     lines = [
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/settings/router.py
@@ -0,0 +1,102 @@
+"""The settings of an instance behind the platform's balancer."""
+
+from dataclasses import dataclass, fields
+from pathlib import Path
+
+from buckthornwall.codes import ResultCode, SettingsError
+from buckthornwall.discovery import DiscoverySettings
+from buckthornwall.forwarding import ForwardingSettings
+from buckthornwall.peers import PeerSettings
+from buckthornwall.platform.store import StoreSettings
+from buckthornwall.telemetry import TelemetrySettings
+from buckthornwall.utils import ConfigItem, ConfigNamespace
+
+from .node import NodeSettings
+from .sections import check_address, read_sections, read_text
+
+__all__ = ["EdgeSettings", "RouterSettings", "StopSettings"]
+
+
+class EdgeSettings(ConfigNamespace):
+    """Settings of the listeners."""
+
+    section = "edge"
+
+    listen = ConfigItem("", "Where callers connect, as IP:port.", required=True)
+    ready = ConfigItem(
+        "", "Where the balancer asks for readiness, as IP:port.", required=True
+    )
+    metrics = ConfigItem(
+        "", "Where metrics and status are shown, as IP:port.", required=True
+    )
+
+
+class StopSettings(ConfigNamespace):
+    """Settings of a planned stop."""
+
+    section = "stop"
+
+    grace_s = ConfigItem(
+        8.0, "Seconds from the signal until the process is killed.", minimum=1
+    )
+    notice_s = ConfigItem(
+        2.6,
+        "Seconds until the balancer has taken this instance out: two questions, "
+        "a second apart, and their ways.",
+        minimum=0,
+    )
+
+
+@dataclass
+class RouterSettings:
+    """Every section of one such instance's settings."""
+
+    node: NodeSettings
+    edge: EdgeSettings
+    store: StoreSettings
+    discovery: DiscoverySettings
+    peers: PeerSettings
+    forwarding: ForwardingSettings
+    stop: StopSettings
+    telemetry: TelemetrySettings
+
+    @classmethod
+    def from_file(cls, path: Path) -> "RouterSettings":
+        """Read and check a file.
+
+        Raises
+        ------
+        SettingsError
+            Naming file, section and key.
+        """
+        return cls.from_config(read_text(path), str(path))
+
+    @classmethod
+    def from_config(cls, text: str, origin: str = "settings") -> "RouterSettings":
+        """Check the text of a file and build from it.
+
+        Raises
+        ------
+        SettingsError
+            Naming file, section and key.
+        """
+        known = {field.name: field.type for field in fields(cls)}
+        settings = cls(**read_sections(text, origin, known))
+        settings._check_together(origin)
+        return settings
+
+    def _check_together(self, origin: str) -> None:
+        """Check what one item alone cannot show."""
+        addresses = (
+            (self.edge, "listen"),
+            (self.edge, "ready"),
+            (self.edge, "metrics"),
+            (self.store, "address"),
+            (self.peers, "listen"),
+        )
+        for namespace, key in addresses:
+            check_address(origin, namespace.section, key, getattr(namespace, key))
+        if self.stop.notice_s >= self.stop.grace_s:
+            raise SettingsError(
+                ResultCode.SETTING_INVALID, f"{origin} [stop] notice_s: over grace_s"
+            )
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/settings/sections.py
@@ -0,0 +1,74 @@
+"""Reading an INI file into checked sections."""
+
+import configparser
+from collections.abc import Mapping
+from pathlib import Path
+
+from buckthornwall.codes import ResultCode, SettingsError
+from buckthornwall.utils import ConfigNamespace
+
+__all__ = ["check_address", "read_sections", "read_text"]
+
+
+def read_text(path: Path) -> str:
+    """Return the text of a settings file.
+
+    Raises
+    ------
+    SettingsError
+        SETTINGS_UNREADABLE.
+    """
+    try:
+        return path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(ResultCode.SETTINGS_UNREADABLE, str(error)) from error
+
+
+def read_sections(
+    text: str, origin: str, known: Mapping[str, type[ConfigNamespace]]
+) -> dict[str, ConfigNamespace]:
+    """Return the checked sections of a settings file by name.
+
+    Raises
+    ------
+    SettingsError
+        Naming file, section and key.
+    """
+    parser = configparser.ConfigParser(interpolation=None, default_section="-")
+    try:
+        parser.read_string(text, origin)
+    except configparser.Error as error:
+        detail = " ".join(str(error).split())
+        raise SettingsError(ResultCode.SETTINGS_UNREADABLE, detail) from error
+    for section in parser.sections():
+        if section not in known:
+            raise SettingsError(ResultCode.SETTING_UNKNOWN, f"{origin} [{section}]")
+    return {
+        name: namespace.from_config(
+            parser[name] if parser.has_section(name) else {}, origin
+        )
+        for name, namespace in known.items()
+    }
+
+
+def check_address(origin: str, section: str, key: str, text: str) -> None:
+    """Check that a setting is ``IP:port``.
+
+    Raises
+    ------
+    SettingsError
+        SETTING_INVALID, naming file, section and key.
+    """
+    host, _, port = text.rpartition(":")
+    octets = host.split(".")
+    valid = (
+        len(octets) == 4
+        and all(octet.isdigit() and int(octet) < 256 for octet in octets)
+        and port.isdigit()
+        and int(port) < 65536
+    )
+    if not valid:
+        raise SettingsError(
+            ResultCode.SETTING_INVALID,
+            f"{origin} [{section}] {key}: expected IP:port, got {text!r}",
+        )
--- a/packages/buckthornwall/src/buckthornwall/telemetry/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/telemetry/__init__.py
@@ -1,7 +1,15 @@
 """Logs, metrics and traces."""
 
+from buckthornwall.utils import lazy_exports
+
 from .logs import TelemetrySettings, configure_logs, log_event
-from .metrics import Metrics
-from .traces import Tracing
 
-__all__ = ["Metrics", "TelemetrySettings", "Tracing", "configure_logs", "log_event"]
+__all__ = [
+    "Metrics",  # noqa: F822 - imported at its first use
+    "TelemetrySettings",
+    "Tracing",  # noqa: F822 - imported at its first use
+    "configure_logs",
+    "log_event",
+]
+
+__getattr__ = lazy_exports(__name__, {"Metrics": "metrics", "Tracing": "traces"})
--- a/packages/buckthornwall/src/buckthornwall/upstreams/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/__init__.py
@@ -1,14 +1,23 @@
 """Streams from engines, calls to plain services, orders to engines."""
 
+from buckthornwall.utils import lazy_exports
+
 from .budget import RetryBudget
-from .engine import EngineClient, UpstreamSettings
-from .orders import OrderAgent
-from .service import ServiceClient
 
 __all__ = [
-    "EngineClient",
-    "OrderAgent",
+    "EngineClient",  # noqa: F822 - imported at its first use
+    "OrderAgent",  # noqa: F822 - imported at its first use
     "RetryBudget",
-    "ServiceClient",
-    "UpstreamSettings",
+    "ServiceClient",  # noqa: F822 - imported at its first use
+    "UpstreamSettings",  # noqa: F822 - imported at its first use
 ]
+
+__getattr__ = lazy_exports(
+    __name__,
+    {
+        "EngineClient": "engine",
+        "OrderAgent": "orders",
+        "ServiceClient": "service",
+        "UpstreamSettings": "engine",
+    },
+)
--- a/packages/buckthornwall/src/buckthornwall/utils/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/utils/__init__.py
@@ -18,10 +18,10 @@
     ZoneId,
     new_id,
 )
-from .transport import TRANSPORT_ERRORS
+from .lazy import lazy_exports
 
 __all__ = [
-    "TRANSPORT_ERRORS",
+    "TRANSPORT_ERRORS",  # noqa: F822 - imported at its first use
     "AttemptId",
     "Backoff",
     "ClassId",
@@ -38,7 +38,10 @@
     "TrioClock",
     "UpstreamId",
     "ZoneId",
+    "lazy_exports",
     "new_id",
     "rendezvous_order",
     "rendezvous_winner",
 ]
+
+__getattr__ = lazy_exports(__name__, {"TRANSPORT_ERRORS": "transport"})
