--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -279,6 +279,8 @@
 
     def _may_go_on(self, job: Job, result: AttemptResult) -> bool:
         """Tell whether another upstream may be tried after this end."""
+        if result.end is AttemptEnd.FAILED:
+            job.last_failed = result
         if job.deadline - self.clock.now() < LEAST_REMAINING_S:
             return False
         pool = job.resolution.pool.id
@@ -286,8 +288,6 @@
             return True
         if result.end is AttemptEnd.NOT_RUN:
             return self.budgets.spend(pool)
-        if result.end is AttemptEnd.FAILED:
-            job.last_failed = result
         if not self._is_repeatable(job) or job.runs >= job.resolution.route.max_runs:
             return False
         if not self.budgets.spend(pool):
