--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -111,7 +111,7 @@
         return Sending(
             upstream=self.choice.view.entry,
             team=self.resolution.team,
-            tier=self.resolution.tier,
+            rank=self.resolution.rank,
             remaining_s=self.remaining_s,
             resume_after=self.delivery.joiner.last_id,
         )
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -87,8 +87,8 @@
     tried: set[UpstreamId] = field(default_factory=set)
     runs: int = 0
     arrivals: int = 0
-    last_upstream: UpstreamId = UpstreamId("")
     last_failed: AttemptResult | None = None
+    last_choice: Choice | None = None
     detail: str = ""
 
     @property
@@ -220,13 +220,13 @@
             return False
         own_s = choice.fresh_tokens / TOKENS_PER_MS / 1000
         members = self.pools.members(job.resolution.pool.id)
-        tier = job.resolution.tier
+        tier = job.resolution.route.tier
         return is_overloaded(choice, own_s, tier, members, self.clock.now())
 
     async def _try(self, job: Job, choice: Choice) -> AttemptResult:
         view = choice.view
         job.tried.add(view.id)
-        job.last_upstream = view.id
+        job.last_choice = choice
         remaining_s = job.deadline - self.clock.now()
         attempt = Attempt(
             request=job.request,
@@ -347,14 +347,19 @@
             return {"number": self.table.number}
         now = self.clock.now()
         first_at = job.delivery.first_at
+        choice = job.last_choice
         received_at = job.request.received_at
         return {
             "route": job.resolution.route.id,
             "pool": job.resolution.pool.id,
             "team": job.resolution.team,
-            "tier": job.resolution.tier,
+            "tier": job.resolution.route.tier,
+            "rank": job.resolution.rank,
             "number": job.resolution.number,
-            "upstream": job.last_upstream,
+            "upstream": choice.view.id if choice else "",
+            "fresh_tokens": choice.fresh_tokens if choice else "",
+            "expected_ms": round(choice.wait_s * 1000) if choice else "",
+            "busy_share": round(choice.busy_share, 2) if choice else "",
             "arrivals": job.arrivals,
             "tried": len(job.tried),
             "age_ms": round((now - received_at) * 1000),
--- a/packages/buckthornwall/src/buckthornwall/forwarding/reply.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/reply.py
@@ -43,7 +43,7 @@
 
     upstream: UpstreamEntry
     team: TeamId
-    tier: int
+    rank: int
     remaining_s: float
     resume_after: str = ""
 
--- a/packages/buckthornwall/src/buckthornwall/platform/codec.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/codec.py
@@ -113,7 +113,7 @@
         if sending.team:
             headers.append((names.TEAM, sending.team.encode("latin-1")))
         if request.prompt is not None:
-            priority = min(sending.tier, LOWEST_PRIORITY)
+            priority = min(sending.rank, LOWEST_PRIORITY)
             headers.append((names.PRIORITY, b"%d" % priority))
         if sending.resume_after:
             headers.append(
--- a/packages/buckthornwall/src/buckthornwall/routing/table.py
+++ b/packages/buckthornwall/src/buckthornwall/routing/table.py
@@ -11,17 +11,36 @@
 
 __all__ = ["Resolution", "RoutingTable"]
 
+# Tiers of routes that are told apart inside one tier of teams.
+ROUTE_TIERS = 3
+# Tier of a team that has none of its own.
+DEFAULT_TEAM_TIER = 1
+
 
 @dataclass(frozen=True, slots=True)
 class Resolution:
-    """Where a request may go, for whom, and how urgent it is."""
+    """Where a request may go, for whom, and how urgent it is.
+
+    A team's tier goes before its routes' tiers: `rank` orders by the first and
+    then by the second, and 0 is the most urgent.
+    """
 
     route: RequestRoute
     pool: Pool
     team: TeamId
-    tier: int
+    team_tier: int
     number: int
 
+    @property
+    def rank(self) -> int:
+        """Place in the order of urgency over all teams and routes."""
+        return self.team_tier * ROUTE_TIERS + min(self.route.tier, ROUTE_TIERS - 1)
+
+    @property
+    def urgent(self) -> bool:
+        """Whether nothing less urgent may go before it."""
+        return self.route.tier == 0 or self.team_tier < DEFAULT_TEAM_TIER
+
 
 class RoutingTable:
     """The newest version heard of; an older one is never taken.
@@ -74,9 +93,11 @@
         pool = self.pools.get(self._choose_pool(route))
         if pool is None:
             raise Refusal(ResultCode.NO_ENGINE, f"route {route.id}", retry_after_s=0.5)
-        tier = route.tier if team is None or team.tier is None else team.tier
+        team_tier = DEFAULT_TEAM_TIER
+        if team is not None and team.tier is not None:
+            team_tier = team.tier
         team_id = team.id if team else TeamId("")
-        return Resolution(route, pool, team_id, tier, self.number)
+        return Resolution(route, pool, team_id, team_tier, self.number)
 
     def _route(self, request: RoutedRequest) -> RequestRoute:
         for route in self._by_host.get(request.host, ()):
