--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -67,7 +67,7 @@
         except ExchangeError as error:
             return AttemptResult(AttemptEnd.NOT_SENT, error.detail)
         load = view.load
-        unread = _Unread(view, self.choice.fresh_tokens)
+        unread = _Unread(view, self.resolution.rank, self.choice.fresh_tokens)
         load.requests += 1
         view.health.note_sent(self.clock.now())
         reply = None
@@ -167,12 +167,13 @@
 class _Unread:
     """Prompt tokens counted at an upstream until the first token comes."""
 
-    def __init__(self, view: UpstreamView, tokens: int) -> None:
+    def __init__(self, view: UpstreamView, rank: int, tokens: int) -> None:
         self.view = view
+        self.rank = rank
         self.tokens = tokens
-        view.load.unread_tokens += tokens
+        view.load.add_unread(rank, tokens)
 
     def clear(self) -> None:
         """Stop counting them."""
-        self.view.load.unread_tokens -= self.tokens
+        self.view.load.add_unread(self.rank, -self.tokens)
         self.tokens = 0
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -15,7 +15,6 @@
     choose_service,
 )
 from buckthornwall.pools.overload import is_overloaded, retry_after_s
-from buckthornwall.pools.placement import TOKENS_PER_MS
 from buckthornwall.routing import (
     AnswerForm,
     Resolution,
@@ -199,8 +198,7 @@
             if choice is None:
                 return self._nobody(job)
             if not job.tried and self._is_overloaded(job, choice):
-                after_s = retry_after_s(choice)
-                return Refusal(ResultCode.OVERLOADED, retry_after_s=after_s)
+                return self._overloaded(job, choice)
             result = await self._try(job, choice)
             if result.end is AttemptEnd.DONE:
                 return None
@@ -212,16 +210,28 @@
         now = self.clock.now()
         views = self.pools.usable(job.resolution.pool.id, job.tried)
         if job.request.prompt is not None:
-            return choose_engine(views, job.request.prompt, self.zone, now)
+            rank = job.resolution.rank
+            return choose_engine(views, job.request.prompt, rank, self.zone, now)
         return choose_service(views, self.zone, now)
 
+    def _expected_s(self, job: Job, choice: Choice) -> float:
+        """Return how long the first token is expected to take."""
+        pace = self.pools.pace(job.resolution.pool.id)
+        return choice.wait_s * pace.factor(job.resolution.rank)
+
     def _is_overloaded(self, job: Job, choice: Choice) -> bool:
-        if job.request.prompt is None:
+        if job.request.prompt is None or job.resolution.urgent:
             return False
-        own_s = choice.fresh_tokens / TOKENS_PER_MS / 1000
         members = self.pools.members(job.resolution.pool.id)
-        tier = job.resolution.route.tier
-        return is_overloaded(choice, own_s, tier, members, self.clock.now())
+        target_s = job.resolution.route.target_s
+        expected_s = self._expected_s(job, choice)
+        return is_overloaded(expected_s, target_s, members, self.clock.now())
+
+    def _overloaded(self, job: Job, choice: Choice) -> Refusal:
+        expected_s = self._expected_s(job, choice)
+        after_s = retry_after_s(expected_s, job.resolution.route.target_s)
+        detail = f"expected_ms={expected_s * 1000:.0f}"
+        return Refusal(ResultCode.OVERLOADED, detail, retry_after_s=after_s)
 
     async def _try(self, job: Job, choice: Choice) -> AttemptResult:
         view = choice.view
@@ -241,17 +251,25 @@
             silence_s=self._silence_s(job, remaining_s),
         )
         job.runs += 1  # until it is known better, should this be cut short
+        sent_at = self.clock.now()
         result = await attempt.run()
         if result.end in (AttemptEnd.NOT_SENT, AttemptEnd.NOT_RUN):
             job.runs -= 1
         if result.end is not AttemptEnd.NOT_SENT:
             job.arrivals += 1
         self._judge(choice, result)
+        self._note_pace(job, choice, sent_at)
         if result.end is not AttemptEnd.DONE:
             job.detail = result.detail
             self._log_attempt(job, choice, result)
         return result
 
+    def _note_pace(self, job: Job, choice: Choice, sent_at: float) -> None:
+        first_at = job.delivery.first_at
+        if job.request.prompt is not None and first_at is not None:
+            pace = self.pools.pace(job.resolution.pool.id)
+            pace.note(job.resolution.rank, choice.wait_s, first_at - sent_at)
+
     def _most_idle_s(self, job: Job) -> float:
         """Return how long a connection may have been idle for this request.
 
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -28,8 +28,8 @@
 
     `number` is that of the configuration in force, `revision` that of the
     newest news. `loads` gives, for upstreams with work from this instance, the
-    requests in flight and the prompt tokens still to be read. `known` holds
-    addresses of a few other instances.
+    requests in flight and, by rank, the prompt tokens still to be read. `known`
+    holds addresses of a few other instances.
     """
 
     node: NodeId
@@ -39,7 +39,7 @@
     state: PeerState
     number: int
     revision: int
-    loads: dict[UpstreamId, tuple[int, int]]
+    loads: dict[UpstreamId, tuple[int, dict[int, int]]]
     known: list[str]
 
 
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -14,6 +14,7 @@
 LEAST_SILENCE_S = 1.0
 # Addresses that never answered are greeted for this long after they were told.
 GREET_S = 20.0
+NOTHING: tuple[int, dict[int, int]] = (0, {})
 
 
 @dataclass(slots=True)
@@ -125,10 +126,19 @@
         }
         for upstream in changed:
             total = self.loads.get(upstream, NO_PEERS)
-            old_requests, old_tokens = old.get(upstream, (0, 0))
-            new_requests, new_tokens = new.get(upstream, (0, 0))
-            self.loads[upstream] = PeerLoad(
-                total.requests + new_requests - old_requests,
-                total.unread_tokens + new_tokens - old_tokens,
-            )
+            total = _added(total, old.get(upstream, NOTHING), -1)
+            self.loads[upstream] = _added(total, new.get(upstream, NOTHING), 1)
         return changed
+
+
+def _added(total: PeerLoad, part: tuple[int, dict[int, int]], sign: int) -> PeerLoad:
+    """Return a sum with one peer's part added, or taken off."""
+    requests, unread = part
+    summed = dict(total.unread)
+    for rank, tokens in unread.items():
+        left = summed.get(rank, 0) + sign * tokens
+        if left:
+            summed[rank] = left
+        else:
+            summed.pop(rank, None)
+    return PeerLoad(total.requests + sign * requests, summed)
--- a/packages/buckthornwall/src/buckthornwall/pools/load.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/load.py
@@ -1,8 +1,8 @@
 """How much work lies at an upstream, as far as this instance knows."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-__all__ = ["Load", "LoadReport", "PeerLoad"]
+__all__ = ["NO_PEERS", "Load", "LoadReport", "PeerLoad"]
 
 # A report older than this says nothing that own counts do not say better.
 REPORT_LIFE_S = 1.0
@@ -19,10 +19,13 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerLoad:
-    """What other instances have sent there and not yet got back."""
+    """What other instances have sent there and not yet got back.
+
+    `unread` gives the prompt tokens still to be read, by rank.
+    """
 
     requests: int = 0
-    unread_tokens: int = 0
+    unread: dict[int, int] = field(default_factory=dict)
 
 
 NO_PEERS = PeerLoad()
@@ -35,15 +38,16 @@
     ----------
     requests : int
         Requests of this instance in flight there.
-    unread_tokens : int
-        Prompt tokens of this instance sent there whose first token is due.
+    unread : dict
+        By rank, the prompt tokens of this instance sent there whose first
+        token is due.
     peers : PeerLoad
         The sum of the same over the other instances, as last told.
     """
 
     def __init__(self) -> None:
         self.requests = 0
-        self.unread_tokens = 0
+        self.unread: dict[int, int] = {}
         self.peers = NO_PEERS
         self.report: LoadReport | None = None
         self._report_at = 0.0
@@ -55,6 +59,14 @@
         self._report_at = now
         self._own_at_report = self.requests
 
+    def add_unread(self, rank: int, tokens: int) -> None:
+        """Count prompt tokens of a rank, or no longer if negative."""
+        left = self.unread.get(rank, 0) + tokens
+        if left > 0:
+            self.unread[rank] = left
+        else:
+            self.unread.pop(rank, None)
+
     def in_flight(self, now: float) -> int:
         """Return the best guess of the requests there, running or waiting."""
         counted = self.requests + self.peers.requests
@@ -64,6 +76,21 @@
         since = self.requests - self._own_at_report
         return max(counted, said + since)
 
-    def unread(self) -> int:
-        """Return the prompt tokens that wait there to be read."""
-        return self.unread_tokens + self.peers.unread_tokens
+    def waiting(self, now: float) -> int:
+        """Return the requests that the upstream said wait there for a slot."""
+        if self.report is None or now - self._report_at > REPORT_LIFE_S:
+            return 0
+        return self.report.waiting
+
+    def unread_before(self, rank: int) -> int:
+        """Return the prompt tokens that are read before a new one of `rank`."""
+        return sum(
+            tokens
+            for unread in (self.unread, self.peers.unread)
+            for other, tokens in unread.items()
+            if other <= rank
+        )
+
+    def unread_all(self) -> int:
+        """Return all prompt tokens that wait there to be read."""
+        return sum(self.unread.values()) + sum(self.peers.unread.values())
--- a/packages/buckthornwall/src/buckthornwall/pools/placement.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/placement.py
@@ -3,22 +3,26 @@
 from dataclasses import dataclass
 
 from buckthornwall.routing import PromptShape
-from buckthornwall.utils import ZoneId, rendezvous_winner
+from buckthornwall.utils import ZoneId, rendezvous_order
 
 from .table import UpstreamView
 
-__all__ = ["Choice", "choose_engine", "choose_service"]
+__all__ = ["TOKENS_PER_MS", "Choice", "choose_engine", "choose_service"]
 
 # Prompt tokens that a model engine reads in a millisecond. A guess to start
-# from; only ratios of waits depend on it.
+# from: `Pace` corrects what follows from it.
 TOKENS_PER_MS = 50.0
 # A missing shared token counts this often: reading it costs the engine's other
-# requests too, and pushes other parts out of its memory.
+# requests too, and pushes other parts out of its memory. At the second home it
+# counts less, since the next request that leaves the first home goes there too.
 MISSING_WEIGHT = 3.0
+SECOND_HOME_WEIGHT = 1.5
 # Each request that runs beside slows every step; as prompt tokens.
 RUNNING_TOKENS = 60.0
 # A request that waits for a slot there waits for about this many tokens.
 QUEUED_TOKENS = 3_000.0
+# What is read later than this request counts for those behind it.
+BEHIND_WEIGHT = 0.2
 # The way to another zone and back, as prompt tokens.
 ZONE_TOKENS = 60.0
 # An engine that is still warming up, as prompt tokens a second left.
@@ -33,7 +37,7 @@
     """An upstream, and what is expected there.
 
     `fresh_tokens` is what it has to read of the prompt; `wait_s` the time
-    until the first token, reading included.
+    until the first token by the counts alone, reading included.
     """
 
     view: UpstreamView
@@ -42,8 +46,21 @@
     busy_share: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Offer:
+    """One engine's cost for a prompt, in prompt tokens."""
+
+    cost: float
+    view: UpstreamView
+    fresh_tokens: int
+
+
 def choose_engine(
-    views: list[UpstreamView], prompt: PromptShape, zone: ZoneId, now: float
+    views: list[UpstreamView],
+    prompt: PromptShape,
+    rank: int,
+    zone: ZoneId,
+    now: float,
 ) -> Choice | None:
     """Return the engine with the least work for a prompt, or None without any.
 
@@ -57,6 +74,8 @@
         Engines that may take it.
     prompt
         What it asks to read.
+    rank
+        Its place in the order of urgency.
     zone
         The zone of this instance.
     now
@@ -64,29 +83,45 @@
     """
     if not views:
         return None
+    homes = rendezvous_order(prompt.shared_key, [view.id for view in views])[:2]
+    offers = [_offer(view, prompt, rank, homes, zone, now) for view in views]
+    best = min(offers, key=lambda offer: offer.cost)
+    load = best.view.load
+    tokens = best.fresh_tokens + load.unread_before(rank)
+    wait_s = tokens / TOKENS_PER_MS / 1000
+    return Choice(best.view, best.fresh_tokens, wait_s, _busy_share(best.view, now))
+
+
+def _offer(
+    view: UpstreamView,
+    prompt: PromptShape,
+    rank: int,
+    homes: list[str],
+    zone: ZoneId,
+    now: float,
+) -> _Offer:
     shared = sum(part.tokens for part in prompt.parts[:-1])
-    home = rendezvous_winner(prompt.shared_key, [view.id for view in views])
-    best: tuple[float, UpstreamView, int] | None = None
-    for view in views:
-        held = view.prefixes.held(prompt)
-        if view.id == home:
-            held = max(held, shared)
-        fresh = max(0, prompt.prompt_tokens - held)
-        missing = max(0, shared - held)
-        cost = fresh + (MISSING_WEIGHT - 1) * missing + _ahead(view, zone, now)
-        if best is None or cost < best[0]:
-            best = (cost, view, fresh)
-    _, view, fresh = best
-    wait_s = (fresh + view.load.unread()) / TOKENS_PER_MS / 1000
-    return Choice(view, fresh, wait_s, _busy_share(view, now))
-
-
-def _ahead(view: UpstreamView, zone: ZoneId, now: float) -> float:
+    held = view.prefixes.held(prompt)
+    if view.id == homes[0]:
+        held = max(held, shared)
+    fresh = max(0, prompt.prompt_tokens - held)
+    missing = max(0, shared - held)
+    weight = SECOND_HOME_WEIGHT if view.id in homes else MISSING_WEIGHT
+    cost = fresh + (weight - 1) * missing + _ahead(view, rank, now)
+    if view.entry.zone != zone:
+        cost += ZONE_TOKENS
+    return _Offer(cost, view, fresh)
+
+
+def _ahead(view: UpstreamView, rank: int, now: float) -> float:
+    """Return the work before a request of a rank, in prompt tokens."""
     in_flight = view.load.in_flight(now)
     queued = max(0, in_flight - view.entry.slots)
-    cost = view.load.unread() + in_flight * RUNNING_TOKENS + queued * QUEUED_TOKENS
-    cost += view.entry.cold_s * COLD_TOKENS_PER_S
-    return cost if view.entry.zone == zone else cost + ZONE_TOKENS
+    before = view.load.unread_before(rank)
+    behind = view.load.unread_all() - before
+    cost = before + BEHIND_WEIGHT * behind
+    cost += in_flight * RUNNING_TOKENS + queued * QUEUED_TOKENS
+    return cost + view.entry.cold_s * COLD_TOKENS_PER_S
 
 
 def _busy_share(view: UpstreamView, now: float) -> float:
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -9,6 +9,7 @@
 from .entry import UpstreamEntry, UpstreamState
 from .health import Health, Verdict
 from .load import Load
+from .pace import Pace
 from .prefixes import PrefixMemory
 
 __all__ = ["PoolTable", "UpstreamView"]
@@ -48,6 +49,7 @@
         self.clock = clock
         self.views: dict[UpstreamId, UpstreamView] = {}
         self._members: dict[PoolId, dict[UpstreamId, UpstreamView]] = {}
+        self._paces: dict[PoolId, Pace] = {}
 
     def adopt(self, entry: UpstreamEntry) -> None:
         """Take a registration, new or changed."""
@@ -79,6 +81,10 @@
         """Return every registered upstream of a pool."""
         return self._members.get(pool, {}).values()
 
+    def pace(self, pool: PoolId) -> Pace:
+        """Return how a pool's first tokens compare with the counts."""
+        return self._paces.setdefault(pool, Pace())
+
     def set_pool_traits(self, pools: Iterable[Pool]) -> None:
         """Take the sizes of engines from a new version of the pools."""
         for pool in pools:
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -170,9 +170,9 @@
 
     def _beacon(self, known: list[str]) -> Beacon:
         loads = {
-            view.id: (view.load.requests, view.load.unread_tokens)
+            view.id: (view.load.requests, view.load.unread)
             for view in self.pools.views.values()
-            if view.load.requests or view.load.unread_tokens
+            if view.load.requests
         }
         return Beacon(
             self.node,
