--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -22,6 +22,11 @@
 
 RETRY_FIRST_S = 0.05
 RETRY_LIMIT_S = 0.5
+# What is missing in the answers of this long after an outage may have run out
+# in it; what is removed later is removed by its upstream. With the whole time
+# to settle, an upstream that left 0.8 s after an outage was still sent work
+# 2.4 s after it had said so.
+DOUBT_S = 0.5
 MS_PER_S = 1000.0
 
 
@@ -93,7 +98,8 @@
         self.is_away = False
         self.on_change: Callable[[], None] = lambda: None
         self.on_gone: Callable[[UpstreamId], None] = lambda upstream: None
-        self._settle_until = 0.0
+        self._doubt_until = 0.0
+        self._settle_at = 0.0
         self._doubted: set[UpstreamId] = set()
 
     async def run(self) -> None:
@@ -108,22 +114,30 @@
                 need_all = True
                 continue
             except PeerError as error:
-                self._note_failure(error)
+                self.note_failure(error)
                 await trio.sleep(backoff.next_delay())
                 continue
-            self._note_answer()
+            self.note_answer()
             backoff.reset()
             need_all = False
             self.adopt(news)
-            self._settle()
+            self.settle()
             await trio.sleep(self.settings.gap_ms / MS_PER_S)
 
     async def _next(self, need_all: bool) -> News:
         if need_all:
             return await self.feed.read_all()
-        return await self.feed.watch(self.revision, self.settings.watch_ms / MS_PER_S)
+        return await self.feed.watch(self.revision, self.watch_s())
 
-    def _note_failure(self, error: PeerError) -> None:
+    def watch_s(self) -> float:
+        """Return how long the next watch may wait, in seconds."""
+        limit_s = self.settings.watch_ms / MS_PER_S
+        if self._doubted:
+            limit_s = min(limit_s, max(0.0, self._settle_at - self.clock.now()))
+        return limit_s
+
+    def note_failure(self, error: PeerError) -> None:
+        """Take it that the source did not answer."""
         silent_s = self.clock.now() - self.answered_at
         if not self.is_away and silent_s * MS_PER_S > self.settings.outage_ms:
             self.is_away = True
@@ -131,11 +145,13 @@
                 "store_lost", "WARNING", detail=error, silent_ms=round(silent_s * 1000)
             )
 
-    def _note_answer(self) -> None:
+    def note_answer(self) -> None:
+        """Take it that the source answered."""
         now = self.clock.now()
         if self.is_away:
             self.is_away = False
-            self._settle_until = now + self.settings.settle_ms / MS_PER_S
+            self._doubt_until = now + DOUBT_S
+            self._settle_at = now + self.settings.settle_ms / MS_PER_S
             away_ms = round((now - self.answered_at) * MS_PER_S)
             log_event("store_regained", away_ms=away_ms, revision=self.revision)
         self.answered_at = now
@@ -150,7 +166,7 @@
         gone = set(news.removed)
         if news.whole:
             gone |= set(self.pools.views) - set(news.entries)
-        if self.clock.now() < self._settle_until:
+        if self.clock.now() < self._doubt_until:
             self._doubted |= gone
         else:
             self._remove(gone)
@@ -176,8 +192,9 @@
                 teams=len(published.teams),
             )
 
-    def _settle(self) -> None:
-        if self._doubted and self.clock.now() >= self._settle_until:
+    def settle(self) -> None:
+        """Take what is still missing long enough after an outage to be gone."""
+        if self._doubted and self.clock.now() >= self._settle_at:
             doubted, self._doubted = self._doubted, set()
             self._remove(doubted)
 
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
@@ -0,0 +1,94 @@
+"""Tests of what an instance does with news, and with their absence."""
+
+import pytest
+
+from buckthornwall.codes import PeerError, RecordError, ResultCode
+from buckthornwall.discovery import DiscoveryAgent, DiscoverySettings, News
+from buckthornwall.pools import PoolTable, UpstreamEntry, UpstreamState
+from buckthornwall.routing import Pool, PoolId, Published, RoutingTable
+from buckthornwall.utils import UpstreamId, ZoneId
+
+POOL = PoolId("drafts")
+
+
+def entry(name: str, state: UpstreamState = UpstreamState.READY) -> UpstreamEntry:
+    return UpstreamEntry(UpstreamId(name), POOL, "10.0.0.1:80", ZoneId("z"), 4, state)
+
+
+def news(revision: int, *names: str, whole=False, removed=(), published=None) -> News:
+    entries = {UpstreamId(name): entry(name) for name in names}
+    return News(revision, whole, published, entries, set(removed))
+
+
+def decode(raw: bytes) -> Published:
+    if not raw.isdigit():
+        raise RecordError(ResultCode.RECORDS_MALFORMED, "not a number")
+    return Published(number=int(raw), pools=(Pool(POOL, "/health", 10),))
+
+
+@pytest.fixture
+def agent(clock):
+    pools = PoolTable(clock)
+    table = RoutingTable()
+    return DiscoveryAgent(DiscoverySettings(), None, decode, table, pools, clock)
+
+
+def away_for(agent, clock, seconds: float) -> None:
+    """Let the source be away, and answer again."""
+    clock.time += seconds
+    agent.note_failure(PeerError(ResultCode.PLATFORM_UNREACHABLE, "reset"))
+    agent.note_answer()
+
+
+def test_an_older_configuration_never_comes_back(agent):
+    agent.adopt(news(1, published=b"7"))
+    agent.adopt(news(2, published=b"6"))
+    assert agent.table.number == 7
+
+
+def test_a_malformed_configuration_leaves_the_one_in_force(agent):
+    agent.adopt(news(1, published=b"7"))
+    agent.adopt(news(2, published=b"{"))
+    assert agent.table.number == 7
+
+
+def test_a_removed_upstream_goes_at_once(agent):
+    agent.adopt(news(1, "a", "b", whole=True))
+    agent.adopt(news(2, removed=["a"]))
+    assert list(agent.pools.views) == ["b"]
+
+
+def test_what_a_whole_read_lacks_is_gone(agent):
+    agent.adopt(news(1, "a", "b", whole=True))
+    agent.adopt(news(2, "b", whole=True))
+    assert list(agent.pools.views) == ["b"]
+
+
+def test_what_ran_out_in_an_outage_may_come_back(agent, clock):
+    agent.adopt(news(1, "a", "b", whole=True))
+    away_for(agent, clock, 5.0)
+    agent.adopt(news(2, removed=["a", "b"]))
+    assert set(agent.pools.views) == {"a", "b"}
+    clock.time += 1.0
+    agent.adopt(news(3, "a"))
+    clock.time += 2.0
+    agent.settle()
+    assert list(agent.pools.views) == ["a"]
+
+
+def test_a_removal_long_after_an_outage_counts_at_once(agent, clock):
+    """An upstream that leaves 0.8 s after an outage must get no new work."""
+    agent.adopt(news(1, "a", "b", whole=True))
+    away_for(agent, clock, 9.0)
+    agent.adopt(news(2))
+    clock.time += 0.8
+    agent.adopt(news(3, removed=["a"]))
+    assert list(agent.pools.views) == ["b"]
+
+
+def test_a_watch_ends_when_what_is_missing_is_to_be_judged(agent, clock):
+    agent.adopt(news(1, "a", whole=True))
+    away_for(agent, clock, 5.0)
+    agent.adopt(news(2, removed=["a"]))
+    clock.time += 2.0
+    assert agent.watch_s() == pytest.approx(0.2)
