--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -15,6 +15,7 @@
     choose_service,
 )
 from buckthornwall.pools.overload import is_overloaded, retry_after_s
+from buckthornwall.pools.placement import FREE_TARGET_SHARE
 from buckthornwall.routing import (
     AnswerForm,
     Resolution,
@@ -211,7 +212,11 @@
         views = self.pools.usable(job.resolution.pool.id, job.tried)
         if job.request.prompt is not None:
             rank = job.resolution.rank
-            return choose_engine(views, job.request.prompt, rank, self.zone, now)
+            pace = self.pools.pace(job.resolution.pool.id)
+            target_s = job.resolution.route.target_s
+            free_s = FREE_TARGET_SHARE * target_s / pace.factor(rank)
+            prompt = job.request.prompt
+            return choose_engine(views, prompt, rank, self.zone, now, free_s)
         return choose_service(views, self.zone, now)
 
     def _expected_s(self, job: Job, choice: Choice) -> float:
--- a/packages/buckthornwall/src/buckthornwall/pools/placement.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/placement.py
@@ -17,6 +17,10 @@
 # counts less, since the next request that leaves the first home goes there too.
 MISSING_WEIGHT = 3.0
 SECOND_HOME_WEIGHT = 1.5
+# A wait that leaves the target in reach is cheap: part of the target for which
+# that holds, and what a token ahead then counts.
+FREE_TARGET_SHARE = 0.25
+FREE_WEIGHT = 0.3
 # Each request that runs beside slows every step; as prompt tokens.
 RUNNING_TOKENS = 60.0
 # A request that waits for a slot there waits for about this many tokens.
@@ -61,6 +65,7 @@
     rank: int,
     zone: ZoneId,
     now: float,
+    free_wait_s: float,
 ) -> Choice | None:
     """Return the engine with the least work for a prompt, or None without any.
 
@@ -80,11 +85,16 @@
         The zone of this instance.
     now
         The time in seconds.
+    free_wait_s
+        A wait that leaves the target well in reach.
     """
     if not views:
         return None
+    free_tokens = free_wait_s * 1000 * TOKENS_PER_MS
     homes = rendezvous_order(prompt.shared_key, [view.id for view in views])[:2]
-    offers = [_offer(view, prompt, rank, homes, zone, now) for view in views]
+    offers = [
+        _offer(view, prompt, rank, homes, zone, now, free_tokens) for view in views
+    ]
     best = min(offers, key=lambda offer: offer.cost)
     load = best.view.load
     tokens = best.fresh_tokens + load.unread_before(rank)
@@ -99,6 +109,7 @@
     homes: list[str],
     zone: ZoneId,
     now: float,
+    free_tokens: float,
 ) -> _Offer:
     shared = sum(part.tokens for part in prompt.parts[:-1])
     held = view.prefixes.held(prompt)
@@ -107,7 +118,9 @@
     fresh = max(0, prompt.prompt_tokens - held)
     missing = max(0, shared - held)
     weight = SECOND_HOME_WEIGHT if view.id in homes else MISSING_WEIGHT
-    cost = fresh + (weight - 1) * missing + _ahead(view, rank, now)
+    ahead = _ahead(view, rank, now)
+    ahead -= (1 - FREE_WEIGHT) * min(ahead, free_tokens)
+    cost = fresh + (weight - 1) * missing + ahead
     if view.entry.zone != zone:
         cost += ZONE_TOKENS
     return _Offer(cost, view, fresh)
