--- a/packages/buckthornwall/src/buckthornwall/conftest.py
+++ b/packages/buckthornwall/src/buckthornwall/conftest.py
@@ -1,13 +1,18 @@
 """Fixtures that several subpackages' tests share."""
 
+import socket
+import struct
+from functools import partial
 from hashlib import sha256
 
 import msgspec
 import pytest
+import trio
 
 from buckthornwall.records import RecordStore, parse_records
 
 KEY = "a-key"
+RESET = struct.pack("ii", 1, 0)  # linger for no time: closing resets
 
 
 class ManualClock:
@@ -105,3 +110,50 @@
     store = RecordStore()
     store.offer(encode(make_records()))
     return store
+
+
+@pytest.fixture
+async def raw_upstream(nursery):
+    """Return a function that starts a server which answers with given bytes.
+
+    It writes the next entry of its script for each request that it reads; an
+    entry of None resets the connection, b'' closes it, and a number waits for
+    that many seconds before the next one. What it read is in `requests`, by
+    address.
+    """
+
+    async def start(*script):
+        left = list(script)
+        requests = []
+
+        async def talk(stream):
+            async with stream:
+                while left and (request := await stream.receive_some()):
+                    requests.append(request)
+                    if not await play(stream):
+                        return
+
+        async def play(stream):
+            """Play entries up to the next bytes; tell whether to go on."""
+            while left:
+                entry = left.pop(0)
+                if isinstance(entry, float):
+                    await trio.sleep(entry)
+                elif entry is None:
+                    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                    return False
+                elif entry:
+                    await stream.send_all(entry)
+                    return not left or left[0] not in (b"", None) or await play(stream)
+                else:
+                    return False
+            return False
+
+        serve = partial(trio.serve_tcp, talk, 0, host="127.0.0.1")
+        listeners = await nursery.start(serve)
+        address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        start.requests[address] = requests
+        return address
+
+    start.requests = {}
+    return start
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
@@ -0,0 +1,304 @@
+"""Tests of attempts: what is repeated, what is not, and what the caller is told."""
+
+import json
+
+import pytest
+import trio
+
+from buckthornwall.forwarding import Forwarder, ForwardingSettings, Reply
+from buckthornwall.http1 import AnswerCut
+from buckthornwall.pools import PoolTable, UpstreamEntry, UpstreamState
+from buckthornwall.routing import (
+    AnswerForm,
+    Pool,
+    PoolId,
+    PoolShare,
+    Published,
+    RequestRoute,
+    RoutedRequest,
+    RoutingTable,
+)
+from buckthornwall.utils import RouteId, TrioClock, UpstreamId, ZoneId
+
+POOL = PoolId("p")
+NOT_RUN = b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+def whole(status=200, body=b"ok", request="r", extra=b""):
+    head = b"HTTP/1.1 %d Any\r\nX-Id: %s\r\nX-Signed: 1\r\n" % (
+        status,
+        request.encode(),
+    )
+    return head + extra + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+def event(number):
+    return b"id: %d\ndata: w%d\n\n" % (number, number)
+
+
+def stream(*numbers, end=True):
+    head = b"HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signed: 1\r\n"
+    data = head + b"Transfer-Encoding: chunked\r\n\r\n"
+    for number in numbers:
+        part = event(number)
+        data += b"%x\r\n%s\r\n" % (len(part), part)
+    return data + (b"0\r\n\r\n" if end else b"")
+
+
+class PlainCodec:
+    """A codec of a few short names."""
+
+    def encode(self, request, sending):
+        headers = [
+            (b"host", b"h"),
+            (b"x-left", b"%d" % (sending.remaining_s * 1000)),
+            (b"content-length", b"%d" % len(request.body)),
+        ]
+        if sending.resume_after:
+            headers.append((b"last-event-id", sending.resume_after.encode()))
+        return headers
+
+    def decode(self, head):
+        found = dict(head.headers)
+        return Reply(
+            status=head.status,
+            headers=[],
+            request_id=found.get(b"x-id", b"").decode(),
+            attested=b"x-signed" in found,
+            not_run=b"x-not-run" in found,
+        )
+
+
+class Recorder:
+    """An answer that keeps what it is given."""
+
+    def __init__(self):
+        self.started = self.ended = False
+        self.status = 0
+        self.body = b""
+        self.headers = {}
+
+    async def whole(self, status, headers, body):
+        self.started = self.ended = True
+        self.status, self.headers, self.body = status, dict(headers), body
+
+    async def begin(self, status, headers, data=b""):
+        self.started = True
+        self.status, self.body = status, data
+
+    async def send(self, data):
+        self.body += data
+
+    async def end(self, data=b""):
+        self.body += data
+        self.ended = True
+
+    @property
+    def run(self):
+        return json.loads(self.body)["run"]
+
+
+@pytest.fixture
+def forward(raw_upstream):
+    """Return a function that forwards one request to scripted upstreams."""
+
+    async def forward(
+        *scripts,
+        form=AnswerForm.WHOLE,
+        repeatable=True,
+        max_runs=3,
+        timeout_s=2.0,
+        reserve=50.0,
+        patience_s=None,
+    ):
+        clock = TrioClock()
+        table, pools = RoutingTable(), PoolTable(clock)
+        route = RequestRoute(
+            id=RouteId("route"),
+            host="h",
+            path_prefix="/",
+            shares=(PoolShare(POOL, 1.0),),
+            form=form,
+            repeatable=repeatable,
+            resumable=repeatable and form is AnswerForm.EVENTS,
+            timeout_s=timeout_s,
+            target_s=0.2,
+            max_pause_s=0.1,
+            max_runs=max_runs,
+            tier=1,
+            needs_key=False,
+        )
+        table.adopt(Published(1, (route,), (Pool(POOL, "/", 10),)))
+        forward.addresses = []
+        for number, script in enumerate(scripts):
+            address = script if isinstance(script, str) else await raw_upstream(*script)
+            forward.addresses.append(address)
+            # More slots look less loaded, so the scripts are used in turn.
+            slots = 1000 if number == 0 else 100 - number
+            pools.adopt(
+                UpstreamEntry(
+                    UpstreamId(f"u{number}"),
+                    POOL,
+                    address,
+                    ZoneId("z"),
+                    slots,
+                    UpstreamState.READY,
+                )
+            )
+            pools.views[f"u{number}"].load.requests = number
+        settings = ForwardingSettings(retry_ratio=0.0, retry_reserve=reserve)
+        forwarder = Forwarder(settings, ZoneId("z"), table, pools, PlainCodec(), clock)
+        request = RoutedRequest("r", b"POST", b"/", "h", "/", [], b"x", clock.now())
+        request.patience_s = patience_s
+        answer = Recorder()
+        with trio.fail_after(5):
+            await forwarder.forward(request, answer)
+        return answer
+
+    def arrivals():
+        requests = raw_upstream.requests
+        return [len(requests.get(address, ())) for address in forward.addresses]
+
+    forward.arrivals = arrivals
+    forward.requests = raw_upstream.requests
+    return forward
+
+
+async def test_a_whole_reply_passes_unchanged(forward):
+    answer = await forward([whole()])
+    assert (answer.status, answer.body) == (200, b"ok")
+
+
+async def test_what_was_not_run_goes_to_another_upstream(forward):
+    answer = await forward([NOT_RUN], [whole()], repeatable=False)
+    assert answer.status == 200
+    assert forward.arrivals() == [1, 1]
+
+
+async def test_an_unreachable_upstream_costs_no_retry(forward):
+    answer = await forward("127.0.0.1:1", [whole()], repeatable=False, reserve=0.0)
+    assert answer.status == 200
+
+
+async def test_a_call_that_may_have_run_is_not_repeated(forward):
+    answer = await forward([None], [whole()], repeatable=False)
+    assert (answer.status, answer.run) == (502, "unknown")
+    assert forward.arrivals() == [1, 0]
+
+
+async def test_a_repeatable_call_is_repeated_elsewhere(forward):
+    answer = await forward([None], [whole()])
+    assert answer.status == 200
+    assert forward.arrivals() == [1, 1]
+
+
+async def test_a_call_runs_no_more_often_than_its_route_allows(forward):
+    answer = await forward([None], [None], [whole()], max_runs=2)
+    assert answer.status == 502
+    assert forward.arrivals() == [1, 1, 0]
+
+
+async def test_a_spent_budget_ends_repeating(forward):
+    answer = await forward([None], [None], [None], [whole()], max_runs=9, reserve=2.5)
+    assert answer.status == 502
+    assert sum(forward.arrivals()) == 3
+
+
+async def test_nobody_who_runs_it_means_not_run_and_when_to_come_back(forward):
+    answer = await forward([NOT_RUN], [NOT_RUN], repeatable=False)
+    assert (answer.status, answer.run) == (503, "no")
+    assert float(answer.headers[b"Retry-After"]) > 0
+
+
+async def test_not_run_is_never_said_after_an_attempt_that_may_have_run(forward):
+    answer = await forward([None], [NOT_RUN])
+    assert (answer.status, answer.run) == (502, "unknown")
+
+
+async def test_the_last_failure_of_an_upstream_passes_unchanged(forward):
+    answer = await forward([whole(500, b"why")], [whole(500, b"again")], max_runs=2)
+    assert (answer.status, answer.body) == (500, b"again")
+
+
+async def test_a_failure_passes_even_when_no_time_is_left(forward):
+    late = [0.19, whole(504, b"late")]
+    answer = await forward(late, [whole()], repeatable=False, timeout_s=0.2)
+    assert (answer.status, answer.body) == (504, b"late")
+
+
+async def test_a_success_that_is_not_signed_is_not_passed_on(forward):
+    unsigned = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"
+    answer = await forward([unsigned], [whole()])
+    assert (answer.status, answer.body) == (200, b"ok")
+
+
+async def test_a_reply_to_another_request_is_not_passed_on(forward):
+    answer = await forward([whole(body=b"theirs", request="other") + whole()])
+    assert answer.body == b"ok"
+
+
+async def test_a_reply_cut_short_is_not_passed_on(forward):
+    answer = await forward([whole()[:-1], b""], [whole()], max_runs=1)
+    assert answer.status in (502, 504)
+
+
+async def test_the_time_left_shrinks_from_attempt_to_attempt(forward):
+    slow = [0.15, None]
+    await forward(slow, [whole()], patience_s=1.0)
+    first, second = (
+        int(forward.requests[address][0].split(b"x-left: ")[1].split(b"\r\n")[0])
+        for address in forward.addresses
+    )
+    assert first <= 1000
+    assert second <= first - 140
+
+
+async def test_a_caller_is_answered_at_its_routes_timeout(forward):
+    answer = await forward([5.0, whole()], repeatable=False, timeout_s=0.2)
+    assert (answer.status, answer.run) == (504, "unknown")
+
+
+async def test_a_silent_upstream_is_given_up_in_time_for_another(forward):
+    answer = await forward([5.0, whole()], [whole()], timeout_s=1.0)
+    assert answer.status == 200
+
+
+async def test_a_stream_passes_by_whole_events(forward):
+    answer = await forward([stream(1, 2, 3)], form=AnswerForm.EVENTS)
+    assert answer.body == event(1) + event(2) + event(3)
+    assert answer.ended
+
+
+async def test_a_resumable_stream_goes_on_after_its_last_event(forward):
+    answer = await forward(
+        [stream(1, 2, end=False), b""], [stream(3, 4)], form=AnswerForm.EVENTS
+    )
+    assert answer.body == event(1) + event(2) + event(3) + event(4)
+    assert answer.ended
+    assert b"last-event-id: 2" in forward.requests[forward.addresses[1]][0]
+
+
+async def test_events_that_come_again_are_left_out(forward):
+    answer = await forward(
+        [stream(1, 2, end=False), b""], [stream(2, 3)], form=AnswerForm.EVENTS
+    )
+    assert answer.body == event(1) + event(2) + event(3)
+
+
+async def test_a_stream_that_may_not_be_resumed_is_cut_visibly(forward):
+    with pytest.raises(AnswerCut):
+        await forward(
+            [stream(1, end=False), b""],
+            [stream(2)],
+            form=AnswerForm.EVENTS,
+            repeatable=False,
+        )
+    assert forward.arrivals() == [1, 0]
+
+
+async def test_an_event_cut_in_the_middle_is_not_passed_on(forward):
+    part = b"5\r\nid: 9\r\n"
+    answer = await forward(
+        [stream(1, end=False) + part, b""], [stream(2)], form=AnswerForm.EVENTS
+    )
+    assert answer.body == event(1) + event(2)
--- a/packages/buckthornwall/src/buckthornwall/http1/client.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/client.py
@@ -59,6 +59,7 @@
         self.idle_since = 0.0
         self.closed = False
         self._request: h11.Request | None = None
+        self._body = b""
 
     @classmethod
     async def connect(cls, address: str, timeout_s: float) -> "ClientConnection":
@@ -112,17 +113,20 @@
         self.exchanges += 1
         self.parser = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._request = h11.Request(method=method, target=target, headers=headers)
-        data = self.parser.send(self._request)
-        if body:
-            data += self.parser.send(h11.Data(data=body))
-        data += self.parser.send(h11.EndOfMessage())
-        view = memoryview(data)
+        self._body = body
+        view = memoryview(self._write_request())
         try:
             while view:
                 view = view[await self.sock.send(view) :]
         except OSError as error:
             raise ExchangeError(ExchangeFailure.RESET, str(error)) from error
 
+    def _write_request(self) -> bytes:
+        data = self.parser.send(self._request)
+        if self._body:
+            data += self.parser.send(h11.Data(data=self._body))
+        return data + self.parser.send(h11.EndOfMessage())
+
     async def receive_head(self) -> ReplyHead:
         """Return the head of the reply, past any informational ones.
 
@@ -165,8 +169,7 @@
             pass
         rest, ended = self.parser.trailing_data
         self.parser = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
-        self.parser.send(self._request)
-        self.parser.send(h11.EndOfMessage())
+        self._write_request()  # the new parser must know what was asked
         if rest:
             self.parser.receive_data(rest)
         if ended:
--- a/packages/buckthornwall/src/buckthornwall/http1/server.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/server.py
@@ -223,7 +223,7 @@
             ) from error
         if not isinstance(event, h11.Request):
             raise RequestRefused(400, ResultCode.MALFORMED_BODY, "no request")
-        self._check_framing(event)
+        self._check_framing(event, head)
         body = await self._read_body(parser, event, limits)
         return IncomingRequest(
             event.method, event.target, list(event.headers), body, received_at
@@ -248,11 +248,12 @@
             raise RequestRefused(400, ResultCode.MALFORMED_BODY, "bare line end")
         return head
 
-    def _check_framing(self, request: h11.Request) -> None:
+    def _check_framing(self, request: h11.Request, head: bytes) -> None:
         """Refuse what two readers could split into requests differently."""
         names = [name for name, _ in request.headers]
-        lengths = names.count(b"content-length")
-        encodings = names.count(b"transfer-encoding")
+        lines = head.lower()  # the parser joins equal lengths into one
+        lengths = lines.count(b"\r\ncontent-length:")
+        encodings = lines.count(b"\r\ntransfer-encoding:")
         if lengths + encodings > 1:
             raise RequestRefused(400, ResultCode.MALFORMED_BODY, "two lengths")
         if names.count(b"host") != 1:
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/platform/tests/test_wire.py
@@ -0,0 +1,166 @@
+"""Tests of the translation between the platform's names and the product's."""
+
+import pytest
+
+from buckthornwall.codes import RecordError, Refusal
+from buckthornwall.forwarding import Sending
+from buckthornwall.http1 import IncomingRequest, ReplyHead
+from buckthornwall.platform import PlatformCodec, decode_published, decode_request
+from buckthornwall.pools import LoadReport, UpstreamEntry, UpstreamState
+from buckthornwall.routing import AnswerForm, PoolId
+from buckthornwall.utils import TeamId, UpstreamId, ZoneId
+
+PREFIX = b"x-buckthornwall-"
+ENTRY = UpstreamEntry(
+    UpstreamId("i-1"), PoolId("p"), "10.0.0.1:80", ZoneId("z"), 4, UpstreamState.READY
+)
+
+
+def incoming(*headers, method=b"POST", body=b""):
+    given = [(b"host", b"H.example:80"), (PREFIX + b"attempt-id", b"r1"), *headers]
+    return IncomingRequest(method, b"/a/b?q=/c", given, body, 3.0)
+
+
+def encoded(request, **changes):
+    sending = {"upstream": ENTRY, "team": TeamId("t"), "rank": 4, "remaining_s": 1.25}
+    return dict(PlatformCodec().encode(request, Sending(**(sending | changes))))
+
+
+def test_a_request_is_read_into_the_products_words():
+    request = decode_request(
+        incoming(
+            (PREFIX + b"deadline-ms", b"1500"),
+            (PREFIX + b"key", b"k"),
+            (PREFIX + b"model", b"m"),
+            (PREFIX + b"token-count", b"1460,80"),
+            (PREFIX + b"prompt-prefix", b"5c:800,91:410,e4:250"),
+            (b"last-event-id", b"7"),
+        )
+    )
+    assert (request.host, request.path) == ("h.example", "/a/b")
+    assert (request.patience_s, request.key, request.resume_after) == (1.5, "k", "7")
+    assert (request.prompt.prompt_tokens, request.prompt.max_output_tokens) == (
+        1460,
+        80,
+    )
+    assert request.prompt.shared_key == "91"
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        (PREFIX + b"deadline-ms", b"soon"),
+        (PREFIX + b"token-count", b"many"),
+        (PREFIX + b"attempt-id", b""),
+    ],
+)
+def test_a_header_that_decides_must_be_valid(header):
+    with pytest.raises(Refusal):
+        decode_request(incoming(header))
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        PREFIX + b"tenant",
+        PREFIX + b"key",
+        PREFIX + b"hold",
+        PREFIX + b"pin-ms",
+        PREFIX + b"kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+        PREFIX + b"expect-version",
+        b"transfer-encoding",
+        b"x-named-by-connection",
+    ],
+)
+def test_what_is_the_systems_or_the_connections_is_not_passed_on(name):
+    request = decode_request(
+        incoming((name, b"1"), (b"connection", b"close, X-Named-By-Connection"))
+    )
+    assert name not in dict(request.headers)
+    assert b"connection" not in dict(request.headers)
+
+
+def test_other_headers_pass_unchanged():
+    request = decode_request(incoming((PREFIX + b"length-hint", b"80"), (b"a", b"B")))
+    headers = encoded(request)
+    assert headers[PREFIX + b"length-hint"] == b"80"
+    assert headers[b"a"] == b"B"
+    assert headers[PREFIX + b"attempt-id"] == b"r1"
+
+
+def test_an_attempt_names_instance_team_time_left_and_priority():
+    prompt = (PREFIX + b"token-count", b"9,9")
+    headers = encoded(decode_request(incoming(prompt)), resume_after="4")
+    assert headers[PREFIX + b"expect-instance"] == b"i-1"
+    assert headers[PREFIX + b"tenant"] == b"t"
+    assert headers[PREFIX + b"deadline-ms"] == b"1250"
+    assert headers[PREFIX + b"request-priority"] == b"4"
+    assert headers[b"last-event-id"] == b"4"
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "not_run", "good"),
+    [
+        (200, [(PREFIX + b"response-seal", b"s")], False, True),
+        (200, [], False, False),
+        (421, [], True, False),
+        (503, [(PREFIX + b"not-executed", b"1")], True, False),
+        (503, [], False, False),
+        (500, [(PREFIX + b"response-seal", b"s")], False, False),
+    ],
+)
+def test_only_what_the_pages_name_says_not_run(status, headers, not_run, good):
+    reply = PlatformCodec().decode(ReplyHead(status, headers))
+    assert (reply.not_run, reply.good) == (not_run, good)
+
+
+def test_load_and_idle_limit_are_read():
+    head = ReplyHead(
+        200,
+        [
+            (PREFIX + b"engine-load", b"3,1,8"),
+            (b"keep-alive", b"timeout=5, max=9"),
+            (b"connection", b"keep-alive"),
+        ],
+    )
+    reply = PlatformCodec().decode(head)
+    assert reply.load == LoadReport(3, 1, 8)
+    assert reply.idle_limit_s == 5.0
+    assert all(name != b"keep-alive" for name, _ in reply.headers)
+
+
+CONFIG = b"""{"version": 7, "later": 1, "routes": [
+ {"name": "r1", "host": "H", "path_prefix": "/a/", "kind": "stream",
+  "timeout_ms": 4000, "target_latency_ms": 400, "priority": 1, "service": "s",
+  "max_attempts": 2, "public": false, "resumable": true, "gap_aim_ms": 200},
+ {"name": "r2", "host": "h", "path_prefix": "/b/", "kind": "non_idempotent",
+  "traffic_split": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}]}],
+ "services": [{"name": "s", "health_path": "/health", "max_connections": 3,
+  "engine": {"slots": 64, "kv_capacity": 1000, "stride": 3}}],
+ "limits": {"max_header_bytes": 10, "max_body_bytes": 20,
+  "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+ "tenants": [{"name": "t1", "api_keys": ["k"], "priority": 1}]}"""
+
+
+def test_a_configuration_is_read_whole():
+    published = decode_published(CONFIG)
+    stream, order = published.routes
+    assert published.number == 7
+    assert (stream.form, stream.repeatable, stream.host) == (
+        AnswerForm.EVENTS,
+        True,
+        "h",
+    )
+    assert not order.repeatable
+    assert [share.weight for share in order.shares] == [90, 10]
+    assert published.pools[0].engine.memory_tokens == 1000
+    assert published.limits.idle_timeout_s == 15.0
+    assert published.teams[0].tier == 1
+
+
+@pytest.mark.parametrize("raw", [b"{", b'{"routes": []}', b'{"version": "x"}'])
+def test_a_configuration_that_is_none_is_refused(raw):
+    with pytest.raises(RecordError):
+        decode_published(raw)
--- a/packages/buckthornwall/src/buckthornwall/pools/placement.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/placement.py
@@ -19,7 +19,7 @@
 SECOND_HOME_WEIGHT = 1.5
 # A wait that leaves the target in reach is cheap: part of the target for which
 # that holds, and what a token ahead then counts.
-FREE_TARGET_SHARE = 0.25
+FREE_TARGET_SHARE = 0.4
 FREE_WEIGHT = 0.3
 # Each request that runs beside slows every step; as prompt tokens.
 RUNNING_TOKENS = 60.0
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_pools.py
@@ -0,0 +1,158 @@
+"""Tests of load, health, likely memory and the choice of an upstream."""
+
+import pytest
+
+from buckthornwall.pools import (
+    LoadReport,
+    PoolTable,
+    UpstreamEntry,
+    UpstreamState,
+    Verdict,
+    choose_engine,
+    choose_service,
+)
+from buckthornwall.pools.health import Health
+from buckthornwall.pools.load import PeerLoad
+from buckthornwall.pools.overload import is_overloaded
+from buckthornwall.pools.pace import Pace
+from buckthornwall.pools.prefixes import PrefixMemory
+from buckthornwall.routing import PoolId, PromptPart, PromptShape
+from buckthornwall.utils import ModelId, UpstreamId, ZoneId, rendezvous_winner
+
+POOL = PoolId("drafts")
+ZONE = ZoneId("z")
+
+
+def prompt(shared="s", own="o", shared_tokens=4000, own_tokens=1000):
+    parts = (PromptPart(shared, shared_tokens), PromptPart(own, own_tokens))
+    return PromptShape(ModelId("m"), shared_tokens + own_tokens, 100, parts)
+
+
+@pytest.fixture
+def table(clock):
+    table = PoolTable(clock)
+    for name in ("a", "b", "c"):
+        table.adopt(
+            UpstreamEntry(
+                UpstreamId(name), POOL, "10.0.0.1:80", ZONE, 4, UpstreamState.READY
+            )
+        )
+    return table
+
+
+def choose(table, clock, shape, rank=5, free_s=0.0):
+    views = table.usable(POOL, set())
+    return choose_engine(views, shape, rank, ZONE, clock.now(), free_s)
+
+
+def test_a_shared_part_has_one_home_without_a_message(table, clock):
+    home = rendezvous_winner("s", ["a", "b", "c"])
+    choice = choose(table, clock, prompt())
+    assert choice.view.id == home
+    assert choice.fresh_tokens == 1000
+
+
+def test_a_crowded_home_is_left(table, clock):
+    home = choose(table, clock, prompt()).view
+    home.load.add_unread(5, 100_000)
+    assert choose(table, clock, prompt()).view is not home
+
+
+def test_a_wait_well_within_the_target_keeps_a_prompt_at_home(table, clock):
+    home = choose(table, clock, prompt()).view
+    home.load.add_unread(5, 7_000)
+    assert choose(table, clock, prompt()).view is not home
+    assert choose(table, clock, prompt(), free_s=0.2).view is home
+
+
+def test_urgent_work_looks_past_what_is_read_after_it(table, clock):
+    home = choose(table, clock, prompt()).view
+    home.load.add_unread(5, 20_000)
+    assert choose(table, clock, prompt(), rank=0).view is home
+
+
+def test_peers_work_counts(table, clock):
+    home = choose(table, clock, prompt()).view
+    home.load.peers = PeerLoad(3, {5: 100_000})
+    assert choose(table, clock, prompt()).view is not home
+
+
+def test_a_service_with_fewer_slots_in_use_is_taken(table, clock):
+    for name, running in (("a", 3), ("b", 1), ("c", 2)):
+        table.views[name].load.take_report(LoadReport(running, 0, 4), clock.now())
+    views = table.usable(POOL, set())
+    assert choose_service(views, ZONE, clock.now()).view.id == "b"
+
+
+def test_an_old_report_gives_way_to_own_counts(table, clock):
+    load = table.views["a"].load
+    load.take_report(LoadReport(4, 9, 4), clock.now())
+    assert load.in_flight(clock.now()) == 13
+    clock.time += 5
+    assert load.in_flight(clock.now()) == 0
+
+
+def test_a_leaving_upstream_is_not_usable(table):
+    entry = table.views["a"].entry
+    table.adopt(
+        UpstreamEntry(entry.id, POOL, entry.address, ZONE, 4, UpstreamState.LEAVING)
+    )
+    assert {view.id for view in table.usable(POOL, set())} == {"b", "c"}
+
+
+def test_an_unreachable_upstream_is_set_aside_and_tried_again(table, clock):
+    view = table.views["a"]
+    table.note_end(view, Verdict.UNREACHABLE)
+    assert view not in table.usable(POOL, set())
+    clock.time += 1.0
+    assert view in table.usable(POOL, set())
+    view.health.note_sent(clock.now())
+    assert view not in table.usable(POOL, set())
+    table.note_end(view, Verdict.GOOD)
+    assert view in table.usable(POOL, set())
+
+
+def test_where_all_are_set_aside_all_count(table):
+    for view in table.views.values():
+        table.note_end(view, Verdict.UNREACHABLE)
+    assert len(table.usable(POOL, set())) == 3
+
+
+def test_who_fails_much_more_than_the_rest_is_set_aside():
+    health = Health()
+    for step in range(30):
+        health.note(Verdict.FAILED if step % 2 else Verdict.GOOD, 0.05, step * 0.1)
+        if health.aside:
+            break
+    assert health.aside
+
+
+def test_who_fails_like_the_rest_is_not_set_aside():
+    health = Health()
+    for step in range(40):
+        health.note(Verdict.FAILED if step % 2 else Verdict.GOOD, 0.5, step * 0.1)
+    assert not health.aside
+
+
+def test_an_engine_holds_what_was_read_as_far_as_its_memory_goes():
+    memory = PrefixMemory(12_000)
+    memory.note(prompt("s", "x"))
+    assert memory.held(prompt("s", "y")) == 4000
+    memory.note(prompt("t", "z"))
+    assert memory.held(prompt("s", "y")) == 0
+
+
+def test_a_pace_follows_what_is_seen():
+    pace = Pace()
+    for _ in range(200):
+        pace.note(5, 0.1, 0.3)
+    assert pace.factor(5) == pytest.approx(3.0, abs=0.1)
+
+
+def test_nobody_is_refused_while_half_of_the_pool_is_free(table, clock):
+    views = table.members(POOL)
+    assert not is_overloaded(9.0, 1.0, views, clock.now())
+    for view in views:
+        view.load.requests = 4
+    assert is_overloaded(9.0, 1.0, views, clock.now())
+    assert not is_overloaded(1.0, 1.0, views, clock.now())
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/routing/tests/test_table.py
@@ -0,0 +1,119 @@
+"""Tests of the choice of route, team and pool."""
+
+import pytest
+
+from buckthornwall.codes import Refusal, ResultCode
+from buckthornwall.routing import (
+    AnswerForm,
+    Pool,
+    PoolId,
+    PoolShare,
+    Published,
+    RequestRoute,
+    RoutedRequest,
+    RoutingTable,
+    TeamGrant,
+)
+from buckthornwall.utils import RouteId, TeamId
+
+DRAFTS = PoolId("drafts")
+ORDERS = PoolId("orders")
+
+
+def route(name, prefix, pool=DRAFTS, tier=1, needs_key=True, shares=None):
+    return RequestRoute(
+        id=RouteId(name),
+        host="h",
+        path_prefix=prefix,
+        shares=shares or (PoolShare(pool, 1.0),),
+        form=AnswerForm.WHOLE,
+        repeatable=True,
+        resumable=False,
+        timeout_s=1.0,
+        target_s=0.5,
+        max_pause_s=0.0,
+        max_runs=2,
+        tier=tier,
+        needs_key=needs_key,
+    )
+
+
+def request(path, key="k"):
+    return RoutedRequest("r", b"GET", path.encode(), "h", path, [], b"", 0.0, key)
+
+
+@pytest.fixture
+def table():
+    table = RoutingTable()
+    table.adopt(
+        Published(
+            number=5,
+            routes=(
+                route("short", "/a/"),
+                route("long", "/a/b/", ORDERS, tier=0),
+                route("open", "/open/", needs_key=False),
+                route("homeless", "/none/", PoolId("unknown")),
+            ),
+            pools=(Pool(DRAFTS, "/", 10), Pool(ORDERS, "/", 10)),
+            teams=(
+                TeamGrant(TeamId("one"), ("k", "k2")),
+                TeamGrant(TeamId("first"), ("urgent",), tier=0),
+            ),
+        )
+    )
+    return table
+
+
+def test_the_longest_prefix_decides(table):
+    assert table.resolve(request("/a/x")).route.id == "short"
+    assert table.resolve(request("/a/b/x")).route.id == "long"
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "code"),
+    [
+        ("/elsewhere/", "k", ResultCode.UNKNOWN_PATH),
+        ("/a", "k", ResultCode.UNKNOWN_PATH),
+        ("/a/x", "", ResultCode.UNAUTHENTICATED),
+        ("/a/x", "stolen", ResultCode.UNAUTHENTICATED),
+        ("/none/x", "k", ResultCode.NO_ENGINE),
+    ],
+)
+def test_what_is_not_allowed_is_refused_with_its_code(table, path, key, code):
+    with pytest.raises(Refusal) as caught:
+        table.resolve(request(path, key))
+    assert caught.value.code is code
+
+
+def test_before_the_first_version_nothing_is_denied():
+    with pytest.raises(Refusal) as caught:
+        RoutingTable().resolve(request("/a/x"))
+    assert caught.value.code is ResultCode.NOT_READY
+
+
+def test_an_open_route_needs_no_key(table):
+    assert table.resolve(request("/open/x", "")).team == ""
+
+
+def test_a_team_goes_before_a_route_and_routes_count_within_it(table):
+    ranks = [
+        table.resolve(request("/a/b/x", "urgent")).rank,
+        table.resolve(request("/a/x", "urgent")).rank,
+        table.resolve(request("/a/b/x")).rank,
+        table.resolve(request("/a/x")).rank,
+    ]
+    assert ranks == sorted(ranks)
+    assert len(set(ranks)) == 4
+
+
+def test_an_older_version_is_not_taken(table):
+    assert not table.adopt(Published(number=4))
+    assert table.resolve(request("/a/x")).number == 5
+
+
+def test_a_split_follows_its_weights(table):
+    shares = (PoolShare(DRAFTS, 90), PoolShare(ORDERS, 10))
+    pools = (Pool(DRAFTS, "/", 10), Pool(ORDERS, "/", 10))
+    table.adopt(Published(6, (route("split", "/s/", shares=shares),), pools))
+    chosen = [table.resolve(request("/s/x")).pool.id for _ in range(1000)]
+    assert 840 < chosen.count(DRAFTS) < 960
