--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -98,6 +98,7 @@
         self.is_away = False
         self.on_change: Callable[[], None] = lambda: None
         self.on_gone: Callable[[UpstreamId], None] = lambda upstream: None
+        self.on_call: Callable[[float, str], None] = lambda seconds, outcome: None
         self._doubt_until = 0.0
         self._settle_at = 0.0
         self._doubted: set[UpstreamId] = set()
@@ -107,16 +108,20 @@
         backoff = Backoff(RETRY_FIRST_S, RETRY_LIMIT_S)
         need_all = True
         while True:
+            started = self.clock.now()
             try:
                 news = await self._next(need_all)
             except HistoryLost:
+                self.on_call(self.clock.now() - started, "history_lost")
                 log_event("history_lost", "WARNING", revision=self.revision)
                 need_all = True
                 continue
             except PeerError as error:
+                self.on_call(self.clock.now() - started, "failed")
                 self.note_failure(error)
                 await trio.sleep(backoff.next_delay())
                 continue
+            self.on_call(self.clock.now() - started, "answered")
             self.note_answer()
             backoff.reset()
             need_all = False
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -18,11 +18,12 @@
 from buckthornwall.pools.placement import FREE_TARGET_SHARE
 from buckthornwall.routing import (
     AnswerForm,
+    PoolId,
     Resolution,
     RoutedRequest,
     RoutingTable,
 )
-from buckthornwall.telemetry import log_event
+from buckthornwall.telemetry import RouterMetrics, log_event
 from buckthornwall.utils import (
     Clock,
     ConfigItem,
@@ -114,6 +115,8 @@
         Translates requests and replies.
     clock
         Source of time, the one that trio runs on.
+    metrics
+        What is counted.
     """
 
     def __init__(
@@ -124,7 +127,9 @@
         pools: PoolTable,
         codec: WireCodec,
         clock: Clock,
+        metrics: RouterMetrics,
     ) -> None:
+        self.metrics = metrics
         self.settings = settings
         self.zone = zone
         self.table = table
@@ -262,6 +267,7 @@
             job.runs -= 1
         if result.end is not AttemptEnd.NOT_SENT:
             job.arrivals += 1
+        self.metrics.attempts.inc({"upstream": view.id, "end": result.end.value})
         self._judge(choice, result)
         self._note_pace(job, choice, sent_at)
         if result.end is not AttemptEnd.DONE:
@@ -310,14 +316,27 @@
         if result.end is AttemptEnd.NOT_SENT:
             return True
         if result.end is AttemptEnd.NOT_RUN:
-            return self.budgets.spend(pool)
+            return self._spend(pool)
         if not self._is_repeatable(job) or job.runs >= job.resolution.route.max_runs:
             return False
-        if not self.budgets.spend(pool):
+        if not self._spend(pool):
             return False
         job.delivery.joiner.resume()
         return True
 
+    def _spend(self, pool: PoolId) -> bool:
+        """Take one repeat from the budget; False, and a log line, if spent."""
+        if not self.budgets.spend(pool):
+            log_event(
+                "budget_spent",
+                "WARNING",
+                pool=pool,
+                instances=self.budgets.instances,
+            )
+            return False
+        self.metrics.retries.inc({"pool": pool})
+        return True
+
     def _judge(self, choice: Choice, result: AttemptResult) -> None:
         """Let the end of an attempt count for its upstream's health."""
         if result.end is AttemptEnd.DONE:
@@ -351,6 +370,8 @@
             "message": refusal.code.meaning,
             "run": refusal.run.value,
         }
+        self.metrics.refusals.inc({"code": refusal.code.name})
+        self._count_end(job, "refused")
         log_event(
             "request_refused",
             "WARNING",
@@ -402,7 +423,24 @@
             remaining_ms=round((job.deadline - self.clock.now()) * 1000),
         )
 
+    def _count_end(self, job: Job | None, outcome: str) -> None:
+        if job is None:
+            self.metrics.requests.inc({"tier": "", "outcome": outcome})
+            return
+        tier = {"tier": str(job.resolution.route.tier)}
+        received_at = job.request.received_at
+        delivery = job.delivery
+        self.metrics.requests.inc(tier | {"outcome": outcome})
+        self.metrics.whole.add(
+            tier | {"outcome": outcome}, self.clock.now() - received_at
+        )
+        if delivery.first_at is not None:
+            self.metrics.first_token.add(tier, delivery.first_at - received_at)
+        if delivery.joiner.events > 1:
+            self.metrics.pause.add(tier, delivery.longest_pause_s)
+
     def _log_end(self, job: Job, outcome: str) -> None:
+        self._count_end(job, outcome)
         log_event(
             "request_finished",
             "INFO" if outcome == "answered" else "WARNING",
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
@@ -18,6 +18,7 @@
     RoutedRequest,
     RoutingTable,
 )
+from buckthornwall.telemetry import RouterMetrics
 from buckthornwall.utils import RouteId, TrioClock, UpstreamId, ZoneId
 
 POOL = PoolId("p")
@@ -147,7 +148,9 @@
             )
             pools.views[f"u{number}"].load.requests = number
         settings = ForwardingSettings(retry_ratio=0.0, retry_reserve=reserve)
-        forwarder = Forwarder(settings, ZoneId("z"), table, pools, PlainCodec(), clock)
+        forwarder = Forwarder(
+            settings, ZoneId("z"), table, pools, PlainCodec(), clock, RouterMetrics()
+        )
         request = RoutedRequest("r", b"POST", b"/", "h", "/", [], b"x", clock.now())
         request.patience_s = patience_s
         answer = Recorder()
--- a/packages/buckthornwall/src/buckthornwall/node/core.py
+++ b/packages/buckthornwall/src/buckthornwall/node/core.py
@@ -393,7 +393,7 @@
             await trio.sleep(JOIN_LOOK_S)
         self.members.set_own_state(NodeState.READY)
         self._send_heartbeats()
-        log_event("ready", node=self.node, records=self.store.number)
+        log_event("ready", records=self.store.number)
 
     def _has_asked_all(self, deadline: float) -> bool:
         """Tell whether the newest records that can be heard of are in force.
@@ -450,7 +450,7 @@
         The balancer learns of the stop late, so the listener stays open for a
         while and every answer asks its caller to connect elsewhere.
         """
-        log_event("stopping", node=self.node, in_flight=self.app.in_flight)
+        log_event("stopping", in_flight=self.app.in_flight)
         self.members.set_own_state(NodeState.LEAVING)
         self.app.draining = True
         self._send_heartbeats()
@@ -463,7 +463,7 @@
             await callers_closed.wait()
         await self.idempotency.transfer.hand_over()
         await trio.sleep(FLUSH_S)
-        log_event("stopped", node=self.node)
+        log_event("stopped")
 
 
 def run_node(settings: Settings, stop_signals: Any) -> None:
--- a/packages/buckthornwall/src/buckthornwall/node/main.py
+++ b/packages/buckthornwall/src/buckthornwall/node/main.py
@@ -56,8 +56,8 @@
     from .core import run_node
 
     settings = Settings.from_file(path)
-    configure_logs(settings.telemetry.log_level)
-    log_event("starting", node=settings.node.id, zone=settings.node.zone)
+    configure_logs(settings.telemetry, settings.node.id)
+    log_event("starting", zone=settings.node.zone, version=__version__)
     run_node(settings, STOP_SIGNALS)
 
 
@@ -66,8 +66,8 @@
     from buckthornwall.settings import RouterSettings
 
     settings = RouterSettings.from_file(path)
-    configure_logs(settings.telemetry.log_level)
-    log_event("starting", node=settings.node.id, zone=settings.node.zone)
+    configure_logs(settings.telemetry, settings.node.id)
+    log_event("starting", zone=settings.node.zone, version=__version__)
     run_router(settings, path)
 
 
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -25,7 +25,7 @@
 from buckthornwall.pools.load import NO_PEERS
 from buckthornwall.routing import RoutingTable
 from buckthornwall.settings import RouterSettings
-from buckthornwall.telemetry import log_event
+from buckthornwall.telemetry import RouterMetrics, log_event
 from buckthornwall.utils import (
     Clock,
     Incarnation,
@@ -36,6 +36,7 @@
     new_id,
 )
 
+from .operators import answer_operator
 from .stopping import stop_gracefully
 
 __all__ = ["Router"]
@@ -67,6 +68,7 @@
         self.stopping = trio.Event()
         self.refusing = False
 
+        self.metrics = RouterMetrics()
         self.table = RoutingTable()
         self.pools = PoolTable(clock)
         self.forwarder = Forwarder(
@@ -76,6 +78,7 @@
             self.pools,
             PlatformCodec(),
             clock,
+            self.metrics,
         )
         self.store = StoreClient(settings.store)
         self.discovery = DiscoveryAgent(
@@ -101,6 +104,7 @@
         self.view_server = HttpServer(clock, lambda: OPERATOR_LIMITS, self._handle_view)
         self.discovery.on_change = self._news_adopted
         self.discovery.on_gone = self.forwarder.connections.forget
+        self.discovery.on_call = self._count_store_call
         self.peer_agent.on_loads = self._loads_changed
 
     @classmethod
@@ -192,12 +196,14 @@
             if view is not None:
                 view.load.peers = self.peers.loads.get(upstream, NO_PEERS)
 
+    def _count_store_call(self, seconds: float, outcome: str) -> None:
+        self.metrics.store_call.add({"outcome": outcome}, seconds)
+
     def _news_adopted(self) -> None:
         if self.state is PeerState.JOINING and self.table.number:
             self.state = PeerState.READY
             log_event(
                 "ready",
-                node=self.node,
                 number=self.table.number,
                 upstreams=len(self.pools.views),
             )
@@ -236,4 +242,4 @@
         await answer_view(incoming, answer, view, self.table.number)
 
     async def _handle_operator(self, incoming: IncomingRequest, answer: Answer) -> None:
-        await answer.whole(404, [], b"")
+        await answer_operator(self, incoming, answer)
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/router/operators.py
@@ -0,0 +1,90 @@
+"""What an operator may ask of one instance: metrics and status."""
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from buckthornwall.http1 import Answer, IncomingRequest
+
+if TYPE_CHECKING:
+    from .core import Router
+
+__all__ = ["answer_operator", "describe_router"]
+
+JSON = [(b"Content-Type", b"application/json")]
+
+
+async def answer_operator(
+    router: "Router", incoming: IncomingRequest, answer: Answer
+) -> None:
+    """Answer ``/metrics`` and ``/status``."""
+    path = incoming.target.partition(b"?")[0]
+    if path == b"/metrics":
+        _set_gauges(router)
+        accept = dict(incoming.headers).get(b"accept", b"").decode("latin-1")
+        body, headers = router.metrics.render(accept)
+        pairs = [(name.encode(), value.encode()) for name, value in headers.items()]
+        await answer.whole(200, pairs, body)
+    elif path == b"/status":
+        body = json.dumps(describe_router(router)).encode()
+        await answer.whole(200, JSON, body)
+    else:
+        await answer.whole(404, [], b"")
+
+
+def _set_gauges(router: "Router") -> None:
+    views = router.pools.views.values()
+    gauges = {
+        "config_number": ("Configuration in force.", router.table.number),
+        "store_away": ("Whether the store does not answer.", router.discovery.is_away),
+        "store_calls": ("Calls to the store.", router.store.calls),
+        "upstreams": ("Upstreams registered.", len(router.pools.views)),
+        "upstreams_aside": (
+            "Upstreams set aside.",
+            sum(1 for view in views if view.health.aside),
+        ),
+        "peers": ("Peers heard.", len(router.peers.live)),
+        "active": ("Requests being answered.", router.callers.active),
+        "upstream_connections": (
+            "Connections opened to upstreams.",
+            router.forwarder.connections.opened,
+        ),
+        "beacon_bytes": ("Bytes of beacons sent.", router.peer_agent.bytes_sent),
+    }
+    for name, (doc, value) in gauges.items():
+        router.metrics.set_gauge(name, doc, float(value))
+
+
+def describe_router(router: "Router") -> dict[str, Any]:
+    """Return what ``/status`` shows."""
+    now = router.clock.now()
+    return {
+        "node": router.node,
+        "zone": router.zone,
+        "state": router.state.name.lower(),
+        "number": router.table.number,
+        "store": {
+            "away": router.discovery.is_away,
+            "revision": router.discovery.revision,
+            "answered_s_ago": round(now - router.discovery.answered_at, 3),
+        },
+        "active": router.callers.active,
+        "peers": {
+            peer.beacon.node: {
+                "state": peer.beacon.state.name.lower(),
+                "number": peer.beacon.number,
+                "heard_s_ago": round(now - peer.heard_at, 3),
+            }
+            for peer in router.peers.live.values()
+        },
+        "upstreams": {
+            view.id: {
+                "pool": view.entry.pool,
+                "state": view.entry.state.value,
+                "aside": view.health.aside,
+                "requests": view.load.requests,
+                "in_flight": view.load.in_flight(now),
+                "unread_tokens": view.load.unread_all(),
+            }
+            for view in router.pools.views.values()
+        },
+    }
--- a/packages/buckthornwall/src/buckthornwall/router/stopping.py
+++ b/packages/buckthornwall/src/buckthornwall/router/stopping.py
@@ -27,7 +27,7 @@
     """
     started = router.clock.now()
     stop = router.settings.stop
-    log_event("stopping", node=router.node, active=router.callers.active)
+    log_event("stopping", active=router.callers.active)
     router.state = PeerState.LEAVING
     router.callers.closing = True
     await router.peer_agent.tell_all()
@@ -41,7 +41,6 @@
         router.callers.close_idle()
     log_event(
         "stopped",
-        node=router.node,
         cut=router.callers.active,
         after_ms=round((router.clock.now() - started) * 1000),
     )
--- a/packages/buckthornwall/src/buckthornwall/telemetry/logs.py
+++ b/packages/buckthornwall/src/buckthornwall/telemetry/logs.py
@@ -1,16 +1,20 @@
 """One line of key=value pairs for each event, through loguru."""
 
-import sys
+import time
 from typing import Any
 
 from loguru import logger
 
 from buckthornwall.utils import ConfigItem, ConfigNamespace
 
+from .limits import LineLimiter
+from .output import PipeWriter
+
 __all__ = ["TelemetrySettings", "configure_logs", "log_event"]
 
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 LINE = "time={time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} {message}\n"
+STDOUT = 1
 NEEDS_QUOTES = frozenset(' "=\n\t')
 
 
@@ -23,12 +27,44 @@
     trace_ratio = ConfigItem(
         0.0, "Share of requests to trace, 0 to 1.", minimum=0, maximum=1
     )
+    lines_per_s = ConfigItem(
+        50.0, "Log lines of one event and level in a second.", minimum=1
+    )
+    lines_burst = ConfigItem(
+        200.0, "Log lines of one event and level that may come at once.", minimum=1
+    )
+
+
+class _SystemClock:
+    """Monotonic time for the limits, also before trio runs."""
+
+    def now(self) -> float:
+        return time.monotonic()
+
 
+class _Limits:
+    """The limiter in force; tests and tools run without one."""
 
-def configure_logs(level: str) -> None:
-    """Send events of `level` and above to standard error."""
+    limiter: LineLimiter | None = None
+
+
+def configure_logs(settings: TelemetrySettings, node: str) -> None:
+    """Send events to standard output, bounded and without ever waiting.
+
+    Parameters
+    ----------
+    settings
+        The ``[telemetry]`` section.
+    node
+        Name of this instance, on every line.
+    """
     logger.remove()
-    logger.add(sys.stderr, level=level, format=lambda record: LINE)
+    line = LINE.replace("{message}", f"node={node} {{message}}")
+    writer = PipeWriter(STDOUT)
+    logger.add(writer.write, level=settings.log_level, format=lambda record: line)
+    _Limits.limiter = LineLimiter(
+        _SystemClock(), settings.lines_per_s, settings.lines_burst
+    )
 
 
 def _value(value: Any) -> str:
@@ -48,8 +84,17 @@
     level
         One of `LEVELS`.
     **fields
-        Further pairs; a value with blanks is quoted.
+        Further pairs; a value with blanks is quoted. ``left_out`` is added
+        where lines of the same event and level were left out before this one.
     """
+    limiter = _Limits.limiter
+    if limiter is not None:
+        kind = f"{event}.{level}"
+        if not limiter.allow(kind):
+            return
+        left_out = limiter.take_left_out(kind)
+        if left_out:
+            fields["left_out"] = left_out
     pairs = [f"event={event}"]
     pairs += [f"{key}={_value(value)}" for key, value in fields.items()]
     # The line is an argument, so that braces in a value are not formatted.
--- a/packages/buckthornwall/src/buckthornwall/telemetry/metrics.py
+++ b/packages/buckthornwall/src/buckthornwall/telemetry/metrics.py
@@ -3,32 +3,17 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
-__all__ = ["Metrics"]
+__all__ = ["Metrics", "RouterMetrics"]
 
 LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0]
 PREFIX = "buckthornwall_"
 
 
-class Metrics:
-    """Every collector by attribute; labels are given at the call."""
+class Collectors:
+    """A registry; collectors are attributes, labels are given at the call."""
 
     def __init__(self) -> None:
         self.registry = Registry()
-        self.requests = self._counter(
-            "requests_total", "Requests ended, by class and outcome."
-        )
-        self.refusals = self._counter("refusals_total", "Refusals, by code.")
-        self.tokens = self._counter("tokens_total", "Tokens relayed, by class.")
-        self.wasted_tokens = self._counter(
-            "wasted_tokens_total", "Tokens of answers cut off, by class."
-        )
-        self.retries = self._counter("retries_total", "Attempts after the first.")
-        self.first_token = self._histogram(
-            "first_token_seconds", "Seconds from request to first token, by class."
-        )
-        self.slot_wait = self._histogram(
-            "slot_wait_seconds", "Seconds waited for a slot, by class."
-        )
         self.gauges: dict[str, Gauge] = {}
 
     def _counter(self, name: str, doc: str) -> Counter:
@@ -51,3 +36,52 @@
     def render(self, accept: str) -> tuple[bytes, dict[str, str]]:
         """Return body and headers of the exposition."""
         return render(self.registry, [accept])
+
+
+class Metrics(Collectors):
+    """What an instance with the completions interface counts."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.requests = self._counter(
+            "requests_total", "Requests ended, by class and outcome."
+        )
+        self.refusals = self._counter("refusals_total", "Refusals, by code.")
+        self.tokens = self._counter("tokens_total", "Tokens relayed, by class.")
+        self.wasted_tokens = self._counter(
+            "wasted_tokens_total", "Tokens of answers cut off, by class."
+        )
+        self.retries = self._counter("retries_total", "Attempts after the first.")
+        self.first_token = self._histogram(
+            "first_token_seconds", "Seconds from request to first token, by class."
+        )
+        self.slot_wait = self._histogram(
+            "slot_wait_seconds", "Seconds waited for a slot, by class."
+        )
+
+
+class RouterMetrics(Collectors):
+    """What an instance behind the platform's balancer counts."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.requests = self._counter(
+            "requests_total", "Requests ended, by tier and outcome."
+        )
+        self.refusals = self._counter("refusals_total", "Refusals, by code.")
+        self.attempts = self._counter(
+            "attempts_total", "Attempts ended, by upstream and end."
+        )
+        self.retries = self._counter("retries_total", "Repeats paid from the budget.")
+        self.first_token = self._histogram(
+            "first_token_seconds", "Seconds from request to first event, by tier."
+        )
+        self.pause = self._histogram(
+            "pause_seconds", "Longest pause between two events, by tier."
+        )
+        self.whole = self._histogram(
+            "answer_seconds", "Seconds from request to its end, by tier and outcome."
+        )
+        self.store_call = self._histogram(
+            "store_call_seconds", "Seconds of a call to the store, by outcome."
+        )
