--- a/packages/buckthornwall-ctl/src/buckthornwall_ctl/checks.py
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/checks.py
@@ -4,7 +4,8 @@
 
 from buckthornwall.codes import RecordError, ResultCode
 from buckthornwall.records import RecordView, parse_records
-from buckthornwall.settings import Settings
+from buckthornwall.settings import RouterSettings, Settings
+from buckthornwall.settings.sections import read_text
 
 from .client import read_raw
 
@@ -21,7 +22,9 @@
     SettingsError
         Naming file, section and key.
     """
-    settings = Settings.from_file(path)
+    text = read_text(path)
+    kind = RouterSettings if "[edge]" in text else Settings
+    settings = kind.from_config(text, str(path))
     return [f"ok: instance {settings.node.id} in {settings.node.zone}"]
 
 
--- a/packages/buckthornwall-ctl/src/buckthornwall_ctl/main.py
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/main.py
@@ -9,6 +9,7 @@
 from buckthornwall.codes import BuckthornwallError, ResultCode
 
 from .checks import check_records, check_settings
+from .stories import request_story
 from .views import fleet_lines
 
 __all__ = ["main"]
@@ -54,8 +55,11 @@
     watch.add_argument("--times", type=int, default=0, help="stop after so many looks")
     watch.set_defaults(run=_watch)
 
-    explain = commands.add_parser("explain", help="explain a result code")
-    explain.add_argument("code", help="number or name")
+    explain = commands.add_parser(
+        "explain", help="explain a result code, or a request from log files"
+    )
+    explain.add_argument("what", help="number or name of a code, or a request's id")
+    explain.add_argument("log", nargs="*", type=Path, help="log files of instances")
     explain.set_defaults(run=_explain)
     return parser
 
@@ -88,16 +92,27 @@
 
 
 def _explain(options: argparse.Namespace) -> int:
+    if options.log:
+        return _explain_request(options.what, options.log)
     for code in ResultCode:
-        if options.code.upper() in (str(code.number), code.name):
+        if options.what.upper() in (str(code.number), code.name):
             print(f"{code.number} {code.name} (HTTP {code.status})")
             print(f"meaning: {code.meaning}")
             print(f"what to do: {code.action}")
             return EXIT_OK
-    print(f"no code {options.code}", file=sys.stderr)
+    print(f"no code {options.what}", file=sys.stderr)
     return EXIT_REFUSED
 
 
+def _explain_request(request: str, logs: list[Path]) -> int:
+    story = request_story(request, logs)
+    if not story:
+        print(f"no line of request {request}", file=sys.stderr)
+        return EXIT_REFUSED
+    print("\n".join(story))
+    return EXIT_OK
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Run a command; return its exit status."""
     options = build_parser().parse_args(arguments)
--- /dev/null
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/stories.py
@@ -0,0 +1,110 @@
+"""The story of one request, from the logs of all instances."""
+
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import datetime
+from pathlib import Path
+
+from buckthornwall.codes import ResultCode, SettingsError
+
+__all__ = ["request_story"]
+
+PAIR = re.compile(r'(\w+)=("[^"]*"|\S*)')
+TOLD_FIRST = ("time", "level", "node", "event", "request")
+# What an instance believed matters only this long before a request came in.
+BELIEF_S = 5.0
+BELIEFS = frozenset(
+    {
+        "config_adopted",
+        "upstream_set_aside",
+        "upstream_back",
+        "upstream_state",
+        "upstream_gone",
+        "store_lost",
+        "store_regained",
+        "peer_lost",
+        "budget_spent",
+        "stopping",
+        "starting",
+    }
+)
+
+
+@dataclass(frozen=True)
+class LogLine:
+    """One event of an instance."""
+
+    at: datetime
+    pairs: dict[str, str]
+
+    def told(self, start: datetime) -> str:
+        """Return the line as a part of a story that began at `start`."""
+        offset_ms = (self.at - start).total_seconds() * 1000
+        rest = " ".join(
+            f"{key}={value}"
+            for key, value in self.pairs.items()
+            if key not in TOLD_FIRST and value not in ("", '""')
+        )
+        node = self.pairs.get("node", "?")
+        return f"{offset_ms:+9.0f} ms  {node}  {self.pairs['event']}  {rest}"
+
+
+def _read(paths: Iterable[Path]) -> Iterable[LogLine]:
+    for path in paths:
+        try:
+            text = path.read_text(encoding="utf-8", errors="replace")
+        except OSError as error:
+            raise SettingsError(ResultCode.SETTINGS_UNREADABLE, str(error)) from error
+        for line in text.splitlines():
+            pairs = dict(PAIR.findall(line))
+            if "event" in pairs and "time" in pairs:
+                yield LogLine(datetime.fromisoformat(pairs["time"]), pairs)
+
+
+def request_story(request: str, paths: list[Path]) -> list[str]:
+    """Return what the logs tell of a request, in order over all instances.
+
+    What its instances came to believe of its upstreams, of the store or of the
+    configuration in the five seconds before stands between.
+
+    Parameters
+    ----------
+    request
+        The request's id.
+    paths
+        Log files, of any number of instances.
+
+    Raises
+    ------
+    SettingsError
+        SETTINGS_UNREADABLE if a file cannot be read.
+    """
+    lines = list(_read(paths))
+    own = [line for line in lines if line.pairs.get("request") == request]
+    if not own:
+        return []
+    first = min(line.at for line in own)
+    last = max(line.at for line in own)
+    nodes = {line.pairs.get("node") for line in own}
+    upstreams = {line.pairs["upstream"] for line in own if "upstream" in line.pairs}
+    around = [
+        line
+        for line in lines
+        if line.pairs["event"] in BELIEFS
+        and line.pairs.get("node") in nodes
+        and line.pairs.get("upstream", "") in upstreams | {""}
+        and (line.at - first).total_seconds() >= -BELIEF_S
+        and line.at <= last
+    ]
+    story = sorted(own + around, key=lambda line: line.at)
+    return [line.told(first) for line in story] + _meaning(own)
+
+
+def _meaning(own: list[LogLine]) -> list[str]:
+    """Return what the last code of a request means."""
+    codes = [line.pairs["code"] for line in own if "code" in line.pairs]
+    for code in ResultCode:
+        if codes and str(code.number) == codes[-1]:
+            return [f"{code.number} {code.name}: {code.meaning}; {code.action}"]
+    return []
--- a/packages/buckthornwall-ctl/src/buckthornwall_ctl/tests/test_ctl.py
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/tests/test_ctl.py
@@ -88,3 +88,71 @@
     with pytest.raises(SystemExit) as caught:
         main(["no-such-command"])
     assert caught.value.code == 2
+
+
+STORY = """\
+   1.0 a time=2026-01-01T00:00:01.000+00:00 level=INFO node=a event=config_adopted \
+number=4
+time=2026-01-01T00:00:02.100+00:00 level=WARNING node=b event=request_refused \
+request=r2 code=2001 status=429 detail=""
+time=2026-01-01T00:00:02.000+00:00 level=WARNING node=a event=attempt_failed \
+request=r1 upstream=e1 end=broken detail="reset by peer"
+time=2026-01-01T00:00:01.900+00:00 level=WARNING node=a event=upstream_set_aside \
+upstream=e1
+time=2026-01-01T00:00:01.950+00:00 level=WARNING node=a event=upstream_set_aside \
+upstream=e9
+time=2026-01-01T00:00:02.200+00:00 level=WARNING node=a event=request_refused \
+request=r1 code=3002 status=502 run=unknown
+"""
+
+
+def test_a_request_is_told_in_order_with_what_was_believed(tmp_path, capsys):
+    log = write(tmp_path, "log", STORY)
+    assert main(["explain", "r1", str(log)]) == 0
+    lines = capsys.readouterr().out.splitlines()
+    events = [line.split()[3] for line in lines[:4]]
+    assert events == [
+        "config_adopted",
+        "upstream_set_aside",
+        "attempt_failed",
+        "request_refused",
+    ]
+    assert 'detail="reset by peer"' in lines[2]
+    assert lines[4].startswith("3002 UPSTREAM_BROKEN")
+
+
+def test_a_request_that_no_log_knows_is_said(tmp_path, capsys):
+    assert main(["explain", "nobody", str(write(tmp_path, "log", STORY))]) == 1
+    assert "no line of request" in capsys.readouterr().err
+
+
+ROUTER_SETTINGS = """
+[node]
+id = n1
+zone = z
+[edge]
+listen = 127.0.0.1:1
+ready = 127.0.0.1:2
+metrics = 127.0.0.1:3
+[store]
+address = 127.0.0.1:4
+[peers]
+listen = 127.0.0.1:5
+"""
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "code"),
+    [
+        ("[store]\naddress = 127.0.0.1:4\n", "", "6003"),
+        ("listen = 127.0.0.1:1", "listen = here", "6002"),
+        ("[peers]\n", "[peers]\nunknown = 1\n", "6001"),
+        ("[store]", "[stop]\ngrace_s = 1\n[store]", "6002"),
+    ],
+)
+def test_settings_behind_the_balancer_are_checked(tmp_path, capsys, old, new, code):
+    good = write(tmp_path, "good", ROUTER_SETTINGS)
+    assert main(["check-settings", str(good)]) == 0
+    bad = write(tmp_path, "bad", ROUTER_SETTINGS.replace(old, new))
+    assert main(["check-settings", str(bad)]) == 1
+    assert code in capsys.readouterr().err
