--- a/packages/buckthornwall-standins/src/buckthornwall_standins/__init__.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/__init__.py
@@ -1,6 +1,7 @@
 """Stand-ins for the systems around buckthornwall; for tests, never shipped.
 
 ============== ===========================================================
+`users_platform` the users' platform by its published protocol
 `platform`     configuration service and list of instances
 `engine`       a model engine with continuous batching
 `service`      a plain service whose calls may not be repeated
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/deployment.py
@@ -0,0 +1,130 @@
+"""Settings, a configuration and registrations that fit together."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from buckthornwall.settings import RouterSettings
+
+from .store import Store
+
+__all__ = ["Deployment", "make_settings"]
+
+STORE = "127.0.9.1:7900"
+HOST = "callers.example"
+KEY = "key-of-one"
+DRAFTS = "drafts"
+ORDERS = "orders"
+
+
+def make_settings(number: int, seeds: list[int], ports: int) -> RouterSettings:
+    """Return the settings of instance `number`.
+
+    Parameters
+    ----------
+    number
+        Which loopback address it listens on.
+    seeds
+        Instances that it greets first.
+    ports
+        First of five ports that all instances share.
+    """
+    ip = f"127.0.8.{number}"
+    greeted = ",".join(f"127.0.8.{seed}:{ports + 2}" for seed in seeds)
+    return RouterSettings.from_config(
+        f"""
+        [node]
+        id = node-{number}
+        zone = zone-{number % 2}
+        [edge]
+        listen = {ip}:{ports}
+        ready = {ip}:{ports + 1}
+        metrics = {ip}:{ports + 3}
+        [store]
+        address = 127.0.9.1:{ports + 4}
+        answer_timeout_ms = 300
+        [peers]
+        listen = {ip}:{ports + 2}
+        seeds = {greeted}
+        [discovery]
+        gap_ms = 50
+        outage_ms = 200
+        settle_ms = 500
+        [stop]
+        grace_s = 3
+        notice_s = 0.3
+        """.replace("\n        ", "\n")
+    )
+
+
+def _route(name: str, path: str, kind: str, service: str, **more: Any) -> dict:
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": path,
+        "kind": kind,
+        "timeout_ms": 3000,
+        "target_latency_ms": 400,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        "public": False,
+    } | more
+
+
+@dataclass
+class Deployment:
+    """What the operator and the upstreams write to a store."""
+
+    store: Store
+    number: int = 1
+    keys: list[str] = field(default_factory=lambda: [KEY])
+    routes: list[dict[str, Any]] = field(
+        default_factory=lambda: [
+            _route("draft", "/draft/", "stream", DRAFTS, resumable=True),
+            _route("once", "/once/", "stream", DRAFTS, max_attempts=1),
+            _route("order", "/order/", "non_idempotent", ORDERS),
+            _route("look", "/look/", "idempotent", ORDERS),
+        ]
+    )
+
+    def publish(self) -> int:
+        """Write the configuration under the next number; return that."""
+        self.number += 3
+        config = {
+            "version": self.number,
+            "routes": self.routes,
+            "services": [
+                {
+                    "name": DRAFTS,
+                    "health_path": "/health",
+                    "max_connections": 100,
+                    "engine": {"slots": 8, "kv_capacity": 100_000, "stride": 1},
+                },
+                {"name": ORDERS, "health_path": "/health", "max_connections": 100},
+            ],
+            "limits": {
+                "max_header_bytes": 16_384,
+                "max_body_bytes": 1_000_000,
+                "header_timeout_ms": 2000,
+                "idle_timeout_ms": 5000,
+            },
+            "tenants": [{"name": "one", "api_keys": self.keys}],
+        }
+        self.store.put("op/config", config)
+        return self.number
+
+    def register(
+        self, upstream: str, service: str, address: str, state: str = "ready"
+    ) -> None:
+        """Write an upstream's registration."""
+        entry = {
+            "service": service,
+            "address": address,
+            "zone": "zone-1",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+        }
+        self.store.put(f"servers/{upstream}", entry)
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/store.py
@@ -0,0 +1,150 @@
+"""The platform's store: items, revisions, pages, watches, and its faults."""
+
+import base64
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+import trio
+from buckthornwall.http1 import Answer, HttpServer, IncomingRequest, ServerLimits
+from buckthornwall.utils import TrioClock
+
+__all__ = ["Store", "StoreFault"]
+
+LIMITS = ServerLimits(8192, 0, 3.0, 60.0)
+JSON = [(b"Content-Type", b"application/json")]
+
+
+class StoreFault(Enum):
+    """How the store fails, until it is told otherwise."""
+
+    NONE = "none"
+    BUSY = "busy"  # every call gets 503
+    MANY = "many"  # every call gets 429
+    SILENT = "silent"  # no call is answered
+    RESET = "reset"  # every call ends with its connection
+
+
+@dataclass
+class Store:
+    """Keys, their revisions, and what changed.
+
+    Attributes
+    ----------
+    page : int
+        Items in a page at most.
+    history : int
+        Changes that are kept for watches.
+    slow_s : float
+        Added to each answer.
+    faults : dict
+        Fault by the caller's IP number; '' holds for all.
+    """
+
+    page: int = 500
+    history: int = 100
+    slow_s: float = 0.0
+    revision: int = 1
+    calls: int = 0
+    items: dict[str, tuple[bytes, int]] = field(default_factory=dict)
+    events: list[dict[str, Any]] = field(default_factory=list)
+    faults: dict[str, StoreFault] = field(default_factory=dict)
+    changed: trio.Event = field(default_factory=trio.Event)
+
+    def put(self, key: str, value: dict[str, Any]) -> int:
+        """Write an item; return its revision."""
+        raw = msgspec.json.encode(value)
+        self.revision += 1
+        self.items[key] = (raw, self.revision)
+        self._note(_item(key, raw, self.revision))
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        self.revision += 1
+        self.items.pop(key, None)
+        self._note({"key": key, "revision": self.revision, "removed": True})
+
+    def forget_history(self) -> None:
+        """Drop what changed, so that watches must read everything again."""
+        self.revision += 1
+        self.events.clear()
+        self._wake()
+
+    def _note(self, event: dict[str, Any]) -> None:
+        self.events.append(event)
+        del self.events[: -self.history]
+        self._wake()
+
+    def _wake(self) -> None:
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def run(self, address: str, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled."""
+        server = HttpServer(TrioClock(), lambda: LIMITS, self._handle)
+        await server.run(address, task_status=task_status)
+
+    async def _handle(self, incoming: IncomingRequest, answer: Answer) -> None:
+        self.calls += 1
+        caller = answer.connection.sock.getpeername()[0]
+        fault = self.faults.get(caller, self.faults.get("", StoreFault.NONE))
+        await trio.sleep(self.slow_s)
+        if fault is StoreFault.SILENT:
+            await trio.sleep_forever()
+        elif fault is StoreFault.RESET:
+            return  # an answer that never began closes its connection
+        elif fault is not StoreFault.NONE:
+            status = 503 if fault is StoreFault.BUSY else 429
+            await answer.whole(status, JSON, b"{}")
+            return
+        target = urlsplit(incoming.target.decode())
+        query = {key: values[0] for key, values in parse_qs(target.query).items()}
+        if target.path == "/kv-range":
+            status, body = 200, self._range(query)
+        elif target.path == "/kv-watch":
+            status, body = await self._watch(query)
+        else:
+            status, body = 404, {"error": "no such call"}
+        await answer.whole(status, JSON, msgspec.json.encode(body))
+
+    def _range(self, query: dict[str, str]) -> dict[str, Any]:
+        prefix, after = query.get("path_prefix", ""), query.get("after", "")
+        keys = sorted(
+            key for key in self.items if key.startswith(prefix) and key > after
+        )
+        return {
+            "items": [_item(key, *self.items[key]) for key in keys[: self.page]],
+            "truncated": len(keys) > self.page,
+            "store_revision": self.revision,
+        }
+
+    async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        after = int(query["after"])
+        prefix = query.get("path_prefix", "")
+        with trio.move_on_after(int(query["wait_ms"]) / 1000):
+            while True:
+                oldest = self.events[0]["revision"] if self.events else self.revision
+                if after + 1 < oldest and after < self.revision:
+                    return 410, {"error": "history is gone"}
+                found = [
+                    event
+                    for event in self.events
+                    if event["revision"] > after and event["key"].startswith(prefix)
+                ]
+                if found:
+                    return 200, {"events": found, "store_revision": self.revision}
+                await self.changed.wait()
+        return 200, {"events": [], "store_revision": self.revision}
+
+
+def _item(key: str, raw: bytes, revision: int) -> dict[str, Any]:
+    return {
+        "key": key,
+        "value": base64.b64encode(raw).decode(),
+        "revision": revision,
+        "created_rev": revision,
+        "lease": 0,
+    }
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/upstream.py
@@ -0,0 +1,95 @@
+"""An upstream that signs its answers, states what it did not run, and counts."""
+
+import itertools
+from collections import Counter
+from dataclasses import dataclass, field
+
+import trio
+from buckthornwall.http1 import Answer, HttpServer, IncomingRequest, ServerLimits
+from buckthornwall.utils import TrioClock
+
+__all__ = ["Upstream"]
+
+LIMITS = ServerLimits(65_536, 8 * 2**20, 10.0, 5.0)
+PREFIX = b"X-Buckthornwall-"
+EVENTS = 6
+
+
+@dataclass
+class Upstream:
+    """One engine or service.
+
+    Attributes
+    ----------
+    id : str
+        The instance that it is; calls that expect another get 421.
+    work_s : float
+        Seconds of a whole answer, or before the first event.
+    event_s : float
+        Seconds between events.
+    sheds : bool
+        Whether it refuses, and says that it did not run.
+    runs : Counter
+        Runs by request id.
+    seen : list
+        Headers of each arrival, names in lower case.
+    """
+
+    id: str
+    work_s: float = 0.01
+    event_s: float = 0.01
+    slots: int = 8
+    sheds: bool = False
+    runs: Counter = field(default_factory=Counter)
+    seen: list[dict[bytes, bytes]] = field(default_factory=list)
+    running: int = 0
+    cut_after: int = 0  # events after which a stream breaks off, 0 for never
+
+    async def run(self, address: str, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled."""
+        server = HttpServer(TrioClock(), lambda: LIMITS, self._handle)
+        await server.run(address, task_status=task_status)
+
+    async def _handle(self, incoming: IncomingRequest, answer: Answer) -> None:
+        found = dict(incoming.headers)
+        self.seen.append(found)
+        request_id = found.get(b"x-buckthornwall-attempt-id", b"")
+        common = [
+            (PREFIX + b"Attempt-Id", request_id),
+            (PREFIX + b"Engine-Load", b"%d,0,%d" % (self.running, self.slots)),
+        ]
+        expected = found.get(b"x-buckthornwall-expect-instance", self.id.encode())
+        if expected != self.id.encode():
+            await answer.whole(421, common, b"")
+            return
+        if self.sheds:
+            await answer.whole(503, [*common, (PREFIX + b"Not-Executed", b"1")], b"")
+            return
+        self.runs[request_id.decode()] += 1
+        self.running += 1
+        signed = [*common, (PREFIX + b"Response-Seal", b"seal-of-" + request_id)]
+        try:
+            await trio.sleep(self.work_s)
+            if b"x-buckthornwall-token-count" in found:
+                await self._stream(found, answer, signed)
+            else:
+                await answer.whole(200, signed, b"answer-to-" + request_id)
+        finally:
+            self.running -= 1
+
+    async def _stream(
+        self,
+        found: dict[bytes, bytes],
+        answer: Answer,
+        headers: list[tuple[bytes, bytes]],
+    ) -> None:
+        first = int(found.get(b"last-event-id", b"0")) + 1
+        await answer.begin(200, [*headers, (b"Content-Type", b"text/event-stream")])
+        for made, number in zip(
+            itertools.count(), range(first, EVENTS + 1), strict=False
+        ):
+            if self.cut_after and made >= self.cut_after:
+                return  # an answer that is not ended breaks off
+            await answer.send(b"id: %d\ndata: word-%d\n\n" % (number, number))
+            await trio.sleep(self.event_s)
+        await answer.end()
--- a/packages/buckthornwall/src/buckthornwall/http1/client.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/client.py
@@ -199,6 +199,7 @@
         except OSError as error:
             raise ExchangeError(ExchangeFailure.RESET, str(error)) from error
         except h11.RemoteProtocolError as error:
-            ended = self.parser.trailing_data[1]
-            failure = ExchangeFailure.ENDED if ended else ExchangeFailure.GARBLED
-            raise ExchangeError(failure, str(error)) from error
+            if self.parser.trailing_data[1]:
+                detail = "before the reply was whole"
+                raise ExchangeError(ExchangeFailure.ENDED, detail) from error
+            raise ExchangeError(ExchangeFailure.GARBLED, str(error)) from error
--- a/packages/buckthornwall/src/buckthornwall/platform/store.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/store.py
@@ -92,6 +92,12 @@
         self.calls = 0
         self._connection: ClientConnection | None = None
 
+    def drop_connection(self) -> None:
+        """Let the next call open a new connection."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.close()
+
     async def read_all(self) -> News:
         """Return all that is published now.
 
