--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_router.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_router.py
@@ -221,7 +221,7 @@
     assert [result[0] for result in results] == [200]
     with trio.fail_after(WAIT_S):
         await site.ended[1].wait()
-    await site.until(lambda: not site.routers[2].peers.live)
+    await site.until(lambda: site.routers[2].fleet().count == 1)
 
 
 async def test_a_killed_instance_is_lost_and_its_work_no_longer_counts(site):
@@ -244,7 +244,7 @@
     await site.start(2)
     await site.add_router(3)
     for number in (1, 2, 3):
-        await site.until(lambda n=number: len(site.routers[n].peers.live) == 2)
+        await site.until(lambda n=number: site.routers[n].fleet().count == 3)
 
 
 async def test_metrics_and_status_tell_what_happened(site):
--- a/packages/buckthornwall/src/buckthornwall/peers/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/__init__.py
@@ -1,20 +1,21 @@
 """What instances tell each other: who is there, how loaded, what is in force.
 
 ============= ============================================================
-`messages`    the beacon, and the view that a peer may ask for
-`table`       who was heard, and what they said last
-`agent`       the tasks that send and hear beacons
+`messages`    beacons, digests, and the view that a peer may ask for
+`table`       who speaks for a zone, and the sum of all work
+`agent`       the tasks that tell and hear
 `views`       asking a peer for what is in force, and answering that
 ============= ============================================================
 """
 
 from .agent import PeerAgent, PeerSettings
-from .messages import Beacon, PeerState, PeerView
+from .messages import Beacon, Digest, PeerState, PeerView
 from .table import PeerTable
 from .views import ViewClient, answer_view
 
 __all__ = [
     "Beacon",
+    "Digest",
     "PeerAgent",
     "PeerSettings",
     "PeerState",
--- a/packages/buckthornwall/src/buckthornwall/peers/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/agent.py
@@ -1,6 +1,5 @@
-"""The tasks that send and hear beacons."""
+"""The tasks that tell and hear what instances do."""
 
-import random
 import socket
 from collections.abc import Callable
 
@@ -10,20 +9,20 @@
 from buckthornwall.telemetry import log_event
 from buckthornwall.utils import Clock, ConfigItem, ConfigNamespace, ZoneId
 
-from .messages import Beacon, decode, encode
+from .messages import Beacon, Digest, PeerState, decode, encode
 from .table import PeerTable
 
 __all__ = ["PeerAgent", "PeerSettings"]
 
 MAX_DATAGRAM_BYTES = 65_536
 MS_PER_S = 1000.0
-# Addresses that a beacon names, drawn anew each time.
-KNOWN_IN_BEACON = 3
 GREET_INTERVAL_S = 0.5
+# A speaker looks for others that it does not know of this often.
+SEEK_INTERVAL_S = 2.0
 
 
 class PeerSettings(ConfigNamespace):
-    """Settings of the beacons between instances."""
+    """Settings of what instances tell each other."""
 
     section = "peers"
 
@@ -37,15 +36,25 @@
         [], "Instances to greet first, as IP:port; only the IP number is used."
     )
     beacon_ms = ConfigItem(
-        100.0, "Milliseconds between beacons to a peer of the zone.", minimum=10
+        100.0, "Milliseconds between two beacons to the zone's speaker.", minimum=10
     )
-    far_factor = ConfigItem(
-        2, "Beacons to the zone for each one to other zones.", minimum=1
+    digest_ms = ConfigItem(
+        100.0, "Milliseconds between two digests of a speaker.", minimum=10
     )
-    beacons_per_s = ConfigItem(
-        80.0,
-        "Most beacons sent in a second; with more peers each gets fewer.",
-        minimum=1,
+    digest_bytes_per_s = ConfigItem(
+        5000.0,
+        "Most bytes of digests that one member is sent in a second; longer digests "
+        "come less often.",
+        minimum=100,
+    )
+    silence_ms = ConfigItem(
+        800.0, "Milliseconds of silence after which a peer counts as gone.", minimum=50
+    )
+    stagger_ms = ConfigItem(
+        100.0,
+        "Milliseconds by which each instance of a zone follows the one before it, "
+        "where their speaker is gone.",
+        minimum=0,
     )
 
 
@@ -58,8 +67,6 @@
         The ``[peers]`` section.
     zone
         The zone of this instance.
-    table
-        Who was heard.
     make_beacon
         Returns what this instance says of itself.
     clock
@@ -70,35 +77,26 @@
         self,
         settings: PeerSettings,
         zone: ZoneId,
-        table: PeerTable,
-        make_beacon: Callable[[list[str]], Beacon],
+        make_beacon: Callable[[], Beacon],
         clock: Clock,
     ) -> None:
         self.settings = settings
-        self.zone = zone
-        self.table = table
         self.make_beacon = make_beacon
         self.clock = clock
-        self.on_loads: Callable[[set], None] = lambda upstreams: None
-        self.on_beacon: Callable[[Beacon], None] = lambda beacon: None
+        self.table = PeerTable(
+            settings.listen,
+            zone,
+            settings.silence_ms / MS_PER_S,
+            settings.stagger_ms / MS_PER_S,
+        )
+        self.on_work: Callable[[], None] = lambda: None
         self.bytes_sent = 0
-        self._draw = random.Random()
+        self._digest_bytes = 0
+        self._was_speaker = False
         self._socket: trio.socket.SocketType | None = None
-        self._round = 0
-
-    def set_seeds(self, seeds: list[str]) -> None:
-        """Take the instances to greet first."""
-        port = self.settings.listen.rpartition(":")[2]
-        addresses = [f"{seed.partition(':')[0]}:{port}" for seed in seeds]
-        self.table.keep_greeting(addresses, self.clock.now())
-
-    def interval_s(self) -> float:
-        """Return the pause between two beacons to one peer of the zone."""
-        spread_s = len(self.table.live) / self.settings.beacons_per_s
-        return max(self.settings.beacon_ms / MS_PER_S, spread_s)
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
-        """Send and hear until cancelled."""
+        """Tell and hear until cancelled."""
         host, _, port = self.settings.listen.rpartition(":")
         self._socket = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         await self._socket.bind((host, int(port)))
@@ -109,37 +107,79 @@
                 task_status.started()
                 await self._tell()
 
-    async def tell_all(self) -> None:
-        """Send a beacon to every live peer now."""
-        known = self._some_known()
-        data = encode(self.make_beacon(known))
-        for peer in list(self.table.live.values()):
-            await self._send(data, peer.beacon.address)
+    async def tell(self) -> None:
+        """Tell the speaker, or as the speaker everyone, once."""
+        now = self.clock.now()
+        own = self.make_beacon()
+        speaker = self.table.speaker_address(now)
+        if own.state is PeerState.LEAVING:
+            await self._take_leave(own, speaker)
+            return
+        self._note_role(speaker is None, speaker)
+        if speaker is not None:
+            self.table.told = own.loads
+            await self._send(encode(own), speaker)
+            return
+        others = self.table.other_speakers().values()
+        if others:
+            data = encode(self.table.make_digest(own, is_fleet=False))
+            for address in others:
+                await self._send(data, address)
+        members = self.table.member_addresses()
+        data = encode(self.table.make_digest(own, is_fleet=True))
+        self._digest_bytes = len(data)
+        for address in members:
+            await self._send(data, address)
+        self.on_work()
+
+    async def _take_leave(self, own: Beacon, speaker: str | None) -> None:
+        """Tell who counts this instance that it leaves, and speak no more."""
+        data = encode(own)
+        told = [speaker] if speaker else self.table.member_addresses()
+        for address in told:
+            await self._send(data, address)
+
+    def _note_role(self, is_speaker: bool, speaker: str | None) -> None:
+        if is_speaker != self._was_speaker:
+            self._was_speaker = is_speaker
+            log_event("zone_speaker", own=is_speaker, speaker=speaker or "")
 
     async def _tell(self) -> None:
         while True:
-            self._round += 1
-            self._expire()
-            is_far_round = self._round % self.settings.far_factor == 0
-            data = encode(self.make_beacon(self._some_known()))
-            for peer in list(self.table.live.values()):
-                if is_far_round or peer.beacon.zone == self.zone:
-                    await self._send(data, peer.beacon.address)
-            await trio.sleep(self.interval_s())
+            for address in self.table.expire(self.clock.now()):
+                log_event("peer_lost", "WARNING", peer=address)
+            await self.tell()
+            await trio.sleep(self._interval_s())
+
+    def _interval_s(self) -> float:
+        if not self._was_speaker:
+            return self.settings.beacon_ms / MS_PER_S
+        longest_s = self._digest_bytes / self.settings.digest_bytes_per_s
+        return max(self.settings.digest_ms / MS_PER_S, longest_s)
 
     async def _greet(self) -> None:
-        """Tell those who were never heard; seeds may come up at any time."""
+        """Greet seeds, which may come up at any time, until a speaker is known.
+
+        A speaker goes on, since another group may not know of this one.
+        """
         while True:
-            self.set_seeds(self.settings.seeds)
-            addresses = self.table.to_greet(self.clock.now())
-            data = encode(self.make_beacon(self._some_known()))
-            for address in addresses:
+            now = self.clock.now()
+            is_speaker = self.table.is_speaker(now)
+            if is_speaker:
+                await self._greet_seeds()
+            knows_others = self.table.members or self.table.zones
+            is_slow = not is_speaker or knows_others
+            await trio.sleep(SEEK_INTERVAL_S if is_slow else GREET_INTERVAL_S)
+
+    async def _greet_seeds(self) -> None:
+        own = self.make_beacon()
+        own.greets = True
+        data = encode(own)
+        port = self.settings.listen.rpartition(":")[2]
+        for seed in self.settings.seeds:
+            address = f"{seed.partition(':')[0]}:{port}"
+            if address != self.settings.listen:
                 await self._send(data, address)
-            await trio.sleep(GREET_INTERVAL_S)
-
-    def _some_known(self) -> list[str]:
-        addresses = [peer.beacon.address for peer in self.table.live.values()]
-        return self._draw.sample(addresses, min(KNOWN_IN_BEACON, len(addresses)))
 
     async def _send(self, data: bytes, address: str) -> None:
         host, _, port = address.rpartition(":")
@@ -153,7 +193,7 @@
         while True:
             try:
                 data, _ = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
-                beacon = decode(data, Beacon)
+                message = decode(data, Beacon | Digest)
             except OSError as error:
                 log_event("beacon_not_heard", "DEBUG", detail=error)
                 await trio.sleep(GREET_INTERVAL_S)
@@ -161,20 +201,45 @@
             except PeerError as error:
                 log_event("beacon_refused", "WARNING", detail=error)
                 continue
-            self._take(beacon)
-
-    def _take(self, beacon: Beacon) -> None:
-        is_new, changed = self.table.hear(beacon, self.clock.now())
-        if is_new and beacon.node in self.table.live:
-            log_event("peer_heard", peer=beacon.node, zone=beacon.zone)
-        if changed:
-            self.on_loads(changed)
-        self.on_beacon(beacon)
-
-    def _expire(self) -> None:
-        far_interval_s = self.interval_s() * self.settings.far_factor
-        gone, changed = self.table.expire(self.clock.now(), far_interval_s)
-        for node in gone:
-            log_event("peer_lost", "WARNING", peer=node)
-        if changed:
-            self.on_loads(changed)
+            await self._take(message)
+
+    async def _take(self, message: Beacon | Digest) -> None:
+        now = self.clock.now()
+        if isinstance(message, Digest):
+            self.table.hear_digest(message, now)
+            if message.zone == self.table.zone and message.is_fleet:
+                self.on_work()
+            return
+        if self.table.hear_beacon(message, now):
+            log_event("peer_heard", peer=message.address, zone=message.zone)
+        if message.greets:
+            await self._answer_greeting(message, now)
+
+    async def _answer_greeting(self, beacon: Beacon, now: float) -> None:
+        """Tell who speaks: in the greeter's zone, and for this one."""
+        digest = self.table.whole(self.make_beacon(), now)
+        if beacon.zone == self.table.zone:
+            await self._send(encode(digest), beacon.address)
+            return
+        own_zone = digest if not digest.is_fleet else self._zone_only(digest)
+        await self._send(encode(own_zone), beacon.address)
+        speaker = digest.speakers.get(beacon.zone)
+        if speaker is not None and speaker != beacon.address:
+            pointer = self._zone_only(digest)
+            pointer.zone, pointer.address = beacon.zone, speaker
+            await self._send(encode(pointer), beacon.address)
+
+    def _zone_only(self, digest: Digest) -> Digest:
+        """Return who speaks, without work that would be counted twice."""
+        return Digest(
+            address=digest.address,
+            zone=digest.zone,
+            is_fleet=False,
+            count=0,
+            members=[],
+            speakers=digest.speakers,
+            number=0,
+            revision=0,
+            informed="",
+            loads={},
+        )
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -1,6 +1,6 @@
-"""The beacon, and the view that a peer may ask for, in CBOR.
+"""What instances tell each other, in CBOR.
 
-Both are arrays on the wire: their names would be more than half of a beacon.
+All are arrays on the wire: their names would be more than half of the bytes.
 """
 
 from enum import Enum
@@ -12,7 +12,10 @@
 from buckthornwall.pools import UpstreamEntry
 from buckthornwall.utils import Incarnation, NodeId, UpstreamId, ZoneId
 
-__all__ = ["Beacon", "PeerState", "PeerView", "decode", "encode"]
+__all__ = ["Beacon", "Digest", "PeerState", "PeerView", "Work", "decode", "encode"]
+
+# Requests in flight at an upstream, and prompt tokens still to be read by rank.
+Work = tuple[int, dict[int, int]]
 
 
 class PeerState(Enum):
@@ -23,13 +26,12 @@
     LEAVING = 2
 
 
-class Beacon(msgspec.Struct, array_like=True):
-    """What an instance tells its peers several times a second.
+class Beacon(msgspec.Struct, array_like=True, tag="b"):
+    """What an instance tells the speaker of its zone.
 
     `number` is that of the configuration in force, `revision` that of the
-    newest news. `loads` gives, for upstreams with work from this instance, the
-    requests in flight and, by rank, the prompt tokens still to be read. `known`
-    holds addresses of a few other instances.
+    newest news. `loads` names upstreams with work from this instance. `greets`
+    asks for an answer: the sender does not know its zone's speaker.
     """
 
     node: NodeId
@@ -39,8 +41,29 @@
     state: PeerState
     number: int
     revision: int
-    loads: dict[UpstreamId, tuple[int, dict[int, int]]]
-    known: list[str]
+    loads: dict[UpstreamId, Work]
+    greets: bool = False
+
+
+class Digest(msgspec.Struct, array_like=True, tag="d"):
+    """What a speaker tells: its members all of it, other speakers its own zone.
+
+    `count` is the number of instances that serve, and `loads` the sum of their
+    work: over the fleet if `is_fleet`, else over the zone. `speakers` gives the
+    speaker's address of each zone. `informed` is the address of the instance
+    with the highest `number` and `revision`.
+    """
+
+    address: str
+    zone: ZoneId
+    is_fleet: bool
+    count: int
+    members: list[str]
+    speakers: dict[ZoneId, str]
+    number: int
+    revision: int
+    informed: str
+    loads: dict[UpstreamId, Work]
 
 
 class PeerView(msgspec.Struct, array_like=True):
@@ -51,12 +74,12 @@
     entries: list[UpstreamEntry]
 
 
-def encode(message: Beacon | PeerView) -> bytes:
+def encode(message: Beacon | Digest | PeerView) -> bytes:
     """Return a message as bytes."""
     return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
 
 
-def decode(data: bytes, form: type) -> Beacon | PeerView:
+def decode(data: bytes, form: type) -> Beacon | Digest | PeerView:
     """Return the message that `data` holds.
 
     Raises
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -1,144 +1,228 @@
-"""Who was heard, and what they said last: a pure state machine."""
+"""Who speaks for a zone, and the sum of all work: a pure state machine.
+
+In each zone the live instance of the highest order speaks; the order is a hash
+of addresses, so no vote is needed. Everyone tells its speaker what it does; the
+speakers tell each other their zones' sums, and their members the whole. Two
+speakers in one zone for a moment make the sums wrong for a moment, no more.
+"""
 
 from dataclasses import dataclass
+from hashlib import blake2b
 
 from buckthornwall.pools.load import NO_PEERS, PeerLoad
-from buckthornwall.utils import NodeId, UpstreamId, ZoneId
+from buckthornwall.utils import UpstreamId, ZoneId
+
+from .messages import Beacon, Digest, PeerState, Work
+
+__all__ = ["PeerTable", "order_of"]
 
-from .messages import Beacon, PeerState
+NOTHING: Work = (0, {})
 
-__all__ = ["Peer", "PeerTable"]
 
-# Beacons that may be lost in a row before a peer counts as silent.
-MISSED_BEACONS = 5
-LEAST_SILENCE_S = 1.0
-# Addresses that never answered are greeted for this long after they were told.
-GREET_S = 20.0
-NOTHING: tuple[int, dict[int, int]] = (0, {})
+def order_of(address: str) -> int:
+    """Return an address's place in the order of speakers."""
+    return int.from_bytes(blake2b(address.encode(), digest_size=8).digest(), "big")
 
 
 @dataclass(slots=True)
-class Peer:
-    """One other instance."""
+class Heard:
+    """The last message of a sender."""
 
-    beacon: Beacon
-    heard_at: float
+    message: Beacon | Digest
+    at: float
 
 
 class PeerTable:
-    """Live peers by node, addresses to greet, and the sum of their loads.
+    """What this instance knows of the others.
 
     Parameters
     ----------
-    node
-        This instance.
-    address
-        Its own address, which is never greeted.
+    address, zone
+        Where this instance is.
+    silence_s
+        Seconds without a word after which a sender is taken to be gone.
+    stagger_s
+        Seconds that each place in the order waits longer than the one before
+        it, so that a dead speaker is not followed by all at once.
     """
 
-    def __init__(self, node: NodeId, address: str) -> None:
-        self.node = node
+    def __init__(
+        self, address: str, zone: ZoneId, silence_s: float, stagger_s: float
+    ) -> None:
         self.address = address
-        self.live: dict[NodeId, Peer] = {}
-        self.loads: dict[UpstreamId, PeerLoad] = {}
-        self._greet_until: dict[str, float] = {}
-
-    def learn(self, address: str, now: float) -> None:
-        """Take an address that somebody named."""
-        if address != self.address:
-            self._greet_until.setdefault(address, now + GREET_S)
-
-    def keep_greeting(self, addresses: list[str], now: float) -> None:
-        """Greet these for longer, whether they ever answered or not."""
-        for address in addresses:
-            if address != self.address:
-                self._greet_until[address] = now + GREET_S
-
-    def to_greet(self, now: float) -> list[str]:
-        """Return the addresses of which nobody was heard."""
-        heard = {peer.beacon.address for peer in self.live.values()}
-        for address, until in list(self._greet_until.items()):
-            if now > until and address not in heard:
-                del self._greet_until[address]
-        return [address for address in self._greet_until if address not in heard]
-
-    def hear(self, beacon: Beacon, now: float) -> tuple[bool, set[UpstreamId]]:
-        """Take a beacon.
-
-        Returns
-        -------
-        tuple
-            Whether the peer is new, and the upstreams whose load changed.
+        self.zone = zone
+        self.silence_s = silence_s
+        self.stagger_s = stagger_s
+        self.members: dict[str, Heard] = {}
+        self.zones: dict[ZoneId, Heard] = {}
+        self.speaker: Heard | None = None
+        self.told: dict[UpstreamId, Work] = {}
+
+    # Hearing
+
+    def hear_beacon(self, beacon: Beacon, now: float) -> bool:
+        """Take a beacon of the zone; tell whether its sender is new here."""
+        if beacon.address == self.address or beacon.zone != self.zone:
+            return False
+        if beacon.state is PeerState.LEAVING:
+            self.members.pop(beacon.address, None)
+            if self.speaker and self.speaker.message.address == beacon.address:
+                self.speaker.at = now - self.silence_s
+            return False
+        is_new = beacon.address not in self.members
+        self.members[beacon.address] = Heard(beacon, now)
+        return is_new
+
+    def hear_digest(self, digest: Digest, now: float) -> None:
+        """Take a digest of this zone's speaker, or of another zone's."""
+        if digest.address == self.address:
+            return
+        if digest.zone != self.zone:
+            if not digest.is_fleet and self._replaces(
+                digest, self.zones.get(digest.zone), now
+            ):
+                self.zones[digest.zone] = Heard(digest, now)
+        elif self._replaces(digest, self.speaker, now):
+            self.speaker = Heard(digest, now)
+
+    def _replaces(self, digest: Digest, current: Heard | None, now: float) -> bool:
+        """Tell whether a digest counts in place of the last one of its zone.
+
+        One without instances only points to a speaker.
         """
-        if beacon.node == self.node:
-            return False, set()
-        for address in beacon.known:
-            self.learn(address, now)
-        before = self.live.get(beacon.node)
-        changed = self._replace_loads(before.beacon if before else None, beacon)
-        self.live[beacon.node] = Peer(beacon, now)
-        self._greet_until[beacon.address] = now + GREET_S
-        return before is None, changed
-
-    def expire(
-        self, now: float, interval_s: float
-    ) -> tuple[list[NodeId], set[UpstreamId]]:
-        """Drop who has been silent; return them and the loads that changed."""
-        limit_s = max(LEAST_SILENCE_S, MISSED_BEACONS * interval_s)
+        if current is None or now - current.at > self.silence_s:
+            return True
+        if not digest.count:
+            return False
+        return order_of(digest.address) >= order_of(current.message.address)
+
+    def expire(self, now: float) -> list[str]:
+        """Drop who has been silent; return the members among them."""
         gone = [
-            node for node, peer in self.live.items() if now - peer.heard_at > limit_s
+            address
+            for address, heard in self.members.items()
+            if now - heard.at > self.silence_s
         ]
-        changed: set[UpstreamId] = set()
-        for node in gone:
-            changed |= self._replace_loads(self.live.pop(node).beacon, None)
-        return gone, changed
-
-    def serving(self) -> int:
-        """Return the number of live peers that serve callers."""
-        return sum(
+        for address in gone:
+            del self.members[address]
+        for zone, heard in list(self.zones.items()):
+            if now - heard.at > self.silence_s:
+                del self.zones[zone]
+        return gone
+
+    # Speaking
+
+    def is_speaker(self, now: float) -> bool:
+        """Tell whether this instance speaks for its zone."""
+        speaker = self.speaker
+        if speaker is None:
+            return True
+        if now - speaker.at > self.silence_s + self._stagger(speaker.message):
+            return True
+        return order_of(self.address) > order_of(speaker.message.address)
+
+    def _stagger(self, digest: Digest) -> float:
+        """Return how long those of a higher order have to speak up first."""
+        own = order_of(self.address)
+        higher = sum(
             1
-            for peer in self.live.values()
-            if peer.beacon.state is not PeerState.JOINING
+            for address in digest.members
+            if address != digest.address and order_of(address) > own
         )
-
-    def best_informed(self, revision: int, zone: ZoneId) -> Beacon | None:
-        """Return a peer with newer news than `revision`, near ones first."""
-        ahead = [
-            peer.beacon
-            for peer in self.live.values()
-            if peer.beacon.revision > revision
-        ]
-        return max(
-            ahead,
-            key=lambda beacon: (beacon.revision, beacon.zone == zone),
-            default=None,
+        return higher * self.stagger_s
+
+    def speaker_address(self, now: float) -> str | None:
+        """Return whom to tell, or None if this instance speaks itself."""
+        return None if self.is_speaker(now) else self.speaker.message.address
+
+    def member_addresses(self) -> list[str]:
+        """Return whom a speaker tells."""
+        return list(self.members)
+
+    def other_speakers(self) -> dict[ZoneId, str]:
+        """Return the speakers of other zones, as far as they are known."""
+        known = dict(self.speaker.message.speakers) if self.speaker else {}
+        known |= {zone: heard.message.address for zone, heard in self.zones.items()}
+        known.pop(self.zone, None)
+        return known
+
+    def make_digest(self, own: Beacon, is_fleet: bool) -> Digest:
+        """Return what this instance tells as a speaker.
+
+        Parameters
+        ----------
+        own
+            What it would tell a speaker.
+        is_fleet
+            Whether other zones are included, as for members.
+        """
+        parts = [own, *(heard.message for heard in self.members.values())]
+        count = sum(1 for part in parts if part.state is not PeerState.JOINING)
+        loads: dict[UpstreamId, Work] = {}
+        for part in parts:
+            add_work(loads, part.loads)
+        best = max(parts, key=lambda part: (part.number, part.revision))
+        digest = Digest(
+            address=self.address,
+            zone=self.zone,
+            is_fleet=is_fleet,
+            count=count,
+            members=[self.address, *self.members],
+            speakers={self.zone: self.address} | self.other_speakers(),
+            number=best.number,
+            revision=best.revision,
+            informed=best.address,
+            loads=loads,
         )
-
-    def _replace_loads(
-        self, before: Beacon | None, after: Beacon | None
-    ) -> set[UpstreamId]:
-        old = before.loads if before else {}
-        new = after.loads if after else {}
-        changed = {
-            upstream
-            for upstream in old.keys() | new.keys()
-            if old.get(upstream) != new.get(upstream)
+        if is_fleet:
+            for heard in self.zones.values():
+                _include(digest, heard.message)
+        return digest
+
+    # What follows for this instance
+
+    def whole(self, own: Beacon, now: float) -> Digest:
+        """Return the digest of the fleet as it is known here."""
+        if self.is_speaker(now):
+            return self.make_digest(own, is_fleet=True)
+        return self.speaker.message
+
+    def others_work(self, own: Beacon, now: float) -> dict[UpstreamId, PeerLoad]:
+        """Return the work of all other instances by upstream."""
+        digest = self.whole(own, now)
+        counted = own.loads if self.is_speaker(now) else self.told
+        return {
+            upstream: _less(work, counted.get(upstream, NOTHING))
+            for upstream, work in digest.loads.items()
         }
-        for upstream in changed:
-            total = self.loads.get(upstream, NO_PEERS)
-            total = _added(total, old.get(upstream, NOTHING), -1)
-            self.loads[upstream] = _added(total, new.get(upstream, NOTHING), 1)
-        return changed
-
-
-def _added(total: PeerLoad, part: tuple[int, dict[int, int]], sign: int) -> PeerLoad:
-    """Return a sum with one peer's part added, or taken off."""
-    requests, unread = part
-    summed = dict(total.unread)
-    for rank, tokens in unread.items():
-        left = summed.get(rank, 0) + sign * tokens
-        if left:
-            summed[rank] = left
-        else:
-            summed.pop(rank, None)
-    return PeerLoad(total.requests + sign * requests, summed)
+
+
+def add_work(total: dict[UpstreamId, Work], part: dict[UpstreamId, Work]) -> None:
+    """Add the work of a part to a total."""
+    for upstream, (requests, unread) in part.items():
+        sum_requests, sum_unread = total.get(upstream, NOTHING)
+        summed = dict(sum_unread)
+        for rank, tokens in unread.items():
+            summed[rank] = summed.get(rank, 0) + tokens
+        total[upstream] = (sum_requests + requests, summed)
+
+
+def _include(digest: Digest, other: Digest) -> None:
+    """Add another zone's digest to one of the fleet."""
+    digest.count += other.count
+    add_work(digest.loads, other.loads)
+    if (other.number, other.revision) > (digest.number, digest.revision):
+        digest.number = other.number
+        digest.revision = other.revision
+        digest.informed = other.informed
+
+
+def _less(work: Work, own: Work) -> PeerLoad:
+    """Return a sum without this instance's part of it."""
+    requests = max(0, work[0] - own[0])
+    unread = {
+        rank: tokens - own[1].get(rank, 0)
+        for rank, tokens in work[1].items()
+        if tokens > own[1].get(rank, 0)
+    }
+    return PeerLoad(requests, unread) if requests or unread else NO_PEERS
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
@@ -1,95 +1,157 @@
-"""Tests of beacons: who is live, what work they tell, who knows more."""
+"""Tests of who speaks for a zone, what sums reach whom, who knows more."""
 
 import pytest
 
 from buckthornwall.codes import PeerError
-from buckthornwall.peers import Beacon, PeerState, PeerTable, PeerView
+from buckthornwall.peers import Beacon, Digest, PeerState, PeerTable, PeerView
 from buckthornwall.peers.messages import decode, encode
+from buckthornwall.peers.table import order_of
 from buckthornwall.pools import UpstreamEntry, UpstreamState
 from buckthornwall.routing import PoolId
 from buckthornwall.utils import Incarnation, NodeId, UpstreamId, ZoneId
 
 ENGINE = UpstreamId("e")
+SILENCE_S = 0.8
+STAGGER_S = 0.1
+# Three addresses, the highest in the order first.
+FIRST, SECOND, THIRD = sorted(
+    (f"10.0.0.{n}:7340" for n in (1, 2, 3)), key=order_of, reverse=True
+)
 
 
-def beacon(node, loads=None, revision=1, zone="z", known=(), state=PeerState.READY):
+def beacon(address, loads=None, zone="z", state=PeerState.READY, number=1, revision=1):
     return Beacon(
-        NodeId(node),
+        NodeId(address),
         Incarnation(1),
-        f"10.0.0.{ord(node[0])}:7340",
+        address,
         ZoneId(zone),
         state,
-        1,
+        number,
         revision,
         loads or {},
-        list(known),
     )
 
 
-@pytest.fixture
-def table():
-    return PeerTable(NodeId("me"), "10.0.0.1:7340")
-
-
-def test_a_beacon_comes_back_as_it_was_sent():
-    sent = beacon("a", {ENGINE: (3, {5: 900})}, known=["10.0.0.7:7340"])
-    assert decode(encode(sent), Beacon) == sent
+def table(address, zone="z"):
+    return PeerTable(address, ZoneId(zone), SILENCE_S, STAGGER_S)
 
 
-def test_a_view_comes_back_as_it_was_sent():
+def test_messages_come_back_as_they_were_sent():
+    sent = beacon(FIRST, {ENGINE: (3, {5: 900})})
+    digest = table(FIRST).make_digest(sent, is_fleet=True)
     entry = UpstreamEntry(
         ENGINE, PoolId("p"), "10.0.0.1:80", ZoneId("z"), 4, UpstreamState.LEAVING
     )
-    sent = PeerView(7, b"raw", [entry])
-    assert decode(encode(sent), PeerView) == sent
-
-
-@pytest.mark.parametrize(
-    "data", [b"", b"\xff\xff", b"\x80", encode(PeerView(1, b"", []))]
-)
-def test_other_bytes_are_refused(data):
-    with pytest.raises(PeerError):
-        decode(data, Beacon)
-
+    view = PeerView(7, b"raw", [entry])
+    assert decode(encode(sent), Beacon | Digest) == sent
+    assert decode(encode(digest), Beacon | Digest) == digest
+    assert decode(encode(view), PeerView) == view
 
-def test_loads_add_up_and_go_with_their_peer(table):
-    table.hear(beacon("a", {ENGINE: (2, {0: 100, 5: 50})}), 0.0)
-    table.hear(beacon("b", {ENGINE: (1, {5: 25})}), 0.9)
-    assert table.loads[ENGINE].requests == 3
-    assert table.loads[ENGINE].unread == {0: 100, 5: 75}
-    table.hear(beacon("b"), 0.95)
-    assert table.loads[ENGINE].requests == 2
-    gone, changed = table.expire(1.5, 0.1)
-    assert gone == ["a"]
-    assert changed == {ENGINE}
-    assert table.loads[ENGINE].requests == 0
-    assert table.loads[ENGINE].unread == {}
 
+OTHER = encode(PeerView(1, b"", []))
 
-def test_own_beacons_are_ignored(table):
-    assert table.hear(beacon("me"), 0.0) == (False, set())
-    assert not table.live
 
-
-def test_addresses_that_others_name_are_greeted(table):
-    table.hear(beacon("a", known=["10.0.0.7:7340", "10.0.0.1:7340"]), 0.0)
-    assert table.to_greet(0.1) == ["10.0.0.7:7340"]
-
-
-def test_a_greeted_address_that_never_answers_is_given_up(table):
-    table.learn("10.0.0.7:7340", 0.0)
-    assert table.to_greet(100.0) == []
-
-
-def test_who_knows_more_is_asked_and_near_ones_first(table):
-    table.hear(beacon("a", revision=9, zone="far"), 0.0)
-    table.hear(beacon("b", revision=9), 0.0)
-    table.hear(beacon("c", revision=3), 0.0)
-    assert table.best_informed(5, ZoneId("z")).node == "b"
-    assert table.best_informed(9, ZoneId("z")) is None
-
-
-def test_who_is_joining_does_not_count_as_serving(table):
-    table.hear(beacon("a", state=PeerState.JOINING), 0.0)
-    table.hear(beacon("b"), 0.0)
-    assert table.serving() == 1
+@pytest.mark.parametrize("data", [b"", b"\xff\xff", b"\x80", OTHER])
+def test_other_bytes_are_refused(data):
+    with pytest.raises(PeerError):
+        decode(data, Beacon | Digest)
+
+
+def test_the_highest_of_a_zone_speaks_and_the_others_tell_it():
+    first, second = table(FIRST), table(SECOND)
+    assert first.is_speaker(0.0)
+    assert second.is_speaker(0.0)
+    second.hear_digest(first.make_digest(beacon(FIRST), True), 0.0)
+    first.hear_digest(second.make_digest(beacon(SECOND), True), 0.0)
+    assert first.is_speaker(0.1)
+    assert second.speaker_address(0.1) == FIRST
+
+
+def test_a_silent_speaker_is_followed_one_after_the_other():
+    first, second, third = table(FIRST), table(SECOND), table(THIRD)
+    first.hear_beacon(beacon(SECOND), 0.0)
+    first.hear_beacon(beacon(THIRD), 0.0)
+    digest = first.make_digest(beacon(FIRST), True)
+    second.hear_digest(digest, 0.0)
+    third.hear_digest(digest, 0.0)
+    just_silent = SILENCE_S + STAGGER_S / 2
+    assert second.is_speaker(just_silent)
+    assert not third.is_speaker(just_silent)
+    assert third.is_speaker(SILENCE_S + 1.5 * STAGGER_S)
+
+
+def test_a_lower_speaker_does_not_replace_a_higher_one_that_is_live():
+    third = table(THIRD)
+    third.hear_digest(table(FIRST).make_digest(beacon(FIRST), True), 0.0)
+    third.hear_digest(table(SECOND).make_digest(beacon(SECOND), True), 0.1)
+    assert third.speaker_address(0.2) == FIRST
+
+
+def test_work_adds_up_over_a_zone_and_goes_with_its_member():
+    first = table(FIRST)
+    first.hear_beacon(beacon(SECOND, {ENGINE: (2, {0: 100, 5: 50})}), 0.0)
+    first.hear_beacon(beacon(THIRD, {ENGINE: (1, {5: 25})}), 0.5)
+    own = beacon(FIRST, {ENGINE: (4, {5: 5})})
+    assert first.make_digest(own, False).loads[ENGINE] == (7, {0: 100, 5: 80})
+    others = first.others_work(own, 0.6)[ENGINE]
+    assert (others.requests, others.unread) == (3, {0: 100, 5: 75})
+    assert first.expire(1.0) == [SECOND]
+    assert first.others_work(own, 1.0)[ENGINE].requests == 1
+
+
+def test_a_member_takes_its_own_part_off_the_sum():
+    first, second = table(FIRST), table(SECOND)
+    told = beacon(SECOND, {ENGINE: (2, {5: 50})})
+    first.hear_beacon(told, 0.0)
+    second.told = told.loads
+    second.hear_digest(first.make_digest(beacon(FIRST, {ENGINE: (1, {})}), True), 0.0)
+    others = second.others_work(beacon(SECOND), 0.1)[ENGINE]
+    assert (others.requests, others.unread) == (1, {})
+
+
+def test_zones_are_added_once_and_only_from_their_speakers():
+    first = table(FIRST)
+    far = table("10.1.0.1:7340", "far")
+    zone_digest = far.make_digest(beacon(far.address, {ENGINE: (5, {})}, "far"), False)
+    fleet_digest = far.make_digest(beacon(far.address, {ENGINE: (9, {})}, "far"), True)
+    for digest in (zone_digest, fleet_digest, zone_digest):
+        first.hear_digest(digest, 0.0)
+    whole = first.make_digest(beacon(FIRST), True)
+    assert whole.loads[ENGINE][0] == 5
+    assert whole.count == 2
+    assert whole.speakers == {"z": FIRST, "far": far.address}
+
+
+def test_who_knows_most_is_named():
+    first = table(FIRST)
+    first.hear_beacon(beacon(SECOND, number=3, revision=9), 0.0)
+    digest = first.make_digest(beacon(FIRST, number=2, revision=20), True)
+    assert (digest.informed, digest.number) == (SECOND, 3)
+
+
+def test_who_leaves_no_longer_counts_and_who_joins_not_yet():
+    first = table(FIRST)
+    first.hear_beacon(beacon(SECOND), 0.0)
+    first.hear_beacon(beacon(THIRD, state=PeerState.JOINING), 0.0)
+    assert first.make_digest(beacon(FIRST), True).count == 2
+    first.hear_beacon(beacon(SECOND, state=PeerState.LEAVING), 0.1)
+    assert first.make_digest(beacon(FIRST), True).count == 1
+    assert first.member_addresses() == [THIRD]
+
+
+def test_a_speaker_that_leaves_is_followed_at_once():
+    first, second = table(FIRST), table(SECOND)
+    second.hear_digest(first.make_digest(beacon(FIRST), True), 0.0)
+    second.hear_beacon(beacon(FIRST, state=PeerState.LEAVING), 0.1)
+    assert second.is_speaker(0.11)
+
+
+def test_a_pointer_to_a_speaker_never_hides_its_digest():
+    first = table(FIRST)
+    far = table("10.1.0.1:7340", "far")
+    digest = far.make_digest(beacon(far.address, {ENGINE: (5, {})}, "far"), False)
+    first.hear_digest(digest, 0.0)
+    pointer = far.make_digest(beacon(far.address, {}, "far"), False)
+    pointer.count = 0
+    first.hear_digest(pointer, 0.1)
+    assert first.make_digest(beacon(FIRST), True).loads[ENGINE][0] == 5
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -8,9 +8,9 @@
 from buckthornwall.http1 import Answer, HttpServer, IncomingRequest, ServerLimits
 from buckthornwall.peers import (
     Beacon,
+    Digest,
     PeerAgent,
     PeerState,
-    PeerTable,
     PeerView,
     ViewClient,
     answer_view,
@@ -31,7 +31,6 @@
     Incarnation,
     NodeId,
     TrioClock,
-    UpstreamId,
     ZoneId,
     new_id,
 )
@@ -89,10 +88,8 @@
             self.pools,
             clock,
         )
-        self.peers = PeerTable(self.node, settings.peers.listen)
-        self.peer_agent = PeerAgent(
-            settings.peers, self.zone, self.peers, self._beacon, clock
-        )
+        self.peer_agent = PeerAgent(settings.peers, self.zone, self._beacon, clock)
+        self.peers = self.peer_agent.table
         self.views = ViewClient()
         self.callers = HttpServer(clock, self._caller_limits, self._handle_caller)
         self.operators = HttpServer(
@@ -105,7 +102,7 @@
         self.discovery.on_change = self._news_adopted
         self.discovery.on_gone = self.forwarder.connections.forget
         self.discovery.on_call = self._count_store_call
-        self.peer_agent.on_loads = self._loads_changed
+        self.peer_agent.on_work = self._work_told
 
     @classmethod
     def from_config(cls, settings: RouterSettings) -> "Router":
@@ -144,7 +141,8 @@
         while True:
             await trio.sleep(HOUSEKEEPING_S)
             self.forwarder.connections.expire()
-            self.forwarder.budgets.set_instances(self.peers.serving() + 1)
+            fleet = self.fleet()
+            self.forwarder.budgets.set_instances(fleet.count)
 
     async def _ask_peers(self) -> None:
         """Take from peers what the store does not tell this instance."""
@@ -152,15 +150,17 @@
             await trio.sleep(ASK_PEERS_S)
             if not self.discovery.is_away:
                 continue
-            informed = self.peers.best_informed(self.discovery.revision, self.zone)
-            if informed is None:
+            fleet = self.fleet()
+            if fleet.revision <= self.discovery.revision:
+                continue
+            if fleet.informed == self.settings.peers.listen:
                 continue
             try:
-                view = await self.views.ask(informed.address, self.table.number)
+                view = await self.views.ask(fleet.informed, self.table.number)
             except PeerError as error:
-                log_event("view_not_had", "WARNING", peer=informed.node, detail=error)
+                log_event("view_not_had", "WARNING", peer=fleet.informed, detail=error)
                 continue
-            log_event("view_taken", peer=informed.node, revision=view.revision)
+            log_event("view_taken", peer=fleet.informed, revision=view.revision)
             self.discovery.adopt(
                 News(
                     revision=view.revision,
@@ -172,9 +172,13 @@
 
     # Messages
 
-    def _beacon(self, known: list[str]) -> Beacon:
+    def fleet(self) -> Digest:
+        """Return what is known of all instances together."""
+        return self.peers.whole(self._beacon(), self.clock.now())
+
+    def _beacon(self) -> Beacon:
         loads = {
-            view.id: (view.load.requests, view.load.unread)
+            view.id: (view.load.requests, dict(view.load.unread))
             for view in self.pools.views.values()
             if view.load.requests
         }
@@ -187,14 +191,12 @@
             self.table.number,
             self.discovery.revision,
             loads,
-            known,
         )
 
-    def _loads_changed(self, upstreams: set[UpstreamId]) -> None:
-        for upstream in upstreams:
-            view = self.pools.views.get(upstream)
-            if view is not None:
-                view.load.peers = self.peers.loads.get(upstream, NO_PEERS)
+    def _work_told(self) -> None:
+        work = self.peers.others_work(self._beacon(), self.clock.now())
+        for view in self.pools.views.values():
+            view.load.peers = work.get(view.id, NO_PEERS)
 
     def _count_store_call(self, seconds: float, outcome: str) -> None:
         self.metrics.store_call.add({"outcome": outcome}, seconds)
--- a/packages/buckthornwall/src/buckthornwall/router/operators.py
+++ b/packages/buckthornwall/src/buckthornwall/router/operators.py
@@ -42,7 +42,7 @@
             "Upstreams set aside.",
             sum(1 for view in views if view.health.aside),
         ),
-        "peers": ("Peers heard.", len(router.peers.live)),
+        "instances": ("Instances that serve.", router.fleet().count),
         "active": ("Requests being answered.", router.callers.active),
         "upstream_connections": (
             "Connections opened to upstreams.",
@@ -57,6 +57,7 @@
 def describe_router(router: "Router") -> dict[str, Any]:
     """Return what ``/status`` shows."""
     now = router.clock.now()
+    fleet = router.fleet()
     return {
         "node": router.node,
         "zone": router.zone,
@@ -68,13 +69,12 @@
             "answered_s_ago": round(now - router.discovery.answered_at, 3),
         },
         "active": router.callers.active,
-        "peers": {
-            peer.beacon.node: {
-                "state": peer.beacon.state.name.lower(),
-                "number": peer.beacon.number,
-                "heard_s_ago": round(now - peer.heard_at, 3),
-            }
-            for peer in router.peers.live.values()
+        "fleet": {
+            "speaker": fleet.address,
+            "instances": fleet.count,
+            "number": fleet.number,
+            "revision": fleet.revision,
+            "speakers": dict(fleet.speakers),
         },
         "upstreams": {
             view.id: {
--- a/packages/buckthornwall/src/buckthornwall/router/stopping.py
+++ b/packages/buckthornwall/src/buckthornwall/router/stopping.py
@@ -30,7 +30,7 @@
     log_event("stopping", active=router.callers.active)
     router.state = PeerState.LEAVING
     router.callers.closing = True
-    await router.peer_agent.tell_all()
+    await router.peer_agent.tell()
     with trio.move_on_after(stop.notice_s):
         await trio.sleep_forever()
     router.refusing = True
