--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_router.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_router.py
@@ -247,6 +247,39 @@
         await site.until(lambda n=number: site.routers[n].fleet().count == 3)
 
 
+def readers(site, numbers):
+    """Return which of some instances speak for their zone, and so read."""
+    return [n for n in numbers if site.routers[n].peers.is_speaker(trio.current_time())]
+
+
+async def test_one_instance_of_a_zone_reads_and_the_others_hear_it(site):
+    await site.start(3)
+    await site.until(lambda: len(readers(site, (1, 3))) == 1)
+    (reader,) = readers(site, (1, 3))
+    other = 4 - reader
+    await trio.sleep(0.3)
+    calls = site.routers[other].store.calls
+    number = site.deployment.publish()
+    await site.until(lambda: site.routers[other].table.number == number)
+    assert site.routers[other].store.calls == calls
+    site.deployment.register("e1", DRAFTS, f"127.0.7.1:{site.ports}", "draining")
+    view = site.routers[other].pools.views["e1"]
+    await site.until(lambda: view.entry.state.name == "LEAVING")
+
+
+async def test_the_death_of_a_reader_delays_news_by_two_seconds_at_most(site):
+    await site.start(3)
+    await site.until(lambda: len(readers(site, (1, 3))) == 1)
+    (reader,) = readers(site, (1, 3))
+    other = 4 - reader
+    await trio.sleep(0.3)
+    site.scopes[reader].cancel()
+    number = site.deployment.publish()
+    with trio.fail_after(2.0):
+        while site.routers[other].table.number != number:
+            await trio.sleep(0.01)
+
+
 async def test_metrics_and_status_tell_what_happened(site):
     await site.start(1)
     await site.call("/order/x")
--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -1,5 +1,6 @@
 """The task that reads a source and puts its news in force."""
 
+import math
 from collections.abc import Callable
 
 import trio
@@ -22,6 +23,7 @@
 
 RETRY_FIRST_S = 0.05
 RETRY_LIMIT_S = 0.5
+LOOK_S = 0.1
 # What is missing in the answers of this long after an outage may have run out
 # in it; what is removed later is removed by its upstream. With the whole time
 # to settle, an upstream that left 0.8 s after an outage was still sent work
@@ -58,6 +60,8 @@
 class DiscoveryAgent:
     """Keeps routes and upstreams as the newest news says.
 
+    Where `may_read` says so, others read, and their news is adopted.
+
     While the source is away nothing changes here. Registrations run out during
     an outage although their upstreams live, so what is missing after one is
     only taken to be gone when the upstreams have had time to register again.
@@ -92,12 +96,15 @@
         self.pools = pools
         self.clock = clock
         self.revision = 0
+        self.mark = 0
         self.raw = b""
         self.read_once = False
         self.answered_at = clock.now()
+        self.read_at = -math.inf
         self.is_away = False
         self.on_change: Callable[[], None] = lambda: None
         self.on_gone: Callable[[UpstreamId], None] = lambda upstream: None
+        self.may_read: Callable[[], bool] = lambda: True
         self.on_call: Callable[[float, str], None] = lambda seconds, outcome: None
         self._doubt_until = 0.0
         self._settle_at = 0.0
@@ -108,6 +115,7 @@
         backoff = Backoff(RETRY_FIRST_S, RETRY_LIMIT_S)
         need_all = True
         while True:
+            await self._until_reading()
             started = self.clock.now()
             try:
                 news = await self._next(need_all)
@@ -129,6 +137,15 @@
             self.settle()
             await trio.sleep(self.settings.gap_ms / MS_PER_S)
 
+    async def _until_reading(self) -> None:
+        """Wait while others read for this instance."""
+        if self.may_read():
+            return
+        self.is_away = False
+        while not self.may_read():
+            await trio.sleep(LOOK_S)
+        self.answered_at = self.clock.now()
+
     async def _next(self, need_all: bool) -> News:
         if need_all:
             return await self.feed.read_all()
@@ -159,7 +176,7 @@
             self._settle_at = now + self.settings.settle_ms / MS_PER_S
             away_ms = round((now - self.answered_at) * MS_PER_S)
             log_event("store_regained", away_ms=away_ms, revision=self.revision)
-        self.answered_at = now
+        self.answered_at = self.read_at = now
 
     def adopt(self, news: News) -> None:
         """Put news in force."""
@@ -176,6 +193,7 @@
         else:
             self._remove(gone)
         self.revision = max(self.revision, news.revision)
+        self.mark = max(self.mark, news.mark)
         self.read_once = True
         self.pools.set_pool_traits(self.table.pools.values())
         self.on_change()
--- a/packages/buckthornwall/src/buckthornwall/discovery/news.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/news.py
@@ -18,11 +18,14 @@
     """What changed up to a revision.
 
     `whole` tells that everything there is stands here, so that what does not
-    is gone. `published` is the operator's configuration as it was written.
+    is gone. A watch from `revision` brings what changes later; `mark` is the
+    revision of the newest change among these, which is lower where others wrote
+    meanwhile. `published` is the operator's configuration as it was written.
     """
 
     revision: int
     whole: bool
+    mark: int = 0
     published: bytes | None = None
     entries: dict[UpstreamId, UpstreamEntry] = field(default_factory=dict)
     removed: set[UpstreamId] = field(default_factory=set)
--- a/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
@@ -17,7 +17,7 @@
 
 def news(revision: int, *names: str, whole=False, removed=(), published=None) -> News:
     entries = {UpstreamId(name): entry(name) for name in names}
-    return News(revision, whole, published, entries, set(removed))
+    return News(revision, whole, revision, published, entries, set(removed))
 
 
 def decode(raw: bytes) -> Published:
@@ -92,3 +92,9 @@
     agent.adopt(news(2, removed=["a"]))
     clock.time += 2.0
     assert agent.watch_s() == pytest.approx(0.2)
+
+
+def test_only_changes_move_the_mark(agent):
+    agent.adopt(news(5, "a", whole=True))
+    agent.adopt(News(revision=9, whole=False))
+    assert (agent.revision, agent.mark) == (9, 5)
--- a/packages/buckthornwall/src/buckthornwall/peers/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/agent.py
@@ -19,6 +19,7 @@
 GREET_INTERVAL_S = 0.5
 # A speaker looks for others that it does not know of this often.
 SEEK_INTERVAL_S = 2.0
+NEVER_MS = 1_000_000_000
 
 
 class PeerSettings(ConfigNamespace):
@@ -35,6 +36,12 @@
     seeds = ConfigItem(
         [], "Instances to greet first, as IP:port; only the IP number is used."
     )
+    weight = ConfigItem(
+        1.0,
+        "How much this instance can carry for others, such as its link in Mbit/s; "
+        "those that can carry most speak for their zone.",
+        minimum=0,
+    )
     beacon_ms = ConfigItem(
         100.0, "Milliseconds between two beacons to the zone's speaker.", minimum=10
     )
@@ -85,6 +92,7 @@
         self.clock = clock
         self.table = PeerTable(
             settings.listen,
+            settings.weight,
             zone,
             settings.silence_ms / MS_PER_S,
             settings.stagger_ms / MS_PER_S,
@@ -233,13 +241,15 @@
         """Return who speaks, without work that would be counted twice."""
         return Digest(
             address=digest.address,
+            weight=digest.weight,
             zone=digest.zone,
             is_fleet=False,
             count=0,
-            members=[],
+            members={},
             speakers=digest.speakers,
             number=0,
-            revision=0,
+            mark=0,
             informed="",
+            read_age_ms=NEVER_MS,
             loads={},
         )
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -29,18 +29,22 @@
 class Beacon(msgspec.Struct, array_like=True, tag="b"):
     """What an instance tells the speaker of its zone.
 
-    `number` is that of the configuration in force, `revision` that of the
-    newest news. `loads` names upstreams with work from this instance. `greets`
-    asks for an answer: the sender does not know its zone's speaker.
+    `weight` is how much it can carry for others. `number` is that of the
+    configuration in force, `mark` the revision of the newest change, and
+    `read_age_ms` how long ago the store last answered here. `loads` names
+    upstreams with work from this instance. `greets` asks for an answer: the
+    sender does not know its zone's speaker.
     """
 
     node: NodeId
     incarnation: Incarnation
     address: str
+    weight: float
     zone: ZoneId
     state: PeerState
     number: int
-    revision: int
+    mark: int
+    read_age_ms: int
     loads: dict[UpstreamId, Work]
     greets: bool = False
 
@@ -49,27 +53,35 @@
     """What a speaker tells: its members all of it, other speakers its own zone.
 
     `count` is the number of instances that serve, and `loads` the sum of their
-    work: over the fleet if `is_fleet`, else over the zone. `speakers` gives the
-    speaker's address of each zone. `informed` is the address of the instance
-    with the highest `number` and `revision`.
+    work: over the fleet if `is_fleet`, else over the zone. `members` gives the
+    weight of each, `speakers` the speaker's address of each zone. `informed` is
+    the address of the instance with the highest `number` and `mark`, and
+    `read_age_ms` how long ago the store last answered any of them.
     """
 
     address: str
+    weight: float
     zone: ZoneId
     is_fleet: bool
     count: int
-    members: list[str]
+    members: dict[str, float]
     speakers: dict[ZoneId, str]
     number: int
-    revision: int
+    mark: int
     informed: str
+    read_age_ms: int
     loads: dict[UpstreamId, Work]
 
 
 class PeerView(msgspec.Struct, array_like=True):
-    """What is in force at an instance; `published` is b'' if not asked for."""
+    """What is in force at an instance; `published` is b'' if not asked for.
+
+    A watch from `revision` brings what changed after it; `mark` is the revision
+    of the newest change.
+    """
 
     revision: int
+    mark: int
     published: bytes
     entries: list[UpstreamEntry]
 
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -1,9 +1,10 @@
 """Who speaks for a zone, and the sum of all work: a pure state machine.
 
-In each zone the live instance of the highest order speaks; the order is a hash
-of addresses, so no vote is needed. Everyone tells its speaker what it does; the
-speakers tell each other their zones' sums, and their members the whole. Two
-speakers in one zone for a moment make the sums wrong for a moment, no more.
+In each zone the live instance of the highest order speaks; the order is weight,
+then a hash of addresses, so no vote is needed. Everyone tells its speaker what
+it does; the speakers tell each other their zones' sums, and their members the
+whole. Two speakers in one zone for a moment make the sums wrong for a moment,
+no more.
 """
 
 from dataclasses import dataclass
@@ -19,9 +20,9 @@
 NOTHING: Work = (0, {})
 
 
-def order_of(address: str) -> int:
-    """Return an address's place in the order of speakers."""
-    return int.from_bytes(blake2b(address.encode(), digest_size=8).digest(), "big")
+def order_of(address: str, weight: float) -> tuple[float, bytes]:
+    """Return an instance's place in the order of speakers."""
+    return weight, blake2b(address.encode(), digest_size=8).digest()
 
 
 @dataclass(slots=True)
@@ -37,8 +38,8 @@
 
     Parameters
     ----------
-    address, zone
-        Where this instance is.
+    address, weight, zone
+        Where this instance is, and how much it can carry for others.
     silence_s
         Seconds without a word after which a sender is taken to be gone.
     stagger_s
@@ -47,9 +48,15 @@
     """
 
     def __init__(
-        self, address: str, zone: ZoneId, silence_s: float, stagger_s: float
+        self,
+        address: str,
+        weight: float,
+        zone: ZoneId,
+        silence_s: float,
+        stagger_s: float,
     ) -> None:
         self.address = address
+        self.weight = weight
         self.zone = zone
         self.silence_s = silence_s
         self.stagger_s = stagger_s
@@ -94,7 +101,7 @@
             return True
         if not digest.count:
             return False
-        return order_of(digest.address) >= order_of(current.message.address)
+        return _order(digest) >= _order(current.message)
 
     def expire(self, now: float) -> list[str]:
         """Drop who has been silent; return the members among them."""
@@ -119,15 +126,15 @@
             return True
         if now - speaker.at > self.silence_s + self._stagger(speaker.message):
             return True
-        return order_of(self.address) > order_of(speaker.message.address)
+        return order_of(self.address, self.weight) > _order(speaker.message)
 
     def _stagger(self, digest: Digest) -> float:
         """Return how long those of a higher order have to speak up first."""
-        own = order_of(self.address)
+        own = order_of(self.address, self.weight)
         higher = sum(
             1
-            for address in digest.members
-            if address != digest.address and order_of(address) > own
+            for address, weight in digest.members.items()
+            if address != digest.address and order_of(address, weight) > own
         )
         return higher * self.stagger_s
 
@@ -161,17 +168,19 @@
         loads: dict[UpstreamId, Work] = {}
         for part in parts:
             add_work(loads, part.loads)
-        best = max(parts, key=lambda part: (part.number, part.revision))
+        best = max(parts, key=lambda part: (part.number, part.mark))
         digest = Digest(
             address=self.address,
+            weight=self.weight,
             zone=self.zone,
             is_fleet=is_fleet,
             count=count,
-            members=[self.address, *self.members],
+            members={part.address: part.weight for part in parts},
             speakers={self.zone: self.address} | self.other_speakers(),
             number=best.number,
-            revision=best.revision,
+            mark=best.mark,
             informed=best.address,
+            read_age_ms=min(part.read_age_ms for part in parts),
             loads=loads,
         )
         if is_fleet:
@@ -211,12 +220,17 @@
     """Add another zone's digest to one of the fleet."""
     digest.count += other.count
     add_work(digest.loads, other.loads)
-    if (other.number, other.revision) > (digest.number, digest.revision):
+    digest.read_age_ms = min(digest.read_age_ms, other.read_age_ms)
+    if (other.number, other.mark) > (digest.number, digest.mark):
         digest.number = other.number
-        digest.revision = other.revision
+        digest.mark = other.mark
         digest.informed = other.informed
 
 
+def _order(digest: Digest) -> tuple[float, bytes]:
+    return order_of(digest.address, digest.weight)
+
+
 def _less(work: Work, own: Work) -> PeerLoad:
     """Return a sum without this instance's part of it."""
     requests = max(0, work[0] - own[0])
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
@@ -15,25 +15,29 @@
 STAGGER_S = 0.1
 # Three addresses, the highest in the order first.
 FIRST, SECOND, THIRD = sorted(
-    (f"10.0.0.{n}:7340" for n in (1, 2, 3)), key=order_of, reverse=True
+    (f"10.0.0.{n}:7340" for n in (1, 2, 3)),
+    key=lambda address: order_of(address, 1.0),
+    reverse=True,
 )
 
 
-def beacon(address, loads=None, zone="z", state=PeerState.READY, number=1, revision=1):
+def beacon(address, loads=None, zone="z", state=PeerState.READY, number=1, mark=1):
     return Beacon(
         NodeId(address),
         Incarnation(1),
         address,
+        1.0,
         ZoneId(zone),
         state,
         number,
-        revision,
+        mark,
+        300,
         loads or {},
     )
 
 
-def table(address, zone="z"):
-    return PeerTable(address, ZoneId(zone), SILENCE_S, STAGGER_S)
+def table(address, zone="z", weight=1.0):
+    return PeerTable(address, weight, ZoneId(zone), SILENCE_S, STAGGER_S)
 
 
 def test_messages_come_back_as_they_were_sent():
@@ -42,13 +46,13 @@
     entry = UpstreamEntry(
         ENGINE, PoolId("p"), "10.0.0.1:80", ZoneId("z"), 4, UpstreamState.LEAVING
     )
-    view = PeerView(7, b"raw", [entry])
+    view = PeerView(7, 6, b"raw", [entry])
     assert decode(encode(sent), Beacon | Digest) == sent
     assert decode(encode(digest), Beacon | Digest) == digest
     assert decode(encode(view), PeerView) == view
 
 
-OTHER = encode(PeerView(1, b"", []))
+OTHER = encode(PeerView(1, 1, b"", []))
 
 
 @pytest.mark.parametrize("data", [b"", b"\xff\xff", b"\x80", OTHER])
@@ -67,6 +71,14 @@
     assert second.speaker_address(0.1) == FIRST
 
 
+def test_who_can_carry_most_speaks():
+    light, heavy = table(FIRST), table(SECOND, weight=200.0)
+    heavy.hear_digest(light.make_digest(beacon(FIRST), True), 0.0)
+    light.hear_digest(heavy.make_digest(beacon(SECOND), True), 0.0)
+    assert heavy.is_speaker(0.1)
+    assert light.speaker_address(0.1) == SECOND
+
+
 def test_a_silent_speaker_is_followed_one_after_the_other():
     first, second, third = table(FIRST), table(SECOND), table(THIRD)
     first.hear_beacon(beacon(SECOND), 0.0)
@@ -124,8 +136,8 @@
 
 def test_who_knows_most_is_named():
     first = table(FIRST)
-    first.hear_beacon(beacon(SECOND, number=3, revision=9), 0.0)
-    digest = first.make_digest(beacon(FIRST, number=2, revision=20), True)
+    first.hear_beacon(beacon(SECOND, number=3, mark=9), 0.0)
+    digest = first.make_digest(beacon(FIRST, number=2, mark=20), True)
     assert (digest.informed, digest.number) == (SECOND, 3)
 
 
--- a/packages/buckthornwall/src/buckthornwall/platform/store.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/store.py
@@ -200,6 +200,7 @@
 
 def _add(news: News, item: _Item) -> None:
     """Put one item or event into the product's words."""
+    news.mark = max(news.mark, item.revision)
     if item.key == CONFIG_KEY:
         if item.value is not None:
             news.published = binascii.a2b_base64(item.value)
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -1,5 +1,7 @@
 """The parts of one instance behind the platform's balancer."""
 
+import random
+
 import trio
 
 from buckthornwall.codes import PeerError, Refusal
@@ -41,8 +43,16 @@
 __all__ = ["Router"]
 
 HOUSEKEEPING_S = 0.5
-# How often a peer is asked while the store does not answer here.
-ASK_PEERS_S = 0.3
+# How often it is looked whether a peer has newer news.
+ASK_PEERS_S = 0.1
+# An instance that reads the store itself asks a peer only when its own watch
+# should long have brought the news.
+BEHIND_S = 0.8
+# When the store has answered nobody for this long, everyone reads; each
+# instance waits a part of a second longer, by its own draw.
+UNREAD_MS = 3000
+UNREAD_SPREAD_MS = 1000
+NEVER_MS = 1_000_000_000
 OPERATOR_LIMITS = ServerLimits(8192, 0, 3.0, 30.0)
 
 
@@ -99,6 +109,8 @@
             clock, lambda: OPERATOR_LIMITS, self._handle_readiness
         )
         self.view_server = HttpServer(clock, lambda: OPERATOR_LIMITS, self._handle_view)
+        self._unread_spread_ms = random.uniform(0, UNREAD_SPREAD_MS)
+        self.discovery.may_read = self._may_read
         self.discovery.on_change = self._news_adopted
         self.discovery.on_gone = self.forwarder.connections.forget
         self.discovery.on_call = self._count_store_call
@@ -144,31 +156,52 @@
             fleet = self.fleet()
             self.forwarder.budgets.set_instances(fleet.count)
 
+    def _may_read(self) -> bool:
+        """Tell whether this instance reads the store itself.
+
+        One in each zone does, and tells its zone: 80 instances that each kept
+        a watch made 4,523 calls in a day of 52 s.
+        """
+        if self.peers.is_speaker(self.clock.now()):
+            return True
+        fleet = self.fleet()
+        return fleet.read_age_ms > UNREAD_MS + self._unread_spread_ms
+
     async def _ask_peers(self) -> None:
-        """Take from peers what the store does not tell this instance."""
+        """Take from peers what this instance does not read itself."""
+        behind_since: float | None = None
         while True:
             await trio.sleep(ASK_PEERS_S)
-            if not self.discovery.is_away:
-                continue
             fleet = self.fleet()
-            if fleet.revision <= self.discovery.revision:
-                continue
-            if fleet.informed == self.settings.peers.listen:
-                continue
-            try:
-                view = await self.views.ask(fleet.informed, self.table.number)
-            except PeerError as error:
-                log_event("view_not_had", "WARNING", peer=fleet.informed, detail=error)
+            own = (self.table.number, self.discovery.mark)
+            if (fleet.number, fleet.mark) <= own:
+                behind_since = None
                 continue
-            log_event("view_taken", peer=fleet.informed, revision=view.revision)
-            self.discovery.adopt(
-                News(
-                    revision=view.revision,
-                    whole=True,
-                    published=view.published or None,
-                    entries={entry.id: entry for entry in view.entries},
-                )
+            now = self.clock.now()
+            behind_since = now if behind_since is None else behind_since
+            reads = self._may_read() and not self.discovery.is_away
+            if not reads or now - behind_since > BEHIND_S:
+                await self._take_view(fleet)
+
+    async def _take_view(self, fleet: Digest) -> None:
+        """Put in force what the best informed peer has."""
+        if fleet.informed == self.settings.peers.listen:
+            return
+        try:
+            view = await self.views.ask(fleet.informed, self.table.number)
+        except PeerError as error:
+            log_event("view_not_had", "WARNING", peer=fleet.informed, detail=error)
+            return
+        log_event("view_taken", peer=fleet.informed, mark=view.mark)
+        self.discovery.adopt(
+            News(
+                revision=view.revision,
+                whole=True,
+                mark=view.mark,
+                published=view.published or None,
+                entries={entry.id: entry for entry in view.entries},
             )
+        )
 
     # Messages
 
@@ -186,13 +219,19 @@
             self.node,
             self.incarnation,
             self.settings.peers.listen,
+            self.settings.peers.weight,
             self.zone,
             self.state,
             self.table.number,
-            self.discovery.revision,
+            self.discovery.mark,
+            self._read_age_ms(),
             loads,
         )
 
+    def _read_age_ms(self) -> int:
+        age_ms = (self.clock.now() - self.discovery.read_at) * 1000
+        return int(min(age_ms, NEVER_MS))
+
     def _work_told(self) -> None:
         work = self.peers.others_work(self._beacon(), self.clock.now())
         for view in self.pools.views.values():
@@ -240,7 +279,9 @@
 
     async def _handle_view(self, incoming: IncomingRequest, answer: Answer) -> None:
         entries = [view.entry for view in self.pools.views.values()]
-        view = PeerView(self.discovery.revision, self.discovery.raw, entries)
+        view = PeerView(
+            self.discovery.revision, self.discovery.mark, self.discovery.raw, entries
+        )
         await answer_view(incoming, answer, view, self.table.number)
 
     async def _handle_operator(self, incoming: IncomingRequest, answer: Answer) -> None:
--- a/packages/buckthornwall/src/buckthornwall/router/operators.py
+++ b/packages/buckthornwall/src/buckthornwall/router/operators.py
@@ -73,7 +73,7 @@
             "speaker": fleet.address,
             "instances": fleet.count,
             "number": fleet.number,
-            "revision": fleet.revision,
+            "mark": fleet.mark,
             "speakers": dict(fleet.speakers),
         },
         "upstreams": {
