--- a/packages/buckthornwall/src/buckthornwall/pools/placement.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/placement.py
@@ -12,11 +12,11 @@
 # Prompt tokens that a model engine reads in a millisecond. A guess to start
 # from: `Pace` corrects what follows from it.
 TOKENS_PER_MS = 50.0
-# A missing shared token counts this often: reading it costs the engine's other
-# requests too, and pushes other parts out of its memory. At the second home it
-# counts less, since the next request that leaves the first home goes there too.
-MISSING_WEIGHT = 3.0
-SECOND_HOME_WEIGHT = 1.5
+# A missing shared token counts the more often the later its engine stands in
+# the hash order of the part. So what leaves the first home goes to the same
+# second one from every instance, and a hot part spreads no further than it must.
+WEIGHT_STEP = 0.5
+MOST_WEIGHT = 4.0
 # A wait that leaves the target in reach is cheap: part of the target for which
 # that holds, and what a token ahead then counts.
 FREE_TARGET_SHARE = 0.4
@@ -91,9 +91,11 @@
     if not views:
         return None
     free_tokens = free_wait_s * 1000 * TOKENS_PER_MS
-    homes = rendezvous_order(prompt.shared_key, [view.id for view in views])[:2]
+    by_id = {view.id: view for view in views}
+    homes = rendezvous_order(prompt.shared_key, by_id)
     offers = [
-        _offer(view, prompt, rank, homes, zone, now, free_tokens) for view in views
+        _offer(by_id[name], prompt, rank, place, zone, now, free_tokens)
+        for place, name in enumerate(homes)
     ]
     best = min(offers, key=lambda offer: offer.cost)
     load = best.view.load
@@ -106,18 +108,18 @@
     view: UpstreamView,
     prompt: PromptShape,
     rank: int,
-    homes: list[str],
+    place: int,
     zone: ZoneId,
     now: float,
     free_tokens: float,
 ) -> _Offer:
     shared = sum(part.tokens for part in prompt.parts[:-1])
     held = view.prefixes.held(prompt)
-    if view.id == homes[0]:
+    if place == 0:
         held = max(held, shared)
     fresh = max(0, prompt.prompt_tokens - held)
     missing = max(0, shared - held)
-    weight = SECOND_HOME_WEIGHT if view.id in homes else MISSING_WEIGHT
+    weight = min(MOST_WEIGHT, 1 + WEIGHT_STEP * place)
     ahead = _ahead(view, rank, now)
     ahead -= (1 - FREE_WEIGHT) * min(ahead, free_tokens)
     cost = fresh + (weight - 1) * missing + ahead
