--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -56,6 +56,7 @@
     remaining_s: float
     most_idle_s: float
     silence_s: float | None
+    tight: bool = False
 
     async def run(self) -> AttemptResult:
         """Make the attempt; load is counted while it lasts."""
@@ -69,12 +70,14 @@
         load = view.load
         unread = _Unread(view, self.resolution.rank, self.choice.fresh_tokens)
         load.requests += 1
+        load.tight += self.tight
         view.health.note_sent(self.clock.now())
         reply = None
         try:
             reply, result = await self._exchange(connection, unread)
         finally:
             load.requests -= 1
+            load.tight -= self.tight
             unread.clear()
             if reply is None or reply.closes:
                 connection.close()
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -10,9 +10,11 @@
 from buckthornwall.pools import (
     Choice,
     PoolTable,
+    UpstreamView,
     Verdict,
     choose_engine,
     choose_service,
+    is_tight,
 )
 from buckthornwall.pools.overload import is_overloaded, retry_after_s
 from buckthornwall.pools.placement import FREE_TARGET_SHARE
@@ -85,6 +87,7 @@
     resolution: Resolution
     delivery: Delivery
     deadline: float
+    tight: bool = False
     tried: set[UpstreamId] = field(default_factory=set)
     runs: int = 0
     arrivals: int = 0
@@ -136,6 +139,8 @@
         self.pools = pools
         self.codec = codec
         self.clock = clock
+        self._tight_number = -1
+        self._tight_pools: set[PoolId] = set()
         self.budgets = RetryBudgets(settings.retry_ratio, settings.retry_reserve)
         self.connections = ConnectionCache(clock, settings.connect_timeout_ms / 1000)
 
@@ -162,6 +167,7 @@
             resolution,
             Delivery(answer, self.clock, request.resume_after),
             request.received_at + patience_s,
+            is_tight(route, resolution.pool),
         )
         try:
             await self._answer(job, answer)
@@ -216,6 +222,7 @@
         now = self.clock.now()
         views = self.pools.usable(job.resolution.pool.id, job.tried)
         if job.request.prompt is not None:
+            views = self._fitting(job, views, now)
             rank = job.resolution.rank
             pace = self.pools.pace(job.resolution.pool.id)
             target_s = job.resolution.route.target_s
@@ -224,6 +231,31 @@
             return choose_engine(views, prompt, rank, self.zone, now, free_s)
         return choose_service(views, self.zone, now)
 
+    def _fitting(
+        self, job: Job, views: list[UpstreamView], now: float
+    ) -> list[UpstreamView]:
+        """Keep tight streams and long prompts apart, where a pool has both."""
+        pool = job.resolution.pool.id
+        if pool not in self._pools_with_tight_routes():
+            return views
+        kept, others = self.pools.quiet(pool).split(views, now)
+        if not job.tight:
+            return others or views
+        free = [view for view in kept if view.load.in_flight(now) < view.entry.slots]
+        return free or views
+
+    def _pools_with_tight_routes(self) -> set[PoolId]:
+        if self._tight_number != self.table.number:
+            self._tight_number = self.table.number
+            self._tight_pools = {
+                share.pool
+                for route in self.table.routes
+                for share in route.shares
+                if share.pool in self.table.pools
+                and is_tight(route, self.table.pools[share.pool])
+            }
+        return self._tight_pools
+
     def _expected_s(self, job: Job, choice: Choice) -> float:
         """Return how long the first token is expected to take."""
         pace = self.pools.pace(job.resolution.pool.id)
@@ -259,6 +291,7 @@
             remaining_s=remaining_s,
             most_idle_s=self._most_idle_s(job),
             silence_s=self._silence_s(job, remaining_s),
+            tight=job.tight,
         )
         job.runs += 1  # until it is known better, should this be cut short
         sent_at = self.clock.now()
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -14,8 +14,9 @@
 
 __all__ = ["Beacon", "Digest", "PeerState", "PeerView", "Work", "decode", "encode"]
 
-# Requests in flight at an upstream, and prompt tokens still to be read by rank.
-Work = tuple[int, dict[int, int]]
+# Requests in flight at an upstream, prompt tokens still to be read by rank, and
+# how many of the requests are streams whose pauses must be short.
+Work = tuple[int, dict[int, int], int]
 
 
 class PeerState(Enum):
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -17,7 +17,7 @@
 
 __all__ = ["PeerTable", "order_of"]
 
-NOTHING: Work = (0, {})
+NOTHING: Work = (0, {}, 0)
 
 
 def order_of(address: str, weight: float) -> tuple[float, bytes]:
@@ -208,12 +208,12 @@
 
 def add_work(total: dict[UpstreamId, Work], part: dict[UpstreamId, Work]) -> None:
     """Add the work of a part to a total."""
-    for upstream, (requests, unread) in part.items():
-        sum_requests, sum_unread = total.get(upstream, NOTHING)
+    for upstream, (requests, unread, tight) in part.items():
+        sum_requests, sum_unread, sum_tight = total.get(upstream, NOTHING)
         summed = dict(sum_unread)
         for rank, tokens in unread.items():
             summed[rank] = summed.get(rank, 0) + tokens
-        total[upstream] = (sum_requests + requests, summed)
+        total[upstream] = (sum_requests + requests, summed, sum_tight + tight)
 
 
 def _include(digest: Digest, other: Digest) -> None:
@@ -239,4 +239,5 @@
         for rank, tokens in work[1].items()
         if tokens > own[1].get(rank, 0)
     }
-    return PeerLoad(requests, unread) if requests or unread else NO_PEERS
+    tight = max(0, work[2] - own[2])
+    return PeerLoad(requests, unread, tight) if requests or unread else NO_PEERS
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -5,7 +5,9 @@
 `load`        how much work lies at an upstream, as far as is known here
 `prefixes`    which shared parts of prompts an engine is likely to hold
 `health`      which upstreams fail requests, whatever their health check says
-`table`       all of these by upstream; adopts registrations
+`view`        all of these for one upstream
+`table`       the views by upstream; adopts registrations
+`quiet`       engines kept free of long prompts, for streams that must not pause
 `placement`   the choice of an upstream for a request
 ============= ============================================================
 """
@@ -14,7 +16,9 @@
 from .health import Verdict
 from .load import LoadReport
 from .placement import Choice, choose_engine, choose_service
-from .table import PoolTable, UpstreamView
+from .quiet import is_tight
+from .table import PoolTable
+from .view import UpstreamView
 
 __all__ = [
     "Choice",
@@ -26,4 +30,5 @@
     "Verdict",
     "choose_engine",
     "choose_service",
+    "is_tight",
 ]
--- a/packages/buckthornwall/src/buckthornwall/pools/load.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/load.py
@@ -21,11 +21,13 @@
 class PeerLoad:
     """What other instances have sent there and not yet got back.
 
-    `unread` gives the prompt tokens still to be read, by rank.
+    `unread` gives the prompt tokens still to be read, by rank, and `tight` how
+    many of the requests are streams whose pauses must be short.
     """
 
     requests: int = 0
     unread: dict[int, int] = field(default_factory=dict)
+    tight: int = 0
 
 
 NO_PEERS = PeerLoad()
@@ -38,6 +40,8 @@
     ----------
     requests : int
         Requests of this instance in flight there.
+    tight : int
+        Those of them whose pauses must be short.
     unread : dict
         By rank, the prompt tokens of this instance sent there whose first
         token is due.
@@ -47,6 +51,7 @@
 
     def __init__(self) -> None:
         self.requests = 0
+        self.tight = 0
         self.unread: dict[int, int] = {}
         self.peers = NO_PEERS
         self.report: LoadReport | None = None
@@ -67,6 +72,10 @@
         else:
             self.unread.pop(rank, None)
 
+    def tight_all(self) -> int:
+        """Return the streams there whose pauses must be short."""
+        return self.tight + self.peers.tight
+
     def in_flight(self, now: float) -> int:
         """Return the best guess of the requests there, running or waiting."""
         counted = self.requests + self.peers.requests
--- a/packages/buckthornwall/src/buckthornwall/pools/overload.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/overload.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from .table import UpstreamView
+from .view import UpstreamView
 
 __all__ = ["is_overloaded", "retry_after_s"]
 
--- a/packages/buckthornwall/src/buckthornwall/pools/placement.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/placement.py
@@ -5,7 +5,7 @@
 from buckthornwall.routing import PromptShape
 from buckthornwall.utils import ZoneId, rendezvous_order
 
-from .table import UpstreamView
+from .view import UpstreamView
 
 __all__ = ["TOKENS_PER_MS", "Choice", "choose_engine", "choose_service"]
 
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -7,33 +7,12 @@
 from buckthornwall.utils import Clock, UpstreamId
 
 from .entry import UpstreamEntry, UpstreamState
-from .health import Health, Verdict
-from .load import Load
+from .health import Verdict
 from .pace import Pace
-from .prefixes import PrefixMemory
+from .quiet import QuietEngines
+from .view import UpstreamView
 
-__all__ = ["PoolTable", "UpstreamView"]
-
-DEFAULT_MEMORY_TOKENS = 300_000
-
-
-class UpstreamView:
-    """One upstream: its registration, load, health and likely memory.
-
-    `heard_at` is when any byte last came from it.
-    """
-
-    def __init__(self, entry: UpstreamEntry) -> None:
-        self.entry = entry
-        self.load = Load()
-        self.health = Health()
-        self.prefixes = PrefixMemory(DEFAULT_MEMORY_TOKENS)
-        self.heard_at = 0.0
-
-    @property
-    def id(self) -> UpstreamId:
-        """The id it is registered under."""
-        return self.entry.id
+__all__ = ["PoolTable"]
 
 
 class PoolTable:
@@ -50,6 +29,7 @@
         self.views: dict[UpstreamId, UpstreamView] = {}
         self._members: dict[PoolId, dict[UpstreamId, UpstreamView]] = {}
         self._paces: dict[PoolId, Pace] = {}
+        self._quiet: dict[PoolId, QuietEngines] = {}
 
     def adopt(self, entry: UpstreamEntry) -> None:
         """Take a registration, new or changed."""
@@ -85,6 +65,12 @@
         """Return how a pool's first tokens compare with the counts."""
         return self._paces.setdefault(pool, Pace())
 
+    def quiet(self, pool: PoolId) -> QuietEngines:
+        """Return which engines of a pool are kept for tight streams."""
+        if pool not in self._quiet:
+            self._quiet[pool] = QuietEngines(pool)
+        return self._quiet[pool]
+
     def set_pool_traits(self, pools: Iterable[Pool]) -> None:
         """Take the sizes of engines from a new version of the pools."""
         for pool in pools:
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_pools.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_pools.py
@@ -10,14 +10,30 @@
     Verdict,
     choose_engine,
     choose_service,
+    is_tight,
 )
 from buckthornwall.pools.health import Health
 from buckthornwall.pools.load import PeerLoad
 from buckthornwall.pools.overload import is_overloaded
 from buckthornwall.pools.pace import Pace
 from buckthornwall.pools.prefixes import PrefixMemory
-from buckthornwall.routing import PoolId, PromptPart, PromptShape
-from buckthornwall.utils import ModelId, UpstreamId, ZoneId, rendezvous_winner
+from buckthornwall.routing import (
+    AnswerForm,
+    EngineTraits,
+    Pool,
+    PoolId,
+    PoolShare,
+    PromptPart,
+    PromptShape,
+    RequestRoute,
+)
+from buckthornwall.utils import (
+    ModelId,
+    RouteId,
+    UpstreamId,
+    ZoneId,
+    rendezvous_winner,
+)
 
 POOL = PoolId("drafts")
 ZONE = ZoneId("z")
@@ -149,6 +165,70 @@
     assert pace.factor(5) == pytest.approx(3.0, abs=0.1)
 
 
+def tight_route(max_pause_s=0.12):
+    return RequestRoute(
+        id=RouteId("r"),
+        host="h",
+        path_prefix="/",
+        shares=(PoolShare(POOL, 1.0),),
+        form=AnswerForm.EVENTS,
+        repeatable=False,
+        resumable=False,
+        timeout_s=9.0,
+        target_s=0.25,
+        max_pause_s=max_pause_s,
+        max_runs=1,
+        tier=0,
+        needs_key=False,
+    )
+
+
+@pytest.mark.parametrize(
+    ("tokens_per_event", "max_pause_s", "expected"),
+    [(4, 0.12, True), (3, 0.12, False), (4, 0.15, False), (4, 0.5, False)],
+)
+def test_a_stream_is_tight_if_reading_beside_it_breaks_its_pauses(
+    tokens_per_event, max_pause_s, expected
+):
+    pool = Pool(POOL, "/", 10, EngineTraits(32, 100_000, tokens_per_event))
+    assert is_tight(tight_route(max_pause_s), pool) is expected
+
+
+def test_quiet_engines_grow_with_their_streams_and_shrink_slowly(clock):
+    table = PoolTable(clock)
+    for number in range(12):
+        table.adopt(
+            UpstreamEntry(
+                UpstreamId(f"e{number}"),
+                POOL,
+                "10.0.0.1:80",
+                ZONE,
+                10,
+                UpstreamState.READY,
+            )
+        )
+    views = list(table.members(POOL))
+    quiet = table.quiet(POOL)
+    kept, others = quiet.split(views, clock.now())
+    assert (len(kept), len(others)) == (1, 11)
+    kept[0].load.tight = 12
+    grown, _ = quiet.split(views, clock.now())
+    assert len(grown) == 3
+    assert grown[0] is kept[0]
+    kept[0].load.tight = 500
+    assert len(quiet.split(views, clock.now())[0]) == 4
+    kept[0].load.tight = 0
+    clock.time += 1
+    assert len(quiet.split(views, clock.now())[0]) == 4
+    clock.time += 60
+    assert len(quiet.split(views, clock.now())[0]) == 1
+
+
+def test_a_pool_too_small_to_be_split_is_left_whole(table, clock):
+    views = list(table.members(POOL))[:2]
+    assert table.quiet(POOL).split(views, clock.now())[0] == []
+
+
 def test_nobody_is_refused_while_half_of_the_pool_is_free(table, clock):
     views = table.members(POOL)
     assert not is_overloaded(9.0, 1.0, views, clock.now())
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/pools/view.py
@@ -0,0 +1,31 @@
+"""One upstream, and all that is known of it."""
+
+from buckthornwall.utils import UpstreamId
+
+from .entry import UpstreamEntry
+from .health import Health
+from .load import Load
+from .prefixes import PrefixMemory
+
+__all__ = ["UpstreamView"]
+
+DEFAULT_MEMORY_TOKENS = 300_000
+
+
+class UpstreamView:
+    """One upstream: its registration, load, health and likely memory.
+
+    `heard_at` is when any byte last came from it.
+    """
+
+    def __init__(self, entry: UpstreamEntry) -> None:
+        self.entry = entry
+        self.load = Load()
+        self.health = Health()
+        self.prefixes = PrefixMemory(DEFAULT_MEMORY_TOKENS)
+        self.heard_at = 0.0
+
+    @property
+    def id(self) -> UpstreamId:
+        """The id it is registered under."""
+        return self.entry.id
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -211,7 +211,11 @@
 
     def _beacon(self) -> Beacon:
         loads = {
-            view.id: (view.load.requests, dict(view.load.unread))
+            view.id: (
+                view.load.requests,
+                dict(view.load.unread),
+                view.load.tight,
+            )
             for view in self.pools.views.values()
             if view.load.requests
         }
--- a/packages/buckthornwall/src/buckthornwall/routing/table.py
+++ b/packages/buckthornwall/src/buckthornwall/routing/table.py
@@ -55,6 +55,7 @@
         self.number = 0
         self.limits = CallerLimits()
         self.pools: dict[PoolId, Pool] = {}
+        self.routes: tuple[RequestRoute, ...] = ()
         self._by_host: dict[str, list[RequestRoute]] = {}
         self._teams: dict[str, TeamGrant] = {}
         self._keyed = False
@@ -70,6 +71,7 @@
         for routes in by_host.values():
             routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
         self._by_host = by_host
+        self.routes = published.routes
         self._teams = {key: team for team in published.teams for key in team.keys}
         self._keyed = bool(published.teams)
         self.pools = {pool.id: pool for pool in published.pools}
