--- a/packages/buckthornwall/src/buckthornwall/forwarding/budgets.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/budgets.py
@@ -12,6 +12,12 @@
 
 # Both are kept below what is allowed, since instances count a little apart.
 CAUTION = 0.8
+# What is kept of a higher number of instances from one look to the next; with
+# two looks a second half of it is left after 35 s.
+FADE = 0.99
+# What an instance that has heard nobody yet takes the fleet to be: after a loss
+# of all, each would else start with the part of all.
+FIRST_INSTANCES = 12.0
 
 
 class RetryBudgets:
@@ -28,12 +34,16 @@
     def __init__(self, ratio: float, reserve: float) -> None:
         self.ratio = ratio * CAUTION
         self.reserve = reserve * CAUTION
-        self.instances = 1
+        self.instances = FIRST_INSTANCES
         self._budgets: dict[PoolId, RetryBudget] = {}
 
     def set_instances(self, count: int) -> None:
-        """Take the number of live instances, this one included."""
-        self.instances = max(1, count)
+        """Take the number of live instances, this one included.
+
+        A lower number counts only little by little: instances that are cut off
+        from each other must not each take the part of all.
+        """
+        self.instances = max(1.0, float(count), self.instances * FADE)
         for budget in self._budgets.values():
             budget.reserve = self._own_reserve()
             budget.balance = min(budget.balance, budget.reserve)
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -413,7 +413,7 @@
             code=refusal.code.number,
             status=status,
             run=refusal.run.value,
-            retry_after_s=refusal.retry_after_s,
+            retry_after_s=round(refusal.retry_after_s or 0, 2),
             detail=refusal.detail,
             **self._describe(job),
         )
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
@@ -156,6 +156,7 @@
         subject = Forwarder(
             settings, ZoneId("z"), table, pools, PlainCodec(), clock, RouterMetrics()
         )
+        subject.budgets.instances = 1.0
         request = RoutedRequest("r", b"POST", b"/", "h", "/", [], b"x", clock.now())
         request.patience_s = patience_s
         answer = Recorder()
--- a/packages/buckthornwall/src/buckthornwall/pools/placement.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/placement.py
@@ -136,7 +136,7 @@
     behind = view.load.unread_all() - before
     cost = before + BEHIND_WEIGHT * behind
     cost += in_flight * RUNNING_TOKENS + queued * QUEUED_TOKENS
-    return cost + view.entry.cold_s * COLD_TOKENS_PER_S
+    return cost + view.cold_s(now) * COLD_TOKENS_PER_S
 
 
 def _busy_share(view: UpstreamView, now: float) -> float:
@@ -152,7 +152,7 @@
 
     def cost(view: UpstreamView) -> float:
         share = _busy_share(view, now)
-        share += SERVICE_COLD_SHARE * (view.entry.cold_s > 0)
+        share += SERVICE_COLD_SHARE * (view.cold_s(now) > 0)
         return share + SERVICE_ZONE_SHARE * (view.entry.zone != zone)
 
     view = min(views, key=cost)
--- a/packages/buckthornwall/src/buckthornwall/pools/prefixes.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/prefixes.py
@@ -29,6 +29,10 @@
         self.held_tokens = 0
         self._parts: OrderedDict[str, int] = OrderedDict()
 
+    def set_memory(self, capacity_tokens: int) -> None:
+        """Take the engine's memory, in tokens, from a new configuration."""
+        self.capacity_tokens = capacity_tokens * MEMORY_SHARE
+
     def held(self, prompt: PromptShape) -> int:
         """Return how many leading tokens of a prompt lie there."""
         tokens = 0
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -48,6 +48,7 @@
         if view.entry.pool != entry.pool:
             self._members[view.entry.pool].pop(entry.id, None)
         view.entry = entry
+        view.cold_until = self.clock.now() + entry.cold_s
         self._members.setdefault(entry.pool, {})[entry.id] = view
 
     def remove(self, upstream: UpstreamId) -> None:
@@ -76,7 +77,7 @@
         for pool in pools:
             if pool.engine is not None:
                 for view in self.members(pool.id):
-                    view.prefixes.capacity_tokens = pool.engine.memory_tokens / 2
+                    view.prefixes.set_memory(pool.engine.memory_tokens)
 
     def usable(
         self, pool: PoolId, tried: frozenset[UpstreamId] | set[UpstreamId]
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_pools.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_pools.py
@@ -87,6 +87,19 @@
     assert choose(table, clock, prompt(), rank=0).view is home
 
 
+def test_an_engine_that_warms_up_is_spared_until_it_is_warm(table, clock):
+    home = choose(table, clock, prompt()).view
+    entry = home.entry
+    table.adopt(
+        UpstreamEntry(
+            entry.id, POOL, entry.address, ZONE, 4, UpstreamState.READY, cold_s=3.0
+        )
+    )
+    assert choose(table, clock, prompt()).view is not home
+    clock.time += 3.0
+    assert choose(table, clock, prompt()).view is home
+
+
 def test_peers_work_counts(table, clock):
     home = choose(table, clock, prompt()).view
     home.load.peers = PeerLoad(3, {5: 100_000})
--- a/packages/buckthornwall/src/buckthornwall/pools/view.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/view.py
@@ -24,6 +24,11 @@
         self.health = Health()
         self.prefixes = PrefixMemory(DEFAULT_MEMORY_TOKENS)
         self.heard_at = 0.0
+        self.cold_until = 0.0
+
+    def cold_s(self, now: float) -> float:
+        """Return how much longer it starts up slowly, in seconds."""
+        return max(0.0, self.cold_until - now)
 
     @property
     def id(self) -> UpstreamId:
