--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_budgets.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_budgets.py
@@ -17,7 +17,7 @@
 def test_the_reserve_is_divided_by_the_live_instances():
     budgets = RetryBudgets(0.0, 100.0)
     budgets.set_instances(20)
-    assert spendable(budgets) == 5
+    assert spendable(budgets) == 4
 
 
 def test_an_instance_that_is_cut_off_does_not_take_the_part_of_all():
