--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/soak.py
@@ -0,0 +1,366 @@
+"""A randomized fault soak: real instances as processes, faults drawn by a seed.
+
+The store and the upstreams are stand-ins inside this process; the instances are
+processes of their own on loopback addresses. Faults come in series and overlap:
+instances are killed, stopped as planned, paused and started again; the store is
+down, silent, slow, forgetful; upstreams shed, break off and hang; the
+configuration changes and keys are revoked. What callers and upstreams see is
+checked against the promises. A seed repeats the draw, not the timing.
+"""
+
+import argparse
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import trio
+from buckthornwall.http1 import ClientConnection, ExchangeError
+
+from .users_platform import Deployment, Store, StoreFault, Upstream
+from .users_platform.deployment import DRAFTS, HOST, KEY, ORDERS, settings_text
+from .users_platform.upstream import EVENTS
+
+__all__ = ["Soak", "Verdict", "main", "play_seed"]
+
+INSTANCES = 4
+CALLERS = 6
+PROMISES = frozenset({408, 421, 429, 503})
+PATIENCE_S = 3.0
+READY_S = 15.0
+RECOVERY_S = 6.0
+LAST_CALLS = 20
+MOST_FAILED_AT_END = 2
+LAST_BYTES = 4000
+WORDS = b"".join(b"id: %d\ndata: word-%d\n\n" % (n, n) for n in range(1, EVENTS + 1))
+
+
+@dataclass
+class Verdict:
+    """What was seen; `broken` names each promise that was not kept."""
+
+    calls: int = 0
+    served: int = 0
+    refused: int = 0
+    broken: list[str] = field(default_factory=list)
+
+
+class Soak:
+    """One run.
+
+    Parameters
+    ----------
+    seed
+        Draws faults and calls.
+    seconds
+        How long faults come.
+    ports
+        First of five ports that all instances share.
+    folder
+        Where settings and logs go.
+    """
+
+    def __init__(self, seed: int, seconds: float, ports: int, folder: Path) -> None:
+        self.draw = random.Random(seed)
+        self.seconds = seconds
+        self.ports = ports
+        self.folder = folder
+        self.store = Store()
+        self.deployment = Deployment(self.store)
+        self.upstreams: dict[str, Upstream] = {}
+        self.processes: dict[int, subprocess.Popen] = {}
+        self.verdict = Verdict()
+        self.promised: set[str] = set()
+        self._calls = 0
+
+    async def run(self) -> Verdict:
+        """Play the faults, let all recover, and return the verdict."""
+        async with trio.open_nursery() as nursery:
+            await self._start(nursery)
+            try:
+                await self._play(nursery)
+                await self._recover()
+                await self._check_end()
+            finally:
+                self._end_processes()
+            nursery.cancel_scope.cancel()
+        self._check_runs()
+        return self.verdict
+
+    async def _start(self, nursery: trio.Nursery) -> None:
+        await nursery.start(self.store.run, f"127.0.9.1:{self.ports + 4}")
+        self.deployment.publish()
+        names = (("e1", DRAFTS), ("e2", DRAFTS), ("s1", ORDERS), ("s2", ORDERS))
+        for number, (name, service) in enumerate(names, 1):
+            address = f"127.0.7.{number}:{self.ports}"
+            self.upstreams[name] = Upstream(name)
+            await nursery.start(self.upstreams[name].run, address)
+            self.deployment.register(name, service, address)
+        for number in range(1, INSTANCES + 1):
+            self._start_instance(number)
+        await self._until_ready()
+
+    def _start_instance(self, number: int) -> None:
+        path = self.folder / f"node-{number}.ini"
+        path.write_text(settings_text(number, [1, 2], self.ports))
+        command = [sys.executable, "-m", "buckthornwall.node.main"]
+        command += ["--interface", "platform", "--settings", str(path)]
+        with (self.folder / f"node-{number}.log").open("ab") as log:
+            self.processes[number] = subprocess.Popen(command, stdout=log, stderr=log)
+
+    def _end_processes(self) -> None:
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+
+    async def _until_ready(self) -> None:
+        with trio.fail_after(READY_S):
+            for number in self.processes:
+                while not await self._is_ready(number):
+                    await trio.sleep(0.05)
+
+    async def _is_ready(self, number: int) -> bool:
+        address = f"127.0.8.{number}:{self.ports + 1}"
+        try:
+            with trio.fail_after(1.0):
+                connection = await ClientConnection.connect(address, 1.0)
+                await connection.send(b"GET", b"/ready", [(b"Host", b"h")], b"")
+                head = await connection.receive_head()
+                connection.close()
+        except (ExchangeError, trio.TooSlowError):
+            return False
+        return head.status == 200
+
+    # Faults
+
+    async def _play(self, nursery: trio.Nursery) -> None:
+        stop = trio.current_time() + self.seconds
+        async with trio.open_nursery() as callers:
+            for _ in range(CALLERS):
+                callers.start_soon(self._call_until, stop)
+            while trio.current_time() < stop:
+                nursery.start_soon(self.draw.choice(self._faults()))
+                await trio.sleep(self.draw.uniform(0.2, 1.0))
+
+    def _faults(self) -> list:
+        return [
+            self._kill,
+            self._kill_all,
+            self._stop,
+            self._pause,
+            self._store_fails,
+            self._store_forgets,
+            self._store_slow,
+            self._upstream_sheds,
+            self._upstream_breaks,
+            self._upstream_hangs,
+            self._upstream_leaves,
+            self._configure,
+        ]
+
+    def _some_instance(self) -> int:
+        return self.draw.choice(list(self.processes))
+
+    async def _kill(self) -> None:
+        await self._restart(self._some_instance(), signal.SIGKILL)
+
+    async def _kill_all(self) -> None:
+        async with trio.open_nursery() as nursery:
+            for number in self.processes:
+                nursery.start_soon(self._restart, number, signal.SIGKILL)
+
+    async def _stop(self) -> None:
+        await self._restart(self._some_instance(), signal.SIGTERM)
+
+    async def _restart(self, number: int, how: signal.Signals) -> None:
+        process = self.processes[number]
+        if process.poll() is not None:
+            return  # another fault has it already
+        process.send_signal(how)
+        while process.poll() is None:
+            await trio.sleep(0.02)
+        if how is signal.SIGTERM and process.returncode not in (0, -signal.SIGKILL):
+            self.verdict.broken.append(f"stop ended with {process.returncode}")
+        if self.processes[number] is process:
+            self._start_instance(number)
+
+    async def _pause(self) -> None:
+        process = self.processes[self._some_instance()]
+        process.send_signal(signal.SIGSTOP)
+        await trio.sleep(self.draw.uniform(0.3, 2.0))
+        process.send_signal(signal.SIGCONT)
+
+    async def _store_fails(self) -> None:
+        self.store.faults[""] = self.draw.choice(list(StoreFault))
+        await trio.sleep(self.draw.uniform(0.3, 2.0))
+        self.store.faults.clear()
+
+    async def _store_forgets(self) -> None:
+        self.store.forget_history()
+
+    async def _store_slow(self) -> None:
+        self.store.slow_s = self.draw.uniform(0.0, 0.4)
+        await trio.sleep(1.0)
+        self.store.slow_s = 0.0
+
+    async def _upstream_sheds(self) -> None:
+        upstream = self.draw.choice(list(self.upstreams.values()))
+        upstream.sheds = True
+        await trio.sleep(self.draw.uniform(0.2, 1.0))
+        upstream.sheds = False
+
+    async def _upstream_breaks(self) -> None:
+        upstream = self.draw.choice(list(self.upstreams.values()))
+        upstream.cut_after = self.draw.randint(1, EVENTS - 1)
+        await trio.sleep(self.draw.uniform(0.2, 1.0))
+        upstream.cut_after = 0
+
+    async def _upstream_hangs(self) -> None:
+        upstream = self.draw.choice(list(self.upstreams.values()))
+        upstream.work_s = 2.5
+        await trio.sleep(self.draw.uniform(0.2, 0.6))
+        upstream.work_s = 0.01
+
+    async def _upstream_leaves(self) -> None:
+        name = self.draw.choice(["e2", "s2"])
+        number = list(self.upstreams).index(name) + 1
+        service = DRAFTS if name == "e2" else ORDERS
+        address = f"127.0.7.{number}:{self.ports}"
+        self.deployment.register(name, service, address, "draining")
+        await trio.sleep(1.0)
+        self.deployment.register(name, service, address)
+
+    async def _configure(self) -> None:
+        self.deployment.publish()
+
+    # Calls
+
+    async def _call_until(self, stop: float) -> None:
+        while trio.current_time() < stop:
+            await self._call(self._some_instance())
+            await trio.sleep(self.draw.uniform(0.0, 0.1))
+
+    async def _call(self, number: int) -> bool:
+        """Make one call, check its answer, and tell whether it was served."""
+        self._calls += 1
+        request = f"r{self._calls}"
+        path = self.draw.choice(["/draft/x", "/once/x", "/order/x", "/look/x"])
+        is_stream = path in ("/draft/x", "/once/x")
+        self.verdict.calls += 1
+        try:
+            with trio.fail_after(PATIENCE_S + 1.0):
+                status, headers, body = await self._exchange(
+                    number, path, request, is_stream
+                )
+        except (ExchangeError, trio.TooSlowError):
+            return False  # a connection that ends promises nothing
+        if status in PROMISES:
+            self.verdict.refused += 1
+            self.promised.add(request)
+        if status != 200:
+            return False
+        self.verdict.served += 1
+        expected = WORDS if is_stream else b"answer-to-" + request.encode()
+        seal = headers.get(b"x-buckthornwall-response-seal")
+        if body != expected or seal != b"seal-of-" + request.encode():
+            self.verdict.broken.append(f"{path} {request}: {body[:80]!r}")
+        return True
+
+    async def _exchange(
+        self, number: int, path: str, request: str, is_stream: bool
+    ) -> tuple[int, dict[bytes, bytes], bytes]:
+        headers = [
+            (b"Host", HOST.encode()),
+            (b"X-Buckthornwall-Attempt-Id", request.encode()),
+            (b"X-Buckthornwall-Deadline-Ms", b"%d" % (PATIENCE_S * 1000)),
+            (b"X-Buckthornwall-Key", KEY.encode()),
+            (b"Content-Length", b"0"),
+        ]
+        if is_stream:
+            headers.append((b"X-Buckthornwall-Token-Count", b"900,10"))
+            headers.append((b"X-Buckthornwall-Prompt-Prefix", b"aa:600,bb:300"))
+        address = f"127.0.8.{number}:{self.ports}"
+        connection = await ClientConnection.connect(address, 1.0)
+        try:
+            await connection.send(b"POST", path.encode(), headers, b"")
+            head = await connection.receive_head()
+            body = b""
+            while data := await connection.receive_data():
+                body += data
+        finally:
+            connection.close()
+        return head.status, dict(head.headers), body
+
+    # Checks
+
+    async def _recover(self) -> None:
+        for number, process in self.processes.items():
+            process.send_signal(signal.SIGCONT)
+            if process.poll() is not None:
+                self._start_instance(number)
+        self.store.faults.clear()
+        self.store.slow_s = 0.0
+        for upstream in self.upstreams.values():
+            upstream.sheds, upstream.cut_after, upstream.work_s = False, 0, 0.01
+        await trio.sleep(RECOVERY_S)
+        await self._until_ready()
+
+    async def _check_end(self) -> None:
+        """After the last fault nearly every call must be served again."""
+        number = self.deployment.publish()
+        served = 0
+        for call in range(LAST_CALLS):
+            served += await self._call(call % INSTANCES + 1)
+        if served < LAST_CALLS - MOST_FAILED_AT_END:
+            text = f"{served} of {LAST_CALLS} served after the end, number {number}"
+            self.verdict.broken.append(text)
+
+    def _check_runs(self) -> None:
+        once: dict[str, int] = {}
+        for upstream in self.upstreams.values():
+            for request, count in upstream.runs_once.items():
+                once[request] = once.get(request, 0) + count
+        for request, count in once.items():
+            if count > 1:
+                self.verdict.broken.append(f"{request} ran {count} times")
+            if request in self.promised:
+                self.verdict.broken.append(f"{request} ran though said not to")
+
+
+def play_seed(seed: int, seconds: float, ports: int) -> Verdict:
+    """Play one seed; show the instances' last lines if it broke a promise."""
+    with tempfile.TemporaryDirectory(prefix="soak-") as name:
+        folder = Path(name)
+        verdict = trio.run(Soak(seed, seconds, ports, folder).run)
+        if verdict.broken:
+            for path in sorted(folder.glob("*.log")):
+                print(path.read_text(errors="replace")[-LAST_BYTES:], file=sys.stderr)
+    return verdict
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Play seeds one after the other; return 1 if any broke a promise."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seeds", type=int, default=1, help="how many to play")
+    parser.add_argument("--first", type=int, default=1, help="the first seed")
+    parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--ports", type=int, default=7700)
+    options = parser.parse_args(arguments)
+    failed = 0
+    for seed in range(options.first, options.first + options.seeds):
+        verdict = play_seed(seed, options.seconds, options.ports)
+        failed += bool(verdict.broken)
+        state = "; ".join(verdict.broken) or "kept"
+        print(
+            f"seed {seed}: {verdict.calls} calls, {verdict.served} served, "
+            f"{verdict.refused} refused: {state}",
+            flush=True,
+        )
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/deployment.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/deployment.py
@@ -7,17 +7,16 @@
 
 from .store import Store
 
-__all__ = ["Deployment", "make_settings"]
+__all__ = ["Deployment", "make_settings", "settings_text"]
 
-STORE = "127.0.9.1:7900"
 HOST = "callers.example"
 KEY = "key-of-one"
 DRAFTS = "drafts"
 ORDERS = "orders"
 
 
-def make_settings(number: int, seeds: list[int], ports: int) -> RouterSettings:
-    """Return the settings of instance `number`.
+def settings_text(number: int, seeds: list[int], ports: int) -> str:
+    """Return the settings file of instance `number`.
 
     Parameters
     ----------
@@ -30,8 +29,7 @@
     """
     ip = f"127.0.8.{number}"
     greeted = ",".join(f"127.0.8.{seed}:{ports + 2}" for seed in seeds)
-    return RouterSettings.from_config(
-        f"""
+    text = f"""
         [node]
         id = node-{number}
         zone = zone-{number % 2}
@@ -52,8 +50,13 @@
         [stop]
         grace_s = 3
         notice_s = 0.3
-        """.replace("\n        ", "\n")
-    )
+        """
+    return text.replace("\n        ", "\n")
+
+
+def make_settings(number: int, seeds: list[int], ports: int) -> RouterSettings:
+    """Return the checked settings of instance `number`."""
+    return RouterSettings.from_config(settings_text(number, seeds, ports))
 
 
 def _route(name: str, path: str, kind: str, service: str, **more: Any) -> dict:
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/upstream.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/upstream.py
@@ -13,6 +13,7 @@
 LIMITS = ServerLimits(65_536, 8 * 2**20, 10.0, 5.0)
 PREFIX = b"X-Buckthornwall-"
 EVENTS = 6
+ONCE = (b"/once/", b"/order/")
 
 
 @dataclass
@@ -29,8 +30,8 @@
         Seconds between events.
     sheds : bool
         Whether it refuses, and says that it did not run.
-    runs : Counter
-        Runs by request id.
+    runs, runs_once : Counter
+        Runs by request id: all, and those that may not be repeated.
     seen : list
         Headers of each arrival, names in lower case.
     """
@@ -41,6 +42,7 @@
     slots: int = 8
     sheds: bool = False
     runs: Counter = field(default_factory=Counter)
+    runs_once: Counter = field(default_factory=Counter)
     seen: list[dict[bytes, bytes]] = field(default_factory=list)
     running: int = 0
     cut_after: int = 0  # events after which a stream breaks off, 0 for never
@@ -66,6 +68,8 @@
             await answer.whole(503, [*common, (PREFIX + b"Not-Executed", b"1")], b"")
             return
         self.runs[request_id.decode()] += 1
+        if incoming.target.startswith(ONCE):
+            self.runs_once[request_id.decode()] += 1
         self.running += 1
         signed = [*common, (PREFIX + b"Response-Seal", b"seal-of-" + request_id)]
         try:
