--- a/packages/buckthornwall/src/buckthornwall/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/__init__.py
@@ -17,6 +17,20 @@
 `codes`         numbered result codes and the root of all exceptions
 `node`          the assembly that runs as ``buckthornwalld``
 =============== ==========================================================
+
+Behind the platform's balancer (``--interface platform``) these take their
+place; the rest is shared:
+
+=============== ==========================================================
+`http1`         callers' and upstreams' connections
+`platform`      the platform's names, configuration and store
+`routing`       routes, teams and pools as the operator published them
+`pools`         upstreams: load, health, likely memory, placement
+`forwarding`    attempts at upstreams until a request is answered
+`discovery`     news of configuration and upstreams, put in force
+`peers`         what instances tell each other
+`router`        the assembly
+=============== ==========================================================
 """
 
 __version__ = "0.1.0"
