--- a/packages/buckthornwall/src/buckthornwall/forwarding/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/__init__.py
@@ -7,6 +7,8 @@
 `delivery`    what the caller has got so far
 `attempt`     one attempt at one upstream, and how it ended
 `budgets`     this instance's part of the fleet's retries
+`job`         a request on its way through the attempts
+`account`     what is logged and counted of requests
 `forwarder`   the attempts of a request until it is answered or refused
 ============= ============================================================
 """
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/account.py
@@ -0,0 +1,139 @@
+"""What is logged and counted of requests."""
+
+from buckthornwall.codes import Refusal
+from buckthornwall.pools import Choice
+from buckthornwall.routing import PoolId
+from buckthornwall.telemetry import RouterMetrics, log_event
+from buckthornwall.utils import Clock
+
+from .attempt import AttemptEnd, AttemptResult
+from .job import Job
+
+__all__ = ["RequestAccount"]
+
+
+class RequestAccount:
+    """Writes the lines and counts of requests, each with what decided it.
+
+    Parameters
+    ----------
+    metrics
+        What is counted.
+    clock
+        Source of time.
+    """
+
+    def __init__(self, metrics: RouterMetrics, clock: Clock) -> None:
+        self.metrics = metrics
+        self.clock = clock
+
+    def refused(
+        self, request_id: str, job: Job | None, refusal: Refusal, status: int
+    ) -> None:
+        """Log and count an own answer; `job` is None if nothing was resolved."""
+        self.metrics.refusals.inc({"code": refusal.code.name})
+        self._count_end(job, "refused")
+        log_event(
+            "request_refused",
+            "WARNING",
+            request=request_id,
+            code=refusal.code.number,
+            status=status,
+            run=refusal.run.value,
+            retry_after_s=round(refusal.retry_after_s or 0, 2),
+            detail=refusal.detail,
+            **self._describe(job),
+        )
+
+    def budget_spent(self, pool: PoolId, instances: float) -> None:
+        """Log that no repeat is left for a pool."""
+        log_event("budget_spent", "WARNING", pool=pool, instances=round(instances, 1))
+
+    def _describe(self, job: Job | None) -> dict[str, object]:
+        """Return the pairs of a log line that tell a request's way."""
+        if job is None:
+            return {}
+        now = self.clock.now()
+        first_at = job.delivery.first_at
+        choice = job.last_choice
+        received_at = job.request.received_at
+        return {
+            "route": job.resolution.route.id,
+            "pool": job.resolution.pool.id,
+            "team": job.resolution.team,
+            "tier": job.resolution.route.tier,
+            "rank": job.resolution.rank,
+            "number": job.resolution.number,
+            "upstream": choice.view.id if choice else "",
+            "arrivals": job.arrivals,
+            "tried": len(job.tried),
+            "age_ms": round((now - received_at) * 1000),
+            "first_ms": round((first_at - received_at) * 1000) if first_at else "",
+            "pause_ms": round(job.delivery.longest_pause_s * 1000),
+        }
+
+    def placed(self, job: Job, choice: Choice, expected_s: float) -> None:
+        """Log where an attempt goes, and what that was decided by."""
+        view = choice.view
+        log_event(
+            "request_placed",
+            request=job.request.id,
+            upstream=view.id,
+            attempt=len(job.tried),
+            resumes_after=job.delivery.joiner.last_id,
+            rank=job.resolution.rank,
+            fresh_tokens=choice.fresh_tokens,
+            unread_before=view.load.unread_before(job.resolution.rank),
+            expected_ms=round(expected_s * 1000),
+            in_flight=view.load.in_flight(self.clock.now()),
+            in_flight_of_peers=view.load.peers.requests,
+            report_age_ms=view.load.report_age_ms(self.clock.now()),
+            remaining_ms=round((job.deadline - self.clock.now()) * 1000),
+        )
+
+    def attempted(self, job: Job, choice: Choice, result: AttemptResult) -> None:
+        """Count the end of an attempt, and log it unless all is well."""
+        upstream = choice.view.id
+        self.metrics.attempts.inc({"upstream": upstream, "end": result.end.value})
+        if result.end is AttemptEnd.DONE:
+            return
+        log_event(
+            "attempt_failed",
+            "WARNING",
+            request=job.request.id,
+            upstream=upstream,
+            end=result.end.value,
+            detail=result.detail,
+            busy_share=round(choice.busy_share, 2),
+            remaining_ms=round((job.deadline - self.clock.now()) * 1000),
+        )
+
+    def _count_end(self, job: Job | None, outcome: str) -> None:
+        if job is None:
+            self.metrics.requests.inc({"tier": "", "outcome": outcome})
+            return
+        tier = {"tier": str(job.resolution.route.tier)}
+        received_at = job.request.received_at
+        delivery = job.delivery
+        self.metrics.requests.inc(tier | {"outcome": outcome})
+        self.metrics.whole.add(
+            tier | {"outcome": outcome}, self.clock.now() - received_at
+        )
+        if delivery.first_at is not None:
+            self.metrics.first_token.add(tier, delivery.first_at - received_at)
+        if delivery.joiner.events > 1:
+            self.metrics.pause.add(tier, delivery.longest_pause_s)
+
+    def finished(self, job: Job, outcome: str) -> None:
+        """Log and count the end of a request by an upstream's answer, or none."""
+        self._count_end(job, outcome)
+        log_event(
+            "request_finished",
+            "INFO" if outcome == "answered" else "WARNING",
+            request=job.request.id,
+            outcome=outcome,
+            status=job.delivery.status,
+            detail=job.detail,
+            events=job.delivery.joiner.events,
+            **self._describe(job),
+        )
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -1,7 +1,6 @@
 """The attempts of a request until it is answered or refused."""
 
 import json
-from dataclasses import dataclass, field
 
 import trio
 
@@ -21,23 +20,23 @@
 from buckthornwall.routing import (
     AnswerForm,
     PoolId,
-    Resolution,
     RoutedRequest,
     RoutingTable,
 )
-from buckthornwall.telemetry import RouterMetrics, log_event
+from buckthornwall.telemetry import RouterMetrics
 from buckthornwall.utils import (
     Clock,
     ConfigItem,
     ConfigNamespace,
-    UpstreamId,
     ZoneId,
 )
 
+from .account import RequestAccount
 from .attempt import Attempt, AttemptEnd, AttemptResult
 from .budgets import RetryBudgets
 from .connections import ConnectionCache
 from .delivery import Delivery
+from .job import Job
 from .reply import WireCodec
 
 __all__ = ["Forwarder", "ForwardingSettings"]
@@ -79,28 +78,6 @@
     )
 
 
-@dataclass(slots=True)
-class Job:
-    """One request on its way through the attempts."""
-
-    request: RoutedRequest
-    resolution: Resolution
-    delivery: Delivery
-    deadline: float
-    tight: bool = False
-    tried: set[UpstreamId] = field(default_factory=set)
-    runs: int = 0
-    arrivals: int = 0
-    last_failed: AttemptResult | None = None
-    last_choice: Choice | None = None
-    detail: str = ""
-
-    @property
-    def run(self) -> Run:
-        """Whether any attempt may have run."""
-        return Run.UNKNOWN if self.runs else Run.NO
-
-
 class Forwarder:
     """Answers requests by attempts at upstreams.
 
@@ -133,6 +110,7 @@
         metrics: RouterMetrics,
     ) -> None:
         self.metrics = metrics
+        self.account = RequestAccount(metrics, clock)
         self.settings = settings
         self.zone = zone
         self.table = table
@@ -172,7 +150,7 @@
         try:
             await self._answer(job, answer)
         except (AnswerCut, trio.Cancelled):
-            self._log_end(job, "cut" if job.delivery.started else "caller_gone")
+            self.account.finished(job, "cut" if job.delivery.started else "caller_gone")
             raise
 
     async def refuse_unread(self, answer: Answer, refusal: Refusal) -> None:
@@ -194,12 +172,12 @@
             code = ResultCode.UPSTREAM_TIMEOUT if job.runs else ResultCode.NO_ENGINE
             refusal = Refusal(code, run=job.run, retry_after_s=NO_ENGINE_RETRY_S)
         if job.delivery.done:
-            self._log_end(job, "answered")
+            self.account.finished(job, "answered")
         elif job.delivery.started:
             raise AnswerCut(job.detail)
         elif job.last_failed is not None:
             await job.delivery.whole(job.last_failed.reply, job.last_failed.body)
-            self._log_end(job, "upstream_failed")
+            self.account.finished(job, "upstream_failed")
         else:
             await self._refuse(job.request.id, job, answer, refusal)
 
@@ -293,7 +271,7 @@
             silence_s=self._silence_s(job, remaining_s),
             tight=job.tight,
         )
-        self._log_placed(job, choice, remaining_s)
+        self.account.placed(job, choice, self._expected_s(job, choice))
         job.runs += 1  # until it is known better, should this be cut short
         sent_at = self.clock.now()
         result = await attempt.run()
@@ -301,12 +279,11 @@
             job.runs -= 1
         if result.end is not AttemptEnd.NOT_SENT:
             job.arrivals += 1
-        self.metrics.attempts.inc({"upstream": view.id, "end": result.end.value})
+        self.account.attempted(job, choice, result)
         self._judge(choice, result)
         self._note_pace(job, choice, sent_at)
         if result.end is not AttemptEnd.DONE:
             job.detail = result.detail
-            self._log_attempt(job, choice, result)
         return result
 
     def _note_pace(self, job: Job, choice: Choice, sent_at: float) -> None:
@@ -361,12 +338,7 @@
     def _spend(self, pool: PoolId) -> bool:
         """Take one repeat from the budget; False, and a log line, if spent."""
         if not self.budgets.spend(pool):
-            log_event(
-                "budget_spent",
-                "WARNING",
-                pool=pool,
-                instances=self.budgets.instances,
-            )
+            self.account.budget_spent(pool, self.budgets.instances)
             return False
         self.metrics.retries.inc({"pool": pool})
         return True
@@ -404,100 +376,5 @@
             "message": refusal.code.meaning,
             "run": refusal.run.value,
         }
-        self.metrics.refusals.inc({"code": refusal.code.name})
-        self._count_end(job, "refused")
-        log_event(
-            "request_refused",
-            "WARNING",
-            request=request_id,
-            code=refusal.code.number,
-            status=status,
-            run=refusal.run.value,
-            retry_after_s=round(refusal.retry_after_s or 0, 2),
-            detail=refusal.detail,
-            **self._describe(job),
-        )
+        self.account.refused(request_id, job, refusal, status)
         await answer.whole(status, headers, json.dumps(body).encode())
-
-    def _describe(self, job: Job | None) -> dict[str, object]:
-        """Return the pairs of a log line that tell a request's way."""
-        if job is None:
-            return {"number": self.table.number}
-        now = self.clock.now()
-        first_at = job.delivery.first_at
-        choice = job.last_choice
-        received_at = job.request.received_at
-        return {
-            "route": job.resolution.route.id,
-            "pool": job.resolution.pool.id,
-            "team": job.resolution.team,
-            "tier": job.resolution.route.tier,
-            "rank": job.resolution.rank,
-            "number": job.resolution.number,
-            "upstream": choice.view.id if choice else "",
-            "arrivals": job.arrivals,
-            "tried": len(job.tried),
-            "age_ms": round((now - received_at) * 1000),
-            "first_ms": round((first_at - received_at) * 1000) if first_at else "",
-            "pause_ms": round(job.delivery.longest_pause_s * 1000),
-        }
-
-    def _log_placed(self, job: Job, choice: Choice, remaining_s: float) -> None:
-        """Log where an attempt goes, and what that was decided by."""
-        view = choice.view
-        log_event(
-            "request_placed",
-            request=job.request.id,
-            upstream=view.id,
-            attempt=len(job.tried),
-            resumes_after=job.delivery.joiner.last_id,
-            rank=job.resolution.rank,
-            fresh_tokens=choice.fresh_tokens,
-            unread_before=view.load.unread_before(job.resolution.rank),
-            expected_ms=round(self._expected_s(job, choice) * 1000),
-            in_flight=view.load.in_flight(self.clock.now()),
-            in_flight_of_peers=view.load.peers.requests,
-            report_age_ms=view.load.report_age_ms(self.clock.now()),
-            remaining_ms=round(remaining_s * 1000),
-        )
-
-    def _log_attempt(self, job: Job, choice: Choice, result: AttemptResult) -> None:
-        log_event(
-            "attempt_failed",
-            "WARNING",
-            request=job.request.id,
-            upstream=choice.view.id,
-            end=result.end.value,
-            detail=result.detail,
-            busy_share=round(choice.busy_share, 2),
-            remaining_ms=round((job.deadline - self.clock.now()) * 1000),
-        )
-
-    def _count_end(self, job: Job | None, outcome: str) -> None:
-        if job is None:
-            self.metrics.requests.inc({"tier": "", "outcome": outcome})
-            return
-        tier = {"tier": str(job.resolution.route.tier)}
-        received_at = job.request.received_at
-        delivery = job.delivery
-        self.metrics.requests.inc(tier | {"outcome": outcome})
-        self.metrics.whole.add(
-            tier | {"outcome": outcome}, self.clock.now() - received_at
-        )
-        if delivery.first_at is not None:
-            self.metrics.first_token.add(tier, delivery.first_at - received_at)
-        if delivery.joiner.events > 1:
-            self.metrics.pause.add(tier, delivery.longest_pause_s)
-
-    def _log_end(self, job: Job, outcome: str) -> None:
-        self._count_end(job, outcome)
-        log_event(
-            "request_finished",
-            "INFO" if outcome == "answered" else "WARNING",
-            request=job.request.id,
-            outcome=outcome,
-            status=job.delivery.status,
-            detail=job.detail,
-            events=job.delivery.joiner.events,
-            **self._describe(job),
-        )
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/job.py
@@ -0,0 +1,39 @@
+"""One request on its way through the attempts."""
+
+from dataclasses import dataclass, field
+
+from buckthornwall.codes import Run
+from buckthornwall.pools import Choice
+from buckthornwall.routing import Resolution, RoutedRequest
+from buckthornwall.utils import UpstreamId
+
+from .attempt import AttemptResult
+from .delivery import Delivery
+
+__all__ = ["Job"]
+
+
+@dataclass(slots=True)
+class Job:
+    """A request, what was tried for it, and what its caller has.
+
+    `deadline` is when its final answer is due. `runs` counts attempts that may
+    have run, `arrivals` those that reached an upstream.
+    """
+
+    request: RoutedRequest
+    resolution: Resolution
+    delivery: Delivery
+    deadline: float
+    tight: bool = False
+    tried: set[UpstreamId] = field(default_factory=set)
+    runs: int = 0
+    arrivals: int = 0
+    last_failed: AttemptResult | None = None
+    last_choice: Choice | None = None
+    detail: str = ""
+
+    @property
+    def run(self) -> Run:
+        """Whether any attempt may have run."""
+        return Run.UNKNOWN if self.runs else Run.NO
--- a/packages/buckthornwall/src/buckthornwall/peers/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/agent.py
@@ -154,8 +154,10 @@
 
     async def _tell(self) -> None:
         while True:
-            for address in self.table.expire(self.clock.now()):
-                log_event("peer_lost", "WARNING", peer=address)
+            gone = self.table.expire(self.clock.now())
+            if self._was_speaker:  # members of others tell those, and are not lost
+                for address in gone:
+                    log_event("peer_lost", "WARNING", peer=address)
             await self.tell()
             await trio.sleep(self._interval_s())
 
