--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -288,7 +288,9 @@
 
     def _note_pace(self, job: Job, choice: Choice, sent_at: float) -> None:
         first_at = job.delivery.first_at
-        if job.request.prompt is not None and first_at is not None:
+        if job.request.prompt is None or first_at is None:
+            return
+        if first_at >= sent_at:  # else an earlier attempt brought the first event
             pace = self.pools.pace(job.resolution.pool.id)
             pace.note(job.resolution.rank, choice.wait_s, first_at - sent_at)
 
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+from loguru import logger
 
 from buckthornwall.forwarding import (
     Forwarder,
@@ -312,3 +313,24 @@
         [stream(1, end=False) + part, b""], [stream(2)], form=AnswerForm.EVENTS
     )
     assert answer.body == event(1) + event(2)
+
+
+async def test_each_decision_about_a_request_is_a_line_with_its_id(forward):
+    lines = []
+    logger.remove()
+    handler = logger.add(lambda text: lines.append(str(text)), format="{message}")
+    await forward([None], [whole()])
+    logger.remove(handler)
+    own = [line for line in lines if " request=r " in line]
+    assert [line.split()[0] for line in own] == [
+        "event=request_placed",
+        "event=attempt_failed",
+        "event=request_placed",
+        "event=request_finished",
+    ]
+    for field in ("rank=", "in_flight=", "report_age_ms=", "remaining_ms="):
+        assert field in own[0]
+    for field in ("end=broken", "detail=", "upstream=u0"):
+        assert field in own[1]
+    for field in ("outcome=answered", "number=1", "arrivals=2", "upstream=u1"):
+        assert field in own[3]
--- a/packages/buckthornwall/src/buckthornwall/router/main.py
+++ b/packages/buckthornwall/src/buckthornwall/router/main.py
@@ -12,7 +12,7 @@
 
 from .core import Router
 
-__all__ = ["run_router"]
+__all__ = ["reload_settings", "run_router"]
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 RELOAD_SIGNAL = signal.SIGHUP
@@ -46,7 +46,7 @@
 async def _take_signals(signals, router: Router, path: Path) -> None:
     async for number in signals:
         if number == RELOAD_SIGNAL:
-            _reload(router, path, "signal")
+            reload_settings(router, path, "signal")
         else:
             router.stopping.set()
 
@@ -58,7 +58,7 @@
         now = _stamp(path)
         if now != seen:
             seen = now
-            _reload(router, path, "file")
+            reload_settings(router, path, "file")
 
 
 def _stamp(path: Path) -> tuple[int, int] | None:
@@ -69,7 +69,7 @@
     return found.st_mtime_ns, found.st_size
 
 
-def _reload(router: Router, path: Path, cause: str) -> None:
+def reload_settings(router: Router, path: Path, cause: str) -> None:
     """Take what may change while running; a bad file changes nothing."""
     try:
         settings = RouterSettings.from_file(path)
