Believe removals at once where only this instance was cut off

Cause: a zone's speaker that was itself cut off took its own silence for an outage of the store, and doubted for 2.2 s the removals in its first answer; its zone kept sending to upstreams whose leaving had been acknowledged (3,075 ms after it, bound 3,000 ms). Ruled out: late views (they came each 0.3 to 0.7 s in between).

Readers now tell for how long the store has answered them without an outage. Where any has been answered for the settle time, its list has settled, and so has the list of an instance that comes back. In an outage of the store itself all of them are answered anew at the same time, and what is missing is doubted as before.

Four tests of discovery fail without the change (run), one of peers tells the sum.

--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -30,6 +30,9 @@
 # 2.4 s after it had said so.
 DOUBT_S = 0.5
 MS_PER_S = 1000.0
+# An answer this much older than the longest watch no longer vouches for the
+# source: whoever was paused or cut off may not know of an outage yet.
+VOUCH_MARGIN_S = 1.0
 
 
 class DiscoverySettings(ConfigNamespace):
@@ -102,6 +105,7 @@
         self.answered_at = clock.now()
         self.read_at = -math.inf
         self.is_away = False
+        self._unbroken_since = clock.now()
         self.on_change: Callable[[], None] = lambda: None
         self.on_gone: Callable[[UpstreamId], None] = lambda upstream: None
         self.may_read: Callable[[], bool] = lambda: True
@@ -144,7 +148,7 @@
         self.is_away = False
         while not self.may_read():
             await trio.sleep(LOOK_S)
-        self.answered_at = self.clock.now()
+        self.answered_at = self._unbroken_since = self.clock.now()
 
     async def _next(self, need_all: bool) -> News:
         if need_all:
@@ -170,8 +174,11 @@
     def note_answer(self) -> None:
         """Take it that the source answered."""
         now = self.clock.now()
+        if self.read_at == -math.inf:
+            self._unbroken_since = now
         if self.is_away:
             self.is_away = False
+            self._unbroken_since = now
             self._doubt_until = now + DOUBT_S
             self._settle_at = now + self.settings.settle_ms / MS_PER_S
             away_ms = round((now - self.answered_at) * MS_PER_S)
@@ -215,9 +222,34 @@
                 teams=len(published.teams),
             )
 
-    def settle(self) -> None:
-        """Take what is still missing long enough after an outage to be gone."""
-        if self._doubted and self.clock.now() >= self._settle_at:
+    def unbroken_s(self) -> float:
+        """Return for how long the source has answered here without an outage.
+
+        0 where it has not answered lately, or others read for this instance.
+        """
+        now = self.clock.now()
+        fresh_s = self.settings.watch_ms / MS_PER_S + VOUCH_MARGIN_S
+        if self.is_away or now - self.read_at > fresh_s:
+            return 0.0
+        return now - self._unbroken_since
+
+    def settle(self, unbroken_elsewhere_s: float = 0.0) -> None:
+        """Take what is still missing long enough after an outage to be gone.
+
+        Parameters
+        ----------
+        unbroken_elsewhere_s
+            For how long the source has answered some other instance without an
+            outage. Where only this instance was cut off, nothing ran out: taken
+            as an outage of the source, it kept upstreams that had left in use
+            for 3.1 s after their removal was acknowledged.
+        """
+        now = self.clock.now()
+        returned_at = now - unbroken_elsewhere_s
+        self._doubt_until = min(self._doubt_until, returned_at + DOUBT_S)
+        settle_s = self.settings.settle_ms / MS_PER_S
+        self._settle_at = min(self._settle_at, returned_at + settle_s)
+        if self._doubted and now >= self._settle_at:
             doubted, self._doubted = self._doubted, set()
             self._remove(doubted)
 
--- a/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
@@ -86,6 +86,48 @@
     assert list(agent.pools.views) == ["b"]
 
 
+def test_who_was_cut_off_alone_believes_removals_at_once(agent, clock):
+    """The store answered others all the while, so nothing ran out meanwhile."""
+    agent.adopt(news(1, "a", "b", whole=True))
+    away_for(agent, clock, 5.0)
+    agent.adopt(news(2, removed=["a"]))
+    agent.settle(unbroken_elsewhere_s=30.0)
+    assert list(agent.pools.views) == ["b"]
+    agent.adopt(news(3, removed=["b"]))
+    assert not agent.pools.views
+
+
+def test_others_that_saw_the_same_outage_settle_nothing_early(agent, clock):
+    agent.adopt(news(1, "a", whole=True))
+    away_for(agent, clock, 5.0)
+    agent.adopt(news(2, removed=["a"]))
+    agent.settle(unbroken_elsewhere_s=0.3)
+    clock.time += 1.8
+    agent.settle(unbroken_elsewhere_s=2.1)
+    assert list(agent.pools.views) == ["a"]
+    clock.time += 0.1
+    agent.settle(unbroken_elsewhere_s=2.2)
+    assert not agent.pools.views
+
+
+def test_answers_are_unbroken_since_the_last_outage(agent, clock):
+    assert agent.unbroken_s() == 0.0
+    agent.note_answer()
+    clock.time += 1.0
+    agent.note_answer()
+    clock.time += 0.5
+    assert agent.unbroken_s() == pytest.approx(1.5)
+    away_for(agent, clock, 5.0)
+    clock.time += 0.7
+    assert agent.unbroken_s() == pytest.approx(0.7)
+
+
+def test_an_old_answer_vouches_for_nothing(agent, clock):
+    agent.note_answer()
+    clock.time += 4.0
+    assert agent.unbroken_s() == 0.0
+
+
 def test_a_watch_ends_when_what_is_missing_is_to_be_judged(agent, clock):
     agent.adopt(news(1, "a", whole=True))
     away_for(agent, clock, 5.0)
--- a/packages/buckthornwall/src/buckthornwall/peers/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/agent.py
@@ -253,5 +253,6 @@
             mark=0,
             informed="",
             read_age_ms=NEVER_MS,
+            unbroken_ms=0,
             loads={},
         )
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -32,9 +32,10 @@
 
     `weight` is how much it can carry for others. `number` is that of the
     configuration in force, `mark` the revision of the newest change, and
-    `read_age_ms` how long ago the store last answered here. `loads` names
-    upstreams with work from this instance. `greets` asks for an answer: the
-    sender does not know its zone's speaker.
+    `read_age_ms` how long ago the store last answered here, `unbroken_ms` for how
+    long it has done so without an outage. `loads` names upstreams with work from
+    this instance. `greets` asks for an answer: the sender does not know its zone's
+    speaker.
     """
 
     node: NodeId
@@ -46,6 +47,7 @@
     number: int
     mark: int
     read_age_ms: int
+    unbroken_ms: int
     loads: dict[UpstreamId, Work]
     greets: bool = False
 
@@ -57,7 +59,9 @@
     work: over the fleet if `is_fleet`, else over the zone. `members` gives the
     weight of each, `speakers` the speaker's address of each zone. `informed` is
     the address of the instance with the highest `number` and `mark`, and
-    `read_age_ms` how long ago the store last answered any of them.
+    `read_age_ms` how long ago the store last answered any of them, and
+    `unbroken_ms` the longest time for which it has answered one of them without an
+    outage.
     """
 
     address: str
@@ -71,6 +75,7 @@
     mark: int
     informed: str
     read_age_ms: int
+    unbroken_ms: int
     loads: dict[UpstreamId, Work]
 
 
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -181,6 +181,7 @@
             mark=best.mark,
             informed=best.address,
             read_age_ms=min(part.read_age_ms for part in parts),
+            unbroken_ms=max(part.unbroken_ms for part in parts),
             loads=loads,
         )
         if is_fleet:
@@ -221,6 +222,7 @@
     digest.count += other.count
     add_work(digest.loads, other.loads)
     digest.read_age_ms = min(digest.read_age_ms, other.read_age_ms)
+    digest.unbroken_ms = max(digest.unbroken_ms, other.unbroken_ms)
     if (other.number, other.mark) > (digest.number, digest.mark):
         digest.number = other.number
         digest.mark = other.mark
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
@@ -21,7 +21,15 @@
 )
 
 
-def beacon(address, loads=None, zone="z", state=PeerState.READY, number=1, mark=1):
+def beacon(
+    address,
+    loads=None,
+    zone="z",
+    state=PeerState.READY,
+    number=1,
+    mark=1,
+    unbroken_ms=0,
+):
     return Beacon(
         NodeId(address),
         Incarnation(1),
@@ -32,6 +40,7 @@
         number,
         mark,
         300,
+        unbroken_ms,
         loads or {},
     )
 
@@ -147,6 +156,16 @@
     assert (digest.informed, digest.number) == (SECOND, 3)
 
 
+def test_the_longest_unbroken_time_of_any_zone_is_told():
+    first = table(FIRST)
+    first.hear_beacon(beacon(SECOND, unbroken_ms=700), 0.0)
+    far = table("10.1.0.1:7340", "far")
+    told = far.make_digest(beacon(far.address, zone="far", unbroken_ms=9000), False)
+    assert first.make_digest(beacon(FIRST), True).unbroken_ms == 700
+    first.hear_digest(told, 0.0)
+    assert first.make_digest(beacon(FIRST), True).unbroken_ms == 9000
+
+
 def test_who_leaves_no_longer_counts_and_who_joins_not_yet():
     first = table(FIRST)
     first.hear_beacon(beacon(SECOND), 0.0)
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -173,6 +173,7 @@
         while True:
             await trio.sleep(ASK_PEERS_S)
             fleet = self.fleet()
+            self.discovery.settle(fleet.unbroken_ms / 1000)
             own = (self.table.number, self.discovery.mark)
             if (fleet.number, fleet.mark) <= own:
                 behind_since = None
@@ -229,6 +230,7 @@
             self.table.number,
             self.discovery.mark,
             self._read_age_ms(),
+            int(self.discovery.unbroken_s() * 1000),
             loads,
         )
 
