Read the platform's store by one protocol from both interfaces

Cause: the completions interface kept a client of a format that no platform speaks, and a stand-in with it, so its tests proved nothing about the published protocol.

The calls of the store (pages, watches, lost history, values in Base64) now stand once, in platform/calls.py, under two transports: a kept connection, and the pool of the completions interface. The stand-in of the completions deployments serves the same store as the other one. Weighed: one transport for both; the tests in memory replace the pool's network, which the kept connection does not allow.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/callers.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/callers.py
@@ -4,6 +4,7 @@
 policies meet the same load. Every answer is checked word by word.
 """
 
+import base64
 import math
 import random
 import time
@@ -14,6 +15,7 @@
 import httpcore
 import msgspec
 import trio
+from buckthornwall.platform.client import INSTANCES
 from buckthornwall.upstreams.engine import sse_events
 from buckthornwall.utils import TRANSPORT_ERRORS
 
@@ -238,12 +240,15 @@
     async def _follow_list(self, _scope) -> None:
         while True:
             try:
-                listed = await self.fleet.read(
-                    self.fleet.platform_address, "/v1/instances?after=0&wait=0"
+                page = await self.fleet.read(
+                    self.fleet.platform_address,
+                    f"/kv-range?path_prefix={INSTANCES}",
                 )
-                live = {
-                    each["id"] for each in listed["instances"] if not each["leaving"]
-                }
+                listed = [
+                    msgspec.json.decode(base64.b64decode(item["value"]))
+                    for item in page["items"]
+                ]
+                live = {each["id"] for each in listed if not each["leaving"]}
                 ready = [node for node in self.fleet.nodes if node.id in live]
                 self.ready = ready or self.ready
             except (httpcore.NetworkError, httpcore.TimeoutException, KeyError):
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/faults/injection.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/faults/injection.py
@@ -40,7 +40,7 @@
         fleet.platform.down = True
         run.undo.append(lambda: setattr(fleet.platform, "down", False))
     elif fault is Fault.SERVICE_STALE:
-        fleet.platform.records.shows_always = True
+        fleet.platform.shows_always = True
         fleet.publish(STALE_NUMBER)
         run.undo.append(lambda: _refresh(fleet))
     elif fault is Fault.LIST_LATE:
@@ -66,7 +66,7 @@
 
 
 def _refresh(fleet: MemoryFleet) -> None:
-    fleet.platform.records.shows_always = False
+    fleet.platform.shows_always = False
     fleet.publish(fleet.number)
 
 
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/memory_fleet.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/memory_fleet.py
@@ -305,7 +305,7 @@
     def publish(self, number: int, records: dict[str, Any] | None = None) -> None:
         """Make the platform serve a set, whatever its number."""
         raw = msgspec.json.encode(records or self.records(number))
-        self.platform.records.publish(number, raw)
+        self.platform.publish(raw)
 
     def publish_instances(self) -> None:
         """Tell the platform which instances there are."""
@@ -329,7 +329,7 @@
             for engine_id, host in self.engine_hosts.items()
         ]
         self.platform.known = {each["id"]: each for each in known}
-        self.platform._publish_list()
+        self.platform.publish_list()
 
     async def read(self, address: str, path: str) -> Any:
         """Return the JSON that a part serves at a path."""
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/platform.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/platform.py
@@ -1,19 +1,22 @@
-"""The platform: a configuration service that is watched, and a list.
+"""The platform of completions deployments: its store, and who writes there.
 
-Callers of ``/control/*`` act as the platform's operators; the fleet only uses
-``/v1/*``, whose form is described in `buckthornwall.platform.client`.
+Callers of ``/control/*`` act as the platform's operators; the fleet only reads
+and watches the store, which holds the records and the list of instances.
 """
 
 import argparse
 from typing import Any
+from urllib.parse import parse_qsl
 
 import httpcore
 import msgspec
 import trio
 from buckthornwall.gateway.http import Exchange
+from buckthornwall.platform.client import INSTANCES, RECORDS
 from buckthornwall.utils import TRANSPORT_ERRORS
 
 from .asgi import json_app, serve_until_signal
+from .users_platform import Store
 
 __all__ = ["Platform"]
 
@@ -22,34 +25,6 @@
 PROBE_TIMEOUT_S = 0.5
 
 
-class Published:
-    """A numbered value that can be watched."""
-
-    def __init__(self) -> None:
-        self.number = 0
-        self.body = b""
-        self.changed = trio.Event()
-        self.shows_always = False
-
-    def publish(self, number: int, body: bytes) -> None:
-        """Replace the value, whatever number it had: the service may be stale."""
-        self.number = number
-        self.body = body
-        self.changed.set()
-        self.changed = trio.Event()
-
-    async def watch(self, after: int, wait_s: float) -> bytes | None:
-        """Return the value once its number is over `after`, else None.
-
-        A stale replica may have lost its place and show what it has to anyone.
-        """
-        with trio.move_on_after(wait_s):
-            while self.number <= after and not self.shows_always:
-                await self.changed.wait()
-        shown = self.number > after or self.shows_always
-        return self.body if shown else None
-
-
 class Platform:
     """State of the stand-in; a fault is set through ``/control/fault``.
 
@@ -68,66 +43,71 @@
     ) -> None:
         self.list_lag_s = list_lag_s
         self.backend = backend
-        self.records = Published()
-        self.instances = Published()
+        self.store = Store()
+        self.shows_always = False
         self.known: dict[str, dict[str, Any]] = {}
         self.states: dict[str, str] = {}
+        self.written: dict[str, dict[str, Any]] = {}
         self.down = False
         self.reads = 0
 
     def routes(self) -> dict:
         """Return the handlers by path."""
         return {
-            "/v1/config/buckthornwall": self.watch_records,
-            "/v1/instances": self.watch_instances,
+            "/kv-range": self.read,
+            "/kv-watch": self.watch,
             "/control/records": self.control_records,
             "/control/instances": self.control_instances,
             "/control/fault": self.control_fault,
             "/control/counts": self.counts,
         }
 
-    async def _watch(self, exchange: Exchange, value: Published) -> None:
+    async def read(self, exchange: Exchange) -> None:
+        """Serve a page of the store."""
         self.reads += 1
-        query = dict(
-            pair.split("=", 1) for pair in exchange.query.decode().split("&") if pair
-        )
         if self.down:
             await exchange.respond_json({"error": "down"}, 503)
-            return
-        body = await value.watch(int(query["after"]), float(query["wait"]))
+        else:
+            await exchange.respond_json(self.store.range(_query(exchange)))
+
+    async def watch(self, exchange: Exchange) -> None:
+        """Serve a watch; a stale replica shows what it has to anyone."""
+        self.reads += 1
+        query = _query(exchange)
         if self.down:
             await exchange.respond_json({"error": "down"}, 503)
-        elif body is None:
-            await exchange.respond(304, b"")
+            return
+        if self.shows_always and RECORDS.startswith(query["path_prefix"]):
+            page = self.store.range(query | {"after": ""})
+            status = 200
+            body = {"events": page["items"], "store_revision": page["store_revision"]}
         else:
-            await exchange.respond(200, body)
-
-    async def watch_records(self, exchange: Exchange) -> None:
-        """Serve the records."""
-        await self._watch(exchange, self.records)
+            status, body = await self.store.watch(query)
+        if self.down:
+            status, body = 503, {"error": "down"}
+        await exchange.respond_json(body, status)
 
-    async def watch_instances(self, exchange: Exchange) -> None:
-        """Serve the list."""
-        await self._watch(exchange, self.instances)
+    def publish(self, raw: bytes) -> None:
+        """Write a set of records as it is; its number may be an older one."""
+        self.store.put_raw(RECORDS, raw)
 
     async def control_records(self, exchange: Exchange) -> None:
-        """Publish a set as it is; its number may be an older one."""
-        body = await exchange.read_body(BODY_LIMIT, 10)
-        self.records.publish(msgspec.json.decode(body)["number"], body)
+        """Publish a set of records."""
+        self.publish(await exchange.read_body(BODY_LIMIT, 10))
         await exchange.respond_json({})
 
     async def control_instances(self, exchange: Exchange) -> None:
         """Replace the instances that the platform runs."""
         body = await exchange.read_body(BODY_LIMIT, 10)
         self.known = {each["id"]: each for each in msgspec.json.decode(body)}
-        self._publish_list()
+        self.publish_list()
         await exchange.respond_json({})
 
     async def control_fault(self, exchange: Exchange) -> None:
         """Set ``down``, ``stale`` or ``list_lag_s``."""
         body = msgspec.json.decode(await exchange.read_body(BODY_LIMIT, 10))
         self.down = body.get("down", self.down)
-        self.records.shows_always = body.get("stale", self.records.shows_always)
+        self.shows_always = body.get("stale", self.shows_always)
         self.list_lag_s = body.get("list_lag_s", self.list_lag_s)
         await exchange.respond_json({})
 
@@ -135,9 +115,10 @@
         """Serve the number of reads so far."""
         await exchange.respond_json({"reads": self.reads})
 
-    def _publish_list(self) -> None:
-        instances = [
-            {
+    def publish_list(self) -> None:
+        """Write what has changed of the list."""
+        listed = {
+            INSTANCES + each["id"]: {
                 "id": each["id"],
                 "kind": each["kind"],
                 "address": each["address"],
@@ -147,10 +128,13 @@
             }
             for each in self.known.values()
             if self.states.get(each["id"]) != "gone"
-        ]
-        number = self.instances.number + 1
-        body = msgspec.json.encode({"number": number, "instances": instances})
-        self.instances.publish(number, body)
+        }
+        for key, value in listed.items():
+            if self.written.get(key) != value:
+                self.store.put(key, value)
+        for key in self.written.keys() - listed.keys():
+            self.store.remove(key)
+        self.written = listed
 
     async def probe_forever(self) -> None:
         """Learn late which entry instances are ready, leaving or gone."""
@@ -180,7 +164,11 @@
         await trio.sleep(self.list_lag_s)
         if self.states.get(each["id"], "live") != state:
             self.states[each["id"]] = state
-            self._publish_list()
+            self.publish_list()
+
+
+def _query(exchange: Exchange) -> dict[str, str]:
+    return dict(parse_qsl(exchange.query.decode(), keep_blank_values=True))
 
 
 def main() -> None:
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_bad_input.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_bad_input.py
@@ -199,7 +199,7 @@
             large.sendall(b"GET / HTTP/1.1\r\nx: " + b"y" * 40_000)
             callers: Callers = load_of(fleet, 2.0, 0.3)
             await callers.run(2.0)
-            assert all(o.verdict is Verdict.WHOLE for o in callers.outcomes)
+            assert {o.verdict for o in callers.outcomes} == {Verdict.WHOLE}
             large.settimeout(5)
             answer = await trio.to_thread.run_sync(large.recv, 100)
             assert answer.startswith(b"HTTP/1.1 4")
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/store.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/store.py
@@ -54,8 +54,11 @@
     changed: trio.Event = field(default_factory=trio.Event)
 
     def put(self, key: str, value: dict[str, Any]) -> int:
-        """Write an item; return its revision."""
-        raw = msgspec.json.encode(value)
+        """Write an item as JSON; return its revision."""
+        return self.put_raw(key, msgspec.json.encode(value))
+
+    def put_raw(self, key: str, raw: bytes) -> int:
+        """Write an item as it is; return its revision."""
         self.revision += 1
         self.items[key] = (raw, self.revision)
         self._note(_item(key, raw, self.revision))
@@ -103,14 +106,15 @@
         target = urlsplit(incoming.target.decode())
         query = {key: values[0] for key, values in parse_qs(target.query).items()}
         if target.path == "/kv-range":
-            status, body = 200, self._range(query)
+            status, body = 200, self.range(query)
         elif target.path == "/kv-watch":
-            status, body = await self._watch(query)
+            status, body = await self.watch(query)
         else:
             status, body = 404, {"error": "no such call"}
         await answer.whole(status, JSON, msgspec.json.encode(body))
 
-    def _range(self, query: dict[str, str]) -> dict[str, Any]:
+    def range(self, query: dict[str, str]) -> dict[str, Any]:
+        """Return a page of items, as the body of an answer."""
         prefix, after = query.get("path_prefix", ""), query.get("after", "")
         keys = sorted(
             key for key in self.items if key.startswith(prefix) and key > after
@@ -121,7 +125,8 @@
             "store_revision": self.revision,
         }
 
-    async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+    async def watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        """Return status and body once something changed, or the wait is over."""
         after = int(query["after"])
         prefix = query.get("path_prefix", "")
         with trio.move_on_after(int(query["wait_ms"]) / 1000):
--- a/packages/buckthornwall/src/buckthornwall/node/instance_list.py
+++ b/packages/buckthornwall/src/buckthornwall/node/instance_list.py
@@ -51,7 +51,7 @@
         wait_s = 0.0
         while True:
             try:
-                listed = await self.platform.watch_instances(self.number, wait_s)
+                listed = await self.platform.watch_instances(wait_s)
             except PeerError:
                 self.asked = True
                 await trio.sleep(backoff.next_delay())
--- a/packages/buckthornwall/src/buckthornwall/node/records_agent.py
+++ b/packages/buckthornwall/src/buckthornwall/node/records_agent.py
@@ -65,7 +65,7 @@
         wait_s = FIRST_WAIT_S
         while True:
             try:
-                raw = await self.platform.watch_records(self.store.number, wait_s)
+                raw = await self.platform.watch_records(wait_s)
             except PeerError as error:
                 log_event("platform_unreachable", "WARNING", detail=error)
                 self.asked_platform = True
--- a/packages/buckthornwall/src/buckthornwall/platform/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/__init__.py
@@ -4,8 +4,9 @@
 `names`       its headers
 `codec`       requests and replies between its headers and the product's types
 `published`   its form of the operator's configuration
-`store`       its store, read and watched
-`client`      the records service of instances with the completions interface
+`calls`       the calls of its store, whatever carries them
+`store`       what it publishes for instances behind its balancer
+`client`      what it publishes for instances with the completions interface
 ============= ============================================================
 """
 
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/platform/calls.py
@@ -0,0 +1,154 @@
+"""The calls of the platform's store, whatever carries them."""
+
+import binascii
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from urllib.parse import quote
+
+import msgspec
+
+from buckthornwall.codes import PeerError, ResultCode
+from buckthornwall.discovery import HistoryLost
+
+__all__ = ["Changes", "StoreAnswer", "StoreCalls", "StoredValue", "Transport"]
+
+GONE = 410
+MS_PER_S = 1000.0
+
+
+@dataclass(frozen=True, slots=True)
+class StoreAnswer:
+    """An answer of the store."""
+
+    status: int
+    body: bytes
+
+
+# Puts a target to the store; the answer may take the given seconds of a watch
+# besides the usual time. Raises PeerError where none comes.
+Transport = Callable[[str, float], Awaitable[StoreAnswer]]
+
+
+@dataclass(frozen=True, slots=True)
+class StoredValue:
+    """A key and what was last written there; None if it was removed.
+
+    `revision` is that of the change.
+    """
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
+@dataclass(slots=True)
+class Changes:
+    """Values by key order or by change; a watch from `revision` goes on."""
+
+    revision: int
+    values: list[StoredValue] = field(default_factory=list)
+
+
+class _Item(msgspec.Struct):
+    """An item or an event; `value` is Base64."""
+
+    key: str
+    revision: int = 0
+    value: str | None = None
+    removed: bool = False
+
+
+class _Page(msgspec.Struct):
+    """`truncated` tells that more items follow after the last one."""
+
+    store_revision: int
+    items: list[_Item] = []
+    truncated: bool = False
+
+
+class _Events(msgspec.Struct):
+    store_revision: int
+    events: list[_Item] = []
+
+
+class StoreCalls:
+    """Reads and watches keys by their prefix.
+
+    Parameters
+    ----------
+    transport
+        Puts a call to the store.
+    """
+
+    def __init__(self, transport: Transport) -> None:
+        self.transport = transport
+        self.calls = 0
+
+    async def read_all(self, prefix: str) -> Changes:
+        """Return all values whose keys begin with `prefix`.
+
+        Pages are no snapshot; the revision of the first one is returned, so
+        that a watch from there brings what changed meanwhile.
+
+        Raises
+        ------
+        PeerError
+            If the store does not answer as it should.
+        """
+        found: Changes | None = None
+        after = ""
+        while True:
+            page = await self._read_page(prefix, after)
+            found = found or Changes(page.store_revision)
+            found.values += [_value(item) for item in page.items]
+            if not page.truncated or not page.items:
+                return found
+            after = page.items[-1].key
+
+    async def _read_page(self, prefix: str, after: str) -> _Page:
+        query = f"path_prefix={quote(prefix, safe='')}"
+        if after:
+            query += f"&after={quote(after, safe='')}"
+        return _decode(await self._call(f"/kv-range?{query}", 0.0), _Page)
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Return what changed after a revision, waiting for it if need be.
+
+        Raises
+        ------
+        HistoryLost
+            If the store no longer holds the changes since `after`.
+        PeerError
+            If the store does not answer as it should.
+        """
+        query = f"path_prefix={quote(prefix, safe='')}&after={after}"
+        query += f"&wait_ms={int(wait_s * MS_PER_S)}"
+        answer = await self._call(f"/kv-watch?{query}", wait_s)
+        if answer.status == GONE:
+            raise HistoryLost
+        events = _decode(answer, _Events)
+        return Changes(events.store_revision, [_value(item) for item in events.events])
+
+    async def _call(self, target: str, wait_s: float) -> StoreAnswer:
+        self.calls += 1
+        return await self.transport(target, wait_s)
+
+
+def _decode(answer: StoreAnswer, form: type) -> _Page | _Events:
+    if answer.status != 200:
+        detail = f"status {answer.status}"
+        raise PeerError(ResultCode.PLATFORM_UNREACHABLE, detail)
+    try:
+        return msgspec.json.decode(answer.body, type=form)
+    except msgspec.DecodeError as error:
+        raise PeerError(ResultCode.PLATFORM_UNREACHABLE, str(error)) from error
+
+
+def _value(item: _Item) -> StoredValue:
+    if item.removed or item.value is None:
+        return StoredValue(item.key, item.revision, None)
+    try:
+        raw = binascii.a2b_base64(item.value)
+    except binascii.Error as error:
+        raise PeerError(ResultCode.PLATFORM_UNREACHABLE, str(error)) from error
+    return StoredValue(item.key, item.revision, raw)
--- a/packages/buckthornwall/src/buckthornwall/platform/client.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/client.py
@@ -1,8 +1,7 @@
-"""The platform's wire format: no other module knows it.
+"""The records and the list of instances that completions deployments publish.
 
-``GET /v1/config/buckthornwall?after=N&wait=S`` answers with the published set
-of records if its number is over N, or with 304 after S seconds.
-``GET /v1/instances?after=N&wait=S`` does the same for the list of instances.
+The set of records stands under one key of the platform's store, as it was
+published, and each instance under a key of its own.
 """
 
 from enum import Enum
@@ -11,9 +10,14 @@
 import msgspec
 
 from buckthornwall.codes import PeerError, ResultCode
+from buckthornwall.discovery import HistoryLost
 from buckthornwall.utils import ConfigItem, ConfigNamespace, ZoneId
 
+from .calls import Changes, StoreAnswer, StoreCalls
+
 __all__ = [
+    "INSTANCES",
+    "RECORDS",
     "InstanceKind",
     "InstanceList",
     "ListedInstance",
@@ -21,9 +25,9 @@
     "PlatformSettings",
 ]
 
-NOT_MODIFIED = 304
+RECORDS = "buckthornwall/records"
+INSTANCES = "instances/"
 ANSWER_MARGIN_S = 3.0
-VALUE_LIMIT_BYTES = 2**20
 
 
 class PlatformSettings(ConfigNamespace):
@@ -31,9 +35,9 @@
 
     section = "platform"
 
-    address = ConfigItem("", "The configuration service, as IP:port.", required=True)
+    address = ConfigItem("", "The platform's store, as IP:port.", required=True)
     watch_s = ConfigItem(
-        30.0, "Seconds that one watch waits for news.", minimum=0.1, maximum=300
+        30.0, "Seconds that one watch waits for news.", minimum=0.1, maximum=30
     )
     retry_limit_s = ConfigItem(
         2.0, "Longest pause in seconds after a failed read.", minimum=0.1
@@ -65,8 +69,47 @@
     instances: list[ListedInstance]
 
 
+class _Followed:
+    """What one prefix of the store holds, read whole once and watched then."""
+
+    def __init__(self, calls: StoreCalls, prefix: str) -> None:
+        self.calls = calls
+        self.prefix = prefix
+        self.revision: int | None = None
+        self.values: dict[str, bytes] = {}
+
+    async def next(self, wait_s: float) -> bool:
+        """Take what is new; tell whether anything was.
+
+        Raises
+        ------
+        PeerError
+            If the store does not answer as it should.
+        """
+        if self.revision is not None:
+            try:
+                changes = await self.calls.watch(self.prefix, self.revision, wait_s)
+            except HistoryLost:
+                self.revision = None
+            else:
+                self._take(changes)
+                return bool(changes.values)
+        changes = await self.calls.read_all(self.prefix)
+        self.values.clear()
+        self._take(changes)
+        return bool(changes.values)
+
+    def _take(self, changes: Changes) -> None:
+        self.revision = changes.revision
+        for each in changes.values:
+            if each.value is None:
+                self.values.pop(each.key, None)
+            else:
+                self.values[each.key] = each.value
+
+
 class PlatformClient:
-    """Watches over HTTP.
+    """Watches the store over a pool of connections.
 
     Parameters
     ----------
@@ -81,50 +124,53 @@
     ) -> None:
         self.settings = settings
         self.pool = pool
+        calls = StoreCalls(self._call)
+        self._records = _Followed(calls, RECORDS)
+        self._instances = _Followed(calls, INSTANCES)
 
-    async def watch_records(self, after: int, wait_s: float) -> bytes | None:
-        """Return the published set if its number is over `after`, else None.
+    async def watch_records(self, wait_s: float) -> bytes | None:
+        """Return the set of records if it was published anew, else None.
 
         Raises
         ------
         PeerError
-            If the service does not answer as it should.
+            If the store does not answer as it should.
         """
-        return await self._watch("/v1/config/buckthornwall", after, wait_s)
+        if not await self._records.next(wait_s):
+            return None
+        return self._records.values.get(RECORDS)
 
-    async def watch_instances(self, after: int, wait_s: float) -> InstanceList | None:
-        """Return the list of instances if its number is over `after`, else None.
+    async def watch_instances(self, wait_s: float) -> InstanceList | None:
+        """Return the list of instances if it has changed, else None.
 
         Raises
         ------
         PeerError
-            If the service does not answer as it should.
+            If the store does not answer as it should.
         """
-        body = await self._watch("/v1/instances", after, wait_s)
-        if body is None:
+        if not await self._instances.next(wait_s):
             return None
         try:
-            return msgspec.json.decode(body, type=InstanceList)
+            listed = [
+                msgspec.json.decode(value, type=ListedInstance)
+                for value in self._instances.values.values()
+            ]
         except msgspec.DecodeError as error:
             raise PeerError(ResultCode.PLATFORM_UNREACHABLE, str(error)) from error
+        return InstanceList(self._instances.revision, listed)
 
-    async def _watch(self, path: str, after: int, wait_s: float) -> bytes | None:
-        url = f"http://{self.settings.address}{path}?after={after}&wait={wait_s:.1f}"
+    async def _call(self, target: str, wait_s: float) -> StoreAnswer:
+        url = f"http://{self.settings.address}{target}"
         limit_s = wait_s + ANSWER_MARGIN_S
         timeouts = {"connect": ANSWER_MARGIN_S, "read": limit_s, "pool": limit_s}
         try:
             response = await self.pool.request(
                 "GET", url, extensions={"timeout": timeouts}
             )
-        except (httpcore.NetworkError, httpcore.TimeoutException) as error:
-            raise PeerError(ResultCode.PLATFORM_UNREACHABLE, repr(error)) from error
-        except httpcore.ProtocolError as error:
+        except (
+            httpcore.NetworkError,
+            httpcore.TimeoutException,
+            httpcore.ProtocolError,
+        ) as error:
             raise PeerError(ResultCode.PLATFORM_UNREACHABLE, repr(error)) from error
-        if response.status == NOT_MODIFIED:
-            return None
-        if response.status != 200:
-            detail = f"status {response.status}"
-            raise PeerError(ResultCode.PLATFORM_UNREACHABLE, detail)
-        if len(response.content) > VALUE_LIMIT_BYTES:
-            raise PeerError(ResultCode.PLATFORM_UNREACHABLE, "over a megabyte")
-        return response.content
+        return StoreAnswer(response.status, response.content)
--- a/packages/buckthornwall/src/buckthornwall/platform/store.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/store.py
@@ -1,26 +1,23 @@
 """The platform's store, which is only read and watched."""
 
-import binascii
-from dataclasses import dataclass
-from urllib.parse import quote
-
 import msgspec
 import trio
 
 from buckthornwall.codes import PeerError, ResultCode
-from buckthornwall.discovery import Feed, HistoryLost, News
+from buckthornwall.discovery import Feed, News
 from buckthornwall.http1 import ClientConnection, ExchangeError
 from buckthornwall.pools import UpstreamEntry, UpstreamState
 from buckthornwall.routing import PoolId
 from buckthornwall.utils import ConfigItem, ConfigNamespace, UpstreamId, ZoneId
 
+from .calls import Changes, StoreAnswer, StoreCalls, StoredValue
+
 __all__ = ["StoreClient", "StoreSettings"]
 
 CONFIG_KEY = "op/config"
 REGISTRATIONS = "servers/"
 # One watch on everything costs half the calls of one for each of the two.
 EVERYTHING = ""
-GONE = 410
 MS_PER_S = 1000.0
 
 
@@ -38,28 +35,6 @@
     )
 
 
-class _Item(msgspec.Struct):
-    """An item or an event; `revision` is that of its last change."""
-
-    key: str
-    revision: int = 0
-    value: str | None = None
-    removed: bool = False
-
-
-class _Page(msgspec.Struct):
-    """`truncated` tells that more items follow after the last one."""
-
-    store_revision: int
-    items: list[_Item] = []
-    truncated: bool = False
-
-
-class _Events(msgspec.Struct):
-    store_revision: int
-    events: list[_Item] = []
-
-
 class _Registration(msgspec.Struct):
     """How an engine registers itself; `sequence` only counts its writes."""
 
@@ -72,12 +47,6 @@
     models: list[msgspec.Raw] | None = None
 
 
-@dataclass(slots=True)
-class _Answer:
-    status: int
-    body: bytes
-
-
 class StoreClient(Feed):
     """Reads and watches over one connection that is kept.
 
@@ -89,9 +58,14 @@
 
     def __init__(self, settings: StoreSettings) -> None:
         self.settings = settings
-        self.calls = 0
+        self.store = StoreCalls(self._call)
         self._connection: ClientConnection | None = None
 
+    @property
+    def calls(self) -> int:
+        """Calls made so far."""
+        return self.store.calls
+
     def drop_connection(self) -> None:
         """Let the next call open a new connection."""
         connection, self._connection = self._connection, None
@@ -101,31 +75,12 @@
     async def read_all(self) -> News:
         """Return all that is published now.
 
-        Pages are no snapshot; the revision of the first one is returned, so
-        that a watch from there brings what changed meanwhile.
-
         Raises
         ------
         PeerError
             If the store does not answer as it should.
         """
-        news = News(revision=0, whole=True)
-        after = ""
-        while True:
-            page = await self._read_page(after)
-            news.revision = news.revision or page.store_revision
-            for item in page.items:
-                _add(news, item)
-            if not page.truncated or not page.items:
-                return news
-            after = page.items[-1].key
-
-    async def _read_page(self, after: str) -> _Page:
-        query = f"path_prefix={quote(EVERYTHING, safe='')}"
-        if after:
-            query += f"&after={quote(after, safe='')}"
-        answer = await self._call(f"/kv-range?{query}", 0.0)
-        return _decode(answer, _Page)
+        return _news(await self.store.read_all(EVERYTHING), whole=True)
 
     async def watch(self, after: int, wait_s: float) -> News:
         """Return what changed after a revision, waiting for it if need be.
@@ -137,19 +92,9 @@
         PeerError
             If the store does not answer as it should.
         """
-        query = f"path_prefix={quote(EVERYTHING, safe='')}&after={after}"
-        query += f"&wait_ms={int(wait_s * MS_PER_S)}"
-        answer = await self._call(f"/kv-watch?{query}", wait_s)
-        if answer.status == GONE:
-            raise HistoryLost
-        events = _decode(answer, _Events)
-        news = News(revision=events.store_revision, whole=False)
-        for event in events.events:
-            _add(news, event)
-        return news
-
-    async def _call(self, target: str, wait_s: float) -> _Answer:
-        self.calls += 1
+        return _news(await self.store.watch(EVERYTHING, after, wait_s), whole=False)
+
+    async def _call(self, target: str, wait_s: float) -> StoreAnswer:
         limit_s = wait_s + self.settings.answer_timeout_ms / MS_PER_S
         connection, self._connection = self._connection, None
         try:
@@ -178,46 +123,42 @@
         timeout_s = self.settings.connect_timeout_ms / MS_PER_S
         return await ClientConnection.connect(self.settings.address, timeout_s)
 
-    async def _exchange(self, connection: ClientConnection, target: str) -> _Answer:
+    async def _exchange(self, connection: ClientConnection, target: str) -> StoreAnswer:
         headers = [(b"host", self.settings.address.encode())]
         await connection.send(b"GET", target.encode(), headers, b"")
         head = await connection.receive_head()
         body = bytearray()
         while data := await connection.receive_data():
             body += data
-        return _Answer(head.status, bytes(body))
+        return StoreAnswer(head.status, bytes(body))
 
 
-def _decode(answer: _Answer, form: type) -> _Page | _Events:
-    if answer.status != 200:
-        detail = f"status {answer.status}"
-        raise PeerError(ResultCode.PLATFORM_UNREACHABLE, detail)
-    try:
-        return msgspec.json.decode(answer.body, type=form)
-    except msgspec.DecodeError as error:
-        raise PeerError(ResultCode.PLATFORM_UNREACHABLE, str(error)) from error
+def _news(changes: Changes, whole: bool) -> News:
+    news = News(revision=changes.revision, whole=whole)
+    for each in changes.values:
+        _add(news, each)
+    return news
 
 
-def _add(news: News, item: _Item) -> None:
-    """Put one item or event into the product's words."""
-    news.mark = max(news.mark, item.revision)
-    if item.key == CONFIG_KEY:
-        if item.value is not None:
-            news.published = binascii.a2b_base64(item.value)
-    elif item.key.startswith(REGISTRATIONS):
-        upstream = UpstreamId(item.key.removeprefix(REGISTRATIONS))
-        if item.value is None:
+def _add(news: News, change: StoredValue) -> None:
+    """Put one value into the product's words."""
+    news.mark = max(news.mark, change.revision)
+    if change.key == CONFIG_KEY:
+        news.published = change.value or news.published
+    elif change.key.startswith(REGISTRATIONS):
+        upstream = UpstreamId(change.key.removeprefix(REGISTRATIONS))
+        if change.value is None:
             news.entries.pop(upstream, None)
             news.removed.add(upstream)
         else:
             news.removed.discard(upstream)
-            news.entries[upstream] = _entry(upstream, item.value)
+            news.entries[upstream] = _entry(upstream, change.value)
 
 
-def _entry(upstream: UpstreamId, value: str) -> UpstreamEntry:
+def _entry(upstream: UpstreamId, raw: bytes) -> UpstreamEntry:
     try:
-        found = msgspec.json.decode(binascii.a2b_base64(value), type=_Registration)
-    except (msgspec.DecodeError, binascii.Error) as error:
+        found = msgspec.json.decode(raw, type=_Registration)
+    except msgspec.DecodeError as error:
         raise PeerError(ResultCode.PLATFORM_UNREACHABLE, str(error)) from error
     is_ready = found.state == "ready"
     return UpstreamEntry(
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/platform/tests/test_client.py
@@ -0,0 +1,105 @@
+"""Tests of what completions deployments publish, read through the store's calls."""
+
+import httpcore
+import msgspec
+import pytest
+
+from buckthornwall.codes import PeerError
+from buckthornwall.platform import InstanceKind, PlatformClient, PlatformSettings
+from buckthornwall.platform.calls import StoreAnswer, StoreCalls
+from buckthornwall.platform.client import INSTANCES, RECORDS
+
+
+class ScriptedPool:
+    """Gives one answer after another, and keeps what was asked."""
+
+    def __init__(self, *answers) -> None:
+        self.answers = list(answers)
+        self.targets: list[str] = []
+
+    async def request(self, method, url, extensions):
+        self.targets.append(url.removeprefix("http://10.0.0.1:80"))
+        status, body = self.answers.pop(0)
+        response = httpcore.Response(status, content=msgspec.json.encode(body))
+        response.read()
+        return response
+
+
+def client(*answers) -> PlatformClient:
+    settings = PlatformSettings(address="10.0.0.1:80")
+    return PlatformClient(settings, ScriptedPool(*answers))
+
+
+def item(key: str, value: bytes, revision: int) -> dict:
+    return {
+        "key": key,
+        "value": msgspec.to_builtins(value),
+        "revision": revision,
+    }
+
+
+def page(revision: int, *items, truncated=False) -> tuple[int, dict]:
+    body = {"store_revision": revision, "items": items, "truncated": truncated}
+    return 200, body
+
+
+def events(revision: int, *found) -> tuple[int, dict]:
+    return 200, {"store_revision": revision, "events": found}
+
+
+def listed(name: str, **more) -> bytes:
+    entry = {"id": name, "kind": "entry", "address": "10.0.0.2:1"}
+    return msgspec.json.encode(entry | more)
+
+
+async def test_records_are_read_once_and_watched_then():
+    watched = client(
+        page(4, item(RECORDS, b"one", 3)),
+        events(4),
+        events(6, item(RECORDS, b"two", 6)),
+    )
+    assert await watched.watch_records(5.0) == b"one"
+    assert await watched.watch_records(5.0) is None
+    assert await watched.watch_records(5.0) == b"two"
+    assert "after=4&wait_ms=5000" in watched.pool.targets[2]
+
+
+async def test_lost_history_is_read_anew():
+    watched = client(
+        page(4, item(RECORDS, b"one", 3)), (410, {}), page(9, item(RECORDS, b"two", 8))
+    )
+    await watched.watch_records(5.0)
+    assert await watched.watch_records(5.0) == b"two"
+
+
+async def test_the_list_follows_changes_and_removals():
+    watched = client(
+        page(2, item(INSTANCES + "a", listed("a"), 1), truncated=True),
+        page(3, item(INSTANCES + "b", listed("b"), 2)),
+        events(5, {"key": INSTANCES + "a", "revision": 5, "removed": True}),
+        events(6, item(INSTANCES + "b", listed("b", leaving=True), 6)),
+    )
+    first = await watched.watch_instances(0.0)
+    assert [each.id for each in first.instances] == ["a", "b"]
+    assert first.instances[0].kind is InstanceKind.ENTRY
+    assert [each.id for each in (await watched.watch_instances(1.0)).instances] == ["b"]
+    last = await watched.watch_instances(1.0)
+    assert (last.number, last.instances[0].leaving) == (6, True)
+
+
+@pytest.mark.parametrize("answer", [(503, {}), (429, {}), (200, {"items": []})])
+async def test_an_answer_that_is_none_changes_nothing(answer):
+    watched = client(page(2, item(RECORDS, b"one", 1)), answer, events(2))
+    await watched.watch_records(1.0)
+    with pytest.raises(PeerError):
+        await watched.watch_records(1.0)
+    assert await watched.watch_records(1.0) is None
+
+
+async def test_bytes_that_are_not_base64_are_refused():
+    async def transport(target: str, wait_s: float) -> StoreAnswer:
+        body = b'{"store_revision": 1, "items": [{"key": "k", "value": "a"}]}'
+        return StoreAnswer(200, body)
+
+    with pytest.raises(PeerError):
+        await StoreCalls(transport).read_all("k")
