Never end an answer twice

Cause: where the last write of an answer failed, the exception was answered with a refusal, which ended the answer a second time; the connection's parser refused that, and the error left the application and ended the whole server. Ruled out: the change of the platform's client, which is not on that way.

The exchange now knows that its answer has ended, and logs the refusal instead.

--- a/packages/buckthornwall/src/buckthornwall/gateway/http.py
+++ b/packages/buckthornwall/src/buckthornwall/gateway/http.py
@@ -7,6 +7,7 @@
 import trio
 
 from buckthornwall.codes import Refusal, ResultCode
+from buckthornwall.telemetry import log_event
 
 __all__ = ["CallerGone", "Exchange", "error_object"]
 
@@ -51,6 +52,7 @@
         self.receive = receive
         self.send = send
         self.started = False
+        self.ended = False
         self.close_after = False
 
     async def read_body(self, limit_bytes: int, timeout_s: float) -> bytes:
@@ -97,6 +99,7 @@
 
     async def write(self, body: bytes, more: bool = True) -> None:
         """Send a part of the body."""
+        self.ended = not more
         await self.send({"type": "http.response.body", "body": body, "more_body": more})
 
     async def respond(
@@ -123,6 +126,10 @@
     async def refuse(self, refusal: Refusal, key: str | None = None) -> None:
         """Send a refusal, or end a stream that has begun with one.
 
+        Nothing is sent where the answer has ended already: its last write may have
+        failed, and a second end would break the connection's state and with it the
+        whole server.
+
         Parameters
         ----------
         refusal
@@ -130,6 +137,9 @@
         key
             A fresh idempotency key to offer with it.
         """
+        if self.ended:
+            log_event("refusal_after_end", "WARNING", path=self.path, detail=refusal)
+            return
         body = error_object(refusal)
         if self.started:
             event = b"data: " + msgspec.json.encode(body) + b"\n\n"
