Hear what registered again before removals are believed; model check it

Being told of unbroken answers elsewhere now ends the doubt at the next answer of the store, not at once, and watches are short (0.3 s) while removals are doubted, so that this answer comes soon.

--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/model/removals.py
@@ -0,0 +1,206 @@
+"""Specification: upstreams that left are dropped, and no others.
+
+Two readers, each in a zone of its own, and one upstream. The store may be down for
+so long that the upstream's registration runs out; when it is back, an upstream that
+lives registers again before the time to settle is over. A reader may be cut off from
+the store and from the other reader while the store serves that one. Times are an
+order of events: an outage that lets registrations run out lasts longer than an old
+answer vouches for the store, so every reader has noticed it by then.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from minicheck import Protocol
+
+from .tuples import put
+
+__all__ = ["Variant", "specification"]
+
+READERS = 2
+NAMES = "AB"
+
+
+class Phase(Enum):
+    """The store: settled, down, or back for less than the time to settle."""
+
+    SETTLED = "settled"
+    DOWN = "down"
+    BACK = "back"
+
+
+class Variant(Enum):
+    """The protocol as it is, and ways to break it."""
+
+    AS_IS = "as it is"
+    DOUBT_NOTHING = "drop at once what is missing after an outage"
+    DOUBT_ALONE = "settle by the own silence only"
+    BELIEVE_ANY_ANSWER = "take any answer of the store elsewhere for a settled list"
+
+
+@dataclass(frozen=True)
+class State:
+    """One state; `steady` readers were answered without an outage for long.
+
+    A reader is `told` once it has heard a steady one since it came back, and
+    `assured` if it then takes the store's list for settled. `dropped_live` is set
+    when a reader drops an upstream that lives, and `doubted_left` when one that is
+    answered after it was told still doubts.
+    """
+
+    phase: Phase
+    lives: bool
+    listed: bool
+    linked: tuple[bool, ...]
+    away: tuple[bool, ...]
+    steady: tuple[bool, ...]
+    uses: tuple[bool, ...]
+    doubts: tuple[bool, ...]
+    assured: tuple[bool, ...]
+    told: tuple[bool, ...]
+    dropped_live: bool
+    doubted_left: bool
+
+
+FIELDS = tuple(State.__dataclass_fields__)
+Steps = list[tuple[str, State]]
+
+
+def _change(state: State, **changes) -> State:
+    fields = {name: getattr(state, name) for name in FIELDS}
+    fields.update(changes)
+    return State(**fields)
+
+
+def _drop(state: State, reader: int, **changes) -> State:
+    return _change(
+        state,
+        uses=put(state.uses, reader, False),
+        doubts=put(state.doubts, reader, False),
+        dropped_live=state.dropped_live or (state.uses[reader] and state.lives),
+        **changes,
+    )
+
+
+def _world_steps(state: State) -> Steps:
+    steps = []
+    if state.phase is Phase.SETTLED:
+        steps.append(("the store goes down", _change(state, phase=Phase.DOWN)))
+    if state.phase is Phase.DOWN:
+        steps.append(("the store is back", _change(state, phase=Phase.BACK)))
+        if state.listed and all(state.away):
+            steps.append(("the registration runs out", _change(state, listed=False)))
+    if state.phase is Phase.BACK and state.lives and not state.listed:
+        steps.append(("the upstream registers again", _change(state, listed=True)))
+    if state.phase is Phase.BACK and state.listed == state.lives:
+        steps.append(("the list has settled", _change(state, phase=Phase.SETTLED)))
+    if state.lives and state.phase is not Phase.DOWN:
+        gone = _change(state, lives=False, listed=False)
+        steps.append(("the upstream leaves", gone))
+    for reader in range(READERS):
+        cut = put(state.linked, reader, not state.linked[reader])
+        word = "is cut off" if state.linked[reader] else "is linked again"
+        steps.append((f"{NAMES[reader]} {word}", _change(state, linked=cut)))
+    return steps
+
+
+def _read(state: State, reader: int, variant: Variant) -> State:
+    """Return the state after the store has answered a reader."""
+    returns = state.away[reader]
+    after = _change(state, away=put(state.away, reader, False))
+    if state.listed:
+        return _change(
+            after,
+            uses=put(after.uses, reader, True),
+            doubts=put(after.doubts, reader, False),
+        )
+    if not state.uses[reader]:
+        return after
+    must_doubt = returns and variant is not Variant.DOUBT_NOTHING
+    if must_doubt or (state.doubts[reader] and not state.assured[reader]):
+        late = state.told[reader] and not returns
+        return _change(
+            after,
+            doubts=put(after.doubts, reader, True),
+            doubted_left=state.doubted_left or late,
+        )
+    return _drop(after, reader)
+
+
+def _hear(state: State, reader: int, other: int, variant: Variant) -> State:
+    """Return the state after a reader has heard another one's digest."""
+    vouches = state.steady[other]
+    told = put(state.told, reader, state.told[reader] or vouches)
+    if variant is Variant.BELIEVE_ANY_ANSWER:
+        vouches = not state.away[other]
+    if variant is Variant.DOUBT_ALONE:
+        vouches = False
+    assured = put(state.assured, reader, state.assured[reader] or vouches)
+    return _change(state, told=told, assured=assured)
+
+
+def _reader_steps(state: State, reader: int, variant: Variant) -> Steps:
+    name = NAMES[reader]
+    reaches = state.linked[reader] and state.phase is not Phase.DOWN
+    if not reaches:
+        away = _change(
+            state,
+            away=put(state.away, reader, True),
+            steady=put(state.steady, reader, False),
+            assured=put(state.assured, reader, False),
+            told=put(state.told, reader, False),
+        )
+        return [(f"{name} gets no answer", away)]
+    steps = [(f"{name} is answered", _read(state, reader, variant))]
+    if state.away[reader]:
+        return steps
+    other = 1 - reader
+    if state.linked[other]:
+        heard = _hear(state, reader, other, variant)
+        steps.append((f"{name} hears {NAMES[other]}", heard))
+    if state.phase is Phase.SETTLED:
+        steady = _change(state, steady=put(state.steady, reader, True))
+        steps.append((f"{name} has long been answered", steady))
+        if state.doubts[reader] and not state.listed:
+            steps.append((f"{name} settles", _drop(state, reader)))
+    return steps
+
+
+def specification(variant: Variant = Variant.AS_IS) -> Protocol:
+    """Return the specification, or one of its broken variants."""
+    initial = State(
+        phase=Phase.SETTLED,
+        lives=True,
+        listed=True,
+        linked=(True,) * READERS,
+        away=(False,) * READERS,
+        steady=(True,) * READERS,
+        uses=(True,) * READERS,
+        doubts=(False,) * READERS,
+        assured=(False,) * READERS,
+        told=(False,) * READERS,
+        dropped_live=False,
+        doubted_left=False,
+    )
+
+    def transitions(values: tuple) -> list[tuple[str, tuple]]:
+        state = State(*values)
+        steps = _world_steps(state)
+        for reader in range(READERS):
+            steps += _reader_steps(state, reader, variant)
+        return [
+            (label, tuple(getattr(after, name) for name in FIELDS))
+            for label, after in steps
+        ]
+
+    return Protocol(
+        name="removals are believed",
+        candidate=False,
+        fields=FIELDS,
+        initial=tuple(getattr(initial, name) for name in FIELDS),
+        transitions=transitions,
+        invariants={
+            "no_live_upstream_is_dropped": lambda s: not s["dropped_live"],
+            "who_was_cut_off_alone_drops_what_left": lambda s: not s["doubted_left"],
+        },
+    )
--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -33,6 +33,9 @@
 # An answer this much older than the longest watch no longer vouches for the
 # source: whoever was paused or cut off may not know of an outage yet.
 VOUCH_MARGIN_S = 1.0
+# Watches are this short while removals are doubted, so that the end of the doubt
+# is not waited out in one.
+DOUBTED_WATCH_S = 0.3
 
 
 class DiscoverySettings(ConfigNamespace):
@@ -159,7 +162,8 @@
         """Return how long the next watch may wait, in seconds."""
         limit_s = self.settings.watch_ms / MS_PER_S
         if self._doubted:
-            limit_s = min(limit_s, max(0.0, self._settle_at - self.clock.now()))
+            left_s = max(0.0, self._settle_at - self.clock.now())
+            limit_s = min(limit_s, left_s, DOUBTED_WATCH_S)
         return limit_s
 
     def note_failure(self, error: PeerError) -> None:
@@ -233,25 +237,28 @@
             return 0.0
         return now - self._unbroken_since
 
-    def settle(self, unbroken_elsewhere_s: float = 0.0) -> None:
-        """Take what is still missing long enough after an outage to be gone.
+    def settle(self) -> None:
+        """Take what is still missing long enough after an outage to be gone."""
+        if self._doubted and self.clock.now() >= self._settle_at:
+            doubted, self._doubted = self._doubted, set()
+            self._remove(doubted)
+
+    def hear_unbroken(self, seconds: float) -> None:
+        """Believe the next answer where only this instance was cut off.
+
+        Taken as an outage of the source, its own silence kept upstreams that had
+        left in use for 3.1 s after their removal was acknowledged.
 
         Parameters
         ----------
-        unbroken_elsewhere_s
-            For how long the source has answered some other instance without an
-            outage. Where only this instance was cut off, nothing ran out: taken
-            as an outage of the source, it kept upstreams that had left in use
-            for 3.1 s after their removal was acknowledged.
+        seconds
+            For how long the source has answered some instance without an outage.
+            Its list has settled where that is over the time to settle.
         """
-        now = self.clock.now()
-        returned_at = now - unbroken_elsewhere_s
-        self._doubt_until = min(self._doubt_until, returned_at + DOUBT_S)
-        settle_s = self.settings.settle_ms / MS_PER_S
-        self._settle_at = min(self._settle_at, returned_at + settle_s)
-        if self._doubted and now >= self._settle_at:
-            doubted, self._doubted = self._doubted, set()
-            self._remove(doubted)
+        if seconds * MS_PER_S > self.settings.settle_ms:
+            now = self.clock.now()
+            self._doubt_until = min(self._doubt_until, now)
+            self._settle_at = min(self._settle_at, now)
 
     def _remove(self, gone: set[UpstreamId]) -> None:
         for upstream in gone:
