--- a/packages/buckthornwall/src/buckthornwall/node/main.py
+++ b/packages/buckthornwall/src/buckthornwall/node/main.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 from pathlib import Path
+from types import FrameType
 
 from buckthornwall import __version__
 from buckthornwall.codes import SettingsError
@@ -39,6 +40,8 @@
 
 def main(arguments: list[str] | None = None) -> int:
     """Run the daemon; return its exit status."""
+    for number in STOP_SIGNALS:
+        signal.signal(number, _end_before_start)
     options = build_parser().parse_args(arguments)
     run = _run_platform if options.interface == PLATFORM else _run_completions
     try:
@@ -49,6 +52,11 @@
     return 0
 
 
+def _end_before_start(number: int, frame: FrameType | None) -> None:
+    """End a process that has nothing to finish, since it serves nobody yet."""
+    raise SystemExit(0)
+
+
 def _run_completions(path: Path) -> None:
     # Imported here, since an instance pays in memory for what it imports.
     from buckthornwall.settings import Settings
--- a/packages/buckthornwall/src/buckthornwall/router/tests/test_main.py
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/test_main.py
@@ -1,7 +1,11 @@
 """Tests of what happens when the settings file changes."""
 
+import os
+import signal
+
 import pytest
 
+from buckthornwall.node import main as daemon
 from buckthornwall.router.core import Router
 from buckthornwall.router.main import reload_settings
 from buckthornwall.settings import RouterSettings
@@ -43,3 +47,24 @@
     path.write_text(text)
     reload_settings(router, path, "file")
     assert router.peer_agent.settings.seeds == ["127.0.0.2:9"]
+
+
+@pytest.fixture
+def handlers():
+    """Put the process's own signal handlers back after a test."""
+    before = {number: signal.getsignal(number) for number in daemon.STOP_SIGNALS}
+    yield
+    for number, handler in before.items():
+        signal.signal(number, handler)
+
+
+def test_a_stop_before_the_start_ends_well(handlers, monkeypatch, path):
+    """Without a handler the signal ended the process with status -15."""
+
+    def run(settings_path):
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    monkeypatch.setattr(daemon, "_run_platform", run)
+    with pytest.raises(SystemExit) as ended:
+        daemon.main(["--interface", "platform", "--settings", str(path)])
+    assert ended.value.code == 0
