Read both kinds of settings files by one base

Cause: the two classes of settings shared from_file and from_config line for line. No behaviour changes; the tests of settings, router and command line pass.

--- a/packages/buckthornwall/src/buckthornwall/settings/core.py
+++ b/packages/buckthornwall/src/buckthornwall/settings/core.py
@@ -1,7 +1,6 @@
 """All sections of the settings file together."""
 
 from dataclasses import dataclass, fields
-from pathlib import Path
 
 from buckthornwall.codes import ResultCode, SettingsError
 from buckthornwall.gateway import GatewaySettings, OperatorSettings
@@ -15,7 +14,7 @@
 
 from .node import NodeSettings
 from .router import RouterSettings
-from .sections import check_address, read_sections, read_text
+from .sections import SettingsFile, check_address
 
 __all__ = ["NodeSettings", "Settings", "render_table"]
 
@@ -25,7 +24,7 @@
 
 
 @dataclass
-class Settings:
+class Settings(SettingsFile):
     """Every section of one instance's settings."""
 
     node: NodeSettings
@@ -39,31 +38,6 @@
     upstreams: UpstreamSettings
     telemetry: TelemetrySettings
 
-    @classmethod
-    def from_file(cls, path: Path) -> "Settings":
-        """Read and check a file.
-
-        Raises
-        ------
-        SettingsError
-            Naming file, section and key.
-        """
-        return cls.from_config(read_text(path), str(path))
-
-    @classmethod
-    def from_config(cls, text: str, origin: str = "settings") -> "Settings":
-        """Check the text of a file and build from it.
-
-        Raises
-        ------
-        SettingsError
-            Naming file, section and key.
-        """
-        known = {field.name: field.type for field in fields(cls)}
-        settings = cls(**read_sections(text, origin, known))
-        settings._check_together(origin)
-        return settings
-
     def _check_together(self, origin: str) -> None:
         """Check what one item alone cannot show."""
         if not self.node.id or not set(self.node.id) <= NAME_CHARACTERS:
--- a/packages/buckthornwall/src/buckthornwall/settings/router.py
+++ b/packages/buckthornwall/src/buckthornwall/settings/router.py
@@ -1,7 +1,6 @@
 """The settings of an instance behind the platform's balancer."""
 
-from dataclasses import dataclass, fields
-from pathlib import Path
+from dataclasses import dataclass
 
 from buckthornwall.codes import ResultCode, SettingsError
 from buckthornwall.discovery import DiscoverySettings
@@ -12,7 +11,7 @@
 from buckthornwall.utils import ConfigItem, ConfigNamespace
 
 from .node import NodeSettings
-from .sections import check_address, read_sections, read_text
+from .sections import SettingsFile, check_address
 
 __all__ = ["EdgeSettings", "RouterSettings", "StopSettings"]
 
@@ -48,7 +47,7 @@
 
 
 @dataclass
-class RouterSettings:
+class RouterSettings(SettingsFile):
     """Every section of one such instance's settings."""
 
     node: NodeSettings
@@ -60,31 +59,6 @@
     stop: StopSettings
     telemetry: TelemetrySettings
 
-    @classmethod
-    def from_file(cls, path: Path) -> "RouterSettings":
-        """Read and check a file.
-
-        Raises
-        ------
-        SettingsError
-            Naming file, section and key.
-        """
-        return cls.from_config(read_text(path), str(path))
-
-    @classmethod
-    def from_config(cls, text: str, origin: str = "settings") -> "RouterSettings":
-        """Check the text of a file and build from it.
-
-        Raises
-        ------
-        SettingsError
-            Naming file, section and key.
-        """
-        known = {field.name: field.type for field in fields(cls)}
-        settings = cls(**read_sections(text, origin, known))
-        settings._check_together(origin)
-        return settings
-
     def _check_together(self, origin: str) -> None:
         """Check what one item alone cannot show."""
         addresses = (
--- a/packages/buckthornwall/src/buckthornwall/settings/sections.py
+++ b/packages/buckthornwall/src/buckthornwall/settings/sections.py
@@ -2,12 +2,14 @@
 
 import configparser
 from collections.abc import Mapping
+from dataclasses import dataclass, fields
 from pathlib import Path
+from typing import Self
 
 from buckthornwall.codes import ResultCode, SettingsError
 from buckthornwall.utils import ConfigNamespace
 
-__all__ = ["check_address", "read_sections", "read_text"]
+__all__ = ["SettingsFile", "check_address", "read_sections", "read_text"]
 
 
 def read_text(path: Path) -> str:
@@ -51,6 +53,39 @@
     }
 
 
+@dataclass
+class SettingsFile:
+    """The sections of one file; a subclass has a field for each of them."""
+
+    @classmethod
+    def from_file(cls, path: Path) -> Self:
+        """Read and check a file.
+
+        Raises
+        ------
+        SettingsError
+            Naming file, section and key.
+        """
+        return cls.from_config(read_text(path), str(path))
+
+    @classmethod
+    def from_config(cls, text: str, origin: str = "settings") -> Self:
+        """Check the text of a file and build from it.
+
+        Raises
+        ------
+        SettingsError
+            Naming file, section and key.
+        """
+        known = {field.name: field.type for field in fields(cls)}
+        settings = cls(**read_sections(text, origin, known))
+        settings._check_together(origin)
+        return settings
+
+    def _check_together(self, origin: str) -> None:
+        """Check what one item alone cannot show."""
+
+
 def check_address(origin: str, section: str, key: str, text: str) -> None:
     """Check that a setting is ``IP:port``.
 
