Place by a draw, refuse by what others wait, share quiet engines

All instances sent what left its home to the engine last told to be idle: over 100 prompts in 0.35 s. A prompt is now compared at a few engines of its own draw.

Ruled out: slots (engines had 13 to 17 of 32 in use), stale reports of engines (the counts of peers were as old).

--- a/packages/buckthornwall/src/buckthornwall/forwarding/account.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/account.py
@@ -84,6 +84,7 @@
             rank=job.resolution.rank,
             fresh_tokens=choice.fresh_tokens,
             unread_before=view.load.unread_before(job.resolution.rank),
+            oldest_ms=round(choice.oldest_s * 1000),
             expected_ms=round(expected_s * 1000),
             in_flight=view.load.in_flight(self.clock.now()),
             in_flight_of_peers=view.load.peers.requests,
--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -68,7 +68,9 @@
         except ExchangeError as error:
             return AttemptResult(AttemptEnd.NOT_SENT, error.detail)
         load = view.load
-        unread = _Unread(view, self.resolution.rank, self.choice.fresh_tokens)
+        unread = _Unread(
+            view, self.resolution.rank, self.choice.fresh_tokens, self.clock.now()
+        )
         load.requests += 1
         load.tight += self.tight
         view.health.note_sent(self.clock.now())
@@ -78,7 +80,7 @@
         finally:
             load.requests -= 1
             load.tight -= self.tight
-            unread.clear()
+            unread.clear(is_served=False)
             if reply is None or reply.closes:
                 connection.close()
             else:
@@ -163,20 +165,25 @@
         while data := await connection.receive_data():
             view.heard_at = self.clock.now()
             if await self.delivery.events(reply, data):
-                unread.clear()
+                unread.clear(is_served=True)
         await self.delivery.end(reply)
 
 
 class _Unread:
-    """Prompt tokens counted at an upstream until the first token comes."""
+    """A prompt that counts at an upstream until its first token comes."""
 
-    def __init__(self, view: UpstreamView, rank: int, tokens: int) -> None:
+    def __init__(
+        self, view: UpstreamView, rank: int, tokens: int, sent_at: float
+    ) -> None:
         self.view = view
         self.rank = rank
         self.tokens = tokens
         view.load.add_unread(rank, tokens)
+        if tokens:
+            view.load.waits.begin(rank, self, sent_at)
 
-    def clear(self) -> None:
-        """Stop counting them."""
+    def clear(self, is_served: bool) -> None:
+        """Stop counting it."""
         self.view.load.add_unread(self.rank, -self.tokens)
         self.tokens = 0
+        self.view.load.waits.end(self.rank, self, is_served)
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -8,6 +8,7 @@
 from buckthornwall.http1 import Answer, AnswerCut
 from buckthornwall.pools import (
     Choice,
+    PlacementRequest,
     PoolTable,
     UpstreamView,
     Verdict,
@@ -28,6 +29,7 @@
     Clock,
     ConfigItem,
     ConfigNamespace,
+    UpstreamId,
     ZoneId,
 )
 
@@ -117,8 +119,6 @@
         self.pools = pools
         self.codec = codec
         self.clock = clock
-        self._tight_number = -1
-        self._tight_pools: set[PoolId] = set()
         self.budgets = RetryBudgets(settings.retry_ratio, settings.retry_reserve)
         self.connections = ConnectionCache(clock, settings.connect_timeout_ms / 1000)
 
@@ -145,7 +145,7 @@
             resolution,
             Delivery(answer, self.clock, request.resume_after),
             request.received_at + patience_s,
-            is_tight(route, resolution.pool),
+            is_tight(route, resolution.pool, request.prompt),
         )
         try:
             await self._answer(job, answer)
@@ -199,45 +199,51 @@
     def _choose(self, job: Job) -> Choice | None:
         now = self.clock.now()
         views = self.pools.usable(job.resolution.pool.id, job.tried)
-        if job.request.prompt is not None:
-            views = self._fitting(job, views, now)
-            rank = job.resolution.rank
-            pace = self.pools.pace(job.resolution.pool.id)
-            target_s = job.resolution.route.target_s
-            free_s = FREE_TARGET_SHARE * target_s / pace.factor(rank)
-            prompt = job.request.prompt
-            return choose_engine(views, prompt, rank, self.zone, now, free_s)
-        return choose_service(views, self.zone, now)
+        if job.request.prompt is None:
+            return choose_service(views, self.zone, now)
+        views, avoided = self._fitting(job, views, now)
+        rank = job.resolution.rank
+        pace = self.pools.pace(job.resolution.pool.id)
+        target_s = job.resolution.route.target_s
+        wanted = PlacementRequest(
+            prompt=job.request.prompt,
+            rank=rank,
+            zone=self.zone,
+            free_wait_s=FREE_TARGET_SHARE * target_s / pace.factor(rank),
+            spread_key=job.request.id,
+            avoided=avoided,
+        )
+        return choose_engine(views, wanted, now)
 
     def _fitting(
         self, job: Job, views: list[UpstreamView], now: float
-    ) -> list[UpstreamView]:
-        """Keep tight streams and long prompts apart, where a pool has both."""
-        pool = job.resolution.pool.id
-        if pool not in self._pools_with_tight_routes():
-            return views
-        kept, others = self.pools.quiet(pool).split(views, now)
-        if not job.tight:
-            return others or views
-        free = [view for view in kept if view.load.in_flight(now) < view.entry.slots]
-        return free or views
-
-    def _pools_with_tight_routes(self) -> set[PoolId]:
-        if self._tight_number != self.table.number:
-            self._tight_number = self.table.number
-            self._tight_pools = {
-                share.pool
-                for route in self.table.routes
-                for share in route.shares
-                if share.pool in self.table.pools
-                and is_tight(route, self.table.pools[share.pool])
-            }
-        return self._tight_pools
+    ) -> tuple[list[UpstreamView], frozenset[UpstreamId]]:
+        """Keep tight streams and long prompts apart, where a pool has both.
+
+        Returns the engines that a request may go to, and those of them that are
+        better left to others.
+        """
+        split = self.pools.quiet(job.resolution.pool.id).split(views, now)
+        if job.tight:
+            free = [
+                view
+                for view in split.kept
+                if view.load.in_flight(now) < view.entry.slots
+            ]
+            return free or views, frozenset()
+        if split.is_exclusive:
+            return split.others or views, frozenset()
+        return views, frozenset(view.id for view in split.kept)
 
     def _expected_s(self, job: Job, choice: Choice) -> float:
-        """Return how long the first token is expected to take."""
+        """Return how long the first token is expected to take, in seconds.
+
+        Not less than the oldest request before it has waited: in overload the
+        counts alone let expect 0.5 s where half of the prompts took over 3 s.
+        """
         pace = self.pools.pace(job.resolution.pool.id)
-        return choice.wait_s * pace.factor(job.resolution.rank)
+        counted_s = choice.wait_s * pace.factor(job.resolution.rank)
+        return max(counted_s, choice.oldest_s)
 
     def _is_overloaded(self, job: Job, choice: Choice) -> bool:
         if job.request.prompt is None or job.resolution.urgent:
--- a/packages/buckthornwall/src/buckthornwall/peers/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/__init__.py
@@ -9,7 +9,7 @@
 """
 
 from .agent import PeerAgent, PeerSettings
-from .messages import Beacon, Digest, PeerState, PeerView
+from .messages import Beacon, Digest, PeerState, PeerView, Work
 from .table import PeerTable
 from .views import ViewClient, answer_view
 
@@ -22,5 +22,6 @@
     "PeerTable",
     "PeerView",
     "ViewClient",
+    "Work",
     "answer_view",
 ]
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -14,9 +14,19 @@
 
 __all__ = ["Beacon", "Digest", "PeerState", "PeerView", "Work", "decode", "encode"]
 
-# Requests in flight at an upstream, prompt tokens still to be read by rank, and
-# how many of the requests are streams whose pauses must be short.
-Work = tuple[int, dict[int, int], int]
+
+class Work(msgspec.Struct, array_like=True, frozen=True):
+    """What instances have sent to one upstream and not yet got back.
+
+    `requests` are in flight, `unread` are prompt tokens still to be read by rank,
+    `tight` counts the requests that are streams whose pauses must be short, and
+    `oldest_ms` tells by rank how long the oldest has waited for its first token.
+    """
+
+    requests: int = 0
+    unread: dict[int, int] = {}
+    tight: int = 0
+    oldest_ms: dict[int, int] = {}
 
 
 class PeerState(Enum):
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -17,7 +17,8 @@
 
 __all__ = ["PeerTable", "order_of"]
 
-NOTHING: Work = (0, {}, 0)
+NOTHING = Work()
+MS_PER_S = 1000.0
 
 
 def order_of(address: str, weight: float) -> tuple[float, bytes]:
@@ -209,12 +210,20 @@
 
 def add_work(total: dict[UpstreamId, Work], part: dict[UpstreamId, Work]) -> None:
     """Add the work of a part to a total."""
-    for upstream, (requests, unread, tight) in part.items():
-        sum_requests, sum_unread, sum_tight = total.get(upstream, NOTHING)
-        summed = dict(sum_unread)
-        for rank, tokens in unread.items():
-            summed[rank] = summed.get(rank, 0) + tokens
-        total[upstream] = (sum_requests + requests, summed, sum_tight + tight)
+    for upstream, work in part.items():
+        before = total.get(upstream, NOTHING)
+        unread = dict(before.unread)
+        for rank, tokens in work.unread.items():
+            unread[rank] = unread.get(rank, 0) + tokens
+        oldest_ms = dict(before.oldest_ms)
+        for rank, age in work.oldest_ms.items():
+            oldest_ms[rank] = max(age, oldest_ms.get(rank, 0))
+        total[upstream] = Work(
+            before.requests + work.requests,
+            unread,
+            before.tight + work.tight,
+            oldest_ms,
+        )
 
 
 def _include(digest: Digest, other: Digest) -> None:
@@ -234,12 +243,17 @@
 
 
 def _less(work: Work, own: Work) -> PeerLoad:
-    """Return a sum without this instance's part of it."""
-    requests = max(0, work[0] - own[0])
+    """Return a sum without this instance's part of it.
+
+    The oldest of all stays the oldest, whoever sent it.
+    """
+    requests = max(0, work.requests - own.requests)
     unread = {
-        rank: tokens - own[1].get(rank, 0)
-        for rank, tokens in work[1].items()
-        if tokens > own[1].get(rank, 0)
+        rank: tokens - own.unread.get(rank, 0)
+        for rank, tokens in work.unread.items()
+        if tokens > own.unread.get(rank, 0)
     }
-    tight = max(0, work[2] - own[2])
-    return PeerLoad(requests, unread, tight) if requests or unread else NO_PEERS
+    if not requests and not unread:
+        return NO_PEERS
+    oldest_s = {rank: age / MS_PER_S for rank, age in work.oldest_ms.items()}
+    return PeerLoad(requests, unread, max(0, work.tight - own.tight), oldest_s)
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -3,6 +3,7 @@
 ============= ============================================================
 `entry`       an upstream as it is registered
 `load`        how much work lies at an upstream, as far as is known here
+`waits`       how long requests there have waited for their first token
 `prefixes`    which shared parts of prompts an engine is likely to hold
 `health`      which upstreams fail requests, whatever their health check says
 `view`        all of these for one upstream
@@ -15,7 +16,7 @@
 from .entry import UpstreamEntry, UpstreamState
 from .health import Verdict
 from .load import LoadReport
-from .placement import Choice, choose_engine, choose_service
+from .placement import Choice, PlacementRequest, choose_engine, choose_service
 from .quiet import is_tight
 from .table import PoolTable
 from .view import UpstreamView
@@ -23,6 +24,7 @@
 __all__ = [
     "Choice",
     "LoadReport",
+    "PlacementRequest",
     "PoolTable",
     "UpstreamEntry",
     "UpstreamState",
--- a/packages/buckthornwall/src/buckthornwall/pools/load.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/load.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from .waits import Waits
+
 __all__ = ["NO_PEERS", "Load", "LoadReport", "PeerLoad"]
 
 # A report older than this says nothing that own counts do not say better.
@@ -22,12 +24,14 @@
     """What other instances have sent there and not yet got back.
 
     `unread` gives the prompt tokens still to be read, by rank, and `tight` how
-    many of the requests are streams whose pauses must be short.
+    many of the requests are streams whose pauses must be short. `oldest_s` tells,
+    by rank, how long the oldest request has waited for its first token, in seconds.
     """
 
     requests: int = 0
     unread: dict[int, int] = field(default_factory=dict)
     tight: int = 0
+    oldest_s: dict[int, float] = field(default_factory=dict)
 
 
 NO_PEERS = PeerLoad()
@@ -45,14 +49,17 @@
     unread : dict
         By rank, the prompt tokens of this instance sent there whose first
         token is due.
+    waits : Waits
+        How long requests of this instance have waited there.
     peers : PeerLoad
-        The sum of the same over the other instances, as last told.
+        The same over the other instances, as last told.
     """
 
     def __init__(self) -> None:
         self.requests = 0
         self.tight = 0
         self.unread: dict[int, int] = {}
+        self.waits = Waits()
         self.peers = NO_PEERS
         self.report: LoadReport | None = None
         self._report_at = 0.0
@@ -95,6 +102,18 @@
             return 0
         return self.report.waiting
 
+    def oldest_before_s(self, rank: int, now: float) -> float:
+        """Return how long the oldest request before a new one has waited."""
+        return max(
+            (
+                age
+                for oldest in (self.waits.oldest_s(now), self.peers.oldest_s)
+                for other, age in oldest.items()
+                if other <= rank
+            ),
+            default=0.0,
+        )
+
     def unread_before(self, rank: int) -> int:
         """Return the prompt tokens that are read before a new one of `rank`."""
         return sum(
--- a/packages/buckthornwall/src/buckthornwall/pools/overload.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/overload.py
@@ -7,7 +7,7 @@
 __all__ = ["is_overloaded", "retry_after_s"]
 
 # A request is refused when its first token is expected after this many targets.
-MOST_TARGETS = 1.5
+MOST_TARGETS = 0.8
 # A pool of which less is in use is not overloaded, whatever one engine says.
 IDLE_SHARE = 0.5
 LEAST_RETRY_S = 0.1
--- a/packages/buckthornwall/src/buckthornwall/pools/placement.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/placement.py
@@ -3,11 +3,17 @@
 from dataclasses import dataclass
 
 from buckthornwall.routing import PromptShape
-from buckthornwall.utils import ZoneId, rendezvous_order
+from buckthornwall.utils import UpstreamId, ZoneId, rendezvous_order
 
 from .view import UpstreamView
 
-__all__ = ["TOKENS_PER_MS", "Choice", "choose_engine", "choose_service"]
+__all__ = [
+    "TOKENS_PER_MS",
+    "Choice",
+    "PlacementRequest",
+    "choose_engine",
+    "choose_service",
+]
 
 # Prompt tokens that a model engine reads in a millisecond. A guess to start
 # from: `Pace` corrects what follows from it.
@@ -17,6 +23,12 @@
 # second one from every instance, and a hot part spreads no further than it must.
 WEIGHT_STEP = 0.5
 MOST_WEIGHT = 4.0
+# A prompt is compared at its first homes, and at so many engines besides, by its
+# own draw. Compared at all, each instance sent what left its home to the engine
+# that was last told to be idle: 84 instances sent over 100 prompts there within
+# 0.35 s, of which half waited for more than 4.5 s.
+HOMES = 2
+DRAWN = 3
 # A wait that leaves the target in reach is cheap: part of the target for which
 # that holds, and what a token ahead then counts.
 FREE_TARGET_SHARE = 0.4
@@ -31,23 +43,45 @@
 ZONE_TOKENS = 60.0
 # An engine that is still warming up, as prompt tokens a second left.
 COLD_TOKENS_PER_S = 4_000.0
+# An engine that is better left to others, as prompt tokens.
+AVOIDED_TOKENS = 10_000.0
 # The same for a plain service, as shares of its slots.
 SERVICE_ZONE_SHARE = 0.1
 SERVICE_COLD_SHARE = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class PlacementRequest:
+    """A prompt that is to be placed.
+
+    `rank` is its place in the order of urgency, `zone` that of this instance, and
+    `free_wait_s` a wait that leaves its target well in reach. `spread_key` draws
+    the engines that it is compared at besides its homes. `avoided` are better
+    left to other requests.
+    """
+
+    prompt: PromptShape
+    rank: int
+    zone: ZoneId
+    free_wait_s: float
+    spread_key: str
+    avoided: frozenset[UpstreamId] = frozenset()
+
+
 @dataclass(frozen=True, slots=True)
 class Choice:
     """An upstream, and what is expected there.
 
     `fresh_tokens` is what it has to read of the prompt; `wait_s` the time
-    until the first token by the counts alone, reading included.
+    until the first token by the counts alone, reading included; `oldest_s` how
+    long the oldest request that goes before it has waited already.
     """
 
     view: UpstreamView
     fresh_tokens: int
     wait_s: float
     busy_share: float
+    oldest_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,59 +94,56 @@
 
 
 def choose_engine(
-    views: list[UpstreamView],
-    prompt: PromptShape,
-    rank: int,
-    zone: ZoneId,
-    now: float,
-    free_wait_s: float,
+    views: list[UpstreamView], wanted: PlacementRequest, now: float
 ) -> Choice | None:
     """Return the engine with the least work for a prompt, or None without any.
 
     Each shared part has a home, the same on every instance without a message:
     it is taken to hold the part even if nothing was sent there from here, so
-    that one engine reads it and the others need not.
+    that one engine reads it and the others need not. Besides its homes a prompt
+    is compared at a few engines of its own draw.
 
     Parameters
     ----------
     views
         Engines that may take it.
-    prompt
-        What it asks to read.
-    rank
-        Its place in the order of urgency.
-    zone
-        The zone of this instance.
+    wanted
+        What is to be placed.
     now
         The time in seconds.
-    free_wait_s
-        A wait that leaves the target well in reach.
     """
     if not views:
         return None
-    free_tokens = free_wait_s * 1000 * TOKENS_PER_MS
     by_id = {view.id: view for view in views}
-    homes = rendezvous_order(prompt.shared_key, by_id)
+    homes = rendezvous_order(wanted.prompt.shared_key, by_id)
     offers = [
-        _offer(by_id[name], prompt, rank, place, zone, now, free_tokens)
-        for place, name in enumerate(homes)
+        _offer(by_id[name], wanted, place, now)
+        for place, name in _compared(homes, wanted.spread_key)
     ]
     best = min(offers, key=lambda offer: offer.cost)
     load = best.view.load
-    tokens = best.fresh_tokens + load.unread_before(rank)
+    tokens = best.fresh_tokens + load.unread_before(wanted.rank)
     wait_s = tokens / TOKENS_PER_MS / 1000
-    return Choice(best.view, best.fresh_tokens, wait_s, _busy_share(best.view, now))
+    return Choice(
+        best.view,
+        best.fresh_tokens,
+        wait_s,
+        _busy_share(best.view, now),
+        load.oldest_before_s(wanted.rank, now),
+    )
+
+
+def _compared(homes: list[str], spread_key: str) -> list[tuple[int, str]]:
+    """Return the engines to compare, each with its place in the order of homes."""
+    drawn = rendezvous_order(spread_key, homes[HOMES:])[:DRAWN]
+    chosen = {*homes[:HOMES], *drawn}
+    return [(place, name) for place, name in enumerate(homes) if name in chosen]
 
 
 def _offer(
-    view: UpstreamView,
-    prompt: PromptShape,
-    rank: int,
-    place: int,
-    zone: ZoneId,
-    now: float,
-    free_tokens: float,
+    view: UpstreamView, wanted: PlacementRequest, place: int, now: float
 ) -> _Offer:
+    prompt = wanted.prompt
     shared = sum(part.tokens for part in prompt.parts[:-1])
     held = view.prefixes.held(prompt)
     if place == 0:
@@ -120,11 +151,14 @@
     fresh = max(0, prompt.prompt_tokens - held)
     missing = max(0, shared - held)
     weight = min(MOST_WEIGHT, 1 + WEIGHT_STEP * place)
-    ahead = _ahead(view, rank, now)
+    free_tokens = wanted.free_wait_s * 1000 * TOKENS_PER_MS
+    ahead = _ahead(view, wanted.rank, now)
     ahead -= (1 - FREE_WEIGHT) * min(ahead, free_tokens)
     cost = fresh + (weight - 1) * missing + ahead
-    if view.entry.zone != zone:
+    if view.entry.zone != wanted.zone:
         cost += ZONE_TOKENS
+    if view.id in wanted.avoided:
+        cost += AVOIDED_TOKENS
     return _Offer(cost, view, fresh)
 
 
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_waits.py
@@ -0,0 +1,86 @@
+"""Tests of how long requests have waited at one upstream."""
+
+import pytest
+
+from buckthornwall.pools import (
+    PlacementRequest,
+    PoolTable,
+    UpstreamEntry,
+    UpstreamState,
+    choose_engine,
+)
+from buckthornwall.pools.load import PeerLoad
+from buckthornwall.pools.waits import Waits
+from buckthornwall.routing import PoolId, PromptPart, PromptShape
+from buckthornwall.utils import ModelId, UpstreamId, ZoneId
+
+POOL = PoolId("drafts")
+ZONE = ZoneId("z")
+PROMPT = PromptShape(ModelId("m"), 1000, 100, (PromptPart("s", 900),))
+
+
+def test_the_oldest_of_each_rank_is_told():
+    waits = Waits()
+    waits.begin(2, "a", 1.0)
+    waits.begin(5, "b", 2.0)
+    waits.begin(5, "c", 3.0)
+    assert waits.oldest_s(4.0) == {2: 3.0, 5: 2.0}
+    waits.end(5, "b", is_served=True)
+    waits.end(2, "a", is_served=False)
+    assert waits.oldest_s(4.0) == {5: 1.0}
+
+
+def test_who_was_overtaken_says_nothing_of_those_that_come():
+    """Its answer may be lost: the engine is not slow for that."""
+    waits = Waits()
+    waits.begin(5, "lost", 0.0)
+    waits.begin(5, "b", 1.0)
+    waits.begin(5, "c", 2.0)
+    waits.end(5, "b", is_served=True)
+    assert waits.oldest_s(9.0) == {5: 7.0}
+    waits.end(5, "c", is_served=True)
+    assert waits.oldest_s(9.0) == {}
+    waits.end(5, "lost", is_served=False)
+
+
+def test_a_later_failure_overtakes_nobody():
+    waits = Waits()
+    waits.begin(5, "a", 0.0)
+    waits.begin(5, "b", 1.0)
+    waits.end(5, "b", is_served=False)
+    assert waits.oldest_s(2.0) == {5: 2.0}
+
+
+@pytest.fixture
+def table(clock):
+    table = PoolTable(clock)
+    for name in ("a", "b"):
+        table.adopt(
+            UpstreamEntry(
+                UpstreamId(name), POOL, "10.0.0.1:80", ZONE, 4, UpstreamState.READY
+            )
+        )
+    return table
+
+
+def choose(table, clock, rank):
+    views = table.usable(POOL, set())
+    wanted = PlacementRequest(PROMPT, rank, ZONE, 0.0, "r")
+    return choose_engine(views, wanted, clock.now())
+
+
+def test_a_choice_tells_how_long_others_wait_there(table, clock):
+    home = choose(table, clock, 5).view
+    home.load.peers = PeerLoad(oldest_s={5: 2.0})
+    choice = choose(table, clock, 5)
+    assert (choice.view, choice.oldest_s) == (home, 2.0)
+
+
+def test_less_urgent_requests_that_wait_delay_nobody_more_urgent(table, clock):
+    home = choose(table, clock, 0).view
+    home.load.waits.begin(5, "r", clock.now())
+    clock.time += 3.0
+    choice = choose(table, clock, 0)
+    assert choice.view is home
+    assert choice.oldest_s == 0.0
+    assert home.load.oldest_before_s(5, clock.now()) == 3.0
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -15,6 +15,7 @@
     PeerState,
     PeerView,
     ViewClient,
+    Work,
     answer_view,
 )
 from buckthornwall.platform import (
@@ -23,7 +24,7 @@
     decode_published,
     decode_request,
 )
-from buckthornwall.pools import PoolTable
+from buckthornwall.pools import PoolTable, UpstreamView
 from buckthornwall.pools.load import NO_PEERS
 from buckthornwall.routing import RoutingTable
 from buckthornwall.settings import RouterSettings
@@ -53,6 +54,8 @@
 UNREAD_MS = 3000
 UNREAD_SPREAD_MS = 1000
 NEVER_MS = 1_000_000_000
+# Shorter waits say nothing that counts of unread tokens do not, and cost bytes.
+LEAST_TOLD_WAIT_S = 0.2
 OPERATOR_LIMITS = ServerLimits(8192, 0, 3.0, 30.0)
 
 
@@ -173,7 +176,7 @@
         while True:
             await trio.sleep(ASK_PEERS_S)
             fleet = self.fleet()
-            self.discovery.settle(fleet.unbroken_ms / 1000)
+            self.discovery.hear_unbroken(fleet.unbroken_ms / 1000)
             own = (self.table.number, self.discovery.mark)
             if (fleet.number, fleet.mark) <= own:
                 behind_since = None
@@ -211,12 +214,9 @@
         return self.peers.whole(self._beacon(), self.clock.now())
 
     def _beacon(self) -> Beacon:
+        now = self.clock.now()
         loads = {
-            view.id: (
-                view.load.requests,
-                dict(view.load.unread),
-                view.load.tight,
-            )
+            view.id: _work(view, now)
             for view in self.pools.views.values()
             if view.load.requests
         }
@@ -292,3 +292,14 @@
 
     async def _handle_operator(self, incoming: IncomingRequest, answer: Answer) -> None:
         await answer_operator(self, incoming, answer)
+
+
+def _work(view: UpstreamView, now: float) -> Work:
+    """Return what this instance has in flight at an upstream."""
+    load = view.load
+    oldest_ms = {
+        rank: int(age * 1000)
+        for rank, age in load.waits.oldest_s(now).items()
+        if age >= LEAST_TOLD_WAIT_S
+    }
+    return Work(load.requests, dict(load.unread), load.tight, oldest_ms)
--- a/packages/buckthornwall/src/buckthornwall/routing/request.py
+++ b/packages/buckthornwall/src/buckthornwall/routing/request.py
@@ -26,6 +26,11 @@
     max_output_tokens: int
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def is_mostly_answer(self) -> bool:
+        """Whether its longest answer takes more work than its prompt."""
+        return self.max_output_tokens * OUTPUT_WEIGHT > self.prompt_tokens
+
     @property
     def shared_key(self) -> str:
         """Id of the last part that other requests may share, or ''."""
