Spare engines without memory; refuse nobody for its own length

Engines preempt where their memory runs out, and nothing here looked at it. Instances now tell what their requests take, and an engine without memory left is spared.

At least 0.4 targets must now be a wait for others. Both have tests that fail without the change by their signatures.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -71,8 +71,11 @@
         unread = _Unread(
             view, self.resolution.rank, self.choice.fresh_tokens, self.clock.now()
         )
+        prompt = self.request.prompt
+        memory = prompt.memory_tokens if prompt is not None else 0
         load.requests += 1
         load.tight += self.tight
+        load.memory += memory
         view.health.note_sent(self.clock.now())
         reply = None
         try:
@@ -80,6 +83,7 @@
         finally:
             load.requests -= 1
             load.tight -= self.tight
+            load.memory -= memory
             unread.clear(is_served=False)
             if reply is None or reply.closes:
                 connection.close()
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -251,7 +251,9 @@
         members = self.pools.members(job.resolution.pool.id)
         target_s = job.resolution.route.target_s
         expected_s = self._expected_s(job, choice)
-        return is_overloaded(expected_s, target_s, members, self.clock.now())
+        return is_overloaded(
+            expected_s, choice.own_s, target_s, members, self.clock.now()
+        )
 
     def _overloaded(self, job: Job, choice: Choice) -> Refusal:
         expected_s = self._expected_s(job, choice)
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -21,12 +21,14 @@
     `requests` are in flight, `unread` are prompt tokens still to be read by rank,
     `tight` counts the requests that are streams whose pauses must be short, and
     `oldest_ms` tells by rank how long the oldest has waited for its first token.
+    `memory` counts the tokens that they take in the engine's memory.
     """
 
     requests: int = 0
     unread: dict[int, int] = {}
     tight: int = 0
     oldest_ms: dict[int, int] = {}
+    memory: int = 0
 
 
 class PeerState(Enum):
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -223,6 +223,7 @@
             unread,
             before.tight + work.tight,
             oldest_ms,
+            before.memory + work.memory,
         )
 
 
@@ -256,4 +257,10 @@
     if not requests and not unread:
         return NO_PEERS
     oldest_s = {rank: age / MS_PER_S for rank, age in work.oldest_ms.items()}
-    return PeerLoad(requests, unread, max(0, work.tight - own.tight), oldest_s)
+    return PeerLoad(
+        requests,
+        unread,
+        max(0, work.tight - own.tight),
+        oldest_s,
+        max(0, work.memory - own.memory),
+    )
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
@@ -122,10 +122,12 @@
 
 def test_the_oldest_wait_of_any_instance_is_told():
     first = table(FIRST)
-    first.hear_beacon(beacon(SECOND, {ENGINE: Work(1, {5: 9}, 0, {5: 700})}), 0.0)
-    own = beacon(FIRST, {ENGINE: Work(1, {5: 9}, 0, {2: 40, 5: 300})})
-    assert first.make_digest(own, True).loads[ENGINE].oldest_ms == {2: 40, 5: 700}
-    assert first.others_work(own, 0.1)[ENGINE].oldest_s == {2: 0.04, 5: 0.7}
+    first.hear_beacon(beacon(SECOND, {ENGINE: Work(1, {5: 9}, 0, {5: 700}, 90)}), 0.0)
+    own = beacon(FIRST, {ENGINE: Work(1, {5: 9}, 0, {2: 40, 5: 300}, 50)})
+    told = first.make_digest(own, True).loads[ENGINE]
+    assert (told.oldest_ms, told.memory) == ({2: 40, 5: 700}, 140)
+    others = first.others_work(own, 0.1)[ENGINE]
+    assert (others.oldest_s, others.memory) == ({2: 0.04, 5: 0.7}, 90)
 
 
 def test_a_member_takes_its_own_part_off_the_sum():
--- a/packages/buckthornwall/src/buckthornwall/pools/load.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/load.py
@@ -26,12 +26,14 @@
     `unread` gives the prompt tokens still to be read, by rank, and `tight` how
     many of the requests are streams whose pauses must be short. `oldest_s` tells,
     by rank, how long the oldest request has waited for its first token, in seconds.
+    `memory` counts the tokens that the requests take in the engine's memory.
     """
 
     requests: int = 0
     unread: dict[int, int] = field(default_factory=dict)
     tight: int = 0
     oldest_s: dict[int, float] = field(default_factory=dict)
+    memory: int = 0
 
 
 NO_PEERS = PeerLoad()
@@ -49,6 +51,8 @@
     unread : dict
         By rank, the prompt tokens of this instance sent there whose first
         token is due.
+    memory : int
+        Tokens that the requests of this instance take in the engine's memory.
     waits : Waits
         How long requests of this instance have waited there.
     peers : PeerLoad
@@ -59,6 +63,7 @@
         self.requests = 0
         self.tight = 0
         self.unread: dict[int, int] = {}
+        self.memory = 0
         self.waits = Waits()
         self.peers = NO_PEERS
         self.report: LoadReport | None = None
@@ -83,6 +88,10 @@
         """Return the streams there whose pauses must be short."""
         return self.tight + self.peers.tight
 
+    def memory_all(self) -> int:
+        """Return the tokens of memory that requests there take."""
+        return self.memory + self.peers.memory
+
     def in_flight(self, now: float) -> int:
         """Return the best guess of the requests there, running or waiting."""
         counted = self.requests + self.peers.requests
--- a/packages/buckthornwall/src/buckthornwall/pools/overload.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/overload.py
@@ -8,6 +8,9 @@
 
 # A request is refused when its first token is expected after this many targets.
 MOST_TARGETS = 0.8
+# It is not refused for its own length: that much of the target must be a wait for
+# others, or the longest prompts would be sent away as often as they came.
+LEAST_AHEAD_TARGETS = 0.4
 # A pool of which less is in use is not overloaded, whatever one engine says.
 IDLE_SHARE = 0.5
 LEAST_RETRY_S = 0.1
@@ -15,7 +18,11 @@
 
 
 def is_overloaded(
-    expected_s: float, target_s: float, views: Iterable[UpstreamView], now: float
+    expected_s: float,
+    own_s: float,
+    target_s: float,
+    views: Iterable[UpstreamView],
+    now: float,
 ) -> bool:
     """Tell whether a request that is not urgent should be refused at once.
 
@@ -23,6 +30,8 @@
     ----------
     expected_s
         When its first token is expected, in seconds.
+    own_s
+        How much of that its own prompt takes to be read.
     target_s
         When its contract wants it.
     views
@@ -32,6 +41,8 @@
     """
     if expected_s <= MOST_TARGETS * target_s:
         return False
+    if expected_s - own_s <= LEAST_AHEAD_TARGETS * target_s:
+        return False
     views = list(views)
     if any(view.load.waiting(now) for view in views):
         return True
--- a/packages/buckthornwall/src/buckthornwall/pools/placement.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/placement.py
@@ -37,6 +37,11 @@
 RUNNING_TOKENS = 60.0
 # A request that waits for a slot there waits for about this many tokens.
 QUEUED_TOKENS = 3_000.0
+# An engine whose memory is taken up to this part preempts requests, urgent ones too
+# where all that run are urgent; a new one then counts for so many tokens more. Parts
+# that prompts share are counted for each, so the part may be the whole.
+MOST_MEMORY = 1.0
+FULL_TOKENS = 20_000.0
 # What is read later than this request counts for those behind it.
 BEHIND_WEIGHT = 0.2
 # The way to another zone and back, as prompt tokens.
@@ -83,6 +88,11 @@
     busy_share: float
     oldest_s: float = 0.0
 
+    @property
+    def own_s(self) -> float:
+        """How long its own prompt takes to be read, in seconds."""
+        return self.fresh_tokens / TOKENS_PER_MS / 1000
+
 
 @dataclass(frozen=True, slots=True)
 class _Offer:
@@ -153,6 +163,8 @@
     weight = min(MOST_WEIGHT, 1 + WEIGHT_STEP * place)
     free_tokens = wanted.free_wait_s * 1000 * TOKENS_PER_MS
     ahead = _ahead(view, wanted.rank, now)
+    if _is_full(view, prompt):
+        ahead += FULL_TOKENS
     ahead -= (1 - FREE_WEIGHT) * min(ahead, free_tokens)
     cost = fresh + (weight - 1) * missing + ahead
     if view.entry.zone != wanted.zone:
@@ -162,6 +174,12 @@
     return _Offer(cost, view, fresh)
 
 
+def _is_full(view: UpstreamView, prompt: PromptShape) -> bool:
+    """Tell whether an engine has no memory left for a prompt."""
+    needed = view.load.memory_all() + prompt.memory_tokens
+    return needed > MOST_MEMORY * view.prefixes.memory_tokens
+
+
 def _ahead(view: UpstreamView, rank: int, now: float) -> float:
     """Return the work before a request of a rank, in prompt tokens."""
     in_flight = view.load.in_flight(now)
--- a/packages/buckthornwall/src/buckthornwall/pools/prefixes.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/prefixes.py
@@ -25,13 +25,18 @@
     """
 
     def __init__(self, capacity_tokens: int) -> None:
-        self.capacity_tokens = capacity_tokens * MEMORY_SHARE
+        self.memory_tokens = capacity_tokens
         self.held_tokens = 0
         self._parts: OrderedDict[str, int] = OrderedDict()
 
     def set_memory(self, capacity_tokens: int) -> None:
         """Take the engine's memory, in tokens, from a new configuration."""
-        self.capacity_tokens = capacity_tokens * MEMORY_SHARE
+        self.memory_tokens = capacity_tokens
+
+    @property
+    def capacity_tokens(self) -> float:
+        """Tokens that parts of earlier requests may take."""
+        return self.memory_tokens * MEMORY_SHARE
 
     def held(self, prompt: PromptShape) -> int:
         """Return how many leading tokens of a prompt lie there."""
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_pools.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_pools.py
@@ -92,6 +92,17 @@
     assert choose(table, clock, prompt(), rank=0).view is home
 
 
+def test_an_engine_without_memory_left_is_spared(table, clock):
+    """It would preempt what runs there, urgent streams too."""
+    home = choose(table, clock, prompt()).view
+    home.prefixes.set_memory(100_000)
+    home.load.memory = 50_000
+    home.load.peers = PeerLoad(memory=44_000)
+    assert choose(table, clock, prompt()).view is home
+    home.load.peers = PeerLoad(memory=46_000)
+    assert choose(table, clock, prompt()).view is not home
+
+
 def test_an_engine_that_warms_up_is_spared_until_it_is_warm(table, clock):
     home = choose(table, clock, prompt()).view
     entry = home.entry
@@ -299,9 +310,17 @@
 
 def test_nobody_is_refused_while_half_of_the_pool_is_free(table, clock):
     views = table.members(POOL)
-    assert not is_overloaded(9.0, 1.0, views, clock.now())
+    assert not is_overloaded(9.0, 0.1, 1.0, views, clock.now())
+    for view in views:
+        view.load.requests = 4
+    assert is_overloaded(9.0, 0.1, 1.0, views, clock.now())
+    assert not is_overloaded(0.8, 0.1, 1.0, views, clock.now())
+    assert is_overloaded(0.9, 0.1, 1.0, views, clock.now())
+
+
+def test_no_request_is_refused_for_its_own_length(table, clock):
+    views = table.members(POOL)
     for view in views:
         view.load.requests = 4
-    assert is_overloaded(9.0, 1.0, views, clock.now())
-    assert not is_overloaded(0.8, 1.0, views, clock.now())
-    assert is_overloaded(0.9, 1.0, views, clock.now())
+    assert not is_overloaded(2.0, 1.7, 1.0, views, clock.now())
+    assert is_overloaded(2.2, 1.7, 1.0, views, clock.now())
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -302,4 +302,4 @@
         for rank, age in load.waits.oldest_s(now).items()
         if age >= LEAST_TOLD_WAIT_S
     }
-    return Work(load.requests, dict(load.unread), load.tight, oldest_ms)
+    return Work(load.requests, dict(load.unread), load.tight, oldest_ms, load.memory)
--- a/packages/buckthornwall/src/buckthornwall/routing/request.py
+++ b/packages/buckthornwall/src/buckthornwall/routing/request.py
@@ -26,6 +26,14 @@
     max_output_tokens: int
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def memory_tokens(self) -> int:
+        """Return what it takes of an engine's memory, with half of its answer.
+
+        Answers are shorter than their longest by more than half on average.
+        """
+        return self.prompt_tokens + self.max_output_tokens // 2
+
     @property
     def is_mostly_answer(self) -> bool:
         """Whether its longest answer takes more work than its prompt."""
