--- a/packages/buckthornwall/src/buckthornwall/pools/quiet.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/quiet.py
@@ -27,8 +27,8 @@
 MEAN_STEP_WHILE_READING_MS = 28.0
 # Quiet engines are filled to this part of their slots, so that a burst fits.
 FILL_SHARE = 0.85
-# A stream beside long prompts takes this many times as long as on a quiet engine:
-# 28 ms a token against 10.
+# A stream beside long prompts takes this many times as long as on a quiet engine at
+# least: 28 ms a token against 7 for half of the streams there, more where they fill.
 READING_SLOWDOWN = 2.8
 # Quiet engines that are filled less are shared: of five engines, one kept for
 # tight streams that filled a third of it cost the other streams 0.44 of theirs.
