Let a registration that cannot be read name nobody, the others hold

Cause: one entry of another writer (not JSON, a field missing or of another type) made the whole answer of the store unreadable, so nothing was learnt from it; an unknown state counted as leaving, an address that cannot be dialled was dialled. Ruled out: taking the whole answer as failed (one bad writer then blinds the fleet); keeping the entry's last good form (it no longer says where the upstream is). Conclusion: the entry names nobody, with one log line; its key counts as removed.

--- a/packages/buckthornwall/src/buckthornwall/platform/store.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/store.py
@@ -1,24 +1,30 @@
 """The platform's store, which is only read and watched."""
 
+from enum import Enum
+from typing import Annotated
+
 import msgspec
 import trio
 
-from buckthornwall.codes import PeerError, ResultCode
+from buckthornwall.codes import PeerError, RecordError, ResultCode
 from buckthornwall.discovery import Feed, News
 from buckthornwall.http1 import ClientConnection, ExchangeError
 from buckthornwall.pools import UpstreamEntry, UpstreamState
 from buckthornwall.routing import PoolId
+from buckthornwall.telemetry import log_event
 from buckthornwall.utils import ConfigItem, ConfigNamespace, UpstreamId, ZoneId
 
 from .calls import Changes, StoreAnswer, StoreCalls, StoredValue
 
-__all__ = ["StoreClient", "StoreSettings"]
+__all__ = ["StoreClient", "StoreSettings", "news_of"]
 
 CONFIG_KEY = "op/config"
 REGISTRATIONS = "servers/"
 # One watch on everything costs half the calls of one for each of the two.
 EVERYTHING = ""
 MS_PER_S = 1000.0
+# An IP number of version 4 and a port that can be dialled.
+ADDRESS = r"^\d{1,3}(\.\d{1,3}){3}:[1-9]\d{0,4}$"
 
 
 class StoreSettings(ConfigNamespace):
@@ -35,16 +41,27 @@
     )
 
 
+class _State(Enum):
+    """What an engine says of itself."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
 class _Registration(msgspec.Struct):
-    """How an engine registers itself; `sequence` only counts its writes."""
+    """How an engine registers itself; `sequence` only counts its writes.
+
+    `born` changes where an engine starts again under the id that it had.
+    """
 
     service: str
-    address: str
+    address: Annotated[str, msgspec.Meta(pattern=ADDRESS)]
     zone: str = ""
-    slots: int = 1
-    state: str = "ready"
-    cold_remaining_ms: float = 0.0
+    slots: Annotated[int, msgspec.Meta(ge=1)] = 1
+    state: _State = _State.READY
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     models: list[msgspec.Raw] | None = None
+    born: int | float | str = ""
 
 
 class StoreClient(Feed):
@@ -80,7 +97,7 @@
         PeerError
             If the store does not answer as it should.
         """
-        return _news(await self.store.read_all(EVERYTHING), whole=True)
+        return news_of(await self.store.read_all(EVERYTHING), whole=True)
 
     async def watch(self, after: int, wait_s: float) -> News:
         """Return what changed after a revision, waiting for it if need be.
@@ -92,7 +109,7 @@
         PeerError
             If the store does not answer as it should.
         """
-        return _news(await self.store.watch(EVERYTHING, after, wait_s), whole=False)
+        return news_of(await self.store.watch(EVERYTHING, after, wait_s), whole=False)
 
     async def _call(self, target: str, wait_s: float) -> StoreAnswer:
         limit_s = wait_s + self.settings.answer_timeout_ms / MS_PER_S
@@ -133,7 +150,11 @@
         return StoreAnswer(head.status, bytes(body))
 
 
-def _news(changes: Changes, whole: bool) -> News:
+def news_of(changes: Changes, whole: bool) -> News:
+    """Return values of the store as news.
+
+    A registration that cannot be read names nobody; the others hold.
+    """
     news = News(revision=changes.revision, whole=whole)
     for each in changes.values:
         _add(news, each)
@@ -147,20 +168,38 @@
         news.published = change.value or news.published
     elif change.key.startswith(REGISTRATIONS):
         upstream = UpstreamId(change.key.removeprefix(REGISTRATIONS))
-        if change.value is None:
+        entry = _entry_or_none(upstream, change.value)
+        if entry is None:
             news.entries.pop(upstream, None)
             news.removed.add(upstream)
         else:
             news.removed.discard(upstream)
-            news.entries[upstream] = _entry(upstream, change.value)
+            news.entries[upstream] = entry
+
+
+def _entry_or_none(upstream: UpstreamId, raw: bytes | None) -> UpstreamEntry | None:
+    """Return a registration, or None where it was removed or cannot be read."""
+    if raw is None:
+        return None
+    try:
+        return _entry(upstream, raw)
+    except RecordError as error:
+        log_event(
+            "registration_refused",
+            "WARNING",
+            upstream=upstream,
+            code=error.code.number,
+            detail=error,
+        )
+        return None
 
 
 def _entry(upstream: UpstreamId, raw: bytes) -> UpstreamEntry:
     try:
         found = msgspec.json.decode(raw, type=_Registration)
-    except msgspec.DecodeError as error:
-        raise PeerError(ResultCode.PLATFORM_UNREACHABLE, str(error)) from error
-    is_ready = found.state == "ready"
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise RecordError(ResultCode.RECORDS_MALFORMED, str(error)) from error
+    is_ready = found.state is _State.READY
     return UpstreamEntry(
         id=upstream,
         pool=PoolId(found.service),
@@ -170,4 +209,5 @@
         state=UpstreamState.READY if is_ready else UpstreamState.LEAVING,
         cold_s=found.cold_remaining_ms / MS_PER_S,
         loaded=found.models is None or bool(found.models),
+        start=str(found.born),
     )
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/platform/tests/test_registrations.py
@@ -0,0 +1,84 @@
+"""Tests of registrations that another writer left in the platform's store."""
+
+import json
+
+import pytest
+from loguru import logger
+
+from buckthornwall.platform.calls import Changes, StoredValue
+from buckthornwall.platform.store import news_of
+from buckthornwall.pools import UpstreamState
+
+GOOD = {
+    "service": "drafts",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "slots": 4,
+    "state": "ready",
+}
+
+
+def changes(*raws: bytes) -> Changes:
+    values = [
+        StoredValue(f"servers/u{place}", place + 1, raw)
+        for place, raw in enumerate(raws)
+    ]
+    return Changes(len(raws), values)
+
+
+def written(**fields) -> bytes:
+    return json.dumps(GOOD | fields).encode()
+
+
+@pytest.fixture
+def lines():
+    found = []
+    logger.remove()
+    handler = logger.add(lambda text: found.append(str(text)), format="{message}")
+    yield found
+    logger.remove(handler)
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"\xff\xfe\x00",
+        b"{",
+        b"[]",
+        b"{}",
+        written(service=7),
+        written(address=None),
+        written(address="nowhere"),
+        written(address="10.0.0.1:http"),
+        written(address="10.0.0.1:0"),
+        written(address="engine.example:80"),
+        written(slots="four"),
+        written(slots=0),
+        written(state="resting"),
+        written(cold_remaining_ms="soon"),
+        written(cold_remaining_ms=-5),
+        written(models=3),
+    ],
+)
+def test_an_entry_that_cannot_be_read_names_nobody_and_others_hold(raw, lines):
+    news = news_of(changes(written(), raw, written(state="draining")), whole=True)
+    assert list(news.entries) == ["u0", "u2"]
+    assert news.entries["u2"].state is UpstreamState.LEAVING
+    assert news.mark == 3
+    refused = [line for line in lines if "event=registration_refused" in line]
+    assert len(refused) == 1
+    assert "upstream=u1" in refused[0]
+    assert "code=" in refused[0]
+
+
+def test_an_entry_written_over_by_one_that_cannot_be_read_is_gone():
+    news = news_of(changes(written(), b"?"), whole=False)
+    assert list(news.entries) == ["u0"]
+    assert news.removed == {"u1"}
+
+
+def test_an_upstream_that_started_again_under_its_id_is_another_start():
+    first = news_of(changes(written(born=17)), whole=True).entries["u0"]
+    again = news_of(changes(written(born=18)), whole=True).entries["u0"]
+    assert first.start != again.start
+    assert news_of(changes(written()), whole=True).entries["u0"].start == ""
--- a/packages/buckthornwall/src/buckthornwall/pools/entry.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/entry.py
@@ -18,7 +18,11 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamEntry:
-    """One registration; `cold_s` is how much longer it starts up slowly."""
+    """One registration; `cold_s` is how much longer it starts up slowly.
+
+    `start` changes where the upstream starts again under the id that it had; it is
+    '' where that is not told.
+    """
 
     id: UpstreamId
     pool: PoolId
@@ -28,3 +32,4 @@
     state: UpstreamState
     cold_s: float = 0.0
     loaded: bool = True
+    start: str = ""
