Forget an upstream that started again under its id

Cause: an upstream is known by its id; one that starts again under it kept the load, health, pace and prefixes of its earlier start, and what was in flight there hung where no reset told of it. The registration may tell its start; another start is another upstream: its view is made anew and every connection to it is closed. Ruled out: waiting for TCP to notice (keepalive takes 5 s). ConnectionCache.forget_all had no caller and is gone.

--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -111,6 +111,7 @@
         self._unbroken_since = clock.now()
         self.on_change: Callable[[], None] = lambda: None
         self.on_gone: Callable[[UpstreamId], None] = lambda upstream: None
+        self.on_restart: Callable[[UpstreamId], None] = lambda upstream: None
         self.may_read: Callable[[], bool] = lambda: True
         self.on_call: Callable[[float, str], None] = lambda seconds, outcome: None
         self._doubt_until = 0.0
@@ -195,7 +196,8 @@
             self._adopt_published(news.published)
         for entry in news.entries.values():
             self._doubted.discard(entry.id)
-            self.pools.adopt(entry)
+            if self.pools.adopt(entry):
+                self.on_restart(entry.id)
         gone = set(news.removed)
         if news.whole:
             gone |= set(self.pools.views) - set(news.entries)
--- a/packages/buckthornwall/src/buckthornwall/forwarding/connections.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/connections.py
@@ -29,6 +29,7 @@
         self.connect_timeout_s = connect_timeout_s
         self.opened = 0
         self._idle: dict[UpstreamId, list[ClientConnection]] = {}
+        self._busy: dict[UpstreamId, set[ClientConnection]] = {}
         self._limits: dict[UpstreamId, float] = {}
 
     async def acquire(
@@ -54,10 +55,22 @@
         while idle:
             connection = idle.pop()
             if now - connection.idle_since <= limit and connection.is_sound():
-                return connection
+                return self._lend(upstream, connection)
             connection.close()
         self.opened += 1
-        return await ClientConnection.connect(address, self.connect_timeout_s)
+        connection = await ClientConnection.connect(address, self.connect_timeout_s)
+        return self._lend(upstream, connection)
+
+    def _lend(
+        self, upstream: UpstreamId, connection: ClientConnection
+    ) -> ClientConnection:
+        self._busy.setdefault(upstream, set()).add(connection)
+        return connection
+
+    def drop(self, upstream: UpstreamId, connection: ClientConnection) -> None:
+        """Close a connection whose exchange is not whole."""
+        self._busy.get(upstream, set()).discard(connection)
+        connection.close()
 
     def release(
         self,
@@ -66,6 +79,7 @@
         idle_limit_s: float | None,
     ) -> None:
         """Keep a connection whose exchange is whole, or close it."""
+        self._busy.get(upstream, set()).discard(connection)
         idle = self._idle.setdefault(upstream, [])
         if not connection.is_reusable() or len(idle) >= MOST_IDLE:
             connection.close()
@@ -89,7 +103,11 @@
             connection.close()
         self._limits.pop(upstream, None)
 
-    def forget_all(self) -> None:
-        """Close every idle connection, as after a freeze."""
-        for upstream in list(self._idle):
-            self.forget(upstream)
+    def abandon(self, upstream: UpstreamId) -> None:
+        """Close every connection to an upstream that started again.
+
+        Its earlier start answers nothing more, whether or not a reset tells so.
+        """
+        self.forget(upstream)
+        for connection in self._busy.pop(upstream, ()):
+            connection.close()
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_connections.py
@@ -0,0 +1,43 @@
+"""Tests of connections to upstreams that are kept or given up."""
+
+import pytest
+import trio
+import trio.testing
+
+from buckthornwall.forwarding.connections import ConnectionCache
+from buckthornwall.http1 import ExchangeError
+from buckthornwall.utils import UpstreamId
+
+ENGINE = UpstreamId("e")
+
+
+async def test_what_is_in_flight_at_an_upstream_that_started_again_fails_at_once(
+    raw_upstream, clock, nursery
+):
+    address = await raw_upstream(60.0, b"")
+    cache = ConnectionCache(clock, 1.0)
+    connection = await cache.acquire(ENGINE, address, 1.0)
+    await connection.send(b"GET", b"/", [(b"host", b"h")], b"")
+    failed = trio.Event()
+
+    async def receive():
+        with pytest.raises(ExchangeError):
+            await connection.receive_head()
+        failed.set()
+
+    nursery.start_soon(receive)
+    await trio.testing.wait_all_tasks_blocked()
+    cache.abandon(ENGINE)
+    with trio.fail_after(1.0):
+        await failed.wait()
+
+
+async def test_a_connection_given_back_is_not_in_flight(raw_upstream, clock):
+    address = await raw_upstream(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 60.0)
+    cache = ConnectionCache(clock, 1.0)
+    connection = await cache.acquire(ENGINE, address, 1.0)
+    await connection.send(b"GET", b"/", [(b"host", b"h")], b"")
+    await connection.receive_head()
+    assert await connection.receive_data() == b""
+    cache.release(ENGINE, connection, None)
+    assert await cache.acquire(ENGINE, address, 1.0) is connection
--- a/packages/buckthornwall/src/buckthornwall/http1/client.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/client.py
@@ -118,7 +118,7 @@
         try:
             while view:
                 view = view[await self.sock.send(view) :]
-        except OSError as error:
+        except (OSError, trio.ClosedResourceError) as error:
             raise ExchangeError(ExchangeFailure.RESET, str(error)) from error
 
     def _write_request(self) -> bytes:
@@ -196,7 +196,7 @@
                     raise ExchangeError(ExchangeFailure.GARBLED, "bytes after a reply")
                 else:
                     return event
-        except OSError as error:
+        except (OSError, trio.ClosedResourceError) as error:
             raise ExchangeError(ExchangeFailure.RESET, str(error)) from error
         except h11.RemoteProtocolError as error:
             if self.parser.trailing_data[1]:
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -31,9 +31,28 @@
         self._paces: dict[PoolId, Pace] = {}
         self._quiet: dict[PoolId, QuietEngines] = {}
 
-    def adopt(self, entry: UpstreamEntry) -> None:
-        """Take a registration, new or changed."""
+    def adopt(self, entry: UpstreamEntry) -> bool:
+        """Take a registration, new or changed.
+
+        Returns
+        -------
+        bool
+            Whether the upstream started again under the id that it had: what was
+            known of it is forgotten then, and what is in flight there has failed.
+        """
         view = self.views.get(entry.id)
+        started_again = view is not None and _is_another_start(view.entry, entry)
+        if started_again:
+            self._members[view.entry.pool].pop(entry.id, None)
+            log_event(
+                "upstream_restarted",
+                "WARNING",
+                upstream=entry.id,
+                start=entry.start,
+                before=view.entry.start,
+                requests=view.load.requests,
+            )
+            view = None
         if view is None:
             view = self.views[entry.id] = UpstreamView(entry)
             log_event(
@@ -50,6 +69,7 @@
         view.entry = entry
         view.cold_until = self.clock.now() + entry.cold_s
         self._members.setdefault(entry.pool, {})[entry.id] = view
+        return started_again
 
     def remove(self, upstream: UpstreamId) -> None:
         """Forget an upstream that is gone."""
@@ -118,3 +138,11 @@
             if other is not view
         ]
         return sorted(others)[len(others) // 2] if others else 0.0
+
+
+def _is_another_start(before: UpstreamEntry, now: UpstreamEntry) -> bool:
+    """Tell whether two registrations under one id are of two starts.
+
+    An entry that does not tell its start says nothing of it.
+    """
+    return bool(before.start and now.start) and before.start != now.start
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_table.py
@@ -0,0 +1,52 @@
+"""Tests of registrations as they change."""
+
+import pytest
+
+from buckthornwall.pools import PoolTable, UpstreamEntry, UpstreamState, Verdict
+from buckthornwall.pools.load import PeerLoad
+from buckthornwall.routing import PoolId, PromptPart, PromptShape
+from buckthornwall.utils import ModelId, UpstreamId, ZoneId
+
+POOL = PoolId("drafts")
+PROMPT = PromptShape(ModelId("m"), 900, 10, (PromptPart("s", 600),))
+
+
+def entry(start: str) -> UpstreamEntry:
+    return UpstreamEntry(
+        UpstreamId("a"),
+        POOL,
+        "10.0.0.1:80",
+        ZoneId("z"),
+        4,
+        UpstreamState.READY,
+        start=start,
+    )
+
+
+@pytest.fixture
+def table(clock):
+    table = PoolTable(clock)
+    table.adopt(entry("1"))
+    view = table.views["a"]
+    view.load.requests = 3
+    view.load.peers = PeerLoad(2, {0: 900})
+    view.prefixes.note(PROMPT)
+    table.note_end(view, Verdict.UNREACHABLE)
+    return table
+
+
+def test_nothing_is_known_of_an_upstream_that_started_again(table, clock):
+    assert table.adopt(entry("2"))
+    view = table.views["a"]
+    assert view.load.in_flight(clock.now()) == 0
+    assert view.load.unread_all() == 0
+    assert view.prefixes.held(PROMPT) == 0
+    assert not view.health.aside
+    assert list(table.members(POOL)) == [view]
+
+
+@pytest.mark.parametrize("start", ["1", ""])
+def test_what_is_known_stays_where_no_other_start_is_told(table, start):
+    view = table.views["a"]
+    assert not table.adopt(entry(start))
+    assert table.views["a"] is view
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -116,6 +116,7 @@
         self.discovery.may_read = self._may_read
         self.discovery.on_change = self._news_adopted
         self.discovery.on_gone = self.forwarder.connections.forget
+        self.discovery.on_restart = self.forwarder.connections.abandon
         self.discovery.on_call = self._count_store_call
         self.peer_agent.on_work = self._work_told
 
