Go on elsewhere when a stream's connection goes silent

Cause: an open connection may go silent for good without a reset. Whole replies had a limit of silence, streams had none: a resumable stream hung until its caller left. A stream that may run once only is still waited for: its silence is no reason to end it, which a test holds. Ruled out: a limit for all streams (nothing could go on; a slow engine's answer would be cut).

--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -1,5 +1,7 @@
 """One attempt at one upstream, and how it ended."""
 
+import math
+from contextlib import AbstractContextManager
 from dataclasses import dataclass
 from enum import Enum
 
@@ -44,7 +46,11 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """What one attempt needs."""
+    """What one attempt needs.
+
+    `silence_s` is how long to wait for the head of a reply, and `event_silence_s`
+    for each event after it, in seconds; None is as long as the caller waits.
+    """
 
     request: RoutedRequest
     resolution: Resolution
@@ -56,6 +62,7 @@
     remaining_s: float
     most_idle_s: float
     silence_s: float | None
+    event_silence_s: float | None = None
     tight: bool = False
 
     async def run(self) -> AttemptResult:
@@ -86,7 +93,7 @@
             load.memory -= memory
             unread.clear(is_served=False)
             if reply is None or reply.closes:
-                connection.close()
+                self.connections.drop(view.id, connection)
             else:
                 self.connections.release(view.id, connection, reply.idle_limit_s)
         return result
@@ -105,7 +112,7 @@
                 self.codec.encode(self.request, self._sending()),
                 self.request.body,
             )
-            with trio.fail_after(self.silence_s or float("inf")):
+            with _limit(self.silence_s):
                 reply = await self._own_reply(connection)
             view.heard_at = self.clock.now()
             if reply.load is not None:
@@ -166,12 +173,21 @@
         self, connection: ClientConnection, reply: Reply, unread: "_Unread"
     ) -> None:
         view = self.choice.view
-        while data := await connection.receive_data():
+        while data := await self._next_data(connection):
             view.heard_at = self.clock.now()
             if await self.delivery.events(reply, data):
                 unread.clear(is_served=True)
         await self.delivery.end(reply)
 
+    async def _next_data(self, connection: ClientConnection) -> bytes:
+        with _limit(self.event_silence_s):
+            return await connection.receive_data()
+
+
+def _limit(seconds: float | None) -> AbstractContextManager[trio.CancelScope]:
+    """Return a scope that raises TooSlowError after a time, or never for None."""
+    return trio.fail_after(math.inf if seconds is None else seconds)
+
 
 class _Unread:
     """A prompt that counts at an upstream until its first token comes."""
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -50,6 +50,13 @@
 # A silent upstream is given up after this many targets, if others may try.
 SILENCE_TARGETS = 4.0
 SILENCE_SHARE = 0.5
+# A stream that may be resumed is given up before its first event after so many
+# targets or expected waits, and later after so many of the longest pauses that its
+# contract allows. A connection may go silent for good without a reset, and its
+# callers leave after eight such pauses.
+STREAM_SILENCE_TARGETS = 2.0
+SILENCE_WAITS = 3.0
+SILENCE_PAUSES = 4.0
 LEAST_REMAINING_S = 0.02
 NO_ENGINE_RETRY_S = 0.3
 LEAVING_RETRY_S = 0.05
@@ -276,7 +283,8 @@
             clock=self.clock,
             remaining_s=remaining_s,
             most_idle_s=self._most_idle_s(job),
-            silence_s=self._silence_s(job, remaining_s),
+            silence_s=self._silence_s(job, choice, remaining_s),
+            event_silence_s=self._event_silence_s(job),
             tight=job.tight,
         )
         self.account.placed(job, choice, self._expected_s(job, choice))
@@ -312,14 +320,29 @@
             return float("inf")
         return self.settings.once_idle_ms / 1000
 
-    def _silence_s(self, job: Job, remaining_s: float) -> float | None:
+    def _silence_s(self, job: Job, choice: Choice, remaining_s: float) -> float | None:
         """Return how long to wait for the head of a reply, if another may try."""
-        route = job.resolution.route
-        if route.form is not AnswerForm.WHOLE or not route.repeatable:
+        if not self._may_run_again(job):
             return None
-        if job.runs + 1 >= route.max_runs:
+        route = job.resolution.route
+        limit_s = SILENCE_TARGETS * route.target_s
+        if route.form is AnswerForm.EVENTS:
+            limit_s = max(
+                STREAM_SILENCE_TARGETS * route.target_s,
+                SILENCE_WAITS * self._expected_s(job, choice),
+            )
+        return min(remaining_s * SILENCE_SHARE, limit_s)
+
+    def _event_silence_s(self, job: Job) -> float | None:
+        """Return how long to wait for the next event, if another may go on."""
+        if not self._may_run_again(job):
             return None
-        return min(remaining_s * SILENCE_SHARE, SILENCE_TARGETS * route.target_s)
+        return SILENCE_PAUSES * job.resolution.route.max_pause_s or None
+
+    def _may_run_again(self, job: Job) -> bool:
+        """Tell whether the next attempt need not be the last."""
+        runs = job.runs + 1
+        return self._is_repeatable(job) and runs < job.resolution.route.max_runs
 
     def _is_repeatable(self, job: Job) -> bool:
         route = job.resolution.route
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
@@ -289,6 +289,30 @@
     assert b"last-event-id: 2" in forward.requests[forward.addresses[1]][0]
 
 
+async def test_a_resumable_stream_goes_on_elsewhere_when_its_connection_goes_silent(
+    forward,
+):
+    """No reset tells of it: the connection stays open and brings nothing more."""
+    answer = await forward(
+        [stream(1, 2, end=False), 5.0, b""], [stream(3, 4)], form=AnswerForm.EVENTS
+    )
+    assert answer.body == event(1) + event(2) + event(3) + event(4)
+    assert answer.ended
+
+
+async def test_a_resumable_stream_that_never_begins_is_begun_elsewhere(forward):
+    answer = await forward([5.0, b""], [stream(1, 2)], form=AnswerForm.EVENTS)
+    assert answer.body == event(1) + event(2)
+
+
+async def test_a_silent_stream_that_may_not_be_resumed_is_waited_for(forward):
+    answer = await forward(
+        [0.9, stream(1, 2)], [stream(1)], form=AnswerForm.EVENTS, repeatable=False
+    )
+    assert answer.body == event(1) + event(2)
+    assert forward.arrivals() == [1, 0]
+
+
 async def test_events_that_come_again_are_left_out(forward):
     answer = await forward(
         [stream(1, 2, end=False), b""], [stream(2, 3)], form=AnswerForm.EVENTS
