Tell instances which parts were sent to which engine

Cause: an instance knew of a home only what it had sent there itself, one prompt in seven, and took the home of a part to hold it. Hypothesis: with what others sent known, first prompts count in full and spread, and work leaves an engine that is filled. Ruled out: following the engines' own cache events (late, with gaps, and a reader for each engine would have to tell the others all the same); more memory believed to be kept for parts (0.8 in place of 0.5: the same).

--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -1,6 +1,7 @@
 """One attempt at one upstream, and how it ended."""
 
 import math
+from collections.abc import Callable
 from contextlib import AbstractContextManager
 from dataclasses import dataclass
 from enum import Enum
@@ -9,7 +10,12 @@
 
 from buckthornwall.http1 import ClientConnection, ExchangeError, ExchangeFailure
 from buckthornwall.pools import Choice, UpstreamView
-from buckthornwall.routing import AnswerForm, Resolution, RoutedRequest
+from buckthornwall.routing import (
+    AnswerForm,
+    PromptShape,
+    Resolution,
+    RoutedRequest,
+)
 from buckthornwall.utils import Clock
 
 from .connections import ConnectionCache
@@ -50,6 +56,7 @@
 
     `silence_s` is how long to wait for the head of a reply, and `event_silence_s`
     for each event after it, in seconds; None is as long as the caller waits.
+    `note_prompt` is told that the prompt goes to the upstream.
     """
 
     request: RoutedRequest
@@ -62,6 +69,7 @@
     remaining_s: float
     most_idle_s: float
     silence_s: float | None
+    note_prompt: Callable[[UpstreamView, PromptShape], None]
     event_silence_s: float | None = None
     tight: bool = False
 
@@ -104,7 +112,7 @@
         """Return the result, and the reply if the connection may be kept."""
         view = self.choice.view
         if self.request.prompt is not None:
-            view.prefixes.note(self.request.prompt)
+            self.note_prompt(view, self.request.prompt)
         try:
             await connection.send(
                 self.request.method,
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -284,6 +284,7 @@
             remaining_s=remaining_s,
             most_idle_s=self._most_idle_s(job),
             silence_s=self._silence_s(job, choice, remaining_s),
+            note_prompt=self.pools.note_prompt,
             event_silence_s=self._event_silence_s(job),
             tight=job.tight,
         )
--- a/packages/buckthornwall/src/buckthornwall/peers/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/agent.py
@@ -6,6 +6,7 @@
 import trio
 
 from buckthornwall.codes import PeerError
+from buckthornwall.pools import HeldParts
 from buckthornwall.telemetry import log_event
 from buckthornwall.utils import Clock, ConfigItem, ConfigNamespace, ZoneId
 
@@ -98,6 +99,7 @@
             settings.stagger_ms / MS_PER_S,
         )
         self.on_work: Callable[[], None] = lambda: None
+        self.on_held: Callable[[HeldParts], None] = lambda held: None
         self.bytes_sent = 0
         self._digest_bytes = 0
         self._was_speaker = False
@@ -130,11 +132,11 @@
             return
         others = self.table.other_speakers().values()
         if others:
-            data = encode(self.table.make_digest(own, is_fleet=False))
+            data = encode(self.table.make_digest(own, is_fleet=False, now=now))
             for address in others:
                 await self._send(data, address)
         members = self.table.member_addresses()
-        data = encode(self.table.make_digest(own, is_fleet=True))
+        data = encode(self.table.make_digest(own, is_fleet=True, now=now))
         self._digest_bytes = len(data)
         for address in members:
             await self._send(data, address)
@@ -215,6 +217,7 @@
 
     async def _take(self, message: Beacon | Digest) -> None:
         now = self.clock.now()
+        self.on_held(message.held)
         if isinstance(message, Digest):
             self.table.hear_digest(message, now)
             if message.zone == self.table.zone and message.is_fleet:
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from buckthornwall.codes import PeerError, ResultCode
-from buckthornwall.pools import UpstreamEntry
+from buckthornwall.pools import HeldParts, UpstreamEntry
 from buckthornwall.utils import Incarnation, NodeId, UpstreamId, ZoneId
 
 __all__ = ["Beacon", "Digest", "PeerState", "PeerView", "Work", "decode", "encode"]
@@ -46,7 +46,8 @@
     configuration in force, `mark` the revision of the newest change, and
     `read_age_ms` how long ago the store last answered here, `unbroken_ms` for how
     long it has done so without an outage. `loads` names upstreams with work from
-    this instance. `greets` asks for an answer: the sender does not know its zone's
+    this instance, `held` the shared parts of prompts that it has lately sent to
+    each. `greets` asks for an answer: the sender does not know its zone's
     speaker.
     """
 
@@ -62,13 +63,15 @@
     unbroken_ms: int
     loads: dict[UpstreamId, Work]
     greets: bool = False
+    held: HeldParts = {}
 
 
 class Digest(msgspec.Struct, array_like=True, tag="d"):
     """What a speaker tells: its members all of it, other speakers its own zone.
 
     `count` is the number of instances that serve, and `loads` the sum of their
-    work: over the fleet if `is_fleet`, else over the zone. `members` gives the
+    work: over the fleet if `is_fleet`, else over the zone; `held` are the shared parts
+    of prompts that they have lately sent to each upstream. `members` gives the
     weight of each, `speakers` the speaker's address of each zone. `informed` is
     the address of the instance with the highest `number` and `mark`, and
     `read_age_ms` how long ago the store last answered any of them, and
@@ -89,6 +92,7 @@
     read_age_ms: int
     unbroken_ms: int
     loads: dict[UpstreamId, Work]
+    held: HeldParts = {}
 
 
 class PeerView(msgspec.Struct, array_like=True):
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
+from buckthornwall.pools import PrefixNews, merge_held
 from buckthornwall.pools.load import NO_PEERS, PeerLoad
 from buckthornwall.utils import UpstreamId, ZoneId
 
@@ -19,6 +20,8 @@
 
 NOTHING = Work()
 MS_PER_S = 1000.0
+# Seconds for which a speaker tells what it heard of prompts: three of its digests.
+RETOLD_S = 0.35
 
 
 def order_of(address: str, weight: float) -> tuple[float, bytes]:
@@ -65,6 +68,8 @@
         self.zones: dict[ZoneId, Heard] = {}
         self.speaker: Heard | None = None
         self.told: dict[UpstreamId, Work] = {}
+        self.zone_news = PrefixNews(RETOLD_S)
+        self.far_news = PrefixNews(RETOLD_S)
 
     # Hearing
 
@@ -77,6 +82,7 @@
             if self.speaker and self.speaker.message.address == beacon.address:
                 self.speaker.at = now - self.silence_s
             return False
+        self.zone_news.hear(beacon.held, now)
         is_new = beacon.address not in self.members
         self.members[beacon.address] = Heard(beacon, now)
         return is_new
@@ -90,6 +96,7 @@
                 digest, self.zones.get(digest.zone), now
             ):
                 self.zones[digest.zone] = Heard(digest, now)
+                self.far_news.hear(digest.held, now)
         elif self._replaces(digest, self.speaker, now):
             self.speaker = Heard(digest, now)
 
@@ -154,7 +161,7 @@
         known.pop(self.zone, None)
         return known
 
-    def make_digest(self, own: Beacon, is_fleet: bool) -> Digest:
+    def make_digest(self, own: Beacon, is_fleet: bool, now: float) -> Digest:
         """Return what this instance tells as a speaker.
 
         Parameters
@@ -163,6 +170,8 @@
             What it would tell a speaker.
         is_fleet
             Whether other zones are included, as for members.
+        now
+            The time in seconds.
         """
         parts = [own, *(heard.message for heard in self.members.values())]
         count = sum(1 for part in parts if part.state is not PeerState.JOINING)
@@ -184,8 +193,11 @@
             read_age_ms=min(part.read_age_ms for part in parts),
             unbroken_ms=max(part.unbroken_ms for part in parts),
             loads=loads,
+            held=dict(own.held),
         )
+        merge_held(digest.held, self.zone_news.told(now))
         if is_fleet:
+            merge_held(digest.held, self.far_news.told(now))
             for heard in self.zones.values():
                 _include(digest, heard.message)
         return digest
@@ -195,7 +207,7 @@
     def whole(self, own: Beacon, now: float) -> Digest:
         """Return the digest of the fleet as it is known here."""
         if self.is_speaker(now):
-            return self.make_digest(own, is_fleet=True)
+            return self.make_digest(own, is_fleet=True, now=now)
         return self.speaker.message
 
     def others_work(self, own: Beacon, now: float) -> dict[UpstreamId, PeerLoad]:
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
@@ -51,7 +51,7 @@
 
 def test_messages_come_back_as_they_were_sent():
     sent = beacon(FIRST, {ENGINE: Work(3, {5: 900}, 0)})
-    digest = table(FIRST).make_digest(sent, is_fleet=True)
+    digest = table(FIRST).make_digest(sent, is_fleet=True, now=0.0)
     entry = UpstreamEntry(
         ENGINE, PoolId("p"), "10.0.0.1:80", ZoneId("z"), 4, UpstreamState.LEAVING
     )
@@ -74,16 +74,16 @@
     first, second = table(FIRST), table(SECOND)
     assert first.is_speaker(0.0)
     assert second.is_speaker(0.0)
-    second.hear_digest(first.make_digest(beacon(FIRST), True), 0.0)
-    first.hear_digest(second.make_digest(beacon(SECOND), True), 0.0)
+    second.hear_digest(first.make_digest(beacon(FIRST), True, now=0.0), 0.0)
+    first.hear_digest(second.make_digest(beacon(SECOND), True, now=0.0), 0.0)
     assert first.is_speaker(0.1)
     assert second.speaker_address(0.1) == FIRST
 
 
 def test_who_can_carry_most_speaks():
     light, heavy = table(FIRST), table(SECOND, weight=200.0)
-    heavy.hear_digest(light.make_digest(beacon(FIRST), True), 0.0)
-    light.hear_digest(heavy.make_digest(beacon(SECOND), True), 0.0)
+    heavy.hear_digest(light.make_digest(beacon(FIRST), True, now=0.0), 0.0)
+    light.hear_digest(heavy.make_digest(beacon(SECOND), True, now=0.0), 0.0)
     assert heavy.is_speaker(0.1)
     assert light.speaker_address(0.1) == SECOND
 
@@ -92,7 +92,7 @@
     first, second, third = table(FIRST), table(SECOND), table(THIRD)
     first.hear_beacon(beacon(SECOND), 0.0)
     first.hear_beacon(beacon(THIRD), 0.0)
-    digest = first.make_digest(beacon(FIRST), True)
+    digest = first.make_digest(beacon(FIRST), True, now=0.0)
     second.hear_digest(digest, 0.0)
     third.hear_digest(digest, 0.0)
     just_silent = SILENCE_S + STAGGER_S / 2
@@ -103,8 +103,8 @@
 
 def test_a_lower_speaker_does_not_replace_a_higher_one_that_is_live():
     third = table(THIRD)
-    third.hear_digest(table(FIRST).make_digest(beacon(FIRST), True), 0.0)
-    third.hear_digest(table(SECOND).make_digest(beacon(SECOND), True), 0.1)
+    third.hear_digest(table(FIRST).make_digest(beacon(FIRST), True, now=0.0), 0.0)
+    third.hear_digest(table(SECOND).make_digest(beacon(SECOND), True, now=0.0), 0.1)
     assert third.speaker_address(0.2) == FIRST
 
 
@@ -113,7 +113,9 @@
     first.hear_beacon(beacon(SECOND, {ENGINE: Work(2, {0: 100, 5: 50}, 0)}), 0.0)
     first.hear_beacon(beacon(THIRD, {ENGINE: Work(1, {5: 25}, 0)}), 0.5)
     own = beacon(FIRST, {ENGINE: Work(4, {5: 5}, 0)})
-    assert first.make_digest(own, False).loads[ENGINE] == Work(7, {0: 100, 5: 80}, 0)
+    assert first.make_digest(own, False, now=0.0).loads[ENGINE] == Work(
+        7, {0: 100, 5: 80}, 0
+    )
     others = first.others_work(own, 0.6)[ENGINE]
     assert (others.requests, others.unread) == (3, {0: 100, 5: 75})
     assert first.expire(1.0) == [SECOND]
@@ -124,7 +126,7 @@
     first = table(FIRST)
     first.hear_beacon(beacon(SECOND, {ENGINE: Work(1, {5: 9}, 0, {5: 700}, 90)}), 0.0)
     own = beacon(FIRST, {ENGINE: Work(1, {5: 9}, 0, {2: 40, 5: 300}, 50)})
-    told = first.make_digest(own, True).loads[ENGINE]
+    told = first.make_digest(own, True, now=0.0).loads[ENGINE]
     assert (told.oldest_ms, told.memory) == ({2: 40, 5: 700}, 140)
     others = first.others_work(own, 0.1)[ENGINE]
     assert (others.oldest_s, others.memory) == ({2: 0.04, 5: 0.7}, 90)
@@ -136,7 +138,7 @@
     first.hear_beacon(told, 0.0)
     second.told = told.loads
     second.hear_digest(
-        first.make_digest(beacon(FIRST, {ENGINE: Work(1, {}, 0)}), True), 0.0
+        first.make_digest(beacon(FIRST, {ENGINE: Work(1, {}, 0)}), True, now=0.0), 0.0
     )
     others = second.others_work(beacon(SECOND), 0.1)[ENGINE]
     assert (others.requests, others.unread) == (1, {})
@@ -146,14 +148,14 @@
     first = table(FIRST)
     far = table("10.1.0.1:7340", "far")
     zone_digest = far.make_digest(
-        beacon(far.address, {ENGINE: Work(5, {}, 0)}, "far"), False
+        beacon(far.address, {ENGINE: Work(5, {}, 0)}, "far"), False, now=0.0
     )
     fleet_digest = far.make_digest(
-        beacon(far.address, {ENGINE: Work(9, {}, 0)}, "far"), True
+        beacon(far.address, {ENGINE: Work(9, {}, 0)}, "far"), True, now=0.0
     )
     for digest in (zone_digest, fleet_digest, zone_digest):
         first.hear_digest(digest, 0.0)
-    whole = first.make_digest(beacon(FIRST), True)
+    whole = first.make_digest(beacon(FIRST), True, now=0.0)
     assert whole.loads[ENGINE].requests == 5
     assert whole.count == 2
     assert whole.speakers == {"z": FIRST, "far": far.address}
@@ -162,7 +164,7 @@
 def test_who_knows_most_is_named():
     first = table(FIRST)
     first.hear_beacon(beacon(SECOND, number=3, mark=9), 0.0)
-    digest = first.make_digest(beacon(FIRST, number=2, mark=20), True)
+    digest = first.make_digest(beacon(FIRST, number=2, mark=20), True, now=0.0)
     assert (digest.informed, digest.number) == (SECOND, 3)
 
 
@@ -170,25 +172,27 @@
     first = table(FIRST)
     first.hear_beacon(beacon(SECOND, unbroken_ms=700), 0.0)
     far = table("10.1.0.1:7340", "far")
-    told = far.make_digest(beacon(far.address, zone="far", unbroken_ms=9000), False)
-    assert first.make_digest(beacon(FIRST), True).unbroken_ms == 700
+    told = far.make_digest(
+        beacon(far.address, zone="far", unbroken_ms=9000), False, now=0.0
+    )
+    assert first.make_digest(beacon(FIRST), True, now=0.0).unbroken_ms == 700
     first.hear_digest(told, 0.0)
-    assert first.make_digest(beacon(FIRST), True).unbroken_ms == 9000
+    assert first.make_digest(beacon(FIRST), True, now=0.0).unbroken_ms == 9000
 
 
 def test_who_leaves_no_longer_counts_and_who_joins_not_yet():
     first = table(FIRST)
     first.hear_beacon(beacon(SECOND), 0.0)
     first.hear_beacon(beacon(THIRD, state=PeerState.JOINING), 0.0)
-    assert first.make_digest(beacon(FIRST), True).count == 2
+    assert first.make_digest(beacon(FIRST), True, now=0.0).count == 2
     first.hear_beacon(beacon(SECOND, state=PeerState.LEAVING), 0.1)
-    assert first.make_digest(beacon(FIRST), True).count == 1
+    assert first.make_digest(beacon(FIRST), True, now=0.0).count == 1
     assert first.member_addresses() == [THIRD]
 
 
 def test_a_speaker_that_leaves_is_followed_at_once():
     first, second = table(FIRST), table(SECOND)
-    second.hear_digest(first.make_digest(beacon(FIRST), True), 0.0)
+    second.hear_digest(first.make_digest(beacon(FIRST), True, now=0.0), 0.0)
     second.hear_beacon(beacon(FIRST, state=PeerState.LEAVING), 0.1)
     assert second.is_speaker(0.11)
 
@@ -197,10 +201,31 @@
     first = table(FIRST)
     far = table("10.1.0.1:7340", "far")
     digest = far.make_digest(
-        beacon(far.address, {ENGINE: Work(5, {}, 0)}, "far"), False
+        beacon(far.address, {ENGINE: Work(5, {}, 0)}, "far"), False, now=0.0
     )
     first.hear_digest(digest, 0.0)
-    pointer = far.make_digest(beacon(far.address, {}, "far"), False)
+    pointer = far.make_digest(beacon(far.address, {}, "far"), False, now=0.0)
     pointer.count = 0
     first.hear_digest(pointer, 0.1)
-    assert first.make_digest(beacon(FIRST), True).loads[ENGINE].requests == 5
+    assert first.make_digest(beacon(FIRST), True, now=0.0).loads[ENGINE].requests == 5
+
+
+def test_parts_that_were_sent_to_an_engine_are_told_through_the_speaker():
+    """Most prompts reach an engine that others sent their shared part to."""
+    first = table(FIRST)
+    own = beacon(SECOND)
+    own.held = {ENGINE: [("s", 4000)]}
+    first.hear_beacon(own, 0.0)
+    mine = beacon(FIRST)
+    mine.held = {ENGINE: [("t", 900)]}
+    zone_only = first.make_digest(mine, is_fleet=False, now=0.0)
+    assert sorted(zone_only.held[ENGINE]) == [("s", 4000), ("t", 900)]
+
+
+def test_parts_told_by_another_zone_reach_the_own_and_do_not_go_back():
+    first, far = table(FIRST), PeerTable("10.0.0.9:1", 1.0, "far", 0.8, 0.1)
+    theirs = beacon(far.address, zone="far")
+    theirs.held = {ENGINE: [("s", 4000)]}
+    first.hear_digest(far.make_digest(theirs, is_fleet=False, now=0.0), 0.0)
+    assert first.make_digest(beacon(FIRST), True, 0.0).held == theirs.held
+    assert first.make_digest(beacon(FIRST), False, 0.0).held == {}
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -5,6 +5,7 @@
 `load`        how much work lies at an upstream, as far as is known here
 `waits`       how long requests there have waited for their first token
 `prefixes`    which shared parts of prompts an engine is likely to hold
+`prefix_news` what instances tell each other of that
 `health`      which upstreams fail requests, whatever their health check says
 `view`        all of these for one upstream
 `table`       the views by upstream; adopts registrations
@@ -17,15 +18,18 @@
 from .health import Verdict
 from .load import LoadReport
 from .placement import Choice, PlacementRequest, choose_engine, choose_service
+from .prefix_news import HeldParts, PrefixNews, merge_held
 from .quiet import is_tight
 from .table import PoolTable
 from .view import UpstreamView
 
 __all__ = [
     "Choice",
+    "HeldParts",
     "LoadReport",
     "PlacementRequest",
     "PoolTable",
+    "PrefixNews",
     "UpstreamEntry",
     "UpstreamState",
     "UpstreamView",
@@ -33,4 +37,5 @@
     "choose_engine",
     "choose_service",
     "is_tight",
+    "merge_held",
 ]
--- a/packages/buckthornwall/src/buckthornwall/pools/placement.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/placement.py
@@ -108,10 +108,9 @@
 ) -> Choice | None:
     """Return the engine with the least work for a prompt, or None without any.
 
-    Each shared part has a home, the same on every instance without a message:
-    it is taken to hold the part even if nothing was sent there from here, so
+    Each shared part has a home, the same on every instance without a message, so
     that one engine reads it and the others need not. Besides its homes a prompt
-    is compared at a few engines of its own draw.
+    is compared at the engine that holds most of it, and at a few of its own draw.
 
     Parameters
     ----------
@@ -126,9 +125,10 @@
         return None
     by_id = {view.id: view for view in views}
     homes = rendezvous_order(wanted.prompt.shared_key, by_id)
+    holder = max(views, key=lambda view: view.prefixes.held(wanted.prompt))
     offers = [
         _offer(by_id[name], wanted, place, now)
-        for place, name in _compared(homes, wanted.spread_key)
+        for place, name in _compared(homes, holder.id, wanted.spread_key)
     ]
     best = min(offers, key=lambda offer: offer.cost)
     load = best.view.load
@@ -143,10 +143,10 @@
     )
 
 
-def _compared(homes: list[str], spread_key: str) -> list[tuple[int, str]]:
+def _compared(homes: list[str], holder: str, spread_key: str) -> list[tuple[int, str]]:
     """Return the engines to compare, each with its place in the order of homes."""
     drawn = rendezvous_order(spread_key, homes[HOMES:])[:DRAWN]
-    chosen = {*homes[:HOMES], *drawn}
+    chosen = {*homes[:HOMES], holder, *drawn}
     return [(place, name) for place, name in enumerate(homes) if name in chosen]
 
 
@@ -156,8 +156,6 @@
     prompt = wanted.prompt
     shared = sum(part.tokens for part in prompt.parts[:-1])
     held = view.prefixes.held(prompt)
-    if place == 0:
-        held = max(held, shared)
     fresh = max(0, prompt.prompt_tokens - held)
     missing = max(0, shared - held)
     weight = min(MOST_WEIGHT, 1 + WEIGHT_STEP * place)
--- a/packages/buckthornwall/src/buckthornwall/pools/prefixes.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/prefixes.py
@@ -5,6 +5,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Iterable
 
 from buckthornwall.routing import PromptShape
 
@@ -49,12 +50,16 @@
 
     def note(self, prompt: PromptShape) -> None:
         """Take it that the prompt is read there now."""
-        for part in prompt.parts:
-            if part.id in self._parts:
-                self._parts.move_to_end(part.id)
+        self.hear((part.id, part.tokens) for part in prompt.parts)
+
+    def hear(self, parts: Iterable[tuple[str, int]]) -> None:
+        """Take it that parts are read there now, each by id and tokens."""
+        for part, tokens in parts:
+            if part in self._parts:
+                self._parts.move_to_end(part)
             else:
-                self._parts[part.id] = part.tokens
-                self.held_tokens += part.tokens
+                self._parts[part] = tokens
+                self.held_tokens += tokens
         while self.held_tokens > self.capacity_tokens and self._parts:
             _, tokens = self._parts.popitem(last=False)
             self.held_tokens -= tokens
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Iterable
 
-from buckthornwall.routing import Pool, PoolId
+from buckthornwall.routing import Pool, PoolId, PromptShape
 from buckthornwall.telemetry import log_event
 from buckthornwall.utils import Clock, UpstreamId
 
 from .entry import UpstreamEntry, UpstreamState
 from .health import Verdict
 from .pace import Pace
+from .prefix_news import HeldParts, PrefixNews
 from .quiet import QuietEngines
 from .view import UpstreamView
 
@@ -30,6 +31,7 @@
         self._members: dict[PoolId, dict[UpstreamId, UpstreamView]] = {}
         self._paces: dict[PoolId, Pace] = {}
         self._quiet: dict[PoolId, QuietEngines] = {}
+        self.news = PrefixNews()
 
     def adopt(self, entry: UpstreamEntry) -> bool:
         """Take a registration, new or changed.
@@ -78,6 +80,19 @@
             self._members[view.entry.pool].pop(upstream, None)
             log_event("upstream_gone", upstream=upstream, pool=view.entry.pool)
 
+    def note_prompt(self, view: UpstreamView, prompt: PromptShape) -> None:
+        """Take it that a prompt goes to an engine, and tell others of its parts."""
+        view.prefixes.note(prompt)
+        shared = [(part.id, part.tokens) for part in prompt.parts[:-1]]
+        self.news.note(view.id, shared, self.clock.now())
+
+    def hear_held(self, held: HeldParts) -> None:
+        """Take which parts other instances sent to engines."""
+        for upstream, parts in held.items():
+            view = self.views.get(upstream)
+            if view is not None:
+                view.prefixes.hear(parts)
+
     def members(self, pool: PoolId) -> Iterable[UpstreamView]:
         """Return every registered upstream of a pool."""
         return self._members.get(pool, {}).values()
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -119,6 +119,7 @@
         self.discovery.on_restart = self.forwarder.connections.abandon
         self.discovery.on_call = self._count_store_call
         self.peer_agent.on_work = self._work_told
+        self.peer_agent.on_held = self.pools.hear_held
 
     @classmethod
     def from_config(cls, settings: RouterSettings) -> "Router":
@@ -233,6 +234,7 @@
             self._read_age_ms(),
             int(self.discovery.unbroken_s() * 1000),
             loads,
+            held=self.pools.news.told(now),
         )
 
     def _read_age_ms(self) -> int:
