Copy missing parts from the engine that holds them

Hypothesis: a prompt that leaves the engine holding its shared part need not read it again; the copy takes a quarter of the time. Change: the engine chosen is told which one holds more of the prompt by 500 tokens or more.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/account.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/account.py
@@ -83,6 +83,7 @@
             resumes_after=job.delivery.joiner.last_id,
             rank=job.resolution.rank,
             fresh_tokens=choice.fresh_tokens,
+            copy_from=choice.copy_from,
             unread_before=view.load.unread_before(job.resolution.rank),
             oldest_ms=round(choice.oldest_s * 1000),
             expected_ms=round(expected_s * 1000),
--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -138,6 +138,7 @@
             rank=self.resolution.rank,
             remaining_s=self.remaining_s,
             resume_after=self.delivery.joiner.last_id,
+            copy_from=self.choice.copy_from,
         )
 
     async def _own_reply(self, connection: ClientConnection) -> Reply:
--- a/packages/buckthornwall/src/buckthornwall/forwarding/reply.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/reply.py
@@ -39,13 +39,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Sending:
-    """What the system adds to a request for one attempt."""
+    """What the system adds to a request for one attempt.
+
+    `copy_from` is the address of an engine that holds parts of the prompt, from
+    which the upstream may copy them in place of reading them; '' for none.
+    """
 
     upstream: UpstreamEntry
     team: TeamId
     rank: int
     remaining_s: float
     resume_after: str = ""
+    copy_from: str = ""
 
 
 class WireCodec(Protocol):
--- a/packages/buckthornwall/src/buckthornwall/platform/codec.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/codec.py
@@ -115,6 +115,8 @@
         if request.prompt is not None:
             priority = min(sending.rank, LOWEST_PRIORITY)
             headers.append((names.PRIORITY, b"%d" % priority))
+        if sending.copy_from:
+            headers.append((names.COPY_FROM, sending.copy_from.encode("latin-1")))
         if sending.resume_after:
             headers.append(
                 (names.LAST_EVENT_ID, sending.resume_after.encode("latin-1"))
--- a/packages/buckthornwall/src/buckthornwall/platform/names.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/names.py
@@ -22,6 +22,8 @@
 LOAD = PREFIX + b"engine-load"
 INSTANCE = PREFIX + b"instance-id"
 LAST_EVENT_ID = b"last-event-id"
+# IP:port of an engine from which the parts that are missing are copied.
+COPY_FROM = b"kv-fetch"
 
 # What only the system may ask of an upstream; a caller's are dropped.
 SYSTEM_ONLY = frozenset(
@@ -36,7 +38,7 @@
         PREFIX + b"pin-ms",
         PREFIX + b"kv-backup",
         b"kv-from",
-        b"kv-fetch",
+        COPY_FROM,
         LAST_EVENT_ID,
     }
 )
--- a/packages/buckthornwall/src/buckthornwall/pools/placement.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/placement.py
@@ -44,6 +44,9 @@
 FULL_TOKENS = 20_000.0
 # What is read later than this request counts for those behind it.
 BEHIND_WEIGHT = 0.2
+# Fewer missing tokens are read as quickly as they are copied: a copy takes about
+# 3 ms to begin, and its tokens a quarter of the time of reading them.
+LEAST_COPIED_TOKENS = 500
 # The way to another zone and back, as prompt tokens.
 ZONE_TOKENS = 60.0
 # An engine that is still warming up, as prompt tokens a second left.
@@ -79,7 +82,8 @@
 
     `fresh_tokens` is what it has to read of the prompt; `wait_s` the time
     until the first token by the counts alone, reading included; `oldest_s` how
-    long the oldest request that goes before it has waited already.
+    long the oldest request that goes before it has waited already. `copy_from` is
+    the address of an engine that is likely to hold more of the prompt, or ''.
     """
 
     view: UpstreamView
@@ -87,6 +91,7 @@
     wait_s: float
     busy_share: float
     oldest_s: float = 0.0
+    copy_from: str = ""
 
     @property
     def own_s(self) -> float:
@@ -140,9 +145,19 @@
         wait_s,
         _busy_share(best.view, now),
         load.oldest_before_s(wanted.rank, now),
+        _copy_from(best, views, wanted.prompt),
     )
 
 
+def _copy_from(best: _Offer, views: list[UpstreamView], prompt: PromptShape) -> str:
+    """Return where the engine chosen may copy shared parts from, or ''."""
+    held = {view.id: view.prefixes.held(prompt) for view in views}
+    donor = max(views, key=lambda view: held[view.id])
+    if held[donor.id] - held[best.view.id] < LEAST_COPIED_TOKENS:
+        return ""
+    return donor.entry.address
+
+
 def _compared(homes: list[str], holder: str, spread_key: str) -> list[tuple[int, str]]:
     """Return the engines to compare, each with its place in the order of homes."""
     drawn = rendezvous_order(spread_key, homes[HOMES:])[:DRAWN]
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_pools.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_pools.py
@@ -97,6 +97,18 @@
     assert choose(table, clock, prompt(shared_tokens=40_000)).view is holder
 
 
+def test_what_is_missing_is_copied_from_who_holds_it(table, clock):
+    home = choose(table, clock, prompt()).view
+    table.hear_held({home.id: [("s", 4000)]})
+    assert choose(table, clock, prompt()).copy_from == ""
+    home.load.add_unread(5, 100_000)
+    choice = choose(table, clock, prompt())
+    assert choice.view is not home
+    assert choice.copy_from == home.entry.address
+    choice.view.prefixes.note(prompt())
+    assert choose(table, clock, prompt()).copy_from == ""
+
+
 def test_a_crowded_home_is_left(table, clock):
     home = choose(table, clock, prompt()).view
     home.load.add_unread(5, 100_000)
