Learn how long engines' steps take; open kept engines at the cost of the harm

Cause: which streams are pause-sensitive, and how many engines they fill, followed from constants of earlier engines (35 ms a step beside reading). On engines that hold four tokens in an event and read 64 tokens a ms a step beside long prompts takes 50 ms, by what their streams show: four of them break a pause of 0.2 s. Change: a model of each pool's engines, learned from the gaps of every stream (quiet steps, steps beside reading, their upper tenth) and from first tokens (tokens a second), takes the place of TOKENS_PER_MS, STEP_WHILE_READING_MS, MEAN_STEP_WHILE_READING_MS, READING_SLOWDOWN, EXCLUSIVE_SHARE and AVOIDED_TOKENS. One engine is kept from the first such stream on, filled to 0.4. A prompt may go to an engine kept if the pause predicted there stays in bounds, else at the cost of 0.3 of its own target for each stream.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from buckthornwall.engine_model import EngineModel
 from buckthornwall.http1 import ClientConnection, ExchangeError, ExchangeFailure
 from buckthornwall.pools import Choice, UpstreamView
 from buckthornwall.routing import (
@@ -56,7 +57,8 @@
 
     `silence_s` is how long to wait for the head of a reply, and `event_silence_s`
     for each event after it, in seconds; None is as long as the caller waits.
-    `note_prompt` is told that the prompt goes to the upstream.
+    `note_prompt` is told that the prompt goes to the upstream, and `model` what the
+    stream shows of its speed.
     """
 
     request: RoutedRequest
@@ -70,6 +72,7 @@
     most_idle_s: float
     silence_s: float | None
     note_prompt: Callable[[UpstreamView, PromptShape], None]
+    model: EngineModel
     event_silence_s: float | None = None
     tight: bool = False
 
@@ -182,12 +185,19 @@
         self, connection: ClientConnection, reply: Reply, unread: "_Unread"
     ) -> None:
         view = self.choice.view
+        watch = _StepWatch(view, self.model, self._tokens_per_event(), self.tight)
         while data := await self._next_data(connection):
             view.heard_at = self.clock.now()
-            if await self.delivery.events(reply, data):
+            events = await self.delivery.events(reply, data)
+            if events:
                 unread.clear(is_served=True)
+                watch.note(events, view.heard_at)
         await self.delivery.end(reply)
 
+    def _tokens_per_event(self) -> int:
+        engine = self.resolution.pool.engine
+        return engine.tokens_per_event if engine is not None else 0
+
     async def _next_data(self, connection: ClientConnection) -> bytes:
         with _limit(self.event_silence_s):
             return await connection.receive_data()
@@ -198,6 +208,34 @@
     return trio.fail_after(math.inf if seconds is None else seconds)
 
 
+class _StepWatch:
+    """Shows a model of engines the times between a stream's events."""
+
+    def __init__(
+        self,
+        view: UpstreamView,
+        model: EngineModel,
+        tokens_per_event: int,
+        is_apart: bool,
+    ) -> None:
+        self.view = view
+        self.model = model
+        self.tokens_per_event = tokens_per_event
+        self.is_apart = is_apart
+        self._last_at: float | None = None
+        self._was_idle = False
+
+    def note(self, events: int, now: float) -> None:
+        """Take events that came together at `now`."""
+        is_idle = not self.view.load.unread_all()
+        if self._last_at is not None and events == 1:
+            gap_s = now - self._last_at
+            was_idle = is_idle and self._was_idle
+            self.model.note_gap(gap_s, self.tokens_per_event, was_idle, self.is_apart)
+        self._last_at = now
+        self._was_idle = is_idle
+
+
 class _Unread:
     """A prompt that counts at an upstream until its first token comes."""
 
--- a/packages/buckthornwall/src/buckthornwall/forwarding/delivery.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/delivery.py
@@ -47,18 +47,19 @@
         await self.answer.whole(reply.status, reply.headers, body)
         self.done = True
 
-    async def events(self, reply: Reply, data: bytes) -> bool:
-        """Deliver the events that `data` completes; tell whether any did."""
+    async def events(self, reply: Reply, data: bytes) -> int:
+        """Deliver the events that `data` completes; return how many did."""
+        before = self.joiner.events
         events = self.joiner.take(data)
         if not events:
-            return False
+            return 0
         self._note_time()
         if self.answer.started:
             await self.answer.send(events)
         else:
             self.status = reply.status
             await self.answer.begin(reply.status, reply.headers, events)
-        return True
+        return self.joiner.events - before
 
     async def end(self, reply: Reply) -> None:
         """Deliver the end of a whole stream."""
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -10,7 +10,6 @@
     Choice,
     PlacementRequest,
     PoolTable,
-    UpstreamView,
     Verdict,
     choose_engine,
     choose_service,
@@ -29,7 +28,6 @@
     Clock,
     ConfigItem,
     ConfigNamespace,
-    UpstreamId,
     ZoneId,
 )
 
@@ -147,12 +145,13 @@
         patience_s = route.timeout_s
         if request.patience_s is not None:
             patience_s = min(patience_s, request.patience_s)
+        model = self.pools.model(resolution.pool.id)
         job = Job(
             request,
             resolution,
             Delivery(answer, self.clock, request.resume_after),
             request.received_at + patience_s,
-            is_tight(route, resolution.pool, request.prompt),
+            is_tight(route, resolution.pool, request.prompt, model),
         )
         try:
             await self._answer(job, answer)
@@ -208,40 +207,28 @@
         views = self.pools.usable(job.resolution.pool.id, job.tried)
         if job.request.prompt is None:
             return choose_service(views, self.zone, now)
-        views, avoided = self._fitting(job, views, now)
-        rank = job.resolution.rank
-        pace = self.pools.pace(job.resolution.pool.id)
-        target_s = job.resolution.route.target_s
+        resolution = job.resolution
+        route = resolution.route
+        quiet = self.pools.quiet(resolution.pool.id)
+        split = quiet.split(views, now, route if job.tight else None)
+        if job.tight:
+            views = split.with_a_free_slot(now) or views
+        rank = resolution.rank
+        pace = self.pools.pace(resolution.pool.id)
         wanted = PlacementRequest(
             prompt=job.request.prompt,
             rank=rank,
             zone=self.zone,
-            free_wait_s=FREE_TARGET_SHARE * target_s / pace.factor(rank),
+            free_wait_s=FREE_TARGET_SHARE * route.target_s / pace.factor(rank),
+            target_s=route.target_s,
             spread_key=job.request.id,
-            avoided=avoided,
+            model=self.pools.model(resolution.pool.id),
+            kept=frozenset() if job.tight else split.kept_ids,
+            tokens_per_event=resolution.pool.engine.tokens_per_event,
+            most_pause_s=quiet.most_pause_s,
         )
         return choose_engine(views, wanted, now)
 
-    def _fitting(
-        self, job: Job, views: list[UpstreamView], now: float
-    ) -> tuple[list[UpstreamView], frozenset[UpstreamId]]:
-        """Keep tight streams and long prompts apart, where a pool has both.
-
-        Returns the engines that a request may go to, and those of them that are
-        better left to others.
-        """
-        split = self.pools.quiet(job.resolution.pool.id).split(views, now)
-        if job.tight:
-            free = [
-                view
-                for view in split.kept
-                if view.load.in_flight(now) < view.entry.slots
-            ]
-            return free or views, frozenset()
-        if split.is_exclusive:
-            return split.others or views, frozenset()
-        return views, frozenset(view.id for view in split.kept)
-
     def _expected_s(self, job: Job, choice: Choice) -> float:
         """Return how long the first token is expected to take, in seconds.
 
@@ -285,6 +272,7 @@
             most_idle_s=self._most_idle_s(job),
             silence_s=self._silence_s(job, choice, remaining_s),
             note_prompt=self.pools.note_prompt,
+            model=self.pools.model(job.resolution.pool.id),
             event_silence_s=self._event_silence_s(job),
             tight=job.tight,
         )
@@ -308,8 +296,11 @@
         if job.request.prompt is None or first_at is None:
             return
         if first_at >= sent_at:  # else an earlier attempt brought the first event
-            pace = self.pools.pace(job.resolution.pool.id)
-            pace.note(job.resolution.rank, choice.wait_s, first_at - sent_at)
+            pool = job.resolution.pool.id
+            seen_s = first_at - sent_at
+            self.pools.pace(pool).note(job.resolution.rank, choice.wait_s, seen_s)
+            if choice.is_first and not choice.copy_from:
+                self.pools.model(pool).note_first(choice.fresh_tokens, seen_s)
 
     def _most_idle_s(self, job: Job) -> float:
         """Return how long a connection may have been idle for this request.
--- a/packages/buckthornwall/src/buckthornwall/pools/placement.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/placement.py
@@ -1,23 +1,23 @@
 """The choice of an upstream for a request: state in, choice out."""
 
+import math
+from collections.abc import Iterable
 from dataclasses import dataclass
 
+from buckthornwall.engine_model import EngineModel
 from buckthornwall.routing import PromptShape
 from buckthornwall.utils import UpstreamId, ZoneId, rendezvous_order
 
+from .quiet import SAFE_PAUSE_SHARE
 from .view import UpstreamView
 
 __all__ = [
-    "TOKENS_PER_MS",
     "Choice",
     "PlacementRequest",
     "choose_engine",
     "choose_service",
 ]
 
-# Prompt tokens that a model engine reads in a millisecond. A guess to start
-# from: `Pace` corrects what follows from it.
-TOKENS_PER_MS = 50.0
 # A missing shared token counts the more often the later its engine stands in
 # the hash order of the part. So what leaves the first home goes to the same
 # second one from every instance, and a hot part spreads no further than it must.
@@ -51,8 +51,11 @@
 ZONE_TOKENS = 60.0
 # An engine that is still warming up, as prompt tokens a second left.
 COLD_TOKENS_PER_S = 4_000.0
-# An engine that is better left to others, as prompt tokens.
-AVOIDED_TOKENS = 10_000.0
+# A prompt that would stretch the pauses of tight streams too far counts, for each of
+# them, as a wait of this part of its own target: little where few are there, more than
+# any wait where many are. With the engines kept shut to all prompts that harm at all,
+# days of high load on five and nine engines lost 0.05 and 0.03 of their worth.
+HARM_TARGET_SHARE = 0.3
 # The same for a plain service, as shares of its slots.
 SERVICE_ZONE_SHARE = 0.1
 SERVICE_COLD_SHARE = 1.0
@@ -64,16 +67,21 @@
 
     `rank` is its place in the order of urgency, `zone` that of this instance, and
     `free_wait_s` a wait that leaves its target well in reach. `spread_key` draws
-    the engines that it is compared at besides its homes. `avoided` are better
-    left to other requests.
+    the engines that it is compared at besides its homes. `model` tells how quickly
+    the pool's engines read and generate, and `kept` which of them hold streams
+    whose events of `tokens_per_event` tokens may not wait for `most_pause_s`.
     """
 
     prompt: PromptShape
     rank: int
     zone: ZoneId
     free_wait_s: float
+    target_s: float
     spread_key: str
-    avoided: frozenset[UpstreamId] = frozenset()
+    model: EngineModel
+    kept: frozenset[UpstreamId] = frozenset()
+    tokens_per_event: int = 1
+    most_pause_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,22 +89,21 @@
     """An upstream, and what is expected there.
 
     `fresh_tokens` is what it has to read of the prompt; `wait_s` the time
-    until the first token by the counts alone, reading included; `oldest_s` how
-    long the oldest request that goes before it has waited already. `copy_from` is
-    the address of an engine that is likely to hold more of the prompt, or ''.
+    until the first token by the counts alone, of which `own_s` is its own
+    reading; `oldest_s` how long the oldest request that goes before it has waited
+    already. `copy_from` is the address of an engine that is likely to hold more of
+    the prompt, or ''.
+    `is_first` tells that no other prompt is known to wait there.
     """
 
     view: UpstreamView
     fresh_tokens: int
     wait_s: float
+    own_s: float
     busy_share: float
     oldest_s: float = 0.0
     copy_from: str = ""
-
-    @property
-    def own_s(self) -> float:
-        """How long its own prompt takes to be read, in seconds."""
-        return self.fresh_tokens / TOKENS_PER_MS / 1000
+    is_first: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,7 +136,7 @@
     if not views:
         return None
     by_id = {view.id: view for view in views}
-    homes = rendezvous_order(wanted.prompt.shared_key, by_id)
+    homes = _homes(by_id, wanted)
     holder = max(views, key=lambda view: view.prefixes.held(wanted.prompt))
     offers = [
         _offer(by_id[name], wanted, place, now)
@@ -137,18 +144,25 @@
     ]
     best = min(offers, key=lambda offer: offer.cost)
     load = best.view.load
-    tokens = best.fresh_tokens + load.unread_before(wanted.rank)
-    wait_s = tokens / TOKENS_PER_MS / 1000
+    own_s = wanted.model.read_s(best.fresh_tokens)
     return Choice(
         best.view,
         best.fresh_tokens,
-        wait_s,
+        own_s + wanted.model.read_s(load.unread_before(wanted.rank)),
+        own_s,
         _busy_share(best.view, now),
         load.oldest_before_s(wanted.rank, now),
         _copy_from(best, views, wanted.prompt),
+        not load.unread_all(),
     )
 
 
+def _homes(by_id: Iterable[UpstreamId], wanted: PlacementRequest) -> list[UpstreamId]:
+    """Return the engines in the order of homes of a prompt, those kept last."""
+    order = rendezvous_order(wanted.prompt.shared_key, by_id)
+    return sorted(order, key=lambda name: name in wanted.kept)
+
+
 def _copy_from(best: _Offer, views: list[UpstreamView], prompt: PromptShape) -> str:
     """Return where the engine chosen may copy shared parts from, or ''."""
     held = {view.id: view.prefixes.held(prompt) for view in views}
@@ -174,7 +188,7 @@
     fresh = max(0, prompt.prompt_tokens - held)
     missing = max(0, shared - held)
     weight = min(MOST_WEIGHT, 1 + WEIGHT_STEP * place)
-    free_tokens = wanted.free_wait_s * 1000 * TOKENS_PER_MS
+    free_tokens = wanted.free_wait_s * wanted.model.tokens_per_s
     ahead = _ahead(view, wanted.rank, now)
     if _is_full(view, prompt):
         ahead += FULL_TOKENS
@@ -182,11 +196,22 @@
     cost = fresh + (weight - 1) * missing + ahead
     if view.entry.zone != wanted.zone:
         cost += ZONE_TOKENS
-    if view.id in wanted.avoided:
-        cost += AVOIDED_TOKENS
+    if view.id in wanted.kept:
+        cost += _harm(view, wanted, fresh)
     return _Offer(cost, view, fresh)
 
 
+def _harm(view: UpstreamView, wanted: PlacementRequest, fresh: int) -> float:
+    """Return what a prompt does to tight streams of an engine, in prompt tokens."""
+    unread = view.load.unread_all() + fresh
+    pause_s = wanted.model.pause_s(wanted.tokens_per_event, unread)
+    if pause_s <= SAFE_PAUSE_SHARE * wanted.most_pause_s:
+        return 0.0
+    streams = max(1, view.load.tight_all())
+    wait_s = HARM_TARGET_SHARE * wanted.target_s * streams
+    return wait_s * wanted.model.tokens_per_s
+
+
 def _is_full(view: UpstreamView, prompt: PromptShape) -> bool:
     """Tell whether an engine has no memory left for a prompt."""
     needed = view.load.memory_all() + prompt.memory_tokens
@@ -221,4 +246,4 @@
         return share + SERVICE_ZONE_SHARE * (view.entry.zone != zone)
 
     view = min(views, key=cost)
-    return Choice(view, 0, 0.0, _busy_share(view, now))
+    return Choice(view, 0, 0.0, 0.0, _busy_share(view, now))
--- a/packages/buckthornwall/src/buckthornwall/pools/quiet.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/quiet.py
@@ -5,12 +5,13 @@
 for that many stretched steps, or where its longest answer takes more of them than
 its timeout allows, it cannot be kept beside long prompts at all, whatever the
 order of urgency. Such streams are *tight*: they go to a few engines of their own,
-as many as they fill, and all else goes elsewhere where it can.
+as many as they fill. Who else may go there is a matter of cost (`placement`).
 """
 
 import math
 from dataclasses import dataclass
 
+from buckthornwall.engine_model import EngineModel
 from buckthornwall.routing import AnswerForm, Pool, PromptShape, RequestRoute
 from buckthornwall.utils import UpstreamId, rendezvous_order
 
@@ -18,52 +19,59 @@
 
 __all__ = ["QuietEngines", "Split", "is_tight"]
 
-# Milliseconds from one token to the next, at the caller, while an engine reads
-# prompts: of nine in ten streams with events of three tokens, the longest pause
-# was 101 to 110 ms, behind 200 ms and more of unread prompts.
-STEP_WHILE_READING_MS = 35.0
-# The same on average: of 108 streams that were cut off at their timeout, half
-# had taken 112 ms and more for each event of four tokens.
-MEAN_STEP_WHILE_READING_MS = 28.0
-# Quiet engines are filled to this part of their slots, so that a burst fits.
-FILL_SHARE = 0.85
-# A stream beside long prompts takes this many times as long as on a quiet engine at
-# least: 28 ms a token against 7 for half of the streams there, more where they fill.
-READING_SLOWDOWN = 2.8
-# Quiet engines that are filled less are shared: of five engines, one kept for
-# tight streams that filled a third of it cost the other streams 0.44 of theirs.
-EXCLUSIVE_SHARE = 0.5
-# Fewer streams than this need no engine of their own.
-LEAST_DEMAND = 1.0
+# A stream is tight if an event of long steps takes more than this part of its longest
+# pause: one gap in ten is longer than those steps, and a stream has dozens of gaps.
+SAFE_PAUSE_SHARE = 0.8
+# Quiet engines are filled to this part of their slots: what one loss cuts off stays
+# bounded, and a burst fits. 0.85 against 0.4: worth of a day of high load 0.701
+# against 0.721 in the users' measure, one run each.
+FILL_SHARE = 0.4
+# Demand below this part of a stream is the rest of a decay, not a stream.
+LEAST_DEMAND = 0.02
 # At most this part of a pool is kept for tight streams.
 MOST_SHARE = 1 / 3
 # Demand falls off with this time constant, so that the set does not flap.
 DECAY_S = 5.0
-MS_PER_S = 1000.0
 
 
-def is_tight(route: RequestRoute, pool: Pool, prompt: PromptShape | None) -> bool:
-    """Tell whether a stream cannot be kept beside the reading of long prompts."""
+def is_tight(
+    route: RequestRoute, pool: Pool, prompt: PromptShape | None, model: EngineModel
+) -> bool:
+    """Tell whether a stream cannot be kept beside the reading of long prompts.
+
+    Parameters
+    ----------
+    route, pool, prompt
+        Its contract, where it goes, and what is known of it.
+    model
+        What the pool's engines have shown of their steps.
+    """
     if route.form is not AnswerForm.EVENTS or pool.engine is None or prompt is None:
         return False
-    event_ms = pool.engine.tokens_per_event * STEP_WHILE_READING_MS
-    if event_ms > route.max_pause_s * MS_PER_S:
+    event_s = pool.engine.tokens_per_event * model.long_step_s
+    if event_s > SAFE_PAUSE_SHARE * route.max_pause_s:
         return True
-    longest_ms = prompt.max_output_tokens * MEAN_STEP_WHILE_READING_MS
-    return prompt.is_mostly_answer and longest_ms > route.timeout_s * MS_PER_S
+    longest_s = model.longest_s(prompt.max_output_tokens)
+    return prompt.is_mostly_answer and longest_s > route.timeout_s
 
 
 @dataclass(frozen=True, slots=True)
 class Split:
-    """The engines kept for tight streams, and the others of a pool.
-
-    `is_exclusive` tells whether tight streams fill those kept, so that nothing
-    else may go there; else all else goes there too, though later.
-    """
+    """The engines kept for tight streams, and the others of a pool."""
 
     kept: list[UpstreamView]
     others: list[UpstreamView]
-    is_exclusive: bool
+
+    @property
+    def kept_ids(self) -> frozenset[UpstreamId]:
+        """Ids of the engines kept."""
+        return frozenset(view.id for view in self.kept)
+
+    def with_a_free_slot(self, now: float) -> list[UpstreamView]:
+        """Return the engines kept that do not have all of their slots in use."""
+        return [
+            view for view in self.kept if view.load.in_flight(now) < view.entry.slots
+        ]
 
 
 class QuietEngines:
@@ -76,17 +84,45 @@
     ----------
     pool
         Id of the pool, the key of the order.
+    model
+        What its engines have shown of their steps.
+
+    Attributes
+    ----------
+    most_pause_s : float
+        The shortest of the longest pauses that tight streams so far allow.
     """
 
-    def __init__(self, pool: str) -> None:
+    def __init__(self, pool: str, model: EngineModel) -> None:
         self.pool = pool
+        self.model = model
         self._demand = 0.0
         self._demand_at = 0.0
         self._kept: set[UpstreamId] = set()
-
-    def split(self, views: list[UpstreamView], now: float) -> Split:
-        """Return which engines are kept now, of those that a request may go to."""
-        self._update_demand(views, now)
+        self.most_pause_s = math.inf
+
+    def split(
+        self,
+        views: list[UpstreamView],
+        now: float,
+        arriving: RequestRoute | None = None,
+    ) -> Split:
+        """Return which engines are kept now, of those that a request may go to.
+
+        Parameters
+        ----------
+        views
+            Those engines.
+        now
+            The time in seconds.
+        arriving
+            Route of a tight stream that is to be placed now: the first one of all
+            finds an engine kept for it. Where none was, those of the first second
+            ran beside the reading of a whole day's first prompts, for 8 s and more.
+        """
+        if arriving is not None:
+            self.most_pause_s = min(self.most_pause_s, arriving.max_pause_s)
+        self._update_demand(views, now, arriving is not None)
         by_id = {view.id: view for view in views}
         order = rendezvous_order(self.pool, by_id)
         most = int(len(order) * MOST_SHARE)
@@ -97,12 +133,15 @@
         return Split(
             kept=[by_id[name] for name in order[:size]],
             others=[by_id[name] for name in order[size:]],
-            is_exclusive=filled >= size * EXCLUSIVE_SHARE,
         )
 
-    def _update_demand(self, views: list[UpstreamView], now: float) -> None:
-        running = sum(
-            view.load.tight_all() / (1 if view.id in self._kept else READING_SLOWDOWN)
+    def _update_demand(
+        self, views: list[UpstreamView], now: float, arriving: bool
+    ) -> None:
+        # A stream beside long prompts lasts longer than it would on a quiet engine.
+        slowdown = self.model.reading_step_s / self.model.quiet_step_s
+        running = arriving + sum(
+            view.load.tight_all() / (1 if view.id in self._kept else slowdown)
             for view in views
         )
         faded = self._demand * math.exp((self._demand_at - now) / DECAY_S)
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from buckthornwall.engine_model import EngineModel
 from buckthornwall.routing import Pool, PoolId, PromptShape
 from buckthornwall.telemetry import log_event
 from buckthornwall.utils import Clock, UpstreamId
@@ -30,6 +31,7 @@
         self.views: dict[UpstreamId, UpstreamView] = {}
         self._members: dict[PoolId, dict[UpstreamId, UpstreamView]] = {}
         self._paces: dict[PoolId, Pace] = {}
+        self._models: dict[PoolId, EngineModel] = {}
         self._quiet: dict[PoolId, QuietEngines] = {}
         self.news = PrefixNews()
 
@@ -101,10 +103,20 @@
         """Return how a pool's first tokens compare with the counts."""
         return self._paces.setdefault(pool, Pace())
 
+    def model(self, pool: PoolId) -> EngineModel:
+        """Return what a pool's engines have shown of their speed."""
+        return self._models.setdefault(pool, EngineModel())
+
+    def log_speeds(self) -> None:
+        """Log what is believed of the speed of each pool of model engines."""
+        for pool, model in self._models.items():
+            if model.gaps:
+                log_event("engine_speed", pool=pool, **model.describe())
+
     def quiet(self, pool: PoolId) -> QuietEngines:
         """Return which engines of a pool are kept for tight streams."""
         if pool not in self._quiet:
-            self._quiet[pool] = QuietEngines(pool)
+            self._quiet[pool] = QuietEngines(pool, self.model(pool))
         return self._quiet[pool]
 
     def set_pool_traits(self, pools: Iterable[Pool]) -> None:
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -44,6 +44,8 @@
 __all__ = ["Router"]
 
 HOUSEKEEPING_S = 0.5
+# How often a line tells what is believed of the engines' speed.
+LOG_SPEEDS_S = 5.0
 # How often it is looked whether a peer has newer news.
 ASK_PEERS_S = 0.1
 # An instance that reads the store itself asks a peer only when its own watch
@@ -155,11 +157,16 @@
             nursery.cancel_scope.cancel()
 
     async def _housekeeping(self) -> None:
+        logged_at = self.clock.now()
         while True:
             await trio.sleep(HOUSEKEEPING_S)
             self.forwarder.connections.expire()
             fleet = self.fleet()
             self.forwarder.budgets.set_instances(fleet.count)
+            now = self.clock.now()
+            if now - logged_at >= LOG_SPEEDS_S:
+                logged_at = now
+                self.pools.log_speeds()
 
     def _may_read(self) -> bool:
         """Tell whether this instance reads the store itself.
