Accept connections before importing; wait a moment for the first version

A start takes 0.37 s of processor time, nearly all of it imports, and listened after them. What then came before the first configuration was read (some tens of ms) was refused with half a second to wait. The test of a stop before the start takes the new argument of the function it replaces.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/fleet.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/fleet.py
@@ -230,7 +230,7 @@
         )
         path.write_text(text, encoding="utf-8")
         node.process = self.spawn(
-            "buckthornwall.node.main", "--settings", str(path), log=f"{node.id}.log"
+            "buckthornwall.start", "--settings", str(path), log=f"{node.id}.log"
         )
 
     def _reaches_platform(self, node: NodeProcess) -> bool:
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/soak.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/soak.py
@@ -129,7 +129,7 @@
     def _start_instance(self, number: int) -> None:
         path = self.folder / f"node-{number}.ini"
         path.write_text(settings_text(number, [1, 2], self.ports))
-        command = [sys.executable, "-m", "buckthornwall.node.main"]
+        command = [sys.executable, "-m", "buckthornwall.start"]
         command += ["--interface", "platform", "--settings", str(path)]
         self.starts[number] = self.starts.get(number, 0) + 1
         with self._log(number).open("ab") as log:
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_router.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_router.py
@@ -240,6 +240,34 @@
         await site.until(lambda: view.load.peers.requests == 0)
 
 
+async def test_a_request_before_the_first_version_waits_for_it_a_moment(site):
+    """It would be refused, and come back 0.5 s later."""
+    await site.start(1)
+    site.store.slow_s = 0.1
+    site.nursery.start_soon(site._run_router, 2)
+    await site.until(lambda: 2 in site.routers)
+    await site.until(lambda: site.routers[2].callers_listen)
+    assert not site.routers[2].table.number
+    status, _, body = await site.call("/order/x", 2, request_id="early")
+    assert (status, body) == (200, b"answer-to-early")
+
+
+async def test_a_request_before_the_first_version_is_refused_while_the_store_is_away(
+    site,
+):
+    await site.start(1)
+    site.scopes[1].cancel()
+    site.store.faults[""] = StoreFault.SILENT
+    site.nursery.start_soon(site._run_router, 2)
+    await site.until(lambda: 2 in site.routers)
+    await site.until(lambda: site.routers[2].callers_listen)
+    before = trio.current_time()
+    status, headers, _ = await site.call("/order/x", 2)
+    assert status == 503
+    assert b"retry-after" in headers
+    assert trio.current_time() - before < 1.0
+
+
 async def test_an_instance_that_starts_later_is_found_by_all(site):
     await site.start(2)
     await site.add_router(3)
--- a/packages/buckthornwall/src/buckthornwall/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/__init__.py
@@ -16,6 +16,7 @@
 `settings`      the INI file of one instance
 `codes`         numbered result codes and the root of all exceptions
 `node`          the assembly that runs as ``buckthornwalld``
+`start`         what runs before the rest is imported
 =============== ==========================================================
 
 Behind the platform's balancer (``--interface platform``) these take their
--- a/packages/buckthornwall/src/buckthornwall/http1/server.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/server.py
@@ -342,13 +342,18 @@
         self.closing = False
         self.idle: set[CallerConnection] = set()
 
-    async def run(self, address: str, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
-        """Listen at ``IP:port`` until cancelled."""
-        host, _, port = address.rpartition(":")
-        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        await sock.bind((host, int(port)))
-        sock.listen(BACKLOG)
+    async def run(
+        self,
+        address: str,
+        early: socket.socket | None = None,
+        *,
+        task_status=trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Listen at ``IP:port`` until cancelled, or serve a socket that does."""
+        if early is None:
+            sock = await _listening_socket(address)
+        else:
+            sock = trio.socket.from_stdlib_socket(early)
         listener = trio.SocketListener(sock)
         async with trio.open_nursery() as nursery:
             await trio.serve_listeners(
@@ -370,3 +375,12 @@
         except Exception as error:
             # One caller's fault must never reach the others.
             log_event("connection_failed", "ERROR", detail=repr(error))
+
+
+async def _listening_socket(address: str) -> trio.socket.SocketType:
+    host, _, port = address.rpartition(":")
+    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    await sock.bind((host, int(port)))
+    sock.listen(BACKLOG)
+    return sock
--- a/packages/buckthornwall/src/buckthornwall/node/main.py
+++ b/packages/buckthornwall/src/buckthornwall/node/main.py
@@ -1,6 +1,7 @@
 """The command line of ``buckthornwalld``."""
 
 import argparse
+import gc
 import signal
 import sys
 from pathlib import Path
@@ -8,6 +9,7 @@
 
 from buckthornwall import __version__
 from buckthornwall.codes import SettingsError
+from buckthornwall.start import EarlyListeners
 from buckthornwall.telemetry import configure_logs, log_event
 
 __all__ = ["main"]
@@ -38,14 +40,27 @@
     return parser
 
 
-def main(arguments: list[str] | None = None) -> int:
-    """Run the daemon; return its exit status."""
+def main(
+    arguments: list[str] | None = None, early: EarlyListeners | None = None
+) -> int:
+    """Run the daemon; return its exit status.
+
+    Parameters
+    ----------
+    arguments
+        The command line, by default that of the process.
+    early
+        Listeners that were opened before this module was imported.
+    """
     for number in STOP_SIGNALS:
         signal.signal(number, _end_before_start)
     options = build_parser().parse_args(arguments)
-    run = _run_platform if options.interface == PLATFORM else _run_completions
+    early = early or EarlyListeners()
     try:
-        run(options.settings)
+        if options.interface == PLATFORM:
+            _run_platform(options.settings, early)
+        else:
+            _run_completions(options.settings)
     except SettingsError as error:
         print(f"buckthornwalld: {error}", file=sys.stderr)
         return EXIT_SETTINGS
@@ -64,19 +79,24 @@
     from .core import run_node
 
     settings = Settings.from_file(path)
+    gc.enable()
     configure_logs(settings.telemetry, settings.node.id)
     log_event("starting", zone=settings.node.zone, version=__version__)
     run_node(settings, STOP_SIGNALS)
 
 
-def _run_platform(path: Path) -> None:
+def _run_platform(path: Path, early: EarlyListeners) -> None:
     from buckthornwall.router import run_router
     from buckthornwall.settings import RouterSettings
 
+    gc.freeze()
+    gc.enable()
     settings = RouterSettings.from_file(path)
     configure_logs(settings.telemetry, settings.node.id)
     log_event("starting", zone=settings.node.zone, version=__version__)
-    run_router(settings, path)
+    if early.failure:
+        log_event("early_listener_failed", "WARNING", detail=early.failure)
+    run_router(settings, path, early)
 
 
 if __name__ == "__main__":
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -28,6 +28,7 @@
 from buckthornwall.pools.load import NO_PEERS
 from buckthornwall.routing import RoutingTable
 from buckthornwall.settings import RouterSettings
+from buckthornwall.start import EarlyListeners
 from buckthornwall.telemetry import RouterMetrics, log_event
 from buckthornwall.utils import (
     Clock,
@@ -46,6 +47,10 @@
 HOUSEKEEPING_S = 0.5
 # How often a line tells what is believed of the engines' speed.
 LOG_SPEEDS_S = 5.0
+# A request that comes before the first version of the configuration waits for it this
+# long: it is read 0.02 to 0.1 s after the start, and whoever is refused meanwhile
+# comes back 0.5 s later. Then it is refused as not run.
+FIRST_VERSION_S = 0.25
 # How often it is looked whether a peer has newer news.
 ASK_PEERS_S = 0.1
 # An instance that reads the store itself asks a peer only when its own watch
@@ -79,6 +84,9 @@
         self.zone = ZoneId(settings.node.zone)
         self.incarnation = Incarnation(new_id())
         self.state = PeerState.JOINING
+        self.early = EarlyListeners()
+        self.first_version = trio.Event()
+        self.callers_listen = False
         self.stopping = trio.Event()
         self.refusing = False
 
@@ -148,7 +156,9 @@
             await nursery.start(self.operators.run, edge.metrics)
             await nursery.start(self.view_server.run, self.settings.peers.listen)
             await nursery.start(self.peer_agent.run)
-            await nursery.start(self.callers.run, edge.listen)
+            early = self.early.sockets.pop(edge.listen, None)
+            await nursery.start(self.callers.run, edge.listen, early)
+            self.callers_listen = True
             nursery.start_soon(self.discovery.run)
             nursery.start_soon(self._housekeeping)
             nursery.start_soon(self._ask_peers)
@@ -259,6 +269,7 @@
     def _news_adopted(self) -> None:
         if self.state is PeerState.JOINING and self.table.number:
             self.state = PeerState.READY
+            self.first_version.set()
             log_event(
                 "ready",
                 number=self.table.number,
@@ -285,6 +296,9 @@
         if self.refusing:
             await self.forwarder.refuse_leaving(request, answer)
             return
+        if not self.table.number:
+            with trio.move_on_after(FIRST_VERSION_S):
+                await self.first_version.wait()
         await self.forwarder.forward(request, answer)
 
     async def _handle_readiness(
--- a/packages/buckthornwall/src/buckthornwall/router/main.py
+++ b/packages/buckthornwall/src/buckthornwall/router/main.py
@@ -8,6 +8,7 @@
 
 from buckthornwall.codes import SettingsError
 from buckthornwall.settings import RouterSettings
+from buckthornwall.start import EarlyListeners
 from buckthornwall.telemetry import log_event
 
 from .core import Router
@@ -20,7 +21,7 @@
 LOOK_AT_FILE_S = 2.0
 
 
-def run_router(settings: RouterSettings, path: Path) -> None:
+def run_router(settings: RouterSettings, path: Path, early: EarlyListeners) -> None:
     """Run an instance until a signal asks it to stop.
 
     Parameters
@@ -29,12 +30,15 @@
         Checked settings.
     path
         The file they came from, read again when it changes.
+    early
+        Listeners that are open already.
     """
-    trio.run(partial(_run, settings, path))
+    trio.run(partial(_run, settings, path, early))
 
 
-async def _run(settings: RouterSettings, path: Path) -> None:
+async def _run(settings: RouterSettings, path: Path, early: EarlyListeners) -> None:
     router = Router.from_config(settings)
+    router.early = early
     with trio.open_signal_receiver(*STOP_SIGNALS, RELOAD_SIGNAL) as signals:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_take_signals, signals, router, path)
--- a/packages/buckthornwall/src/buckthornwall/router/tests/test_main.py
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/test_main.py
@@ -61,7 +61,7 @@
 def test_a_stop_before_the_start_ends_well(handlers, monkeypatch, path):
     """Without a handler the signal ended the process with status -15."""
 
-    def run(settings_path):
+    def run(settings_path, early):
         os.kill(os.getpid(), signal.SIGTERM)
 
     monkeypatch.setattr(daemon, "_run_platform", run)
