Tell parts for longer than the time between two digests

Cause: a speaker told what it heard of prompts for 0.35 s, while the digests of a large fleet are further apart, since their bytes a second are bounded: about 2 KB and more at 34 upstreams come each 0.4 to 0.7 s. A part heard just after one was told in none. Found by reading. The new test fails without the change for 0.7 and 2.0 s (2 failed, 1 passed) and passes with it. Small fleets are as before: their digests are 0.1 s apart.

--- a/packages/buckthornwall/src/buckthornwall/peers/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/agent.py
@@ -167,7 +167,9 @@
         if not self._was_speaker:
             return self.settings.beacon_ms / MS_PER_S
         longest_s = self._digest_bytes / self.settings.digest_bytes_per_s
-        return max(self.settings.digest_ms / MS_PER_S, longest_s)
+        interval_s = max(self.settings.digest_ms / MS_PER_S, longest_s)
+        self.table.set_interval(interval_s)
+        return interval_s
 
     async def _greet(self) -> None:
         """Greet seeds, which may come up at any time, until a speaker is known.
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -20,7 +20,9 @@
 
 NOTHING = Work()
 MS_PER_S = 1000.0
-# Seconds for which a speaker tells what it heard of prompts: three of its digests.
+# A speaker tells what it heard of prompts in so many of its digests, and for so many
+# seconds at least.
+RETOLD_DIGESTS = 1.5
 RETOLD_S = 0.35
 
 
@@ -202,6 +204,14 @@
                 _include(digest, heard.message)
         return digest
 
+    def set_interval(self, seconds: float) -> None:
+        """Take how far apart this instance's digests are.
+
+        A part that is told for less than that is told in none of them.
+        """
+        told_s = max(RETOLD_S, RETOLD_DIGESTS * seconds)
+        self.zone_news.told_s = self.far_news.told_s = told_s
+
     # What follows for this instance
 
     def whole(self, own: Beacon, now: float) -> Digest:
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
@@ -229,3 +229,15 @@
     first.hear_digest(far.make_digest(theirs, is_fleet=False, now=0.0), 0.0)
     assert first.make_digest(beacon(FIRST), True, 0.0).held == theirs.held
     assert first.make_digest(beacon(FIRST), False, 0.0).held == {}
+
+
+@pytest.mark.parametrize("interval_s", [0.1, 0.7, 2.0])
+def test_parts_outlast_the_time_between_two_digests(interval_s):
+    """Digests of a large fleet are up to some seconds apart, to bound their bytes."""
+    first = table(FIRST)
+    first.set_interval(interval_s)
+    own = beacon(SECOND)
+    own.held = {ENGINE: [("s", 4000)]}
+    first.hear_beacon(own, 0.0)
+    digest = first.make_digest(beacon(FIRST), is_fleet=False, now=interval_s + 0.01)
+    assert digest.held == own.held
