--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_health.py
@@ -0,0 +1,42 @@
+"""Tests of who is set aside, and of the way back."""
+
+from buckthornwall.pools import (
+    Verdict,
+)
+from buckthornwall.pools.health import Health
+
+from .helpers import POOL
+
+
+def test_an_unreachable_upstream_is_set_aside_and_tried_again(table, clock):
+    view = table.views["a"]
+    table.note_end(view, Verdict.UNREACHABLE)
+    assert view not in table.usable(POOL, set())
+    clock.time += 1.0
+    assert view in table.usable(POOL, set())
+    view.health.note_sent(clock.now())
+    assert view not in table.usable(POOL, set())
+    table.note_end(view, Verdict.GOOD)
+    assert view in table.usable(POOL, set())
+
+
+def test_where_all_are_set_aside_all_count(table):
+    for view in table.views.values():
+        table.note_end(view, Verdict.UNREACHABLE)
+    assert len(table.usable(POOL, set())) == 3
+
+
+def test_who_fails_much_more_than_the_rest_is_set_aside():
+    health = Health()
+    for step in range(30):
+        health.note(Verdict.FAILED if step % 2 else Verdict.GOOD, 0.05, step * 0.1)
+        if health.aside:
+            break
+    assert health.aside
+
+
+def test_who_fails_like_the_rest_is_not_set_aside():
+    health = Health()
+    for step in range(40):
+        health.note(Verdict.FAILED if step % 2 else Verdict.GOOD, 0.5, step * 0.1)
+    assert not health.aside
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_load.py
@@ -0,0 +1,63 @@
+"""Tests of load, likely memory, pace and refusal."""
+
+import pytest
+
+from buckthornwall.pools import (
+    LoadReport,
+    UpstreamEntry,
+    UpstreamState,
+)
+from buckthornwall.pools.overload import is_overloaded
+from buckthornwall.pools.pace import Pace
+from buckthornwall.pools.prefixes import PrefixMemory
+
+from .helpers import POOL, ZONE, prompt
+
+
+def test_an_old_report_gives_way_to_own_counts(table, clock):
+    load = table.views["a"].load
+    load.take_report(LoadReport(4, 9, 4), clock.now())
+    assert load.in_flight(clock.now()) == 13
+    clock.time += 5
+    assert load.in_flight(clock.now()) == 0
+
+
+def test_a_leaving_upstream_is_not_usable(table):
+    entry = table.views["a"].entry
+    table.adopt(
+        UpstreamEntry(entry.id, POOL, entry.address, ZONE, 4, UpstreamState.LEAVING)
+    )
+    assert {view.id for view in table.usable(POOL, set())} == {"b", "c"}
+
+
+def test_an_engine_holds_what_was_read_as_far_as_its_memory_goes():
+    memory = PrefixMemory(12_000)
+    memory.note(prompt("s", "x"))
+    assert memory.held(prompt("s", "y")) == 4000
+    memory.note(prompt("t", "z"))
+    assert memory.held(prompt("s", "y")) == 0
+
+
+def test_a_pace_follows_what_is_seen():
+    pace = Pace()
+    for _ in range(200):
+        pace.note(5, 0.1, 0.3)
+    assert pace.factor(5) == pytest.approx(3.0, abs=0.1)
+
+
+def test_nobody_is_refused_while_half_of_the_pool_is_free(table, clock):
+    views = table.members(POOL)
+    assert not is_overloaded(9.0, 0.1, 1.0, views, clock.now())
+    for view in views:
+        view.load.requests = 4
+    assert is_overloaded(9.0, 0.1, 1.0, views, clock.now())
+    assert not is_overloaded(0.8, 0.1, 1.0, views, clock.now())
+    assert is_overloaded(0.9, 0.1, 1.0, views, clock.now())
+
+
+def test_no_request_is_refused_for_its_own_length(table, clock):
+    views = table.members(POOL)
+    for view in views:
+        view.load.requests = 4
+    assert not is_overloaded(2.0, 1.7, 1.0, views, clock.now())
+    assert is_overloaded(2.2, 1.7, 1.0, views, clock.now())
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_quiet.py
@@ -0,0 +1,170 @@
+"""Tests of which streams must not pause, and of engines kept for them."""
+
+import pytest
+
+from buckthornwall.engine_model import EngineModel
+from buckthornwall.pools import (
+    PoolTable,
+    choose_engine,
+    is_tight,
+)
+from buckthornwall.routing import (
+    AnswerForm,
+    EngineTraits,
+    Pool,
+    PoolShare,
+    PromptShape,
+    RequestRoute,
+)
+from buckthornwall.utils import (
+    ModelId,
+    RouteId,
+)
+
+from .helpers import POOL, adopt, choose, prompt, wanted
+
+
+def tight_route(max_pause_s=0.12):
+    return RequestRoute(
+        id=RouteId("r"),
+        host="h",
+        path_prefix="/",
+        shares=(PoolShare(POOL, 1.0),),
+        form=AnswerForm.EVENTS,
+        repeatable=False,
+        resumable=False,
+        timeout_s=9.0,
+        target_s=0.25,
+        max_pause_s=max_pause_s,
+        max_runs=1,
+        tier=0,
+        needs_key=False,
+    )
+
+
+def prompt_of(tokens: int, longest_answer: int) -> PromptShape:
+    return PromptShape(ModelId("m"), tokens, longest_answer)
+
+
+def shown(step_s: float) -> EngineModel:
+    """Return a model of engines whose steps beside reading take so long."""
+    model = EngineModel()
+    for _ in range(500):
+        model.note_gap(0.004, 1, was_idle=True)
+        model.note_gap(step_s, 1, was_idle=False)
+    return model
+
+
+@pytest.mark.parametrize(
+    ("tokens_per_event", "max_pause_s", "expected"),
+    [(4, 0.12, True), (3, 0.13, True), (3, 0.14, False), (4, 0.5, False)],
+)
+def test_a_stream_is_tight_if_reading_beside_it_breaks_its_pauses(
+    tokens_per_event, max_pause_s, expected
+):
+    pool = Pool(POOL, "/", 10, EngineTraits(32, 100_000, tokens_per_event))
+    shape = prompt_of(500, 90)
+    assert is_tight(tight_route(max_pause_s), pool, shape, EngineModel()) is expected
+
+
+@pytest.mark.parametrize("speed", [0.5, 1.0, 2.0])
+def test_engines_of_other_speeds_make_other_streams_tight(speed):
+    """Four tokens of 45 ms break a pause of 0.2 s; four of 22 do not, of 90 by far."""
+    pool = Pool(POOL, "/", 10, EngineTraits(32, 100_000, 4))
+    model = shown(0.045 / speed)
+    pause_s = 0.2
+    tight = is_tight(tight_route(pause_s), pool, prompt_of(500, 40), model)
+    assert tight is (speed <= 1.0)
+
+
+@pytest.mark.parametrize(
+    ("tokens", "longest_answer", "expected"),
+    [(500, 400, True), (500, 300, False), (4500, 400, False)],
+)
+def test_a_stream_is_tight_if_its_answer_would_outlast_its_timeout(
+    tokens, longest_answer, expected
+):
+    """The route gives 9 s; a stream that brings a long prompt is none of these."""
+    pool = Pool(POOL, "/", 10, EngineTraits(32, 100_000, 1))
+    shape = prompt_of(tokens, longest_answer)
+    assert is_tight(tight_route(0.5), pool, shape, EngineModel()) is expected
+
+
+def test_quiet_engines_grow_with_their_streams_and_shrink_slowly(clock):
+    table = PoolTable(clock)
+    for number in range(12):
+        adopt(table, f"e{number}", 10)
+    views = list(table.members(POOL))
+    quiet = table.quiet(POOL)
+    split = quiet.split(views, clock.now())
+    assert (len(split.kept), len(split.others)) == (0, 12)
+    views[3].load.tight = 12  # beside long prompts, where they take longer
+    split = quiet.split(views, clock.now())
+    assert (len(split.kept), len(split.others)) == (1, 11)
+    views[3].load.tight = 0
+    split.kept[0].load.tight = 10
+    grown = quiet.split(views, clock.now())
+    assert len(grown.kept) == 3
+    assert grown.kept[0] is split.kept[0]
+    split.kept[0].load.tight = 500
+    assert len(quiet.split(views, clock.now()).kept) == 4
+    split.kept[0].load.tight = 0
+    clock.time += 1
+    assert len(quiet.split(views, clock.now()).kept) == 4
+    clock.time += 60
+    assert quiet.split(views, clock.now()).kept == []
+
+
+def test_the_first_tight_stream_of_all_finds_an_engine_kept_for_it(table, clock):
+    """Those of the first second ran for 8 s beside the first prompts of a day."""
+    views = list(table.members(POOL))
+    assert len(table.quiet(POOL).split(views, clock.now(), tight_route()).kept) == 1
+
+
+@pytest.fixture
+def kept(table, clock):
+    """Return one engine with tight streams, its prompt's home, and what tells so."""
+    view = choose(table, clock, prompt()).view
+    table.hear_held({view.id: [("s", 4000)]})
+    view.load.tight = 3
+    more = {
+        "kept": frozenset({view.id}),
+        "tokens_per_event": 4,
+        "most_pause_s": 0.12,
+        "free_s": 0.4,
+    }
+    return view, more
+
+
+def test_a_prompt_that_stretches_pauses_too_far_goes_elsewhere(table, clock, kept):
+    view, more = kept
+    views = table.usable(POOL, set())
+    long = prompt(own_tokens=9000)
+    assert choose_engine(views, wanted(long, **more), clock.now()).view is not view
+    more["most_pause_s"] = 0.5  # four steps of 35 ms are within it
+    assert choose_engine(views, wanted(long, **more), clock.now()).view is view
+
+
+def test_a_short_prompt_does_no_harm_until_more_waits_there(table, clock, kept):
+    view, more = kept
+    views = table.usable(POOL, set())
+    short = prompt(own_tokens=1000)
+    assert choose_engine(views, wanted(short, **more), clock.now()).view is view
+    view.load.add_unread(5, 6_000)
+    assert choose_engine(views, wanted(short, **more), clock.now()).view is not view
+
+
+def test_a_kept_engine_is_open_where_all_others_are_crowded(table, clock, kept):
+    view, more = kept
+    views = table.usable(POOL, set())
+    for other in views:
+        if other is not view:
+            other.load.add_unread(5, 150_000)
+    long = prompt(own_tokens=9000)
+    assert choose_engine(views, wanted(long, **more), clock.now()).view is view
+
+
+def test_a_pool_too_small_to_be_split_is_left_whole(table, clock):
+    views = list(table.members(POOL))[:2]
+    views[0].load.tight = 9
+    assert table.quiet(POOL).split(views, clock.now()).kept == []
