Settle what was doubted also where an instance reads no more

Cause: after an outage of the store every instance reads for a while, and holds back removals until the list has settled; whoever then left the reading to its zone's speaker never settled, until the next change was told. Ruled out: late news (the others had the same revision; removals that settle make no new one).

--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -151,6 +151,9 @@
             return
         self.is_away = False
         while not self.may_read():
+            # What was doubted while this instance read is not forgotten: upstreams
+            # that had ended were tried for 4 to 6 s longer here than by readers.
+            self.settle()
             await trio.sleep(LOOK_S)
         self.answered_at = self._unbroken_since = self.clock.now()
 
--- a/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
@@ -1,12 +1,13 @@
 """Tests of what an instance does with news, and with their absence."""
 
 import pytest
+import trio
 
 from buckthornwall.codes import PeerError, RecordError, ResultCode
 from buckthornwall.discovery import DiscoveryAgent, DiscoverySettings, News
 from buckthornwall.pools import PoolTable, UpstreamEntry, UpstreamState
 from buckthornwall.routing import Pool, PoolId, Published, RoutingTable
-from buckthornwall.utils import UpstreamId, ZoneId
+from buckthornwall.utils import TrioClock, UpstreamId, ZoneId
 
 POOL = PoolId("drafts")
 
@@ -156,3 +157,23 @@
     agent.adopt(news(5, "a", whole=True))
     agent.adopt(News(revision=9, whole=False))
     assert (agent.revision, agent.mark) == (9, 5)
+
+
+async def test_who_reads_no_more_still_takes_the_missing_to_be_gone(
+    autojump_clock, nursery
+):
+    """It kept an upstream that had ended for 4 to 6 s longer than those that read."""
+    pools, table = PoolTable(TrioClock()), RoutingTable()
+    agent = DiscoveryAgent(DiscoverySettings(), None, decode, table, pools, TrioClock())
+    agent.adopt(news(1, "a", "b", whole=True))
+    agent.note_answer()
+    await trio.sleep(3.0)
+    agent.note_failure(PeerError(ResultCode.PLATFORM_UNREACHABLE, "reset"))
+    agent.note_answer()
+    agent.adopt(news(2, "b", whole=True))
+    assert set(pools.views) == {"a", "b"}
+    agent.may_read = lambda: False
+    nursery.start_soon(agent.run)
+    await trio.sleep(DiscoverySettings().settle_ms / 1000 + 0.2)
+    assert set(pools.views) == {"b"}
+    nursery.cancel_scope.cancel()
