--- a/packages/buckthornwall/src/buckthornwall/pools/quiet.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/quiet.py
@@ -23,8 +23,7 @@
 # pause: one gap in ten is longer than those steps, and a stream has dozens of gaps.
 SAFE_PAUSE_SHARE = 0.8
 # Quiet engines are filled to this part of their slots: what one loss cuts off stays
-# bounded, and a burst fits. 0.85 against 0.4: worth of a day of high load 0.701
-# against 0.721 in the users' measure, one run each.
+# bounded, and a burst fits.
 FILL_SHARE = 0.4
 # Demand below this part of a stream is the rest of a decay, not a stream.
 LEAST_DEMAND = 0.02
