--- a/packages/buckthornwall/src/buckthornwall/pools/placement.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/placement.py
@@ -56,7 +56,7 @@
 # any wait where many are. With the engines kept shut to all prompts that harm at all,
 # days of high load on five and nine engines lost 0.05 and 0.03 of their worth.
 HARM_TARGET_SHARE = 0.3
-# The same for a plain service, as shares of its slots.
+# Another zone, and warming up, at a plain service: as shares of its slots.
 SERVICE_ZONE_SHARE = 0.1
 SERVICE_COLD_SHARE = 1.0
 
@@ -66,10 +66,11 @@
     """A prompt that is to be placed.
 
     `rank` is its place in the order of urgency, `zone` that of this instance, and
-    `free_wait_s` a wait that leaves its target well in reach. `spread_key` draws
-    the engines that it is compared at besides its homes. `model` tells how quickly
-    the pool's engines read and generate, and `kept` which of them hold streams
-    whose events of `tokens_per_event` tokens may not wait for `most_pause_s`.
+    `free_wait_s` a wait that leaves its target of `target_s` well in reach; times are
+    in seconds. `spread_key` draws the engines that it is compared at besides its
+    homes. `model` tells how quickly the pool's engines read and generate, and `kept`
+    which of them hold streams whose events of `tokens_per_event` tokens may not wait
+    for `most_pause_s`.
     """
 
     prompt: PromptShape
@@ -92,8 +93,7 @@
     until the first token by the counts alone, of which `own_s` is its own
     reading; `oldest_s` how long the oldest request that goes before it has waited
     already. `copy_from` is the address of an engine that is likely to hold more of
-    the prompt, or ''.
-    `is_first` tells that no other prompt is known to wait there.
+    the prompt, or ''. `is_first` tells that no other prompt is known to wait there.
     """
 
     view: UpstreamView
