Move what becomes of a request out of the forwarder, into a pure module

Change: pools.decision holds them as functions of what is known and the time; the forwarder and the simulation ask there. Engines of the simulation have a module of their own. Ruled out: a method on the pool table (it would own both state and policy).

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim.py
@@ -1,194 +1,45 @@
 """A pool of model engines in simulated time, played against the pure decisions.
 
-Engines generate one token of each running stream in a step and read one piece of the
-most urgent waiting prompt beside it; parts that they have read stay. Instances decide
-by the product's own code, each by its own counts and by what the others told a moment
-before. No socket, no process: what is left out is everything but load.
+Instances decide by the product's own code, each by its own counts and by what the
+others told a moment before. No socket, no process: what is left out is everything but
+load.
 """
 
 import heapq
 import itertools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
-from buckthornwall.forwarding import Forwarder, ForwardingSettings
-from buckthornwall.forwarding.delivery import Delivery
-from buckthornwall.forwarding.job import Job
-from buckthornwall.pools import Choice, PoolTable, UpstreamEntry, UpstreamState
+from buckthornwall.pools import (
+    Choice,
+    PoolTable,
+    RequestTraits,
+    UpstreamEntry,
+    UpstreamState,
+    choose_upstream,
+    refused_for_s,
+)
 from buckthornwall.pools.load import PeerLoad
-from buckthornwall.pools.quiet import is_tight
 from buckthornwall.routing import (
-    AnswerForm,
     EngineTraits,
     Pool,
-    PoolId,
-    PoolShare,
     PromptPart,
     PromptShape,
     Published,
-    RequestRoute,
     RoutedRequest,
     RoutingTable,
 )
-from buckthornwall.telemetry import RouterMetrics
-from buckthornwall.utils import ModelId, RouteId, UpstreamId, ZoneId
+from buckthornwall.utils import ModelId, UpstreamId, ZoneId
+
+from .engine_sim import POOL, EngineSpeed, SimEngine, SimRequest, Traffic
 
-__all__ = ["POOL", "EngineSpeed", "PoolSimulation", "SimRequest", "Traffic"]
+__all__ = ["PoolSimulation"]
 
-POOL = PoolId("drafts")
 ZONE = ZoneId("z")
 # How old what instances know of each other is, in seconds.
 TOLD_EVERY_S = 0.1
 
 
-@dataclass(frozen=True, slots=True)
-class EngineSpeed:
-    """How quickly an engine works; `context_s` is added for a million token pairs."""
-
-    step_s: float = 0.004
-    tokens_per_s: float = 60_000.0
-    piece: int = 2048
-    context_s: float = 0.0004
-    slots: int = 64
-    memory_tokens: int = 500_000
-    tokens_per_event: int = 4
-
-    def times(self, speed: float) -> "EngineSpeed":
-        """Return an engine that does everything so many times as fast."""
-        return EngineSpeed(
-            self.step_s / speed,
-            self.tokens_per_s * speed,
-            self.piece,
-            self.context_s / speed,
-            self.slots,
-            self.memory_tokens,
-            self.tokens_per_event,
-        )
-
-
-@dataclass(frozen=True, slots=True)
-class Traffic:
-    """Requests of one route: how many, how long, and what their callers expect."""
-
-    name: str
-    per_s: float
-    tier: int
-    target_s: float
-    max_pause_s: float
-    shared_tokens: int
-    own_tokens: int
-    answer_tokens: int
-    subjects: int
-
-    def route(self) -> RequestRoute:
-        """Return the contract."""
-        return RequestRoute(
-            id=RouteId(self.name),
-            host="h",
-            path_prefix=f"/{self.name}/",
-            shares=(PoolShare(POOL, 1.0),),
-            form=AnswerForm.EVENTS,
-            repeatable=False,
-            resumable=False,
-            timeout_s=10.0,
-            target_s=self.target_s,
-            max_pause_s=self.max_pause_s,
-            max_runs=1,
-            tier=self.tier,
-            needs_key=False,
-        )
-
-
-@dataclass(eq=False)
-class SimRequest:
-    """One request and what became of it; times are in seconds."""
-
-    traffic: Traffic
-    at: float
-    prompt: PromptShape
-    answer_tokens: int
-    unread: int = 0
-    made: int = 0
-    first_at: float | None = None
-    last_at: float = 0.0
-    longest_pause_s: float = 0.0
-    done: bool = False
-    refused: bool = False
-    on_event: Callable[[float, bool], None] = lambda now, done: None
-
-    @property
-    def in_time(self) -> bool:
-        """Whether it was answered within its target and its pauses."""
-        return (
-            self.done
-            and self.first_at - self.at <= self.traffic.target_s
-            and self.longest_pause_s <= self.traffic.max_pause_s
-        )
-
-
-@dataclass(eq=False)
-class SimEngine:
-    """One engine: what it holds, what runs and what waits to be read."""
-
-    id: UpstreamId
-    speed: EngineSpeed
-    held: set[str] = field(default_factory=set)
-    running: list[SimRequest] = field(default_factory=list)
-    waiting: list[tuple[int, int, SimRequest]] = field(default_factory=list)
-    is_awake: bool = False
-
-    def submit(self, request: SimRequest, rank: int, number: int) -> None:
-        """Take a prompt; what is held of it need not be read."""
-        request.unread = request.prompt.prompt_tokens - self._held_of(request)
-        heapq.heappush(self.waiting, (rank, number, request))
-
-    def step(self, now: float) -> float:
-        """Work for one step; return how long it takes, in seconds."""
-        duration = self.speed.step_s
-        if self.waiting:
-            duration += self._read(self.waiting[0][2])
-        end = now + duration
-        for request in list(self.running):
-            self._make_token(request, end)
-        if self.waiting and self.waiting[0][2].unread <= 0:
-            request = heapq.heappop(self.waiting)[2]
-            self.held |= {part.id for part in request.prompt.parts}
-            self.running.append(request)
-        return duration
-
-    def _held_of(self, request: SimRequest) -> int:
-        tokens = 0
-        for part in request.prompt.parts:
-            if part.id not in self.held:
-                break
-            tokens += part.tokens
-        return tokens
-
-    def _read(self, request: SimRequest) -> float:
-        held = self._held_of(request)  # read for another one meanwhile, perhaps
-        request.unread = min(request.unread, request.prompt.prompt_tokens - held)
-        tokens = max(0, min(request.unread, self.speed.piece))
-        before = request.prompt.prompt_tokens - request.unread
-        request.unread -= tokens
-        pairs_s = self.speed.context_s * tokens * before / 1e6
-        return tokens / self.speed.tokens_per_s + pairs_s
-
-    def _make_token(self, request: SimRequest, now: float) -> None:
-        request.made += 1
-        request.done = request.made >= request.answer_tokens
-        if request.done:
-            self.running.remove(request)
-        if request.done or request.made % self.speed.tokens_per_event == 0:
-            if request.first_at is None:
-                request.first_at = now
-            else:
-                pause_s = now - request.last_at
-                request.longest_pause_s = max(request.longest_pause_s, pause_s)
-            request.last_at = now
-            request.on_event(now, request.done)
-
-
 class _Clock:
     def __init__(self) -> None:
         self.time = 0.0
@@ -208,8 +59,8 @@
         speed = engines[0].speed
         traits = EngineTraits(speed.slots, speed.memory_tokens, speed.tokens_per_event)
         self.pool = Pool(POOL, "/", 100, traits)
-        table = RoutingTable()
-        table.adopt(Published(1, tuple(t.route() for t in traffic), (self.pool,)))
+        self.table = RoutingTable()
+        self.table.adopt(Published(1, tuple(t.route() for t in traffic), (self.pool,)))
         for engine in engines:
             self.pools.adopt(
                 UpstreamEntry(
@@ -222,36 +73,31 @@
                 )
             )
         self.pools.set_pool_traits([self.pool])
-        self.forwarder = Forwarder(
-            ForwardingSettings(), ZONE, table, self.pools, None, clock, RouterMetrics()
-        )
 
-    def decide(self, request: SimRequest, number: int) -> tuple[Job, Choice]:
-        """Return the job and the engine chosen for it."""
+    def decide(self, request: SimRequest, number: int) -> tuple[RequestTraits, Choice]:
+        """Return the request's traits and the engine chosen for it."""
         path = f"/{request.traffic.name}/x"
         now = self.clock.now()
         routed = RoutedRequest(
             f"r{number}", b"POST", path.encode(), "h", path, [], b"", now
         )
         routed.prompt = request.prompt
-        resolution = self.forwarder.table.resolve(routed)
-        model = self.pools.model(POOL)
-        tight = is_tight(resolution.route, self.pool, request.prompt, model)
-        delivery = Delivery(None, self.clock, "")
-        job = Job(routed, resolution, delivery, now + 10.0, tight)
-        return job, self.forwarder._choose(job)
+        resolution = self.table.resolve(routed)
+        traits = RequestTraits.of(routed, resolution, self.pools)
+        return traits, choose_upstream(self.pools, traits, set(), ZONE, now)
 
-    def is_refused(self, job: Job, choice: Choice) -> bool:
+    def is_refused(self, traits: RequestTraits, choice: Choice) -> bool:
         """Tell whether the request is refused at once."""
-        return self.forwarder._is_overloaded(job, choice)
+        now = self.clock.now()
+        return refused_for_s(self.pools, traits, choice, now) is not None
 
-    def send(self, request: SimRequest, job: Job, choice: Choice) -> None:
+    def send(self, request: SimRequest, traits: RequestTraits, choice: Choice) -> None:
         """Count a request at its engine until it ends."""
-        load, rank = choice.view.load, job.resolution.rank
+        load, rank = choice.view.load, traits.resolution.rank
         model = self.pools.model(POOL)
         tokens_per_event = self.pool.engine.tokens_per_event
         load.requests += 1
-        load.tight += job.tight
+        load.tight += traits.tight
         load.memory += request.prompt.memory_tokens
         load.add_unread(rank, choice.fresh_tokens)
         load.waits.begin(rank, request, self.clock.now())
@@ -269,11 +115,13 @@
             is_idle = not load.unread_all()
             if last_at is not None and not done:
                 gap_s = now - last_at
-                model.note_gap(gap_s, tokens_per_event, is_idle and was_idle, job.tight)
+                model.note_gap(
+                    gap_s, tokens_per_event, is_idle and was_idle, traits.tight
+                )
             last_at, was_idle = now, is_idle
             if done:
                 load.requests -= 1
-                load.tight -= job.tight
+                load.tight -= traits.tight
                 load.memory -= request.prompt.memory_tokens
 
         request.on_event = on_event
@@ -358,13 +206,13 @@
         self.requests.append(request)
         number = next(self._numbers)
         instance = self.draw.choice(self.instances)
-        job, choice = instance.decide(request, number)
-        if instance.is_refused(job, choice):
+        traits, choice = instance.decide(request, number)
+        if instance.is_refused(traits, choice):
             request.refused = True
             return
-        instance.send(request, job, choice)
+        instance.send(request, traits, choice)
         engine = self.engines[choice.view.id]
-        engine.submit(request, job.resolution.rank, number)
+        engine.submit(request, traits.resolution.rank, number)
         if not engine.is_awake:
             engine.is_awake = True
             self._step(engine)
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_pool_sim.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_pool_sim.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from buckthornwall_standins.pool_sim import EngineSpeed, PoolSimulation, Traffic
+from buckthornwall_standins.engine_sim import EngineSpeed, Traffic
+from buckthornwall_standins.pool_sim import PoolSimulation
 
 
 def traffic(load: float) -> list[Traffic]:
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -8,15 +8,13 @@
 from buckthornwall.http1 import Answer, AnswerCut
 from buckthornwall.pools import (
     Choice,
-    PlacementRequest,
     PoolTable,
+    RequestTraits,
     Verdict,
-    choose_engine,
-    choose_service,
-    is_tight,
+    choose_upstream,
+    expected_s,
+    refused_for_s,
 )
-from buckthornwall.pools.overload import is_overloaded, retry_after_s
-from buckthornwall.pools.placement import FREE_TARGET_SHARE
 from buckthornwall.routing import (
     AnswerForm,
     PoolId,
@@ -145,13 +143,12 @@
         patience_s = route.timeout_s
         if request.patience_s is not None:
             patience_s = min(patience_s, request.patience_s)
-        model = self.pools.model(resolution.pool.id)
         job = Job(
             request,
             resolution,
             Delivery(answer, self.clock, request.resume_after),
             request.received_at + patience_s,
-            is_tight(route, resolution.pool, request.prompt, model),
+            RequestTraits.of(request, resolution, self.pools),
         )
         try:
             await self._answer(job, answer)
@@ -193,8 +190,8 @@
             choice = self._choose(job)
             if choice is None:
                 return self._nobody(job)
-            if not job.tried and self._is_overloaded(job, choice):
-                return self._overloaded(job, choice)
+            if not job.tried and (refusal := self._overloaded(job, choice)):
+                return refusal
             result = await self._try(job, choice)
             if result.end is AttemptEnd.DONE:
                 return None
@@ -204,55 +201,16 @@
 
     def _choose(self, job: Job) -> Choice | None:
         now = self.clock.now()
-        views = self.pools.usable(job.resolution.pool.id, job.tried)
-        if job.request.prompt is None:
-            return choose_service(views, self.zone, now)
-        resolution = job.resolution
-        route = resolution.route
-        quiet = self.pools.quiet(resolution.pool.id)
-        split = quiet.split(views, now, route if job.tight else None)
-        if job.tight:
-            views = split.with_a_free_slot(now) or views
-        rank = resolution.rank
-        pace = self.pools.pace(resolution.pool.id)
-        wanted = PlacementRequest(
-            prompt=job.request.prompt,
-            rank=rank,
-            zone=self.zone,
-            free_wait_s=FREE_TARGET_SHARE * route.target_s / pace.factor(rank),
-            target_s=route.target_s,
-            spread_key=job.request.id,
-            model=self.pools.model(resolution.pool.id),
-            kept=frozenset() if job.tight else split.kept_ids,
-            tokens_per_event=resolution.pool.engine.tokens_per_event,
-            most_pause_s=quiet.most_pause_s,
-        )
-        return choose_engine(views, wanted, now)
-
-    def _expected_s(self, job: Job, choice: Choice) -> float:
-        """Return how long the first token is expected to take, in seconds.
-
-        Not less than the oldest request before it has waited: in overload the
-        counts alone let expect 0.5 s where half of the prompts took over 3 s.
-        """
-        pace = self.pools.pace(job.resolution.pool.id)
-        counted_s = choice.wait_s * pace.factor(job.resolution.rank)
-        return max(counted_s, choice.oldest_s)
+        return choose_upstream(self.pools, job.traits, job.tried, self.zone, now)
 
-    def _is_overloaded(self, job: Job, choice: Choice) -> bool:
-        if job.request.prompt is None or job.resolution.urgent:
-            return False
-        members = self.pools.members(job.resolution.pool.id)
-        target_s = job.resolution.route.target_s
-        expected_s = self._expected_s(job, choice)
-        return is_overloaded(
-            expected_s, choice.own_s, target_s, members, self.clock.now()
-        )
-
-    def _overloaded(self, job: Job, choice: Choice) -> Refusal:
-        expected_s = self._expected_s(job, choice)
-        after_s = retry_after_s(expected_s, job.resolution.route.target_s)
-        detail = f"expected_ms={expected_s * 1000:.0f}"
+    def _overloaded(self, job: Job, choice: Choice) -> Refusal | None:
+        """Return the refusal of a request that would come far too late, if any."""
+        now = self.clock.now()
+        after_s = refused_for_s(self.pools, job.traits, choice, now)
+        if after_s is None:
+            return None
+        wait_s = expected_s(self.pools, job.traits, choice)
+        detail = f"expected_ms={wait_s * 1000:.0f}"
         return Refusal(ResultCode.OVERLOADED, detail, retry_after_s=after_s)
 
     async def _try(self, job: Job, choice: Choice) -> AttemptResult:
@@ -274,9 +232,9 @@
             note_prompt=self.pools.note_prompt,
             model=self.pools.model(job.resolution.pool.id),
             event_silence_s=self._event_silence_s(job),
-            tight=job.tight,
+            tight=job.traits.tight,
         )
-        self.account.placed(job, choice, self._expected_s(job, choice))
+        self.account.placed(job, choice, expected_s(self.pools, job.traits, choice))
         job.runs += 1  # until it is known better, should this be cut short
         sent_at = self.clock.now()
         result = await attempt.run()
@@ -321,7 +279,7 @@
         if route.form is AnswerForm.EVENTS:
             limit_s = max(
                 STREAM_SILENCE_TARGETS * route.target_s,
-                SILENCE_WAITS * self._expected_s(job, choice),
+                SILENCE_WAITS * expected_s(self.pools, job.traits, choice),
             )
         return min(remaining_s * SILENCE_SHARE, limit_s)
 
--- a/packages/buckthornwall/src/buckthornwall/forwarding/job.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/job.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from buckthornwall.codes import Run
-from buckthornwall.pools import Choice
+from buckthornwall.pools import Choice, RequestTraits
 from buckthornwall.routing import Resolution, RoutedRequest
 from buckthornwall.utils import UpstreamId
 
@@ -17,15 +17,15 @@
 class Job:
     """A request, what was tried for it, and what its caller has.
 
-    `deadline` is when its final answer is due. `runs` counts attempts that may
-    have run, `arrivals` those that reached an upstream.
+    `deadline` is when its final answer is due, `traits` what it is decided by. `runs`
+    counts attempts that may have run, `arrivals` those that reached an upstream.
     """
 
     request: RoutedRequest
     resolution: Resolution
     delivery: Delivery
     deadline: float
-    tight: bool = False
+    traits: RequestTraits
     tried: set[UpstreamId] = field(default_factory=set)
     runs: int = 0
     arrivals: int = 0
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -11,9 +11,12 @@
 `table`       the views by upstream; adopts registrations
 `quiet`       engines kept free of long prompts, for streams that must not pause
 `placement`   the choice of an upstream for a request
+`overload`    whether a request is refused, and when it is to come back
+`decision`    these together: what becomes of a request
 ============= ============================================================
 """
 
+from .decision import RequestTraits, choose_upstream, expected_s, refused_for_s
 from .entry import UpstreamEntry, UpstreamState
 from .health import Verdict
 from .load import LoadReport
@@ -30,12 +33,16 @@
     "PlacementRequest",
     "PoolTable",
     "PrefixNews",
+    "RequestTraits",
     "UpstreamEntry",
     "UpstreamState",
     "UpstreamView",
     "Verdict",
     "choose_engine",
     "choose_service",
+    "choose_upstream",
+    "expected_s",
     "is_tight",
     "merge_held",
+    "refused_for_s",
 ]
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/pools/decision.py
@@ -0,0 +1,133 @@
+"""What becomes of a request: where it goes, or when it is to come back.
+
+Pure: what is known of a pool and the time in, a decision out. Whoever sends requests
+(`buckthornwall.forwarding`) and whoever simulates them asks here.
+"""
+
+from dataclasses import dataclass
+
+from buckthornwall.routing import PromptShape, Resolution, RoutedRequest
+from buckthornwall.utils import UpstreamId, ZoneId
+
+from .overload import is_overloaded, retry_after_s
+from .placement import (
+    FREE_TARGET_SHARE,
+    Choice,
+    PlacementRequest,
+    choose_engine,
+    choose_service,
+)
+from .quiet import is_tight
+from .table import PoolTable
+
+__all__ = ["RequestTraits", "choose_upstream", "expected_s", "refused_for_s"]
+
+
+@dataclass(frozen=True, slots=True)
+class RequestTraits:
+    """What decisions know of a request.
+
+    `prompt` is None for a plain service. `tight` tells that it is a stream which
+    cannot be kept beside the reading of long prompts.
+    """
+
+    id: str
+    prompt: PromptShape | None
+    resolution: Resolution
+    tight: bool
+
+    @classmethod
+    def of(
+        cls, request: RoutedRequest, resolution: Resolution, pools: PoolTable
+    ) -> "RequestTraits":
+        """Return the traits of a request whose route and pool are known."""
+        pool = resolution.pool
+        model = pools.model(pool.id)
+        tight = is_tight(resolution.route, pool, request.prompt, model)
+        return cls(request.id, request.prompt, resolution, tight)
+
+
+def choose_upstream(
+    pools: PoolTable,
+    traits: RequestTraits,
+    tried: frozenset[UpstreamId] | set[UpstreamId],
+    zone: ZoneId,
+    now: float,
+) -> Choice | None:
+    """Return who should take a request, or None without anybody.
+
+    Parameters
+    ----------
+    pools
+        What is known of upstreams.
+    traits
+        The request.
+    tried
+        Upstreams that it was offered to already.
+    zone
+        The zone of this instance.
+    now
+        The time in seconds.
+    """
+    resolution = traits.resolution
+    route, pool, rank = resolution.route, resolution.pool, resolution.rank
+    views = pools.usable(pool.id, tried)
+    if traits.prompt is None:
+        return choose_service(views, zone, now)
+    quiet = pools.quiet(pool.id)
+    split = quiet.split(views, now, route if traits.tight else None)
+    if traits.tight:
+        views = split.with_a_free_slot(now) or views
+    wanted = PlacementRequest(
+        prompt=traits.prompt,
+        rank=rank,
+        zone=zone,
+        free_wait_s=FREE_TARGET_SHARE
+        * route.target_s
+        / pools.pace(pool.id).factor(rank),
+        target_s=route.target_s,
+        spread_key=traits.id,
+        model=pools.model(pool.id),
+        kept=frozenset() if traits.tight else split.kept_ids,
+        tokens_per_event=pool.engine.tokens_per_event,
+        most_pause_s=quiet.most_pause_s,
+    )
+    return choose_engine(views, wanted, now)
+
+
+def expected_s(pools: PoolTable, traits: RequestTraits, choice: Choice) -> float:
+    """Return how long the first token is expected to take, in seconds.
+
+    Not less than the oldest request before it has waited: in overload the counts
+    alone let expect 0.5 s where half of the prompts took over 3 s.
+    """
+    pace = pools.pace(traits.resolution.pool.id)
+    counted_s = choice.wait_s * pace.factor(traits.resolution.rank)
+    return max(counted_s, choice.oldest_s)
+
+
+def refused_for_s(
+    pools: PoolTable, traits: RequestTraits, choice: Choice, now: float
+) -> float | None:
+    """Return after how many seconds a request is to come back, or None to take it.
+
+    Parameters
+    ----------
+    pools
+        What is known of upstreams.
+    traits
+        The request; one with nothing more urgent than it is always taken.
+    choice
+        Where it would go.
+    now
+        The time in seconds.
+    """
+    resolution = traits.resolution
+    if traits.prompt is None or resolution.urgent:
+        return None
+    wait_s = expected_s(pools, traits, choice)
+    target_s = resolution.route.target_s
+    members = pools.members(resolution.pool.id)
+    if not is_overloaded(wait_s, choice.own_s, target_s, members, now):
+        return None
+    return retry_after_s(wait_s, target_s)
