--- a/packages/buckthornwall-standins/src/buckthornwall_standins/engine_sim.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/engine_sim.py
@@ -1,7 +1,7 @@
 """Model engines in simulated time, and the requests that they answer.
 
-An engine generates one token of each running stream in a step and reads one piece of the
-most urgent waiting prompt beside it; parts that it has read stay.
+An engine generates one token of each running stream in a step and reads one piece of
+the most urgent waiting prompt beside it; parts that it has read stay.
 """
 
 import heapq
