Show how far expected first events and pauses are from those seen

Cause: what the learned model predicts was compared with what was seen from lines only, by hand, and pauses not at all. Two histograms by tier; the expected pause stands on the line of the placement. The engine that holds most of a prompt is looked for once, where the choice and the copy each went over all engines. No decision changes.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/account.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/account.py
@@ -7,7 +7,7 @@
 from buckthornwall.utils import Clock
 
 from .attempt import AttemptEnd, AttemptResult
-from .job import Job
+from .job import Job, Prediction
 
 __all__ = ["RequestAccount"]
 
@@ -75,6 +75,7 @@
     def placed(self, job: Job, choice: Choice, expected_s: float) -> None:
         """Log where an attempt goes, and what that was decided by."""
         view = choice.view
+        job.prediction = Prediction(self.clock.now(), expected_s, choice.pause_s)
         log_event(
             "request_placed",
             request=job.request.id,
@@ -87,6 +88,7 @@
             unread_before=view.load.unread_before(job.resolution.rank),
             oldest_ms=round(choice.oldest_s * 1000),
             expected_ms=round(expected_s * 1000),
+            expected_pause_ms=round(choice.pause_s * 1000),
             in_flight=view.load.in_flight(self.clock.now()),
             in_flight_of_peers=view.load.peers.requests,
             report_age_ms=view.load.report_age_ms(self.clock.now()),
@@ -125,6 +127,16 @@
             self.metrics.first_token.add(tier, delivery.first_at - received_at)
         if delivery.joiner.events > 1:
             self.metrics.pause.add(tier, delivery.longest_pause_s)
+            self._compare(job, tier)
+
+    def _compare(self, job: Job, tier: dict[str, str]) -> None:
+        """Count how far a stream of one attempt was from what was expected of it."""
+        if len(job.tried) != 1 or job.prediction is None:
+            return
+        seen_s = job.delivery.first_at - job.prediction.at
+        self.metrics.first_error.add(tier, abs(seen_s - job.prediction.first_s))
+        pause_s = job.delivery.longest_pause_s
+        self.metrics.pause_error.add(tier, abs(pause_s - job.prediction.pause_s))
 
     def finished(self, job: Job, outcome: str) -> None:
         """Log and count the end of a request by an upstream's answer, or none."""
--- a/packages/buckthornwall/src/buckthornwall/forwarding/job.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/job.py
@@ -10,7 +10,16 @@
 from .attempt import AttemptResult
 from .delivery import Delivery
 
-__all__ = ["Job"]
+__all__ = ["Job", "Prediction"]
+
+
+@dataclass(frozen=True, slots=True)
+class Prediction:
+    """What was expected of an attempt that was placed `at`; all in seconds."""
+
+    at: float
+    first_s: float
+    pause_s: float
 
 
 @dataclass(slots=True)
@@ -18,7 +27,8 @@
     """A request, what was tried for it, and what its caller has.
 
     `deadline` is when its final answer is due, `traits` what it is decided by. `runs`
-    counts attempts that may have run, `arrivals` those that reached an upstream.
+    counts attempts that may have run, `arrivals` those that reached an upstream;
+    `prediction` is that of the last attempt.
     """
 
     request: RoutedRequest
@@ -31,6 +41,7 @@
     arrivals: int = 0
     last_failed: AttemptResult | None = None
     last_choice: Choice | None = None
+    prediction: Prediction | None = None
     detail: str = ""
 
     @property
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
@@ -157,6 +157,7 @@
         subject = Forwarder(
             settings, ZoneId("z"), table, pools, PlainCodec(), clock, RouterMetrics()
         )
+        forward.metrics = subject.metrics
         subject.budgets.instances = 1.0
         request = RoutedRequest("r", b"POST", b"/", "h", "/", [], b"x", clock.now())
         request.patience_s = patience_s
@@ -280,6 +281,14 @@
     assert answer.ended
 
 
+async def test_what_was_expected_of_a_stream_is_compared_with_what_was_seen(forward):
+    await forward([0.1, stream(1, 2)], form=AnswerForm.EVENTS)
+    text, _ = forward.metrics.render("text/plain")
+    assert b'buckthornwall_first_token_error_seconds_count{tier="1"} 1' in text
+    assert b'first_token_error_seconds_bucket{le="0.05",tier="1"} 0' in text
+    assert b'buckthornwall_pause_error_seconds_count{tier="1"} 1' in text
+
+
 async def test_a_resumable_stream_goes_on_after_its_last_event(forward):
     answer = await forward(
         [stream(1, 2, end=False), b""], [stream(3, 4)], form=AnswerForm.EVENTS
--- a/packages/buckthornwall/src/buckthornwall/pools/placement.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/placement.py
@@ -93,7 +93,8 @@
     until the first token by the counts alone, of which `own_s` is its own
     reading; `oldest_s` how long the oldest request that goes before it has waited
     already. `copy_from` is the address of an engine that is likely to hold more of
-    the prompt, or ''. `is_first` tells that no other prompt is known to wait there.
+    the prompt, or ''. `is_first` tells that no other prompt is known to wait there,
+    and `pause_s` is the longest pause that is expected beside what is.
     """
 
     view: UpstreamView
@@ -104,6 +105,7 @@
     oldest_s: float = 0.0
     copy_from: str = ""
     is_first: bool = False
+    pause_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,6 +146,7 @@
     ]
     best = min(offers, key=lambda offer: offer.cost)
     load = best.view.load
+    unread = load.unread_all()
     own_s = wanted.model.read_s(best.fresh_tokens)
     return Choice(
         best.view,
@@ -152,8 +155,9 @@
         own_s,
         _busy_share(best.view, now),
         load.oldest_before_s(wanted.rank, now),
-        _copy_from(best, views, wanted.prompt),
-        not load.unread_all(),
+        _copy_from(best.view, holder, wanted.prompt),
+        unread == 0,
+        wanted.model.pause_s(wanted.tokens_per_event, unread + best.fresh_tokens),
     )
 
 
@@ -163,13 +167,10 @@
     return sorted(order, key=lambda name: name in wanted.kept)
 
 
-def _copy_from(best: _Offer, views: list[UpstreamView], prompt: PromptShape) -> str:
+def _copy_from(chosen: UpstreamView, holder: UpstreamView, prompt: PromptShape) -> str:
     """Return where the engine chosen may copy shared parts from, or ''."""
-    held = {view.id: view.prefixes.held(prompt) for view in views}
-    donor = max(views, key=lambda view: held[view.id])
-    if held[donor.id] - held[best.view.id] < LEAST_COPIED_TOKENS:
-        return ""
-    return donor.entry.address
+    missing = holder.prefixes.held(prompt) - chosen.prefixes.held(prompt)
+    return "" if missing < LEAST_COPIED_TOKENS else holder.entry.address
 
 
 def _compared(homes: list[str], holder: str, spread_key: str) -> list[tuple[int, str]]:
--- a/packages/buckthornwall/src/buckthornwall/telemetry/metrics.py
+++ b/packages/buckthornwall/src/buckthornwall/telemetry/metrics.py
@@ -79,6 +79,14 @@
         self.pause = self._histogram(
             "pause_seconds", "Longest pause between two events, by tier."
         )
+        self.first_error = self._histogram(
+            "first_token_error_seconds",
+            "Seconds between the expected and the seen first event, by tier.",
+        )
+        self.pause_error = self._histogram(
+            "pause_error_seconds",
+            "Seconds between the expected and the seen longest pause, by tier.",
+        )
         self.whole = self._histogram(
             "answer_seconds", "Seconds from request to its end, by tier and outcome."
         )
