Count what a prompt waits for in seconds, by learned steps

Cause: what runs at an engine, who waits for a slot, another zone, a warm-up and a full memory counted as prompt tokens, fitted to engines that read 50 in a ms. Change: in seconds or in quiet steps, which are learned; the values are the same at that speed. The free wait and the harm needed no rate then.

--- a/packages/buckthornwall/src/buckthornwall/pools/placement.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/placement.py
@@ -33,24 +33,25 @@
 # that holds, and what a token ahead then counts.
 FREE_TARGET_SHARE = 0.4
 FREE_WEIGHT = 0.3
-# Each request that runs beside slows every step; as prompt tokens.
-RUNNING_TOKENS = 60.0
-# A request that waits for a slot there waits for about this many tokens.
-QUEUED_TOKENS = 3_000.0
+# Each request that runs beside slows every step: as a part of a quiet step.
+RUNNING_STEPS = 0.15
+# A request that waits for a slot there waits for about so many quiet steps.
+QUEUED_STEPS = 7.5
 # An engine whose memory is taken up to this part preempts requests, urgent ones too
-# where all that run are urgent; a new one then counts for so many tokens more. Parts
-# that prompts share are counted for each, so the part may be the whole.
+# where all that run are urgent; a new one then counts for so many seconds more, about
+# the reading of one long prompt again. Parts that prompts share are counted for each,
+# so the part may be the whole.
 MOST_MEMORY = 1.0
-FULL_TOKENS = 20_000.0
+FULL_S = 0.4
 # What is read later than this request counts for those behind it.
 BEHIND_WEIGHT = 0.2
 # Fewer missing tokens are read as quickly as they are copied: a copy takes about
 # 3 ms to begin, and its tokens a quarter of the time of reading them.
 LEAST_COPIED_TOKENS = 500
-# The way to another zone and back, as prompt tokens.
-ZONE_TOKENS = 60.0
-# An engine that is still warming up, as prompt tokens a second left.
-COLD_TOKENS_PER_S = 4_000.0
+# The way to another zone and back, in seconds: 1 to 3 ms on the users' deployments.
+ZONE_S = 0.0012
+# An engine that is still warming up: part of the seconds left.
+COLD_SHARE = 0.08
 # A prompt that would stretch the pauses of tight streams too far counts, for each of
 # them, as a wait of this part of its own target: little where few are there, more than
 # any wait where many are. With the engines kept shut to all prompts that harm at all,
@@ -110,7 +111,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Offer:
-    """One engine's cost for a prompt, in prompt tokens."""
+    """One engine's cost for a prompt, in seconds."""
 
     cost: float
     view: UpstreamView
@@ -189,28 +190,26 @@
     fresh = max(0, prompt.prompt_tokens - held)
     missing = max(0, shared - held)
     weight = min(MOST_WEIGHT, 1 + WEIGHT_STEP * place)
-    free_tokens = wanted.free_wait_s * wanted.model.tokens_per_s
-    ahead = _ahead(view, wanted.rank, now)
+    ahead_s = _ahead_s(view, wanted, now)
     if _is_full(view, prompt):
-        ahead += FULL_TOKENS
-    ahead -= (1 - FREE_WEIGHT) * min(ahead, free_tokens)
-    cost = fresh + (weight - 1) * missing + ahead
+        ahead_s += FULL_S
+    ahead_s -= (1 - FREE_WEIGHT) * min(ahead_s, wanted.free_wait_s)
+    cost = ahead_s + wanted.model.read_s(fresh + (weight - 1) * missing)
     if view.entry.zone != wanted.zone:
-        cost += ZONE_TOKENS
+        cost += ZONE_S
     if view.id in wanted.kept:
         cost += _harm(view, wanted, fresh)
     return _Offer(cost, view, fresh)
 
 
 def _harm(view: UpstreamView, wanted: PlacementRequest, fresh: int) -> float:
-    """Return what a prompt does to tight streams of an engine, in prompt tokens."""
+    """Return what a prompt does to tight streams of an engine, in seconds."""
     unread = view.load.unread_all() + fresh
     pause_s = wanted.model.pause_s(wanted.tokens_per_event, unread)
     if pause_s <= SAFE_PAUSE_SHARE * wanted.most_pause_s:
         return 0.0
     streams = max(1, view.load.tight_all())
-    wait_s = HARM_TARGET_SHARE * wanted.target_s * streams
-    return wait_s * wanted.model.tokens_per_s
+    return HARM_TARGET_SHARE * wanted.target_s * streams
 
 
 def _is_full(view: UpstreamView, prompt: PromptShape) -> bool:
@@ -219,15 +218,16 @@
     return needed > MOST_MEMORY * view.prefixes.memory_tokens
 
 
-def _ahead(view: UpstreamView, rank: int, now: float) -> float:
-    """Return the work before a request of a rank, in prompt tokens."""
+def _ahead_s(view: UpstreamView, wanted: PlacementRequest, now: float) -> float:
+    """Return the work at an engine before a prompt, in seconds."""
     in_flight = view.load.in_flight(now)
     queued = max(0, in_flight - view.entry.slots)
-    before = view.load.unread_before(rank)
+    before = view.load.unread_before(wanted.rank)
     behind = view.load.unread_all() - before
-    cost = before + BEHIND_WEIGHT * behind
-    cost += in_flight * RUNNING_TOKENS + queued * QUEUED_TOKENS
-    return cost + view.cold_s(now) * COLD_TOKENS_PER_S
+    steps = in_flight * RUNNING_STEPS + queued * QUEUED_STEPS
+    reading_s = wanted.model.read_s(before + BEHIND_WEIGHT * behind)
+    cold_s = COLD_SHARE * view.cold_s(now)
+    return reading_s + steps * wanted.model.quiet_step_s + cold_s
 
 
 def _busy_share(view: UpstreamView, now: float) -> float:
