--- a/packages/buckthornwall-standins/src/buckthornwall_standins/soak.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/soak.py
@@ -12,15 +12,14 @@
 import argparse
 import random
 import signal
-import subprocess
 import sys
 import tempfile
-from dataclasses import dataclass, field
 from pathlib import Path
 
 import trio
-from buckthornwall.http1 import ClientConnection, ExchangeError
 
+from .soak_callers import SoakCallers, Verdict
+from .soak_instances import SoakInstances
 from .users_platform import (
     Deployment,
     PathFault,
@@ -31,32 +30,17 @@
 from .users_platform import (
     Path as NetworkPath,
 )
-from .users_platform.deployment import DRAFTS, HOST, KEY, ORDERS, settings_text
+from .users_platform.deployment import DRAFTS, ORDERS
 from .users_platform.upstream import EVENTS
 
-__all__ = ["Soak", "Verdict", "main", "play_seed"]
+__all__ = ["Soak", "main", "play_seed"]
 
 INSTANCES = 4
 CALLERS = 6
-PROMISES = frozenset({408, 421, 429, 503})
-PATIENCE_S = 3.0
-READY_S = 15.0
 RECOVERY_S = 6.0
 LAST_CALLS = 20
 MOST_FAILED_AT_END = 2
 LAST_BYTES = 4000
-STARTING = b"event=starting"
-WORDS = b"".join(b"id: %d\ndata: word-%d\n\n" % (n, n) for n in range(1, EVENTS + 1))
-
-
-@dataclass
-class Verdict:
-    """What was seen; `broken` names each promise that was not kept."""
-
-    calls: int = 0
-    served: int = 0
-    refused: int = 0
-    broken: list[str] = field(default_factory=list)
 
 
 class Soak:
@@ -78,16 +62,12 @@
         self.draw = random.Random(seed)
         self.seconds = seconds
         self.ports = ports
-        self.folder = folder
         self.store = Store()
         self.deployment = Deployment(self.store)
         self.upstreams: dict[str, Upstream] = {}
         self.paths: dict[str, NetworkPath] = {}
-        self.processes: dict[int, subprocess.Popen] = {}
-        self.starts: dict[int, int] = {}
-        self.verdict = Verdict()
-        self.promised: set[str] = set()
-        self._calls = 0
+        self.instances = SoakInstances(ports, folder)
+        self.callers = SoakCallers(self.draw, ports)
 
     async def run(self) -> Verdict:
         """Play the faults, let all recover, and return the verdict."""
@@ -98,10 +78,10 @@
                 await self._recover()
                 await self._check_end()
             finally:
-                self._end_processes()
+                self.instances.end()
             nursery.cancel_scope.cancel()
-        self._check_runs()
-        return self.verdict
+        self.callers.check_runs(self.upstreams.values())
+        return self.callers.verdict
 
     async def _start(self, nursery: trio.Nursery) -> None:
         await nursery.start(self.store.run, f"127.0.9.2:{self.ports + 4}")
@@ -117,8 +97,8 @@
             await self._start_path(nursery, name, address, target)
             self.deployment.register(name, service, address)
         for number in range(1, INSTANCES + 1):
-            self._start_instance(number)
-        await self._until_ready()
+            self.instances.start(number)
+        await self.instances.until_ready()
 
     async def _start_path(
         self, nursery: trio.Nursery, name: str, listen: str, target: str
@@ -126,48 +106,6 @@
         self.paths[name] = NetworkPath(target)
         await nursery.start(self.paths[name].run, listen)
 
-    def _start_instance(self, number: int) -> None:
-        path = self.folder / f"node-{number}.ini"
-        path.write_text(settings_text(number, [1, 2], self.ports))
-        command = [sys.executable, "-m", "buckthornwall.start"]
-        command += ["--interface", "platform", "--settings", str(path)]
-        self.starts[number] = self.starts.get(number, 0) + 1
-        with self._log(number).open("ab") as log:
-            self.processes[number] = subprocess.Popen(command, stdout=log, stderr=log)
-
-    def _log(self, number: int) -> Path:
-        return self.folder / f"node-{number}.log"
-
-    def _has_begun(self, number: int) -> bool:
-        """Tell whether the instance's last process has said that it starts.
-
-        Until then its interpreter is being loaded, and signals end it.
-        """
-        return self._log(number).read_bytes().count(STARTING) >= self.starts[number]
-
-    def _end_processes(self) -> None:
-        for process in self.processes.values():
-            process.kill()
-            process.wait()
-
-    async def _until_ready(self) -> None:
-        with trio.fail_after(READY_S):
-            for number in self.processes:
-                while not await self._is_ready(number):
-                    await trio.sleep(0.05)
-
-    async def _is_ready(self, number: int) -> bool:
-        address = f"127.0.8.{number}:{self.ports + 1}"
-        try:
-            with trio.fail_after(1.0):
-                connection = await ClientConnection.connect(address, 1.0)
-                await connection.send(b"GET", b"/ready", [(b"Host", b"h")], b"")
-                head = await connection.receive_head()
-                connection.close()
-        except (ExchangeError, trio.TooSlowError):
-            return False
-        return head.status == 200
-
     # Faults
 
     async def _play(self, nursery: trio.Nursery) -> None:
@@ -198,36 +136,36 @@
         ]
 
     def _some_instance(self) -> int:
-        return self.draw.choice(list(self.processes))
+        return self.draw.choice(list(self.instances.processes))
 
     async def _kill(self) -> None:
         await self._restart(self._some_instance(), signal.SIGKILL)
 
     async def _kill_all(self) -> None:
         async with trio.open_nursery() as nursery:
-            for number in self.processes:
+            for number in self.instances.processes:
                 nursery.start_soon(self._restart, number, signal.SIGKILL)
 
     async def _stop(self) -> None:
         await self._restart(self._some_instance(), signal.SIGTERM)
 
     async def _restart(self, number: int, how: signal.Signals) -> None:
-        process = self.processes[number]
+        process = self.instances.processes[number]
         if process.poll() is not None:
             return  # another fault has it already
         ends = {0, -signal.SIGKILL}
-        if not self._has_begun(number):
+        if not self.instances.has_begun(number):
             ends.add(-signal.SIGTERM)
         process.send_signal(how)
         while process.poll() is None:
             await trio.sleep(0.02)
         if how is signal.SIGTERM and process.returncode not in ends:
-            self.verdict.broken.append(f"stop ended with {process.returncode}")
-        if self.processes[number] is process:
-            self._start_instance(number)
+            self.callers.verdict.broken.append(f"stop ended with {process.returncode}")
+        if self.instances.processes[number] is process:
+            self.instances.start(number)
 
     async def _pause(self) -> None:
-        process = self.processes[self._some_instance()]
+        process = self.instances.processes[self._some_instance()]
         process.send_signal(signal.SIGSTOP)
         await trio.sleep(self.draw.uniform(0.3, 2.0))
         process.send_signal(signal.SIGCONT)
@@ -289,67 +227,16 @@
 
     async def _call_until(self, stop: float) -> None:
         while trio.current_time() < stop:
-            await self._call(self._some_instance())
+            await self.callers.call(self._some_instance())
             await trio.sleep(self.draw.uniform(0.0, 0.1))
 
-    async def _call(self, number: int) -> bool:
-        """Make one call, check its answer, and tell whether it was served."""
-        self._calls += 1
-        request = f"r{self._calls}"
-        path = self.draw.choice(["/draft/x", "/once/x", "/order/x", "/look/x"])
-        is_stream = path in ("/draft/x", "/once/x")
-        self.verdict.calls += 1
-        try:
-            with trio.fail_after(PATIENCE_S + 1.0):
-                status, headers, body = await self._exchange(
-                    number, path, request, is_stream
-                )
-        except (ExchangeError, trio.TooSlowError):
-            return False  # a connection that ends promises nothing
-        if status in PROMISES:
-            self.verdict.refused += 1
-            self.promised.add(request)
-        if status != 200:
-            return False
-        self.verdict.served += 1
-        expected = WORDS if is_stream else b"answer-to-" + request.encode()
-        seal = headers.get(b"x-buckthornwall-response-seal")
-        if body != expected or seal != b"seal-of-" + request.encode():
-            self.verdict.broken.append(f"{path} {request}: {body[:80]!r}")
-        return True
-
-    async def _exchange(
-        self, number: int, path: str, request: str, is_stream: bool
-    ) -> tuple[int, dict[bytes, bytes], bytes]:
-        headers = [
-            (b"Host", HOST.encode()),
-            (b"X-Buckthornwall-Attempt-Id", request.encode()),
-            (b"X-Buckthornwall-Deadline-Ms", b"%d" % (PATIENCE_S * 1000)),
-            (b"X-Buckthornwall-Key", KEY.encode()),
-            (b"Content-Length", b"0"),
-        ]
-        if is_stream:
-            headers.append((b"X-Buckthornwall-Token-Count", b"900,10"))
-            headers.append((b"X-Buckthornwall-Prompt-Prefix", b"aa:600,bb:300"))
-        address = f"127.0.8.{number}:{self.ports}"
-        connection = await ClientConnection.connect(address, 1.0)
-        try:
-            await connection.send(b"POST", path.encode(), headers, b"")
-            head = await connection.receive_head()
-            body = b""
-            while data := await connection.receive_data():
-                body += data
-        finally:
-            connection.close()
-        return head.status, dict(head.headers), body
-
     # Checks
 
     async def _recover(self) -> None:
-        for number, process in self.processes.items():
+        for number, process in self.instances.processes.items():
             process.send_signal(signal.SIGCONT)
             if process.poll() is not None:
-                self._start_instance(number)
+                self.instances.start(number)
         self.store.faults.clear()
         self.store.slow_s = 0.0
         for path in self.paths.values():
@@ -357,28 +244,17 @@
         for upstream in self.upstreams.values():
             upstream.sheds, upstream.cut_after, upstream.work_s = False, 0, 0.01
         await trio.sleep(RECOVERY_S)
-        await self._until_ready()
+        await self.instances.until_ready()
 
     async def _check_end(self) -> None:
         """After the last fault nearly every call must be served again."""
         number = self.deployment.publish()
         served = 0
         for call in range(LAST_CALLS):
-            served += await self._call(call % INSTANCES + 1)
+            served += await self.callers.call(call % INSTANCES + 1)
         if served < LAST_CALLS - MOST_FAILED_AT_END:
             text = f"{served} of {LAST_CALLS} served after the end, number {number}"
-            self.verdict.broken.append(text)
-
-    def _check_runs(self) -> None:
-        once: dict[str, int] = {}
-        for upstream in self.upstreams.values():
-            for request, count in upstream.runs_once.items():
-                once[request] = once.get(request, 0) + count
-        for request, count in once.items():
-            if count > 1:
-                self.verdict.broken.append(f"{request} ran {count} times")
-            if request in self.promised:
-                self.verdict.broken.append(f"{request} ran though said not to")
+            self.callers.verdict.broken.append(text)
 
 
 def play_seed(seed: int, seconds: float, ports: int) -> Verdict:
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/soak_callers.py
@@ -0,0 +1,110 @@
+"""The callers of a soak: what they ask, and whether promises to them are kept."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import trio
+from buckthornwall.http1 import ClientConnection, ExchangeError
+
+from .users_platform import Upstream
+from .users_platform.deployment import HOST, KEY
+from .users_platform.upstream import EVENTS
+
+__all__ = ["SoakCallers", "Verdict"]
+
+PROMISES = frozenset({408, 421, 429, 503})
+PATIENCE_S = 3.0
+WORDS = b"".join(b"id: %d\ndata: word-%d\n\n" % (n, n) for n in range(1, EVENTS + 1))
+
+
+@dataclass
+class Verdict:
+    """What was seen; `broken` names each promise that was not kept."""
+
+    calls: int = 0
+    served: int = 0
+    refused: int = 0
+    broken: list[str] = field(default_factory=list)
+
+
+class SoakCallers:
+    """Makes calls and holds their answers against the promises.
+
+    Parameters
+    ----------
+    draw
+        Chooses the calls; shared with the faults.
+    ports
+        First of five ports that all instances share.
+    """
+
+    def __init__(self, draw: random.Random, ports: int) -> None:
+        self.draw = draw
+        self.ports = ports
+        self.verdict = Verdict()
+        self.promised: set[str] = set()
+        self._calls = 0
+
+    async def call(self, number: int) -> bool:
+        """Make one call, check its answer, and tell whether it was served."""
+        self._calls += 1
+        request = f"r{self._calls}"
+        path = self.draw.choice(["/draft/x", "/once/x", "/order/x", "/look/x"])
+        is_stream = path in ("/draft/x", "/once/x")
+        self.verdict.calls += 1
+        try:
+            with trio.fail_after(PATIENCE_S + 1.0):
+                status, headers, body = await self._exchange(
+                    number, path, request, is_stream
+                )
+        except (ExchangeError, trio.TooSlowError):
+            return False  # a connection that ends promises nothing
+        if status in PROMISES:
+            self.verdict.refused += 1
+            self.promised.add(request)
+        if status != 200:
+            return False
+        self.verdict.served += 1
+        expected = WORDS if is_stream else b"answer-to-" + request.encode()
+        seal = headers.get(b"x-buckthornwall-response-seal")
+        if body != expected or seal != b"seal-of-" + request.encode():
+            self.verdict.broken.append(f"{path} {request}: {body[:80]!r}")
+        return True
+
+    async def _exchange(
+        self, number: int, path: str, request: str, is_stream: bool
+    ) -> tuple[int, dict[bytes, bytes], bytes]:
+        headers = [
+            (b"Host", HOST.encode()),
+            (b"X-Buckthornwall-Attempt-Id", request.encode()),
+            (b"X-Buckthornwall-Deadline-Ms", b"%d" % (PATIENCE_S * 1000)),
+            (b"X-Buckthornwall-Key", KEY.encode()),
+            (b"Content-Length", b"0"),
+        ]
+        if is_stream:
+            headers.append((b"X-Buckthornwall-Token-Count", b"900,10"))
+            headers.append((b"X-Buckthornwall-Prompt-Prefix", b"aa:600,bb:300"))
+        address = f"127.0.8.{number}:{self.ports}"
+        connection = await ClientConnection.connect(address, 1.0)
+        try:
+            await connection.send(b"POST", path.encode(), headers, b"")
+            head = await connection.receive_head()
+            body = b""
+            while data := await connection.receive_data():
+                body += data
+        finally:
+            connection.close()
+        return head.status, dict(head.headers), body
+
+    def check_runs(self, upstreams: Iterable[Upstream]) -> None:
+        """Hold what upstreams ran against what callers were told."""
+        once: dict[str, int] = {}
+        for upstream in upstreams:
+            for request, count in upstream.runs_once.items():
+                once[request] = once.get(request, 0) + count
+        for request, count in once.items():
+            if count > 1:
+                self.verdict.broken.append(f"{request} ran {count} times")
+            if request in self.promised:
+                self.verdict.broken.append(f"{request} ran though said not to")
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/soak_instances.py
@@ -0,0 +1,79 @@
+"""The instances of a soak: real processes, started, watched and ended by id."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import trio
+from buckthornwall.http1 import ClientConnection, ExchangeError
+
+from .users_platform.deployment import settings_text
+
+__all__ = ["SoakInstances"]
+
+READY_S = 15.0
+STARTING = b"event=starting"
+
+
+class SoakInstances:
+    """Instances by number.
+
+    Parameters
+    ----------
+    ports
+        First of five ports that all share.
+    folder
+        Where settings and logs go.
+    """
+
+    def __init__(self, ports: int, folder: Path) -> None:
+        self.ports = ports
+        self.folder = folder
+        self.processes: dict[int, subprocess.Popen] = {}
+        self.starts: dict[int, int] = {}
+
+    def start(self, number: int) -> None:
+        """Start an instance, for the first time or again."""
+        path = self.folder / f"node-{number}.ini"
+        path.write_text(settings_text(number, [1, 2], self.ports))
+        command = [sys.executable, "-m", "buckthornwall.start"]
+        command += ["--interface", "platform", "--settings", str(path)]
+        self.starts[number] = self.starts.get(number, 0) + 1
+        with self.log(number).open("ab") as log:
+            self.processes[number] = subprocess.Popen(command, stdout=log, stderr=log)
+
+    def log(self, number: int) -> Path:
+        """Return where an instance writes its lines."""
+        return self.folder / f"node-{number}.log"
+
+    def has_begun(self, number: int) -> bool:
+        """Tell whether the instance's last process has said that it starts.
+
+        Until then its interpreter is being loaded, and signals end it.
+        """
+        return self.log(number).read_bytes().count(STARTING) >= self.starts[number]
+
+    def end(self) -> None:
+        """Kill all that were started."""
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+
+    async def until_ready(self) -> None:
+        """Wait until all say that they are ready."""
+        with trio.fail_after(READY_S):
+            for number in self.processes:
+                while not await self._is_ready(number):
+                    await trio.sleep(0.05)
+
+    async def _is_ready(self, number: int) -> bool:
+        address = f"127.0.8.{number}:{self.ports + 1}"
+        try:
+            with trio.fail_after(1.0):
+                connection = await ClientConnection.connect(address, 1.0)
+                await connection.send(b"GET", b"/ready", [(b"Host", b"h")], b"")
+                head = await connection.receive_head()
+                connection.close()
+        except (ExchangeError, trio.TooSlowError):
+            return False
+        return head.status == 200
