Put a route's tier before a team's

Engines preempt by the priority that they are given, which put an urgent team's long drafts before ordinary teams' streams of the most urgent route; every sample that was shown is such a stream.

--- a/packages/buckthornwall/src/buckthornwall/routing/table.py
+++ b/packages/buckthornwall/src/buckthornwall/routing/table.py
@@ -11,8 +11,10 @@
 
 __all__ = ["Resolution", "RoutingTable"]
 
-# Tiers of routes that are told apart inside one tier of teams.
+# Tiers of routes, and of teams inside one of these, that are told apart: together at
+# most the ten priorities that engines know.
 ROUTE_TIERS = 3
+TEAM_TIERS = 3
 # Tier of a team that has none of its own.
 DEFAULT_TEAM_TIER = 1
 
@@ -21,8 +23,9 @@
 class Resolution:
     """Where a request may go, for whom, and how urgent it is.
 
-    A team's tier goes before its routes' tiers: `rank` orders by the first and
-    then by the second, and 0 is the most urgent.
+    A route's tier goes before its teams' tiers: `rank` orders by the first and then
+    by the second, and 0 is the most urgent. With the team's first, engines preempted
+    streams of the most urgent route while long drafts of an urgent team ran on.
     """
 
     route: RequestRoute
@@ -34,7 +37,8 @@
     @property
     def rank(self) -> int:
         """Place in the order of urgency over all teams and routes."""
-        return self.team_tier * ROUTE_TIERS + min(self.route.tier, ROUTE_TIERS - 1)
+        route_tier = min(self.route.tier, ROUTE_TIERS - 1)
+        return route_tier * TEAM_TIERS + min(self.team_tier, TEAM_TIERS - 1)
 
     @property
     def urgent(self) -> bool:
