Say whom an instance goes by for news, and how old its word is

Cause: an instance that stays at an old version writes nothing of its own while it does; a 404 did not say by which version it was judged. Now a refused request without a route carries the version, the age of the speaker's word and of the own reading; news_overdue is written once when that word is over 1 s old, news_heard when it is fresh again; a gauge and the status have the age. No decision changes: the age is kept beside the moment from which silence counts, which a leaving speaker sets anew.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/account.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/account.py
@@ -1,5 +1,7 @@
 """What is logged and counted of requests."""
 
+from collections.abc import Callable
+
 from buckthornwall.codes import Refusal
 from buckthornwall.pools import Choice
 from buckthornwall.routing import PoolId
@@ -26,6 +28,8 @@
     def __init__(self, metrics: RouterMetrics, clock: Clock) -> None:
         self.metrics = metrics
         self.clock = clock
+        # Pairs of a line that tell what a request without a route was judged by.
+        self.describe_news: Callable[[], dict[str, object]] = dict
 
     def refused(
         self, request_id: str, job: Job | None, refusal: Refusal, status: int
@@ -52,7 +56,7 @@
     def _describe(self, job: Job | None) -> dict[str, object]:
         """Return the pairs of a log line that tell a request's way."""
         if job is None:
-            return {}
+            return self.describe_news()
         now = self.clock.now()
         first_at = job.delivery.first_at
         choice = job.last_choice
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -33,10 +33,14 @@
 
 @dataclass(slots=True)
 class Heard:
-    """The last message of a sender."""
+    """The last message of a sender.
+
+    Silence counts from `at`; the message itself is of `told_at`.
+    """
 
     message: Beacon | Digest
     at: float
+    told_at: float
 
 
 class PeerTable:
@@ -86,7 +90,7 @@
             return False
         self.zone_news.hear(beacon.held, now)
         is_new = beacon.address not in self.members
-        self.members[beacon.address] = Heard(beacon, now)
+        self.members[beacon.address] = Heard(beacon, now, now)
         return is_new
 
     def hear_digest(self, digest: Digest, now: float) -> None:
@@ -97,10 +101,10 @@
             if not digest.is_fleet and self._replaces(
                 digest, self.zones.get(digest.zone), now
             ):
-                self.zones[digest.zone] = Heard(digest, now)
+                self.zones[digest.zone] = Heard(digest, now, now)
                 self.far_news.hear(digest.held, now)
         elif self._replaces(digest, self.speaker, now):
-            self.speaker = Heard(digest, now)
+            self.speaker = Heard(digest, now, now)
 
     def _replaces(self, digest: Digest, current: Heard | None, now: float) -> bool:
         """Tell whether a digest counts in place of the last one of its zone.
@@ -220,6 +224,13 @@
             return self.make_digest(own, is_fleet=True, now=now)
         return self.speaker.message
 
+    def word_age_s(self, now: float) -> float:
+        """Return how old the last digest is that this instance goes by, in seconds.
+
+        0 where it speaks itself, and so goes by its own reading.
+        """
+        return 0.0 if self.is_speaker(now) else now - self.speaker.told_at
+
     def others_work(self, own: Beacon, now: float) -> dict[UpstreamId, PeerLoad]:
         """Return the work of all other instances by upstream."""
         digest = self.whole(own, now)
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -39,6 +39,7 @@
     new_id,
 )
 
+from .news_watch import NewsWatch
 from .operators import answer_operator
 from .stopping import stop_gracefully
 
@@ -114,6 +115,7 @@
         self.peer_agent = PeerAgent(settings.peers, self.zone, self._beacon, clock)
         self.peers = self.peer_agent.table
         self.views = ViewClient()
+        self.news_watch = NewsWatch(self.peers, self.table)
         self.callers = HttpServer(clock, self._caller_limits, self._handle_caller)
         self.operators = HttpServer(
             clock, lambda: OPERATOR_LIMITS, self._handle_operator
@@ -130,6 +132,7 @@
         self.discovery.on_call = self._count_store_call
         self.peer_agent.on_work = self._work_told
         self.peer_agent.on_held = self.pools.hear_held
+        self.forwarder.account.describe_news = self._describe_news
 
     @classmethod
     def from_config(cls, settings: RouterSettings) -> "Router":
@@ -174,6 +177,7 @@
             fleet = self.fleet()
             self.forwarder.budgets.set_instances(fleet.count)
             now = self.clock.now()
+            self.news_watch.look(now)
             if now - logged_at >= LOG_SPEEDS_S:
                 logged_at = now
                 self.pools.log_speeds()
@@ -258,6 +262,15 @@
         age_ms = (self.clock.now() - self.discovery.read_at) * 1000
         return int(min(age_ms, NEVER_MS))
 
+    def _describe_news(self) -> dict[str, object]:
+        """Return which version is in force, and how old the word it rests on is."""
+        word_age_s = self.peers.word_age_s(self.clock.now())
+        return {
+            "number": self.table.number,
+            "word_age_ms": round(word_age_s * 1000),
+            "read_age_ms": self._read_age_ms(),
+        }
+
     def _work_told(self) -> None:
         work = self.peers.others_work(self._beacon(), self.clock.now())
         for view in self.pools.views.values():
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/router/news_watch.py
@@ -0,0 +1,44 @@
+"""Whether the word that an instance goes by is fresh, for the log."""
+
+from buckthornwall.peers import PeerTable
+from buckthornwall.routing import RoutingTable
+from buckthornwall.telemetry import log_event
+
+__all__ = ["NewsWatch"]
+
+# A speaker's digests are 0.1 to 0.7 s apart; over this old, something is wrong.
+OVERDUE_S = 1.0
+
+
+class NewsWatch:
+    """Logs when the speaker that an instance goes by tells nothing, and again does.
+
+    Parameters
+    ----------
+    peers
+        Who speaks, and when it last did.
+    table
+        The version in force here.
+    """
+
+    def __init__(self, peers: PeerTable, table: RoutingTable) -> None:
+        self.peers = peers
+        self.table = table
+        self.overdue_since: float | None = None
+
+    def look(self, now: float) -> None:
+        """Take the time in seconds; a line a change, not one a look."""
+        age_s = self.peers.word_age_s(now)
+        if age_s > OVERDUE_S and self.overdue_since is None:
+            self.overdue_since = now - age_s
+            log_event(
+                "news_overdue",
+                "WARNING",
+                speaker=self.peers.speaker_address(now),
+                word_age_ms=round(age_s * 1000),
+                number=self.table.number,
+            )
+        elif age_s <= OVERDUE_S and self.overdue_since is not None:
+            silent_ms = round((now - age_s - self.overdue_since) * 1000)
+            self.overdue_since = None
+            log_event("news_heard", silent_ms=silent_ms, number=self.table.number)
--- a/packages/buckthornwall/src/buckthornwall/router/operators.py
+++ b/packages/buckthornwall/src/buckthornwall/router/operators.py
@@ -44,6 +44,10 @@
         ),
         "instances": ("Instances that serve.", router.fleet().count),
         "active": ("Requests being answered.", router.callers.active),
+        "word_age_seconds": (
+            "Age of the speaker's digest that this instance goes by; 0 if it speaks.",
+            router.peers.word_age_s(router.clock.now()),
+        ),
         "upstream_connections": (
             "Connections opened to upstreams.",
             router.forwarder.connections.opened,
@@ -71,6 +75,7 @@
         "active": router.callers.active,
         "fleet": {
             "speaker": fleet.address,
+            "word_age_s": round(router.peers.word_age_s(now), 3),
             "instances": fleet.count,
             "number": fleet.number,
             "mark": fleet.mark,
