--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_known_red.py
@@ -0,0 +1,33 @@
+"""Tests of which tests may fail."""
+
+import pytest
+
+from buckthornwall_standins.known_red import line_on, read_known_red
+
+LINE = "a/test_a.py::test_one | pytest a, seed 3 | a cause | issue 7"
+
+
+@pytest.fixture
+def known(tmp_path):
+    path = tmp_path / "KNOWN-RED.txt"
+    path.write_text(f"{LINE}\n\na/test_a.py::test_two[x] | pytest a | b | issue 8\n")
+    return read_known_red(path)
+
+
+def test_no_list_names_nobody(tmp_path):
+    assert read_known_red(tmp_path / "KNOWN-RED.txt") == {}
+
+
+@pytest.mark.parametrize(
+    ("test", "listed"),
+    [
+        ("a/test_a.py::test_one", True),
+        ("a/test_a.py::test_one[3]", True),
+        ("a/test_a.py::test_one_more", False),
+        ("a/test_a.py::test_two[x]", True),
+        ("a/test_a.py::test_two[y]", False),
+        ("a/test_a.py::test_two", False),
+    ],
+)
+def test_a_line_stands_for_its_test_and_no_other(known, test, listed):
+    assert (line_on(known, test) is not None) == listed
--- a/packages/buckthornwall/src/buckthornwall/peers/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/agent.py
@@ -1,9 +1,10 @@
 """The tasks that tell and hear what instances do."""
 
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import trio
+from trio.socket import SocketType
 
 from buckthornwall.codes import PeerError
 from buckthornwall.pools import HeldParts
@@ -66,6 +67,20 @@
     )
 
 
+async def open_socket(address: str) -> SocketType:
+    """Return a datagram socket that is bound to ``IP:port``.
+
+    Raises
+    ------
+    OSError
+        If the address is taken, or not of this host.
+    """
+    host, _, port = address.rpartition(":")
+    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    await sock.bind((host, int(port)))
+    return sock
+
+
 class PeerAgent:
     """Owns the datagram socket.
 
@@ -100,16 +115,15 @@
         )
         self.on_work: Callable[[], None] = lambda: None
         self.on_held: Callable[[HeldParts], None] = lambda held: None
+        self.open_socket: Callable[[str], Awaitable[SocketType]] = open_socket
         self.bytes_sent = 0
         self._digest_bytes = 0
         self._was_speaker = False
-        self._socket: trio.socket.SocketType | None = None
+        self._socket: SocketType | None = None
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Tell and hear until cancelled."""
-        host, _, port = self.settings.listen.rpartition(":")
-        self._socket = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        await self._socket.bind((host, int(port)))
+        self._socket = await self.open_socket(self.settings.listen)
         with self._socket:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._hear)
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
@@ -197,6 +197,25 @@
     assert second.is_speaker(0.11)
 
 
+def test_a_speaker_that_says_again_that_it_leaves_is_followed_all_the_same():
+    """The second in the order waited anew with each word of the one that left.
+
+    It went by a digest that grew old, and told its work to the leaving speaker:
+
+        news_overdue speaker=10.2.0.22:7480 word_age_ms=1245 number=172
+        news_heard silent_ms=5251 number=186
+    """
+    first, third = table(FIRST), table(THIRD)
+    first.hear_beacon(beacon(SECOND), 0.0)
+    first.hear_beacon(beacon(THIRD), 0.0)
+    third.hear_digest(first.make_digest(beacon(FIRST), True, now=0.0), 0.0)
+    for tenth in range(10):
+        now = 0.1 + tenth * 0.1
+        third.hear_beacon(beacon(FIRST, state=PeerState.LEAVING), now)
+    assert third.is_speaker(0.1 + 1.5 * STAGGER_S)
+    assert third.is_speaker(1.1)
+
+
 def test_a_pointer_to_a_speaker_never_hides_its_digest():
     first = table(FIRST)
     far = table("10.1.0.1:7340", "far")
