Count the wait for a leaving speaker's successor from its first word

Cause: each word of leaving, ten a second, set the moment from which the speaker's silence counts anew, so whoever is not the first in the order to follow it (0.1 s a place) never did while the leaving process lived. It went by its last digest, read nothing and told its work to the leaving one, which therefore told it again. Class: a wait that every message restarts although the message brings no news. Before and after: the table's test red, then green; simulated zone of 3, members behind by more than 0.6 s, then not. Zones of 8 and 21 are still red: each follows after its own wait, since nobody hears of the first that follows. That is next.

--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -84,15 +84,24 @@
         if beacon.address == self.address or beacon.zone != self.zone:
             return False
         if beacon.state is PeerState.LEAVING:
-            self.members.pop(beacon.address, None)
-            if self.speaker and self.speaker.message.address == beacon.address:
-                self.speaker.at = now - self.silence_s
+            self._hear_leave(beacon.address, now)
             return False
         self.zone_news.hear(beacon.held, now)
         is_new = beacon.address not in self.members
         self.members[beacon.address] = Heard(beacon, now, now)
         return is_new
 
+    def _hear_leave(self, address: str, now: float) -> None:
+        """Take it that an instance leaves; it says so until it has ended.
+
+        Only the first word ends its time as a speaker. Where each word began the wait
+        for the next speaker anew, members heard no news for up to 5.3 s.
+        """
+        self.members.pop(address, None)
+        speaker = self.speaker
+        if speaker is not None and speaker.message.address == address:
+            speaker.at = min(speaker.at, now - self.silence_s)
+
     def hear_digest(self, digest: Digest, now: float) -> None:
         """Take a digest of this zone's speaker, or of another zone's."""
         if digest.address == self.address:
