buckthornwallctl behind: how long instances kept an old configuration, from their logs

For the question that the incident asked: which instance is behind, since when, by what. Log lines moved to a module of their own, which explain shares.

--- a/packages/buckthornwall-ctl/src/buckthornwall_ctl/main.py
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/main.py
@@ -8,6 +8,7 @@
 from buckthornwall import __version__
 from buckthornwall.codes import BuckthornwallError, ResultCode
 
+from .behind import behind_lines
 from .checks import check_records, check_settings
 from .stories import request_story
 from .views import fleet_lines
@@ -61,6 +62,13 @@
     explain.add_argument("what", help="number or name of a code, or a request's id")
     explain.add_argument("log", nargs="*", type=Path, help="log files of instances")
     explain.set_defaults(run=_explain)
+
+    behind = commands.add_parser(
+        "behind",
+        help="show how long instances were behind the newest configuration",
+    )
+    behind.add_argument("log", nargs="+", type=Path, help="log files of instances")
+    behind.set_defaults(run=_behind)
     return parser
 
 
@@ -113,6 +121,11 @@
     return EXIT_OK
 
 
+def _behind(options: argparse.Namespace) -> int:
+    print("\n".join(behind_lines(options.log)))
+    return EXIT_OK
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Run a command; return its exit status."""
     options = build_parser().parse_args(arguments)
--- a/packages/buckthornwall-ctl/src/buckthornwall_ctl/stories.py
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/stories.py
@@ -1,17 +1,13 @@
 """The story of one request, from the logs of all instances."""
 
-import re
-from collections.abc import Iterable
-from dataclasses import dataclass
-from datetime import datetime
 from pathlib import Path
 
-from buckthornwall.codes import ResultCode, SettingsError
+from buckthornwall.codes import ResultCode
+
+from .log_lines import LogLine, read_logs
 
 __all__ = ["request_story"]
 
-PAIR = re.compile(r'(\w+)=("[^"]*"|\S*)')
-TOLD_FIRST = ("time", "level", "node", "event", "request")
 # What an instance believed matters only this long before a request came in.
 BELIEF_S = 5.0
 BELIEFS = frozenset(
@@ -31,37 +27,6 @@
 )
 
 
-@dataclass(frozen=True)
-class LogLine:
-    """One event of an instance."""
-
-    at: datetime
-    pairs: dict[str, str]
-
-    def told(self, start: datetime) -> str:
-        """Return the line as a part of a story that began at `start`."""
-        offset_ms = (self.at - start).total_seconds() * 1000
-        rest = " ".join(
-            f"{key}={value}"
-            for key, value in self.pairs.items()
-            if key not in TOLD_FIRST and value not in ("", '""')
-        )
-        node = self.pairs.get("node", "?")
-        return f"{offset_ms:+9.0f} ms  {node}  {self.pairs['event']}  {rest}"
-
-
-def _read(paths: Iterable[Path]) -> Iterable[LogLine]:
-    for path in paths:
-        try:
-            text = path.read_text(encoding="utf-8", errors="replace")
-        except OSError as error:
-            raise SettingsError(ResultCode.SETTINGS_UNREADABLE, str(error)) from error
-        for line in text.splitlines():
-            pairs = dict(PAIR.findall(line))
-            if "event" in pairs and "time" in pairs:
-                yield LogLine(datetime.fromisoformat(pairs["time"]), pairs)
-
-
 def request_story(request: str, paths: list[Path]) -> list[str]:
     """Return what the logs tell of a request, in order over all instances.
 
@@ -80,7 +45,7 @@
     SettingsError
         SETTINGS_UNREADABLE if a file cannot be read.
     """
-    lines = list(_read(paths))
+    lines = list(read_logs(paths))
     own = [line for line in lines if line.pairs.get("request") == request]
     if not own:
         return []
