Send heartbeats between digests that are far apart

Cause: a large fleet's digests are up to 1.1 s apart, since their bytes are bounded, and silence is 0.8 s. A speaker that is outranked, or leaves, no longer waits for the time of its next digest to act on it. A reading of the store that was heard of grows older where it is told on. Before: the test of 130 busy engines red (two speakers seen); with heartbeats 20 s apart red again. After: green. Ruled out: a longer silence (a dead speaker missed for 2.8 s), shorter digests (their bytes are what is bounded).

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim.py
@@ -9,9 +9,9 @@
 from collections import deque
 
 import trio
-from buckthornwall.peers import Beacon, PeerAgent, PeerSettings, PeerState
+from buckthornwall.peers import Beacon, PeerAgent, PeerSettings, PeerState, Work
 from buckthornwall.peers.table import order_of
-from buckthornwall.utils import Incarnation, NodeId, TrioClock, ZoneId
+from buckthornwall.utils import Incarnation, NodeId, TrioClock, UpstreamId, ZoneId
 
 __all__ = ["PeersSimulation", "SimPeer"]
 
@@ -89,7 +89,7 @@
             mark=self.number,
             read_age_ms=int((self.clock.now() - self.read_at) * 1000),
             unbroken_ms=0,
-            loads={},
+            loads=self.simulation.loads,
         )
 
     @property
@@ -151,6 +151,7 @@
         self.sockets: dict[str, _Socket] = {}
         self.peers: dict[str, SimPeer] = {}
         self.seeds: list[str] = []
+        self.loads: dict[UpstreamId, Work] = {}
         self.sent = 0
         self.number = 1
         self._changed_at: deque[float] = deque([trio.current_time()])
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_succession.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_succession.py
@@ -17,8 +17,9 @@
 
 import pytest
 import trio
-from buckthornwall.peers import PeerState
+from buckthornwall.peers import PeerState, Work
 from buckthornwall.peers.messages import encode
+from buckthornwall.utils import UpstreamId
 
 from buckthornwall_standins.peers_sim import PeersSimulation
 
@@ -171,3 +172,31 @@
     await trio.sleep(0.05)
     assert speaker.speaks
     assert [peer for peer in peers if peer.speaks] == [speaker]
+
+
+async def test_long_digests_leave_nobody_without_word(autojump_clock, fleet):
+    """Digests of a large fleet are over 0.8 s apart, and that counted as silence.
+
+    The second in the order spoke up again and again, and each zone's work was
+    forgotten between two digests of it:
+
+        6.4123 everett-2 event=zone_speaker own=True speaker=""
+        6.5169 everett-2 event=zone_speaker own=False speaker=10.2.0.39:7260
+        7.5211 everett-2 event=zone_speaker own=True speaker=""
+    """
+    engine = "i-%010d"
+    fleet.loads = {
+        UpstreamId(engine % n): Work(9, {5: 20_000, 2: 9_000}, 3, {5: 700}, 250_000)
+        for n in range(130)
+    }
+    peers = await settled(fleet, 8)
+    speaker = fleet.speaker("z")
+    assert speaker.agent._interval_s() > 0.8
+    speakers, zones = set(), set()
+    for _ in range(100):
+        await trio.sleep(0.05)
+        speakers |= {peer.address for peer in peers if peer.speaks}
+        zones.add(len(speaker.agent.table.zones))
+    assert speakers == {speaker.address}
+    assert zones == {2}
+    assert furthest_behind_s(peers) < STOP_LIMIT_S
--- a/packages/buckthornwall/src/buckthornwall/peers/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/__init__.py
@@ -1,7 +1,7 @@
 """What instances tell each other: who is there, how loaded, what is in force.
 
 ============= ============================================================
-`messages`    beacons, digests, and the view that a peer may ask for
+`messages`    beacons, digests, heartbeats, and the view that a peer may ask for
 `table`       who speaks for a zone, and the sum of all work
 `agent`       the tasks that tell and hear
 `views`       asking a peer for what is in force, and answering that
@@ -9,13 +9,14 @@
 """
 
 from .agent import PeerAgent, PeerSettings
-from .messages import Beacon, Digest, PeerState, PeerView, Work
+from .messages import Beacon, Digest, Heartbeat, PeerState, PeerView, Work
 from .table import PeerTable
 from .views import ViewClient, answer_view
 
 __all__ = [
     "Beacon",
     "Digest",
+    "Heartbeat",
     "PeerAgent",
     "PeerSettings",
     "PeerState",
--- a/packages/buckthornwall/src/buckthornwall/peers/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/agent.py
@@ -11,7 +11,7 @@
 from buckthornwall.telemetry import log_event
 from buckthornwall.utils import Clock, ConfigItem, ConfigNamespace, ZoneId
 
-from .messages import Beacon, Digest, PeerState, decode, encode
+from .messages import Beacon, Digest, Heartbeat, PeerMessage, PeerState, decode, encode
 from .table import PeerTable
 
 __all__ = ["PeerAgent", "PeerSettings"]
@@ -56,6 +56,12 @@
         "come less often.",
         minimum=100,
     )
+    heartbeat_ms = ConfigItem(
+        200.0,
+        "Milliseconds between two heartbeats of a speaker whose digests are further "
+        "apart.",
+        minimum=10,
+    )
     silence_ms = ConfigItem(
         800.0, "Milliseconds of silence after which a peer counts as gone.", minimum=50
     )
@@ -159,6 +165,7 @@
     async def _take_leave(self, own: Beacon, speaker: str | None, now: float) -> None:
         """Tell who counts this instance that it leaves, and speak no more."""
         data = encode(own)
+        self._digest_bytes = 0
         told = [speaker]
         if speaker is None:
             others = self.table.other_speakers().values()
@@ -178,7 +185,36 @@
                 for address in gone:
                     log_event("peer_lost", "WARNING", peer=address)
             await self.tell()
-            await trio.sleep(self._interval_s())
+            await self._until_next(self._interval_s())
+
+    async def _until_next(self, left_s: float) -> None:
+        """Wait for the time of the next digest, with heartbeats where it is long.
+
+        Digests of a large fleet are up to 1.1 s apart. Without heartbeats that counted
+        as silence: others spoke up, and zones' work was forgotten in between.
+        """
+        heartbeat_s = self.settings.heartbeat_ms / MS_PER_S
+        while left_s > heartbeat_s:
+            await trio.sleep(heartbeat_s)
+            left_s -= heartbeat_s
+            if not await self._tell_heartbeat():
+                return
+        await trio.sleep(left_s)
+
+    async def _tell_heartbeat(self) -> bool:
+        """Tell that this instance speaks; False if it does no longer."""
+        now = self.clock.now()
+        own = self.make_beacon()
+        if own.state is PeerState.LEAVING or not self.table.is_speaker(now):
+            return False
+        for is_fleet, addresses in (
+            (False, self.table.other_speakers().values()),
+            (True, self.table.member_addresses(now)),
+        ):
+            data = encode(self.table.make_heartbeat(own, is_fleet, now))
+            for address in addresses:
+                await self._send(data, address)
+        return True
 
     def _interval_s(self) -> float:
         if not self._was_speaker:
@@ -225,7 +261,7 @@
         while True:
             try:
                 data, _ = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
-                message = decode(data, Beacon | Digest)
+                message = decode(data, PeerMessage)
             except OSError as error:
                 log_event("beacon_not_heard", "DEBUG", detail=error)
                 await trio.sleep(GREET_INTERVAL_S)
@@ -235,8 +271,11 @@
                 continue
             await self._take(message)
 
-    async def _take(self, message: Beacon | Digest) -> None:
+    async def _take(self, message: PeerMessage) -> None:
         now = self.clock.now()
+        if isinstance(message, Heartbeat):
+            self.table.hear_heartbeat(message, now)
+            return
         self.on_held(message.held)
         if isinstance(message, Digest):
             await self._take_digest(message, now)
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -12,7 +12,17 @@
 from buckthornwall.pools import HeldParts, UpstreamEntry
 from buckthornwall.utils import Incarnation, NodeId, UpstreamId, ZoneId
 
-__all__ = ["Beacon", "Digest", "PeerState", "PeerView", "Work", "decode", "encode"]
+__all__ = [
+    "Beacon",
+    "Digest",
+    "Heartbeat",
+    "PeerMessage",
+    "PeerState",
+    "PeerView",
+    "Work",
+    "decode",
+    "encode",
+]
 
 
 class Work(msgspec.Struct, array_like=True, frozen=True):
@@ -101,6 +111,27 @@
         return not self.informed
 
 
+class Heartbeat(msgspec.Struct, array_like=True, tag="h"):
+    """What a speaker tells between two digests: that it lives, and what is newest.
+
+    The fields are those of its digests; `number` and what follows are over the fleet
+    if `is_fleet`, else over its zone.
+    """
+
+    address: str
+    weight: float
+    zone: ZoneId
+    is_fleet: bool
+    number: int
+    mark: int
+    informed: str
+    read_age_ms: int
+    unbroken_ms: int
+
+
+PeerMessage = Beacon | Digest | Heartbeat
+
+
 class PeerView(msgspec.Struct, array_like=True):
     """What is in force at an instance; `published` is b'' if not asked for.
 
@@ -114,12 +145,12 @@
     entries: list[UpstreamEntry]
 
 
-def encode(message: Beacon | Digest | PeerView) -> bytes:
+def encode(message: PeerMessage | PeerView) -> bytes:
     """Return a message as bytes."""
     return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
 
 
-def decode(data: bytes, form: type) -> Beacon | Digest | PeerView:
+def decode(data: bytes, form: type) -> PeerMessage | PeerView:
     """Return the message that `data` holds.
 
     Raises
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -17,7 +17,7 @@
 from buckthornwall.pools.load import NO_PEERS, PeerLoad
 from buckthornwall.utils import UpstreamId, ZoneId
 
-from .messages import Beacon, Digest, PeerState, Work
+from .messages import Beacon, Digest, Heartbeat, PeerState, Work
 
 __all__ = ["PeerTable", "order_of"]
 
@@ -139,6 +139,19 @@
         elif not digest.points_only and self._replaces(digest, self.speaker, now):
             self.speaker = Heard(digest, at, at)
 
+    def hear_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
+        """Take it that a speaker whose digest is known lives, and what is newest."""
+        is_own_zone = heartbeat.zone == self.zone
+        heard = self.speaker if is_own_zone else self.zones.get(heartbeat.zone)
+        if heard is None or heard.message.address != heartbeat.address:
+            return
+        if self._is_leaving(heartbeat.address, now):
+            return
+        heard.at = heard.told_at = now
+        heard.message.read_age_ms = heartbeat.read_age_ms
+        heard.message.unbroken_ms = heartbeat.unbroken_ms
+        _take_newer(heard.message, heartbeat)
+
     def _replaces(self, digest: Digest, current: Heard | None, now: float) -> bool:
         """Tell whether a digest counts in place of the last one of its zone.
 
@@ -232,12 +245,12 @@
         now
             The time in seconds.
         """
-        parts = [own, *(heard.message for heard in self.members.values())]
+        parts = self._parts(own)
         count = sum(1 for part in parts if part.state is not PeerState.JOINING)
         loads: dict[UpstreamId, Work] = {}
         for part in parts:
             add_work(loads, part.loads)
-        best = max(parts, key=lambda part: (part.number, part.mark))
+        newest = self.make_heartbeat(own, is_fleet, now)
         digest = Digest(
             address=self.address,
             weight=self.weight,
@@ -246,11 +259,11 @@
             count=count,
             members={part.address: part.weight for part in parts},
             speakers={self.zone: self.address} | self.other_speakers(),
-            number=best.number,
-            mark=best.mark,
-            informed=best.address,
-            read_age_ms=min(part.read_age_ms for part in parts),
-            unbroken_ms=max(part.unbroken_ms for part in parts),
+            number=newest.number,
+            mark=newest.mark,
+            informed=newest.informed,
+            read_age_ms=newest.read_age_ms,
+            unbroken_ms=newest.unbroken_ms,
             loads=loads,
             held=dict(own.held),
         )
@@ -258,9 +271,43 @@
         if is_fleet:
             merge_held(digest.held, self.far_news.told(now))
             for heard in self.zones.values():
-                _include(digest, heard.message)
+                digest.count += heard.message.count
+                add_work(digest.loads, heard.message.loads)
         return digest
 
+    def _parts(self, own: Beacon) -> list[Beacon]:
+        """Return what the instances of the zone say of themselves."""
+        return [own, *(heard.message for heard in self.members.values())]
+
+    def make_heartbeat(self, own: Beacon, is_fleet: bool, now: float) -> Heartbeat:
+        """Return what this instance tells between two digests.
+
+        Parameters are those of a digest. What was heard grows older meanwhile.
+        """
+        parts = self._parts(own)
+        best = max(parts, key=lambda part: (part.number, part.mark))
+        heartbeat = Heartbeat(
+            address=self.address,
+            weight=self.weight,
+            zone=self.zone,
+            is_fleet=is_fleet,
+            number=best.number,
+            mark=best.mark,
+            informed=best.address,
+            read_age_ms=own.read_age_ms,
+            unbroken_ms=max(part.unbroken_ms for part in parts),
+        )
+        for heard in self.members.values():
+            _take_read_age(heartbeat, heard, now)
+        if is_fleet:
+            for heard in self.zones.values():
+                _take_read_age(heartbeat, heard, now)
+                heartbeat.unbroken_ms = max(
+                    heartbeat.unbroken_ms, heard.message.unbroken_ms
+                )
+                _take_newer(heartbeat, heard.message)
+        return heartbeat
+
     def set_interval(self, seconds: float) -> None:
         """Take how far apart this instance's digests are.
 
@@ -326,16 +373,18 @@
         )
 
 
-def _include(digest: Digest, other: Digest) -> None:
-    """Add another zone's digest to one of the fleet."""
-    digest.count += other.count
-    add_work(digest.loads, other.loads)
-    digest.read_age_ms = min(digest.read_age_ms, other.read_age_ms)
-    digest.unbroken_ms = max(digest.unbroken_ms, other.unbroken_ms)
-    if (other.number, other.mark) > (digest.number, digest.mark):
-        digest.number = other.number
-        digest.mark = other.mark
-        digest.informed = other.informed
+def _take_newer(known: Digest | Heartbeat, told: Digest | Heartbeat) -> None:
+    """Put what is newest, and who has it, into what is known."""
+    if (told.number, told.mark) > (known.number, known.mark):
+        known.number = told.number
+        known.mark = told.mark
+        known.informed = told.informed
+
+
+def _take_read_age(heartbeat: Heartbeat, heard: Heard, now: float) -> None:
+    """Let a reading of the store count that another instance told of."""
+    told_ms = heard.message.read_age_ms + int((now - heard.told_at) * MS_PER_S)
+    heartbeat.read_age_ms = min(heartbeat.read_age_ms, told_ms)
 
 
 def _order(digest: Digest) -> tuple[float, bytes]:
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
@@ -4,7 +4,7 @@
 
 from buckthornwall.codes import PeerError
 from buckthornwall.peers import Beacon, Digest, PeerState, PeerTable, PeerView, Work
-from buckthornwall.peers.messages import decode, encode
+from buckthornwall.peers.messages import PeerMessage, decode, encode
 from buckthornwall.peers.table import order_of
 from buckthornwall.pools import UpstreamEntry, UpstreamState
 from buckthornwall.routing import PoolId
@@ -59,6 +59,8 @@
     assert decode(encode(sent), Beacon | Digest) == sent
     assert decode(encode(digest), Beacon | Digest) == digest
     assert decode(encode(view), PeerView) == view
+    heartbeat = table(FIRST).make_heartbeat(sent, is_fleet=True, now=0.0)
+    assert decode(encode(heartbeat), PeerMessage) == heartbeat
 
 
 OTHER = encode(PeerView(1, 1, b"", []))
@@ -260,3 +262,26 @@
     first.hear_beacon(own, 0.0)
     digest = first.make_digest(beacon(FIRST), is_fleet=False, now=interval_s + 0.01)
     assert digest.held == own.held
+
+
+def test_a_heartbeat_counts_as_word_of_its_sender_and_of_nobody_else():
+    first, second, third = table(FIRST), table(SECOND), table(THIRD)
+    third.hear_digest(first.make_digest(beacon(FIRST), True, now=0.0), 0.0)
+    third.hear_heartbeat(second.make_heartbeat(beacon(SECOND), True, 0.6), 0.6)
+    assert third.word_age_s(0.7) == pytest.approx(0.7)
+    newer = first.make_heartbeat(beacon(FIRST, number=4, mark=9), True, 0.7)
+    third.hear_heartbeat(newer, 0.7)
+    told = third.whole(beacon(THIRD), 0.8)
+    assert third.word_age_s(0.8) == pytest.approx(0.1)
+    assert (told.number, told.mark, told.informed) == (4, 9, FIRST)
+
+
+def test_what_was_heard_of_a_reading_grows_older():
+    """Told on as it was heard, a reading of the store seemed newer than it was."""
+    first = table(FIRST)
+    told = beacon(SECOND)
+    told.read_age_ms = 100
+    first.hear_beacon(told, 0.0)
+    own = beacon(FIRST)
+    own.read_age_ms = 5000
+    assert first.make_digest(own, True, now=0.7).read_age_ms == 800
