Go on telling news to members that leave

Cause, the same class again: a member that stops serves on until the balancer has noticed, but its speaker drops it at its first leave, so it hears nothing until it has taken that for silence: 0.8 s, and 0.1 s more for each place in the order. At size one kept a version for 2.3 s, another for 2.6 s, while it served. A test of zones of 3 and 21, red before.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim.py
@@ -116,8 +116,7 @@
                 told = self.agent.table.whole(self.make_beacon(), now)
                 self.number = max(self.number, told.number)
             behind_s = self.simulation.behind_s(self.number)
-            if self.state is PeerState.READY:
-                self.behind_s = max(self.behind_s, behind_s)
+            self.behind_s = max(self.behind_s, behind_s)
 
     def kill(self) -> None:
         """End without a word."""
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_succession.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_succession.py
@@ -126,6 +126,21 @@
     assert newcomer.behind_s < STOP_LIMIT_S
 
 
+@pytest.mark.parametrize("count", [3, 21])
+async def test_a_member_that_leaves_goes_on_hearing_news(autojump_clock, fleet, count):
+    """It serves until the balancer has noticed; its speaker told it nothing more.
+
+    5.0001 everett-12 event=stopping active=5
+    6.0345 everett-12 event=news_overdue word_age_ms=1204 number=116
+    7.2959 everett-12 event=config_adopted number=151 before=116
+    """
+    peers = await settled(fleet, count)
+    leaving = next(peer for peer in peers if not peer.speaks)
+    fleet.nursery.start_soon(leaving.leave, NOTICE_S)
+    await trio.sleep(NOTICE_S - 0.1)
+    assert leaving.behind_s < STOP_LIMIT_S
+
+
 async def test_the_word_of_a_dead_speaker_is_not_made_fresh_by_passing_it_on(
     autojump_clock, fleet
 ):
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -7,7 +7,6 @@
 no more.
 """
 
-import math
 from dataclasses import dataclass
 from hashlib import blake2b
 
@@ -80,7 +79,7 @@
         self.zones: dict[ZoneId, Heard] = {}
         self.speaker: Heard | None = None
         self.told: dict[UpstreamId, Work] = {}
-        self.left_at: dict[str, float] = {}
+        self.leavers: dict[str, Heard] = {}
         self.zone_news = PrefixNews(RETOLD_S)
         self.far_news = PrefixNews(RETOLD_S)
 
@@ -93,7 +92,7 @@
         if beacon.state is PeerState.LEAVING:
             self._hear_leave(beacon, now)
             return False
-        self.left_at.pop(beacon.address, None)
+        self.leavers.pop(beacon.address, None)
         if beacon.zone != self.zone:
             return False
         self.zone_news.hear(beacon.held, now)
@@ -108,7 +107,7 @@
         for the next speaker anew, members heard no news for up to 5.3 s.
         """
         address = beacon.address
-        self.left_at[address] = now
+        self.leavers[address] = Heard(beacon, now, now)
         self.members.pop(address, None)
         for speaker in (self.speaker, self.zones.get(beacon.zone)):
             if speaker is not None and speaker.message.address == address:
@@ -116,7 +115,8 @@
 
     def _is_leaving(self, address: str, now: float) -> bool:
         """Tell whether an instance has lately said that it leaves."""
-        return now - self.left_at.get(address, -math.inf) <= self.silence_s
+        leave = self.leavers.get(address)
+        return leave is not None and now - leave.at <= self.silence_s
 
     def hear_digest(self, digest: Digest, now: float) -> None:
         """Take a digest of this zone's speaker, or of another zone's.
@@ -175,9 +175,9 @@
         for zone, heard in list(self.zones.items()):
             if now - heard.at > self.silence_s:
                 del self.zones[zone]
-        for address in list(self.left_at):
+        for address in list(self.leavers):
             if not self._is_leaving(address, now):
-                del self.left_at[address]
+                del self.leavers[address]
         return gone
 
     # Speaking
@@ -218,13 +218,17 @@
 
         Told only by those that tell it, the next speaker was heard of by nobody, and
         each of 21 members followed after a wait of its own, the last after 2.8 s.
+        Who leaves still serves, and kept a version for 2.3 s where it was not told.
         """
         addresses = dict.fromkeys(self.members)
+        for address, leave in self.leavers.items():
+            if leave.message.zone == self.zone:
+                addresses[address] = None
         speaker = self.speaker
         if speaker is not None and now - speaker.told_at <= ROSTER_S:
             addresses |= dict.fromkeys(speaker.message.members)
         addresses.pop(self.address, None)
-        return [each for each in addresses if not self._is_leaving(each, now)]
+        return list(addresses)
 
     def other_speakers(self) -> dict[ZoneId, str]:
         """Return the speakers of other zones, as far as they are known."""
