Move who reads, and what is taken from peers, out of the router into a part of its own

The decisions (who reads the store, when a peer is asked) now take their state as arguments and have tests of their own: that an instance which hears nothing for 1.5 s reads was in force without one.

--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -1,11 +1,9 @@
 """The parts of one instance behind the platform's balancer."""
 
-import random
-
 import trio
 
-from buckthornwall.codes import PeerError, Refusal
-from buckthornwall.discovery import DiscoveryAgent, News
+from buckthornwall.codes import Refusal
+from buckthornwall.discovery import DiscoveryAgent
 from buckthornwall.forwarding import Forwarder
 from buckthornwall.http1 import Answer, HttpServer, IncomingRequest, ServerLimits
 from buckthornwall.peers import (
@@ -13,7 +11,6 @@
     Digest,
     PeerAgent,
     PeerState,
-    PeerView,
     ViewClient,
     Work,
     answer_view,
@@ -39,6 +36,7 @@
     new_id,
 )
 
+from .news import NewsExchange
 from .news_watch import NewsWatch
 from .operators import answer_operator
 from .stopping import stop_gracefully
@@ -52,19 +50,6 @@
 # long: it is read 0.02 to 0.1 s after the start, and whoever is refused meanwhile
 # comes back 0.5 s later. Then it is refused as not run.
 FIRST_VERSION_S = 0.25
-# How often it is looked whether a peer has newer news.
-ASK_PEERS_S = 0.1
-# An instance that reads the store itself asks a peer only when its own watch
-# should long have brought the news.
-BEHIND_S = 0.8
-# When the store has answered nobody for this long, everyone reads; each
-# instance waits a part of a second longer, by its own draw.
-UNREAD_MS = 3000
-UNREAD_SPREAD_MS = 1000
-# Who has heard nothing for this long from the speaker that it goes by reads, whoever
-# speaks: a change has to be in force everywhere 2 s after it was acknowledged.
-UNHEARD_S = 1.5
-NEVER_MS = 1_000_000_000
 # Shorter waits say nothing that counts of unread tokens do not, and cost bytes.
 LEAST_TOLD_WAIT_S = 0.2
 OPERATOR_LIMITS = ServerLimits(8192, 0, 3.0, 30.0)
@@ -117,7 +102,9 @@
         )
         self.peer_agent = PeerAgent(settings.peers, self.zone, self._beacon, clock)
         self.peers = self.peer_agent.table
-        self.views = ViewClient()
+        self.news = NewsExchange(
+            self.discovery, self.peers, self._beacon, ViewClient(), clock
+        )
         self.news_watch = NewsWatch(self.peers, self.table)
         self.callers = HttpServer(clock, self._caller_limits, self._handle_caller)
         self.operators = HttpServer(
@@ -127,15 +114,14 @@
             clock, lambda: OPERATOR_LIMITS, self._handle_readiness
         )
         self.view_server = HttpServer(clock, lambda: OPERATOR_LIMITS, self._handle_view)
-        self._unread_spread_ms = random.uniform(0, UNREAD_SPREAD_MS)
-        self.discovery.may_read = self._may_read
+        self.discovery.may_read = self.news.may_read
         self.discovery.on_change = self._news_adopted
         self.discovery.on_gone = self.forwarder.connections.forget
         self.discovery.on_restart = self.forwarder.connections.abandon
         self.discovery.on_call = self._count_store_call
         self.peer_agent.on_work = self._work_told
         self.peer_agent.on_held = self.pools.hear_held
-        self.forwarder.account.describe_news = self._describe_news
+        self.forwarder.account.describe_news = self.news.describe
 
     @classmethod
     def from_config(cls, settings: RouterSettings) -> "Router":
@@ -167,7 +153,7 @@
             self.callers_listen = True
             nursery.start_soon(self.discovery.run)
             nursery.start_soon(self._housekeeping)
-            nursery.start_soon(self._ask_peers)
+            nursery.start_soon(self.news.run)
             await self.stopping.wait()
             await stop_gracefully(self)
             nursery.cancel_scope.cancel()
@@ -185,57 +171,6 @@
                 logged_at = now
                 self.pools.log_speeds()
 
-    def _may_read(self) -> bool:
-        """Tell whether this instance reads the store itself.
-
-        One in each zone does, and tells its zone: 80 instances that each kept
-        a watch made 4,523 calls in a day of 52 s.
-        """
-        now = self.clock.now()
-        if self.peers.is_speaker(now):
-            return True
-        word_age_s = self.peers.word_age_s(now)
-        unread_ms = self.fleet().read_age_ms + word_age_s * 1000
-        is_unread = unread_ms > UNREAD_MS + self._unread_spread_ms
-        return is_unread or word_age_s > UNHEARD_S
-
-    async def _ask_peers(self) -> None:
-        """Take from peers what this instance does not read itself."""
-        behind_since: float | None = None
-        while True:
-            await trio.sleep(ASK_PEERS_S)
-            fleet = self.fleet()
-            self.discovery.hear_unbroken(fleet.unbroken_ms / 1000)
-            own = (self.table.number, self.discovery.mark)
-            if (fleet.number, fleet.mark) <= own:
-                behind_since = None
-                continue
-            now = self.clock.now()
-            behind_since = now if behind_since is None else behind_since
-            reads = self._may_read() and not self.discovery.is_away
-            if not reads or now - behind_since > BEHIND_S:
-                await self._take_view(fleet)
-
-    async def _take_view(self, fleet: Digest) -> None:
-        """Put in force what the best informed peer has."""
-        if fleet.informed == self.settings.peers.listen:
-            return
-        try:
-            view = await self.views.ask(fleet.informed, self.table.number)
-        except PeerError as error:
-            log_event("view_not_had", "WARNING", peer=fleet.informed, detail=error)
-            return
-        log_event("view_taken", peer=fleet.informed, mark=view.mark)
-        self.discovery.adopt(
-            News(
-                revision=view.revision,
-                whole=True,
-                mark=view.mark,
-                published=view.published or None,
-                entries={entry.id: entry for entry in view.entries},
-            )
-        )
-
     # Messages
 
     def fleet(self) -> Digest:
@@ -258,25 +193,12 @@
             self.state,
             self.table.number,
             self.discovery.mark,
-            self._read_age_ms(),
+            self.news.read_age_ms(),
             int(self.discovery.unbroken_s() * 1000),
             loads,
             held=self.pools.news.told(now),
         )
 
-    def _read_age_ms(self) -> int:
-        age_ms = (self.clock.now() - self.discovery.read_at) * 1000
-        return int(min(age_ms, NEVER_MS))
-
-    def _describe_news(self) -> dict[str, object]:
-        """Return which version is in force, and how old the word it rests on is."""
-        word_age_s = self.peers.word_age_s(self.clock.now())
-        return {
-            "number": self.table.number,
-            "word_age_ms": round(word_age_s * 1000),
-            "read_age_ms": self._read_age_ms(),
-        }
-
     def _work_told(self) -> None:
         work = self.peers.others_work(self._beacon(), self.clock.now())
         for view in self.pools.views.values():
@@ -327,11 +249,7 @@
         await answer.whole(status, [], b"")
 
     async def _handle_view(self, incoming: IncomingRequest, answer: Answer) -> None:
-        entries = [view.entry for view in self.pools.views.values()]
-        view = PeerView(
-            self.discovery.revision, self.discovery.mark, self.discovery.raw, entries
-        )
-        await answer_view(incoming, answer, view, self.table.number)
+        await answer_view(incoming, answer, self.news.view(), self.table.number)
 
     async def _handle_operator(self, incoming: IncomingRequest, answer: Answer) -> None:
         await answer_operator(self, incoming, answer)
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/router/news.py
@@ -0,0 +1,140 @@
+"""Who reads the store, and what is taken from a peer instead."""
+
+import random
+from collections.abc import Callable
+
+import trio
+
+from buckthornwall.codes import PeerError
+from buckthornwall.discovery import DiscoveryAgent, News
+from buckthornwall.peers import Beacon, Digest, PeerTable, PeerView, ViewClient
+from buckthornwall.telemetry import log_event
+from buckthornwall.utils import Clock
+
+__all__ = ["NewsExchange"]
+
+MS_PER_S = 1000.0
+# How often it is looked whether a peer has newer news.
+ASK_PEERS_S = 0.1
+# An instance that reads the store itself asks a peer only when its own watch
+# should long have brought the news.
+BEHIND_S = 0.8
+# When the store has answered nobody for this long, everyone reads; each
+# instance waits a part of a second longer, by its own draw.
+UNREAD_MS = 3000
+UNREAD_SPREAD_MS = 1000
+# Who has heard nothing for this long from the speaker that it goes by reads, whoever
+# speaks: a change has to be in force everywhere 2 s after it was acknowledged.
+UNHEARD_S = 1.5
+NEVER_MS = 1_000_000_000
+
+
+class NewsExchange:
+    """Decides who reads, and takes from peers what this instance does not read.
+
+    Parameters
+    ----------
+    discovery
+        What is in force here, and since when.
+    peers
+        Who speaks, and what is newest anywhere.
+    make_beacon
+        Returns what this instance says of itself.
+    views
+        Asks a peer for what is in force there.
+    clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        discovery: DiscoveryAgent,
+        peers: PeerTable,
+        make_beacon: Callable[[], Beacon],
+        views: ViewClient,
+        clock: Clock,
+    ) -> None:
+        self.discovery = discovery
+        self.peers = peers
+        self.make_beacon = make_beacon
+        self.views = views
+        self.clock = clock
+        self.unread_limit_ms = UNREAD_MS + random.uniform(0, UNREAD_SPREAD_MS)
+        self._behind_since: float | None = None
+
+    def may_read(self) -> bool:
+        """Tell whether this instance reads the store itself.
+
+        One in each zone does, and tells its zone: 80 instances that each kept
+        a watch made 4,523 calls in a day of 52 s.
+        """
+        now = self.clock.now()
+        if self.peers.is_speaker(now):
+            return True
+        word_age_s = self.peers.word_age_s(now)
+        unread_ms = self._fleet().read_age_ms + word_age_s * MS_PER_S
+        return unread_ms > self.unread_limit_ms or word_age_s > UNHEARD_S
+
+    async def run(self) -> None:
+        """Look for news at peers until cancelled."""
+        while True:
+            await trio.sleep(ASK_PEERS_S)
+            fleet = self._fleet()
+            self.discovery.hear_unbroken(fleet.unbroken_ms / MS_PER_S)
+            if self.should_ask(fleet):
+                await self._take_view(fleet.informed)
+
+    def should_ask(self, fleet: Digest) -> bool:
+        """Tell whether a peer is to be asked for what is newer there."""
+        own = (self.discovery.table.number, self.discovery.mark)
+        if (fleet.number, fleet.mark) <= own:
+            self._behind_since = None
+            return False
+        now = self.clock.now()
+        if self._behind_since is None:
+            self._behind_since = now
+        reads = self.may_read() and not self.discovery.is_away
+        return not reads or now - self._behind_since > BEHIND_S
+
+    def _fleet(self) -> Digest:
+        return self.peers.whole(self.make_beacon(), self.clock.now())
+
+    async def _take_view(self, peer: str) -> None:
+        """Put in force what the best informed peer has."""
+        if peer == self.peers.address:
+            return
+        try:
+            view = await self.views.ask(peer, self.discovery.table.number)
+        except PeerError as error:
+            log_event("view_not_had", "WARNING", peer=peer, detail=error)
+            return
+        log_event("view_taken", peer=peer, mark=view.mark)
+        self.discovery.adopt(
+            News(
+                revision=view.revision,
+                whole=True,
+                mark=view.mark,
+                published=view.published or None,
+                entries={entry.id: entry for entry in view.entries},
+            )
+        )
+
+    def view(self) -> PeerView:
+        """Return what is in force here, for a peer that asks."""
+        discovery = self.discovery
+        entries = [view.entry for view in discovery.pools.views.values()]
+        return PeerView(discovery.revision, discovery.mark, discovery.raw, entries)
+
+    def read_age_ms(self) -> int:
+        """Return how long ago the store last answered here."""
+        age_ms = (self.clock.now() - self.discovery.read_at) * MS_PER_S
+        return int(min(age_ms, NEVER_MS))
+
+    def describe(self) -> dict[str, object]:
+        """Return which version is in force, and how old the word it rests on is."""
+        word_age_s = self.peers.word_age_s(self.clock.now())
+        return {
+            "number": self.discovery.table.number,
+            "word_age_ms": round(word_age_s * MS_PER_S),
+            "read_age_ms": self.read_age_ms(),
+        }
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/test_news.py
@@ -0,0 +1,87 @@
+"""Tests of who reads the store, and when a peer is asked."""
+
+import pytest
+
+from buckthornwall.discovery import DiscoveryAgent, DiscoverySettings, News
+from buckthornwall.peers import Beacon, PeerState, PeerTable, ViewClient
+from buckthornwall.pools import PoolTable
+from buckthornwall.router.news import UNHEARD_S, NewsExchange
+from buckthornwall.routing import Published, RoutingTable
+from buckthornwall.utils import Incarnation, NodeId, ZoneId
+
+ZONE = ZoneId("z")
+OWN, OTHER = "10.0.0.1:7340", "10.0.0.2:7340"
+
+
+def beacon(address: str, number: int = 1, read_age_ms: int = 100) -> Beacon:
+    return Beacon(
+        NodeId(address),
+        Incarnation(1),
+        address,
+        1.0,
+        ZONE,
+        PeerState.READY,
+        number,
+        number,
+        read_age_ms,
+        0,
+        {},
+    )
+
+
+def decode(raw: bytes) -> Published:
+    return Published(number=int(raw))
+
+
+@pytest.fixture
+def exchange(clock):
+    """Return a member with version 1 whose speaker, far above it, has just spoken."""
+    discovery = DiscoveryAgent(
+        DiscoverySettings(), None, decode, RoutingTable(), PoolTable(clock), clock
+    )
+    discovery.adopt(News(revision=1, whole=True, mark=1, published=b"1"))
+    peers = PeerTable(OWN, 1.0, ZONE, 0.8, 0.1)
+    exchange = NewsExchange(discovery, peers, lambda: beacon(OWN), ViewClient(), clock)
+    hear(exchange, clock)
+    return exchange
+
+
+def hear(exchange, clock, number=1, read_age_ms=100) -> None:
+    speaker = PeerTable(OTHER, 9.0, ZONE, 0.8, 0.1)
+    own = beacon(OTHER, number, read_age_ms)
+    digest = speaker.make_digest(own, True, clock.now())
+    exchange.peers.hear_digest(digest, clock.now())
+
+
+def test_a_member_that_is_told_does_not_read(exchange):
+    assert not exchange.may_read()
+
+
+def test_who_hears_nothing_reads_whoever_speaks(exchange, clock, monkeypatch):
+    """Held as a member by a speaker that told nothing, one kept a version for 5 s."""
+    monkeypatch.setattr(exchange.peers, "is_speaker", lambda now: False)
+    clock.time += UNHEARD_S - 0.1
+    assert not exchange.may_read()
+    clock.time += 0.2
+    assert exchange.may_read()
+
+
+def test_everyone_reads_when_the_store_has_answered_nobody(exchange, clock):
+    hear(exchange, clock, read_age_ms=int(exchange.unread_limit_ms) - 300)
+    assert not exchange.may_read()
+    clock.time += 0.5
+    assert exchange.may_read()
+
+
+def test_a_member_asks_at_once_and_a_reader_only_when_its_watch_is_late(
+    exchange, clock, monkeypatch
+):
+    hear(exchange, clock, number=2)
+    fleet = exchange.peers.whole(beacon(OWN), clock.now())
+    assert exchange.should_ask(fleet)
+    monkeypatch.setattr(exchange, "may_read", lambda: True)
+    assert not exchange.should_ask(fleet)
+    clock.time += 1.0
+    assert exchange.should_ask(fleet)
+    exchange.discovery.adopt(News(revision=2, whole=False, mark=2, published=b"2"))
+    assert not exchange.should_ask(fleet)
