--- a/packages/buckthornwall/src/buckthornwall/peers/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/__init__.py
@@ -2,7 +2,8 @@
 
 ============= ============================================================
 `messages`    beacons, digests, heartbeats, and the view that a peer may ask for
-`table`       who speaks for a zone, and the sum of all work
+`table`       who speaks for a zone, and what is newest
+`work`        sums of the work of instances
 `agent`       the tasks that tell and hear
 `views`       asking a peer for what is in force, and answering that
 ============= ============================================================
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -13,14 +13,14 @@
 import msgspec
 
 from buckthornwall.pools import PrefixNews, merge_held
-from buckthornwall.pools.load import NO_PEERS, PeerLoad
+from buckthornwall.pools.load import PeerLoad
 from buckthornwall.utils import UpstreamId, ZoneId
 
 from .messages import Beacon, Digest, Heartbeat, PeerState, Work
+from .work import NOTHING, add_work, without_own
 
 __all__ = ["PeerTable", "order_of"]
 
-NOTHING = Work()
 MS_PER_S = 1000.0
 # A speaker tells what it heard of prompts in so many of its digests, and for so many
 # seconds at least.
@@ -353,30 +353,11 @@
         digest = self.whole(own, now)
         counted = own.loads if self.is_speaker(now) else self.told
         return {
-            upstream: _less(work, counted.get(upstream, NOTHING))
+            upstream: without_own(work, counted.get(upstream, NOTHING))
             for upstream, work in digest.loads.items()
         }
 
 
-def add_work(total: dict[UpstreamId, Work], part: dict[UpstreamId, Work]) -> None:
-    """Add the work of a part to a total."""
-    for upstream, work in part.items():
-        before = total.get(upstream, NOTHING)
-        unread = dict(before.unread)
-        for rank, tokens in work.unread.items():
-            unread[rank] = unread.get(rank, 0) + tokens
-        oldest_ms = dict(before.oldest_ms)
-        for rank, age in work.oldest_ms.items():
-            oldest_ms[rank] = max(age, oldest_ms.get(rank, 0))
-        total[upstream] = Work(
-            before.requests + work.requests,
-            unread,
-            before.tight + work.tight,
-            oldest_ms,
-            before.memory + work.memory,
-        )
-
-
 def _take_newer(known: Digest | Heartbeat, told: Digest | Heartbeat) -> None:
     """Put what is newest, and who has it, into what is known."""
     if (told.number, told.mark) > (known.number, known.mark):
@@ -393,26 +374,3 @@
 
 def _order(digest: Digest) -> tuple[float, bytes]:
     return order_of(digest.address, digest.weight)
-
-
-def _less(work: Work, own: Work) -> PeerLoad:
-    """Return a sum without this instance's part of it.
-
-    The oldest of all stays the oldest, whoever sent it.
-    """
-    requests = max(0, work.requests - own.requests)
-    unread = {
-        rank: tokens - own.unread.get(rank, 0)
-        for rank, tokens in work.unread.items()
-        if tokens > own.unread.get(rank, 0)
-    }
-    if not requests and not unread:
-        return NO_PEERS
-    oldest_s = {rank: age / MS_PER_S for rank, age in work.oldest_ms.items()}
-    return PeerLoad(
-        requests,
-        unread,
-        max(0, work.tight - own.tight),
-        oldest_s,
-        max(0, work.memory - own.memory),
-    )
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/peers/work.py
@@ -0,0 +1,53 @@
+"""Sums of what instances have in flight at upstreams."""
+
+from buckthornwall.pools.load import NO_PEERS, PeerLoad
+from buckthornwall.utils import UpstreamId
+
+from .messages import Work
+
+__all__ = ["NOTHING", "add_work", "without_own"]
+
+NOTHING = Work()
+MS_PER_S = 1000.0
+
+
+def add_work(total: dict[UpstreamId, Work], part: dict[UpstreamId, Work]) -> None:
+    """Add the work of a part to a total."""
+    for upstream, work in part.items():
+        before = total.get(upstream, NOTHING)
+        unread = dict(before.unread)
+        for rank, tokens in work.unread.items():
+            unread[rank] = unread.get(rank, 0) + tokens
+        oldest_ms = dict(before.oldest_ms)
+        for rank, age in work.oldest_ms.items():
+            oldest_ms[rank] = max(age, oldest_ms.get(rank, 0))
+        total[upstream] = Work(
+            before.requests + work.requests,
+            unread,
+            before.tight + work.tight,
+            oldest_ms,
+            before.memory + work.memory,
+        )
+
+
+def without_own(work: Work, own: Work) -> PeerLoad:
+    """Return a sum without this instance's part of it.
+
+    The oldest of all stays the oldest, whoever sent it.
+    """
+    requests = max(0, work.requests - own.requests)
+    unread = {
+        rank: tokens - own.unread.get(rank, 0)
+        for rank, tokens in work.unread.items()
+        if tokens > own.unread.get(rank, 0)
+    }
+    if not requests and not unread:
+        return NO_PEERS
+    oldest_s = {rank: age / MS_PER_S for rank, age in work.oldest_ms.items()}
+    return PeerLoad(
+        requests,
+        unread,
+        max(0, work.tight - own.tight),
+        oldest_s,
+        max(0, work.memory - own.memory),
+    )
