Read what no peer hands over

Now whoever knows of something newer reads it itself, at once where the peer cannot be asked, and after 0.5 s where it is slow.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/soak.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/soak.py
@@ -35,6 +35,8 @@
 HARM_S = (0.5, 4.0)
 PAUSE_S = (0.2, 1.5)
 MOST_LOSS = 0.3
+# Faults before the first break that are shown.
+SHOWN = 20
 
 
 @dataclass
@@ -177,8 +179,26 @@
         behind_s = self.fleet.behind_s(peer.discovery.table.number)
         self.verdict.furthest_s = max(self.verdict.furthest_s, behind_s)
         if behind_s > LIMIT_S:
-            text = f"{peer.address} is {behind_s:.2f} s behind"
-            self.verdict.broken.append(f"{trio.current_time():.2f} {text}")
+            if not self.verdict.broken:
+                del self.history[:-SHOWN]
+                self.history = [*self.history, "-- broken --"]
+            self.verdict.broken.append(f"{trio.current_time():.2f} {_state(peer)}")
+
+
+def _state(peer: SimPeer) -> str:
+    """Return how far behind an instance is, and what it goes by."""
+    now = peer.clock.now()
+    told = peer.agent.table.whole(peer.make_beacon(), now)
+    behind_s = peer.simulation.behind_s(peer.discovery.table.number)
+    return (
+        f"{peer.address} is {behind_s:.2f} s behind: speaks={peer.speaks} "
+        f"speaker={peer.agent.table.speaker_address(now)} "
+        f"word_age_s={peer.agent.table.word_age_s(now):.2f} "
+        f"may_read={peer.news.may_read()} "
+        f"read_s_ago={now - peer.discovery.read_at:.2f} away={peer.discovery.is_away} "
+        f"number={peer.discovery.table.number} told={told.number} "
+        f"informed={told.informed}"
+    )
 
 
 def play_seed(seed: int, seconds: float) -> SoakVerdict:
@@ -186,7 +206,7 @@
     soak = PeersSoak(seed, seconds)
     verdict = trio.run(soak.run, clock=MockClock(autojump_threshold=0))
     if verdict.broken:
-        print("\n".join(soak.history[-40:]), file=sys.stderr)
+        print("\n".join(soak.history), file=sys.stderr)
     return verdict
 
 
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_succession.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_succession.py
@@ -218,3 +218,28 @@
     assert speakers == {speaker.address}
     assert zones == {2}
     assert furthest_behind_s(peers) < HEARTBEAT_LIMIT_S
+
+
+async def test_two_speakers_that_die_in_a_row_leave_nobody_behind(
+    autojump_clock, fleet
+):
+    """The second had been heard once, with news that nobody could have from it.
+
+    30.98 dies 10.3.0.1, the speaker
+    31.88 dies 10.3.0.3, the next one
+    32.60 10.3.0.2 is 2.04 s behind: speaker=10.3.0.3 told=398 informed=10.3.0.3
+    """
+    peers = await settled(fleet, 3)
+    first = fleet.speaker("z")
+    first.kill()
+    await trio.sleep(0.7)
+    others = [peer for peer in peers if peer is not first]
+    while not any(peer.speaks for peer in others):
+        await trio.sleep(0.01)
+    second = fleet.speaker("z")
+    (third,) = (peer for peer in others if peer is not second)
+    while third.agent.table.speaker_address(trio.current_time()) != second.address:
+        await trio.sleep(0.005)
+    second.kill()
+    await trio.sleep(2.0)
+    assert third.behind_s < DEATH_LIMIT_S + 0.3
--- a/packages/buckthornwall/src/buckthornwall/router/news.py
+++ b/packages/buckthornwall/src/buckthornwall/router/news.py
@@ -26,6 +26,9 @@
 # Who has heard nothing for this long from the speaker that it goes by reads, whoever
 # speaks: a change has to be in force everywhere 2 s after it was acknowledged.
 UNHEARD_S = 1.5
+# Who knows of something newer reads it where a peer has not handed it over for this
+# long, five looks for it, or at once where the peer cannot.
+UNSERVED_S = 0.5
 NEVER_MS = 1_000_000_000
 
 
@@ -61,6 +64,7 @@
         self.clock = clock
         self.unread_limit_ms = UNREAD_MS + random.uniform(0, UNREAD_SPREAD_MS)
         self._behind_since: float | None = None
+        self._view_failed = False
 
     def may_read(self) -> bool:
         """Tell whether this instance reads the store itself.
@@ -69,12 +73,18 @@
         a watch made 4,523 calls in a day of 52 s.
         """
         now = self.clock.now()
-        if self.peers.is_speaker(now):
+        if self.peers.is_speaker(now) or self._is_unserved(now):
             return True
         word_age_s = self.peers.word_age_s(now)
         unread_ms = self._fleet().read_age_ms + word_age_s * MS_PER_S
         return unread_ms > self.unread_limit_ms or word_age_s > UNHEARD_S
 
+    def _is_unserved(self, now: float) -> bool:
+        """Tell whether what is newer elsewhere is not had from there."""
+        if self._behind_since is None:
+            return False
+        return self._view_failed or now - self._behind_since > UNSERVED_S
+
     async def run(self) -> None:
         """Look for news at peers until cancelled."""
         while True:
@@ -82,13 +92,14 @@
             fleet = self._fleet()
             self.discovery.hear_unbroken(fleet.unbroken_ms / MS_PER_S)
             if self.should_ask(fleet):
-                await self._take_view(fleet.informed)
+                await self.take_view(fleet.informed)
 
     def should_ask(self, fleet: Digest) -> bool:
         """Tell whether a peer is to be asked for what is newer there."""
         own = (self.discovery.table.number, self.discovery.mark)
         if (fleet.number, fleet.mark) <= own:
             self._behind_since = None
+            self._view_failed = False
             return False
         now = self.clock.now()
         if self._behind_since is None:
@@ -99,13 +110,14 @@
     def _fleet(self) -> Digest:
         return self.peers.whole(self.make_beacon(), self.clock.now())
 
-    async def _take_view(self, peer: str) -> None:
+    async def take_view(self, peer: str) -> None:
         """Put in force what the best informed peer has."""
         if peer == self.peers.address:
             return
         try:
             view = await self.views.ask(peer, self.discovery.table.number)
         except PeerError as error:
+            self._view_failed = True
             log_event("view_not_had", "WARNING", peer=peer, detail=error)
             return
         log_event("view_taken", peer=peer, mark=view.mark)
--- a/packages/buckthornwall/src/buckthornwall/router/tests/test_news.py
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/test_news.py
@@ -5,7 +5,7 @@
 from buckthornwall.discovery import DiscoveryAgent, DiscoverySettings, News
 from buckthornwall.peers import Beacon, PeerState, PeerTable, ViewClient
 from buckthornwall.pools import PoolTable
-from buckthornwall.router.news import UNHEARD_S, NewsExchange
+from buckthornwall.router.news import UNHEARD_S, UNSERVED_S, NewsExchange
 from buckthornwall.routing import Published, RoutingTable
 from buckthornwall.utils import Incarnation, NodeId, ZoneId
 
@@ -85,3 +85,24 @@
     assert exchange.should_ask(fleet)
     exchange.discovery.adopt(News(revision=2, whole=False, mark=2, published=b"2"))
     assert not exchange.should_ask(fleet)
+
+
+async def test_what_no_peer_hands_over_is_read(exchange, clock):
+    """Named as best informed, an instance that had died was asked again and again."""
+    hear(exchange, clock, number=2)
+    fleet = exchange.peers.whole(beacon(OWN), clock.now())
+    assert exchange.should_ask(fleet)
+    assert not exchange.may_read()
+    await exchange.take_view("127.0.0.1:1")
+    assert exchange.may_read()
+    exchange.discovery.adopt(News(revision=2, whole=False, mark=2, published=b"2"))
+    assert not exchange.should_ask(fleet)
+    assert not exchange.may_read()
+
+
+def test_what_a_peer_is_slow_to_hand_over_is_read(exchange, clock):
+    hear(exchange, clock, number=2)
+    fleet = exchange.peers.whole(beacon(OWN), clock.now())
+    assert exchange.should_ask(fleet)
+    clock.time += UNSERVED_S + 0.1
+    assert exchange.may_read()
