--- a/packages/buckthornwall-standins/src/buckthornwall_standins/soak.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/soak.py
@@ -40,6 +40,8 @@
 RECOVERY_S = 6.0
 LAST_CALLS = 20
 MOST_FAILED_AT_END = 2
+# A change has to be in force everywhere this long after it was acknowledged.
+IN_FORCE_S = 2.0
 LAST_BYTES = 4000
 
 
@@ -56,10 +58,20 @@
         First of five ports that all instances share.
     folder
         Where settings and logs go.
+    count
+        Instances, in two zones.
     """
 
-    def __init__(self, seed: int, seconds: float, ports: int, folder: Path) -> None:
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        ports: int,
+        folder: Path,
+        count: int = INSTANCES,
+    ) -> None:
         self.draw = random.Random(seed)
+        self.count = count
         self.seconds = seconds
         self.ports = ports
         self.store = Store()
@@ -96,7 +108,7 @@
             await nursery.start(self.upstreams[name].run, target)
             await self._start_path(nursery, name, address, target)
             self.deployment.register(name, service, address)
-        for number in range(1, INSTANCES + 1):
+        for number in range(1, self.count + 1):
             self.instances.start(number)
         await self.instances.until_ready()
 
@@ -249,19 +261,33 @@
     async def _check_end(self) -> None:
         """After the last fault nearly every call must be served again."""
         number = self.deployment.publish()
+        await self._check_in_force(number)
         served = 0
         for call in range(LAST_CALLS):
-            served += await self.callers.call(call % INSTANCES + 1)
+            served += await self.callers.call(call % self.count + 1)
         if served < LAST_CALLS - MOST_FAILED_AT_END:
             text = f"{served} of {LAST_CALLS} served after the end, number {number}"
             self.callers.verdict.broken.append(text)
 
+    async def _check_in_force(self, number: int) -> None:
+        """Every instance must soon have the newest version."""
+        late: set[int] = set(self.instances.processes)
+        with trio.move_on_after(IN_FORCE_S):
+            while late:
+                for instance in list(late):
+                    if await self.instances.version(instance) >= number:
+                        late.discard(instance)
+                await trio.sleep(0.05)
+        for instance in sorted(late):
+            text = f"instance {instance} has no version {number} after {IN_FORCE_S} s"
+            self.callers.verdict.broken.append(text)
+
 
-def play_seed(seed: int, seconds: float, ports: int) -> Verdict:
+def play_seed(seed: int, seconds: float, ports: int, count: int = INSTANCES) -> Verdict:
     """Play one seed; show the instances' last lines if it broke a promise."""
     with tempfile.TemporaryDirectory(prefix="soak-") as name:
         folder = Path(name)
-        verdict = trio.run(Soak(seed, seconds, ports, folder).run)
+        verdict = trio.run(Soak(seed, seconds, ports, folder, count).run)
         if verdict.broken:
             for path in sorted(folder.glob("*.log")):
                 print(path.read_text(errors="replace")[-LAST_BYTES:], file=sys.stderr)
@@ -274,11 +300,17 @@
     parser.add_argument("--seeds", type=int, default=1, help="how many to play")
     parser.add_argument("--first", type=int, default=1, help="the first seed")
     parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument(
+        "--instances",
+        type=int,
+        default=INSTANCES,
+        help="odd and even ones make two zones; with six, some must wait their turn",
+    )
     parser.add_argument("--ports", type=int, default=7700)
     options = parser.parse_args(arguments)
     failed = 0
     for seed in range(options.first, options.first + options.seeds):
-        verdict = play_seed(seed, options.seconds, options.ports)
+        verdict = play_seed(seed, options.seconds, options.ports, options.instances)
         failed += bool(verdict.broken)
         state = "; ".join(verdict.broken) or "kept"
         print(
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/soak_instances.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/soak_instances.py
@@ -1,5 +1,6 @@
 """The instances of a soak: real processes, started, watched and ended by id."""
 
+import json
 import subprocess
 import sys
 from pathlib import Path
@@ -67,13 +68,25 @@
                     await trio.sleep(0.05)
 
     async def _is_ready(self, number: int) -> bool:
-        address = f"127.0.8.{number}:{self.ports + 1}"
+        status, _ = await self._ask(f"127.0.8.{number}:{self.ports + 1}", b"/ready")
+        return status == 200
+
+    async def version(self, number: int) -> int:
+        """Return the configuration's number in force at an instance; 0 if unknown."""
+        status, body = await self._ask(f"127.0.8.{number}:{self.ports + 3}", b"/status")
+        return json.loads(body)["number"] if status == 200 else 0
+
+    async def _ask(self, address: str, path: bytes) -> tuple[int, bytes]:
+        """Return status and body; status 0 where no answer comes within a second."""
+        body = b""
         try:
             with trio.fail_after(1.0):
                 connection = await ClientConnection.connect(address, 1.0)
-                await connection.send(b"GET", b"/ready", [(b"Host", b"h")], b"")
+                await connection.send(b"GET", path, [(b"Host", b"h")], b"")
                 head = await connection.receive_head()
+                while data := await connection.receive_data():
+                    body += data
                 connection.close()
         except (ExchangeError, trio.TooSlowError):
-            return False
-        return head.status == 200
+            return 0, b""
+        return head.status, body
