Pace views by how long they take; read only where a peer cannot be asked

Cause: with heartbeats every change is heard of within 0.2 s, and members of a large fleet asked for a view of 600 routes as often. Now an instance waits four times as long as a view took, 0.8 s at most, before it asks for the next one; on links of 1,000 Mbit/s that is nothing. The rule that a slow view is read beside is gone again, with its test, since it made the load that it waited for; a peer that is dark is given up after 0.3 s in place of 1 s, so what it does not hand over is still read.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/network.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/network.py
@@ -15,8 +15,8 @@
 # One way, between any two instances, in seconds.
 DELAY_S = 0.0015
 QUEUED_DATAGRAMS = 1000
-# What the product waits for a view that does not come, in seconds.
-DARK_S = 1.0
+# What the product waits for a peer that has gone dark, in seconds.
+DARK_S = 0.3
 
 
 class SimNetwork:
--- a/packages/buckthornwall/src/buckthornwall/peers/views.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/views.py
@@ -15,6 +15,9 @@
 __all__ = ["ViewClient", "answer_view"]
 
 TIMEOUT_S = 1.0
+# A peer that has gone dark is given up after this long, a hundred ways to it and back;
+# whoever asked reads the store then.
+CONNECT_S = 0.3
 VIEW_PATH = b"/view?number="
 CBOR = [(b"Content-Type", b"application/cbor")]
 
@@ -37,7 +40,7 @@
             raise PeerError(ResultCode.PEER_MESSAGE, str(error)) from error
 
     async def _ask(self, address: str, number: int) -> PeerView:
-        connection = await ClientConnection.connect(address, TIMEOUT_S)
+        connection = await ClientConnection.connect(address, CONNECT_S)
         try:
             headers = [(b"host", address.encode()), (b"connection", b"close")]
             await connection.send(b"GET", VIEW_PATH + b"%d" % number, headers, b"")
--- a/packages/buckthornwall/src/buckthornwall/router/news.py
+++ b/packages/buckthornwall/src/buckthornwall/router/news.py
@@ -26,9 +26,11 @@
 # Who has heard nothing for this long from the speaker that it goes by reads, whoever
 # speaks: a change has to be in force everywhere 2 s after it was acknowledged.
 UNHEARD_S = 1.5
-# Who knows of something newer reads it where a peer has not handed it over for this
-# long, five looks for it, or at once where the peer cannot.
-UNSERVED_S = 0.5
+# Between two views an instance waits so many times as long as the first one took, and
+# this many seconds at most. Views of 600 routes, asked for as often as there was news,
+# filled links of 5 Mbit/s: short calls took 76 to 83 ms (p50 of 650) in place of 70.
+VIEW_PAUSES = 4.0
+VIEW_PAUSE_LIMIT_S = 0.8
 NEVER_MS = 1_000_000_000
 
 
@@ -73,18 +75,12 @@
         a watch made 4,523 calls in a day of 52 s.
         """
         now = self.clock.now()
-        if self.peers.is_speaker(now) or self._is_unserved(now):
+        if self.peers.is_speaker(now) or self._view_failed:
             return True
         word_age_s = self.peers.word_age_s(now)
         unread_ms = self._fleet().read_age_ms + word_age_s * MS_PER_S
         return unread_ms > self.unread_limit_ms or word_age_s > UNHEARD_S
 
-    def _is_unserved(self, now: float) -> bool:
-        """Tell whether what is newer elsewhere is not had from there."""
-        if self._behind_since is None:
-            return False
-        return self._view_failed or now - self._behind_since > UNSERVED_S
-
     async def run(self) -> None:
         """Look for news at peers until cancelled."""
         while True:
@@ -92,7 +88,9 @@
             fleet = self._fleet()
             self.discovery.hear_unbroken(fleet.unbroken_ms / MS_PER_S)
             if self.should_ask(fleet):
+                started = self.clock.now()
                 await self.take_view(fleet.informed)
+                await trio.sleep(view_pause_s(self.clock.now() - started))
 
     def should_ask(self, fleet: Digest) -> bool:
         """Tell whether a peer is to be asked for what is newer there."""
@@ -150,3 +148,8 @@
             "word_age_ms": round(word_age_s * MS_PER_S),
             "read_age_ms": self.read_age_ms(),
         }
+
+
+def view_pause_s(took_s: float) -> float:
+    """Return how long to wait after a view that took so many seconds."""
+    return min(VIEW_PAUSES * took_s, VIEW_PAUSE_LIMIT_S)
--- a/packages/buckthornwall/src/buckthornwall/router/tests/test_news.py
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/test_news.py
@@ -5,7 +5,7 @@
 from buckthornwall.discovery import DiscoveryAgent, DiscoverySettings, News
 from buckthornwall.peers import Beacon, PeerState, PeerTable, ViewClient
 from buckthornwall.pools import PoolTable
-from buckthornwall.router.news import UNHEARD_S, UNSERVED_S, NewsExchange
+from buckthornwall.router.news import UNHEARD_S, NewsExchange, view_pause_s
 from buckthornwall.routing import Published, RoutingTable
 from buckthornwall.utils import Incarnation, NodeId, ZoneId
 
@@ -100,9 +100,9 @@
     assert not exchange.may_read()
 
 
-def test_what_a_peer_is_slow_to_hand_over_is_read(exchange, clock):
-    hear(exchange, clock, number=2)
-    fleet = exchange.peers.whole(beacon(OWN), clock.now())
-    assert exchange.should_ask(fleet)
-    clock.time += UNSERVED_S + 0.1
-    assert exchange.may_read()
+@pytest.mark.parametrize(
+    ("took_s", "pause_s"), [(0.003, 0.012), (0.1, 0.4), (0.25, 0.8), (1.0, 0.8)]
+)
+def test_views_that_take_long_are_asked_for_less_often(took_s, pause_s):
+    """They take the link from the callers' answers: 150 KB over 5 Mbit/s, 0.25 s."""
+    assert view_pause_s(took_s) == pytest.approx(pause_s)
