Model check the succession of speakers

Three instances, any loss and order of datagrams, leaves and deaths: nobody goes by word that is older than silence and its own wait. Proved in 730 states; refuted where each leave begins the wait anew (the incident's cause, six steps), where word that is passed on counts as new, and where an instance waits for ever for those before it.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/model/check.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/model/check.py
@@ -10,7 +10,7 @@
 
 from minicheck import check_safety
 
-from . import at_most_once, pool_parts, removals, spread
+from . import at_most_once, pool_parts, removals, spread, succession
 
 __all__ = ["Verdict", "check_all", "render"]
 
@@ -18,7 +18,7 @@
 # A counterexample is a witness wherever the search stops, so the variants that
 # must be refuted need not be searched to the end.
 MOST_STATES_BROKEN = 30_000
-SPECIFICATIONS = (at_most_once, spread, pool_parts, removals)
+SPECIFICATIONS = (at_most_once, spread, pool_parts, removals, succession)
 
 
 @dataclass
