--- a/packages/buckthornwall/src/buckthornwall/pools/placement.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/placement.py
@@ -8,6 +8,7 @@
 from buckthornwall.routing import PromptShape
 from buckthornwall.utils import UpstreamId, ZoneId, rendezvous_order
 
+from .quiet import SAFE_PAUSE_SHARE
 from .view import UpstreamView
 
 __all__ = [
@@ -56,11 +57,6 @@
 # any wait where many are. With the engines kept shut to all prompts that harm at all,
 # days of high load on five and nine engines lost 0.05 and 0.03 of their worth.
 HARM_TARGET_SHARE = 0.3
-# It does no harm where the pause that is expected beside it and what is known to wait
-# there is at most this part of what they allow: about as much again may have been sent
-# there meanwhile. At 0.8 of it 0.74 of the most urgent streams of 195 instances kept
-# their pauses, at 0.5 0.83 (simulated, two seeds, word of others 0.2 s old).
-UNHARMED_PAUSE_SHARE = 0.5
 # Another zone, and warming up, at a plain service: as shares of its slots.
 SERVICE_ZONE_SHARE = 0.1
 SERVICE_COLD_SHARE = 1.0
@@ -210,7 +206,7 @@
     """Return what a prompt does to tight streams of an engine, in seconds."""
     unread = view.load.unread_all() + fresh
     pause_s = wanted.model.pause_s(wanted.tokens_per_event, unread)
-    if pause_s <= UNHARMED_PAUSE_SHARE * wanted.most_pause_s:
+    if pause_s <= SAFE_PAUSE_SHARE * wanted.most_pause_s:
         return 0.0
     streams = max(1, view.load.tight_all())
     return HARM_TARGET_SHARE * wanted.target_s * streams
