--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -12,7 +12,6 @@
 `table`       the views by upstream; adopts registrations
 `quiet`       engines kept free of long prompts, for streams that must not pause
 `placement`   the choice of an upstream for a request
-`patience`    which callers were refused before
 `overload`    whether a request is refused, and when it is to come back
 `decision`    these together: what becomes of a request
 ============= ============================================================
--- a/packages/buckthornwall/src/buckthornwall/pools/decision.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/decision.py
@@ -9,12 +9,7 @@
 from buckthornwall.routing import PromptShape, Resolution, RoutedRequest
 from buckthornwall.utils import UpstreamId, ZoneId
 
-from .overload import (
-    MOST_TARGETS,
-    MOST_TARGETS_OF_RETURNS,
-    is_overloaded,
-    retry_after_s,
-)
+from .overload import is_overloaded, retry_after_s
 from .placement import (
     FREE_TARGET_SHARE,
     Choice,
@@ -33,15 +28,13 @@
     """What decisions know of a request.
 
     `prompt` is None for a plain service. `tight` tells that it is a stream which
-    cannot be kept beside the reading of long prompts, `returns` that its caller was
-    refused before.
+    cannot be kept beside the reading of long prompts.
     """
 
     id: str
     prompt: PromptShape | None
     resolution: Resolution
     tight: bool
-    returns: bool = False
 
     @classmethod
     def of(
@@ -51,8 +44,7 @@
         pool = resolution.pool
         model = pools.model(pool.id)
         tight = is_tight(resolution.route, pool, request.prompt, model)
-        returns = pools.patience(resolution.route.id).is_return(request.patience_s)
-        return cls(request.id, request.prompt, resolution, tight, returns)
+        return cls(request.id, request.prompt, resolution, tight)
 
 
 def choose_upstream(
@@ -136,7 +128,6 @@
     wait_s = expected_s(pools, traits, choice)
     target_s = resolution.route.target_s
     usable = pools.usable(resolution.pool.id, frozenset())
-    most = MOST_TARGETS_OF_RETURNS if traits.returns else MOST_TARGETS
-    if not is_overloaded(wait_s, choice.own_s, target_s, usable, now, most):
+    if not is_overloaded(wait_s, choice.own_s, target_s, usable, now):
         return None
     return retry_after_s(wait_s)
--- a/packages/buckthornwall/src/buckthornwall/pools/overload.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/overload.py
@@ -8,10 +8,6 @@
 
 # A request is refused when its first token is expected after this many targets.
 MOST_TARGETS = 0.8
-# Who was refused before is taken up to so many: callers ask once more, and whoever is
-# refused twice has nothing. A tenth of the drafts were; with this one in a hundred, and
-# all together got 0.01 more (simulated as below).
-MOST_TARGETS_OF_RETURNS = 2.0
 # It is not refused for its own length: that much of the target must be a wait for
 # others, or the longest prompts would be sent away as often as they came.
 LEAST_AHEAD_TARGETS = 0.4
@@ -32,7 +28,6 @@
     target_s: float,
     views: Iterable[UpstreamView],
     now: float,
-    most_targets: float = MOST_TARGETS,
 ) -> bool:
     """Tell whether a request that is not urgent should be refused at once.
 
@@ -48,10 +43,8 @@
         All engines of the pool.
     now
         The time in seconds.
-    most_targets
-        After how many targets its first token may be expected.
     """
-    if expected_s <= most_targets * target_s:
+    if expected_s <= MOST_TARGETS * target_s:
         return False
     if expected_s - own_s <= LEAST_AHEAD_TARGETS * target_s:
         return False
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -11,12 +11,11 @@
     RequestRoute,
 )
 from buckthornwall.telemetry import log_event
-from buckthornwall.utils import Clock, RouteId, UpstreamId
+from buckthornwall.utils import Clock, UpstreamId
 
 from .entry import UpstreamEntry, UpstreamState
 from .health import Verdict
 from .pace import Pace
-from .patience import Patience
 from .prefix_news import HeldParts, PrefixNews
 from .quiet import QuietEngines
 from .reach import Unreachable
@@ -41,7 +40,6 @@
         self._paces: dict[PoolId, Pace] = {}
         self._models: dict[PoolId, EngineModel] = {}
         self._quiet: dict[PoolId, QuietEngines] = {}
-        self._patience: dict[RouteId, Patience] = {}
         self.news = PrefixNews()
 
     def adopt(self, entry: UpstreamEntry) -> bool:
@@ -116,10 +114,6 @@
         """Return what a pool's engines have shown of their speed."""
         return self._models.setdefault(pool, EngineModel())
 
-    def patience(self, route: RouteId) -> Patience:
-        """Return how long callers of a route are usually willing to wait."""
-        return self._patience.setdefault(route, Patience())
-
     def log_speeds(self) -> None:
         """Log what is believed of the speed of each pool of model engines."""
         for pool, model in self._models.items():
