Move slots and estimates out of the pool scheduler

No behaviour is changed: tests of scheduling, node, gateway, the planted faults and the operators' races pass as they were, but for one import.

The platform's interface does not import any of it.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_faults.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_faults.py
@@ -10,7 +10,7 @@
 from buckthornwall.records import RecordStore
 from buckthornwall.records.core import parse_records
 from buckthornwall.records.store import Adoption
-from buckthornwall.scheduling.core import PoolScheduler, RefusalDecision
+from buckthornwall.scheduling import PoolScheduler, RefusalDecision
 from buckthornwall.upstreams.engine import EngineClient
 
 from buckthornwall_standins.faults import (
--- a/packages/buckthornwall/src/buckthornwall/scheduling/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/__init__.py
@@ -1,17 +1,13 @@
 """Order of service and the choice of an engine.
 
-`queue` and `engines` hold state, `core` decides, `agent` and `entry` are the
-tasks at the two ends of the messages in `buckthornwall.links`.
+`queue`, `engines`, `slot_table` and `estimates` hold state, `core` decides
+(`decisions`), `agent` and `entry` are the tasks at the two ends of the messages in
+`buckthornwall.links`.
 """
 
 from .agent import SchedulerAgent
-from .core import (
-    Decision,
-    GrantDecision,
-    PoolScheduler,
-    PreemptDecision,
-    RefusalDecision,
-)
+from .core import PoolScheduler
+from .decisions import Decision, GrantDecision, PreemptDecision, RefusalDecision
 from .engines import EngineState, exact_share, reported_load
 from .entry import EntryAgent, SlotRequest
 from .queue import FairQueue, Ticket
--- a/packages/buckthornwall/src/buckthornwall/scheduling/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/agent.py
@@ -24,7 +24,8 @@
 from buckthornwall.records import RecordStore, SchedulingMode
 from buckthornwall.utils import Clock, Incarnation, ModelId, NodeId, RequestId, new_id
 
-from .core import Decision, GrantDecision, PoolScheduler, PreemptDecision
+from .core import PoolScheduler
+from .decisions import Decision, GrantDecision, PreemptDecision
 from .engines import exact_share, reported_load
 from .settings import SchedulingSettings
 
--- a/packages/buckthornwall/src/buckthornwall/scheduling/core.py
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/core.py
@@ -1,15 +1,12 @@
 """The decisions of one pool's scheduler: state and time in, decisions out."""
 
 import math
-from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from buckthornwall.codes import ResultCode
 from buckthornwall.links import Enqueue, Holding, Release, ReleaseKind
 from buckthornwall.records import Model, RecordView, ServiceClass
 from buckthornwall.utils import (
-    ClassId,
     GrantId,
     ModelId,
     NodeId,
@@ -19,22 +16,16 @@
     new_id,
 )
 
+from .decisions import Decision, GrantDecision, PreemptDecision, RefusalDecision
 from .engines import EngineState, Slot, exact_share
+from .estimates import ServiceEstimates
 from .placement import soonest
 from .queue import FairQueue, Ticket
+from .slot_table import SlotTable
 
-__all__ = [
-    "Decision",
-    "GrantDecision",
-    "PoolScheduler",
-    "PreemptDecision",
-    "RefusalDecision",
-]
+__all__ = ["PoolScheduler"]
 
 STARVATION_S = 10.0
-SERVICE_WEIGHT = 0.1  # weight of a new sample in the moving averages
-FIRST_SERVICE_S = 2.0
-FIRST_ANSWER_TOKENS = 100.0
 UNCONFIRMED_S = 3.0
 TOTAL_FOR_S = 0.01
 # A prediction takes it that everyone who waits goes on waiting and that the
@@ -48,35 +39,6 @@
 Capacity = Callable[[EngineState, float], int]
 
 
-@dataclass(slots=True)
-class GrantDecision:
-    """Give the ticket a slot on the engine."""
-
-    ticket: Ticket
-    engine: UpstreamId
-    grant: GrantId
-
-
-@dataclass(slots=True)
-class RefusalDecision:
-    """Give the ticket up, with a code and a time to come back."""
-
-    ticket: Ticket
-    code: ResultCode
-    retry_after_s: float
-
-
-@dataclass(slots=True)
-class PreemptDecision:
-    """Ask a node to give a slot back and to resume its answer later."""
-
-    node: NodeId
-    grant: GrantId
-
-
-Decision = GrantDecision | RefusalDecision | PreemptDecision
-
-
 class PoolScheduler:
     """Queue and slots of one pool, as one scheduler sees them.
 
@@ -104,17 +66,12 @@
         self.capacity = capacity
         self.fraction = 1.0
         self.engines: dict[UpstreamId, EngineState] = {}
-        self.slots: dict[GrantId, tuple[EngineState, Slot]] = {}
-        self.granted: dict[RequestId, GrantDecision] = {}
-        self.in_use: Counter[ClassId] = Counter()
-        self.fair_in_use = 0
+        self.slots = SlotTable()
         self._total = 0
         self._total_for = (-math.inf, 0.0)
         self.teams = view.teams
         self.queue = FairQueue(view.classes, self._share_of)
-        self.service_s: dict[str, float] = {}
-        self.answer_tokens: dict[str, float] = {}
-        self.first_token_s = 0.0
+        self.estimates = ServiceEstimates()
         self.set_records(view)
 
     @classmethod
@@ -148,7 +105,7 @@
                 state.limit = min(state.limit, float(record.slots))
         for engine_id in set(self.engines) - set(records):
             for grant in list(self.engines[engine_id].running):
-                self._end_slot(grant)
+                self.slots.end(grant)
             del self.engines[engine_id]
         return [
             RefusalDecision(ticket, ResultCode.CLASS_WITHDRAWN, SHORTEST_RETRY_S)
@@ -164,8 +121,8 @@
         """
         if message.request in self.queue:
             return []
-        repeated = self.granted.get(message.request)
-        if repeated is not None and repeated.grant in self.slots:
+        repeated = self.slots.granted(message.request)
+        if repeated is not None:
             return [repeated]
         ticket = Ticket(
             request=message.request,
@@ -202,7 +159,7 @@
         ):
             return None  # let one wait for the slot that a starving class gets
         wait_s = self.predicted_wait(ticket, now)
-        if now + wait_s / PATIENCE + self.first_token_s <= ticket.deadline:
+        if now + wait_s / PATIENCE + self.estimates.first_token_s <= ticket.deadline:
             return None
         return RefusalDecision(ticket, ResultCode.OVERLOADED, self._retry_after(wait_s))
 
@@ -213,25 +170,23 @@
     def predicted_wait(self, ticket: Ticket, now: float) -> float:
         """Predict the seconds until a new ticket of this class would start."""
         total = self._total_slots(now)
-        urgent = len(self.slots) - self.fair_in_use
+        urgent = len(self.slots) - self.slots.fair_in_use
         slots = min(self._fair_slots(now), max(1, total - urgent))
-        free = slots - self.fair_in_use
+        free = slots - self.slots.fair_in_use
         if free > len(self.queue):
             return 0.0
         ahead, part = self.queue.tickets_ahead(ticket)
-        service_s = self.service_s.get(ticket.service_class, FIRST_SERVICE_S)
+        service_s = self.estimates.service_s(ticket.service_class)
         return (ahead + 1) * service_s / (slots * part)
 
     def withdraw(self, request: RequestId) -> None:
         """Forget a request whose caller is gone."""
         self.queue.remove(request)
-        decision = self.granted.pop(request, None)
-        if decision is not None:
-            self._end_slot(decision.grant)
+        self.slots.withdraw(request)
 
     def release(self, message: Release, now: float) -> None:
         """Take a slot back and learn from what its entry saw."""
-        found = self._end_slot(message.grant)
+        found = self.slots.end(message.grant)
         if found is None:
             return
         engine, slot = found
@@ -246,33 +201,11 @@
             slot.service_class, slot.team, message.tokens - slot.charged, now
         )
 
-    def _end_slot(self, grant: GrantId) -> tuple[EngineState, Slot] | None:
-        found = self.slots.pop(grant, None)
-        if found is not None:
-            engine, slot = found
-            engine.running.pop(grant, None)
-            self.granted.pop(slot.request, None)
-            self.fair_in_use -= not slot.urgent
-            self.in_use[slot.service_class] -= 1
-            if not self.in_use[slot.service_class]:
-                del self.in_use[slot.service_class]
-        return found
-
     def _learn(
         self, engine: EngineState, slot: Slot, message: Release, now: float
     ) -> None:
         key = slot.service_class
-        took_s = now - slot.granted_at
-        old_s = self.service_s.get(key, took_s)
-        self.service_s[key] = old_s + SERVICE_WEIGHT * (took_s - old_s)
-        old_tokens = self.answer_tokens.get(key, float(message.tokens))
-        self.answer_tokens[key] = old_tokens + SERVICE_WEIGHT * (
-            message.tokens - old_tokens
-        )
-        if message.first_token_s:
-            self.first_token_s += SERVICE_WEIGHT * (
-                message.first_token_s - self.first_token_s
-            )
+        self.estimates.learn(slot, message, now)
         if message.inter_token_s and self.queue.knows(key):
             own_s = self.queue.record(key).targets.inter_token_s
             target_s = min(own_s, self._pace_target() or own_s)
@@ -283,13 +216,11 @@
     ) -> None:
         """Make our count of a node's slots agree with what the node says."""
         said = {holding.grant: holding for holding in running}
-        for grant, (_, slot) in list(self.slots.items()):
-            if slot.node != node:
-                continue
-            if grant in said:
+        for slot in self.slots.of_node(node):
+            if slot.grant in said:
                 slot.confirmed = True
             elif slot.confirmed or now - slot.granted_at > UNCONFIRMED_S:
-                self._end_slot(grant)
+                self.slots.end(slot.grant)
         for holding in said.values():
             self._take_holding(node, holding, now)
 
@@ -311,7 +242,7 @@
                 seen_at=now,
                 confirmed=True,
             )
-            self._start_slot(engine, slot)
+            self.slots.start(engine, slot)
             return
         engine, slot = found
         self._take_progress(engine, slot, holding.tokens, now)
@@ -336,9 +267,8 @@
         for ticket in self.queue.tickets():
             if ticket.node == node:
                 self.queue.remove(ticket.request)
-        for grant, (_, slot) in list(self.slots.items()):
-            if slot.node == node:
-                self._end_slot(grant)
+        for slot in self.slots.of_node(node):
+            self.slots.end(slot.grant)
 
     # What is decided
 
@@ -348,9 +278,7 @@
             RefusalDecision(
                 ticket,
                 ResultCode.START_DEADLINE,
-                self._retry_after(
-                    self.service_s.get(ticket.service_class, FIRST_SERVICE_S)
-                ),
+                self._retry_after(self.estimates.service_s(ticket.service_class)),
             )
             for ticket in self.queue.pop_expired(now)
         ]
@@ -371,11 +299,11 @@
         overdue = self.queue.urgent_overdue(now, OVERDUE_PART)
         if not overdue:
             return []
-        slots = [slot for _, slot in self.slots.values()]
+        slots = [slot for _, slot in self.slots.all()]
         wanted = overdue - sum(slot.preempting for slot in slots)
         victims = [
             slot
-            for engine, slot in self.slots.values()
+            for engine, slot in self.slots.all()
             if slot.preemptible
             and not slot.preempting
             and self._usable(engine, now)
@@ -407,7 +335,7 @@
         urgent = self.queue.urgent_head()
         if urgent is not None:
             return urgent
-        if self.fair_in_use >= self._fair_slots(now):
+        if self.slots.fair_in_use >= self._fair_slots(now):
             return None
         return self.queue.fair_head(now)
 
@@ -442,7 +370,7 @@
         return min(
             (
                 self.queue.record(each).targets.inter_token_s
-                for each in self.in_use
+                for each in self.slots.in_use
                 if self.queue.knows(each)
             ),
             default=None,
@@ -465,7 +393,7 @@
     def _grant(self, ticket: Ticket, engine: EngineState, now: float) -> GrantDecision:
         self.queue.remove(ticket.request)
         record: ServiceClass = self.queue.record(ticket.service_class)
-        estimate = self.answer_tokens.get(ticket.service_class, FIRST_ANSWER_TOKENS)
+        estimate = self.estimates.answer_tokens(ticket.service_class)
         slot = Slot(
             GrantId(new_id()),
             ticket.node,
@@ -477,18 +405,12 @@
             request=ticket.request,
             preemptible=ticket.preemptible and not (record.urgent or ticket.resumed),
         )
-        self._start_slot(engine, slot)
+        self.slots.start(engine, slot)
         self.queue.charge(ticket.service_class, ticket.team, estimate, now)
         self.queue.mark_served(ticket.service_class)
         engine.granted_since_report += 1
         if ticket.prefix:
             engine.remember_prefix(ticket.prefix)
         decision = GrantDecision(ticket, engine.id, slot.grant)
-        self.granted[ticket.request] = decision
+        self.slots.note_grant(decision)
         return decision
-
-    def _start_slot(self, engine: EngineState, slot: Slot) -> None:
-        engine.running[slot.grant] = slot
-        self.slots[slot.grant] = (engine, slot)
-        self.fair_in_use += not slot.urgent
-        self.in_use[slot.service_class] += 1
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/slot_table.py
@@ -0,0 +1,85 @@
+"""The slots in use at the engines of one pool, and how many each class holds."""
+
+from collections import Counter
+
+from buckthornwall.utils import ClassId, GrantId, NodeId, RequestId
+
+from .decisions import GrantDecision
+from .engines import EngineState, Slot
+
+__all__ = ["SlotTable"]
+
+
+class SlotTable:
+    """Slots by grant; each also stands with its engine.
+
+    Attributes
+    ----------
+    in_use : collections.Counter
+        Slots by class.
+    fair_in_use : int
+        Slots of work that is not urgent.
+    """
+
+    def __init__(self) -> None:
+        self.in_use: Counter[ClassId] = Counter()
+        self.fair_in_use = 0
+        self._slots: dict[GrantId, tuple[EngineState, Slot]] = {}
+        self._granted: dict[RequestId, GrantDecision] = {}
+
+    def __len__(self) -> int:
+        """Return the slots in use."""
+        return len(self._slots)
+
+    def __contains__(self, grant: GrantId) -> bool:
+        """Tell whether a grant's slot is in use."""
+        return grant in self._slots
+
+    def get(self, grant: GrantId) -> tuple[EngineState, Slot] | None:
+        """Return the engine and slot of a grant, if it is in use."""
+        return self._slots.get(grant)
+
+    def all(self) -> list[tuple[EngineState, Slot]]:
+        """Return every slot in use with its engine."""
+        return list(self._slots.values())
+
+    def of_node(self, node: NodeId) -> list[Slot]:
+        """Return the slots that an instance holds."""
+        return [slot for _, slot in self._slots.values() if slot.node == node]
+
+    def start(self, engine: EngineState, slot: Slot) -> None:
+        """Take a slot of an engine."""
+        engine.running[slot.grant] = slot
+        self._slots[slot.grant] = (engine, slot)
+        self.fair_in_use += not slot.urgent
+        self.in_use[slot.service_class] += 1
+
+    def end(self, grant: GrantId) -> tuple[EngineState, Slot] | None:
+        """Give a slot back; return its engine and itself, if it was in use."""
+        found = self._slots.pop(grant, None)
+        if found is None:
+            return None
+        engine, slot = found
+        engine.running.pop(grant, None)
+        self._granted.pop(slot.request, None)
+        self.fair_in_use -= not slot.urgent
+        self.in_use[slot.service_class] -= 1
+        if not self.in_use[slot.service_class]:
+            del self.in_use[slot.service_class]
+        return found
+
+    def note_grant(self, decision: GrantDecision) -> None:
+        """Keep what was granted, for a request that is repeated."""
+        self._granted[decision.ticket.request] = decision
+
+    def granted(self, request: RequestId) -> GrantDecision | None:
+        """Return what a request was granted, if its slot is still in use."""
+        decision = self._granted.get(request)
+        in_use = decision is not None and decision.grant in self._slots
+        return decision if in_use else None
+
+    def withdraw(self, request: RequestId) -> None:
+        """Give back the slot of a request whose caller is gone."""
+        decision = self._granted.pop(request, None)
+        if decision is not None:
+            self.end(decision.grant)
