--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_pool_sim.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_pool_sim.py
@@ -3,6 +3,7 @@
 import pytest
 
 from buckthornwall_standins.pool_sim import EngineSpeed, PoolSimulation, Traffic
+from buckthornwall_standins.pool_sim.large import SPEED
 
 
 def traffic(load: float) -> list[Traffic]:
@@ -44,3 +45,26 @@
     refused = [each for each in simulation.requests if each.refused]
     assert all(each.traffic.name != "question" for each in refused)
     assert simulation.share_in_time("question") > 0.7
+
+
+def test_no_class_starves_while_more_urgent_ones_ask_for_far_more_than_there_is():
+    """Six engines before so many questions that 0.6 of them are refused.
+
+    Nothing but the engines' order and refusals divides the pool: drafts are served
+    wherever the others, refused themselves, leave a moment.
+    """
+    load = [
+        Traffic("draft", 6, 2, 1.2, 0.5, 6300, 2890, 51, 200, 6.0, retries=1),
+        Traffic("question", 160, 1, 0.4, 0.2, 568, 1800, 24, 200, 4.0, retries=1),
+        Traffic("list", 40, 0, 0.2, 0.12, 172, 543, 279, 200, 15.0, retries=1),
+    ]
+    simulation = PoolSimulation(
+        SPEED, load, engines=6, instances=8, seed=1, word_age_s=0.1
+    )
+    simulation.run(24.0)
+    for begins in (0.0, 8.0, 16.0):
+        for name in ("draft", "question", "list"):
+            window = [
+                each for each in simulation.of(name) if begins <= each.at < begins + 8.0
+            ]
+            assert sum(each.done for each in window) > 0.1 * len(window)
