--- a/packages/buckthornwall-ctl/src/buckthornwall_ctl/main.py
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/main.py
@@ -10,6 +10,7 @@
 
 from .behind import behind_lines
 from .checks import check_records, check_settings
+from .load import fleet_load, load_lines
 from .stories import request_story
 from .views import fleet_lines
 
@@ -69,6 +70,16 @@
     )
     behind.add_argument("log", nargs="+", type=Path, help="log files of instances")
     behind.set_defaults(run=_behind)
+
+    load = commands.add_parser(
+        "load",
+        help="show waits and refusals by second, full engines, late predictions",
+    )
+    load.add_argument("log", nargs="+", type=Path, help="log files of instances")
+    load.add_argument(
+        "--plot", type=Path, metavar="FILE", help="draw a picture too (matplotlib)"
+    )
+    load.set_defaults(run=_load)
     return parser
 
 
@@ -126,6 +137,19 @@
     return EXIT_OK
 
 
+def _load(options: argparse.Namespace) -> int:
+    load = fleet_load(options.log)
+    if load is None:
+        print("no line of an instance", file=sys.stderr)
+        return EXIT_REFUSED
+    print("\n".join(load_lines(load)))
+    if options.plot:
+        from .load_plot import plot_load  # noqa: PLC0415 - only here is it needed
+
+        plot_load(load, options.plot)
+    return EXIT_OK
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Run a command; return its exit status."""
     options = build_parser().parse_args(arguments)
