Fuzz what instances tell each other

Counts by place are read from datagrams by offsets. Property tests: whatever is counted comes back within its units; any bytes are counts or are refused.

--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_packing.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_packing.py
@@ -1,8 +1,11 @@
 """Tests of counts in few bytes, and of how often they are told."""
 
+import contextlib
 import random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from buckthornwall.codes import PeerError
 from buckthornwall.peers import Heartbeat, PeerTable, Work
@@ -84,6 +87,49 @@
         unpack_held(PARTS, NAMES[:2])
 
 
+WORKS = st.builds(
+    Work,
+    st.integers(0, 60_000),
+    st.dictionaries(st.integers(0, 9), st.integers(1, 2_000_000), max_size=4),
+    st.integers(0, 255),
+    st.dictionaries(st.integers(0, 9), st.integers(1, 5_000), max_size=4),
+    st.integers(0, 16_000_000),
+)
+
+
+@given(st.dictionaries(st.sampled_from(NAMES), WORKS))
+def test_whatever_is_counted_comes_back_in_its_units(loads):
+    back = unpack_loads(pack_loads(loads, NAMES), NAMES)
+    shown = {name for name, work in loads.items() if work.requests or work.unread}
+    assert back.keys() == shown
+    for name in shown:
+        sent, got = loads[name], back[name]
+        assert (got.requests, got.tight) == (sent.requests, sent.tight)
+        assert 0 <= got.memory - sent.memory < 256
+        assert got.unread.keys() == sent.unread.keys()
+        for rank, tokens in sent.unread.items():
+            assert 0 <= got.unread[rank] - tokens < 32
+        for rank, age in sent.oldest_ms.items():
+            assert 0 <= got.oldest_ms[rank] - age < 20
+
+
+@given(st.binary(max_size=80))
+def test_any_bytes_are_counts_or_are_refused(data):
+    for unpack in (unpack_loads, unpack_held):
+        try:
+            found = unpack(data, NAMES)
+        except PeerError:
+            continue
+        assert set(found) <= set(NAMES)
+
+
+@given(st.binary(max_size=80))
+def test_any_datagram_is_a_message_or_is_refused(data):
+    for head in (b"", b"\x78\x9c"):
+        with contextlib.suppress(PeerError):
+            decode(head + data, PeerMessage)
+
+
 @pytest.mark.parametrize("cut", [3, 40])
 def test_a_compressed_message_that_is_cut_is_refused(cut):
     digest = table(FIRST).make_digest(beacon(FIRST, random_loads(40)), True, 0.0)
