Move what is heard since the start out of the node

No behaviour is changed: the tests of node, gateway, races, planted faults and real processes pass as they were.

--- a/packages/buckthornwall/src/buckthornwall/node/core.py
+++ b/packages/buckthornwall/src/buckthornwall/node/core.py
@@ -1,6 +1,5 @@
 """One instance: its parts, the messages between them, its start and stop."""
 
-import math
 from functools import partial
 from typing import Any
 
@@ -61,17 +60,14 @@
 from .connections import Connections
 from .instance_list import InstanceListAgent
 from .loads import LoadPoller
+from .newest import NewestRecords
 from .records_agent import RecordsAgent
 from .status import describe_node, render_metrics
 
 __all__ = ["Node"]
 
 BEAT_S = 0.1
-CATCH_UP_S = 0.5
-JOIN_LIMIT_S = 3.0
-JOIN_LOOK_S = 0.02
 FLUSH_S = 0.2
-NEVER = -math.inf
 
 TO_SCHEDULER = (Enqueue, Release, Withdraw, Holdings)
 TO_ENTRY = (Accepted, EnqueueRefused, Grant, Preempt, SupportEnded)
@@ -103,8 +99,6 @@
         self.incarnation = Incarnation(new_id())
         self.stopping = trio.Event()
         self.close_callers = trio.Event()
-        self.heard_at = clock.now()
-        self.last_freeze = NEVER
 
         self.store = RecordStore()
         self.members = MemberTable(self.node, settings.membership)
@@ -136,7 +130,7 @@
             self.store,
             self.members,
             self.freeze,
-            self.is_caught_up,
+            lambda: self.newest.is_caught_up(),
         )
 
     def _make_agents(self) -> None:
@@ -151,6 +145,9 @@
         self.instances = InstanceListAgent(
             self.records.platform, self.members, self.clock, self._list_changed
         )
+        self.newest = NewestRecords(
+            self.store, self.members, self.records, self.instances, self.clock
+        )
         common = (
             self.node,
             self.clock,
@@ -243,7 +240,7 @@
 
     def _heartbeat(self, node: NodeId, message: Heartbeat) -> None:
         now = self.clock.now()
-        self.heard_at = now
+        self.newest.note_heard(now)
         fresh = self.members.heard(
             node, message.incarnation, message.state, message.zone, now
         )
@@ -283,7 +280,7 @@
     def _after_freeze(self) -> None:
         now = self.clock.now()
         log_event("freeze_detected", "WARNING", freezes=self.freeze.count)
-        self.last_freeze = now
+        self.newest.note_freeze(now)
         self.members.forget_views(now)
 
     def _records_changed(self) -> None:
@@ -322,19 +319,6 @@
         """Tell whether callers should be sent here."""
         return self.members.own_state is NodeState.READY
 
-    def is_caught_up(self) -> bool:
-        """Tell whether what is in force here can be taken for the newest.
-
-        After a freeze the sockets still hold what came meanwhile, oldest
-        first, so only what is heard a while after waking counts.
-        """
-        if not self.is_ready() or self.records.behind:
-            return False
-        alone = not self.members.members
-        platform_at = self.records.platform_ok_at
-        heard = max(self.heard_at, platform_at or NEVER)
-        return alone or heard > self.last_freeze + CATCH_UP_S
-
     def _route_timeout(self, route_id: str) -> float:
         view = self.store.view
         route = view.routes.get(route_id) if view else None
@@ -371,7 +355,7 @@
             ):
                 nursery.start_soon(task)
             await nursery.start(self._serve_operators)
-            await self._catch_up()
+            await self._join()
             serving = trio.Event()
             nursery.start_soon(self._serve_callers, serving)
             task_status.started()
@@ -386,33 +370,13 @@
             self.members.learn(PeerAddress(NodeId(node), address, ZoneId("")), now)
         self._dial_members()
 
-    async def _catch_up(self) -> None:
+    async def _join(self) -> None:
         """Serve only once the newest records that can be heard of are in force."""
-        deadline = self.clock.now() + JOIN_LIMIT_S
-        while not self._has_asked_all(deadline):
-            await trio.sleep(JOIN_LOOK_S)
+        await self.newest.wait(self.stopping)
         self.members.set_own_state(NodeState.READY)
         self._send_heartbeats()
         log_event("ready", records=self.store.number)
 
-    def _has_asked_all(self, deadline: float) -> bool:
-        """Tell whether the newest records that can be heard of are in force.
-
-        Some peers may be dead and still listed, so the wait for all of them
-        has a limit; but where any is known, at least one must have answered,
-        or a stale service alone would decide what is in force here.
-        """
-        if self.stopping.is_set():
-            return True
-        if self.store.view is None or self.records.behind:
-            return False
-        heard = [
-            member.last_heard is not None for member in self.members.members.values()
-        ]
-        if self.clock.now() >= deadline:
-            return any(heard) or not heard
-        return self.records.asked_platform and self.instances.asked and all(heard)
-
     async def _beat(self) -> None:
         """Look at the clock often, and at who has fallen silent."""
         while True:
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/node/newest.py
@@ -0,0 +1,95 @@
+"""Whether what is in force at an instance can be taken for the newest."""
+
+import math
+
+import trio
+
+from buckthornwall.links import NodeState
+from buckthornwall.membership import MemberTable
+from buckthornwall.records import RecordStore
+from buckthornwall.utils import Clock
+
+from .instance_list import InstanceListAgent
+from .records_agent import RecordsAgent
+
+__all__ = ["NewestRecords"]
+
+CATCH_UP_S = 0.5
+JOIN_LIMIT_S = 3.0
+JOIN_LOOK_S = 0.02
+NEVER = -math.inf
+
+
+class NewestRecords:
+    """What an instance has heard since it began, or woke up.
+
+    Parameters
+    ----------
+    store, members, records, instances
+        What is in force, who is there, and who asks for news.
+    clock
+        Source of time.
+
+    Attributes
+    ----------
+    heard_at : float
+        When any member was last heard.
+    """
+
+    def __init__(
+        self,
+        store: RecordStore,
+        members: MemberTable,
+        records: RecordsAgent,
+        instances: InstanceListAgent,
+        clock: Clock,
+    ) -> None:
+        self.store = store
+        self.members = members
+        self.records = records
+        self.instances = instances
+        self.clock = clock
+        self.heard_at = clock.now()
+        self._last_freeze = NEVER
+
+    def note_heard(self, now: float) -> None:
+        """Take it that a member was heard."""
+        self.heard_at = now
+
+    def note_freeze(self, now: float) -> None:
+        """Take it that this instance was paused until now."""
+        self._last_freeze = now
+
+    def is_caught_up(self) -> bool:
+        """Tell whether what is in force here can be taken for the newest.
+
+        After a freeze the sockets still hold what came meanwhile, oldest
+        first, so only what is heard a while after waking counts.
+        """
+        if self.members.own_state is not NodeState.READY or self.records.behind:
+            return False
+        alone = not self.members.members
+        heard = max(self.heard_at, self.records.platform_ok_at or NEVER)
+        return alone or heard > self._last_freeze + CATCH_UP_S
+
+    async def wait(self, stopping: trio.Event) -> None:
+        """Wait until the newest records that can be heard of are in force."""
+        deadline = self.clock.now() + JOIN_LIMIT_S
+        while not stopping.is_set() and not self._has_asked_all(deadline):
+            await trio.sleep(JOIN_LOOK_S)
+
+    def _has_asked_all(self, deadline: float) -> bool:
+        """Tell whether the newest records that can be heard of are in force.
+
+        Some peers may be dead and still listed, so the wait for all of them
+        has a limit; but where any is known, at least one must have answered,
+        or a stale service alone would decide what is in force here.
+        """
+        if self.store.view is None or self.records.behind:
+            return False
+        heard = [
+            member.last_heard is not None for member in self.members.members.values()
+        ]
+        if self.clock.now() >= deadline:
+            return any(heard) or not heard
+        return self.records.asked_platform and self.instances.asked and all(heard)
