--- a/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/large.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/large.py
@@ -7,7 +7,7 @@
 
 import argparse
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from loguru import logger
 
@@ -28,6 +28,52 @@
 )
 ENGINES = 59
 INSTANCES = 195
+# Long drafts: twice as many from the first second on.
+DRAFTS = Traffic(
+    name="draft",
+    per_s=160,
+    tier=2,
+    target_s=1.2,
+    max_pause_s=0.5,
+    deadline_s=6.0,
+    root_tokens=2520,
+    shared_tokens=3780,
+    own_tokens=2890,
+    answer_tokens=51,
+    subjects=1757,
+    retries=1,
+    bursts=((0.5, 9.5, 2.04),),
+)
+QUESTIONS = Traffic(
+    name="question",
+    per_s=81,
+    tier=1,
+    target_s=0.4,
+    max_pause_s=0.2,
+    deadline_s=4.0,
+    root_tokens=341,
+    shared_tokens=227,
+    own_tokens=1800,
+    answer_tokens=24,
+    subjects=1160,
+    retries=1,
+    bursts=((6.1, 16.1, 2.6),),
+)
+# The most urgent: short prompts, long answers that may not pause.
+LISTS = Traffic(
+    name="list",
+    per_s=42,
+    tier=0,
+    target_s=0.2,
+    max_pause_s=0.12,
+    deadline_s=15.0,
+    root_tokens=103,
+    shared_tokens=69,
+    own_tokens=543,
+    answer_tokens=279,
+    subjects=901,
+    retries=1,
+)
 # What an answer of each kind is worth to its caller.
 WORTH = {"draft": 2.0, "question": 1.6, "list": 3.7}
 
@@ -42,22 +88,14 @@
 
     def traffic(self, share: float) -> list[Traffic]:
         """Return what callers send to this part of the engines."""
-        rate = self.times * share
-        drafts = Traffic(
-            "draft", 160 * rate, 2, 1.2, 0.5, 3780, 2890, 51, int(1757 * share) or 1,
-            deadline_s=6.0, root_tokens=2520, retries=1,
-            bursts=((0.5, 9.5, 2.04),),
-        )  # fmt: skip
-        questions = Traffic(
-            "question", 81 * rate, 1, 0.4, 0.2, 227, 1800, 24, int(1160 * share) or 1,
-            deadline_s=4.0, root_tokens=341, retries=1,
-            bursts=((6.1, 16.1, 2.6),),
-        )  # fmt: skip
-        lists = Traffic(
-            "list", 42 * rate, 0, 0.2, 0.12, 69, 543, 279, int(901 * share) or 1,
-            deadline_s=15.0, root_tokens=103, retries=1,
-        )  # fmt: skip
-        return [drafts, questions, lists]
+        return [
+            replace(
+                traffic,
+                per_s=traffic.per_s * self.times * share,
+                subjects=max(1, int(traffic.subjects * share)),
+            )
+            for traffic in (DRAFTS, QUESTIONS, LISTS)
+        ]
 
     def faults(self, engines: int) -> tuple[EngineFault, ...]:
         """Return which engines crash when."""
