--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/simulation.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/simulation.py
@@ -5,7 +5,7 @@
 
 import trio
 from buckthornwall.peers import Work
-from buckthornwall.peers.table import order_of
+from buckthornwall.peers.order import order_of
 from buckthornwall.pools import HeldParts
 from buckthornwall.utils import UpstreamId
 
--- a/packages/buckthornwall/src/buckthornwall/peers/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/__init__.py
@@ -2,7 +2,13 @@
 
 ============= ============================================================
 `messages`    beacons, digests, heartbeats, and the view that a peer may ask for
-`table`       who speaks for a zone, and what is newest
+`table`       who speaks for a zone, and what it tells
+`heard`       the last message of a sender
+`leavers`     who has said that it leaves
+`order`       the order in which instances speak
+`newest`      what is newest of two words
+`parts`       which parts of prompts a speaker tells of
+`counts`      counts in heartbeats, named as in the last digest
 `work`        sums of the work of instances
 `packing`     counts of work in few bytes
 `pacing`      how often a speaker tells what
--- a/packages/buckthornwall/src/buckthornwall/peers/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/agent.py
@@ -173,7 +173,7 @@
         await self._tell_word(self.speakers, own, others, now)
         members = self.table.member_addresses(now)
         await self._tell_word(self.members, own, members, now)
-        self.table.set_interval(self.members.pacing.word_s(now))
+        self.table.parts.set_interval(self.members.pacing.word_s(now))
 
     async def _tell_word(
         self, listeners: Listeners, own: Beacon, addresses: list[str], now: float
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/peers/counts.py
@@ -0,0 +1,69 @@
+"""Counts in heartbeats: who tells them names upstreams as its last digest did."""
+
+import random
+
+from buckthornwall.pools import HeldParts, merge_held
+from buckthornwall.utils import UpstreamId
+
+from .messages import Digest, Heartbeat, Work
+from .packing import pack_held, pack_loads, unpack_held, unpack_loads
+
+__all__ = ["CountsWriter", "read_counts"]
+
+
+class CountsWriter:
+    """The last digests that an instance told, by whether they are over the fleet.
+
+    Their numbers go on from a draw: a process that starts again under its address must
+    not be taken for the one before.
+    """
+
+    def __init__(self) -> None:
+        self._sequence = random.getrandbits(32)
+        self._names: dict[bool, tuple[int, list[UpstreamId]]] = {}
+
+    def number(self, digest: Digest) -> None:
+        """Give a digest its number, so that counts may name its upstreams."""
+        self._sequence += 1
+        digest.sequence = self._sequence
+        self._names[digest.is_fleet] = (self._sequence, list(digest.loads))
+
+    def fill(
+        self, heartbeat: Heartbeat, loads: dict[UpstreamId, Work], held: HeldParts
+    ) -> None:
+        """Put work and parts into a heartbeat, after a digest that was numbered."""
+        heartbeat.sequence, names = self._names[heartbeat.is_fleet]
+        heartbeat.counts = pack_loads(loads, names)
+        heartbeat.loads = {
+            upstream: loads[upstream] for upstream in loads.keys() - set(names)
+        }
+        heartbeat.parts, heartbeat.held = pack_held(held, names)
+
+
+def read_counts(
+    heartbeat: Heartbeat, digest: Digest, names: list[UpstreamId]
+) -> tuple[dict[UpstreamId, Work], HeldParts] | None:
+    """Return the work and the parts that a heartbeat tells.
+
+    Parameters
+    ----------
+    heartbeat
+        What its sender told after a digest.
+    digest, names
+        The digest of it that is known here, and its upstreams in order.
+
+    Returns
+    -------
+    tuple or None
+        None if it tells none, or names them by another digest.
+
+    Raises
+    ------
+    PeerError
+        PEER_MESSAGE if its counts are none.
+    """
+    if not heartbeat.sequence or heartbeat.sequence != digest.sequence:
+        return None
+    held = unpack_held(heartbeat.parts, names)
+    merge_held(held, heartbeat.held)
+    return unpack_loads(heartbeat.counts, names) | heartbeat.loads, held
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/peers/newest.py
@@ -0,0 +1,22 @@
+"""What is newest of two words, and how long ago the store was read."""
+
+from .heard import Heard
+from .messages import Digest, Heartbeat
+
+__all__ = ["take_newer", "take_read_age"]
+
+MS_PER_S = 1000.0
+
+
+def take_newer(known: Digest | Heartbeat, told: Digest | Heartbeat) -> None:
+    """Put what is newest, and who has it, into what is known."""
+    if (told.number, told.mark) > (known.number, known.mark):
+        known.number = told.number
+        known.mark = told.mark
+        known.informed = told.informed
+
+
+def take_read_age(heartbeat: Heartbeat, heard: Heard, now: float) -> None:
+    """Let a reading of the store count that another instance told of."""
+    told_ms = heard.message.read_age_ms + int((now - heard.told_at) * MS_PER_S)
+    heartbeat.read_age_ms = min(heartbeat.read_age_ms, told_ms)
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -7,65 +7,33 @@
 no more.
 """
 
-import random
-from dataclasses import dataclass, field
-from functools import lru_cache
-from hashlib import blake2b
-
 import msgspec
 
 from buckthornwall.pools import (
     HeldParts,
-    PrefixNews,
     Unreachable,
     add_unreachable,
-    merge_held,
 )
 from buckthornwall.pools.load import PeerLoad
 from buckthornwall.utils import UpstreamId, ZoneId
 
+from .counts import CountsWriter, read_counts
+from .heard import Heard
+from .leavers import Leavers
 from .messages import Beacon, Digest, Heartbeat, PeerState, Work
-from .packing import pack_held, pack_loads, unpack_held, unpack_loads
+from .newest import take_newer, take_read_age
+from .order import order_of, order_of_sender
+from .parts import PartsTold
 from .work import NOTHING, add_work, without_own
 
-__all__ = ["PeerTable", "order_of"]
+__all__ = ["PeerTable"]
 
 MS_PER_S = 1000.0
-# A speaker tells what it heard of prompts in so many of its words, and for so many
-# seconds at least.
-RETOLD_DIGESTS = 1.5
-RETOLD_S = 0.35
-# Addresses whose hashes are kept: those of a fleet of the size to come, twice over.
-KEPT_HASHES = 700
 # Who follows a speaker tells the members that the old one named for so many seconds:
 # until they have heard it, also where datagrams are lost, and told it of themselves.
 ROSTER_S = 3.0
 
 
-def order_of(address: str, weight: float) -> tuple[float, bytes]:
-    """Return an instance's place in the order of speakers."""
-    return weight, _hash(address)
-
-
-@lru_cache(KEPT_HASHES)
-def _hash(address: str) -> bytes:
-    return blake2b(address.encode(), digest_size=8).digest()
-
-
-@dataclass(slots=True)
-class Heard:
-    """The last message of a sender.
-
-    Silence counts from `at`; the message itself is of `told_at`. `names` are the
-    upstreams of a digest in its order, by which heartbeats tell counts.
-    """
-
-    message: Beacon | Digest
-    at: float
-    told_at: float
-    names: list[UpstreamId] = field(default_factory=list)
-
-
 class PeerTable:
     """What this instance knows of the others.
 
@@ -97,14 +65,9 @@
         self.zones: dict[ZoneId, Heard] = {}
         self.speaker: Heard | None = None
         self.told: dict[UpstreamId, Work] = {}
-        self.leavers: dict[str, Heard] = {}
-        self.zone_news = PrefixNews(RETOLD_S)
-        self.far_news = PrefixNews(RETOLD_S)
-        # By whether it is over the fleet: the last digest that was told, as counts
-        # name upstreams. Its number goes on from a draw, since a process that starts
-        # again under its address must not be taken for the one before.
-        self._sequence = random.getrandbits(32)
-        self._told_names: dict[bool, tuple[int, list[UpstreamId]]] = {}
+        self.leavers = Leavers(silence_s)
+        self.parts = PartsTold()
+        self._counts = CountsWriter()
 
     # Hearing
 
@@ -115,10 +78,10 @@
         if beacon.state is PeerState.LEAVING:
             self._hear_leave(beacon, now)
             return False
-        self.leavers.pop(beacon.address, None)
+        self.leavers.forget(beacon.address)
         if beacon.zone != self.zone:
             return False
-        self.zone_news.hear(beacon.held, now)
+        self.parts.of_zone.hear(beacon.held, now)
         is_new = beacon.address not in self.members
         self.members[beacon.address] = Heard(beacon, now, now)
         return is_new
@@ -130,17 +93,12 @@
         for the next speaker anew, members heard no news for up to 5.3 s.
         """
         address = beacon.address
-        self.leavers[address] = Heard(beacon, now, now)
+        self.leavers.hear(beacon, now)
         self.members.pop(address, None)
         for speaker in (self.speaker, self.zones.get(beacon.zone)):
             if speaker is not None and speaker.message.address == address:
                 speaker.at = min(speaker.at, now - self.silence_s)
 
-    def _is_leaving(self, address: str, now: float) -> bool:
-        """Tell whether an instance has lately said that it leaves."""
-        leave = self.leavers.get(address)
-        return leave is not None and now - leave.at <= self.silence_s
-
     def hear_digest(self, digest: Digest, now: float) -> None:
         """Take a digest of this zone's speaker, or of another zone's.
 
@@ -151,16 +109,16 @@
         is_stale = now - at > self.silence_s
         if digest.address == self.address or is_stale:
             return
-        if self._is_leaving(digest.address, now):
+        if self.leavers.is_leaving(digest.address, now):
             return
         if digest.zone != self.zone:
             if not digest.is_fleet and self._replaces(
                 digest, self.zones.get(digest.zone), now
             ):
-                self.zones[digest.zone] = Heard(digest, at, at, list(digest.loads))
-                self.far_news.hear(digest.held, now)
+                self.zones[digest.zone] = Heard.digest(digest, at)
+                self.parts.of_others.hear(digest.held, now)
         elif not digest.points_only and self._replaces(digest, self.speaker, now):
-            self.speaker = Heard(digest, at, at, list(digest.loads))
+            self.speaker = Heard.digest(digest, at)
 
     def hear_heartbeat(self, heartbeat: Heartbeat, now: float) -> HeldParts | None:
         """Take it that a speaker whose digest is known lives, and what is newest.
@@ -179,21 +137,19 @@
         heard = self.speaker if is_own_zone else self.zones.get(heartbeat.zone)
         if heard is None or heard.message.address != heartbeat.address:
             return None
-        if self._is_leaving(heartbeat.address, now):
+        if self.leavers.is_leaving(heartbeat.address, now):
             return None
         heard.at = heard.told_at = now
         heard.message.read_age_ms = heartbeat.read_age_ms
         heard.message.unbroken_ms = heartbeat.unbroken_ms
-        _take_newer(heard.message, heartbeat)
-        if not heartbeat.sequence or heartbeat.sequence != heard.message.sequence:
+        take_newer(heard.message, heartbeat)
+        counts = read_counts(heartbeat, heard.message, heard.names)
+        if counts is None:
             return None
-        loads = unpack_loads(heartbeat.counts, heard.names)
-        held = unpack_held(heartbeat.parts, heard.names)
-        heard.message.loads = loads | heartbeat.loads
+        heard.message.loads, held = counts
         heard.message.unreachable = heartbeat.unreachable
-        merge_held(held, heartbeat.held)
         if not is_own_zone:
-            self.far_news.hear(held, now)
+            self.parts.of_others.hear(held, now)
         return held
 
     def _replaces(self, digest: Digest, current: Heard | None, now: float) -> bool:
@@ -205,7 +161,7 @@
             return True
         if not digest.count:
             return False
-        return _order(digest) >= _order(current.message)
+        return order_of_sender(digest) >= order_of_sender(current.message)
 
     def expire(self, now: float) -> list[str]:
         """Drop who has been silent; return the members among them."""
@@ -219,9 +175,7 @@
         for zone, heard in list(self.zones.items()):
             if now - heard.at > self.silence_s:
                 del self.zones[zone]
-        for address in list(self.leavers):
-            if not self._is_leaving(address, now):
-                del self.leavers[address]
+        self.leavers.expire(now)
         return gone
 
     # Speaking
@@ -236,15 +190,15 @@
             silent_s > self.silence_s + self._stagger(speaker.message)
         ):
             return True
-        return order_of(self.address, self.weight) > _order(speaker.message)
+        return order_of(self.address, self.weight) > order_of_sender(speaker.message)
 
     def is_outranked(self, digest: Digest, now: float) -> bool:
         """Tell whether a higher one than a digest's sender speaks for this zone."""
         if digest.points_only or digest.address == self.address:
             return False
         if self.is_speaker(now):
-            return order_of(self.address, self.weight) > _order(digest)
-        return _order(self.speaker.message) > _order(digest)
+            return order_of(self.address, self.weight) > order_of_sender(digest)
+        return order_of_sender(self.speaker.message) > order_of_sender(digest)
 
     def _stagger(self, digest: Digest) -> float:
         """Return how long those of a higher order have to speak up first."""
@@ -268,9 +222,7 @@
         Who leaves still serves, and kept a version for 2.3 s where it was not told.
         """
         addresses = dict.fromkeys(self.members)
-        for address, leave in self.leavers.items():
-            if leave.message.zone == self.zone:
-                addresses[address] = None
+        addresses |= dict.fromkeys(self.leavers.of_zone(self.zone))
         speaker = self.speaker
         if speaker is not None and now - speaker.told_at <= ROSTER_S:
             addresses |= dict.fromkeys(speaker.message.members)
@@ -313,18 +265,15 @@
             read_age_ms=newest.read_age_ms,
             unbroken_ms=newest.unbroken_ms,
             loads=self._loads(own, is_fleet),
-            held=self._held(own, is_fleet, now),
+            held=self.parts.told(own, is_fleet, now),
             unreachable=self._unreachable(own, is_fleet),
         )
-        if is_fleet:
-            digest.count += sum(heard.message.count for heard in self.zones.values())
+        digest.count += sum(far.message.count for far in self._far(is_fleet))
         return digest
 
     def number(self, digest: Digest) -> None:
         """Give a digest its number, so that counts may name its upstreams."""
-        self._sequence += 1
-        digest.sequence = self._sequence
-        self._told_names[digest.is_fleet] = (self._sequence, list(digest.loads))
+        self._counts.number(digest)
 
     def add_counts(self, heartbeat: Heartbeat, own: Beacon, now: float) -> None:
         """Let a heartbeat tell the work at upstreams, and the parts sent there.
@@ -336,14 +285,9 @@
         own, now
             As for a digest.
         """
-        heartbeat.sequence, names = self._told_names[heartbeat.is_fleet]
         loads = self._loads(own, heartbeat.is_fleet)
-        heartbeat.counts = pack_loads(loads, names)
-        heartbeat.loads = {
-            upstream: loads[upstream] for upstream in loads.keys() - set(names)
-        }
-        held = self._held(own, heartbeat.is_fleet, now)
-        heartbeat.parts, heartbeat.held = pack_held(held, names)
+        held = self.parts.told(own, heartbeat.is_fleet, now)
+        self._counts.fill(heartbeat, loads, held)
         heartbeat.unreachable = self._unreachable(own, heartbeat.is_fleet)
 
     def _loads(self, own: Beacon, is_fleet: bool) -> dict[UpstreamId, Work]:
@@ -351,9 +295,8 @@
         loads: dict[UpstreamId, Work] = {}
         for part in self._parts(own):
             add_work(loads, part.loads)
-        if is_fleet:
-            for heard in self.zones.values():
-                add_work(loads, heard.message.loads)
+        for far in self._far(is_fleet):
+            add_work(loads, far.message.loads)
         return loads
 
     def _unreachable(self, own: Beacon, is_fleet: bool) -> Unreachable:
@@ -361,23 +304,18 @@
         total: Unreachable = {}
         for part in self._parts(own):
             add_unreachable(total, dict.fromkeys(part.unreachable, 1))
-        if is_fleet:
-            for heard in self.zones.values():
-                add_unreachable(total, heard.message.unreachable)
+        for far in self._far(is_fleet):
+            add_unreachable(total, far.message.unreachable)
         return total
 
-    def _held(self, own: Beacon, is_fleet: bool, now: float) -> HeldParts:
-        """Return the parts that the zone's instances, or the fleet's, tell of."""
-        held = dict(own.held)
-        merge_held(held, self.zone_news.told(now))
-        if is_fleet:
-            merge_held(held, self.far_news.told(now))
-        return held
-
     def _parts(self, own: Beacon) -> list[Beacon]:
         """Return what the instances of the zone say of themselves."""
         return [own, *(heard.message for heard in self.members.values())]
 
+    def _far(self, is_fleet: bool) -> list[Heard]:
+        """Return what other zones' speakers told, if the fleet is asked for."""
+        return list(self.zones.values()) if is_fleet else []
+
     def make_heartbeat(self, own: Beacon, is_fleet: bool, now: float) -> Heartbeat:
         """Return what this instance tells between two digests.
 
@@ -396,25 +334,16 @@
             read_age_ms=own.read_age_ms,
             unbroken_ms=max(part.unbroken_ms for part in parts),
         )
-        for heard in self.members.values():
-            _take_read_age(heartbeat, heard, now)
-        if is_fleet:
-            for heard in self.zones.values():
-                _take_read_age(heartbeat, heard, now)
-                heartbeat.unbroken_ms = max(
-                    heartbeat.unbroken_ms, heard.message.unbroken_ms
-                )
-                _take_newer(heartbeat, heard.message)
+        far = self._far(is_fleet)
+        for heard in [*self.members.values(), *far]:
+            take_read_age(heartbeat, heard, now)
+        for heard in far:
+            heartbeat.unbroken_ms = max(
+                heartbeat.unbroken_ms, heard.message.unbroken_ms
+            )
+            take_newer(heartbeat, heard.message)
         return heartbeat
 
-    def set_interval(self, seconds: float) -> None:
-        """Take how far apart the words are in which this instance tells of parts.
-
-        A part that is told for less than that is told in none of them.
-        """
-        told_s = max(RETOLD_S, RETOLD_DIGESTS * seconds)
-        self.zone_news.told_s = self.far_news.told_s = told_s
-
     # What follows for this instance
 
     def whole(self, own: Beacon, now: float) -> Digest:
@@ -459,21 +388,3 @@
         if self.is_speaker(now):
             return self._unreachable(own, is_fleet=True)
         return self.speaker.message.unreachable
-
-
-def _take_newer(known: Digest | Heartbeat, told: Digest | Heartbeat) -> None:
-    """Put what is newest, and who has it, into what is known."""
-    if (told.number, told.mark) > (known.number, known.mark):
-        known.number = told.number
-        known.mark = told.mark
-        known.informed = told.informed
-
-
-def _take_read_age(heartbeat: Heartbeat, heard: Heard, now: float) -> None:
-    """Let a reading of the store count that another instance told of."""
-    told_ms = heard.message.read_age_ms + int((now - heard.told_at) * MS_PER_S)
-    heartbeat.read_age_ms = min(heartbeat.read_age_ms, told_ms)
-
-
-def _order(digest: Digest) -> tuple[float, bytes]:
-    return order_of(digest.address, digest.weight)
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
@@ -5,7 +5,7 @@
 from buckthornwall.codes import PeerError
 from buckthornwall.peers import Beacon, Digest, PeerState, PeerTable, PeerView, Work
 from buckthornwall.peers.messages import PeerMessage, decode, encode
-from buckthornwall.peers.table import order_of
+from buckthornwall.peers.order import order_of
 from buckthornwall.pools import UpstreamEntry, UpstreamState
 from buckthornwall.routing import PoolId
 from buckthornwall.utils import Incarnation, NodeId, UpstreamId, ZoneId
@@ -259,7 +259,7 @@
 def test_parts_outlast_the_time_between_two_digests(interval_s):
     """Digests of a large fleet are up to some seconds apart, to bound their bytes."""
     first = table(FIRST)
-    first.set_interval(interval_s)
+    first.parts.set_interval(interval_s)
     own = beacon(SECOND)
     own.held = {ENGINE: [("s", 4000)]}
     first.hear_beacon(own, 0.0)
