--- a/packages/buckthornwall/src/buckthornwall/node/core.py
+++ b/packages/buckthornwall/src/buckthornwall/node/core.py
@@ -1,6 +1,5 @@
 """One instance: its parts, the messages between them, its start and stop."""
 
-from functools import partial
 from typing import Any
 
 import trio
@@ -27,7 +26,6 @@
     Message,
     NodeState,
     OwnerMoved,
-    PeerAddress,
     Preempt,
     RecordsReply,
     RecordsRequest,
@@ -57,6 +55,7 @@
     new_id,
 )
 
+from .announcer import Announcer
 from .connections import Connections
 from .instance_list import InstanceListAgent
 from .loads import LoadPoller
@@ -106,6 +105,9 @@
         self.hub = connections.make_hub(
             self.node, self.incarnation, settings.links, self.deliver
         )
+        self.announcer = Announcer(
+            self.incarnation, self.zone, self.members, self.store, self.hub, clock
+        )
         self.metrics = Metrics()
         self.tracing = Tracing(settings.node.id, settings.telemetry.trace_ratio)
         self._make_upstreams()
@@ -249,24 +251,16 @@
         for peer in message.peers:
             self.members.learn(peer, now)
         if message.peers:
-            self._dial_members()
+            self.announcer.dial()
         self.records.handle(node, message)
         if fresh:
             self.entry.parts.renew()
 
     def _peer_introduced(self, node: NodeId, address: str) -> None:
-        self.members.learn(PeerAddress(node, address, ZoneId("")), self.clock.now())
-        member = self.members.members[node]
-        member.address = member.address or address
-        self._dial_members()
+        self.announcer.introduce(node, address)
 
     def _link_up(self, node: NodeId) -> None:
-        peers = [
-            PeerAddress(member.node, member.address, member.zone)
-            for member in self.members.members.values()
-            if member.node != node and member.address
-        ]
-        self.hub.send(node, self._own_heartbeat(peers))
+        self.announcer.greet(node)
         self.idempotency.transfer.news_for(node)
 
     def _link_down(self, node: NodeId) -> None:
@@ -286,32 +280,11 @@
     def _records_changed(self) -> None:
         self.scheduler.records_changed()
         self.entry.parts.renew()
-        self._send_heartbeats()
+        self.announcer.send_heartbeats()
 
     def _list_changed(self) -> None:
-        self._dial_members()
-        self._send_heartbeats()
-
-    def _dial_members(self) -> None:
-        for member in self.members.members.values():
-            if member.address:
-                self.hub.set_peer(member.node, member.address)
-
-    def _own_heartbeat(self, peers: list[PeerAddress]) -> Heartbeat:
-        return Heartbeat(
-            self.incarnation,
-            self.members.own_state,
-            self.zone,
-            self.store.number,
-            self.store.digest,
-            self.members.leaving_news(self.clock.now()),
-            peers,
-        )
-
-    def _send_heartbeats(self) -> None:
-        heartbeat = self._own_heartbeat([])
-        for node in list(self.members.members):
-            self.hub.send(node, heartbeat)
+        self.announcer.dial()
+        self.announcer.send_heartbeats()
 
     # What others ask
 
@@ -326,7 +299,7 @@
 
     def _engine_is_leaving(self, engine: UpstreamId) -> None:
         self.members.upstream_leaving(engine, self.clock.now(), first_hand=True)
-        self._send_heartbeats()
+        self.announcer.send_heartbeats()
 
     def _raw_records(self) -> bytes:
         return self.store.view.raw if self.store.view else b"{}"
@@ -342,7 +315,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self.hub.run)
             await nursery.start(self.idempotency.run)
-            self._learn_seeds()
+            self.announcer.learn_seeds(self.settings.links.seeds)
             for task in (
                 self._beat,
                 self._heartbeats,
@@ -363,18 +336,11 @@
             await self._stop(serving)
             nursery.cancel_scope.cancel()
 
-    def _learn_seeds(self) -> None:
-        now = self.clock.now()
-        for seed in self.settings.links.seeds:
-            node, _, address = seed.partition("=")
-            self.members.learn(PeerAddress(NodeId(node), address, ZoneId("")), now)
-        self._dial_members()
-
     async def _join(self) -> None:
         """Serve only once the newest records that can be heard of are in force."""
         await self.newest.wait(self.stopping)
         self.members.set_own_state(NodeState.READY)
-        self._send_heartbeats()
+        self.announcer.send_heartbeats()
         log_event("ready", records=self.store.number)
 
     async def _beat(self) -> None:
@@ -388,7 +354,7 @@
 
     async def _heartbeats(self) -> None:
         while True:
-            self._send_heartbeats()
+            self.announcer.send_heartbeats()
             await trio.sleep(self.settings.membership.heartbeat_s)
 
     # Listeners
@@ -417,7 +383,7 @@
         log_event("stopping", in_flight=self.app.in_flight)
         self.members.set_own_state(NodeState.LEAVING)
         self.app.draining = True
-        self._send_heartbeats()
+        self.announcer.send_heartbeats()
         self.scheduler.resign()
         self.entry.parts.renew()
         await trio.sleep(self.settings.gateway.drain_s)
@@ -428,30 +394,3 @@
         await self.idempotency.transfer.hand_over()
         await trio.sleep(FLUSH_S)
         log_event("stopped")
-
-
-def run_node(settings: Settings, stop_signals: Any) -> None:
-    """Run a node until a signal asks it to stop.
-
-    Parameters
-    ----------
-    settings
-        Checked settings.
-    stop_signals
-        Signals that mean a planned stop.
-    """
-    trio.run(partial(_run_with_signals, settings, stop_signals))
-
-
-async def _run_with_signals(settings: Settings, stop_signals: Any) -> None:
-    node = Node.from_config(settings)
-    with trio.open_signal_receiver(*stop_signals) as signals:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_stop_on_signal, signals, node)
-            await node.run()
-            nursery.cancel_scope.cancel()
-
-
-async def _stop_on_signal(signals: Any, node: Node) -> None:
-    async for _ in signals:
-        node.stopping.set()
--- a/packages/buckthornwall/src/buckthornwall/node/main.py
+++ b/packages/buckthornwall/src/buckthornwall/node/main.py
@@ -76,7 +76,7 @@
     # Imported here, since an instance pays in memory for what it imports.
     from buckthornwall.settings import Settings
 
-    from .core import run_node
+    from .run import run_node
 
     settings = Settings.from_file(path)
     gc.enable()
--- a/packages/buckthornwall/src/buckthornwall/scheduling/core.py
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/core.py
@@ -20,6 +20,7 @@
 from .engines import EngineState, Slot, exact_share
 from .estimates import ServiceEstimates
 from .placement import soonest
+from .preemption import choose_victims
 from .queue import FairQueue, Ticket
 from .slot_table import SlotTable
 
@@ -290,32 +291,13 @@
         return decisions + self._preempt(now)
 
     def _preempt(self, now: float) -> list[Decision]:
-        """Take slots back from the lowest tiers for urgent work that is overdue.
-
-        The answers are resumed later from what was delivered, so that the cost
-        is reading a prompt again; none is interrupted twice, and the shortest
-        is chosen first, which has the least to read again.
-        """
+        """Take slots back from the lowest tiers for urgent work that is overdue."""
         overdue = self.queue.urgent_overdue(now, OVERDUE_PART)
         if not overdue:
             return []
-        slots = [slot for _, slot in self.slots.all()]
-        wanted = overdue - sum(slot.preempting for slot in slots)
-        victims = [
-            slot
-            for engine, slot in self.slots.all()
-            if slot.preemptible
-            and not slot.preempting
-            and self._usable(engine, now)
-            and self.queue.knows(slot.service_class)
-        ]
-        victims.sort(
-            key=lambda slot: (
-                -self.queue.record(slot.service_class).tier,
-                slot.tokens,
-            )
+        chosen = choose_victims(
+            self.slots, self.queue, overdue, lambda engine: self._usable(engine, now)
         )
-        chosen = victims[: max(0, wanted)]
         for slot in chosen:
             slot.preempting = True
         return [PreemptDecision(slot.node, slot.grant) for slot in chosen]
