Publish records and lists of both fleets by the same code

The fleet of processes and the one in memory each wrote out the same records of upstreams and the same lists of instances; both use listings now.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/__init__.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/__init__.py
@@ -7,6 +7,7 @@
 `service`      a plain service whose calls may not be repeated
 `callers`      open-loop load, seeded, counting what callers see
 `deployments`  sizes and records of Manizales and Cascade
+`listings`     records and list of a fleet, as both fleets publish them
 `fleet`        starts and disturbs all of these as real processes
 `memory_fleet` the same in one trio run, on a network in memory
 `faults`       the fault matrix
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/fleet.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/fleet.py
@@ -18,6 +18,7 @@
 
 from .deployments import Deployment, records_of
 from .engine import EngineModel
+from .listings import list_instance, list_upstream, record_upstream
 from .processes import (
     CALLER_PORT,
     OPERATOR_PORT,
@@ -25,11 +26,12 @@
     SETTINGS,
     NodeProcess,
     UpstreamProcess,
+    plan_nodes,
+    plan_upstreams,
 )
 
 __all__ = ["Fleet", "NodeProcess"]
 
-UPSTREAM_PORT = 8090
 PLATFORM_PORT = 8070
 READY_LIMIT_S = 30.0
 STOP_LIMIT_S = 30.0
@@ -88,36 +90,8 @@
         self.platform: subprocess.Popen | None = None
         self.number = 1
         self.http = httpcore.AsyncConnectionPool(max_keepalive_connections=0)
-        self.nodes = self._plan_nodes()
-        self.upstreams = self._plan_upstreams()
-
-    def _plan_nodes(self) -> list[NodeProcess]:
-        zones = self.deployment.zones
-        return [
-            NodeProcess(
-                f"{zones[index % len(zones)]}-{index + 1}",
-                zones[index % len(zones)],
-                f"{self.network}.1.{index + 1}",
-            )
-            for index in range(self.deployment.nodes)
-        ]
-
-    def _plan_upstreams(self) -> list[UpstreamProcess]:
-        planned = []
-        for pool, count in self.deployment.pools.items():
-            for index in range(count):
-                host = f"{self.network}.2.{len(planned) + 1}"
-                planned.append(
-                    UpstreamProcess(
-                        f"{pool}-{index + 1}", "engine", f"{host}:{UPSTREAM_PORT}", pool
-                    )
-                )
-        if self.deployment.service:
-            address = f"{self.network}.3.1:{UPSTREAM_PORT}"
-            planned.append(
-                UpstreamProcess("orders-1", "service", address, "order-service")
-            )
-        return planned
+        self.nodes = plan_nodes(deployment, self.network)
+        self.upstreams = plan_upstreams(deployment, self.network)
 
     def engines(self) -> list[UpstreamProcess]:
         """Return the engines."""
@@ -303,16 +277,9 @@
 
     def upstream_records(self) -> list[dict[str, Any]]:
         """Return the records of the upstreams."""
+        slots = self.engine_model.slots
         return [
-            {
-                "kind": "upstream",
-                "schema": 2,
-                "id": each.id,
-                "type": each.kind,
-                "address": each.address,
-                "serves": [each.serves],
-                "slots": self.engine_model.slots,
-            }
+            record_upstream(each.id, each.kind, each.address, each.serves, slots)
             for each in self.upstreams
         ]
 
@@ -327,22 +294,11 @@
     async def publish_instances(self, leaving: tuple[str, ...] = ()) -> None:
         """Tell the platform which instances there are."""
         instances = [
-            {
-                "id": node.id,
-                "kind": "entry",
-                "address": self.peer_address(node),
-                "zone": node.zone,
-                "health": node.operators,
-            }
+            list_instance(node.id, self.peer_address(node), node.zone, node.operators)
             for node in self.nodes
         ]
         instances += [
-            {
-                "id": each.id,
-                "kind": each.kind,
-                "address": each.address,
-                "leaving": each.id in leaving,
-            }
+            list_upstream(each.id, each.kind, each.address, each.id in leaving)
             for each in self.upstreams
         ]
         await self.request(
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/listings.py
@@ -0,0 +1,40 @@
+"""What is published of a fleet's instances and upstreams, as the platform has it."""
+
+from typing import Any
+
+__all__ = ["list_instance", "list_upstream", "record_upstream"]
+
+
+def record_upstream(
+    upstream: str, kind: str, address: str, serves: str, slots: int | None = None
+) -> dict[str, Any]:
+    """Return the record of an engine or a service; services have no slots."""
+    record: dict[str, Any] = {
+        "kind": "upstream",
+        "schema": 2,
+        "id": upstream,
+        "type": kind,
+        "address": address,
+        "serves": [serves],
+    }
+    if slots is not None:
+        record["slots"] = slots
+    return record
+
+
+def list_instance(node: str, address: str, zone: str, health: str) -> dict[str, Any]:
+    """Return an instance as the list of instances names it."""
+    return {
+        "id": node,
+        "kind": "entry",
+        "address": address,
+        "zone": zone,
+        "health": health,
+    }
+
+
+def list_upstream(
+    upstream: str, kind: str, address: str, leaving: bool
+) -> dict[str, Any]:
+    """Return an upstream as the list of instances names it."""
+    return {"id": upstream, "kind": kind, "address": address, "leaving": leaving}
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/memory_fleet.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/memory_fleet.py
@@ -22,6 +22,7 @@
 from .asgi import json_app
 from .deployments import ClassLoad, Deployment, records_of
 from .engine import Engine, EngineModel
+from .listings import list_instance, list_upstream, record_upstream
 from .memory import MemoryNetwork
 from .memory_http import MemoryBackend, serve_http
 from .memory_hub import MemoryHub
@@ -274,26 +275,16 @@
 
     def upstream_records(self) -> list[dict[str, Any]]:
         """Return the records of the engines and the service."""
+        slots = self.engine_model.slots
         records = [
-            {
-                "kind": "upstream",
-                "schema": 2,
-                "id": engine_id,
-                "type": "engine",
-                "address": f"{host}:90",
-                "serves": [engine_id.rpartition("-")[0]],
-                "slots": self.engine_model.slots,
-            }
+            record_upstream(
+                engine_id, "engine", f"{host}:90", engine_id.rpartition("-")[0], slots
+            )
             for engine_id, host in self.engine_hosts.items()
         ]
-        service = {
-            "kind": "upstream",
-            "schema": 2,
-            "id": "orders-1",
-            "type": "service",
-            "address": SERVICE_ADDRESS,
-            "serves": ["order-service"],
-        }
+        service = record_upstream(
+            "orders-1", "service", SERVICE_ADDRESS, "order-service"
+        )
         return [*records, service]
 
     def records(self, number: int) -> dict[str, Any]:
@@ -310,22 +301,11 @@
     def publish_instances(self) -> None:
         """Tell the platform which instances there are."""
         known = [
-            {
-                "id": node.id,
-                "kind": "entry",
-                "address": node.peers,
-                "zone": node.zone,
-                "health": node.operators,
-            }
+            list_instance(node.id, node.peers, node.zone, node.operators)
             for node in self.nodes
         ]
         known += [
-            {
-                "id": engine_id,
-                "kind": "engine",
-                "address": f"{host}:90",
-                "leaving": engine_id in self.leaving,
-            }
+            list_upstream(engine_id, "engine", f"{host}:90", engine_id in self.leaving)
             for engine_id, host in self.engine_hosts.items()
         ]
         self.platform.known = {each["id"]: each for each in known}
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/processes.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/processes.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from .deployments import Deployment
+
 __all__ = [
     "CALLER_PORT",
     "OPERATOR_PORT",
@@ -11,11 +13,14 @@
     "SETTINGS",
     "NodeProcess",
     "UpstreamProcess",
+    "plan_nodes",
+    "plan_upstreams",
 ]
 
 CALLER_PORT = 8080
 OPERATOR_PORT = 8081
 PEER_PORT = 8082
+UPSTREAM_PORT = 8090
 
 SETTINGS = """\
 [node]
@@ -77,3 +82,31 @@
     process: subprocess.Popen | None = None
     last_counts: dict[str, Any] = field(default_factory=dict)
     earlier_counts: list[dict[str, Any]] = field(default_factory=list)
+
+
+def plan_nodes(deployment: Deployment, network: str) -> list[NodeProcess]:
+    """Return a deployment's instances, on the hosts ``NETWORK.1.N``."""
+    zones = deployment.zones
+    return [
+        NodeProcess(
+            f"{zones[index % len(zones)]}-{index + 1}",
+            zones[index % len(zones)],
+            f"{network}.1.{index + 1}",
+        )
+        for index in range(deployment.nodes)
+    ]
+
+
+def plan_upstreams(deployment: Deployment, network: str) -> list[UpstreamProcess]:
+    """Return a deployment's engines, on ``NETWORK.2.N``, and its service."""
+    planned = []
+    for pool, count in deployment.pools.items():
+        for index in range(count):
+            address = f"{network}.2.{len(planned) + 1}:{UPSTREAM_PORT}"
+            planned.append(
+                UpstreamProcess(f"{pool}-{index + 1}", "engine", address, pool)
+            )
+    if deployment.service:
+        address = f"{network}.3.1:{UPSTREAM_PORT}"
+        planned.append(UpstreamProcess("orders-1", "service", address, "order-service"))
+    return planned
