Bound what a datagram may stand for when it is decompressed

Cause: messages over 200 bytes are compressed, and both datagrams and views were let grow to 16 MB; a datagram of some KB could take that much of an instance that has 128 MB. A datagram may stand for 1 MB now (a digest of 950 engines is 30 KB), a view for 16 MB as before. With the old bound the test's 2 MB are decompressed and refused by their form only; now by their length.

--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -29,8 +29,10 @@
 LEAST_COMPRESSED_BYTES = 200
 # A compressed message begins with this byte, which no array in CBOR does.
 COMPRESSED = b"\x78"
-# No message is longer, in bytes; a view holds a whole configuration.
-MOST_BYTES = 16 * 2**20
+# No view is longer, in bytes, and no datagram: a view holds a whole configuration, and
+# instances have 128 MB in all. A datagram of 64 KB may stand for a thousand times that.
+MOST_VIEW_BYTES = 16 * 2**20
+MOST_DATAGRAM_BYTES = 2**20
 
 
 class Work(msgspec.Struct, array_like=True, frozen=True):
@@ -184,7 +186,8 @@
         PEER_MESSAGE if it is not such a message.
     """
     try:
-        plain = _decompress(data) if data[:1] == COMPRESSED else data
+        most = MOST_VIEW_BYTES if form is PeerView else MOST_DATAGRAM_BYTES
+        plain = _decompress(data, most) if data[:1] == COMPRESSED else data
         return msgspec.convert(cbor2.loads(plain), form, builtin_types=(bytes,))
     except (
         cbor2.CBORError,
@@ -196,10 +199,10 @@
         raise PeerError(ResultCode.PEER_MESSAGE, str(error)) from error
 
 
-def _decompress(data: bytes) -> bytes:
-    """Return what was compressed, up to the longest message there is."""
+def _decompress(data: bytes, most: int) -> bytes:
+    """Return what was compressed, if it is no longer than so many bytes."""
     reader = zlib.decompressobj()
-    plain = reader.decompress(data, MOST_BYTES)
+    plain = reader.decompress(data, most)
     if not reader.eof:
         raise PeerError(ResultCode.PEER_MESSAGE, "cut short, or too long")
     return plain
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_packing.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_packing.py
@@ -2,7 +2,9 @@
 
 import contextlib
 import random
+import zlib
 
+import cbor2
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -10,7 +12,12 @@
 from buckthornwall.codes import PeerError
 from buckthornwall.peers import Heartbeat, PeerTable, Work
 from buckthornwall.peers.listeners import Listeners
-from buckthornwall.peers.messages import PeerMessage, decode, encode
+from buckthornwall.peers.messages import (
+    MOST_DATAGRAM_BYTES,
+    PeerMessage,
+    decode,
+    encode,
+)
 from buckthornwall.peers.pacing import MOST_DIGEST_S, WordForm, WordPacing
 from buckthornwall.peers.packing import (
     pack_held,
@@ -139,6 +146,14 @@
         decode(data[:-cut], PeerMessage)
 
 
+def test_a_short_datagram_that_stands_for_megabytes_is_refused():
+    """64 KB of it would have taken 16 MB of an instance that has 128."""
+    bomb = zlib.compress(cbor2.dumps([0] * 2 * MOST_DATAGRAM_BYTES))
+    assert len(bomb) < 65_536
+    with pytest.raises(PeerError, match="too long"):
+        decode(bomb, PeerMessage)
+
+
 def told(speaker: PeerTable, own, is_numbered=True) -> tuple:
     digest = speaker.make_digest(own, is_fleet=True, now=0.0)
     if is_numbered:
