--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_large_pool.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_large_pool.py
@@ -5,7 +5,7 @@
 often. 195 instances decided by word of each other that was 0.2 s old and more. What
 was seen in simulated time, seed 1, at the seconds from 6 to 8: of 681 drafts 180 were
 answered in time, 258 late, 153 refused twice; lists, which may not pause for over
-0.12 s, 3 of 83 in time; of 2,099 offers in the seventh second 1,544 were to engines
+0.12 s, 3 of 83 in time; of 2,052 offers in the seventh second 1,544 were to engines
 that had crashed. Here with 80 instances before 24 engines.
 """
 
--- a/packages/buckthornwall/src/buckthornwall/peers/packing.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/packing.py
@@ -1,8 +1,8 @@
 """Counts of work and parts of prompts in few bytes, for word that is told often.
 
 A speaker's whole digest of 59 engines and 33 members takes 4.7 KB; at 5 KB/s for each
-member that is one a second, and word that passes two speakers was a second old on
-average. Here upstreams are named by their places in a list that the last digest gave,
+member that is one a second, and word that passes two speakers was a second old at the
+median. Here upstreams are named by their places in a list that the last digest gave,
 counts stand in columns, and units are as coarse as decisions allow.
 """
 
