Say by what a request was refused, given up or not repeated; show windows by tier

A refusal in overload named the expected wait alone, so lines could not tell whether the counts, the oldest wait or the prompt's own length decided, nor whether another engine had room. A failed attempt did not say whether its upstream went on answering, nor a spent budget whose request found it so. buckthornwallctl urgency reads from all logs when a more urgent tier got nothing while a less urgent one of its pool began. No decision changes.

--- a/packages/buckthornwall-ctl/src/buckthornwall_ctl/main.py
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/main.py
@@ -12,6 +12,7 @@
 from .checks import check_records, check_settings
 from .load import fleet_load, load_lines
 from .stories import request_story
+from .urgency import urgency_lines
 from .views import fleet_lines
 
 __all__ = ["main"]
@@ -80,6 +81,13 @@
         "--plot", type=Path, metavar="FILE", help="draw a picture too (matplotlib)"
     )
     load.set_defaults(run=_load)
+
+    urgency = commands.add_parser(
+        "urgency",
+        help="show when more urgent requests got nothing while less urgent ones began",
+    )
+    urgency.add_argument("log", nargs="+", type=Path, help="log files of instances")
+    urgency.set_defaults(run=_urgency)
     return parser
 
 
@@ -150,6 +158,11 @@
     return EXIT_OK
 
 
+def _urgency(options: argparse.Namespace) -> int:
+    print("\n".join(urgency_lines(options.log)))
+    return EXIT_OK
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Run a command; return its exit status."""
     options = build_parser().parse_args(arguments)
--- /dev/null
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/tests/test_urgency.py
@@ -0,0 +1,51 @@
+"""Tests of what logs show of more urgent requests that got nothing."""
+
+import pytest
+
+from buckthornwall_ctl.log_lines import read_logs
+from buckthornwall_ctl.main import main
+from buckthornwall_ctl.urgency import find_windows
+
+REFUSED = (
+    "time=2026-01-01T00:00:0{at}.000+00:00 level=WARNING node=a event=request_refused "
+    'request={request} code=2001 status=429 pool=p tier={tier} first_ms=""\n'
+)
+FINISHED = (
+    "time=2026-01-01T00:00:0{at}.500+00:00 level=INFO node=b event=request_finished "
+    "request={request} outcome=answered status=200 pool=p tier={tier} first_ms=12\n"
+)
+
+
+@pytest.fixture
+def log(tmp_path):
+    text = REFUSED.format(at=0, request="r1", tier=1)
+    text += FINISHED.format(at=1, request="r2", tier=2)
+    text += FINISHED.format(at=2, request="r3", tier=1)
+    text += REFUSED.format(at=7, request="r4", tier=2)
+    text += FINISHED.format(at=8, request="r5", tier=1)
+    path = tmp_path / "log"
+    path.write_text(text)
+    return path
+
+
+def test_requests_are_counted_by_window_and_tier(log):
+    windows = find_windows(read_logs([log]))
+    assert windows[0, "p", 1].without == {"2001": 1}
+    assert windows[0, "p", 1].share_without == 0.5
+    assert windows[0, "p", 2].begun == 1
+    assert windows[1, "p", 2].without == {"2001": 1}
+
+
+def test_only_windows_in_which_less_urgent_ones_began_are_shown(log, capsys):
+    assert main(["urgency", str(log)]) == 0
+    shown = capsys.readouterr().out.splitlines()[1:]
+    assert len(shown) == 1
+    assert shown[0].split()[:4] == ["0", "p", "1", "1"]
+    assert shown[0].endswith("2001=1")
+
+
+def test_logs_without_such_a_window_are_said_to_be_so(tmp_path, capsys):
+    empty = tmp_path / "log"
+    empty.write_text("")
+    assert main(["urgency", str(empty)]) == 0
+    assert "no request" in capsys.readouterr().out
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/instance.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/instance.py
@@ -10,7 +10,7 @@
     UpstreamView,
     Verdict,
     choose_upstream,
-    refused_for_s,
+    find_overload,
 )
 from buckthornwall.routing import (
     EngineTraits,
@@ -77,7 +77,8 @@
 
     def refused_for_s(self, traits: RequestTraits, choice: Choice) -> float | None:
         """Return after how long a refused request is to return, or None."""
-        return refused_for_s(self.pools, traits, choice, self.clock.now())
+        overload = find_overload(self.pools, traits, choice, self.clock.now())
+        return None if overload is None else overload.retry_after_s
 
     def note_unreachable(self, view: UpstreamView) -> None:
         """Take it that nothing could be sent to an engine."""
--- a/packages/buckthornwall/src/buckthornwall/forwarding/account.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/account.py
@@ -1,10 +1,10 @@
 """What is logged and counted of requests."""
 
+import math
 from collections.abc import Callable
 
 from buckthornwall.codes import Refusal
 from buckthornwall.pools import Choice
-from buckthornwall.routing import PoolId
 from buckthornwall.telemetry import RouterMetrics, log_event
 from buckthornwall.utils import Clock
 
@@ -47,11 +47,19 @@
             retry_after_s=round(refusal.retry_after_s or 0, 2),
             detail=refusal.detail,
             **self._describe(job),
+            **_describe_overload(job),
         )
 
-    def budget_spent(self, pool: PoolId, instances: float) -> None:
-        """Log that no repeat is left for a pool."""
-        log_event("budget_spent", "WARNING", pool=pool, instances=round(instances, 1))
+    def budget_spent(self, job: Job, instances: float) -> None:
+        """Log that no repeat is left for a request."""
+        log_event(
+            "budget_spent",
+            "WARNING",
+            request=job.request.id,
+            pool=job.resolution.pool.id,
+            rank=job.resolution.rank,
+            instances=round(instances, 1),
+        )
 
     def _describe(self, job: Job | None) -> dict[str, object]:
         """Return the pairs of a log line that tell a request's way."""
@@ -99,9 +107,12 @@
             remaining_ms=round((job.deadline - self.clock.now()) * 1000),
         )
 
-    def attempted(self, job: Job, choice: Choice, result: AttemptResult) -> None:
+    def attempted(
+        self, job: Job, choice: Choice, result: AttemptResult, sent_at: float
+    ) -> None:
         """Count the end of an attempt, and log it unless all is well."""
         upstream = choice.view.id
+        now = self.clock.now()
         self.metrics.attempts.inc({"upstream": upstream, "end": result.end.value})
         if result.end is AttemptEnd.DONE:
             return
@@ -112,8 +123,11 @@
             upstream=upstream,
             end=result.end.value,
             detail=result.detail,
+            rank=job.resolution.rank,
+            waited_ms=round((now - sent_at) * 1000),
+            upstream_quiet_ms=_quiet_ms(choice, now),
             busy_share=round(choice.busy_share, 2),
-            remaining_ms=round((job.deadline - self.clock.now()) * 1000),
+            remaining_ms=round((job.deadline - now) * 1000),
         )
 
     def _count_end(self, job: Job | None, outcome: str) -> None:
@@ -155,3 +169,23 @@
             events=job.delivery.joiner.events,
             **self._describe(job),
         )
+
+
+def _describe_overload(job: Job | None) -> dict[str, object]:
+    """Return the pairs that tell why a request was refused, if for overload."""
+    overload = job.overload if job is not None else None
+    if overload is None:
+        return {}
+    return {
+        "counted_ms": round(overload.counted_s * 1000),
+        "own_ms": round(overload.own_s * 1000),
+        "oldest_ms": round(overload.oldest_s * 1000),
+        "target_ms": round(overload.target_s * 1000),
+        "least_ms": round(overload.least_s * 1000),
+    }
+
+
+def _quiet_ms(choice: Choice, now: float) -> int | str:
+    """Return since when this instance has had nothing from an upstream, or ''."""
+    answered_at = choice.view.reach.answered_at
+    return "" if math.isinf(answered_at) else round((now - answered_at) * 1000)
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -13,11 +13,10 @@
     Verdict,
     choose_upstream,
     expected_s,
-    refused_for_s,
+    find_overload,
 )
 from buckthornwall.routing import (
     AnswerForm,
-    PoolId,
     RoutedRequest,
     RoutingTable,
 )
@@ -205,13 +204,15 @@
 
     def _overloaded(self, job: Job, choice: Choice) -> Refusal | None:
         """Return the refusal of a request that would come far too late, if any."""
-        now = self.clock.now()
-        after_s = refused_for_s(self.pools, job.traits, choice, now)
-        if after_s is None:
+        overload = find_overload(self.pools, job.traits, choice, self.clock.now())
+        if overload is None:
             return None
-        wait_s = expected_s(self.pools, job.traits, choice)
-        detail = f"expected_ms={wait_s * 1000:.0f}"
-        return Refusal(ResultCode.OVERLOADED, detail, retry_after_s=after_s)
+        job.overload = overload
+        job.last_choice = choice
+        detail = f"expected_ms={overload.expected_s * 1000:.0f}"
+        return Refusal(
+            ResultCode.OVERLOADED, detail, retry_after_s=overload.retry_after_s
+        )
 
     async def _try(self, job: Job, choice: Choice) -> AttemptResult:
         view = choice.view
@@ -242,7 +243,7 @@
             job.runs -= 1
         if result.end is not AttemptEnd.NOT_SENT:
             job.arrivals += 1
-        self.account.attempted(job, choice, result)
+        self.account.attempted(job, choice, result, sent_at)
         self._judge(choice, result)
         self._note_pace(job, choice, sent_at)
         if result.end is not AttemptEnd.DONE:
@@ -306,22 +307,22 @@
             job.last_failed = result
         if job.deadline - self.clock.now() < LEAST_REMAINING_S:
             return False
-        pool = job.resolution.pool.id
         if result.end is AttemptEnd.NOT_SENT:
             return True
         if result.end is AttemptEnd.NOT_RUN:
-            return self._spend(pool)
+            return self._spend(job)
         if not self._is_repeatable(job) or job.runs >= job.resolution.route.max_runs:
             return False
-        if not self._spend(pool):
+        if not self._spend(job):
             return False
         job.delivery.joiner.resume()
         return True
 
-    def _spend(self, pool: PoolId) -> bool:
+    def _spend(self, job: Job) -> bool:
         """Take one repeat from the budget; False, and a log line, if spent."""
+        pool = job.resolution.pool.id
         if not self.budgets.spend(pool):
-            self.account.budget_spent(pool, self.budgets.instances)
+            self.account.budget_spent(job, self.budgets.instances)
             return False
         self.metrics.retries.inc({"pool": pool})
         return True
--- a/packages/buckthornwall/src/buckthornwall/forwarding/job.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/job.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from buckthornwall.codes import Run
-from buckthornwall.pools import Choice, RequestTraits
+from buckthornwall.pools import Choice, Overload, RequestTraits
 from buckthornwall.routing import Resolution, RoutedRequest
 from buckthornwall.utils import UpstreamId
 
@@ -28,7 +28,7 @@
 
     `deadline` is when its final answer is due, `traits` what it is decided by. `runs`
     counts attempts that may have run, `arrivals` those that reached an upstream;
-    `prediction` is that of the last attempt.
+    `prediction` is that of the last attempt, and `overload` why it was refused.
     """
 
     request: RoutedRequest
@@ -42,6 +42,7 @@
     last_failed: AttemptResult | None = None
     last_choice: Choice | None = None
     prediction: Prediction | None = None
+    overload: Overload | None = None
     detail: str = ""
 
     @property
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -17,7 +17,13 @@
 ============= ============================================================
 """
 
-from .decision import RequestTraits, choose_upstream, expected_s, refused_for_s
+from .decision import (
+    Overload,
+    RequestTraits,
+    choose_upstream,
+    expected_s,
+    find_overload,
+)
 from .entry import UpstreamEntry, UpstreamState
 from .health import Verdict
 from .load import LoadReport
@@ -32,6 +38,7 @@
     "Choice",
     "HeldParts",
     "LoadReport",
+    "Overload",
     "PlacementRequest",
     "PoolTable",
     "PrefixNews",
@@ -46,7 +53,7 @@
     "choose_service",
     "choose_upstream",
     "expected_s",
+    "find_overload",
     "is_tight",
     "merge_held",
-    "refused_for_s",
 ]
--- a/packages/buckthornwall/src/buckthornwall/pools/decision.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/decision.py
@@ -19,8 +19,15 @@
 )
 from .quiet import is_tight
 from .table import PoolTable
+from .view import UpstreamView
 
-__all__ = ["RequestTraits", "choose_upstream", "expected_s", "refused_for_s"]
+__all__ = [
+    "Overload",
+    "RequestTraits",
+    "choose_upstream",
+    "expected_s",
+    "find_overload",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,21 +102,43 @@
     return choose_engine(views, wanted, now)
 
 
+@dataclass(frozen=True, slots=True)
+class Overload:
+    """Why a request is refused, and when it is to come back; all in seconds.
+
+    `expected_s` is when its first token is expected at the engine chosen, `counted_s`
+    the same by the counts alone, `own_s` the reading of its own prompt, and `oldest_s`
+    how long the oldest request before it has waited. `least_s` is what is expected at
+    the engine of the pool where it is least.
+    """
+
+    expected_s: float
+    counted_s: float
+    own_s: float
+    oldest_s: float
+    target_s: float
+    least_s: float
+    retry_after_s: float
+
+
 def expected_s(pools: PoolTable, traits: RequestTraits, choice: Choice) -> float:
     """Return how long the first token is expected to take, in seconds.
 
     Not less than the oldest request before it has waited: in overload the counts
     alone let expect 0.5 s where half of the prompts took over 3 s.
     """
+    return max(_counted_s(pools, traits, choice), choice.oldest_s)
+
+
+def _counted_s(pools: PoolTable, traits: RequestTraits, choice: Choice) -> float:
     pace = pools.pace(traits.resolution.pool.id)
-    counted_s = choice.wait_s * pace.factor(traits.resolution.rank)
-    return max(counted_s, choice.oldest_s)
+    return choice.wait_s * pace.factor(traits.resolution.rank)
 
 
-def refused_for_s(
+def find_overload(
     pools: PoolTable, traits: RequestTraits, choice: Choice, now: float
-) -> float | None:
-    """Return after how many seconds a request is to come back, or None to take it.
+) -> Overload | None:
+    """Return why a request is refused at once, or None to take it.
 
     Parameters
     ----------
@@ -130,4 +159,24 @@
     usable = pools.usable(resolution.pool.id, frozenset())
     if not is_overloaded(wait_s, choice.own_s, target_s, usable, now):
         return None
-    return retry_after_s(wait_s)
+    return Overload(
+        expected_s=wait_s,
+        counted_s=_counted_s(pools, traits, choice),
+        own_s=choice.own_s,
+        oldest_s=choice.oldest_s,
+        target_s=target_s,
+        least_s=min(_expected_at_s(pools, traits, view, now) for view in usable),
+        retry_after_s=retry_after_s(wait_s),
+    )
+
+
+def _expected_at_s(
+    pools: PoolTable, traits: RequestTraits, view: UpstreamView, now: float
+) -> float:
+    """Return how long the first token is expected to take at an engine."""
+    resolution = traits.resolution
+    fresh = max(0, traits.prompt.prompt_tokens - view.prefixes.held(traits.prompt))
+    unread = fresh + view.load.unread_before(resolution.rank)
+    counted_s = pools.model(resolution.pool.id).read_s(unread)
+    factor = pools.pace(resolution.pool.id).factor(resolution.rank)
+    return max(counted_s * factor, view.load.oldest_before_s(resolution.rank, now))
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_reach.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_reach.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from buckthornwall.pools import RequestTraits, Verdict, add_unreachable
-from buckthornwall.pools.decision import refused_for_s
+from buckthornwall.pools.decision import find_overload
 from buckthornwall.pools.reach import HEARD_S, LEAST_TELLERS, OWN_S, TOLD_S, Reach
 from buckthornwall.routing import EngineTraits, Pool, Resolution
 from buckthornwall.routing.table import DEFAULT_TEAM_TIER
@@ -89,4 +89,4 @@
     traits = RequestTraits("r", prompt(), resolution, False)
     table.hear_unreachable({"lost": LEAST_TELLERS})
     choice = choose(table, clock, prompt())
-    assert refused_for_s(table, traits, choice, clock.now()) is not None
+    assert find_overload(table, traits, choice, clock.now()) is not None
