--- a/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/request.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/request.py
@@ -1,5 +1,6 @@
 """What callers send to a simulated pool, and what became of it."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -27,7 +28,9 @@
 
     `bursts` are times from, until, and how many times as many come then; `retries` is
     how often a caller comes back after a refusal. Prompts share a part with the others
-    of their subject, and `root_tokens` before it with all.
+    of their subject, and `root_tokens` before it with all. `spread` is that of the
+    logarithm of their lengths; with none, lengths are spread evenly about the mean. A
+    caller leaves that has had no event for `patience_s`.
     """
 
     name: str
@@ -43,6 +46,8 @@
     root_tokens: int = 0
     retries: int = 0
     bursts: tuple[tuple[float, float, float], ...] = ()
+    spread: float = 0.0
+    patience_s: float = math.inf
 
     def route(self) -> RequestRoute:
         """Return the contract."""
@@ -75,8 +80,8 @@
 class SimRequest:
     """One request and what became of it; times are in seconds.
 
-    `at` is when its caller first asked, `asked_at` when it did last, and `refusals`
-    counts what it was told in between.
+    `at` is when its caller first asked, `asked_at` when it did last, and `refused_at`
+    holds when it was refused.
     """
 
     traffic: Traffic
@@ -92,13 +97,21 @@
     done: bool = False
     failed: bool = False
     refused: bool = False
-    refusals: int = 0
+    refused_at: list[float] = field(default_factory=list)
     on_event: Callable[[float, bool], None] = field(default=lambda now, done: None)
 
+    @property
+    def refusals(self) -> int:
+        """How often it was refused."""
+        return len(self.refused_at)
+
     @property
     def deadline(self) -> float:
         """When its caller gives up."""
-        return self.at + self.traffic.deadline_s
+        deadline = self.at + self.traffic.deadline_s
+        if self.first_at is not None:
+            return deadline
+        return min(deadline, self.asked_at + self.traffic.patience_s)
 
     @property
     def in_time(self) -> bool:
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/simulation.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/simulation.py
@@ -26,6 +26,8 @@
 TOLD_EVERY_S = 0.1
 # Engines that one request is offered to at most, as in the product.
 MOST_ENGINES = 4
+# The longest log-normal length, in means.
+MOST_TIMES_MEAN = 14.0
 # The way to a caller and back, in seconds.
 CALLER_S = 0.002
 
@@ -39,6 +41,14 @@
     down_s: float
 
 
+def _length(draw: random.Random, mean: int, width: float, spread: float) -> int:
+    """Draw a length in tokens: log-normal, or evenly within `width` of the mean."""
+    if not spread:
+        return int(mean * draw.uniform(1 - width, 1 + width))
+    times = draw.lognormvariate(-(spread**2) / 2, spread)
+    return max(1, int(mean * min(times, MOST_TIMES_MEAN)))
+
+
 class _Clock:
     def __init__(self) -> None:
         self.time = 0.0
@@ -147,9 +157,10 @@
 
     def _request(self, traffic: Traffic, at: float) -> SimRequest:
         subject = self.draw.randrange(traffic.subjects)
-        shared = int(traffic.shared_tokens * random.Random(subject).uniform(0.4, 1.6))
-        own = int(traffic.own_tokens * self.draw.uniform(0.3, 1.7))
-        answer = max(8, int(traffic.answer_tokens * self.draw.uniform(0.2, 1.8)))
+        spread, of_subject = traffic.spread, random.Random(subject)
+        shared = _length(of_subject, traffic.shared_tokens, 0.6, spread)
+        own = _length(self.draw, traffic.own_tokens, 0.7, spread)
+        answer = max(8, _length(self.draw, traffic.answer_tokens, 0.8, spread))
         parts = [
             PromptPart(f"{traffic.name}{subject}", shared),
             PromptPart(f"own{next(self._numbers)}", own),
@@ -187,8 +198,8 @@
         self._refuse(request, TOLD_EVERY_S)
 
     def _refuse(self, request: SimRequest, after_s: float) -> None:
-        request.refusals += 1
         now = self.clock.now()
+        request.refused_at.append(now)
         returns_after_s = request.returns_after_s(after_s, now)
         if returns_after_s is None:
             request.refused = True
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_tiers.py
@@ -0,0 +1,84 @@
+"""More urgent requests are not turned away while less urgent ones begin.
+
+Operators saw, in seconds in which nothing was disturbed, more than a twelfth of a
+route's requests get nothing while less urgent ones of the same pool began. Here 73
+instances that hear of each other 0.2 s late stand before 45 engines; long reviews come
+three times as often from a cold start, replies 1.6 times as often for four seconds. No
+engine fails.
+"""
+
+import pytest
+from loguru import logger
+
+from buckthornwall_standins.pool_sim import EngineSpeed, PoolSimulation, Traffic
+from buckthornwall_standins.pool_sim.tiers import find_inversions
+
+SPEED = EngineSpeed(
+    step_s=0.0037,
+    tokens_per_s=64_000.0,
+    memory_tokens=586_000,
+    tokens_per_event=5,
+    queued=134,
+)
+REVIEWS = Traffic(
+    name="review",
+    per_s=108,
+    tier=2,
+    target_s=1.5,
+    max_pause_s=1.0,
+    deadline_s=10.0,
+    shared_tokens=13_300,
+    own_tokens=3_720,
+    answer_tokens=120,
+    subjects=885,
+    retries=1,
+    bursts=((0.5, 9.5, 2.9),),
+    spread=1.0,
+    patience_s=8.0,
+)
+REPLIES = Traffic(
+    name="reply",
+    per_s=31,
+    tier=1,
+    target_s=0.6,
+    max_pause_s=0.4,
+    deadline_s=5.0,
+    root_tokens=2_520,
+    shared_tokens=3_780,
+    own_tokens=2_890,
+    answer_tokens=52,
+    subjects=270,
+    retries=1,
+    bursts=((4.0, 8.0, 1.6),),
+    spread=1.0,
+    patience_s=3.2,
+)
+QUESTIONS = Traffic(
+    name="question",
+    per_s=102,
+    tier=0,
+    target_s=0.3,
+    max_pause_s=0.25,
+    deadline_s=10.0,
+    root_tokens=210,
+    shared_tokens=140,
+    own_tokens=1_110,
+    answer_tokens=172,
+    subjects=894,
+    retries=1,
+    spread=0.9,
+    patience_s=2.0,
+)
+WORD_AGE_S = 0.2
+SECONDS = 11.0
+
+
+@pytest.mark.parametrize(("speed", "seed"), [(1.0, 1), (0.65, 1), (0.65, 2)])
+def test_no_route_gets_nothing_while_less_urgent_ones_begin(speed, seed):
+    logger.disable("buckthornwall")
+    simulation = PoolSimulation(
+        SPEED.times(speed), [REVIEWS, REPLIES, QUESTIONS], 45, 73, seed, WORD_AGE_S
+    )
+    simulation.run(SECONDS)
+    logger.enable("buckthornwall")
+    assert [str(each) for each in find_inversions(simulation)] == []
