Refuse no request for its own length where waits are longer than counted

What callers saw: replies with long prompts were refused with 429 though hardly anything was before them, at the first instance and at the next. Why this holds: both are multiplied by the same factor, so what is left is what is before it.

--- a/packages/buckthornwall/src/buckthornwall/pools/decision.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/decision.py
@@ -131,8 +131,13 @@
 
 
 def _counted_s(pools: PoolTable, traits: RequestTraits, choice: Choice) -> float:
-    pace = pools.pace(traits.resolution.pool.id)
-    return choice.wait_s * pace.factor(traits.resolution.rank)
+    return choice.wait_s * _factor(pools, traits)
+
+
+def _factor(pools: PoolTable, traits: RequestTraits) -> float:
+    """Return what a wait by the counts is multiplied by for a request."""
+    resolution = traits.resolution
+    return pools.pace(resolution.pool.id).factor(resolution.rank)
 
 
 def find_overload(
@@ -157,12 +162,15 @@
     wait_s = expected_s(pools, traits, choice)
     target_s = resolution.route.target_s
     usable = pools.usable(resolution.pool.id, frozenset())
-    if not is_overloaded(wait_s, choice.own_s, target_s, usable, now):
+    # Its own reading takes as much longer than counted as its whole wait does; else
+    # long prompts are refused with nothing before them.
+    own_s = choice.own_s * _factor(pools, traits)
+    if not is_overloaded(wait_s, own_s, target_s, usable, now):
         return None
     return Overload(
         expected_s=wait_s,
         counted_s=_counted_s(pools, traits, choice),
-        own_s=choice.own_s,
+        own_s=own_s,
         oldest_s=choice.oldest_s,
         target_s=target_s,
         least_s=min(_expected_at_s(pools, traits, view, now) for view in usable),
@@ -178,5 +186,5 @@
     fresh = max(0, traits.prompt.prompt_tokens - view.prefixes.held(traits.prompt))
     unread = fresh + view.load.unread_before(resolution.rank)
     counted_s = pools.model(resolution.pool.id).read_s(unread)
-    factor = pools.pace(resolution.pool.id).factor(resolution.rank)
+    factor = _factor(pools, traits)
     return max(counted_s * factor, view.load.oldest_before_s(resolution.rank, now))
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/helpers.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/helpers.py
@@ -3,17 +3,26 @@
 from buckthornwall.engine_model import EngineModel
 from buckthornwall.pools import (
     PlacementRequest,
+    RequestTraits,
     UpstreamEntry,
     UpstreamState,
     choose_engine,
 )
 from buckthornwall.routing import (
+    AnswerForm,
+    EngineTraits,
+    Pool,
     PoolId,
+    PoolShare,
     PromptPart,
     PromptShape,
+    RequestRoute,
+    Resolution,
 )
 from buckthornwall.utils import (
     ModelId,
+    RouteId,
+    TeamId,
     UpstreamId,
     ZoneId,
 )
@@ -41,3 +50,25 @@
 
 def wanted(shape, rank=5, free_s=0.0, key="r", **more):
     return PlacementRequest(shape, rank, ZONE, free_s, 1.0, key, EngineModel(), **more)
+
+
+def traits(shape, tier=1, target_s=0.6, tight=False):
+    """Return the traits of a stream of an ordinary team."""
+    route = RequestRoute(
+        id=RouteId(f"tier-{tier}"),
+        host="h",
+        path_prefix=f"/{tier}/",
+        shares=(PoolShare(POOL, 1.0),),
+        form=AnswerForm.EVENTS,
+        repeatable=False,
+        resumable=False,
+        timeout_s=5.0,
+        target_s=target_s,
+        max_pause_s=0.4,
+        max_runs=1,
+        tier=tier,
+        needs_key=False,
+    )
+    pool = Pool(POOL, "/", 10, EngineTraits(4, 300_000, 5))
+    resolution = Resolution(route, pool, TeamId("t"), 1, 1)
+    return RequestTraits("r", shape, resolution, tight)
