--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_tiers.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_tiers.py
@@ -7,6 +7,8 @@
 engine fails.
 """
 
+from dataclasses import replace
+
 import pytest
 from loguru import logger
 
@@ -73,12 +75,30 @@
 SECONDS = 11.0
 
 
-@pytest.mark.parametrize(("speed", "seed"), [(1.0, 1), (0.65, 1), (0.65, 2)])
-def test_no_route_gets_nothing_while_less_urgent_ones_begin(speed, seed):
+def play(traffic: list[Traffic], speed: float, seed: int) -> list[str]:
+    """Return every window in which a route got less than a less urgent one."""
     logger.disable("buckthornwall")
-    simulation = PoolSimulation(
-        SPEED.times(speed), [REVIEWS, REPLIES, QUESTIONS], 45, 73, seed, WORD_AGE_S
-    )
+    simulation = PoolSimulation(SPEED.times(speed), traffic, 45, 73, seed, WORD_AGE_S)
     simulation.run(SECONDS)
     logger.enable("buckthornwall")
-    assert [str(each) for each in find_inversions(simulation)] == []
+    return [str(each) for each in find_inversions(simulation)]
+
+
+@pytest.mark.parametrize(("speed", "seed"), [(1.0, 1), (0.65, 1), (0.65, 2)])
+def test_no_route_gets_nothing_while_less_urgent_ones_begin(speed, seed):
+    assert play([REVIEWS, REPLIES, QUESTIONS], speed, seed) == []
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_streams_that_must_not_pause_begin_while_less_urgent_ones_do(seed):
+    """Callers of the most urgent route left without an event, reviews went on.
+
+    Five times as many of its streams came before engines at 0.65 of their speed. They
+    were gathered on a third of the engines and waited there for each other.
+    """
+    traffic = [
+        replace(REVIEWS, bursts=()),
+        replace(REPLIES, bursts=()),
+        replace(QUESTIONS, bursts=((2.0, 9.5, 5.0),)),
+    ]
+    assert play(traffic, 0.65, seed) == []
