Leave an upstream at once at whose address another answers, and tell of it

Cause: an engine that is gone stays listed for seconds, and its address may be another's by then, which answers 421. That answer counted as a sign of life and as one failure of five that set an upstream aside, so each instance went on sending there; each try spent one of the few repeats that are for all ranks, and a request that finds none left is refused. The most urgent streams are sent to few engines, so one such address took most of them. Looked at and left: a part of the repeats for urgent requests; an instance of many has one repeat to spend at a time, so there is no part to keep. The test fails without it.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -50,6 +50,11 @@
     reply: Reply | None = None
     body: bytes = b""
 
+    @property
+    def is_misdirected(self) -> bool:
+        """Whether another upstream answered at the address."""
+        return self.reply is not None and self.reply.misdirected
+
 
 @dataclass(slots=True)
 class Attempt:
@@ -103,7 +108,7 @@
             load.tight -= self.tight
             load.memory -= memory
             unread.clear(is_served=False)
-            if reply is None or reply.closes:
+            if reply is None or reply.closes or reply.misdirected:
                 self.connections.drop(view.id, connection)
             else:
                 self.connections.release(view.id, connection, reply.idle_limit_s)
@@ -125,16 +130,22 @@
             )
             with _limit(self.silence_s):
                 reply = await self._own_reply(connection)
-            now = self.clock.now()
-            view.reach.note_answered(now)
-            if reply.load is not None:
-                view.load.take_report(reply.load, now)
+            self._note_reply(reply)
             return await self._take_reply(connection, reply, unread)
         except ExchangeError as error:
             return None, AttemptResult(AttemptEnd.BROKEN, error.detail)
         except trio.TooSlowError:
             return None, AttemptResult(AttemptEnd.BROKEN, ExchangeFailure.SILENT.value)
 
+    def _note_reply(self, reply: Reply) -> None:
+        """Take it that the upstream answers, unless another one did at its address."""
+        if reply.misdirected:
+            return
+        now = self.clock.now()
+        self.choice.view.reach.note_answered(now)
+        if reply.load is not None:
+            self.choice.view.load.take_report(reply.load, now)
+
     def _sending(self) -> Sending:
         return Sending(
             upstream=self.choice.view.entry,
@@ -163,7 +174,7 @@
             return reply, AttemptResult(AttemptEnd.DONE)
         body = await self._read_whole(connection)
         if reply.not_run:
-            return reply, AttemptResult(AttemptEnd.NOT_RUN, str(reply.status))
+            return reply, AttemptResult(AttemptEnd.NOT_RUN, str(reply.status), reply)
         if 200 <= reply.status < 300 and not reply.good:
             return None, AttemptResult(AttemptEnd.BROKEN, "success not attested")
         if reply.status >= 500:
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -334,7 +334,8 @@
         """Let the end of an attempt count for its upstream's health."""
         if result.end is AttemptEnd.DONE:
             verdict = Verdict.GOOD
-        elif result.end is AttemptEnd.NOT_SENT:
+        elif result.end is AttemptEnd.NOT_SENT or result.is_misdirected:
+            # Another upstream has its address: it is gone, and others are to know.
             verdict = Verdict.UNREACHABLE
         elif result.end is AttemptEnd.NOT_RUN and choice.busy_share >= 1:
             return  # a full upstream that says so is healthy
--- a/packages/buckthornwall/src/buckthornwall/forwarding/reply.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/reply.py
@@ -18,7 +18,8 @@
     """The head of an upstream's reply.
 
     `headers` are those that pass to the caller unchanged. `not_run` is set
-    where the upstream states that it did not and will not run the request.
+    where the upstream states that it did not and will not run the request, and
+    `misdirected` where it is since another upstream has that address now.
     `attested` is set where the reply bears the upstream's signature.
     """
 
@@ -27,6 +28,7 @@
     request_id: str
     attested: bool
     not_run: bool
+    misdirected: bool = False
     load: LoadReport | None = None
     idle_limit_s: float | None = None
     closes: bool = False
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
@@ -28,6 +28,7 @@
 from buckthornwall.utils import RouteId, TrioClock, UpstreamId, ZoneId
 
 POOL = PoolId("p")
+MISDIRECTED = b"HTTP/1.1 421 Any\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 NOT_RUN = b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -73,6 +74,7 @@
             request_id=found.get(b"x-id", b"").decode(),
             attested=b"x-signed" in found,
             not_run=b"x-not-run" in found,
+            misdirected=head.status == 421,
         )
 
 
@@ -157,7 +159,7 @@
         subject = Forwarder(
             settings, ZoneId("z"), table, pools, PlainCodec(), clock, RouterMetrics()
         )
-        forward.metrics = subject.metrics
+        forward.metrics, forward.pools = subject.metrics, pools
         subject.budgets.instances = 1.0
         request = RoutedRequest("r", b"POST", b"/", "h", "/", [], b"x", clock.now())
         request.patience_s = patience_s
@@ -215,6 +217,19 @@
     assert sum(forward.arrivals()) == 3
 
 
+async def test_an_address_that_another_upstream_has_now_is_left_and_told_of(forward):
+    """It answered, so each instance tried it for its next requests too.
+
+    An engine had crashed, its address was another's, and the list lagged: 304 of the
+    most urgent streams were answered 421 in seconds, and 128 of them refused with 503
+    after one attempt, since that spent the repeats (code=3001 detail=421 tried=1).
+    """
+    answer = await forward([MISDIRECTED], [whole()], repeatable=False)
+    assert answer.status == 200
+    assert forward.pools.unreachable() == ["u0"]
+    assert [view.id for view in forward.pools.usable(POOL, set())] == ["u1"]
+
+
 async def test_nobody_who_runs_it_means_not_run_and_when_to_come_back(forward):
     answer = await forward([NOT_RUN], [NOT_RUN], repeatable=False)
     assert (answer.status, answer.run) == (503, "no")
--- a/packages/buckthornwall/src/buckthornwall/platform/codec.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/codec.py
@@ -135,6 +135,7 @@
             request_id=found.get(names.REQUEST_ID, b"").decode("latin-1"),
             attested=names.SIGNATURE in found,
             not_run=misdirected or names.NOT_RUN in found,
+            misdirected=misdirected,
             load=_load(found.get(names.LOAD)),
             idle_limit_s=_idle_limit(found.get(b"keep-alive", b"")),
             closes=b"close" in found.get(b"connection", b"").lower(),
