--- a/packages/buckthornwall/src/buckthornwall/forwarding/account.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/account.py
@@ -177,6 +177,7 @@
     if overload is None:
         return {}
     return {
+        "reason": overload.reason.value,
         "counted_ms": round(overload.counted_s * 1000),
         "own_ms": round(overload.own_s * 1000),
         "oldest_ms": round(overload.oldest_s * 1000),
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -13,27 +13,26 @@
 `quiet`       engines kept free of long prompts, for streams that must not pause
 `placement`   the choice of an upstream for a request
 `ledger`      what was let in and refused lately, by rank
-`overload`    whether a request is refused, and when it is to come back
-`decision`    these together: what becomes of a request
+`overload`    limits of what is refused, and when it is to come back
+`traits`      what decisions know of a request
+`expectation` how long its first token is expected to take
+`refusal`     whether it is refused
+`decision`    where it goes
 ============= ============================================================
 """
 
-from .decision import (
-    Overload,
-    RequestTraits,
-    choose_upstream,
-    expected_s,
-    find_overload,
-    note_decision,
-)
+from .decision import choose_upstream
 from .entry import UpstreamEntry, UpstreamState
+from .expectation import expected_s
 from .health import Verdict
 from .load import LoadReport
 from .placement import Choice, PlacementRequest, choose_engine, choose_service
 from .prefix_news import HeldParts, PrefixNews, merge_held
 from .quiet import is_tight
 from .reach import Unreachable, add_unreachable
+from .refusal import Overload, RefusalReason, find_overload, note_decision
 from .table import PoolTable
+from .traits import RequestTraits
 from .view import UpstreamView
 
 __all__ = [
@@ -44,6 +43,7 @@
     "PlacementRequest",
     "PoolTable",
     "PrefixNews",
+    "RefusalReason",
     "RequestTraits",
     "Unreachable",
     "UpstreamEntry",
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/pools/expectation.py
@@ -0,0 +1,40 @@
+"""How long a request's first token is expected to take."""
+
+from .placement import Choice
+from .table import PoolTable
+from .traits import RequestTraits
+from .view import UpstreamView
+
+__all__ = ["counted_s", "expected_at_s", "expected_s", "pace_factor"]
+
+
+def expected_s(pools: PoolTable, traits: RequestTraits, choice: Choice) -> float:
+    """Return how long the first token is expected to take, in seconds.
+
+    Not less than the oldest request before it has waited: in overload the counts
+    alone let expect a fraction of it.
+    """
+    return max(counted_s(pools, traits, choice), choice.oldest_s)
+
+
+def counted_s(pools: PoolTable, traits: RequestTraits, choice: Choice) -> float:
+    """Return the same by the counts alone, in seconds."""
+    return choice.wait_s * pace_factor(pools, traits)
+
+
+def pace_factor(pools: PoolTable, traits: RequestTraits) -> float:
+    """Return what a wait by the counts is multiplied by for a request."""
+    resolution = traits.resolution
+    return pools.pace(resolution.pool.id).factor(resolution.rank)
+
+
+def expected_at_s(
+    pools: PoolTable, traits: RequestTraits, view: UpstreamView, now: float
+) -> float:
+    """Return how long the first token is expected to take at an engine."""
+    resolution = traits.resolution
+    fresh = max(0, traits.prompt.prompt_tokens - view.prefixes.held(traits.prompt))
+    unread = fresh + view.load.unread_before(resolution.rank)
+    wait_s = pools.model(resolution.pool.id).read_s(unread)
+    factor = pace_factor(pools, traits)
+    return max(wait_s * factor, view.load.oldest_before_s(resolution.rank, now))
--- a/packages/buckthornwall/src/buckthornwall/pools/placement.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/placement.py
@@ -144,6 +144,7 @@
     by_id = {view.id: view for view in views}
     homes = _homes(by_id, wanted)
     holder = _holder(views, wanted.prompt)
+    source = holder if holders is None else _holder(holders, wanted.prompt)
     offers = [
         _offer(by_id[name], wanted, place, now)
         for place, name in _compared(homes, holder.id, wanted.spread_key)
@@ -159,7 +160,7 @@
         own_s,
         _busy_share(best.view, now),
         load.oldest_before_s(wanted.rank, now),
-        _copy_from(best.view, _holder(holders or views, wanted.prompt), wanted.prompt),
+        _copy_from(best.view, source, wanted.prompt),
         unread == 0,
         wanted.model.pause_s(wanted.tokens_per_event, unread + best.fresh_tokens),
     )
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/pools/refusal.py
@@ -0,0 +1,125 @@
+"""Which requests are refused for overload, and when they are to come back."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from .expectation import counted_s, expected_at_s, expected_s
+from .overload import (
+    is_hopeless,
+    is_loaded,
+    is_overloaded,
+    retry_after_s,
+)
+from .placement import Choice
+from .table import PoolTable
+from .traits import RequestTraits
+
+__all__ = ["Overload", "RefusalReason", "find_overload", "is_owed", "note_decision"]
+
+
+class RefusalReason(Enum):
+    """Why a request is refused for overload."""
+
+    LATE = "late"  # its first token would come far too late
+    YIELDS = "yields"  # more urgent ones were refused lately
+
+
+@dataclass(frozen=True, slots=True)
+class Overload:
+    """Why a request is refused, and when it is to come back; all in seconds.
+
+    `expected_s` is when its first token is expected at the engine chosen, `counted_s`
+    the same by the counts alone, `own_s` the reading of its own prompt, and `oldest_s`
+    how long the oldest request before it has waited. `least_s` is what is expected at
+    the engine of the pool where it is least.
+    """
+
+    reason: RefusalReason
+    expected_s: float
+    counted_s: float
+    own_s: float
+    oldest_s: float
+    target_s: float
+    least_s: float
+    retry_after_s: float
+
+
+def find_overload(
+    pools: PoolTable, traits: RequestTraits, choice: Choice, now: float
+) -> Overload | None:
+    """Return why a request is refused at once, or None to take it.
+
+    Parameters
+    ----------
+    pools
+        What is known of upstreams.
+    traits
+        The request; one with nothing more urgent than it is always taken.
+    choice
+        Where it would go.
+    now
+        The time in seconds.
+    """
+    resolution = traits.resolution
+    if traits.prompt is None or resolution.urgent:
+        return None
+    wait_s = expected_s(pools, traits, choice)
+    target_s = resolution.route.target_s
+    reason = _refusal_reason(pools, traits, choice, now)
+    if reason is None:
+        return None
+    usable = pools.usable(resolution.pool.id, frozenset())
+    return Overload(
+        reason=reason,
+        expected_s=wait_s,
+        counted_s=counted_s(pools, traits, choice),
+        own_s=choice.own_s,
+        oldest_s=choice.oldest_s,
+        target_s=target_s,
+        least_s=min(expected_at_s(pools, traits, view, now) for view in usable),
+        retry_after_s=retry_after_s(wait_s),
+    )
+
+
+def note_decision(
+    pools: PoolTable, traits: RequestTraits, is_let_in: bool, now: float
+) -> None:
+    """Take it that a prompt was let in, or refused for overload."""
+    if traits.prompt is None:
+        return
+    resolution = traits.resolution
+    ledger = pools.ledger(resolution.pool.id)
+    note = ledger.note_let_in if is_let_in else ledger.note_refused
+    note(resolution.rank, traits.prompt.prompt_tokens, now)
+
+
+def _refusal_reason(
+    pools: PoolTable, traits: RequestTraits, choice: Choice, now: float
+) -> RefusalReason | None:
+    """Return why a request is refused where it would go, or None to take it."""
+    resolution = traits.resolution
+    wait_s = expected_s(pools, traits, choice)
+    target_s = resolution.route.target_s
+    usable = pools.usable(resolution.pool.id, frozenset())
+    # With nothing before it a prompt would only be refused for its own length.
+    is_alone = choice.wait_s <= choice.own_s and not choice.oldest_s
+    if is_alone or not is_overloaded(wait_s, choice.own_s, target_s, usable, now):
+        is_yielding = is_loaded(usable, now) and _is_to_yield(pools, traits, now)
+        return RefusalReason.YIELDS if is_yielding else None
+    if choice.busy_share >= 1 or is_hopeless(wait_s, target_s):
+        return RefusalReason.LATE
+    return None if is_owed(pools, traits, now) else RefusalReason.LATE
+
+
+def _is_to_yield(pools: PoolTable, traits: RequestTraits, now: float) -> bool:
+    """Tell whether more urgent requests were refused lately, and this one is let in."""
+    resolution = traits.resolution
+    ledger = pools.ledger(resolution.pool.id)
+    return ledger.is_to_yield(resolution.rank, traits.prompt.prompt_tokens, now)
+
+
+def is_owed(pools: PoolTable, traits: RequestTraits, now: float) -> bool:
+    """Tell whether less urgent requests were let in lately in place of this one."""
+    resolution = traits.resolution
+    ledger = pools.ledger(resolution.pool.id)
+    return ledger.is_owed(resolution.rank, traits.prompt.prompt_tokens, now)
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_overload.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_overload.py
@@ -2,8 +2,7 @@
 
 import pytest
 
-from buckthornwall.pools import find_overload
-from buckthornwall.pools.decision import choose_upstream
+from buckthornwall.pools import RefusalReason, choose_upstream, find_overload
 
 from .helpers import POOL, ZONE, adopt, prompt, traits
 
@@ -89,7 +88,7 @@
         view.load.requests = 3
     fill(table, 4, 30_000)
     wanted = traits(prompt())
-    assert decide(table, clock, wanted)[1] is not None
+    assert decide(table, clock, wanted)[1].reason is RefusalReason.LATE
     let_in(table, clock, 7)
     assert decide(table, clock, wanted)[1] is None
     table.ledger(POOL).note_refused(4, 20_000, clock.now())
@@ -119,7 +118,7 @@
     assert decide(table, clock, wanted)[1] is None  # nothing waits any more
     for view in table.members(POOL):
         view.load.requests = 3
-    assert decide(table, clock, wanted)[1] is not None
+    assert decide(table, clock, wanted)[1].reason is RefusalReason.YIELDS
     clock.time += 20.0
     assert decide(table, clock, wanted)[1] is None
 
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_reach.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_reach.py
@@ -3,8 +3,8 @@
 from dataclasses import replace
 
 from buckthornwall.pools import RequestTraits, Verdict, add_unreachable
-from buckthornwall.pools.decision import find_overload
 from buckthornwall.pools.reach import HEARD_S, LEAST_TELLERS, OWN_S, TOLD_S, Reach
+from buckthornwall.pools.refusal import find_overload
 from buckthornwall.routing import EngineTraits, Pool, Resolution
 from buckthornwall.routing.table import DEFAULT_TEAM_TIER
 from buckthornwall.utils import TeamId
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/pools/traits.py
@@ -0,0 +1,34 @@
+"""What decisions know of a request."""
+
+from dataclasses import dataclass
+
+from buckthornwall.routing import PromptShape, Resolution, RoutedRequest
+
+from .quiet import is_tight
+from .table import PoolTable
+
+__all__ = ["RequestTraits"]
+
+
+@dataclass(frozen=True, slots=True)
+class RequestTraits:
+    """What decisions know of a request.
+
+    `prompt` is None for a plain service. `tight` tells that it is a stream which
+    cannot be kept beside the reading of long prompts.
+    """
+
+    id: str
+    prompt: PromptShape | None
+    resolution: Resolution
+    tight: bool
+
+    @classmethod
+    def of(
+        cls, request: RoutedRequest, resolution: Resolution, pools: PoolTable
+    ) -> "RequestTraits":
+        """Return the traits of a request whose route and pool are known."""
+        pool = resolution.pool
+        model = pools.model(pool.id)
+        tight = is_tight(resolution.route, pool, request.prompt, model)
+        return cls(request.id, request.prompt, resolution, tight)
