Forget old requests of the ledger also where nobody asks it

Found in reading: entries were only dropped when a late request asked, so a pool that is never loaded kept every request, about 0.1 KB each. Now each new one drops those that are older than the window. The test fails without it. Also two plainer docstrings.

--- a/packages/buckthornwall/src/buckthornwall/pools/ledger.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/ledger.py
@@ -33,19 +33,26 @@
         self._let_in: deque[_Entry] = deque()
         self._refused: deque[_Entry] = deque()
 
+    @property
+    def entries(self) -> int:
+        """How many requests are kept."""
+        return len(self._let_in) + len(self._refused)
+
     def note_let_in(self, rank: int, tokens: int, now: float) -> None:
         """Take it that a request was sent to an engine."""
+        _forget(self._let_in, now)
         self._let_in.append(_Entry(now, rank, tokens))
 
     def note_refused(self, rank: int, tokens: int, now: float) -> None:
         """Take it that a request was refused for overload."""
+        _forget(self._refused, now)
         self._refused.append(_Entry(now, rank, tokens))
 
     def is_owed(self, rank: int, tokens: int, now: float) -> bool:
         """Tell whether a late request is to be let in since less urgent ones were.
 
-        It is until as much was refused that is as urgent, with this one, as was let in
-        that is less urgent.
+        It is as long as more tokens of less urgent requests were let in than of such
+        that are as urgent were refused, this one counted with those.
         """
         refused = sum(each.tokens for each in self._lately_refused(now, rank))
         return self._let_in_below(rank, now) > refused + tokens
@@ -53,7 +60,8 @@
     def is_to_yield(self, rank: int, tokens: int, now: float) -> bool:
         """Tell whether a request is to be refused since more urgent ones were.
 
-        As much is still let in as was refused, so that no rank starves.
+        It is once the less urgent requests let in, with this one, have more tokens
+        than the more urgent ones refused: up to that none starves.
         """
         refused = sum(each.tokens for each in self._lately_refused(now, rank - 1))
         return 0 < refused < self._let_in_below(rank - 1, now) + tokens
--- a/packages/buckthornwall/src/buckthornwall/pools/refusal.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/refusal.py
@@ -4,12 +4,7 @@
 from enum import Enum
 
 from .expectation import counted_s, expected_at_s, expected_s
-from .overload import (
-    is_hopeless,
-    is_loaded,
-    is_overloaded,
-    retry_after_s,
-)
+from .overload import is_hopeless, is_loaded, is_overloaded, retry_after_s
 from .placement import Choice
 from .table import PoolTable
 from .traits import RequestTraits
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_ledger.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_ledger.py
@@ -43,3 +43,12 @@
     assert not ledger.is_to_yield(LEAST, 50_000, 1.0)
     assert not ledger.is_to_yield(ORDINARY, 50_000, 1.0)
     assert not ledger.is_to_yield(URGENT, 50_000, 1.0)
+
+
+def test_no_more_is_kept_than_a_window_although_nobody_asks():
+    """In a pool that is never loaded nobody asks, and every request was kept."""
+    ledger = AdmissionLedger()
+    for second in range(1000):
+        ledger.note_let_in(LEAST, 10, float(second))
+        ledger.note_refused(LEAST, 10, float(second))
+    assert ledger.entries <= 2 * (WINDOW_S + 1)
