--- a/packages/buckthornwall/src/buckthornwall/pools/placement.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/placement.py
@@ -232,7 +232,7 @@
     in_flight = view.load.in_flight(now)
     queued = max(0, in_flight - view.entry.slots)
     before = view.load.unread_before(wanted.rank)
-    behind = view.load.unread_after(wanted.rank)
+    behind = view.load.unread_all() - before
     steps = in_flight * RUNNING_STEPS + queued * QUEUED_STEPS
     reading_s = wanted.model.read_s(before + BEHIND_WEIGHT * behind)
     cold_s = COLD_SHARE * view.cold_s(now)
