Share headers of the stand-ins, and look up engines of a refusal once

Ruled out: one table of loads for the simulated pool and its tests, since these are figures, alike in shape only.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/soak_callers.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/soak_callers.py
@@ -10,6 +10,7 @@
 from .users_platform import Upstream
 from .users_platform.deployment import HOST, KEY
 from .users_platform.upstream import EVENTS
+from .users_platform.wire import call_headers
 
 __all__ = ["SoakCallers", "Verdict"]
 
@@ -75,16 +76,8 @@
     async def _exchange(
         self, number: int, path: str, request: str, is_stream: bool
     ) -> tuple[int, dict[bytes, bytes], bytes]:
-        headers = [
-            (b"Host", HOST.encode()),
-            (b"X-Buckthornwall-Attempt-Id", request.encode()),
-            (b"X-Buckthornwall-Deadline-Ms", b"%d" % (PATIENCE_S * 1000)),
-            (b"X-Buckthornwall-Key", KEY.encode()),
-            (b"Content-Length", b"0"),
-        ]
-        if is_stream:
-            headers.append((b"X-Buckthornwall-Token-Count", b"900,10"))
-            headers.append((b"X-Buckthornwall-Prompt-Prefix", b"aa:600,bb:300"))
+        prompt = ("900,10", "aa:600,bb:300") if is_stream else None
+        headers = call_headers(request, HOST, KEY, PATIENCE_S, prompt)
         address = f"127.0.8.{number}:{self.ports}"
         connection = await ClientConnection.connect(address, 1.0)
         try:
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tier_soak.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tier_soak.py
@@ -22,6 +22,7 @@
 from .tiers import Attempted, find_inversions
 from .users_platform import Deployment, Engine, Store
 from .users_platform.deployment import DRAFTS, HOST, KEY, route
+from .users_platform.wire import call_headers
 
 __all__ = ["TierSoak", "main"]
 
@@ -170,15 +171,8 @@
         subject = self.draw.randrange(kind.subjects)
         parts = f"{kind.tier}{subject:x}:{kind.shared},f{request[1:]}:{kind.own}"
         tokens = kind.shared + kind.own
-        headers = [
-            (b"Host", HOST.encode()),
-            (b"X-Buckthornwall-Attempt-Id", request.encode()),
-            (b"X-Buckthornwall-Deadline-Ms", b"%d" % (kind.deadline_s * 1000)),
-            (b"X-Buckthornwall-Key", KEY.encode()),
-            (b"X-Buckthornwall-Token-Count", b"%d,%d" % (tokens, kind.events)),
-            (b"X-Buckthornwall-Prompt-Prefix", parts.encode()),
-            (b"Content-Length", b"0"),
-        ]
+        prompt = (f"{tokens},{kind.events}", parts)
+        headers = call_headers(request, HOST, KEY, kind.deadline_s, prompt)
         at = self._now()
         begun_at, end = await self._exchange(kind, instance, headers)
         self.ends[kind.name, end] += 1
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/__init__.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/__init__.py
@@ -4,6 +4,7 @@
 `store`       the store that is read and watched, and its faults
 `upstream`    a model engine and a plain service that count what they run
 `engine`      a model engine that reads prompts in real time, urgent ones first
+`wire`        headers that callers and upstreams have in common
 `path`        a loopback proxy whose connections can be harmed
 `deployment`  settings, configuration and registrations that fit together
 ============= ============================================================
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/engine.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/engine.py
@@ -10,10 +10,11 @@
 from buckthornwall.http1 import Answer, HttpServer, IncomingRequest, ServerLimits
 from buckthornwall.utils import TrioClock
 
+from .wire import PREFIX, reply_headers
+
 __all__ = ["Engine"]
 
 LIMITS = ServerLimits(65_536, 8 * 2**20, 10.0, 5.0)
-PREFIX = b"X-Buckthornwall-"
 PIECE_TOKENS = 2048
 NO_PRIORITY = b"5"
 
@@ -103,10 +104,8 @@
     async def _stream(self, found: dict[bytes, bytes], answer: Answer) -> None:
         request = found[b"x-buckthornwall-attempt-id"]
         events = int(found[b"x-buckthornwall-token-count"].partition(b",")[2])
-        load = b"%d,%d,%d" % (self.running, len(self._waiting), self.slots)
         headers = [
-            (PREFIX + b"Attempt-Id", request),
-            (PREFIX + b"Engine-Load", load),
+            *reply_headers(request, self.running, len(self._waiting), self.slots),
             (PREFIX + b"Response-Seal", b"seal-of-" + request),
             (b"Content-Type", b"text/event-stream"),
         ]
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/upstream.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/upstream.py
@@ -8,10 +8,11 @@
 from buckthornwall.http1 import Answer, HttpServer, IncomingRequest, ServerLimits
 from buckthornwall.utils import TrioClock
 
+from .wire import PREFIX, reply_headers
+
 __all__ = ["Upstream"]
 
 LIMITS = ServerLimits(65_536, 8 * 2**20, 10.0, 5.0)
-PREFIX = b"X-Buckthornwall-"
 EVENTS = 6
 ONCE = (b"/once/", b"/order/")
 
@@ -56,10 +57,7 @@
         found = dict(incoming.headers)
         self.seen.append(found)
         request_id = found.get(b"x-buckthornwall-attempt-id", b"")
-        common = [
-            (PREFIX + b"Attempt-Id", request_id),
-            (PREFIX + b"Engine-Load", b"%d,0,%d" % (self.running, self.slots)),
-        ]
+        common = reply_headers(request_id, self.running, 0, self.slots)
         expected = found.get(b"x-buckthornwall-expect-instance", self.id.encode())
         if expected != self.id.encode():
             await answer.whole(421, common, b"")
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/wire.py
@@ -0,0 +1,43 @@
+"""Headers that the stand-ins of callers and upstreams have in common."""
+
+__all__ = ["PREFIX", "call_headers", "reply_headers"]
+
+PREFIX = b"X-Buckthornwall-"
+
+Headers = list[tuple[bytes, bytes]]
+
+
+def call_headers(
+    request: str, host: str, key: str, patience_s: float, prompt: tuple[str, str] | None
+) -> Headers:
+    """Return the headers of a call.
+
+    Parameters
+    ----------
+    request, host, key
+        Its id, where it goes, and whose it is.
+    patience_s
+        How long its caller waits, in seconds.
+    prompt
+        Token counts and parts of a prompt, as they are sent; None without one.
+    """
+    headers = [
+        (b"Host", host.encode()),
+        (PREFIX + b"Attempt-Id", request.encode()),
+        (PREFIX + b"Deadline-Ms", b"%d" % (patience_s * 1000)),
+        (PREFIX + b"Key", key.encode()),
+        (b"Content-Length", b"0"),
+    ]
+    if prompt is not None:
+        counts, parts = prompt
+        headers.append((PREFIX + b"Token-Count", counts.encode()))
+        headers.append((PREFIX + b"Prompt-Prefix", parts.encode()))
+    return headers
+
+
+def reply_headers(request: bytes, running: int, waiting: int, slots: int) -> Headers:
+    """Return what every reply of an upstream bears: the call's id, and its load."""
+    return [
+        (PREFIX + b"Attempt-Id", request),
+        (PREFIX + b"Engine-Load", b"%d,%d,%d" % (running, waiting, slots)),
+    ]
--- a/packages/buckthornwall/src/buckthornwall/pools/quiet.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/quiet.py
@@ -148,8 +148,8 @@
             The time in seconds.
         arriving
             Route of a tight stream that is to be placed now: the first one of all
-            finds an engine kept for it. Where none was, those of the first second
-            ran beside the reading of a whole day's first prompts, for 8 s and more.
+            finds an engine kept for it, or would run beside the reading of prompts
+            that no engine holds yet.
         """
         if arriving is not None:
             self._seen_pause_s = min(self._seen_pause_s, arriving.max_pause_s)
--- a/packages/buckthornwall/src/buckthornwall/pools/refusal.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/refusal.py
@@ -8,6 +8,7 @@
 from .placement import Choice
 from .table import PoolTable
 from .traits import RequestTraits
+from .view import UpstreamView
 
 __all__ = ["Overload", "RefusalReason", "find_overload", "is_owed", "note_decision"]
 
@@ -59,18 +60,17 @@
     if traits.prompt is None or resolution.urgent:
         return None
     wait_s = expected_s(pools, traits, choice)
-    target_s = resolution.route.target_s
-    reason = _refusal_reason(pools, traits, choice, now)
+    usable = pools.usable(resolution.pool.id, frozenset())
+    reason = _refusal_reason(pools, traits, choice, usable, now)
     if reason is None:
         return None
-    usable = pools.usable(resolution.pool.id, frozenset())
     return Overload(
         reason=reason,
         expected_s=wait_s,
         counted_s=counted_s(pools, traits, choice),
         own_s=choice.own_s,
         oldest_s=choice.oldest_s,
-        target_s=target_s,
+        target_s=resolution.route.target_s,
         least_s=min(expected_at_s(pools, traits, view, now) for view in usable),
         retry_after_s=retry_after_s(wait_s),
     )
@@ -89,13 +89,15 @@
 
 
 def _refusal_reason(
-    pools: PoolTable, traits: RequestTraits, choice: Choice, now: float
+    pools: PoolTable,
+    traits: RequestTraits,
+    choice: Choice,
+    usable: list[UpstreamView],
+    now: float,
 ) -> RefusalReason | None:
     """Return why a request is refused where it would go, or None to take it."""
-    resolution = traits.resolution
     wait_s = expected_s(pools, traits, choice)
-    target_s = resolution.route.target_s
-    usable = pools.usable(resolution.pool.id, frozenset())
+    target_s = traits.resolution.route.target_s
     # With nothing before it a prompt would only be refused for its own length.
     is_alone = choice.wait_s <= choice.own_s and not choice.oldest_s
     if is_alone or not is_overloaded(wait_s, choice.own_s, target_s, usable, now):
--- a/packages/buckthornwall/src/buckthornwall/utils/hashing.py
+++ b/packages/buckthornwall/src/buckthornwall/utils/hashing.py
@@ -11,7 +11,8 @@
 
 __all__ = ["hash_share", "rendezvous_order", "rendezvous_winner"]
 
-MOST_HASH = 2**64
+# One more than the largest weight.
+WEIGHTS = 2**64
 
 
 def _weight(key: str, candidate: str) -> bytes:
@@ -30,4 +31,4 @@
 
 def hash_share(key: str) -> float:
     """Return a number from 0 to 1 that is drawn by a key."""
-    return int.from_bytes(_weight(key, "")) / MOST_HASH
+    return int.from_bytes(_weight(key, "")) / WEIGHTS
