Tell which requests are the same, and whether an upstream ended beneath one

The record of an engine that ended again and again cannot be read from the lines: a request has a new id each time that it is sent, and a cut attempt looks the same whether its engine ended or its connection did. Weighed: the number of attempts cut at once as the sign of an end; a single request on an idle engine shows none.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/account.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/account.py
@@ -70,6 +70,7 @@
         choice = job.last_choice
         received_at = job.request.received_at
         return {
+            "fingerprint": _hex(job),
             "route": job.resolution.route.id,
             "pool": job.resolution.pool.id,
             "team": job.resolution.team,
@@ -91,6 +92,7 @@
         log_event(
             "request_placed",
             request=job.request.id,
+            fingerprint=_hex(job),
             upstream=view.id,
             attempt=len(job.tried),
             resumes_after=job.delivery.joiner.last_id,
@@ -108,7 +110,12 @@
         )
 
     def attempted(
-        self, job: Job, choice: Choice, result: AttemptResult, sent_at: float
+        self,
+        job: Job,
+        choice: Choice,
+        result: AttemptResult,
+        sent_at: float,
+        upstream_ended: bool,
     ) -> None:
         """Count the end of an attempt, and log it unless all is well."""
         upstream = choice.view.id
@@ -121,8 +128,10 @@
             "WARNING",
             request=job.request.id,
             upstream=upstream,
+            fingerprint=_hex(job),
             end=result.end.value,
             detail=result.detail,
+            upstream_ended=upstream_ended,
             rank=job.resolution.rank,
             waited_ms=round((now - sent_at) * 1000),
             upstream_quiet_ms=_quiet_ms(choice, now),
@@ -171,6 +180,11 @@
         )
 
 
+def _hex(job: Job) -> str:
+    """Return a request's fingerprint as log lines show it."""
+    return f"{job.fingerprint:016x}"
+
+
 def _describe_overload(job: Job | None) -> dict[str, object]:
     """Return the pairs that tell why a request was refused, if for overload."""
     overload = job.overload if job is not None else None
--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -26,6 +26,8 @@
 __all__ = ["Attempt", "AttemptEnd", "AttemptResult"]
 
 MAX_WHOLE_BYTES = 4 * 2**20
+# How an exchange fails when its upstream ends beneath it.
+UPSTREAM_ENDS = frozenset({ExchangeFailure.RESET, ExchangeFailure.ENDED})
 # A reply that names another request is skipped this often before it counts as
 # garbage.
 MOST_FOREIGN_REPLIES = 2
@@ -43,18 +45,27 @@
 
 @dataclass(slots=True)
 class AttemptResult:
-    """The end of an attempt; `reply` and `body` where a whole reply came."""
+    """The end of an attempt; `reply` and `body` where a whole reply came.
+
+    `failure` is how the exchange broke off, if it did.
+    """
 
     end: AttemptEnd
     detail: str = ""
     reply: Reply | None = None
     body: bytes = b""
+    failure: ExchangeFailure | None = None
 
     @property
     def is_misdirected(self) -> bool:
         """Whether another upstream answered at the address."""
         return self.reply is not None and self.reply.misdirected
 
+    @property
+    def is_broken_off(self) -> bool:
+        """Whether the exchange failed as it does when its upstream ends."""
+        return self.failure in UPSTREAM_ENDS
+
 
 @dataclass(slots=True)
 class Attempt:
@@ -133,9 +144,14 @@
             self._note_reply(reply)
             return await self._take_reply(connection, reply, unread)
         except ExchangeError as error:
-            return None, AttemptResult(AttemptEnd.BROKEN, error.detail)
+            return None, AttemptResult(
+                AttemptEnd.BROKEN, error.detail, failure=error.failure
+            )
         except trio.TooSlowError:
-            return None, AttemptResult(AttemptEnd.BROKEN, ExchangeFailure.SILENT.value)
+            failure = ExchangeFailure.SILENT
+            return None, AttemptResult(
+                AttemptEnd.BROKEN, failure.value, failure=failure
+            )
 
     def _note_reply(self, reply: Reply) -> None:
         """Take it that the upstream answers, unless another one did at its address."""
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -16,6 +16,7 @@
     find_overload,
     note_decision,
 )
+from buckthornwall.quarantine import fingerprint_of
 from buckthornwall.routing import (
     AnswerForm,
     RoutedRequest,
@@ -26,6 +27,7 @@
     Clock,
     ConfigItem,
     ConfigNamespace,
+    UpstreamId,
     ZoneId,
 )
 
@@ -35,6 +37,7 @@
 from .connections import ConnectionCache
 from .delivery import Delivery
 from .job import Job
+from .liveness import LivenessChecks
 from .reply import WireCodec
 
 __all__ = ["Forwarder", "ForwardingSettings"]
@@ -123,7 +126,9 @@
         self.codec = codec
         self.clock = clock
         self.budgets = RetryBudgets(settings.retry_ratio, settings.retry_reserve)
-        self.connections = ConnectionCache(clock, settings.connect_timeout_ms / 1000)
+        connect_timeout_s = settings.connect_timeout_ms / 1000
+        self.connections = ConnectionCache(clock, connect_timeout_s)
+        self.liveness = LivenessChecks(clock, connect_timeout_s)
 
     async def forward(self, request: RoutedRequest, answer: Answer) -> None:
         """Answer a request.
@@ -149,6 +154,7 @@
             Delivery(answer, self.clock, request.resume_after),
             request.received_at + patience_s,
             RequestTraits.of(request, resolution, self.pools),
+            fingerprint_of(request, resolution.team),
         )
         try:
             await self._answer(job, answer)
@@ -156,6 +162,11 @@
             self.account.finished(job, "cut" if job.delivery.started else "caller_gone")
             raise
 
+    def forget_upstream(self, upstream: UpstreamId) -> None:
+        """Drop connections to an upstream that is gone, and what is known of it."""
+        self.connections.forget(upstream)
+        self.liveness.forget(upstream)
+
     async def refuse_unread(self, answer: Answer, refusal: Refusal) -> None:
         """Answer what could not be read as a request of the platform."""
         await self._refuse("", None, answer, refusal)
@@ -246,8 +257,11 @@
             job.runs -= 1
         if result.end is not AttemptEnd.NOT_SENT:
             job.arrivals += 1
-        self.account.attempted(job, choice, result, sent_at)
         self._judge(choice, result)
+        ended = result.is_broken_off and await self.liveness.has_ended(
+            choice.view.entry
+        )
+        self.account.attempted(job, choice, result, sent_at, ended)
         self._note_pace(job, choice, sent_at)
         if result.end is not AttemptEnd.DONE:
             job.detail = result.detail
--- a/packages/buckthornwall/src/buckthornwall/forwarding/job.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/job.py
@@ -4,6 +4,7 @@
 
 from buckthornwall.codes import Run
 from buckthornwall.pools import Choice, Overload, RequestTraits
+from buckthornwall.quarantine import Fingerprint
 from buckthornwall.routing import Resolution, RoutedRequest
 from buckthornwall.utils import UpstreamId
 
@@ -26,7 +27,8 @@
 class Job:
     """A request, what was tried for it, and what its caller has.
 
-    `deadline` is when its final answer is due, `traits` what it is decided by. `runs`
+    `deadline` is when its final answer is due, `traits` what it is decided by, and
+    `fingerprint` what it has in common with the same request sent again. `runs`
     counts attempts that may have run, `arrivals` those that reached an upstream;
     `prediction` is that of the last attempt, and `overload` why it was refused.
     """
@@ -36,6 +38,7 @@
     delivery: Delivery
     deadline: float
     traits: RequestTraits
+    fingerprint: Fingerprint
     tried: set[UpstreamId] = field(default_factory=set)
     runs: int = 0
     arrivals: int = 0
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
@@ -378,7 +378,8 @@
     ]
     for field in ("rank=", "in_flight=", "report_age_ms=", "remaining_ms="):
         assert field in own[0]
-    for field in ("end=broken", "detail=", "upstream=u0"):
+    for field in ("end=broken", "detail=", "upstream=u0", "upstream_ended=False"):
         assert field in own[1]
     for field in ("outcome=answered", "number=1", "arrivals=2", "upstream=u1"):
         assert field in own[3]
+    assert len({line.split("fingerprint=")[1].split()[0] for line in own}) == 1
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -114,7 +114,7 @@
         self.view_server = HttpServer(clock, lambda: OPERATOR_LIMITS, self._handle_view)
         self.discovery.may_read = self.news.may_read
         self.discovery.on_change = self._news_adopted
-        self.discovery.on_gone = self.forwarder.connections.forget
+        self.discovery.on_gone = self.forwarder.forget_upstream
         self.discovery.on_restart = self.forwarder.connections.abandon
         self.discovery.on_call = self._count_store_call
         self.peer_agent.on_work = self._work_told
