Play a request that crashes engines on real instances: red, listed

It needs neither scale nor luck, so it is no race. A sender that was started within the last 3 s is left out of the count, as the users' rule has it.

--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_crash_soak.py
@@ -0,0 +1,55 @@
+"""A request that crashed engine after engine was sent on to all that were left.
+
+Each instance saw ends of engines, and none saw that the same request ran there: it came
+under a new id at another instance each time. 38 of 47 sends reached engines later than
+three seconds after it had crashed the third, and innocent streams were cut each time.
+"""
+
+from collections import Counter
+
+import pytest
+import trio
+
+from buckthornwall_standins.crash_soak import Arrival, CrashSoak, Limits, Sending
+from buckthornwall_standins.crash_soak import find_late as late_arrivals
+
+LIMITS = Limits()
+BODY = b"b"
+ENDS = [(float(at), BODY) for at in (1, 2, 3, 4)]
+
+
+def arrival(at, instance=1):
+    return Arrival(Sending(BODY, instance, at), at)
+
+
+@pytest.mark.live
+@pytest.mark.parametrize(
+    ("seed", "crashing", "restarts"), [(1, 1, False), (2, 1, True), (3, 2, False)]
+)
+def test_a_request_that_crashes_engines_is_sent_to_few_more(
+    tmp_path, seed, crashing, restarts
+):
+    soak = CrashSoak(
+        seed,
+        14.0,
+        7710 + 10 * seed,
+        tmp_path,
+        instances=6,
+        engines=9,
+        crashing=crashing,
+        restarts=restarts,
+    )
+    trio.run(soak.run)
+    late = Counter(each.sending.body for each in soak.late(LIMITS))
+    assert len(soak.ends) >= LIMITS.crashes
+    assert {body: n for body, n in late.items() if n > LIMITS.sends} == {}
+
+
+def test_sends_count_from_some_time_after_the_third_end():
+    arrivals = [arrival(5.9), arrival(6.1)]
+    assert late_arrivals(arrivals, ENDS, [], LIMITS) == arrivals[1:]
+
+
+def test_sends_of_an_instance_that_has_just_started_do_not_count():
+    arrivals = [arrival(7.0), arrival(7.0, instance=2), arrival(9.1)]
+    assert late_arrivals(arrivals, ENDS, [(6.0, 1)], LIMITS) == arrivals[1:]
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/crashing.py
@@ -0,0 +1,59 @@
+"""An engine that one request crashes, and that is started again."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+from buckthornwall.http1 import Answer, IncomingRequest
+
+from .upstream import Upstream
+from .wire import PREFIX
+
+__all__ = ["CRASHING", "CrashingEngine"]
+
+# A body with this text crashes the engine that runs it.
+CRASHING = b"crash"
+EXPECTED = PREFIX.lower() + b"expect-instance"
+
+
+@dataclass
+class CrashingEngine(Upstream):
+    """One incarnation of an engine.
+
+    Attributes
+    ----------
+    crash_s : float
+        Seconds from the beginning of the run to the end of the engine.
+    crashed : trio.Event
+        Set when it has to end; whoever runs it cancels it then.
+    crashed_by : bytes
+        The body that did it.
+    on_arrival : callable
+        Is told of each such request that was not sent elsewhere.
+    """
+
+    crash_s: float = 0.09
+    crashed: trio.Event = field(default_factory=trio.Event)
+    crashed_by: bytes = b""
+    on_arrival: Callable[[IncomingRequest], None] = lambda incoming: None
+
+    async def run_until_crash(
+        self, address: str, *, task_status=trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until a request crashes it; then all of its sockets are closed."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.run, address)
+            task_status.started()
+            await self.crashed.wait()
+            nursery.cancel_scope.cancel()
+
+    async def _handle(self, incoming: IncomingRequest, answer: Answer) -> None:
+        expected = dict(incoming.headers).get(EXPECTED, self.id.encode())
+        if CRASHING not in incoming.body or expected != self.id.encode():
+            await super()._handle(incoming, answer)
+            return
+        self.on_arrival(incoming)
+        await trio.sleep(self.work_s + self.crash_s)
+        self.crashed_by = self.crashed_by or incoming.body
+        self.crashed.set()
+        await trio.sleep_forever()
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/wire.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/wire.py
@@ -8,7 +8,12 @@
 
 
 def call_headers(
-    request: str, host: str, key: str, patience_s: float, prompt: tuple[str, str] | None
+    request: str,
+    host: str,
+    key: str,
+    patience_s: float,
+    prompt: tuple[str, str] | None,
+    body: bytes = b"",
 ) -> Headers:
     """Return the headers of a call.
 
@@ -20,13 +25,15 @@
         How long its caller waits, in seconds.
     prompt
         Token counts and parts of a prompt, as they are sent; None without one.
+    body
+        What is sent after the headers.
     """
     headers = [
         (b"Host", host.encode()),
         (PREFIX + b"Attempt-Id", request.encode()),
         (PREFIX + b"Deadline-Ms", b"%d" % (patience_s * 1000)),
         (PREFIX + b"Key", key.encode()),
-        (b"Content-Length", b"0"),
+        (b"Content-Length", b"%d" % len(body)),
     ]
     if prompt is not None:
         counts, parts = prompt
