Refuse a request beneath which three upstreams have ended, on all instances

Cause: a request was known by its id alone, and what an instance learned of an end was held against the engine only. No instance saw three ends by itself, and none told others what ran there. A promise of the whole fleet rested on what each instance knew.

Now an end counts against all that ran there, by fingerprint; instances tell each other, in sets that only grow, with checksums that show what was lost; three ends without a run that went well, and it is refused as not run (2007, Retry-After). An end is one only if the upstream's host refuses a connection right after the cut: resets, cut links, silence, planned stops and 421 count against nobody.

Ruled out before: the router's own repeats.

--- a/packages/buckthornwall-ctl/src/buckthornwall_ctl/stories.py
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/stories.py
@@ -27,11 +27,16 @@
 )
 
 
+# What was found of the same request matters whenever and wherever it was.
+FINDINGS = frozenset({"request_suspected", "request_quarantined", "quarantine_lifted"})
+
+
 def request_story(request: str, paths: list[Path]) -> list[str]:
     """Return what the logs tell of a request, in order over all instances.
 
     What its instances came to believe of its upstreams, of the store or of the
-    configuration in the five seconds before stands between.
+    configuration in the five seconds before stands between, and what any instance found
+    of the same request.
 
     Parameters
     ----------
@@ -53,6 +58,7 @@
     last = max(line.at for line in own)
     nodes = {line.pairs.get("node") for line in own}
     upstreams = {line.pairs["upstream"] for line in own if "upstream" in line.pairs}
+    same = {line.pairs["fingerprint"] for line in own if "fingerprint" in line.pairs}
     around = [
         line
         for line in lines
@@ -62,7 +68,14 @@
         and (line.at - first).total_seconds() >= -BELIEF_S
         and line.at <= last
     ]
-    story = sorted(own + around, key=lambda line: line.at)
+    findings = [
+        line
+        for line in lines
+        if line.pairs["event"] in FINDINGS
+        and line.pairs.get("fingerprint") in same
+        and line.at <= last
+    ]
+    story = sorted(own + around + findings, key=lambda line: line.at)
     return [line.told(first) for line in story] + _meaning(own)
 
 
--- a/packages/buckthornwall-ctl/src/buckthornwall_ctl/tests/test_ctl.py
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/tests/test_ctl.py
@@ -121,6 +121,24 @@
     assert lines[4].startswith("3002 UPSTREAM_BROKEN")
 
 
+CRASHES = """\
+time=2026-01-01T00:00:01.000+00:00 level=WARNING node=b event=request_suspected \
+fingerprint=0a crashes=3
+time=2026-01-01T00:00:01.100+00:00 level=WARNING node=b event=request_suspected \
+fingerprint=0b crashes=3
+time=2026-01-01T00:01:00.000+00:00 level=WARNING node=a event=request_refused \
+request=r1 fingerprint=0a code=2007 status=503 run=no
+"""
+
+
+def test_what_was_found_of_the_same_request_stands_before_its_refusal(tmp_path, capsys):
+    assert main(["explain", "r1", str(write(tmp_path, "log", CRASHES))]) == 0
+    lines = capsys.readouterr().out.splitlines()
+    events = [line.split()[3] for line in lines[:-1]]
+    assert events == ["request_suspected", "request_refused"]
+    assert lines[-1].startswith("2007 REQUEST_QUARANTINED")
+
+
 def test_a_request_that_no_log_knows_is_said(tmp_path, capsys):
     assert main(["explain", "nobody", str(write(tmp_path, "log", STORY))]) == 1
     assert "no line of request" in capsys.readouterr().err
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
@@ -7,6 +7,7 @@
 from buckthornwall.discovery import DiscoveryAgent, DiscoverySettings, News
 from buckthornwall.peers import Beacon, PeerAgent, PeerSettings, PeerState
 from buckthornwall.pools import PoolTable
+from buckthornwall.quarantine import QuarantineSettings, QuarantineTable
 from buckthornwall.router.news import NewsExchange
 from buckthornwall.routing import Published, RoutingTable
 from buckthornwall.utils import Incarnation, NodeId, TrioClock, ZoneId
@@ -86,7 +87,10 @@
             self.clock,
         )
         settings = PeerSettings(listen=address, seeds=simulation.seeds)
-        self.agent = PeerAgent(settings, self.zone, self.make_beacon, self.clock)
+        self.quarantine = QuarantineTable(QuarantineSettings())
+        self.agent = PeerAgent(
+            settings, self.zone, self.make_beacon, self.clock, self.quarantine
+        )
         self.agent.open_socket = self._open_socket
         views = SimViews(simulation.network, simulation.peers, address)
         self.news = NewsExchange(
@@ -117,6 +121,7 @@
             unbroken_ms=int(self.discovery.unbroken_s() * 1000),
             loads=self.simulation.make_loads(self.address),
             held=self.simulation.make_held(self.address),
+            crash_checksum=self.quarantine.checksum,
         )
 
     @property
--- a/packages/buckthornwall/src/buckthornwall/codes/core.py
+++ b/packages/buckthornwall/src/buckthornwall/codes/core.py
@@ -74,6 +74,13 @@
         "send again after Retry-After",
     )
 
+    REQUEST_QUARANTINED = (
+        2007,
+        503,
+        "upstreams crashed again and again while they ran this request",
+        "change the request, or send it again after Retry-After",
+    )
+
     UPSTREAM_UNREACHABLE = (3001, 503, "no upstream could be reached", "send again")
     UPSTREAM_BROKEN = (
         3002,
--- a/packages/buckthornwall/src/buckthornwall/forwarding/account.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/account.py
@@ -5,6 +5,7 @@
 
 from buckthornwall.codes import Refusal
 from buckthornwall.pools import Choice
+from buckthornwall.quarantine import format_fingerprint
 from buckthornwall.telemetry import RouterMetrics, log_event
 from buckthornwall.utils import Clock
 
@@ -70,7 +71,7 @@
         choice = job.last_choice
         received_at = job.request.received_at
         return {
-            "fingerprint": _hex(job),
+            "fingerprint": format_fingerprint(job.fingerprint),
             "route": job.resolution.route.id,
             "pool": job.resolution.pool.id,
             "team": job.resolution.team,
@@ -92,7 +93,7 @@
         log_event(
             "request_placed",
             request=job.request.id,
-            fingerprint=_hex(job),
+            fingerprint=format_fingerprint(job.fingerprint),
             upstream=view.id,
             attempt=len(job.tried),
             resumes_after=job.delivery.joiner.last_id,
@@ -128,7 +129,7 @@
             "WARNING",
             request=job.request.id,
             upstream=upstream,
-            fingerprint=_hex(job),
+            fingerprint=format_fingerprint(job.fingerprint),
             end=result.end.value,
             detail=result.detail,
             upstream_ended=upstream_ended,
@@ -180,11 +181,6 @@
         )
 
 
-def _hex(job: Job) -> str:
-    """Return a request's fingerprint as log lines show it."""
-    return f"{job.fingerprint:016x}"
-
-
 def _describe_overload(job: Job | None) -> dict[str, object]:
     """Return the pairs that tell why a request was refused, if for overload."""
     overload = job.overload if job is not None else None
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -10,13 +10,14 @@
     Choice,
     PoolTable,
     RequestTraits,
+    UpstreamState,
     Verdict,
     choose_upstream,
     expected_s,
     find_overload,
     note_decision,
 )
-from buckthornwall.quarantine import fingerprint_of
+from buckthornwall.quarantine import QuarantineTable, fingerprint_of, run_tag
 from buckthornwall.routing import (
     AnswerForm,
     RoutedRequest,
@@ -105,6 +106,8 @@
         Source of time, the one that trio runs on.
     metrics
         What is counted.
+    quarantine
+        Which requests crash upstreams.
     """
 
     def __init__(
@@ -116,8 +119,10 @@
         codec: WireCodec,
         clock: Clock,
         metrics: RouterMetrics,
+        quarantine: QuarantineTable,
     ) -> None:
         self.metrics = metrics
+        self.quarantine = quarantine
         self.account = RequestAccount(metrics, clock)
         self.settings = settings
         self.zone = zone
@@ -198,6 +203,8 @@
     async def _attempts(self, job: Job) -> Refusal | None:
         """Try upstreams until one answers; return why none did."""
         while len(job.tried) < self.settings.most_upstreams:
+            if refusal := self._quarantined(job):
+                return refusal
             choice = self._choose(job)
             if choice is None:
                 return self._nobody(job)
@@ -214,6 +221,20 @@
         now = self.clock.now()
         return choose_upstream(self.pools, job.traits, job.tried, self.zone, now)
 
+    def _quarantined(self, job: Job) -> Refusal | None:
+        """Return the refusal of a request that crashes upstreams, if it does."""
+        now = self.clock.now()
+        if not self.quarantine.is_refused(job.fingerprint, now):
+            return None
+        self.quarantine.note_refused(job.fingerprint, now)
+        crashes = self.quarantine.crashes(job.fingerprint)
+        return Refusal(
+            ResultCode.REQUEST_QUARANTINED,
+            f"crashes={crashes}",
+            job.run,
+            self.quarantine.settings.forget_s,
+        )
+
     def _overloaded(self, job: Job, choice: Choice) -> Refusal | None:
         """Return the refusal of a request that would come far too late, if any."""
         now = self.clock.now()
@@ -258,15 +279,30 @@
         if result.end is not AttemptEnd.NOT_SENT:
             job.arrivals += 1
         self._judge(choice, result)
-        ended = result.is_broken_off and await self.liveness.has_ended(
-            choice.view.entry
-        )
+        ended = await self._note_crash(job, choice, result)
         self.account.attempted(job, choice, result, sent_at, ended)
         self._note_pace(job, choice, sent_at)
         if result.end is not AttemptEnd.DONE:
             job.detail = result.detail
         return result
 
+    async def _note_crash(
+        self, job: Job, choice: Choice, result: AttemptResult
+    ) -> bool:
+        """Let a request's end count for or against it; tell if its upstream ended."""
+        entry = choice.view.entry
+        if result.end is AttemptEnd.DONE:
+            now = self.clock.now()
+            self.quarantine.note_success(job.fingerprint, entry.pool, now)
+            return False
+        is_listed = self.pools.views.get(entry.id) is choice.view
+        if not result.is_broken_off or not await self.liveness.has_ended(entry):
+            return False
+        if is_listed and entry.state is UpstreamState.READY:  # else it left as planned
+            tag = run_tag(entry.pool, entry.id, entry.start)
+            self.quarantine.note_end(job.fingerprint, tag, self.clock.now())
+        return True
+
     def _note_pace(self, job: Job, choice: Choice, sent_at: float) -> None:
         first_at = job.delivery.first_at
         if job.request.prompt is None or first_at is None:
--- a/packages/buckthornwall/src/buckthornwall/forwarding/liveness.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/liveness.py
@@ -8,8 +8,9 @@
 
 __all__ = ["LivenessChecks"]
 
-# Attempts that one end cut share a check for so many seconds.
-SHARED_S = 0.3
+NEVER = float("-inf")
+# An upstream that has ended is not asked again for so many seconds.
+ENDED_LASTS_S = 0.3
 
 
 class LivenessChecks:
@@ -27,21 +28,26 @@
         self.clock = clock
         self.connect_timeout_s = connect_timeout_s
         self._locks: dict[UpstreamId, trio.Lock] = {}
-        self._results: dict[UpstreamId, tuple[float, bool]] = {}
+        self._ended_at: dict[UpstreamId, float] = {}
+        self._alive_at: dict[UpstreamId, float] = {}
 
     async def has_ended(self, entry: UpstreamEntry) -> bool:
         """Tell whether the host of an upstream refuses connections.
 
         A host that does not answer says nothing: it may be cut off.
         """
-        lock = self._locks.setdefault(entry.id, trio.Lock())
-        async with lock:
-            now = self.clock.now()
-            checked_at, ended = self._results.get(entry.id, (float("-inf"), False))
-            if now - checked_at > SHARED_S:
-                ended = await self._refuses(entry.address)
-                self._results[entry.id] = (self.clock.now(), ended)
-        return ended
+        asked_at = self.clock.now()
+        async with self._locks.setdefault(entry.id, trio.Lock()):
+            ended_at = self._ended_at.get(entry.id, NEVER)
+            if self.clock.now() - ended_at <= ENDED_LASTS_S:
+                return True
+            if self._alive_at.get(entry.id, NEVER) >= asked_at:
+                return False
+            checked_at = self.clock.now()
+            ended = await self._refuses(entry.address)
+            checks = self._ended_at if ended else self._alive_at
+            checks[entry.id] = checked_at
+            return ended
 
     async def _refuses(self, address: str) -> bool:
         try:
@@ -53,7 +59,8 @@
 
     def forget(self, upstream: UpstreamId) -> None:
         """Drop what is known of an upstream that is gone."""
-        self._results.pop(upstream, None)
+        self._ended_at.pop(upstream, None)
+        self._alive_at.pop(upstream, None)
         lock = self._locks.get(upstream)
         if lock is not None and not lock.locked():
             del self._locks[upstream]
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
@@ -12,8 +12,10 @@
     Reply,
     forwarder,
 )
+from buckthornwall.forwarding.liveness import LivenessChecks
 from buckthornwall.http1 import AnswerCut
 from buckthornwall.pools import PoolTable, UpstreamEntry, UpstreamState
+from buckthornwall.quarantine import QuarantineSettings, QuarantineTable
 from buckthornwall.routing import (
     AnswerForm,
     Pool,
@@ -156,9 +158,18 @@
             )
             pools.views[f"u{number}"].load.requests = number
         settings = ForwardingSettings(retry_ratio=0.0, retry_reserve=reserve)
+        quarantine = QuarantineTable(QuarantineSettings())
         subject = Forwarder(
-            settings, ZoneId("z"), table, pools, PlainCodec(), clock, RouterMetrics()
+            settings,
+            ZoneId("z"),
+            table,
+            pools,
+            PlainCodec(),
+            clock,
+            RouterMetrics(),
+            quarantine,
         )
+        forward.quarantine = quarantine
         forward.metrics, forward.pools = subject.metrics, pools
         subject.budgets.instances = 1.0
         request = RoutedRequest("r", b"POST", b"/", "h", "/", [], b"x", clock.now())
@@ -383,3 +394,38 @@
     for field in ("outcome=answered", "number=1", "arrivals=2", "upstream=u1"):
         assert field in own[3]
     assert len({line.split("fingerprint=")[1].split()[0] for line in own}) == 1
+
+
+async def test_a_request_that_crashes_upstreams_is_refused_as_not_run(
+    forward, monkeypatch
+):
+    """Engines ended one after the other, since nothing knew the request again."""
+    monkeypatch.setattr(QuarantineTable, "is_refused", lambda *arguments: True)
+    monkeypatch.setattr(QuarantineTable, "note_refused", lambda *arguments: None)
+    monkeypatch.setattr(QuarantineTable, "crashes", lambda *arguments: 3)
+    answer = await forward([whole()], repeatable=False)
+    assert (answer.status, answer.run) == (503, "no")
+    assert json.loads(answer.body)["code"] == 2007
+    assert float(answer.headers[b"Retry-After"]) == 600
+    assert forward.arrivals() == [0]
+
+
+async def test_a_request_that_crashes_upstreams_ends_its_own_repeats(
+    forward, monkeypatch
+):
+    """Its first attempt may have run, so it is not told that it was not run."""
+
+    async def has_ended(self, entry):
+        return True
+
+    monkeypatch.setattr(LivenessChecks, "has_ended", has_ended)
+    answer = await forward([None], [None], [None], [whole()], max_runs=9)
+    assert (answer.status, answer.run) == (502, "unknown")
+    assert json.loads(answer.body)["code"] == 2007
+    assert forward.arrivals() == [1, 1, 1, 0]
+
+
+async def test_a_connection_that_broke_off_counts_against_no_request(forward):
+    answer = await forward([None], [None], [None], [whole()], max_runs=9)
+    assert answer.status == 200
+    assert not forward.quarantine.records
--- a/packages/buckthornwall/src/buckthornwall/peers/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/agent.py
@@ -8,11 +8,22 @@
 
 from buckthornwall.codes import PeerError
 from buckthornwall.pools import HeldParts
+from buckthornwall.quarantine import QuarantineTable
 from buckthornwall.telemetry import log_event
 from buckthornwall.utils import Clock, ConfigItem, ConfigNamespace, ZoneId
 
+from .crash_exchange import CrashExchange
 from .listeners import Listeners
-from .messages import Beacon, Digest, Heartbeat, PeerMessage, PeerState, decode, encode
+from .messages import (
+    Beacon,
+    CrashReports,
+    Digest,
+    Heartbeat,
+    PeerMessage,
+    PeerState,
+    decode,
+    encode,
+)
 from .pacing import WordForm, WordPacing
 from .table import PeerTable
 
@@ -107,6 +118,8 @@
         Returns what this instance says of itself.
     clock
         Source of time.
+    quarantine
+        What is known of requests that crash upstreams.
     """
 
     def __init__(
@@ -115,6 +128,7 @@
         zone: ZoneId,
         make_beacon: Callable[[], Beacon],
         clock: Clock,
+        quarantine: QuarantineTable,
     ) -> None:
         self.settings = settings
         self.make_beacon = make_beacon
@@ -126,6 +140,7 @@
             settings.silence_ms / MS_PER_S,
             settings.stagger_ms / MS_PER_S,
         )
+        self.crashes = CrashExchange(quarantine)
         self.on_work: Callable[[], None] = lambda: None
         self.on_held: Callable[[HeldParts], None] = lambda held: None
         self.open_socket: Callable[[str], Awaitable[SocketType]] = open_socket
@@ -156,6 +171,7 @@
         now = self.clock.now()
         own = self.make_beacon()
         speaker = self.table.speaker_address(now)
+        await self._tell_crashes(speaker, now)
         if own.state is PeerState.LEAVING:
             await self._take_leave(own, speaker, now)
             return
@@ -167,6 +183,16 @@
         await self._speak(own, now)
         self.on_work()
 
+    async def _tell_crashes(self, speaker: str | None, now: float) -> None:
+        """Tell what is new of requests that crash upstreams."""
+        told = [speaker]
+        if speaker is None:
+            others = self.table.other_speakers().values()
+            told = [*self.table.member_addresses(now), *others]
+        for address, reports in self.crashes.due(told, now):
+            message = CrashReports(self.settings.listen, reports)
+            await self._send(encode(message), address)
+
     async def _speak(self, own: Beacon, now: float) -> None:
         """Tell other speakers of this zone, and members of the fleet, what is due."""
         others = list(self.table.other_speakers().values())
@@ -285,6 +311,10 @@
         if isinstance(message, Heartbeat):
             self._take_heartbeat(message, now)
             return
+        if isinstance(message, CrashReports):
+            for report in message.reports:
+                self.crashes.table.hear(report, now)
+            return
         self.on_held(message.held)
         if isinstance(message, Digest):
             await self._take_digest(message, now)
@@ -297,15 +327,20 @@
         except PeerError as error:
             log_event("beacon_refused", "WARNING", detail=error)
             return
+        self._compare(heartbeat, now)
         if held is None:
             return
         self.on_held(held)
         if heartbeat.zone == self.table.zone:
             self.on_work()
 
+    def _compare(self, message: Beacon | Digest | Heartbeat, now: float) -> None:
+        self.crashes.note_checksum(message.address, message.crash_checksum, now)
+
     async def _take_beacon(self, beacon: Beacon, now: float) -> None:
         if self.table.hear_beacon(beacon, now):
             log_event("peer_heard", peer=beacon.address, zone=beacon.zone)
+        self._compare(beacon, now)
         if beacon.greets:
             await self._answer_greeting(beacon, now)
         elif beacon.state is PeerState.LEAVING or beacon.zone != self.table.zone:
@@ -321,6 +356,8 @@
             await self._greet_one(digest.address)
             return
         self.table.hear_digest(digest, now)
+        if not digest.age_ms and not digest.points_only:
+            self._compare(digest, now)
         if is_own_zone and self.table.is_outranked(digest, now):
             await self._redirect(digest.address, now)
         elif is_own_zone and digest.is_fleet:
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -11,10 +11,12 @@
 
 from buckthornwall.codes import PeerError, ResultCode
 from buckthornwall.pools import HeldParts, Unreachable, UpstreamEntry
+from buckthornwall.quarantine import CrashReport
 from buckthornwall.utils import Incarnation, NodeId, UpstreamId, ZoneId
 
 __all__ = [
     "Beacon",
+    "CrashReports",
     "Digest",
     "Heartbeat",
     "PeerMessage",
@@ -68,7 +70,8 @@
     long it has done so without an outage. `loads` names upstreams with work from
     this instance, `held` the shared parts of prompts that it has lately sent to
     each, `unreachable` upstreams that it could lately not reach. `greets` asks for
-    an answer: the sender does not know its zone's speaker.
+    an answer: the sender does not know its zone's speaker. `crash_checksum` is that
+    of what it knows of requests that crash upstreams.
     """
 
     node: NodeId
@@ -85,6 +88,7 @@
     greets: bool = False
     held: HeldParts = {}
     unreachable: list[UpstreamId] = []
+    crash_checksum: int = 0
 
 
 class Digest(msgspec.Struct, array_like=True, tag="d"):
@@ -100,7 +104,7 @@
     outage. `age_ms` is 0 unless another instance passes the digest on. Heartbeats
     that name upstreams by their places in `loads` give its `sequence`; 0 is named by
     none. `unreachable` tells how many of the instances could lately not reach an
-    upstream.
+    upstream, and `crash_checksum` is the speaker's own.
     """
 
     address: str
@@ -120,6 +124,7 @@
     age_ms: int = 0
     sequence: int = 0
     unreachable: Unreachable = {}
+    crash_checksum: int = 0
 
     @property
     def points_only(self) -> bool:
@@ -135,7 +140,7 @@
     at upstreams and the parts sent there: `counts` and `parts` are packed
     (`buckthornwall.peers.packing`), by the places of upstreams in the digest of that
     sequence; `loads` and `held` are those that its places do not name, and
-    `unreachable` is as in a digest.
+    `unreachable` and `crash_checksum` are as in a digest.
     """
 
     address: str
@@ -153,9 +158,17 @@
     loads: dict[UpstreamId, Work] = {}
     held: HeldParts = {}
     unreachable: Unreachable = {}
+    crash_checksum: int = 0
 
 
-PeerMessage = Beacon | Digest | Heartbeat
+class CrashReports(msgspec.Struct, array_like=True, tag="c"):
+    """What an instance knows of some requests that crash upstreams."""
+
+    address: str
+    reports: list[CrashReport]
+
+
+PeerMessage = Beacon | Digest | Heartbeat | CrashReports
 
 
 class PeerView(msgspec.Struct, array_like=True):
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -267,6 +267,7 @@
             loads=self._loads(own, is_fleet),
             held=self.parts.told(own, is_fleet, now),
             unreachable=self._unreachable(own, is_fleet),
+            crash_checksum=own.crash_checksum,
         )
         digest.count += sum(far.message.count for far in self._far(is_fleet))
         return digest
@@ -333,6 +334,7 @@
             informed=best.address,
             read_age_ms=own.read_age_ms,
             unbroken_ms=max(part.unbroken_ms for part in parts),
+            crash_checksum=own.crash_checksum,
         )
         far = self._far(is_fleet)
         for heard in [*self.members.values(), *far]:
--- a/packages/buckthornwall/src/buckthornwall/quarantine/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/quarantine/__init__.py
@@ -2,9 +2,26 @@
 
 ============= ============================================================
 `fingerprint` what makes two requests the same, whatever their ids
+`record`      the upstreams that ended beneath one request; mergeable
+`table`       all such records, and which requests are no longer sent
+`successes`   requests that lately ran well, and so crash nothing
+`settings`    the ``[quarantine]`` section
 ============= ============================================================
 """
 
-from .fingerprint import Fingerprint, fingerprint_of
+from .fingerprint import Fingerprint, fingerprint_of, format_fingerprint
+from .record import CrashRecord, RunTag, run_tag
+from .settings import QuarantineSettings
+from .table import CrashReport, QuarantineTable
 
-__all__ = ["Fingerprint", "fingerprint_of"]
+__all__ = [
+    "CrashRecord",
+    "CrashReport",
+    "Fingerprint",
+    "QuarantineSettings",
+    "QuarantineTable",
+    "RunTag",
+    "fingerprint_of",
+    "format_fingerprint",
+    "run_tag",
+]
--- a/packages/buckthornwall/src/buckthornwall/quarantine/fingerprint.py
+++ b/packages/buckthornwall/src/buckthornwall/quarantine/fingerprint.py
@@ -6,7 +6,12 @@
 from buckthornwall.routing import RoutedRequest
 from buckthornwall.utils import TeamId
 
-__all__ = ["FINGERPRINT_BYTES", "Fingerprint", "fingerprint_of"]
+__all__ = [
+    "FINGERPRINT_BYTES",
+    "Fingerprint",
+    "fingerprint_of",
+    "format_fingerprint",
+]
 
 Fingerprint = NewType("Fingerprint", int)
 
@@ -25,3 +30,8 @@
         digest.update(part)
     digest.update(request.body)
     return Fingerprint(int.from_bytes(digest.digest()))
+
+
+def format_fingerprint(fingerprint: Fingerprint) -> str:
+    """Return a fingerprint as logs and the status show it."""
+    return f"{fingerprint:0{2 * FINGERPRINT_BYTES}x}"
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/quarantine/record.py
@@ -0,0 +1,78 @@
+"""The upstreams that ended beneath one request, in a form that instances merge."""
+
+import zlib
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from typing import NewType
+
+from buckthornwall.routing import PoolId
+
+from .fingerprint import FINGERPRINT_BYTES, Fingerprint
+
+__all__ = ["TAG_BYTES", "CrashRecord", "RunTag", "pool_of", "pool_tag", "run_tag"]
+
+# One incarnation of an upstream: a hash of its pool, then one of its id and start.
+RunTag = NewType("RunTag", int)
+
+POOL_BYTES = 2
+UPSTREAM_BYTES = 4
+TAG_BYTES = POOL_BYTES + UPSTREAM_BYTES
+# A request beneath which so many upstreams ended is refused anyway.
+MOST_ENDS = 16
+
+
+def pool_tag(pool: PoolId) -> int:
+    """Return a hash of a pool."""
+    return _hash(pool, POOL_BYTES)
+
+
+def run_tag(pool: PoolId, upstream: str, start: str) -> RunTag:
+    """Return what tells one incarnation of an upstream from all others."""
+    own = _hash(f"{upstream}\0{start}", UPSTREAM_BYTES)
+    return RunTag(pool_tag(pool) << 8 * UPSTREAM_BYTES | own)
+
+
+def pool_of(tag: RunTag) -> int:
+    """Return the hash of the pool that an upstream belonged to."""
+    return tag >> 8 * UPSTREAM_BYTES
+
+
+def _hash(text: str, size: int) -> int:
+    return int.from_bytes(blake2b(text.encode(), digest_size=size).digest())
+
+
+@dataclass(slots=True)
+class CrashRecord:
+    """What is known of one request; both sets only grow, so any order of merges fits.
+
+    `ends` are the upstreams that ended beneath it, and `cleared` those of them that a
+    run of the same request in the same pool speaks for. `seen_at` is when it last came
+    or ended an upstream, and `told_at` when others were last told of it, in seconds.
+    """
+
+    ends: set[RunTag] = field(default_factory=set)
+    cleared: set[RunTag] = field(default_factory=set)
+    seen_at: float = float("-inf")
+    told_at: float = float("-inf")
+
+    @property
+    def crashes(self) -> int:
+        """How many upstreams it is held to have crashed."""
+        return len(self.ends - self.cleared)
+
+    def merge(self, ends: set[RunTag], cleared: set[RunTag]) -> None:
+        """Add what is known elsewhere, as far as there is room."""
+        room = max(0, MOST_ENDS - len(self.ends))
+        self.ends.update(sorted(ends - self.ends)[:room])
+        self.cleared |= cleared & self.ends
+
+    def clear(self, pool: int) -> None:
+        """Clear it of the ends in a pool."""
+        self.cleared |= {tag for tag in self.ends if pool_of(tag) == pool}
+
+    def checksum(self, fingerprint: Fingerprint) -> int:
+        """Return a number of 32 bits that is equal where the same is known."""
+        data = fingerprint.to_bytes(FINGERPRINT_BYTES)
+        for tag in sorted(self.ends):
+            data += tag.to_bytes(TAG_BYTES) + bytes([tag in self.cleared])
+        return zlib.crc32(data)
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -23,6 +23,7 @@
 )
 from buckthornwall.pools import PoolTable
 from buckthornwall.pools.load import NO_PEERS
+from buckthornwall.quarantine import QuarantineTable
 from buckthornwall.routing import RoutingTable
 from buckthornwall.settings import RouterSettings
 from buckthornwall.start import EarlyListeners
@@ -80,6 +81,7 @@
         self.metrics = RouterMetrics()
         self.table = RoutingTable()
         self.pools = PoolTable(clock)
+        self.quarantine = QuarantineTable(settings.quarantine)
         self.forwarder = Forwarder(
             settings.forwarding,
             self.zone,
@@ -88,6 +90,7 @@
             PlatformCodec(),
             clock,
             self.metrics,
+            self.quarantine,
         )
         self.store = StoreClient(settings.store)
         self.discovery = DiscoveryAgent(
@@ -98,7 +101,9 @@
             self.pools,
             clock,
         )
-        self.peer_agent = PeerAgent(settings.peers, self.zone, self._beacon, clock)
+        self.peer_agent = PeerAgent(
+            settings.peers, self.zone, self._beacon, clock, self.quarantine
+        )
         self.peers = self.peer_agent.table
         self.news = NewsExchange(
             self.discovery, self.peers, self._beacon, ViewClient(), clock
@@ -165,6 +170,7 @@
             self.forwarder.budgets.set_instances(fleet.count)
             self.pools.instances = float(fleet.count)
             now = self.clock.now()
+            self.quarantine.expire(now)
             self.news_watch.look(now)
             if now - logged_at >= LOG_SPEEDS_S:
                 logged_at = now
@@ -197,6 +203,7 @@
             loads,
             held=self.pools.news.told(now),
             unreachable=self.pools.unreachable(),
+            crash_checksum=self.quarantine.checksum,
         )
 
     def _work_told(self) -> None:
--- a/packages/buckthornwall/src/buckthornwall/router/operators.py
+++ b/packages/buckthornwall/src/buckthornwall/router/operators.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING, Any
 
 from buckthornwall.http1 import Answer, IncomingRequest
+from buckthornwall.quarantine import format_fingerprint
 
 if TYPE_CHECKING:
     from .core import Router
@@ -11,6 +12,7 @@
 __all__ = ["answer_operator", "describe_router"]
 
 JSON = [(b"Content-Type", b"application/json")]
+MOST_SHOWN = 50
 
 
 async def answer_operator(
@@ -53,6 +55,14 @@
             router.forwarder.connections.opened,
         ),
         "beacon_bytes": ("Bytes of beacons sent.", router.peer_agent.bytes_sent),
+        "requests_suspected": (
+            "Different requests beneath which upstreams ended.",
+            len(router.quarantine.records),
+        ),
+        "requests_quarantined": (
+            "Different requests that are refused since they crash upstreams.",
+            len(router.quarantine.refused()),
+        ),
     }
     for name, (doc, value) in gauges.items():
         router.metrics.set_gauge(name, doc, float(value))
@@ -73,6 +83,7 @@
             "answered_s_ago": round(now - router.discovery.answered_at, 3),
         },
         "active": router.callers.active,
+        "quarantine": _describe_quarantine(router, now),
         "fleet": {
             "speaker": fleet.address,
             "word_age_s": round(router.peers.word_age_s(now), 3),
@@ -93,3 +104,19 @@
             for view in router.pools.views.values()
         },
     }
+
+
+def _describe_quarantine(router: "Router", now: float) -> dict[str, Any]:
+    """Return the requests that are refused since they crash upstreams, some of them."""
+    refused = list(router.quarantine.refused().items())
+    return {
+        "suspected": len(router.quarantine.records),
+        "refused": len(refused),
+        "requests": {
+            format_fingerprint(fingerprint): {
+                "crashes": record.crashes,
+                "seen_s_ago": round(now - record.seen_at, 1),
+            }
+            for fingerprint, record in refused[:MOST_SHOWN]
+        },
+    }
--- a/packages/buckthornwall/src/buckthornwall/settings/router.py
+++ b/packages/buckthornwall/src/buckthornwall/settings/router.py
@@ -7,6 +7,7 @@
 from buckthornwall.forwarding import ForwardingSettings
 from buckthornwall.peers import PeerSettings
 from buckthornwall.platform.store import StoreSettings
+from buckthornwall.quarantine import QuarantineSettings
 from buckthornwall.telemetry import TelemetrySettings
 from buckthornwall.utils import ConfigItem, ConfigNamespace
 
@@ -56,6 +57,7 @@
     discovery: DiscoverySettings
     peers: PeerSettings
     forwarding: ForwardingSettings
+    quarantine: QuarantineSettings
     stop: StopSettings
     telemetry: TelemetrySettings
 
