Tell which upstreams name a limit of requests a second

The adapter dropped the header by which an upstream in need names the requests a second that it takes from all instances, so no line showed whether instances knew of it. It is decoded now; upstream_limit says what an instance learned and what held before. No decision rests on it yet. What cannot be read as a number of zero or more says nothing, and an answer that the upstream did not sign ends no limit.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -73,8 +73,8 @@
 
     `silence_s` is how long to wait for the head of a reply, and `event_silence_s`
     for each event after it, in seconds; None is as long as the caller waits.
-    `note_prompt` is told that the prompt goes to the upstream, and `model` what the
-    stream shows of its speed.
+    `note_prompt` is told that the prompt goes to the upstream, `note_rate_limit` the
+    limit that it names, and `model` what the stream shows of its speed.
     """
 
     request: RoutedRequest
@@ -88,6 +88,7 @@
     most_idle_s: float
     silence_s: float | None
     note_prompt: Callable[[UpstreamView, PromptShape], None]
+    note_rate_limit: Callable[[UpstreamView, float], None]
     model: EngineModel
     event_silence_s: float | None = None
     tight: bool = False
@@ -161,6 +162,8 @@
         self.choice.view.reach.note_answered(now)
         if reply.load is not None:
             self.choice.view.load.take_report(reply.load, now)
+        if reply.rate_limit is not None and (reply.names_limit or reply.attested):
+            self.note_rate_limit(self.choice.view, reply.rate_limit)
 
     def _sending(self) -> Sending:
         return Sending(
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -266,6 +266,7 @@
             most_idle_s=self._most_idle_s(job),
             silence_s=self._silence_s(job, choice, remaining_s),
             note_prompt=self.pools.note_prompt,
+            note_rate_limit=self.pools.note_rate_limit,
             model=self.pools.model(job.resolution.pool.id),
             event_silence_s=self._event_silence_s(job),
             tight=job.traits.tight,
--- a/packages/buckthornwall/src/buckthornwall/forwarding/reply.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/reply.py
@@ -1,5 +1,6 @@
 """An upstream's reply, and how a request is put to it, in the product's words."""
 
+import math
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -20,6 +21,8 @@
     `headers` are those that pass to the caller unchanged. `not_run` is set
     where the upstream states that it did not and will not run the request, and
     `misdirected` where it is since another upstream has that address now.
+    `rate_limit` is how many requests a second the upstream takes from all instances,
+    infinite without a limit, and None if it does not say.
     `attested` is set where the reply bears the upstream's signature.
     """
 
@@ -30,9 +33,15 @@
     not_run: bool
     misdirected: bool = False
     load: LoadReport | None = None
+    rate_limit: float | None = None
     idle_limit_s: float | None = None
     closes: bool = False
 
+    @property
+    def names_limit(self) -> bool:
+        """Whether the upstream takes only so many requests a second."""
+        return self.rate_limit is not None and math.isfinite(self.rate_limit)
+
     @property
     def good(self) -> bool:
         """Whether it is a success that the upstream signed."""
--- a/packages/buckthornwall/src/buckthornwall/platform/codec.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/codec.py
@@ -1,5 +1,7 @@
 """Requests and replies between the platform's headers and the product's types."""
 
+import math
+
 from buckthornwall.codes import Refusal, ResultCode
 from buckthornwall.forwarding import Reply, Sending
 from buckthornwall.http1 import IncomingRequest, ReplyHead
@@ -137,6 +139,7 @@
             not_run=misdirected or names.NOT_RUN in found,
             misdirected=misdirected,
             load=_load(found.get(names.LOAD)),
+            rate_limit=_rate_limit(found.get(names.RATE_LIMIT)),
             idle_limit_s=_idle_limit(found.get(b"keep-alive", b"")),
             closes=b"close" in found.get(b"connection", b"").lower(),
         )
@@ -156,6 +159,20 @@
     return LoadReport(running, waiting, slots)
 
 
+def _rate_limit(value: bytes | None) -> float | None:
+    """Return the limit that an upstream names, infinite without one.
+
+    None stands for one that cannot be read: it neither sets nor ends a limit.
+    """
+    if value is None:
+        return math.inf
+    try:
+        limit = float(value)
+    except ValueError:
+        return None
+    return limit if 0 <= limit < math.inf else None
+
+
 def _idle_limit(value: bytes) -> float | None:
     for part in value.lower().split(b","):
         name, _, seconds = part.strip().partition(b"=")
--- a/packages/buckthornwall/src/buckthornwall/platform/names.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/names.py
@@ -21,6 +21,8 @@
 # Running, waiting and slots, separated by commas.
 LOAD = PREFIX + b"engine-load"
 INSTANCE = PREFIX + b"instance-id"
+# Requests a second, a decimal number, that an upstream takes from all instances.
+RATE_LIMIT = b"server-limit"
 LAST_EVENT_ID = b"last-event-id"
 # IP:port of an engine from which the parts that are missing are copied.
 COPY_FROM = b"kv-fetch"
--- a/packages/buckthornwall/src/buckthornwall/platform/tests/test_wire.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/tests/test_wire.py
@@ -1,5 +1,7 @@
 """Tests of the translation between the platform's names and the product's."""
 
+import math
+
 import pytest
 
 from buckthornwall.codes import RecordError, Refusal
@@ -131,6 +133,24 @@
     assert all(name != b"keep-alive" for name, _ in reply.headers)
 
 
+@pytest.mark.parametrize(
+    ("value", "limit"),
+    [
+        (None, math.inf),
+        (b"1", 1.0),
+        (b"0.25", 0.25),
+        (b"0", 0.0),
+        (b"-1", None),
+        (b"nan", None),
+        (b"inf", None),
+        (b"many", None),
+    ],
+)
+def test_the_rate_that_an_upstream_takes_is_read(value, limit):
+    headers = [] if value is None else [(b"server-limit", value)]
+    assert PlatformCodec().decode(ReplyHead(200, headers)).rate_limit == limit
+
+
 CONFIG = b"""{"version": 7, "later": 1, "routes": [
  {"name": "r1", "host": "H", "path_prefix": "/a/", "kind": "stream",
   "timeout_ms": 4000, "target_latency_ms": 400, "priority": 1, "service": "s",
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -8,6 +8,7 @@
 `prefix_news` what instances tell each other of that
 `health`      which upstreams fail requests, whatever their health check says
 `reach`       which upstreams cannot be reached, as instances tell each other
+`rate_limit`  how many requests a second an upstream takes from all instances
 `view`        all of these for one upstream
 `table`       the views by upstream; adopts registrations
 `quiet`       engines kept free of long prompts, for streams that must not pause
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -178,6 +178,18 @@
         ]
         return sound or ready
 
+    def note_rate_limit(self, view: UpstreamView, per_s: float) -> None:
+        """Take the requests a second that an upstream names in an answer."""
+        before = view.rate_limit.per_s
+        if view.rate_limit.note_named(per_s):
+            log_event(
+                "upstream_limit",
+                "WARNING",
+                upstream=view.id,
+                per_s=per_s,
+                before=before,
+            )
+
     def unreachable(self) -> list[UpstreamId]:
         """Return whom this instance could lately not reach."""
         now = self.clock.now()
--- a/packages/buckthornwall/src/buckthornwall/pools/view.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/view.py
@@ -6,6 +6,7 @@
 from .health import Health
 from .load import Load
 from .prefixes import PrefixMemory
+from .rate_limit import RateLimit
 from .reach import Reach
 
 __all__ = ["UpstreamView"]
@@ -16,7 +17,8 @@
 class UpstreamView:
     """One upstream: its registration, load, health and likely memory.
 
-    `reach` tells whether it can be reached, by own tries and by what others tell.
+    `reach` tells whether it can be reached, by own tries and by what others tell, and
+    `rate_limit` how many requests a second it takes.
     """
 
     def __init__(self, entry: UpstreamEntry) -> None:
@@ -25,6 +27,7 @@
         self.health = Health()
         self.prefixes = PrefixMemory(DEFAULT_MEMORY_TOKENS)
         self.reach = Reach()
+        self.rate_limit = RateLimit()
         self.cold_until = 0.0
 
     def cold_s(self, now: float) -> float:
