Let stand-in upstreams tell of each arrival

The soak of requests that crash engines had its own counter of arrivals, on one kind of stand-in only. Every stand-in upstream tells the id of what reached it now, so that other soaks can count by instance and time. test_crash_soak.py passes as before.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/crash_soak.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/crash_soak.py
@@ -16,13 +16,13 @@
 from pathlib import Path
 
 import trio
-from buckthornwall.http1 import ClientConnection, ExchangeError, IncomingRequest
+from buckthornwall.http1 import ClientConnection, ExchangeError
 
 from .soak_instances import SoakInstances
 from .users_platform import Deployment, Store, Upstream
 from .users_platform.crashing import CRASHING, CrashingEngine
 from .users_platform.deployment import DRAFTS, HOST, KEY, ORDERS, route
-from .users_platform.wire import PREFIX, call_headers
+from .users_platform.wire import call_headers
 
 __all__ = ["CrashSoak", "Limits", "Sending", "find_late", "main"]
 
@@ -31,7 +31,6 @@
 # When the registration of an engine that ended is removed, and when it is back.
 LAPSE_S = 1.5
 DOWN_S = 2.0
-ID_HEADER = PREFIX.lower() + b"attempt-id"
 
 
 @dataclass(frozen=True)
@@ -142,7 +141,7 @@
         self.store = Store()
         self.deployment = Deployment(self.store)
         self.instances = SoakInstances(ports, folder)
-        self.sendings: dict[bytes, Sending] = {}
+        self.sendings: dict[str, Sending] = {}
         self.arrivals: list[Arrival] = []
         self.ends: list[tuple[float, bytes]] = []
         self.started: list[tuple[float, int]] = []
@@ -201,10 +200,10 @@
             self.store.remove(f"servers/{engine.id}")
             await trio.sleep(DOWN_S - LAPSE_S)
 
-    def _note_arrival(self, incoming: IncomingRequest) -> None:
-        request = dict(incoming.headers)[ID_HEADER]
-        arrival = Arrival(self.sendings[request], trio.current_time())
-        self.arrivals.append(arrival)
+    def _note_arrival(self, request: str) -> None:
+        sending = self.sendings[request]
+        if sending.body in self.bodies:
+            self.arrivals.append(Arrival(sending, trio.current_time()))
 
     async def _play(self) -> None:
         async with trio.open_nursery() as callers:
@@ -239,7 +238,7 @@
     async def _call(self, path: str, body: bytes) -> None:
         request = f"r{next(self._numbers)}"
         number = self.draw.randint(1, self.count)
-        self.sendings[request.encode()] = Sending(body, number, trio.current_time())
+        self.sendings[request] = Sending(body, number, trio.current_time())
         prompt = None if path == "look" else ("900,10", f"aa:600,{request[1:]}:300")
         headers = call_headers(request, HOST, KEY, PATIENCE_S, prompt, body)
         kind = "crashing" if body in self.bodies else path
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/crashing.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/crashing.py
@@ -1,6 +1,5 @@
 """An engine that one request crashes, and that is started again."""
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
@@ -14,6 +13,7 @@
 # A body with this text crashes the engine that runs it.
 CRASHING = b"crash"
 EXPECTED = PREFIX.lower() + b"expect-instance"
+REQUEST_ID = PREFIX.lower() + b"attempt-id"
 
 
 @dataclass
@@ -28,14 +28,11 @@
         Set when it has to end; whoever runs it cancels it then.
     crashed_by : bytes
         The body that did it.
-    on_arrival : callable
-        Is told of each such request that was not sent elsewhere.
     """
 
     crash_s: float = 0.09
     crashed: trio.Event = field(default_factory=trio.Event)
     crashed_by: bytes = b""
-    on_arrival: Callable[[IncomingRequest], None] = lambda incoming: None
 
     async def run_until_crash(
         self, address: str, *, task_status=trio.TASK_STATUS_IGNORED
@@ -48,11 +45,12 @@
             nursery.cancel_scope.cancel()
 
     async def _handle(self, incoming: IncomingRequest, answer: Answer) -> None:
-        expected = dict(incoming.headers).get(EXPECTED, self.id.encode())
+        found = dict(incoming.headers)
+        expected = found.get(EXPECTED, self.id.encode())
         if CRASHING not in incoming.body or expected != self.id.encode():
             await super()._handle(incoming, answer)
             return
-        self.on_arrival(incoming)
+        self.on_arrival(found[REQUEST_ID].decode())
         await trio.sleep(self.work_s + self.crash_s)
         self.crashed_by = self.crashed_by or incoming.body
         self.crashed.set()
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/upstream.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/upstream.py
@@ -2,6 +2,7 @@
 
 import itertools
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
@@ -35,6 +36,8 @@
         Runs by request id: all, and those that may not be repeated.
     seen : list
         Headers of each arrival, names in lower case.
+    on_arrival : callable
+        Is told of the id of each request that was not sent to another upstream.
     """
 
     id: str
@@ -47,6 +50,7 @@
     seen: list[dict[bytes, bytes]] = field(default_factory=list)
     running: int = 0
     cut_after: int = 0  # events after which a stream breaks off, 0 for never
+    on_arrival: Callable[[str], None] = lambda request: None
 
     async def run(self, address: str, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled."""
@@ -62,6 +66,7 @@
         if expected != self.id.encode():
             await answer.whole(421, common, b"")
             return
+        self.on_arrival(request_id.decode())
         if self.sheds:
             await answer.whole(503, [*common, (PREFIX + b"Not-Executed", b"1")], b"")
             return
