--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/limit_soak.py
@@ -0,0 +1,268 @@
+"""Upstreams that take few requests a second, before real instances.
+
+The instances are processes of their own; the store and the upstreams are stand-ins in
+this process. Some upstreams name a limit from a while after the start on. Some runs
+kill and start the instances in turn.
+"""
+
+import argparse
+import itertools
+import random
+import sys
+import tempfile
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+
+import trio
+from buckthornwall.http1 import ClientConnection, ExchangeError
+
+from .soak_instances import SoakInstances
+from .users_platform import Deployment, Store, Upstream
+from .users_platform.deployment import DRAFTS, HOST, KEY, ORDERS, route
+from .users_platform.wire import call_headers
+
+__all__ = ["Allowance", "LimitSoak", "main", "most_in_window"]
+
+SETTLE_S = 3.0
+# When limits are named, after the first caller.
+NAMED_S = 3.0
+PATIENCE_S = 3.0
+# Different shared parts of prompts, so that all engines have work.
+SUBJECTS = 24
+
+
+@dataclass(frozen=True)
+class Allowance:
+    """What may reach an upstream that names a limit, over any window."""
+
+    grace_s: float = 3.0
+    window_s: float = 4.0
+    share: float = 1.5
+    besides: float = 5.0
+
+    def requests(self, per_s: float) -> float:
+        """Return how many requests are allowed in a window."""
+        return self.share * per_s * self.window_s + self.besides
+
+
+def most_in_window(times: list[float], window_s: float) -> int:
+    """Return the most of some sorted times that lie in one window."""
+    most, first = 0, 0
+    for place, at in enumerate(times):
+        while at - times[first] > window_s:
+            first += 1
+        most = max(most, place - first + 1)
+    return most
+
+
+class LimitSoak:
+    """One run.
+
+    Parameters
+    ----------
+    seed
+        Draws who is asked, and when.
+    seconds
+        How long callers come.
+    ports
+        First of five ports that all instances share.
+    folder
+        Where settings and logs go.
+    instances, engines
+        How many of each.
+    limited, per_s
+        How many engines name a limit, and which.
+    restarts
+        Whether instances are killed and started in turn.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        ports: int,
+        folder: Path,
+        instances: int,
+        engines: int,
+        limited: int,
+        per_s: float,
+        restarts: bool = False,
+    ) -> None:
+        self.draw = random.Random(seed)
+        self.seconds = seconds
+        self.ports = ports
+        self.count = instances
+        self.limited = limited
+        self.per_s = per_s
+        self.restarts = restarts
+        self.upstreams = [Upstream(f"e{n}", event_s=0.05) for n in range(engines)]
+        self.services = [Upstream(f"s{n}") for n in range(3)]
+        self.store = Store()
+        self.deployment = Deployment(self.store)
+        self.instances = SoakInstances(ports, folder)
+        self.arrivals: dict[str, list[tuple[float, int]]] = {}
+        self.asked: dict[str, int] = {}
+        self.started: list[tuple[float, int]] = []
+        self.named_at = 0.0
+        self.statuses: Counter[tuple[str, str]] = Counter()
+        self._numbers = itertools.count(1)
+
+    async def run(self) -> None:
+        """Start all, play the load, and end the instances."""
+        async with trio.open_nursery() as nursery:
+            await self._start(nursery)
+            try:
+                with trio.move_on_after(self.seconds):
+                    await self._play()
+            finally:
+                self.instances.end()
+            nursery.cancel_scope.cancel()
+
+    def most(self, allowance: Allowance) -> dict[str, int]:
+        """Return the most requests in a window at each upstream that names a limit.
+
+        An instance that was killed or started does not count for `grace_s`.
+        """
+        found = {}
+        for upstream in self._limited():
+            times = [
+                at
+                for at, instance in self.arrivals.get(upstream.id, [])
+                if at > self.named_at + allowance.grace_s
+                and not any(
+                    number == instance and 0 <= at - then <= allowance.grace_s
+                    for then, number in self.started
+                )
+            ]
+            found[upstream.id] = most_in_window(times, allowance.window_s)
+        return found
+
+    def _limited(self) -> list[Upstream]:
+        return [*self.upstreams[: self.limited], self.services[0]]
+
+    async def _start(self, nursery: trio.Nursery) -> None:
+        await nursery.start(self.store.run, f"127.0.9.1:{self.ports + 4}")
+        self.deployment.slots = 32
+        self.deployment.routes = [
+            route("once", "/once/", "stream", DRAFTS, max_attempts=1),
+            route("draft", "/draft/", "stream", DRAFTS, resumable=True, priority=0),
+            route("look", "/look/", "idempotent", ORDERS),
+        ]
+        self.deployment.publish()
+        pools = ((self.upstreams, DRAFTS, 1), (self.services, ORDERS, 200))
+        for upstreams, pool, first in pools:
+            for number, upstream in enumerate(upstreams, first):
+                address = f"127.0.7.{number}:{self.ports}"
+                upstream.on_arrival = self._make_counter(upstream.id)
+                await nursery.start(upstream.run, address)
+                self.deployment.register(upstream.id, pool, address)
+        for number in range(1, self.count + 1):
+            self.instances.start(number)
+        await self.instances.until_ready()
+        await trio.sleep(SETTLE_S)
+
+    def _make_counter(self, upstream: str):
+        arrivals = self.arrivals.setdefault(upstream, [])
+
+        def count(request: str) -> None:
+            arrivals.append((trio.current_time(), self.asked[request]))
+
+        return count
+
+    async def _play(self) -> None:
+        async with trio.open_nursery() as callers:
+            for path, per_s in (("once", 15.0), ("draft", 10.0), ("look", 15.0)):
+                callers.start_soon(self._come, path, per_s, callers)
+            if self.restarts:
+                callers.start_soon(self._restart_in_turn)
+            await trio.sleep(NAMED_S)
+            self.named_at = trio.current_time()
+            for upstream in self._limited():
+                upstream.rate_limit = f"{self.per_s:g}"
+
+    async def _come(self, path: str, per_s: float, callers: trio.Nursery) -> None:
+        while True:
+            callers.start_soon(self._call, path)
+            await trio.sleep(self.draw.expovariate(per_s))
+
+    async def _restart_in_turn(self) -> None:
+        for number in itertools.cycle(range(1, self.count + 1)):
+            await trio.sleep(1.5)
+            self.instances.processes[number].kill()
+            self.instances.processes[number].wait()
+            self.started.append((trio.current_time(), number))
+            await trio.sleep(0.5)
+            self.instances.start(number)
+            self.started.append((trio.current_time(), number))
+
+    async def _call(self, path: str) -> None:
+        request = f"r{next(self._numbers)}"
+        number = self.asked[request] = self.draw.randint(1, self.count)
+        subject = f"{self.draw.randrange(SUBJECTS):x}a"
+        prompt = None
+        if path != "look":
+            prompt = ("900,10", f"{subject}:600,{request[1:]}:300")
+        headers = call_headers(request, HOST, KEY, PATIENCE_S, prompt)
+        self.statuses[path, await self._exchange(number, path, headers)] += 1
+
+    async def _exchange(
+        self, number: int, path: str, headers: list[tuple[bytes, bytes]]
+    ) -> str:
+        connection = None
+        with trio.move_on_after(PATIENCE_S):
+            try:
+                address = f"127.0.8.{number}:{self.ports}"
+                connection = await ClientConnection.connect(address, 1.0)
+                await connection.send(b"POST", f"/{path}/x".encode(), headers, b"")
+                head = await connection.receive_head()
+                while await connection.receive_data():
+                    pass
+                return str(head.status)
+            except ExchangeError as error:
+                return error.failure.value
+            finally:
+                if connection is not None:
+                    connection.close()
+        return "left"
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Play seeds one after the other; return 1 if any is over what is allowed."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seeds", type=int, nargs="+", default=[1])
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--instances", type=int, default=6)
+    parser.add_argument("--engines", type=int, default=9)
+    parser.add_argument("--limited", type=int, default=3)
+    parser.add_argument("--per-s", type=float, default=1.0)
+    parser.add_argument("--restarts", action="store_true")
+    parser.add_argument("--ports", type=int, default=8000)
+    options = parser.parse_args(arguments)
+    allowance, failed = Allowance(), 0
+    allowed = allowance.requests(options.per_s)
+    for seed in options.seeds:
+        with tempfile.TemporaryDirectory(prefix="limit-soak-") as name:
+            soak = LimitSoak(
+                seed,
+                options.seconds,
+                options.ports,
+                Path(name),
+                options.instances,
+                options.engines,
+                options.limited,
+                options.per_s,
+                options.restarts,
+            )
+            trio.run(soak.run)
+        most = soak.most(allowance)
+        is_broken = max(most.values()) > allowed
+        failed += is_broken
+        print(f"seed {seed}: {'BROKEN' if is_broken else 'kept'}, {most} of {allowed}")
+        for (kind, status), count in sorted(soak.statuses.items()):
+            print(f"  {kind} {status}: {count}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_limit_soak.py
@@ -0,0 +1,42 @@
+"""An upstream that took one request a second got more than it named.
+
+No instance read what it named, so it went on getting its part of the load: 172 requests
+within four seconds at one of three such engines, from instances that it had told.
+"""
+
+import pytest
+import trio
+
+from buckthornwall_standins.limit_soak import Allowance, LimitSoak, most_in_window
+
+ALLOWANCE = Allowance()
+
+
+@pytest.mark.live
+@pytest.mark.parametrize(
+    ("seed", "instances", "limited", "per_s", "restarts"),
+    [(1, 3, 3, 1.0, False), (2, 6, 9, 2.5, False), (3, 12, 3, 1.0, True)],
+)
+def test_an_upstream_that_names_a_limit_gets_no_more(
+    tmp_path, seed, instances, limited, per_s, restarts
+):
+    soak = LimitSoak(
+        seed,
+        15.0,
+        8000 + 10 * seed,
+        tmp_path,
+        instances=instances,
+        engines=9,
+        limited=limited,
+        per_s=per_s,
+        restarts=restarts,
+    )
+    trio.run(soak.run)
+    allowed = ALLOWANCE.requests(per_s)
+    over = {name: n for name, n in soak.most(ALLOWANCE).items() if n > allowed}
+    assert over == {}
+
+
+def test_the_most_in_a_window_is_found():
+    assert most_in_window([0.0, 1.0, 2.0, 4.5, 5.0, 5.5, 8.6], 4.0) == 4
+    assert most_in_window([], 4.0) == 0
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/upstream.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/upstream.py
@@ -36,6 +36,8 @@
         Runs by request id: all, and those that may not be repeated.
     seen : list
         Headers of each arrival, names in lower case.
+    rate_limit : str
+        The requests a second that it names in its answers, or ''.
     on_arrival : callable
         Is told of the id of each request that was not sent to another upstream.
     """
@@ -50,6 +52,7 @@
     seen: list[dict[bytes, bytes]] = field(default_factory=list)
     running: int = 0
     cut_after: int = 0  # events after which a stream breaks off, 0 for never
+    rate_limit: str = ""
     on_arrival: Callable[[str], None] = lambda request: None
 
     async def run(self, address: str, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -62,6 +65,8 @@
         self.seen.append(found)
         request_id = found.get(b"x-buckthornwall-attempt-id", b"")
         common = reply_headers(request_id, self.running, 0, self.slots)
+        if self.rate_limit:
+            common.append((b"Server-Limit", self.rate_limit.encode()))
         expected = found.get(b"x-buckthornwall-expect-instance", self.id.encode())
         if expected != self.id.encode():
             await answer.whole(421, common, b"")
