Send an upstream no more than the rate that it names, all instances together

An engine that had named 1 request a second got 14 and more in 4 s (19, 26, 21 and 58 in the reproduction): the header was not read, so every instance sent as before, and nothing that instances tell each other carried it. A limit on the sum of all is again a promise that none can keep alone.

Now what an answer names is told with its age along the way of all news, the newest word on an upstream holds, and a hash over live instances draws who sends: as many as it names whole requests, each an equal part of 0.9 of it by a token bucket that begins empty. Equal parts for all were ruled out by reckoning: at 195 instances one request in 200 s from each, and 195 at once after a quiet time. Choice, homes, free slots and refusals leave out an upstream that takes no more from here; a pool of which all have a limit refuses with 2008.

On 3, 6, 12 and 198 simulated instances the sum is kept from 2 s on, also while speakers die and come back, and all know of its end within 5 s.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
@@ -78,12 +78,13 @@
         self.behind_s = 0.0
         self.scope = trio.CancelScope()
         self.feed = SimFeed(simulation, address)
+        self.pools = PoolTable(self.clock)
         self.discovery = DiscoveryAgent(
             DiscoverySettings(),
             self.feed,
             decode_number,
             RoutingTable(),
-            PoolTable(self.clock),
+            self.pools,
             self.clock,
         )
         settings = PeerSettings(listen=address, seeds=simulation.seeds)
@@ -98,6 +99,7 @@
         )
         self.discovery.may_read = self.news.may_read
         self.discovery.on_change = self._news_adopted
+        self.agent.on_work = self._work_told
 
     async def _open_socket(self, address: str) -> SimSocket:
         return SimSocket(self.simulation.network, address)
@@ -106,6 +108,10 @@
         if self.state is PeerState.JOINING:
             self.state = PeerState.READY
 
+    def _work_told(self) -> None:
+        limits = self.agent.table.limits(self.make_beacon(), self.clock.now())
+        self.pools.hear_limits(limits)
+
     def make_beacon(self) -> Beacon:
         """Return what this instance says of itself."""
         return Beacon(
@@ -122,6 +128,7 @@
             loads=self.simulation.make_loads(self.address),
             held=self.simulation.make_held(self.address),
             crash_checksum=self.quarantine.checksum,
+            limits=self.pools.limits(),
         )
 
     @property
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_limits_at_size.py
@@ -0,0 +1,145 @@
+"""What all instances send to an upstream that names a limit, at any number of them."""
+
+import random
+
+import pytest
+import trio
+from buckthornwall.pools import UpstreamEntry, UpstreamState
+from buckthornwall.pools.rate_limit import UNLIMITED
+from buckthornwall.routing import PoolId
+from buckthornwall.utils import UpstreamId, ZoneId
+
+from buckthornwall_standins.limit_soak import Allowance, most_in_window
+from buckthornwall_standins.peers_sim import PeersSimulation
+
+ALLOWANCE = Allowance(grace_s=2.0)
+SETTLE_S = 6.0
+HOUSEKEEPING_S = 0.5
+ENTRY = UpstreamEntry(
+    UpstreamId("u"), PoolId("p"), "10.9.0.1:1", ZoneId("z1"), 64, UpstreamState.READY
+)
+
+
+class LimitedUpstream:
+    """One upstream before a simulated fleet; `per_s` is what it names."""
+
+    def __init__(self, fleet, seed=1):
+        self.fleet = fleet
+        self.draw = random.Random(seed)
+        self.per_s = UNLIMITED
+        self.arrivals = []
+
+    def view(self, peer):
+        if ENTRY.id not in peer.pools.views:
+            peer.pools.adopt(ENTRY)
+        return peer.pools.views[ENTRY.id]
+
+    def live(self):
+        return [peer for peer in self.fleet.peers.values() if peer.is_live]
+
+    async def ask(self, per_s):
+        """Let callers come to drawn instances."""
+        while True:
+            await trio.sleep(self.draw.expovariate(per_s))
+            peer = self.draw.choice(self.live())
+            view = self.view(peer)
+            if view.rate_limit.may_send(trio.current_time()):
+                view.rate_limit.take(trio.current_time())
+                self.arrivals.append(trio.current_time())
+                self.fleet.nursery.start_soon(self.answer, peer, view)
+
+    async def answer(self, peer, view):
+        await trio.sleep(0.05)
+        peer.pools.note_rate_limit(view, self.per_s)
+
+    async def keep_house(self):
+        while True:
+            await trio.sleep(HOUSEKEEPING_S)
+            for peer in self.live():
+                self.view(peer)
+                now = trio.current_time()
+                digest = peer.agent.table.whole(peer.make_beacon(), now)
+                peer.pools.share_limits(digest.live(peer.address, peer.zone))
+
+    def since(self, at):
+        return [each for each in self.arrivals if each > at]
+
+
+async def started(nursery, zones, of_zone, per_s):
+    fleet = PeersSimulation(nursery)
+    fleet.seeds = ["10.1.0.1:7340", "10.2.0.1:7340"]
+    for place in range(1, zones + 1):
+        fleet.start_zone(f"z{place}", place, of_zone)
+    upstream = LimitedUpstream(fleet)
+    nursery.start_soon(upstream.keep_house)
+    await trio.sleep(SETTLE_S)
+    nursery.start_soon(upstream.ask, per_s)
+    await trio.sleep(2.0)
+    return fleet, upstream
+
+
+@pytest.mark.parametrize(
+    ("zones", "of_zone", "per_s", "seconds"),
+    [
+        (1, 3, 1.0, 20.0),
+        (3, 2, 1.0, 20.0),
+        (3, 2, 12.0, 20.0),
+        (3, 4, 1.0, 20.0),
+        (3, 4, 12.0, 20.0),
+        (6, 33, 1.0, 8.0),
+    ],
+)
+async def test_all_instances_together_keep_a_limit(
+    autojump_clock, nursery, zones, of_zone, per_s, seconds
+):
+    fleet, upstream = await started(nursery, zones, of_zone, 80.0)
+    upstream.per_s = per_s
+    await trio.sleep(ALLOWANCE.grace_s)
+    named_at = trio.current_time()
+    await trio.sleep(seconds)
+    arrivals = upstream.since(named_at)
+    allowed = ALLOWANCE.requests(per_s)
+    assert most_in_window(arrivals, ALLOWANCE.window_s) <= allowed
+    assert len(arrivals) > 5
+
+
+async def test_a_limit_is_kept_while_speakers_die_and_come_back(
+    autojump_clock, nursery
+):
+    fleet, upstream = await started(nursery, 3, 4, 80.0)
+    upstream.per_s = 1.0
+    await trio.sleep(ALLOWANCE.grace_s)
+    named_at = trio.current_time()
+    for place in (1, 2, 3, 1, 2, 3):
+        speaker = fleet.speaker(f"z{place}")
+        speaker.kill()
+        await trio.sleep(2.0)
+        fleet.start(speaker.address, speaker.zone)
+        await trio.sleep(1.0)
+    arrivals = upstream.since(named_at)
+    allowed = ALLOWANCE.requests(1.0)
+    assert most_in_window(arrivals, ALLOWANCE.window_s) <= allowed
+
+
+async def test_all_hear_that_a_limit_has_ended(autojump_clock, nursery):
+    fleet, upstream = await started(nursery, 3, 4, 80.0)
+    upstream.per_s = 1.0
+    await trio.sleep(5.0)
+    upstream.per_s = UNLIMITED
+    await trio.sleep(5.0)
+    limited = [
+        peer.address
+        for peer in fleet.peers.values()
+        if upstream.view(peer).rate_limit.is_limited
+    ]
+    assert limited == []
+
+
+async def test_who_never_had_an_answer_knows_of_a_limit(autojump_clock, nursery):
+    fleet, upstream = await started(nursery, 3, 4, 80.0)
+    upstream.per_s = 1.0
+    await trio.sleep(ALLOWANCE.grace_s)
+    newcomer = fleet.start("10.1.0.99:7340", ZoneId("z1"))
+    upstream.view(newcomer)
+    await trio.sleep(1.0)
+    assert upstream.view(newcomer).rate_limit.is_limited
--- a/packages/buckthornwall/src/buckthornwall/codes/core.py
+++ b/packages/buckthornwall/src/buckthornwall/codes/core.py
@@ -81,6 +81,13 @@
         "change the request, or send it again after Retry-After",
     )
 
+    UPSTREAMS_LIMITED = (
+        2008,
+        503,
+        "upstreams take only so many requests a second, and had as many",
+        "send again after Retry-After",
+    )
+
     UPSTREAM_UNREACHABLE = (3001, 503, "no upstream could be reached", "send again")
     UPSTREAM_BROKEN = (
         3002,
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -16,6 +16,7 @@
     expected_s,
     find_overload,
     note_decision,
+    retry_after_s,
 )
 from buckthornwall.quarantine import QuarantineTable, fingerprint_of, run_tag
 from buckthornwall.routing import (
@@ -252,6 +253,7 @@
     async def _try(self, job: Job, choice: Choice) -> AttemptResult:
         view = choice.view
         job.tried.add(view.id)
+        view.rate_limit.take(self.clock.now())
         job.last_choice = choice
         remaining_s = job.deadline - self.clock.now()
         attempt = Attempt(
@@ -277,7 +279,9 @@
         result = await attempt.run()
         if result.end in (AttemptEnd.NOT_SENT, AttemptEnd.NOT_RUN):
             job.runs -= 1
-        if result.end is not AttemptEnd.NOT_SENT:
+        if result.end is AttemptEnd.NOT_SENT:
+            view.rate_limit.give_back()
+        else:
             job.arrivals += 1
         self._judge(choice, result)
         ended = await self._note_crash(job, choice, result)
@@ -397,6 +401,11 @@
     def _nobody(self, job: Job) -> Refusal:
         if job.runs:
             return Refusal(ResultCode.UPSTREAM_BROKEN, job.detail, job.run)
+        pool = job.resolution.pool.id
+        if not job.tried and self.pools.is_limited(pool):
+            note_decision(self.pools, job.traits, False, self.clock.now())
+            wait_s = retry_after_s(self.pools.limit_wait_s(pool))
+            return Refusal(ResultCode.UPSTREAMS_LIMITED, retry_after_s=wait_s)
         code = ResultCode.UPSTREAM_UNREACHABLE if job.tried else ResultCode.NO_ENGINE
         return Refusal(code, job.detail, retry_after_s=NO_ENGINE_RETRY_S)
 
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
@@ -77,6 +77,7 @@
             attested=b"x-signed" in found,
             not_run=b"x-not-run" in found,
             misdirected=head.status == 421,
+            rate_limit=float(found.get(b"x-limit", b"inf")),
         )
 
 
@@ -121,6 +122,8 @@
         timeout_s=2.0,
         reserve=50.0,
         patience_s=None,
+        limit_per_s=None,
+        limited="u0",
     ):
         clock = TrioClock()
         table, pools = RoutingTable(), PoolTable(clock)
@@ -157,6 +160,8 @@
                 )
             )
             pools.views[f"u{number}"].load.requests = number
+        if limit_per_s is not None:
+            pools.note_rate_limit(pools.views[limited], limit_per_s)
         settings = ForwardingSettings(retry_ratio=0.0, retry_reserve=reserve)
         quarantine = QuarantineTable(QuarantineSettings())
         subject = Forwarder(
@@ -429,3 +434,29 @@
     answer = await forward([None], [None], [None], [whole()], max_runs=9)
     assert answer.status == 200
     assert not forward.quarantine.records
+
+
+async def test_what_an_upstream_takes_in_a_second_is_not_exceeded(forward):
+    """Nothing was read of a limit, and each instance sent as before."""
+    answer = await forward([whole()], limit_per_s=1.0)
+    assert (answer.status, answer.run) == (503, "no")
+    assert json.loads(answer.body)["code"] == 2008
+    assert float(answer.headers[b"Retry-After"]) > 0
+    assert forward.arrivals() == [0]
+
+
+async def test_a_repeat_does_not_go_to_an_upstream_that_takes_no_more(forward):
+    answer = await forward([None], [whole()], limit_per_s=1.0, limited="u1")
+    assert (answer.status, answer.run) == (502, "unknown")
+    assert forward.arrivals() == [1, 0]
+
+
+async def test_an_upstream_that_names_a_limit_is_known_by_its_answer(forward):
+    await forward([whole(extra=b"X-Limit: 2.5\r\n")])
+    assert forward.pools.views["u0"].rate_limit.per_s == 2.5
+
+
+async def test_a_limit_named_at_an_address_of_another_upstream_is_not_its(forward):
+    misdirected = MISDIRECTED.replace(b"X-Not-Run", b"X-Limit: 2.5\r\nX-Not-Run")
+    await forward([misdirected], [whole()])
+    assert not forward.pools.views["u0"].rate_limit.is_limited
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -10,7 +10,13 @@
 import msgspec
 
 from buckthornwall.codes import PeerError, ResultCode
-from buckthornwall.pools import HeldParts, Unreachable, UpstreamEntry
+from buckthornwall.pools import (
+    Fleet,
+    HeldParts,
+    LimitWords,
+    Unreachable,
+    UpstreamEntry,
+)
 from buckthornwall.quarantine import CrashReport
 from buckthornwall.utils import Incarnation, NodeId, UpstreamId, ZoneId
 
@@ -71,7 +77,8 @@
     this instance, `held` the shared parts of prompts that it has lately sent to
     each, `unreachable` upstreams that it could lately not reach. `greets` asks for
     an answer: the sender does not know its zone's speaker. `crash_checksum` is that
-    of what it knows of requests that crash upstreams.
+    of what it knows of requests that crash upstreams. `limits` tells how many requests
+    a second upstreams take, as they told the sender.
     """
 
     node: NodeId
@@ -89,6 +96,7 @@
     held: HeldParts = {}
     unreachable: list[UpstreamId] = []
     crash_checksum: int = 0
+    limits: LimitWords = {}
 
 
 class Digest(msgspec.Struct, array_like=True, tag="d"):
@@ -104,7 +112,8 @@
     outage. `age_ms` is 0 unless another instance passes the digest on. Heartbeats
     that name upstreams by their places in `loads` give its `sequence`; 0 is named by
     none. `unreachable` tells how many of the instances could lately not reach an
-    upstream, and `crash_checksum` is the speaker's own.
+    upstream, `crash_checksum` is the speaker's own, and `limits` the newest word on
+    each upstream.
     """
 
     address: str
@@ -125,6 +134,13 @@
     sequence: int = 0
     unreachable: Unreachable = {}
     crash_checksum: int = 0
+    limits: LimitWords = {}
+
+    def live(self, address: str, zone: ZoneId) -> Fleet:
+        """Return who is live, for an instance that goes by this digest."""
+        return Fleet(
+            address, zone, tuple(self.speakers), tuple(self.members), self.count
+        )
 
     @property
     def points_only(self) -> bool:
@@ -140,7 +156,7 @@
     at upstreams and the parts sent there: `counts` and `parts` are packed
     (`buckthornwall.peers.packing`), by the places of upstreams in the digest of that
     sequence; `loads` and `held` are those that its places do not name, and
-    `unreachable` and `crash_checksum` are as in a digest.
+    `unreachable`, `crash_checksum` and `limits` are as in a digest.
     """
 
     address: str
@@ -159,6 +175,7 @@
     held: HeldParts = {}
     unreachable: Unreachable = {}
     crash_checksum: int = 0
+    limits: LimitWords = {}
 
 
 class CrashReports(msgspec.Struct, array_like=True, tag="c"):
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -11,8 +11,10 @@
 
 from buckthornwall.pools import (
     HeldParts,
+    LimitWords,
     Unreachable,
     add_unreachable,
+    merge_limits,
 )
 from buckthornwall.pools.load import PeerLoad
 from buckthornwall.utils import UpstreamId, ZoneId
@@ -142,6 +144,7 @@
         heard.at = heard.told_at = now
         heard.message.read_age_ms = heartbeat.read_age_ms
         heard.message.unbroken_ms = heartbeat.unbroken_ms
+        heard.message.limits = heartbeat.limits
         take_newer(heard.message, heartbeat)
         counts = read_counts(heartbeat, heard.message, heard.names)
         if counts is None:
@@ -268,6 +271,7 @@
             held=self.parts.told(own, is_fleet, now),
             unreachable=self._unreachable(own, is_fleet),
             crash_checksum=own.crash_checksum,
+            limits=newest.limits,
         )
         digest.count += sum(far.message.count for far in self._far(is_fleet))
         return digest
@@ -309,6 +313,12 @@
             add_unreachable(total, far.message.unreachable)
         return total
 
+    def _limits(self, own: Beacon, is_fleet: bool, now: float) -> LimitWords:
+        """Return the newest word of the zone, or of the fleet, on each upstream."""
+        heard = [*self.members.values(), *self._far(is_fleet)]
+        parts = [(each.message.limits, now - each.told_at) for each in heard]
+        return merge_limits([(own.limits, 0.0), *parts])
+
     def _parts(self, own: Beacon) -> list[Beacon]:
         """Return what the instances of the zone say of themselves."""
         return [own, *(heard.message for heard in self.members.values())]
@@ -335,6 +345,7 @@
             read_age_ms=own.read_age_ms,
             unbroken_ms=max(part.unbroken_ms for part in parts),
             crash_checksum=own.crash_checksum,
+            limits=self._limits(own, is_fleet, now),
         )
         far = self._far(is_fleet)
         for heard in [*self.members.values(), *far]:
@@ -385,6 +396,12 @@
             for upstream, work in loads.items()
         }
 
+    def limits(self, own: Beacon, now: float) -> LimitWords:
+        """Return the newest word on what upstreams take in a second."""
+        if self.is_speaker(now):
+            return self._limits(own, is_fleet=True, now=now)
+        return merge_limits([(self.speaker.message.limits, self.word_age_s(now))])
+
     def unreachable(self, own: Beacon, now: float) -> Unreachable:
         """Return how many instances could lately not reach which upstream."""
         if self.is_speaker(now):
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -9,6 +9,7 @@
 `health`      which upstreams fail requests, whatever their health check says
 `reach`       which upstreams cannot be reached, as instances tell each other
 `rate_limit`  how many requests a second an upstream takes from all instances
+`limit_share` which instances send to one, and how much each
 `view`        all of these for one upstream
 `table`       the views by upstream; adopts registrations
 `quiet`       engines kept free of long prompts, for streams that must not pause
@@ -26,10 +27,13 @@
 from .entry import UpstreamEntry, UpstreamState
 from .expectation import expected_s
 from .health import Verdict
+from .limit_share import Fleet
 from .load import LoadReport
+from .overload import retry_after_s
 from .placement import Choice, PlacementRequest, choose_engine, choose_service
 from .prefix_news import HeldParts, PrefixNews, merge_held
 from .quiet import is_tight
+from .rate_limit import LimitWord, LimitWords, merge_limits
 from .reach import Unreachable, add_unreachable
 from .refusal import Overload, RefusalReason, find_overload, note_decision
 from .table import PoolTable
@@ -38,7 +42,10 @@
 
 __all__ = [
     "Choice",
+    "Fleet",
     "HeldParts",
+    "LimitWord",
+    "LimitWords",
     "LoadReport",
     "Overload",
     "PlacementRequest",
@@ -59,5 +66,7 @@
     "find_overload",
     "is_tight",
     "merge_held",
+    "merge_limits",
     "note_decision",
+    "retry_after_s",
 ]
--- a/packages/buckthornwall/src/buckthornwall/pools/rate_limit.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/rate_limit.py
@@ -1,26 +1,150 @@
-"""The rate of requests that an upstream names for all instances together."""
+"""The rate of requests that an upstream names for all instances together.
+
+An instance sends by a token bucket of its own part of it (`limit_share`), which is
+nothing for most. What one instance learns from an answer it tells the others; the
+newest word holds, however old: engines that nobody asks would else get requests of
+all instances at once.
+"""
 
 import math
+from collections.abc import Iterable
+from typing import Annotated
+
+import msgspec
 
-__all__ = ["UNLIMITED", "RateLimit"]
+from buckthornwall.utils import UpstreamId
+
+__all__ = ["UNLIMITED", "LimitWord", "LimitWords", "RateLimit", "merge_limits"]
 
 UNLIMITED = math.inf
+MS_PER_S = 1000.0
+# Seconds for which others are told that an upstream names no limit any longer.
+END_TOLD_S = 10.0
+# What may come at once, in seconds of the own part; one request at least.
+BURST_S = 0.25
+
+
+class LimitWord(msgspec.Struct, array_like=True, frozen=True):
+    """What an upstream said: requests a second, or None; and how long ago."""
+
+    per_s: Annotated[float, msgspec.Meta(ge=0)] | None
+    age_ms: Annotated[int, msgspec.Meta(ge=0)]
+
+
+LimitWords = dict[UpstreamId, LimitWord]
+
+
+def merge_limits(parts: Iterable[tuple[LimitWords, float]]) -> LimitWords:
+    """Return the newest word on each upstream.
+
+    Parameters
+    ----------
+    parts
+        Words, and how many seconds ago they were told.
+    """
+    newest: LimitWords = {}
+    for words, told_s_ago in parts:
+        told_ms_ago = math.ceil(told_s_ago * MS_PER_S)
+        for upstream, word in words.items():
+            age_ms = word.age_ms + told_ms_ago
+            if upstream not in newest or age_ms < newest[upstream].age_ms:
+                newest[upstream] = LimitWord(word.per_s, age_ms)
+    return newest
 
 
 class RateLimit:
-    """What one upstream last said of the requests a second that it takes.
+    """What one upstream last said, and what this instance may send it.
 
     Attributes
     ----------
     per_s : float
         Requests a second from all instances; infinite without a limit.
+    said_at : float
+        When the upstream said so, in seconds, to whichever instance.
+    own_per_s : float
+        The part of this instance.
     """
 
     def __init__(self) -> None:
         self.per_s = UNLIMITED
+        self.said_at = float("-inf")
+        self.own_per_s = 0.0
+        self._heard_here_at = float("-inf")
+        self._tokens = 0.0
+        self._filled_at = 0.0
 
-    def note_named(self, per_s: float) -> bool:
-        """Record what an answer of the upstream says; tell whether it is new."""
+    @property
+    def is_limited(self) -> bool:
+        """Whether the upstream takes only so many requests a second."""
+        return math.isfinite(self.per_s)
+
+    # What it says
+
+    def note_answer(self, per_s: float, now: float) -> bool:
+        """Record what an answer to this instance says; tell whether it is new."""
+        if per_s != self.per_s or self.is_limited:
+            self._heard_here_at = now
+        return self._note(per_s, now)
+
+    def hear(self, word: LimitWord, now: float) -> bool:
+        """Record what another instance was told; tell whether it is new."""
+        said_at = now - word.age_ms / MS_PER_S
+        if said_at <= self.said_at:
+            return False
+        return self._note(UNLIMITED if word.per_s is None else word.per_s, said_at)
+
+    def _note(self, per_s: float, said_at: float) -> bool:
         is_new = per_s != self.per_s
+        if is_new and not self.is_limited:
+            self.own_per_s = self._tokens = 0.0
         self.per_s = per_s
+        self.said_at = said_at
         return is_new
+
+    def word(self, now: float) -> LimitWord | None:
+        """Return what others are told of it, if this instance was told itself."""
+        told_for_s = math.inf if self.is_limited else END_TOLD_S
+        if now - self._heard_here_at >= told_for_s:
+            return None
+        age_ms = math.ceil((now - self.said_at) * MS_PER_S)
+        return LimitWord(self.per_s if self.is_limited else None, age_ms)
+
+    # What may be sent
+
+    def share(self, own_per_s: float, now: float) -> None:
+        """Set the part of this instance; who had none begins without a token."""
+        self._fill(now)
+        if not own_per_s:
+            self._tokens = 0.0
+        self.own_per_s = own_per_s
+
+    def may_send(self, now: float) -> bool:
+        """Tell whether a request may be sent now."""
+        if not self.is_limited:
+            return True
+        self._fill(now)
+        return self._tokens >= 1
+
+    def take(self, now: float) -> None:
+        """Count a request that is sent."""
+        if self.is_limited:
+            self._fill(now)
+            self._tokens -= 1
+
+    def give_back(self) -> None:
+        """Count a request no longer: it did not reach the upstream."""
+        self._tokens = min(self._most_tokens(), self._tokens + 1)
+
+    def wait_s(self, now: float) -> float:
+        """Return how long until a request may be sent, in seconds."""
+        if self.may_send(now):
+            return 0.0
+        return (1 - self._tokens) / self.own_per_s if self.own_per_s else math.inf
+
+    def _fill(self, now: float) -> None:
+        gained = self.own_per_s * (now - self._filled_at)
+        self._tokens = min(self._most_tokens(), self._tokens + gained)
+        self._filled_at = now
+
+    def _most_tokens(self) -> float:
+        return max(1.0, self.own_per_s * BURST_S)
--- a/packages/buckthornwall/src/buckthornwall/pools/refusal.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/refusal.py
@@ -98,10 +98,12 @@
     """Return why a request is refused where it would go, or None to take it."""
     wait_s = expected_s(pools, traits, choice)
     target_s = traits.resolution.route.target_s
+    pool = traits.resolution.pool.id
     # With nothing before it a prompt would only be refused for its own length.
     is_alone = choice.wait_s <= choice.own_s and not choice.oldest_s
     if is_alone or not is_overloaded(wait_s, choice.own_s, target_s, usable, now):
-        is_yielding = is_loaded(usable, now) and _is_to_yield(pools, traits, now)
+        is_scarce = is_loaded(usable, now) or pools.is_limited(pool)
+        is_yielding = is_scarce and _is_to_yield(pools, traits, now)
         return RefusalReason.YIELDS if is_yielding else None
     if choice.busy_share >= 1 or is_hopeless(wait_s, target_s):
         return RefusalReason.LATE
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -1,5 +1,6 @@
 """All upstreams by id, and what is known of each."""
 
+import math
 from collections.abc import Iterable
 
 from buckthornwall.engine_model import EngineModel
@@ -16,9 +17,11 @@
 from .entry import UpstreamEntry, UpstreamState
 from .health import Verdict
 from .ledger import AdmissionLedger
+from .limit_share import Fleet, own_rate
 from .pace import Pace
 from .prefix_news import HeldParts, PrefixNews
 from .quiet import QuietEngines
+from .rate_limit import LimitWords
 from .reach import Unreachable
 from .view import UpstreamView
 
@@ -155,21 +158,29 @@
                     pool.engine.tokens_per_event, pauses.get(pool.id, set())
                 )
 
+    def _ready(
+        self, pool: PoolId, tried: frozenset[UpstreamId] | set[UpstreamId]
+    ) -> list[UpstreamView]:
+        return [
+            view
+            for view in self.members(pool)
+            if view.entry.state is UpstreamState.READY
+            and view.entry.loaded
+            and view.id not in tried
+        ]
+
     def usable(
         self, pool: PoolId, tried: frozenset[UpstreamId] | set[UpstreamId]
     ) -> list[UpstreamView]:
         """Return who may take a new request, the healthy before the others.
 
         If all are set aside, all that are ready count: where everybody
-        fails, sending on is better than refusing everything.
+        fails, sending on is better than refusing everything. What an upstream takes
+        in a second is kept in any case.
         """
         now = self.clock.now()
         ready = [
-            view
-            for view in self.members(pool)
-            if view.entry.state is UpstreamState.READY
-            and view.entry.loaded
-            and view.id not in tried
+            view for view in self._ready(pool, tried) if view.rate_limit.may_send(now)
         ]
         sound = [
             view
@@ -181,14 +192,49 @@
     def note_rate_limit(self, view: UpstreamView, per_s: float) -> None:
         """Take the requests a second that an upstream names in an answer."""
         before = view.rate_limit.per_s
-        if view.rate_limit.note_named(per_s):
-            log_event(
-                "upstream_limit",
-                "WARNING",
-                upstream=view.id,
-                per_s=per_s,
-                before=before,
-            )
+        if view.rate_limit.note_answer(per_s, self.clock.now()):
+            _log_limit(view, before, is_told=False)
+
+    def hear_limits(self, words: LimitWords) -> None:
+        """Take what other instances know of the limits that upstreams name."""
+        now = self.clock.now()
+        for upstream, word in words.items():
+            view = self.views.get(upstream)
+            if view is None:
+                continue
+            before = view.rate_limit.per_s
+            if view.rate_limit.hear(word, now):
+                _log_limit(view, before, is_told=True)
+
+    def limits(self) -> LimitWords:
+        """Return what others are told of the limits that upstreams name."""
+        now = self.clock.now()
+        words = {view.id: view.rate_limit.word(now) for view in self.views.values()}
+        return {upstream: word for upstream, word in words.items() if word is not None}
+
+    def share_limits(self, fleet: Fleet) -> None:
+        """Find the part of this instance in what upstreams take."""
+        now = self.clock.now()
+        for view in self.views.values():
+            limit = view.rate_limit
+            if limit.is_limited:
+                said_s_ago = now - limit.said_at
+                rate = own_rate(view.id, limit.per_s, said_s_ago, fleet)
+                limit.share(rate, now)
+
+    def is_limited(self, pool: PoolId) -> bool:
+        """Tell whether all upstreams of a pool take only so many requests a second."""
+        ready = self._ready(pool, frozenset())
+        return bool(ready) and all(view.rate_limit.is_limited for view in ready)
+
+    def limit_wait_s(self, pool: PoolId) -> float:
+        """Return how long until a limited pool takes a request from here, in seconds.
+
+        Infinite where this instance has no part.
+        """
+        now = self.clock.now()
+        ready = self._ready(pool, frozenset())
+        return min((view.rate_limit.wait_s(now) for view in ready), default=math.inf)
 
     def unreachable(self) -> list[UpstreamId]:
         """Return whom this instance could lately not reach."""
@@ -228,6 +274,17 @@
         return sorted(others)[len(others) // 2] if others else 0.0
 
 
+def _log_limit(view: UpstreamView, before: float, is_told: bool) -> None:
+    log_event(
+        "upstream_limit",
+        "WARNING",
+        upstream=view.id,
+        per_s=view.rate_limit.per_s,
+        before=before,
+        told=is_told,
+    )
+
+
 def _is_another_start(before: UpstreamEntry, now: UpstreamEntry) -> bool:
     """Tell whether two registrations under one id are of two starts.
 
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -169,6 +169,7 @@
             fleet = self.fleet()
             self.forwarder.budgets.set_instances(fleet.count)
             self.pools.instances = float(fleet.count)
+            self.pools.share_limits(fleet.live(self.settings.peers.listen, self.zone))
             now = self.clock.now()
             self.quarantine.expire(now)
             self.news_watch.look(now)
@@ -204,6 +205,7 @@
             held=self.pools.news.told(now),
             unreachable=self.pools.unreachable(),
             crash_checksum=self.quarantine.checksum,
+            limits=self.pools.limits(),
         )
 
     def _work_told(self) -> None:
@@ -212,6 +214,7 @@
         for view in self.pools.views.values():
             view.load.peers = work.get(view.id, NO_PEERS)
         self.pools.hear_unreachable(self.peers.unreachable(own, now))
+        self.pools.hear_limits(self.peers.limits(own, now))
 
     def _count_store_call(self, seconds: float, outcome: str) -> None:
         self.metrics.store_call.add({"outcome": outcome}, seconds)
--- a/packages/buckthornwall/src/buckthornwall/router/operators.py
+++ b/packages/buckthornwall/src/buckthornwall/router/operators.py
@@ -1,6 +1,7 @@
 """What an operator may ask of one instance: metrics and status."""
 
 import json
+import math
 from typing import TYPE_CHECKING, Any
 
 from buckthornwall.http1 import Answer, IncomingRequest
@@ -44,6 +45,10 @@
             "Upstreams set aside.",
             sum(1 for view in views if view.health.aside),
         ),
+        "upstreams_limited": (
+            "Upstreams that take only so many requests a second.",
+            sum(1 for view in views if view.rate_limit.is_limited),
+        ),
         "instances": ("Instances that serve.", router.fleet().count),
         "active": ("Requests being answered.", router.callers.active),
         "word_age_seconds": (
@@ -100,12 +105,18 @@
                 "requests": view.load.requests,
                 "in_flight": view.load.in_flight(now),
                 "unread_tokens": view.load.unread_all(),
+                "limit_per_s": _finite(view.rate_limit.per_s),
+                "own_part_per_s": round(view.rate_limit.own_per_s, 3),
             }
             for view in router.pools.views.values()
         },
     }
 
 
+def _finite(value: float) -> float | None:
+    return value if math.isfinite(value) else None
+
+
 def _describe_quarantine(router: "Router", now: float) -> dict[str, Any]:
     """Return the requests that are refused since they crash upstreams, some of them."""
     refused = list(router.quarantine.refused().items())
