--- a/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/upstream.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/upstream.py
@@ -2,6 +2,7 @@
 
 import itertools
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
@@ -35,6 +36,10 @@
         Runs by request id: all, and those that may not be repeated.
     seen : list
         Headers of each arrival, names in lower case.
+    rate_limit : str
+        The requests a second that it names in its answers, or ''.
+    on_arrival : callable
+        Is told of the id of each request that was not sent to another upstream.
     """
 
     id: str
@@ -47,6 +52,8 @@
     seen: list[dict[bytes, bytes]] = field(default_factory=list)
     running: int = 0
     cut_after: int = 0  # events after which a stream breaks off, 0 for never
+    rate_limit: str = ""
+    on_arrival: Callable[[str], None] = lambda request: None
 
     async def run(self, address: str, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled."""
@@ -58,10 +65,13 @@
         self.seen.append(found)
         request_id = found.get(b"x-buckthornwall-attempt-id", b"")
         common = reply_headers(request_id, self.running, 0, self.slots)
+        if self.rate_limit:
+            common.append((b"Server-Limit", self.rate_limit.encode()))
         expected = found.get(b"x-buckthornwall-expect-instance", self.id.encode())
         if expected != self.id.encode():
             await answer.whole(421, common, b"")
             return
+        self.on_arrival(request_id.decode())
         if self.sheds:
             await answer.whole(503, [*common, (PREFIX + b"Not-Executed", b"1")], b"")
             return
