--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
@@ -110,7 +110,7 @@
 
     def _work_told(self) -> None:
         limits = self.agent.table.limits(self.make_beacon(), self.clock.now())
-        self.pools.hear_limits(limits)
+        self.pools.receive_limits(limits)
 
     def make_beacon(self) -> Beacon:
         """Return what this instance says of itself."""
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/instance.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/instance.py
@@ -11,7 +11,7 @@
     Verdict,
     choose_upstream,
     find_overload,
-    note_decision,
+    record_decision,
 )
 from buckthornwall.routing import (
     EngineTraits,
@@ -57,7 +57,7 @@
             self.register(engine.id, speed)
 
     def register(self, engine: UpstreamId, speed: EngineSpeed) -> None:
-        """Take it that an engine is there."""
+        """Record that an engine is there."""
         address, state = "10.0.0.1:80", UpstreamState.READY
         self.pools.adopt(UpstreamEntry(engine, POOL, address, ZONE, speed.slots, state))
         self.pools.set_contracts([self.pool], self.table.routes)
@@ -80,11 +80,11 @@
         """Return after how long a refused request is to return, or None."""
         now = self.clock.now()
         overload = find_overload(self.pools, traits, choice, now)
-        note_decision(self.pools, traits, overload is None, now)
+        record_decision(self.pools, traits, overload is None, now)
         return None if overload is None else overload.retry_after_s
 
     def note_unreachable(self, view: UpstreamView) -> None:
-        """Take it that nothing could be sent to an engine."""
+        """Record that nothing could be sent to an engine."""
         self.pools.note_end(view, Verdict.UNREACHABLE)
 
     def send(
@@ -124,7 +124,7 @@
             if last_at is None:
                 on_first(now)
             if not request.failed:
-                choice.view.reach.note_answered(now)
+                choice.view.reach.record_answered(now)
             is_idle = not load.unread_all()
             if last_at is not None and not done:
                 gap_s = now - last_at
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/large.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/large.py
@@ -107,7 +107,7 @@
 
 def play_large(
     load: LargeLoad,
-    word_age_s: float,
+    staleness_s: float,
     seed: int = 1,
     seconds: float = 11.0,
     engines: int = ENGINES,
@@ -120,7 +120,7 @@
         engines,
         instances,
         seed,
-        word_age_s,
+        staleness_s,
         load.faults(engines),
     )
     simulation.run(seconds)
@@ -165,16 +165,16 @@
     parser.add_argument("--instances", type=int, default=INSTANCES)
     options = parser.parse_args()
     logger.remove()
-    for word_age_s in options.word_age:
+    for staleness_s in options.word_age:
         for seed in options.seeds:
             simulation = play_large(
                 LargeLoad(options.times),
-                word_age_s,
+                staleness_s,
                 seed,
                 engines=options.engines,
                 instances=options.instances,
             )
-            print(f"word_age_s={word_age_s} seed={seed} {describe(simulation)}")
+            print(f"staleness_s={staleness_s} seed={seed} {describe(simulation)}")
     return 0
 
 
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/simulation.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/simulation.py
@@ -72,7 +72,7 @@
         How many of each.
     seed
         Of the arrivals and the lengths.
-    word_age_s
+    staleness_s
         How old what instances hear of each other is when they hear it, in seconds.
     faults
         Engines that crash.
@@ -90,14 +90,14 @@
         engines: int = 9,
         instances: int = 7,
         seed: int = 1,
-        word_age_s: float = 0.0,
+        staleness_s: float = 0.0,
         faults: tuple[EngineFault, ...] = (),
     ) -> None:
         self.draw = random.Random(seed)
         self.clock = _Clock()
         self.speed = speed
         self.traffic = traffic
-        self.word_age_s = word_age_s
+        self.staleness_s = staleness_s
         self.faults = faults
         self._names = (UpstreamId(f"e{number}") for number in itertools.count())
         self.engines: dict[UpstreamId, SimEngine] = {}
@@ -256,7 +256,7 @@
             add_work(totals, work)
             merge_held(held, instance.pools.news.told(now))
             add_unreachable(lost, dict.fromkeys(instance.pools.unreachable(), 1))
-        self._at(now + self.word_age_s, lambda: self._hear(totals, works, held, lost))
+        self._at(now + self.staleness_s, lambda: self._hear(totals, works, held, lost))
         if now < seconds:
             self._at(now + TOLD_EVERY_S, lambda: self._tell(seconds))
 
@@ -269,5 +269,5 @@
     ) -> None:
         for instance, own in zip(self.instances, works, strict=True):
             instance.hear(totals, own)
-            instance.pools.hear_unreachable(lost)
-            instance.pools.hear_held(held)
+            instance.pools.receive_unreachable(lost)
+            instance.pools.receive_held(held)
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_crash_reports.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_crash_reports.py
@@ -16,7 +16,7 @@
 
 def end_at(peer, upstream, request=REQUEST):
     tag = run_tag(PoolId("p"), upstream, "")
-    peer.quarantine.note_end(request, tag, trio.current_time())
+    peer.quarantine.record_end(request, tag, trio.current_time())
 
 
 def refusing(fleet):
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_limits_at_size.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_limits_at_size.py
@@ -50,7 +50,7 @@
 
     async def answer(self, peer, view):
         await trio.sleep(0.05)
-        peer.pools.note_rate_limit(view, self.per_s)
+        peer.pools.record_rate_limit(view, self.per_s)
 
     async def keep_house(self):
         while True:
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_pool_sim.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_pool_sim.py
@@ -59,7 +59,7 @@
         Traffic("list", 40, 0, 0.2, 0.12, 172, 543, 279, 200, 15.0, retries=1),
     ]
     simulation = PoolSimulation(
-        SPEED, load, engines=6, instances=8, seed=1, word_age_s=0.1
+        SPEED, load, engines=6, instances=8, seed=1, staleness_s=0.1
     )
     simulation.run(24.0)
     for begins in (0.0, 8.0, 16.0):
--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -136,7 +136,7 @@
                 await trio.sleep(backoff.next_delay())
                 continue
             self.on_call(self.clock.now() - started, "answered")
-            self.note_answer()
+            self.record_answer()
             backoff.reset()
             need_all = False
             self.adopt(news)
@@ -169,7 +169,7 @@
         return limit_s
 
     def note_failure(self, error: PeerError) -> None:
-        """Take it that the source did not answer."""
+        """Record that the source did not answer."""
         silent_s = self.clock.now() - self.answered_at
         if not self.is_away and silent_s * MS_PER_S > self.settings.outage_ms:
             self.is_away = True
@@ -177,8 +177,8 @@
                 "store_lost", "WARNING", detail=error, silent_ms=round(silent_s * 1000)
             )
 
-    def note_answer(self) -> None:
-        """Take it that the source answered."""
+    def record_answer(self) -> None:
+        """Record that the source answered."""
         now = self.clock.now()
         if self.read_at == -math.inf:
             self._unbroken_since = now
--- a/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
@@ -38,7 +38,7 @@
     """Let the source be away, and answer again."""
     clock.time += seconds
     agent.note_failure(PeerError(ResultCode.PLATFORM_UNREACHABLE, "reset"))
-    agent.note_answer()
+    agent.record_answer()
 
 
 def test_an_older_configuration_never_comes_back(agent):
@@ -127,9 +127,9 @@
 
 def test_answers_are_unbroken_since_the_last_outage(agent, clock):
     assert agent.unbroken_s() == 0.0
-    agent.note_answer()
+    agent.record_answer()
     clock.time += 1.0
-    agent.note_answer()
+    agent.record_answer()
     clock.time += 0.5
     assert agent.unbroken_s() == pytest.approx(1.5)
     away_for(agent, clock, 5.0)
@@ -138,7 +138,7 @@
 
 
 def test_an_old_answer_vouches_for_nothing(agent, clock):
-    agent.note_answer()
+    agent.record_answer()
     clock.time += 4.0
     assert agent.unbroken_s() == 0.0
 
@@ -166,10 +166,10 @@
     pools, table = PoolTable(TrioClock()), RoutingTable()
     agent = DiscoveryAgent(DiscoverySettings(), None, decode, table, pools, TrioClock())
     agent.adopt(news(1, "a", "b", whole=True))
-    agent.note_answer()
+    agent.record_answer()
     await trio.sleep(3.0)
     agent.note_failure(PeerError(ResultCode.PLATFORM_UNREACHABLE, "reset"))
-    agent.note_answer()
+    agent.record_answer()
     agent.adopt(news(2, "b", whole=True))
     assert set(pools.views) == {"a", "b"}
     agent.may_read = lambda: False
--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -73,7 +73,7 @@
 
     `silence_s` is how long to wait for the head of a reply, and `event_silence_s`
     for each event after it, in seconds; None is as long as the caller waits.
-    `note_prompt` is told that the prompt goes to the upstream, `note_rate_limit` the
+    `note_prompt` is told that the prompt goes to the upstream, `record_rate_limit` the
     limit that it names, and `model` what the stream shows of its speed.
     """
 
@@ -88,7 +88,7 @@
     most_idle_s: float
     silence_s: float | None
     note_prompt: Callable[[UpstreamView, PromptShape], None]
-    note_rate_limit: Callable[[UpstreamView, float], None]
+    record_rate_limit: Callable[[UpstreamView, float], None]
     model: EngineModel
     event_silence_s: float | None = None
     tight: bool = False
@@ -155,15 +155,15 @@
             )
 
     def _note_reply(self, reply: Reply) -> None:
-        """Take it that the upstream answers, unless another one did at its address."""
+        """Record that the upstream answers, unless another one did at its address."""
         if reply.misdirected:
             return
         now = self.clock.now()
-        self.choice.view.reach.note_answered(now)
+        self.choice.view.reach.record_answered(now)
         if reply.load is not None:
             self.choice.view.load.take_report(reply.load, now)
         if reply.rate_limit is not None and (reply.names_limit or reply.attested):
-            self.note_rate_limit(self.choice.view, reply.rate_limit)
+            self.record_rate_limit(self.choice.view, reply.rate_limit)
 
     def _sending(self) -> Sending:
         return Sending(
@@ -219,7 +219,7 @@
         watch = _StepWatch(view, self.model, self._tokens_per_event(), self.tight)
         while data := await self._next_data(connection):
             now = self.clock.now()
-            view.reach.note_answered(now)
+            view.reach.record_answered(now)
             events = await self.delivery.events(reply, data)
             if events:
                 unread.clear(is_served=True)
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -15,7 +15,7 @@
     choose_upstream,
     expected_s,
     find_overload,
-    note_decision,
+    record_decision,
     retry_after_s,
 )
 from buckthornwall.quarantine import QuarantineTable, fingerprint_of, run_tag
@@ -274,7 +274,7 @@
         now = self.clock.now()
         if not self.quarantine.is_refused(job.fingerprint, now):
             return None
-        self.quarantine.note_refused(job.fingerprint, now)
+        self.quarantine.record_refused(job.fingerprint, now)
         crashes = self.quarantine.crashes(job.fingerprint)
         return Refusal(
             ResultCode.REQUEST_QUARANTINED,
@@ -287,7 +287,7 @@
         """Return the refusal of a request that would come far too late, if any."""
         now = self.clock.now()
         overload = find_overload(self.pools, job.traits, choice, now)
-        note_decision(self.pools, job.traits, overload is None, now)
+        record_decision(self.pools, job.traits, overload is None, now)
         if overload is None:
             return None
         job.overload = overload
@@ -315,7 +315,7 @@
             most_idle_s=self._most_idle_s(job),
             silence_s=self._silence_s(job, choice, remaining_s),
             note_prompt=self.pools.note_prompt,
-            note_rate_limit=self.pools.note_rate_limit,
+            record_rate_limit=self.pools.record_rate_limit,
             model=self.pools.model(job.resolution.pool.id),
             event_silence_s=self._event_silence_s(job),
             tight=job.traits.tight,
@@ -345,14 +345,14 @@
         entry = choice.view.entry
         if result.end is AttemptEnd.DONE:
             now = self.clock.now()
-            self.quarantine.note_success(job.fingerprint, entry.pool, now)
+            self.quarantine.record_success(job.fingerprint, entry.pool, now)
             return False
         is_listed = self.pools.views.get(entry.id) is choice.view
         if not result.is_broken_off or not await self.liveness.has_ended(entry):
             return False
         if is_listed and entry.state is UpstreamState.READY:  # else it left as planned
             tag = run_tag(entry.pool, entry.id, entry.start)
-            self.quarantine.note_end(job.fingerprint, tag, self.clock.now())
+            self.quarantine.record_end(job.fingerprint, tag, self.clock.now())
         return True
 
     def _note_pace(self, job: Job, choice: Choice, sent_at: float) -> None:
@@ -450,7 +450,7 @@
             return Refusal(ResultCode.UPSTREAM_BROKEN, job.detail, job.run)
         pool = job.resolution.pool.id
         if not job.tried and self.pools.is_limited(pool):
-            note_decision(self.pools, job.traits, False, self.clock.now())
+            record_decision(self.pools, job.traits, False, self.clock.now())
             wait_s = retry_after_s(self.pools.limit_wait_s(pool))
             return Refusal(ResultCode.UPSTREAMS_LIMITED, retry_after_s=wait_s)
         code = ResultCode.UPSTREAM_UNREACHABLE if job.tried else ResultCode.NO_ENGINE
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
@@ -162,7 +162,7 @@
             )
             pools.views[f"u{number}"].load.requests = number
         if limit_per_s is not None:
-            pools.note_rate_limit(pools.views[limited], limit_per_s)
+            pools.record_rate_limit(pools.views[limited], limit_per_s)
             pools.views[limited].rate_limit.share(own_per_s, clock.now())
         settings = ForwardingSettings(retry_ratio=0.0, retry_reserve=reserve)
         quarantine = QuarantineTable(QuarantineSettings())
@@ -408,7 +408,7 @@
 ):
     """Engines ended one after the other, since nothing knew the request again."""
     monkeypatch.setattr(QuarantineTable, "is_refused", lambda *arguments: True)
-    monkeypatch.setattr(QuarantineTable, "note_refused", lambda *arguments: None)
+    monkeypatch.setattr(QuarantineTable, "record_refused", lambda *arguments: None)
     monkeypatch.setattr(QuarantineTable, "crashes", lambda *arguments: 3)
     answer = await forward([whole()], repeatable=False)
     assert (answer.status, answer.run) == (503, "no")
--- a/packages/buckthornwall/src/buckthornwall/node/announcer.py
+++ b/packages/buckthornwall/src/buckthornwall/node/announcer.py
@@ -53,7 +53,7 @@
         self.dial()
 
     def introduce(self, node: NodeId, address: str) -> None:
-        """Take it that a member has made itself known."""
+        """Record that a member has made itself known."""
         self._learn(node, address)
         member = self.members.members[node]
         member.address = member.address or address
--- a/packages/buckthornwall/src/buckthornwall/node/newest.py
+++ b/packages/buckthornwall/src/buckthornwall/node/newest.py
@@ -53,11 +53,11 @@
         self._last_freeze = NEVER
 
     def note_heard(self, now: float) -> None:
-        """Take it that a member was heard."""
+        """Record that a member was heard."""
         self.heard_at = now
 
     def note_freeze(self, now: float) -> None:
-        """Take it that this instance was paused until now."""
+        """Record that this instance was paused until now."""
         self._last_freeze = now
 
     def is_caught_up(self) -> bool:
--- a/packages/buckthornwall/src/buckthornwall/peers/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/agent.py
@@ -313,7 +313,7 @@
             return
         if isinstance(message, CrashReports):
             for report in message.reports:
-                self.crashes.table.hear(report, now)
+                self.crashes.table.receive(report, now)
             return
         self.on_held(message.held)
         if isinstance(message, Digest):
@@ -323,7 +323,7 @@
 
     def _take_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         try:
-            held = self.table.hear_heartbeat(heartbeat, now)
+            held = self.table.receive_heartbeat(heartbeat, now)
         except PeerError as error:
             log_event("beacon_refused", "WARNING", detail=error)
             return
@@ -338,7 +338,7 @@
         self.crashes.note_checksum(message.address, message.crash_checksum, now)
 
     async def _take_beacon(self, beacon: Beacon, now: float) -> None:
-        if self.table.hear_beacon(beacon, now):
+        if self.table.receive_beacon(beacon, now):
             log_event("peer_heard", peer=beacon.address, zone=beacon.zone)
         self._compare(beacon, now)
         if beacon.greets:
@@ -355,7 +355,7 @@
             # make a speaker fall silent.
             await self._greet_one(digest.address)
             return
-        self.table.hear_digest(digest, now)
+        self.table.receive_digest(digest, now)
         if not digest.age_ms and not digest.points_only:
             self._compare(digest, now)
         if is_own_zone and self.table.is_outranked(digest, now):
--- a/packages/buckthornwall/src/buckthornwall/peers/leavers.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/leavers.py
@@ -20,12 +20,12 @@
         self.silence_s = silence_s
         self._words: dict[str, tuple[Beacon, float]] = {}
 
-    def hear(self, beacon: Beacon, now: float) -> None:
-        """Take it that an instance leaves."""
+    def receive(self, beacon: Beacon, now: float) -> None:
+        """Record that an instance leaves."""
         self._words[beacon.address] = (beacon, now)
 
     def forget(self, address: str) -> None:
-        """Take it that an instance serves, as one that started again does."""
+        """Record that an instance serves, as one that started again does."""
         self._words.pop(address, None)
 
     def is_leaving(self, address: str, now: float) -> bool:
--- a/packages/buckthornwall/src/buckthornwall/peers/listeners.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/listeners.py
@@ -27,7 +27,7 @@
         self.begin(0.0)
 
     def begin(self, now: float) -> None:
-        """Take it that the speaker begins to speak."""
+        """Record that the speaker begins to speak."""
         self.pacing.begin(now)
         self.digest = b""
         self._informed: set[str] = set()
@@ -47,7 +47,7 @@
     def note(
         self, form: WordForm, data: bytes, addresses: list[str], now: float
     ) -> None:
-        """Take it that a word was told to all."""
+        """Record that a word was told to all."""
         self.pacing.note(form, len(data), now)
         if form is WordForm.DIGEST:
             self.digest = data
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -13,7 +13,7 @@
 from buckthornwall.pools import (
     Fleet,
     HeldParts,
-    LimitWords,
+    LimitReports,
     Unreachable,
     UpstreamEntry,
 )
@@ -96,7 +96,7 @@
     held: HeldParts = {}
     unreachable: list[UpstreamId] = []
     crash_checksum: int = 0
-    limits: LimitWords = {}
+    limits: LimitReports = {}
 
 
 class Digest(msgspec.Struct, array_like=True, tag="d"):
@@ -134,7 +134,7 @@
     sequence: int = 0
     unreachable: Unreachable = {}
     crash_checksum: int = 0
-    limits: LimitWords = {}
+    limits: LimitReports = {}
 
     def live(self, address: str, zone: ZoneId) -> Fleet:
         """Return who is live, for an instance that goes by this digest."""
@@ -175,7 +175,7 @@
     held: HeldParts = {}
     unreachable: Unreachable = {}
     crash_checksum: int = 0
-    limits: LimitWords = {}
+    limits: LimitReports = {}
 
 
 class CrashReports(msgspec.Struct, array_like=True, tag="c"):
--- a/packages/buckthornwall/src/buckthornwall/peers/newest.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/newest.py
@@ -1,7 +1,7 @@
 """What is newest of two words, and how long ago the store was read."""
 
-from .heard import Heard
 from .messages import Digest, Heartbeat
+from .received import Received
 
 __all__ = ["take_newer", "take_read_age"]
 
@@ -16,7 +16,7 @@
         known.informed = told.informed
 
 
-def take_read_age(heartbeat: Heartbeat, heard: Heard, now: float) -> None:
+def take_read_age(heartbeat: Heartbeat, heard: Received, now: float) -> None:
     """Let a reading of the store count that another instance told of."""
     told_ms = heard.message.read_age_ms + int((now - heard.told_at) * MS_PER_S)
     heartbeat.read_age_ms = min(heartbeat.read_age_ms, told_ms)
--- a/packages/buckthornwall/src/buckthornwall/peers/pacing.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/pacing.py
@@ -61,7 +61,7 @@
         return None
 
     def note(self, form: WordForm, size: int, now: float) -> None:
-        """Take it that a word of `size` bytes was told to each listener."""
+        """Record that a word of `size` bytes was told to each listener."""
         self._at[form] = now
         if form in self._sizes:
             self._sizes[form] = size
--- a/packages/buckthornwall/src/buckthornwall/peers/heard.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/received.py
@@ -6,11 +6,11 @@
 
 from .messages import Beacon, Digest
 
-__all__ = ["Heard"]
+__all__ = ["Received"]
 
 
 @dataclass(slots=True)
-class Heard:
+class Received:
     """What was last heard of an instance.
 
     Silence counts from `at`; the message itself is of `told_at`. `names` are the
@@ -23,6 +23,6 @@
     names: list[UpstreamId] = field(default_factory=list)
 
     @classmethod
-    def digest(cls, digest: Digest, at: float) -> "Heard":
+    def digest(cls, digest: Digest, at: float) -> "Received":
         """Return a digest that was told at a time."""
         return cls(digest, at, at, list(digest.loads))
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -11,21 +11,21 @@
 
 from buckthornwall.pools import (
     HeldParts,
-    LimitWords,
+    LimitReports,
     Unreachable,
     add_unreachable,
-    merge_limits,
+    merge_limit_reports,
 )
 from buckthornwall.pools.load import PeerLoad
 from buckthornwall.utils import UpstreamId, ZoneId
 
 from .counts import CountsWriter, read_counts
-from .heard import Heard
 from .leavers import Leavers
 from .messages import Beacon, Digest, Heartbeat, PeerState, Work
 from .newest import take_newer, take_read_age
 from .order import order_of, order_of_sender
 from .parts import PartsTold
+from .received import Received
 from .work import NOTHING, add_work, without_own
 
 __all__ = ["PeerTable"]
@@ -63,9 +63,9 @@
         self.zone = zone
         self.silence_s = silence_s
         self.stagger_s = stagger_s
-        self.members: dict[str, Heard] = {}
-        self.zones: dict[ZoneId, Heard] = {}
-        self.speaker: Heard | None = None
+        self.members: dict[str, Received] = {}
+        self.zones: dict[ZoneId, Received] = {}
+        self.speaker: Received | None = None
         self.told: dict[UpstreamId, Work] = {}
         self.leavers = Leavers(silence_s)
         self.parts = PartsTold()
@@ -73,35 +73,35 @@
 
     # Hearing
 
-    def hear_beacon(self, beacon: Beacon, now: float) -> bool:
+    def receive_beacon(self, beacon: Beacon, now: float) -> bool:
         """Take a beacon of the zone; tell whether its sender is new here."""
         if beacon.address == self.address:
             return False
         if beacon.state is PeerState.LEAVING:
-            self._hear_leave(beacon, now)
+            self._receive_leave(beacon, now)
             return False
         self.leavers.forget(beacon.address)
         if beacon.zone != self.zone:
             return False
-        self.parts.of_zone.hear(beacon.held, now)
+        self.parts.of_zone.receive(beacon.held, now)
         is_new = beacon.address not in self.members
-        self.members[beacon.address] = Heard(beacon, now, now)
+        self.members[beacon.address] = Received(beacon, now, now)
         return is_new
 
-    def _hear_leave(self, beacon: Beacon, now: float) -> None:
-        """Take it that an instance leaves; it says so until it has ended.
+    def _receive_leave(self, beacon: Beacon, now: float) -> None:
+        """Record that an instance leaves; it says so until it has ended.
 
         Only the first word ends its time as a speaker. Where each word begins the wait
         for the next speaker anew, members hear no news until it has ended.
         """
         address = beacon.address
-        self.leavers.hear(beacon, now)
+        self.leavers.receive(beacon, now)
         self.members.pop(address, None)
         for speaker in (self.speaker, self.zones.get(beacon.zone)):
             if speaker is not None and speaker.message.address == address:
                 speaker.at = min(speaker.at, now - self.silence_s)
 
-    def hear_digest(self, digest: Digest, now: float) -> None:
+    def receive_digest(self, digest: Digest, now: float) -> None:
         """Take a digest of this zone's speaker, or of another zone's.
 
         Passed on by others it is as old as they say. One that only points to a speaker
@@ -117,13 +117,13 @@
             if not digest.is_fleet and self._replaces(
                 digest, self.zones.get(digest.zone), now
             ):
-                self.zones[digest.zone] = Heard.digest(digest, at)
-                self.parts.of_others.hear(digest.held, now)
+                self.zones[digest.zone] = Received.digest(digest, at)
+                self.parts.of_others.receive(digest.held, now)
         elif not digest.points_only and self._replaces(digest, self.speaker, now):
-            self.speaker = Heard.digest(digest, at)
+            self.speaker = Received.digest(digest, at)
 
-    def hear_heartbeat(self, heartbeat: Heartbeat, now: float) -> HeldParts | None:
-        """Take it that a speaker whose digest is known lives, and what is newest.
+    def receive_heartbeat(self, heartbeat: Heartbeat, now: float) -> HeldParts | None:
+        """Record that a speaker whose digest is known lives, and what is newest.
 
         Returns
         -------
@@ -152,10 +152,10 @@
         heard.message.loads, held = counts
         heard.message.unreachable = heartbeat.unreachable
         if not is_own_zone:
-            self.parts.of_others.hear(held, now)
+            self.parts.of_others.receive(held, now)
         return held
 
-    def _replaces(self, digest: Digest, current: Heard | None, now: float) -> bool:
+    def _replaces(self, digest: Digest, current: Received | None, now: float) -> bool:
         """Tell whether a digest counts in place of the last one of its zone.
 
         One without instances only points to a speaker.
@@ -313,17 +313,17 @@
             add_unreachable(total, far.message.unreachable)
         return total
 
-    def _limits(self, own: Beacon, is_fleet: bool, now: float) -> LimitWords:
+    def _limits(self, own: Beacon, is_fleet: bool, now: float) -> LimitReports:
         """Return the newest word of the zone, or of the fleet, on each upstream."""
         heard = [*self.members.values(), *self._far(is_fleet)]
         parts = [(each.message.limits, now - each.told_at) for each in heard]
-        return merge_limits([(own.limits, 0.0), *parts])
+        return merge_limit_reports([(own.limits, 0.0), *parts])
 
     def _parts(self, own: Beacon) -> list[Beacon]:
         """Return what the instances of the zone say of themselves."""
         return [own, *(heard.message for heard in self.members.values())]
 
-    def _far(self, is_fleet: bool) -> list[Heard]:
+    def _far(self, is_fleet: bool) -> list[Received]:
         """Return what other zones' speakers told, if the fleet is asked for."""
         return list(self.zones.values()) if is_fleet else []
 
@@ -378,7 +378,7 @@
         """Return how long ago the speaker that this instance goes by was heard."""
         return 0 if self.is_speaker(now) else int((now - self.speaker.at) * MS_PER_S)
 
-    def word_age_s(self, now: float) -> float:
+    def staleness_s(self, now: float) -> float:
         """Return how old the last digest is that this instance goes by, in seconds.
 
         0 where it speaks itself, and so goes by its own reading.
@@ -396,11 +396,13 @@
             for upstream, work in loads.items()
         }
 
-    def limits(self, own: Beacon, now: float) -> LimitWords:
+    def limits(self, own: Beacon, now: float) -> LimitReports:
         """Return the newest word on what upstreams take in a second."""
         if self.is_speaker(now):
             return self._limits(own, is_fleet=True, now=now)
-        return merge_limits([(self.speaker.message.limits, self.word_age_s(now))])
+        return merge_limit_reports(
+            [(self.speaker.message.limits, self.staleness_s(now))]
+        )
 
     def unreachable(self, own: Beacon, now: float) -> Unreachable:
         """Return how many instances could lately not reach which upstream."""
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_mutations.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_mutations.py
@@ -35,12 +35,12 @@
     """Let an instance take a message, and use what it knows then."""
     listener, own = table(LISTENER), beacon(LISTENER)
     if isinstance(message, Heartbeat):
-        listener.hear_digest(digest, 0.0)
-        listener.hear_heartbeat(message, 0.1)
+        listener.receive_digest(digest, 0.0)
+        listener.receive_heartbeat(message, 0.1)
     elif isinstance(message, Digest):
-        listener.hear_digest(message, 0.0)
+        listener.receive_digest(message, 0.0)
     else:
-        listener.hear_beacon(message, 0.0)
+        listener.receive_beacon(message, 0.0)
     listener.others_work(own, 0.1)
     listener.unreachable(own, 0.1)
     listener.make_digest(own, True, 0.1)
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_packing.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_packing.py
@@ -170,10 +170,10 @@
 def test_counts_between_digests_are_taken_with_upstreams_that_are_new():
     """With a digest a second alone, 195 instances knew of work 1.0 s late."""
     first, second = table(FIRST), table(SECOND)
-    second.hear_digest(told(first, beacon(FIRST, {E1: Work(1, {5: 320})})), 0.0)
+    second.receive_digest(told(first, beacon(FIRST, {E1: Work(1, {5: 320})})), 0.0)
     own = beacon(FIRST, {E1: Work(2, {5: 640}), E2: Work(1, {5: 64})})
     own.held = {E2: [("00c0ffee", 4000)], E1: [("s", 900)]}
-    assert second.hear_heartbeat(counts(first, own, 0.2), 0.2) == own.held
+    assert second.receive_heartbeat(counts(first, own, 0.2), 0.2) == own.held
     others = second.others_work(beacon(SECOND), 0.2)
     assert others[E1].unread == {5: 640}
     assert others[E2].requests == 1
@@ -184,35 +184,35 @@
     first, second = table(FIRST), table(SECOND)
     member = beacon("10.0.0.9:7340")
     member.unreachable = [E1, E2]
-    first.hear_beacon(member, 0.0)
+    first.receive_beacon(member, 0.0)
     own = beacon(FIRST)
     own.unreachable = [E1]
-    second.hear_digest(told(first, own), 0.0)
+    second.receive_digest(told(first, own), 0.0)
     assert second.unreachable(beacon(SECOND), 0.1) == {E1: 2, E2: 1}
     own.unreachable = []
-    second.hear_heartbeat(counts(first, own, 0.2), 0.2)
+    second.receive_heartbeat(counts(first, own, 0.2), 0.2)
     assert second.unreachable(beacon(SECOND), 0.2) == {E1: 1, E2: 1}
     assert first.unreachable(own, 0.2) == {E1: 1, E2: 1}
 
 
 def test_counts_of_a_digest_that_was_missed_change_nothing():
     first, second = table(FIRST), table(SECOND)
-    second.hear_digest(told(first, beacon(FIRST, {E1: Work(1)})), 0.0)
+    second.receive_digest(told(first, beacon(FIRST, {E1: Work(1)})), 0.0)
     told(first, beacon(FIRST, {E2: Work(1), E1: Work(3)}))  # lost on the way
-    heard = second.hear_heartbeat(counts(first, beacon(FIRST), 0.2), 0.2)
+    heard = second.receive_heartbeat(counts(first, beacon(FIRST), 0.2), 0.2)
     assert heard is None
     assert second.others_work(beacon(SECOND), 0.2)[E1].requests == 1
-    assert second.word_age_s(0.2) == 0.0
+    assert second.staleness_s(0.2) == 0.0
 
 
 def test_a_digest_that_is_passed_on_is_named_by_no_counts():
     """Its upstreams may stand in another order by then."""
     first, second, third = table(FIRST), table(SECOND), table("10.9.0.9:1")
     digest = told(first, beacon(FIRST, {E1: Work(1)}))
-    second.hear_digest(digest, 0.0)
+    second.receive_digest(digest, 0.0)
     assert second.passed_on(beacon(SECOND), 0.1).sequence == 0
-    third.hear_digest(second.passed_on(beacon(SECOND), 0.1), 0.1)
-    assert third.hear_heartbeat(counts(first, beacon(FIRST), 0.2), 0.2) is None
+    third.receive_digest(second.passed_on(beacon(SECOND), 0.1), 0.1)
+    assert third.receive_heartbeat(counts(first, beacon(FIRST), 0.2), 0.2) is None
 
 
 def test_counts_of_another_zone_reach_the_own():
@@ -220,12 +220,12 @@
     own = beacon(far.address, {E1: Work(5)}, "far")
     digest = far.make_digest(own, is_fleet=False, now=0.0)
     far.number(digest)
-    first.hear_digest(digest, 0.0)
+    first.receive_digest(digest, 0.0)
     own.loads = {E1: Work(7)}
     own.held = {E1: [("00c0ffee", 4000)]}
     heartbeat = far.make_heartbeat(own, False, 0.1)
     far.add_counts(heartbeat, own, 0.1)
-    first.hear_heartbeat(heartbeat, 0.1)
+    first.receive_heartbeat(heartbeat, 0.1)
     whole = first.make_digest(beacon(FIRST), True, 0.1)
     assert whole.loads[E1].requests == 7
     assert whole.held == own.held
@@ -234,7 +234,7 @@
 def test_counts_of_a_large_fleet_take_a_quarter_of_its_digest():
     speaker = table(FIRST)
     for number in range(32):
-        speaker.hear_beacon(beacon(f"10.3.0.{number + 50}:7340"), 0.0)
+        speaker.receive_beacon(beacon(f"10.3.0.{number + 50}:7340"), 0.0)
     own = beacon(FIRST, random_loads(59))
     whole = len(encode(told(speaker, own)))
     assert len(encode(counts(speaker, own, 0.1))) < 0.4 * whole
@@ -296,10 +296,10 @@
 
 def test_an_instance_of_the_zone_named_otherwise_is_not_heard():
     first, second = table(FIRST), table(SECOND)
-    second.hear_digest(told(first, beacon(FIRST, {E1: Work(1)})), 0.0)
+    second.receive_digest(told(first, beacon(FIRST, {E1: Work(1)})), 0.0)
     heartbeat = counts(first, beacon(FIRST, {E1: Work(4)}), 0.1)
     heartbeat.zone = ZoneId("elsewhere")
-    assert second.hear_heartbeat(heartbeat, 0.1) is None
+    assert second.receive_heartbeat(heartbeat, 0.1) is None
     assert second.others_work(beacon(SECOND), 0.1)[E1].requests == 1
 
 
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
@@ -76,27 +76,27 @@
     first, second = table(FIRST), table(SECOND)
     assert first.is_speaker(0.0)
     assert second.is_speaker(0.0)
-    second.hear_digest(first.make_digest(beacon(FIRST), True, now=0.0), 0.0)
-    first.hear_digest(second.make_digest(beacon(SECOND), True, now=0.0), 0.0)
+    second.receive_digest(first.make_digest(beacon(FIRST), True, now=0.0), 0.0)
+    first.receive_digest(second.make_digest(beacon(SECOND), True, now=0.0), 0.0)
     assert first.is_speaker(0.1)
     assert second.speaker_address(0.1) == FIRST
 
 
 def test_who_can_carry_most_speaks():
     light, heavy = table(FIRST), table(SECOND, weight=200.0)
-    heavy.hear_digest(light.make_digest(beacon(FIRST), True, now=0.0), 0.0)
-    light.hear_digest(heavy.make_digest(beacon(SECOND), True, now=0.0), 0.0)
+    heavy.receive_digest(light.make_digest(beacon(FIRST), True, now=0.0), 0.0)
+    light.receive_digest(heavy.make_digest(beacon(SECOND), True, now=0.0), 0.0)
     assert heavy.is_speaker(0.1)
     assert light.speaker_address(0.1) == SECOND
 
 
 def test_a_silent_speaker_is_followed_one_after_the_other():
     first, second, third = table(FIRST), table(SECOND), table(THIRD)
-    first.hear_beacon(beacon(SECOND), 0.0)
-    first.hear_beacon(beacon(THIRD), 0.0)
+    first.receive_beacon(beacon(SECOND), 0.0)
+    first.receive_beacon(beacon(THIRD), 0.0)
     digest = first.make_digest(beacon(FIRST), True, now=0.0)
-    second.hear_digest(digest, 0.0)
-    third.hear_digest(digest, 0.0)
+    second.receive_digest(digest, 0.0)
+    third.receive_digest(digest, 0.0)
     just_silent = SILENCE_S + STAGGER_S / 2
     assert second.is_speaker(just_silent)
     assert not third.is_speaker(just_silent)
@@ -105,15 +105,15 @@
 
 def test_a_lower_speaker_does_not_replace_a_higher_one_that_is_live():
     third = table(THIRD)
-    third.hear_digest(table(FIRST).make_digest(beacon(FIRST), True, now=0.0), 0.0)
-    third.hear_digest(table(SECOND).make_digest(beacon(SECOND), True, now=0.0), 0.1)
+    third.receive_digest(table(FIRST).make_digest(beacon(FIRST), True, now=0.0), 0.0)
+    third.receive_digest(table(SECOND).make_digest(beacon(SECOND), True, now=0.0), 0.1)
     assert third.speaker_address(0.2) == FIRST
 
 
 def test_work_adds_up_over_a_zone_and_goes_with_its_member():
     first = table(FIRST)
-    first.hear_beacon(beacon(SECOND, {ENGINE: Work(2, {0: 100, 5: 50}, 0)}), 0.0)
-    first.hear_beacon(beacon(THIRD, {ENGINE: Work(1, {5: 25}, 0)}), 0.5)
+    first.receive_beacon(beacon(SECOND, {ENGINE: Work(2, {0: 100, 5: 50}, 0)}), 0.0)
+    first.receive_beacon(beacon(THIRD, {ENGINE: Work(1, {5: 25}, 0)}), 0.5)
     own = beacon(FIRST, {ENGINE: Work(4, {5: 5}, 0)})
     assert first.make_digest(own, False, now=0.0).loads[ENGINE] == Work(
         7, {0: 100, 5: 80}, 0
@@ -126,7 +126,9 @@
 
 def test_the_oldest_wait_of_any_instance_is_told():
     first = table(FIRST)
-    first.hear_beacon(beacon(SECOND, {ENGINE: Work(1, {5: 9}, 0, {5: 700}, 90)}), 0.0)
+    first.receive_beacon(
+        beacon(SECOND, {ENGINE: Work(1, {5: 9}, 0, {5: 700}, 90)}), 0.0
+    )
     own = beacon(FIRST, {ENGINE: Work(1, {5: 9}, 0, {2: 40, 5: 300}, 50)})
     told = first.make_digest(own, True, now=0.0).loads[ENGINE]
     assert (told.oldest_ms, told.memory) == ({2: 40, 5: 700}, 140)
@@ -137,9 +139,9 @@
 def test_a_member_takes_its_own_part_off_the_sum():
     first, second = table(FIRST), table(SECOND)
     told = beacon(SECOND, {ENGINE: Work(2, {5: 50}, 0)})
-    first.hear_beacon(told, 0.0)
+    first.receive_beacon(told, 0.0)
     second.told = told.loads
-    second.hear_digest(
+    second.receive_digest(
         first.make_digest(beacon(FIRST, {ENGINE: Work(1, {}, 0)}), True, now=0.0), 0.0
     )
     others = second.others_work(beacon(SECOND), 0.1)[ENGINE]
@@ -156,7 +158,7 @@
         beacon(far.address, {ENGINE: Work(9, {}, 0)}, "far"), True, now=0.0
     )
     for digest in (zone_digest, fleet_digest, zone_digest):
-        first.hear_digest(digest, 0.0)
+        first.receive_digest(digest, 0.0)
     whole = first.make_digest(beacon(FIRST), True, now=0.0)
     assert whole.loads[ENGINE].requests == 5
     assert whole.count == 2
@@ -165,29 +167,29 @@
 
 def test_who_knows_most_is_named():
     first = table(FIRST)
-    first.hear_beacon(beacon(SECOND, number=3, mark=9), 0.0)
+    first.receive_beacon(beacon(SECOND, number=3, mark=9), 0.0)
     digest = first.make_digest(beacon(FIRST, number=2, mark=20), True, now=0.0)
     assert (digest.informed, digest.number) == (SECOND, 3)
 
 
 def test_the_longest_unbroken_time_of_any_zone_is_told():
     first = table(FIRST)
-    first.hear_beacon(beacon(SECOND, unbroken_ms=700), 0.0)
+    first.receive_beacon(beacon(SECOND, unbroken_ms=700), 0.0)
     far = table("10.1.0.1:7340", "far")
     told = far.make_digest(
         beacon(far.address, zone="far", unbroken_ms=9000), False, now=0.0
     )
     assert first.make_digest(beacon(FIRST), True, now=0.0).unbroken_ms == 700
-    first.hear_digest(told, 0.0)
+    first.receive_digest(told, 0.0)
     assert first.make_digest(beacon(FIRST), True, now=0.0).unbroken_ms == 9000
 
 
 def test_who_leaves_no_longer_counts_and_who_joins_not_yet():
     first = table(FIRST)
-    first.hear_beacon(beacon(SECOND), 0.0)
-    first.hear_beacon(beacon(THIRD, state=PeerState.JOINING), 0.0)
+    first.receive_beacon(beacon(SECOND), 0.0)
+    first.receive_beacon(beacon(THIRD, state=PeerState.JOINING), 0.0)
     assert first.make_digest(beacon(FIRST), True, now=0.0).count == 2
-    first.hear_beacon(beacon(SECOND, state=PeerState.LEAVING), 0.1)
+    first.receive_beacon(beacon(SECOND, state=PeerState.LEAVING), 0.1)
     assert first.make_digest(beacon(FIRST), True, now=0.0).count == 1
     assert list(first.members) == [THIRD]
     assert sorted(first.member_addresses(0.1)) == sorted([SECOND, THIRD])
@@ -197,8 +199,8 @@
 
 def test_a_speaker_that_leaves_is_followed_at_once():
     first, second = table(FIRST), table(SECOND)
-    second.hear_digest(first.make_digest(beacon(FIRST), True, now=0.0), 0.0)
-    second.hear_beacon(beacon(FIRST, state=PeerState.LEAVING), 0.1)
+    second.receive_digest(first.make_digest(beacon(FIRST), True, now=0.0), 0.0)
+    second.receive_beacon(beacon(FIRST, state=PeerState.LEAVING), 0.1)
     assert second.is_speaker(0.11)
 
 
@@ -211,12 +213,12 @@
         news_heard silent_ms=5251 number=186
     """
     first, third = table(FIRST), table(THIRD)
-    first.hear_beacon(beacon(SECOND), 0.0)
-    first.hear_beacon(beacon(THIRD), 0.0)
-    third.hear_digest(first.make_digest(beacon(FIRST), True, now=0.0), 0.0)
+    first.receive_beacon(beacon(SECOND), 0.0)
+    first.receive_beacon(beacon(THIRD), 0.0)
+    third.receive_digest(first.make_digest(beacon(FIRST), True, now=0.0), 0.0)
     for tenth in range(10):
         now = 0.1 + tenth * 0.1
-        third.hear_beacon(beacon(FIRST, state=PeerState.LEAVING), now)
+        third.receive_beacon(beacon(FIRST, state=PeerState.LEAVING), now)
     assert third.is_speaker(0.1 + 1.5 * STAGGER_S)
     assert third.is_speaker(1.1)
 
@@ -227,10 +229,10 @@
     digest = far.make_digest(
         beacon(far.address, {ENGINE: Work(5, {}, 0)}, "far"), False, now=0.0
     )
-    first.hear_digest(digest, 0.0)
+    first.receive_digest(digest, 0.0)
     pointer = far.make_digest(beacon(far.address, {}, "far"), False, now=0.0)
     pointer.count = 0
-    first.hear_digest(pointer, 0.1)
+    first.receive_digest(pointer, 0.1)
     assert first.make_digest(beacon(FIRST), True, now=0.0).loads[ENGINE].requests == 5
 
 
@@ -239,7 +241,7 @@
     first = table(FIRST)
     own = beacon(SECOND)
     own.held = {ENGINE: [("s", 4000)]}
-    first.hear_beacon(own, 0.0)
+    first.receive_beacon(own, 0.0)
     mine = beacon(FIRST)
     mine.held = {ENGINE: [("t", 900)]}
     zone_only = first.make_digest(mine, is_fleet=False, now=0.0)
@@ -250,7 +252,7 @@
     first, far = table(FIRST), PeerTable("10.0.0.9:1", 1.0, "far", 0.8, 0.1)
     theirs = beacon(far.address, zone="far")
     theirs.held = {ENGINE: [("s", 4000)]}
-    first.hear_digest(far.make_digest(theirs, is_fleet=False, now=0.0), 0.0)
+    first.receive_digest(far.make_digest(theirs, is_fleet=False, now=0.0), 0.0)
     assert first.make_digest(beacon(FIRST), True, 0.0).held == theirs.held
     assert first.make_digest(beacon(FIRST), False, 0.0).held == {}
 
@@ -262,20 +264,20 @@
     first.parts.set_interval(interval_s)
     own = beacon(SECOND)
     own.held = {ENGINE: [("s", 4000)]}
-    first.hear_beacon(own, 0.0)
+    first.receive_beacon(own, 0.0)
     digest = first.make_digest(beacon(FIRST), is_fleet=False, now=interval_s + 0.01)
     assert digest.held == own.held
 
 
 def test_a_heartbeat_counts_as_word_of_its_sender_and_of_nobody_else():
     first, second, third = table(FIRST), table(SECOND), table(THIRD)
-    third.hear_digest(first.make_digest(beacon(FIRST), True, now=0.0), 0.0)
-    third.hear_heartbeat(second.make_heartbeat(beacon(SECOND), True, 0.6), 0.6)
-    assert third.word_age_s(0.7) == pytest.approx(0.7)
+    third.receive_digest(first.make_digest(beacon(FIRST), True, now=0.0), 0.0)
+    third.receive_heartbeat(second.make_heartbeat(beacon(SECOND), True, 0.6), 0.6)
+    assert third.staleness_s(0.7) == pytest.approx(0.7)
     newer = first.make_heartbeat(beacon(FIRST, number=4, mark=9), True, 0.7)
-    third.hear_heartbeat(newer, 0.7)
+    third.receive_heartbeat(newer, 0.7)
     told = third.whole(beacon(THIRD), 0.8)
-    assert third.word_age_s(0.8) == pytest.approx(0.1)
+    assert third.staleness_s(0.8) == pytest.approx(0.1)
     assert (told.number, told.mark, told.informed) == (4, 9, FIRST)
 
 
@@ -284,7 +286,7 @@
     first = table(FIRST)
     told = beacon(SECOND)
     told.read_age_ms = 100
-    first.hear_beacon(told, 0.0)
+    first.receive_beacon(told, 0.0)
     own = beacon(FIRST)
     own.read_age_ms = 5000
     assert first.make_digest(own, True, now=0.7).read_age_ms == 800
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -35,9 +35,9 @@
 from .placement import Choice, PlacementRequest, choose_engine, choose_service
 from .prefix_news import HeldParts, PrefixNews, merge_held
 from .quiet import is_tight
-from .rate_limit import LimitWord, LimitWords, merge_limits
+from .rate_limit import LimitReport, LimitReports, merge_limit_reports
 from .reach import Unreachable, add_unreachable
-from .refusal import Overload, RefusalReason, find_overload, note_decision
+from .refusal import Overload, RefusalReason, find_overload, record_decision
 from .table import PoolTable
 from .traits import RequestTraits
 from .view import UpstreamView
@@ -47,8 +47,8 @@
     "Fleet",
     "HeldParts",
     "LimitQueue",
-    "LimitWord",
-    "LimitWords",
+    "LimitReport",
+    "LimitReports",
     "LoadReport",
     "Overload",
     "PlacementRequest",
@@ -69,7 +69,7 @@
     "find_overload",
     "is_tight",
     "merge_held",
-    "merge_limits",
-    "note_decision",
+    "merge_limit_reports",
+    "record_decision",
     "retry_after_s",
 ]
--- a/packages/buckthornwall/src/buckthornwall/pools/decision.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/decision.py
@@ -16,7 +16,7 @@
     choose_service,
 )
 from .quiet import Split
-from .refusal import is_owed
+from .refusal import has_deficit
 from .table import PoolTable
 from .traits import RequestTraits
 from .view import UpstreamView
@@ -57,7 +57,7 @@
     wanted = _wanted(pools, traits, split, zone)
     compared = split.open_to(traits.id, now) if traits.tight else views
     choice = choose_engine(compared, wanted, now)
-    if choice is None or not _is_owed_another(pools, traits, choice, now):
+    if choice is None or not _has_deficit(pools, traits, choice, now):
         return choice
     in_time = _in_time(pools, traits, split, now)
     return choose_engine(in_time, wanted, now, holders=views) or choice
@@ -83,7 +83,7 @@
     )
 
 
-def _is_owed_another(
+def _has_deficit(
     pools: PoolTable, traits: RequestTraits, choice: Choice, now: float
 ) -> bool:
     """Tell whether a late request is to be compared at all engines.
@@ -95,7 +95,7 @@
         return False
     target_s = traits.resolution.route.target_s
     wait_s = expected_s(pools, traits, choice)
-    return is_late(wait_s, target_s) and is_owed(pools, traits, now)
+    return is_late(wait_s, target_s) and has_deficit(pools, traits, now)
 
 
 def _in_time(
--- a/packages/buckthornwall/src/buckthornwall/pools/health.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/health.py
@@ -17,7 +17,7 @@
 ABOVE_POOL = 0.15  # ... and this much above the rest of the pool
 FIRST_PAUSE_S = 0.4
 LONGEST_PAUSE_S = 4.0
-TRIAL_LIMIT_S = 3.0  # a trial without an end frees the place for another
+PROBE_LIMIT_S = 3.0  # a trial without an end frees the place for another
 
 
 class Verdict(Enum):
@@ -34,26 +34,26 @@
     def __init__(self) -> None:
         self.results: deque[tuple[float, bool]] = deque(maxlen=WINDOW)
         self.pause_s = 0.0
-        self.aside_until = 0.0
-        self.trial_at: float | None = None
+        self.ejected_until = 0.0
+        self.probe_at: float | None = None
 
     @property
-    def aside(self) -> bool:
+    def ejected(self) -> bool:
         """Whether it is set aside, be it for a trial or not."""
         return self.pause_s > 0
 
     def may_try(self, now: float) -> bool:
         """Tell whether a request may go there."""
-        if not self.aside:
+        if not self.ejected:
             return True
-        if now < self.aside_until:
+        if now < self.ejected_until:
             return False
-        return self.trial_at is None or now - self.trial_at > TRIAL_LIMIT_S
+        return self.probe_at is None or now - self.probe_at > PROBE_LIMIT_S
 
     def note_sent(self, now: float) -> None:
         """Count a request that goes there; it is a trial if set aside."""
-        if self.aside:
-            self.trial_at = now
+        if self.ejected:
+            self.probe_at = now
 
     def failing_share(self, now: float) -> float:
         """Return the share of recent requests that failed, 0 to 1."""
@@ -80,31 +80,31 @@
         bool
             Whether the upstream was set aside or came back by it.
         """
-        was_aside = self.aside
+        was_ejected = self.ejected
         bad = verdict is not Verdict.GOOD
-        if was_aside and not bad:
+        if was_ejected and not bad:
             self._come_back()
             return True
         self.results.append((now, bad))
-        if was_aside and bad:
-            if now >= self.aside_until:
-                self._set_aside(now)
+        if was_ejected and bad:
+            if now >= self.ejected_until:
+                self._eject(now)
             return False
         if verdict is Verdict.UNREACHABLE:
-            self._set_aside(now)
+            self._eject(now)
             return True
         share = self.failing_share(now)
         if bad and share > max(FAILING_SHARE, pool_share + ABOVE_POOL):
-            self._set_aside(now)
+            self._eject(now)
             return True
         return False
 
-    def _set_aside(self, now: float) -> None:
+    def _eject(self, now: float) -> None:
         self.pause_s = min(LONGEST_PAUSE_S, self.pause_s * 2 or FIRST_PAUSE_S)
-        self.aside_until = now + self.pause_s
-        self.trial_at = None
+        self.ejected_until = now + self.pause_s
+        self.probe_at = None
 
     def _come_back(self) -> None:
         self.results.clear()
         self.pause_s = 0.0
-        self.trial_at = None
+        self.probe_at = None
--- a/packages/buckthornwall/src/buckthornwall/pools/ledger.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/ledger.py
@@ -30,50 +30,50 @@
     """
 
     def __init__(self) -> None:
-        self._let_in: deque[_Entry] = deque()
+        self._admitted: deque[_Entry] = deque()
         self._refused: deque[_Entry] = deque()
 
     @property
     def entries(self) -> int:
         """How many requests are kept."""
-        return len(self._let_in) + len(self._refused)
+        return len(self._admitted) + len(self._refused)
 
-    def note_let_in(self, rank: int, tokens: int, now: float) -> None:
-        """Take it that a request was sent to an engine."""
-        _forget(self._let_in, now)
-        self._let_in.append(_Entry(now, rank, tokens))
+    def record_admitted(self, rank: int, tokens: int, now: float) -> None:
+        """Record that a request was sent to an engine."""
+        _forget(self._admitted, now)
+        self._admitted.append(_Entry(now, rank, tokens))
 
-    def note_refused(self, rank: int, tokens: int, now: float) -> None:
-        """Take it that a request was refused for overload."""
+    def record_refused(self, rank: int, tokens: int, now: float) -> None:
+        """Record that a request was refused for overload."""
         _forget(self._refused, now)
         self._refused.append(_Entry(now, rank, tokens))
 
-    def is_owed(self, rank: int, tokens: int, now: float) -> bool:
+    def has_deficit(self, rank: int, tokens: int, now: float) -> bool:
         """Tell whether a late request is to be let in since less urgent ones were.
 
         It is as long as more tokens of less urgent requests were let in than of such
         that are as urgent were refused, this one counted with those.
         """
-        return self._let_in_below(rank, now) > self.refused(rank, now) + tokens
+        return self._admitted_below(rank, now) > self.refused(rank, now) + tokens
 
     def refused(self, rank: int, now: float) -> int:
         """Return the tokens refused of ranks as urgent as one, or more."""
         _forget(self._refused, now)
         return sum(each.tokens for each in self._refused if each.rank <= rank)
 
-    def is_to_yield(self, rank: int, tokens: int, now: float) -> bool:
+    def should_defer(self, rank: int, tokens: int, now: float) -> bool:
         """Tell whether a request is to be refused since more urgent ones were.
 
         It is once the less urgent requests let in, with this one, have more tokens
         than the more urgent ones refused: up to that none starves.
         """
         refused = self.refused(rank - 1, now)
-        return 0 < refused < self._let_in_below(rank - 1, now) + tokens
+        return 0 < refused < self._admitted_below(rank - 1, now) + tokens
 
-    def _let_in_below(self, rank: int, now: float) -> int:
+    def _admitted_below(self, rank: int, now: float) -> int:
         """Return the tokens let in of ranks less urgent than one."""
-        _forget(self._let_in, now)
-        return sum(each.tokens for each in self._let_in if each.rank > rank)
+        _forget(self._admitted, now)
+        return sum(each.tokens for each in self._admitted if each.rank > rank)
 
 
 def _forget(entries: deque[_Entry], now: float) -> None:
--- a/packages/buckthornwall/src/buckthornwall/pools/prefix_news.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/prefix_news.py
@@ -44,7 +44,7 @@
     def note(
         self, upstream: UpstreamId, parts: Iterable[tuple[str, int]], now: float
     ) -> None:
-        """Take it that parts were sent to an engine at `now`."""
+        """Record that parts were sent to an engine at `now`."""
         for part, tokens in parts:
             if tokens < LEAST_TOLD_TOKENS:
                 continue
@@ -54,7 +54,7 @@
                 self._noted.pop(key, None)  # the newest stand last
                 self._noted[key] = (tokens, now)
 
-    def hear(self, held: HeldParts, now: float) -> None:
+    def receive(self, held: HeldParts, now: float) -> None:
         """Take what another instance told."""
         for upstream, parts in held.items():
             self.note(upstream, parts, now)
--- a/packages/buckthornwall/src/buckthornwall/pools/prefixes.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/prefixes.py
@@ -49,11 +49,11 @@
         return tokens
 
     def note(self, prompt: PromptShape) -> None:
-        """Take it that the prompt is read there now."""
-        self.hear((part.id, part.tokens) for part in prompt.parts)
+        """Record that the prompt is read there now."""
+        self.receive((part.id, part.tokens) for part in prompt.parts)
 
-    def hear(self, parts: Iterable[tuple[str, int]]) -> None:
-        """Take it that parts are read there now, each by id and tokens."""
+    def receive(self, parts: Iterable[tuple[str, int]]) -> None:
+        """Record that parts are read there now, each by id and tokens."""
         for part, tokens in parts:
             if part in self._parts:
                 self._parts.move_to_end(part)
--- a/packages/buckthornwall/src/buckthornwall/pools/rate_limit.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/rate_limit.py
@@ -1,9 +1,9 @@
 """The rate of requests that an upstream names for all instances together.
 
 An instance sends by a token bucket of its own part of it (`limit_share`), which is
-nothing for most. What one instance learns from an answer it tells the others; the
-newest word holds, however old: engines that nobody asks would else get requests of
-all instances at once.
+nothing for most. What one instance learns from an answer it reports to the others; the
+newest report holds, however old: were a limit to lapse where nobody sends, all instances
+would send at once.
 """
 
 import math
@@ -14,41 +14,47 @@
 
 from buckthornwall.utils import UpstreamId
 
-__all__ = ["UNLIMITED", "LimitWord", "LimitWords", "RateLimit", "merge_limits"]
+__all__ = [
+    "UNLIMITED",
+    "LimitReport",
+    "LimitReports",
+    "RateLimit",
+    "merge_limit_reports",
+]
 
 UNLIMITED = math.inf
 MS_PER_S = 1000.0
 # Seconds for which others are told that an upstream names no limit any longer.
-END_TOLD_S = 10.0
+END_REPORTED_S = 10.0
 # What may come at once, in seconds of the own part; one request at least.
 BURST_S = 0.25
 
 
-class LimitWord(msgspec.Struct, array_like=True, frozen=True):
+class LimitReport(msgspec.Struct, array_like=True, frozen=True):
     """What an upstream said: requests a second, or None; and how long ago."""
 
     per_s: Annotated[float, msgspec.Meta(ge=0)] | None
     age_ms: Annotated[int, msgspec.Meta(ge=0)]
 
 
-LimitWords = dict[UpstreamId, LimitWord]
+LimitReports = dict[UpstreamId, LimitReport]
 
 
-def merge_limits(parts: Iterable[tuple[LimitWords, float]]) -> LimitWords:
-    """Return the newest word on each upstream.
+def merge_limit_reports(parts: Iterable[tuple[LimitReports, float]]) -> LimitReports:
+    """Return the newest report on each upstream.
 
     Parameters
     ----------
     parts
-        Words, and how many seconds ago they were told.
+        Reports, and how many seconds ago they were sent.
     """
-    newest: LimitWords = {}
-    for words, told_s_ago in parts:
-        told_ms_ago = math.ceil(told_s_ago * MS_PER_S)
-        for upstream, word in words.items():
-            age_ms = word.age_ms + told_ms_ago
+    newest: LimitReports = {}
+    for reports, sent_s_ago in parts:
+        sent_ms_ago = math.ceil(sent_s_ago * MS_PER_S)
+        for upstream, report in reports.items():
+            age_ms = report.age_ms + sent_ms_ago
             if upstream not in newest or age_ms < newest[upstream].age_ms:
-                newest[upstream] = LimitWord(word.per_s, age_ms)
+                newest[upstream] = LimitReport(report.per_s, age_ms)
     return newest
 
 
@@ -69,7 +75,7 @@
         self.per_s = UNLIMITED
         self.said_at = float("-inf")
         self.own_per_s = 0.0
-        self._heard_here_at = float("-inf")
+        self._answered_here_at = float("-inf")
         self._tokens = 0.0
         self._filled_at = 0.0
         self._ready_since = 0.0
@@ -81,18 +87,18 @@
 
     # What it says
 
-    def note_answer(self, per_s: float, now: float) -> bool:
+    def record_answer(self, per_s: float, now: float) -> bool:
         """Record what an answer to this instance says; tell whether it is new."""
         if per_s != self.per_s or self.is_limited:
-            self._heard_here_at = now
+            self._answered_here_at = now
         return self._note(per_s, now)
 
-    def hear(self, word: LimitWord, now: float) -> bool:
+    def receive(self, report: LimitReport, now: float) -> bool:
         """Record what another instance was told; tell whether it is new."""
-        said_at = now - word.age_ms / MS_PER_S
+        said_at = now - report.age_ms / MS_PER_S
         if said_at <= self.said_at:
             return False
-        return self._note(UNLIMITED if word.per_s is None else word.per_s, said_at)
+        return self._note(UNLIMITED if report.per_s is None else report.per_s, said_at)
 
     def _note(self, per_s: float, said_at: float) -> bool:
         is_new = per_s != self.per_s
@@ -102,13 +108,13 @@
         self.said_at = said_at
         return is_new
 
-    def word(self, now: float) -> LimitWord | None:
+    def report(self, now: float) -> LimitReport | None:
         """Return what others are told of it, if this instance was told itself."""
-        told_for_s = math.inf if self.is_limited else END_TOLD_S
-        if now - self._heard_here_at >= told_for_s:
+        reported_for_s = math.inf if self.is_limited else END_REPORTED_S
+        if now - self._answered_here_at >= reported_for_s:
             return None
         age_ms = math.ceil((now - self.said_at) * MS_PER_S)
-        return LimitWord(self.per_s if self.is_limited else None, age_ms)
+        return LimitReport(self.per_s if self.is_limited else None, age_ms)
 
     # What may be sent
 
--- a/packages/buckthornwall/src/buckthornwall/pools/reach.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/reach.py
@@ -14,11 +14,11 @@
 # What was found is told for so many seconds: whoever tries next finds out anew, so an
 # upstream that is back is used again, and one that is not costs some tries a second.
 # Where each of many instances finds out for itself, requests run out of upstreams.
-TOLD_S = 1.0
+REPORTED_S = 1.0
 # Word counts for so long after it was heard, in seconds: it is told again and again.
-HEARD_S = 0.6
+REPORT_TTL_S = 0.6
 # One or two instances may be cut off themselves, or have met a full listener.
-LEAST_TELLERS = 3
+MIN_REPORTERS = 3
 # Who has had an answer from an upstream within so many seconds goes by that.
 OWN_S = 1.0
 
@@ -29,34 +29,34 @@
     def __init__(self) -> None:
         self.failed_at = float("-inf")
         self.answered_at = float("-inf")
-        self._tellers = 0
-        self._heard_at = float("-inf")
+        self._reporters = 0
+        self._received_at = float("-inf")
 
-    def note_failed(self, now: float) -> None:
-        """Take it that nothing could be sent there."""
+    def record_failed(self, now: float) -> None:
+        """Record that nothing could be sent there."""
         self.failed_at = now
 
-    def note_answered(self, now: float) -> None:
-        """Take it that something came from there."""
+    def record_answered(self, now: float) -> None:
+        """Record that something came from there."""
         self.answered_at = now
 
-    def is_told(self, now: float) -> bool:
+    def is_reported(self, now: float) -> bool:
         """Tell whether others are to hear that it cannot be reached."""
-        return self.failed_at > self.answered_at and now - self.failed_at <= TOLD_S
+        return self.failed_at > self.answered_at and now - self.failed_at <= REPORTED_S
 
-    def hear(self, tellers: int, now: float) -> None:
+    def record_reports(self, reporters: int, now: float) -> None:
         """Take how many instances cannot reach it."""
-        self._tellers = tellers
-        self._heard_at = now
+        self._reporters = reporters
+        self._received_at = now
 
     def is_lost(self, now: float) -> bool:
         """Tell whether enough others cannot reach it."""
-        if self._tellers < LEAST_TELLERS or now - self._heard_at > HEARD_S:
+        if self._reporters < MIN_REPORTERS or now - self._received_at > REPORT_TTL_S:
             return False
         return now - self.answered_at > OWN_S
 
 
 def add_unreachable(total: Unreachable, part: Unreachable) -> None:
     """Add what some instances found to a total."""
-    for upstream, tellers in part.items():
-        total[upstream] = total.get(upstream, 0) + tellers
+    for upstream, reporters in part.items():
+        total[upstream] = total.get(upstream, 0) + reporters
--- a/packages/buckthornwall/src/buckthornwall/pools/refusal.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/refusal.py
@@ -10,7 +10,13 @@
 from .traits import RequestTraits
 from .view import UpstreamView
 
-__all__ = ["Overload", "RefusalReason", "find_overload", "is_owed", "note_decision"]
+__all__ = [
+    "Overload",
+    "RefusalReason",
+    "find_overload",
+    "has_deficit",
+    "record_decision",
+]
 
 
 class RefusalReason(Enum):
@@ -76,15 +82,15 @@
     )
 
 
-def note_decision(
-    pools: PoolTable, traits: RequestTraits, is_let_in: bool, now: float
+def record_decision(
+    pools: PoolTable, traits: RequestTraits, is_admitted: bool, now: float
 ) -> None:
-    """Take it that a prompt was let in, or refused for overload."""
+    """Record that a prompt was let in, or refused for overload."""
     if traits.prompt is None:
         return
     resolution = traits.resolution
     ledger = pools.ledger(resolution.pool.id)
-    note = ledger.note_let_in if is_let_in else ledger.note_refused
+    note = ledger.record_admitted if is_admitted else ledger.record_refused
     note(resolution.rank, traits.prompt.prompt_tokens, now)
 
 
@@ -103,21 +109,21 @@
     is_alone = choice.wait_s <= choice.own_s and not choice.oldest_s
     if is_alone or not is_overloaded(wait_s, choice.own_s, target_s, usable, now):
         is_scarce = is_loaded(usable, now) or pools.is_limited(pool)
-        is_yielding = is_scarce and _is_to_yield(pools, traits, now)
-        return RefusalReason.YIELDS if is_yielding else None
+        should_wait = is_scarce and _should_defer(pools, traits, now)
+        return RefusalReason.YIELDS if should_wait else None
     if choice.busy_share >= 1 or is_hopeless(wait_s, target_s):
         return RefusalReason.LATE
-    return None if is_owed(pools, traits, now) else RefusalReason.LATE
+    return None if has_deficit(pools, traits, now) else RefusalReason.LATE
 
 
-def _is_to_yield(pools: PoolTable, traits: RequestTraits, now: float) -> bool:
+def _should_defer(pools: PoolTable, traits: RequestTraits, now: float) -> bool:
     """Tell whether more urgent requests were refused lately, and this one is let in."""
     resolution = traits.resolution
     ledger = pools.ledger(resolution.pool.id)
-    return ledger.is_to_yield(resolution.rank, traits.prompt.prompt_tokens, now)
+    return ledger.should_defer(resolution.rank, traits.prompt.prompt_tokens, now)
 
 
-def is_owed(pools: PoolTable, traits: RequestTraits, now: float) -> bool:
+def has_deficit(pools: PoolTable, traits: RequestTraits, now: float) -> bool:
     """Tell whether less urgent requests were let in lately in place of this one.
 
     Be it here, or by others: an instance that has few requests may have let in none.
@@ -126,7 +132,7 @@
     resolution = traits.resolution
     rank, tokens = resolution.rank, traits.prompt.prompt_tokens
     ledger = pools.ledger(resolution.pool.id)
-    if ledger.is_owed(rank, tokens, now):
+    if ledger.has_deficit(rank, tokens, now):
         return True
     views = pools.usable(resolution.pool.id, frozenset())
     waiting = sum(view.load.unread_after(rank) for view in views)
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -22,7 +22,7 @@
 from .pace import Pace
 from .prefix_news import HeldParts, PrefixNews
 from .quiet import QuietEngines
-from .rate_limit import LimitWords
+from .rate_limit import LimitReports
 from .reach import Unreachable
 from .view import UpstreamView
 
@@ -106,17 +106,17 @@
             log_event("upstream_gone", upstream=upstream, pool=view.entry.pool)
 
     def note_prompt(self, view: UpstreamView, prompt: PromptShape) -> None:
-        """Take it that a prompt goes to an engine, and tell others of its parts."""
+        """Record that a prompt goes to an engine, and tell others of its parts."""
         view.prefixes.note(prompt)
         shared = [(part.id, part.tokens) for part in prompt.parts[:-1]]
         self.news.note(view.id, shared, self.clock.now())
 
-    def hear_held(self, held: HeldParts) -> None:
+    def receive_held(self, held: HeldParts) -> None:
         """Take which parts other instances sent to engines."""
         for upstream, parts in held.items():
             view = self.views.get(upstream)
             if view is not None:
-                view.prefixes.hear(parts)
+                view.prefixes.receive(parts)
 
     def members(self, pool: PoolId) -> Iterable[UpstreamView]:
         """Return every registered upstream of a pool."""
@@ -194,28 +194,28 @@
         ]
         return sound or ready
 
-    def note_rate_limit(self, view: UpstreamView, per_s: float) -> None:
+    def record_rate_limit(self, view: UpstreamView, per_s: float) -> None:
         """Take the requests a second that an upstream names in an answer."""
         before = view.rate_limit.per_s
-        if view.rate_limit.note_answer(per_s, self.clock.now()):
+        if view.rate_limit.record_answer(per_s, self.clock.now()):
             _log_limit(view, before, is_told=False)
 
-    def hear_limits(self, words: LimitWords) -> None:
+    def receive_limits(self, reports: LimitReports) -> None:
         """Take what other instances know of the limits that upstreams name."""
         now = self.clock.now()
-        for upstream, word in words.items():
+        for upstream, report in reports.items():
             view = self.views.get(upstream)
             if view is None:
                 continue
             before = view.rate_limit.per_s
-            if view.rate_limit.hear(word, now):
+            if view.rate_limit.receive(report, now):
                 _log_limit(view, before, is_told=True)
 
-    def limits(self) -> LimitWords:
+    def limits(self) -> LimitReports:
         """Return what others are told of the limits that upstreams name."""
         now = self.clock.now()
-        words = {view.id: view.rate_limit.word(now) for view in self.views.values()}
-        return {upstream: word for upstream, word in words.items() if word is not None}
+        reports = {view.id: view.rate_limit.report(now) for view in self.views.values()}
+        return {each: report for each, report in reports.items() if report is not None}
 
     def share_limits(self, fleet: Fleet) -> None:
         """Find the part of this instance in what upstreams take."""
@@ -269,25 +269,25 @@
     def unreachable(self) -> list[UpstreamId]:
         """Return whom this instance could lately not reach."""
         now = self.clock.now()
-        return [view.id for view in self.views.values() if view.reach.is_told(now)]
+        return [view.id for view in self.views.values() if view.reach.is_reported(now)]
 
-    def hear_unreachable(self, unreachable: Unreachable) -> None:
+    def receive_unreachable(self, unreachable: Unreachable) -> None:
         """Take how many instances could lately not reach which upstream."""
         now = self.clock.now()
-        for upstream, tellers in unreachable.items():
+        for upstream, reporters in unreachable.items():
             view = self.views.get(upstream)
             if view is not None:
-                view.reach.hear(tellers, now)
+                view.reach.record_reports(reporters, now)
 
     def note_end(self, view: UpstreamView, verdict: Verdict) -> None:
         """Take how a request at an upstream ended."""
         now = self.clock.now()
         if verdict is Verdict.UNREACHABLE:
-            view.reach.note_failed(now)
+            view.reach.record_failed(now)
         changed = view.health.note(verdict, self._share_of_rest(view), now)
         if changed:
             log_event(
-                "upstream_set_aside" if view.health.aside else "upstream_back",
+                "upstream_set_aside" if view.health.ejected else "upstream_back",
                 "WARNING",
                 upstream=view.id,
                 verdict=verdict.value,
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_health.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_health.py
@@ -30,13 +30,13 @@
     health = Health()
     for step in range(30):
         health.note(Verdict.FAILED if step % 2 else Verdict.GOOD, 0.05, step * 0.1)
-        if health.aside:
+        if health.ejected:
             break
-    assert health.aside
+    assert health.ejected
 
 
 def test_who_fails_like_the_rest_is_not_set_aside():
     health = Health()
     for step in range(40):
         health.note(Verdict.FAILED if step % 2 else Verdict.GOOD, 0.5, step * 0.1)
-    assert not health.aside
+    assert not health.ejected
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_overload.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_overload.py
@@ -45,7 +45,7 @@
 
 
 def let_in(table, clock, rank, tokens=20_000):
-    table.ledger(POOL).note_let_in(rank, tokens, clock.now())
+    table.ledger(POOL).record_admitted(rank, tokens, clock.now())
 
 
 def test_a_late_request_goes_where_it_begins_in_time(busy, clock):
@@ -92,7 +92,7 @@
     assert decide(table, clock, wanted)[1].reason is RefusalReason.LATE
     let_in(table, clock, 7)
     assert decide(table, clock, wanted)[1] is None
-    table.ledger(POOL).note_refused(4, 20_000, clock.now())
+    table.ledger(POOL).record_refused(4, 20_000, clock.now())
     assert decide(table, clock, wanted)[1] is not None
 
 
@@ -112,7 +112,7 @@
     for view in table.members(POOL):
         view.load.peers = PeerLoad(requests=1, unread={7: 20_000})
     assert decide(table, clock, wanted)[1] is None
-    table.ledger(POOL).note_refused(4, 5_000, clock.now())
+    table.ledger(POOL).record_refused(4, 5_000, clock.now())
     assert decide(table, clock, wanted)[1].reason is RefusalReason.LATE
 
 
@@ -135,7 +135,7 @@
 def test_less_urgent_requests_yield_to_those_that_were_refused(table, clock):
     """Refused replies came back to engines that reviews had been sent to meanwhile."""
     wanted = traits(prompt(), tier=2, target_s=1.5)
-    table.ledger(POOL).note_refused(4, 4_000, clock.now())
+    table.ledger(POOL).record_refused(4, 4_000, clock.now())
     assert decide(table, clock, wanted)[1] is None  # nothing waits any more
     for view in table.members(POOL):
         view.load.requests = 3
@@ -149,7 +149,7 @@
     for view in table.members(POOL):
         view.load.requests = 3
     wanted = traits(prompt(), tier=2, target_s=1.5)
-    table.ledger(POOL).note_refused(4, 40_000, clock.now())
+    table.ledger(POOL).record_refused(4, 40_000, clock.now())
     assert decide(table, clock, wanted)[1] is None
     let_in(table, clock, 7, 40_000)
     assert decide(table, clock, wanted)[1] is not None
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_prefix_news.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_prefix_news.py
@@ -36,9 +36,9 @@
 def test_what_was_heard_is_told_on_once():
     first, second = PrefixNews(), PrefixNews()
     first.note(E1, [("s", 4000)], 10.0)
-    second.hear(first.told(10.0), 10.0)
+    second.receive(first.told(10.0), 10.0)
     assert second.told(10.0) == {E1: [("s", 4000)]}
-    first.hear(second.told(10.1), 10.1)
+    first.receive(second.told(10.1), 10.1)
     assert first.told(10.1 + TOLD_S) == {}
 
 
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_rate_limit.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_rate_limit.py
@@ -4,9 +4,9 @@
 
 from buckthornwall.pools.rate_limit import (
     UNLIMITED,
-    LimitWord,
+    LimitReport,
     RateLimit,
-    merge_limits,
+    merge_limit_reports,
 )
 from buckthornwall.utils import UpstreamId
 
@@ -16,7 +16,7 @@
 @pytest.fixture
 def limit():
     limit = RateLimit()
-    limit.note_answer(1.0, NOW)
+    limit.record_answer(1.0, NOW)
     return limit
 
 
@@ -46,7 +46,7 @@
 
 
 def test_of_a_high_rate_a_quarter_of_a_second_may_come_at_once(limit):
-    limit.note_answer(100.0, NOW)
+    limit.record_answer(100.0, NOW)
     limit.share(80.0, NOW)
     assert sent(limit, NOW + 10, 0.02, step=0.0001) == 20 + 1
 
@@ -67,40 +67,40 @@
 
 
 def test_an_answer_without_a_limit_ends_it(limit):
-    limit.note_answer(UNLIMITED, NOW + 1)
+    limit.record_answer(UNLIMITED, NOW + 1)
     assert limit.may_send(NOW + 1)
-    assert limit.word(NOW + 2) == LimitWord(None, 1000)
-    assert limit.word(NOW + 30) is None
+    assert limit.report(NOW + 2) == LimitReport(None, 1000)
+    assert limit.report(NOW + 30) is None
 
 
 def test_the_newest_word_holds(limit):
-    assert not limit.hear(LimitWord(None, 2000), NOW + 1)
+    assert not limit.receive(LimitReport(None, 2000), NOW + 1)
     assert limit.is_limited
-    assert limit.hear(LimitWord(None, 200), NOW + 1)
+    assert limit.receive(LimitReport(None, 200), NOW + 1)
     assert not limit.is_limited
 
 
 def test_who_was_only_told_tells_nobody():
     """Word that goes round among instances would never grow old."""
     limit = RateLimit()
-    limit.hear(LimitWord(1.0, 0), NOW)
+    limit.receive(LimitReport(1.0, 0), NOW)
     assert limit.is_limited
-    assert limit.word(NOW) is None
+    assert limit.report(NOW) is None
 
 
 def test_an_upstream_without_a_limit_is_not_told_of():
     limit = RateLimit()
-    limit.note_answer(UNLIMITED, NOW)
-    assert limit.word(NOW) is None
+    limit.record_answer(UNLIMITED, NOW)
+    assert limit.report(NOW) is None
 
 
 def test_of_several_words_the_newest_is_told_on_with_its_age():
     one, other = UpstreamId("a"), UpstreamId("b")
     parts = [
-        ({one: LimitWord(1.0, 500)}, 0.0),
-        ({one: LimitWord(None, 100), other: LimitWord(2.0, 0)}, 0.25),
+        ({one: LimitReport(1.0, 500)}, 0.0),
+        ({one: LimitReport(None, 100), other: LimitReport(2.0, 0)}, 0.25),
     ]
-    assert merge_limits(parts) == {
-        one: LimitWord(None, 350),
-        other: LimitWord(2.0, 250),
+    assert merge_limit_reports(parts) == {
+        one: LimitReport(None, 350),
+        other: LimitReport(2.0, 250),
     }
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_reach.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_reach.py
@@ -3,7 +3,13 @@
 from dataclasses import replace
 
 from buckthornwall.pools import RequestTraits, Verdict, add_unreachable
-from buckthornwall.pools.reach import HEARD_S, LEAST_TELLERS, OWN_S, TOLD_S, Reach
+from buckthornwall.pools.reach import (
+    MIN_REPORTERS,
+    OWN_S,
+    REPORT_TTL_S,
+    REPORTED_S,
+    Reach,
+)
 from buckthornwall.pools.refusal import find_overload
 from buckthornwall.routing import EngineTraits, Pool, Resolution
 from buckthornwall.routing.table import DEFAULT_TEAM_TIER
@@ -15,44 +21,44 @@
 
 def test_what_was_found_is_told_for_a_while_and_not_after_an_answer():
     reach = Reach()
-    assert not reach.is_told(0.0)
-    reach.note_failed(1.0)
-    assert reach.is_told(1.0 + 0.9 * TOLD_S)
-    assert not reach.is_told(1.1 + TOLD_S)
-    reach.note_answered(1.2)
-    assert not reach.is_told(1.3)
+    assert not reach.is_reported(0.0)
+    reach.record_failed(1.0)
+    assert reach.is_reported(1.0 + 0.9 * REPORTED_S)
+    assert not reach.is_reported(1.1 + REPORTED_S)
+    reach.record_answered(1.2)
+    assert not reach.is_reported(1.3)
 
 
 def test_one_or_two_that_are_cut_off_are_not_believed():
     reach = Reach()
-    reach.hear(LEAST_TELLERS - 1, 1.0)
+    reach.record_reports(MIN_REPORTERS - 1, 1.0)
     assert not reach.is_lost(1.0)
-    reach.hear(LEAST_TELLERS, 1.0)
+    reach.record_reports(MIN_REPORTERS, 1.0)
     assert reach.is_lost(1.0)
 
 
 def test_word_grows_old():
     reach = Reach()
-    reach.hear(9, 1.0)
-    assert reach.is_lost(1.0 + 0.9 * HEARD_S)
-    assert not reach.is_lost(1.1 + HEARD_S)
+    reach.record_reports(9, 1.0)
+    assert reach.is_lost(1.0 + 0.9 * REPORT_TTL_S)
+    assert not reach.is_lost(1.1 + REPORT_TTL_S)
 
 
 def test_who_has_had_an_answer_goes_by_that():
     reach = Reach()
-    reach.note_answered(1.0)
-    reach.hear(9, 1.1)
+    reach.record_answered(1.0)
+    reach.record_reports(9, 1.1)
     assert not reach.is_lost(1.1)
-    reach.hear(9, 1.1 + OWN_S)
+    reach.record_reports(9, 1.1 + OWN_S)
     assert reach.is_lost(1.1 + OWN_S)
 
 
 def test_an_engine_that_others_miss_is_not_tried_while_there_are_more(table, clock):
     lost = choose(table, clock, prompt()).view
-    table.hear_unreachable({lost.id: LEAST_TELLERS, "gone": 9})
+    table.receive_unreachable({lost.id: MIN_REPORTERS, "gone": 9})
     assert lost not in table.usable(POOL, set())
-    everyone = {view.id: LEAST_TELLERS for view in table.members(POOL)}
-    table.hear_unreachable(everyone)
+    everyone = {view.id: MIN_REPORTERS for view in table.members(POOL)}
+    table.receive_unreachable(everyone)
     assert len(table.usable(POOL, set())) == len(everyone)
 
 
@@ -62,7 +68,7 @@
     assert table.unreachable() == []
     table.note_end(view, Verdict.UNREACHABLE)
     assert table.unreachable() == [view.id]
-    clock.time += 2 * TOLD_S
+    clock.time += 2 * REPORTED_S
     assert table.unreachable() == []
 
 
@@ -87,6 +93,6 @@
     pool = Pool(POOL, "/", 10, EngineTraits(4, 300_000, 4))
     resolution = Resolution(route, pool, TeamId("t"), DEFAULT_TEAM_TIER, 1)
     traits = RequestTraits("r", prompt(), resolution, False)
-    table.hear_unreachable({"lost": LEAST_TELLERS})
+    table.receive_unreachable({"lost": MIN_REPORTERS})
     choice = choose(table, clock, prompt())
     assert find_overload(table, traits, choice, clock.now()) is not None
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_table.py
@@ -41,7 +41,7 @@
     assert view.load.in_flight(clock.now()) == 0
     assert view.load.unread_all() == 0
     assert view.prefixes.held(PROMPT) == 0
-    assert not view.health.aside
+    assert not view.health.ejected
     assert list(table.members(POOL)) == [view]
 
 
--- a/packages/buckthornwall/src/buckthornwall/pools/waits.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/waits.py
@@ -19,11 +19,11 @@
         self._sent: dict[int, dict[object, float]] = {}
 
     def begin(self, rank: int, request: object, now: float) -> None:
-        """Take it that a request was sent at `now`, the latest of its rank."""
+        """Record that a request was sent at `now`, the latest of its rank."""
         self._sent.setdefault(rank, {})[request] = now
 
     def end(self, rank: int, request: object, is_served: bool) -> None:
-        """Take it that a request waits no longer.
+        """Record that a request waits no longer.
 
         Parameters
         ----------
--- a/packages/buckthornwall/src/buckthornwall/quarantine/table.py
+++ b/packages/buckthornwall/src/buckthornwall/quarantine/table.py
@@ -69,7 +69,7 @@
 
     # What this instance sees
 
-    def note_end(self, fingerprint: Fingerprint, tag: RunTag, now: float) -> None:
+    def record_end(self, fingerprint: Fingerprint, tag: RunTag, now: float) -> None:
         """Record that an upstream ended beneath a request."""
         self._merge(fingerprint, {tag}, set(), now, now)
         record = self.records[fingerprint]
@@ -81,7 +81,9 @@
             ends=len(record.ends),
         )
 
-    def note_success(self, fingerprint: Fingerprint, pool: PoolId, now: float) -> None:
+    def record_success(
+        self, fingerprint: Fingerprint, pool: PoolId, now: float
+    ) -> None:
         """Record a run that went well: the request crashes nothing in this pool."""
         tag = pool_tag(pool)
         self._successes.note(fingerprint, tag, now)
@@ -90,7 +92,7 @@
             with self._changing(fingerprint, record):
                 record.clear(tag)
 
-    def note_refused(self, fingerprint: Fingerprint, now: float) -> None:
+    def record_refused(self, fingerprint: Fingerprint, now: float) -> None:
         """Record that a request came again: it is not forgotten while it comes."""
         record = self.records[fingerprint]
         record.seen_at = now
@@ -121,7 +123,7 @@
 
     # What instances tell each other
 
-    def hear(self, report: CrashReport, now: float) -> None:
+    def receive(self, report: CrashReport, now: float) -> None:
         """Take what another instance knows of a request."""
         if not report.ends or report.age_s > self.settings.forget_s:
             return
--- a/packages/buckthornwall/src/buckthornwall/quarantine/tests/test_table.py
+++ b/packages/buckthornwall/src/buckthornwall/quarantine/tests/test_table.py
@@ -34,12 +34,12 @@
 
 def crash(table, *upstreams, now=NOW, request=REQUEST):
     for upstream in upstreams:
-        table.note_end(request, tag(upstream), now)
+        table.record_end(request, tag(upstream), now)
 
 
 def tell(source, target, now=NOW):
     for report in source.reports(now):
-        target.hear(report, now)
+        target.receive(report, now)
 
 
 def test_a_request_is_refused_after_three_upstreams_ended_beneath_it(table):
@@ -57,7 +57,7 @@
 
 def test_an_upstream_that_ends_again_after_another_start_counts_again(table):
     for start in ("1", "2", "3"):
-        table.note_end(REQUEST, tag("a", start=start), NOW)
+        table.record_end(REQUEST, tag("a", start=start), NOW)
     assert table.is_refused(REQUEST, NOW)
 
 
@@ -74,27 +74,27 @@
     one, other = make_table(), make_table()
     crash(one, "a", "b", "c")
     tell(one, other)
-    other.note_success(REQUEST, POOL, NOW)
+    other.record_success(REQUEST, POOL, NOW)
     tell(other, one)
     assert not one.is_refused(REQUEST, NOW)
 
 
 def test_a_request_that_ran_well_before_all_upstreams_were_lost_is_not_refused(table):
     """It was beneath each of them, as every popular request is."""
-    table.note_success(REQUEST, POOL, NOW)
+    table.record_success(REQUEST, POOL, NOW)
     crash(table, "a", "b", "c", now=NOW + 1)
     assert not table.is_refused(REQUEST, NOW + 1)
 
 
 def test_a_success_of_long_ago_does_not_speak_for_a_request(table):
-    table.note_success(REQUEST, POOL, NOW)
+    table.record_success(REQUEST, POOL, NOW)
     crash(table, "a", "b", "c", now=NOW + 60)
     assert table.is_refused(REQUEST, NOW + 60)
 
 
 def test_a_run_that_went_well_in_another_pool_says_nothing(table):
     crash(table, "a", "b", "c")
-    table.note_success(REQUEST, OTHER_POOL, NOW)
+    table.record_success(REQUEST, OTHER_POOL, NOW)
     assert table.is_refused(REQUEST, NOW)
 
 
@@ -114,9 +114,9 @@
     tell(one, other)
     for minute in range(1, 31):
         now = NOW + 60 * minute
-        one.note_refused(REQUEST, now)
+        one.record_refused(REQUEST, now)
         for report in one.take_changed(100, now):
-            other.hear(report, now)
+            other.receive(report, now)
         one.expire(now)
         other.expire(now)
     assert other.is_refused(REQUEST, NOW + 1800)
@@ -193,9 +193,9 @@
     draw.shuffle(shuffled)
     one, other = make_table(), make_table()
     for report in valid:
-        one.hear(report, NOW)
+        one.receive(report, NOW)
     for report in shuffled:
-        other.hear(report, NOW)
+        other.receive(report, NOW)
     assert known(one) == known(other)
     assert one.checksum == other.checksum
 
@@ -204,7 +204,7 @@
 def test_instances_that_know_different_things_have_different_checksums(reports):
     one, other = make_table(), make_table()
     for report in reports:
-        one.hear(report, NOW)
+        one.receive(report, NOW)
     for report in reports[:-1]:
-        other.hear(report, NOW)
+        other.receive(report, NOW)
     assert (one.checksum == other.checksum) == (known(one) == known(other))
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -123,7 +123,7 @@
         self.discovery.on_restart = self.forwarder.connections.abandon
         self.discovery.on_call = self._count_store_call
         self.peer_agent.on_work = self._work_told
-        self.peer_agent.on_held = self.pools.hear_held
+        self.peer_agent.on_held = self.pools.receive_held
         self.forwarder.account.describe_news = self.news.describe
 
     @classmethod
@@ -213,8 +213,8 @@
         work = self.peers.others_work(own, now)
         for view in self.pools.views.values():
             view.load.peers = work.get(view.id, NO_PEERS)
-        self.pools.hear_unreachable(self.peers.unreachable(own, now))
-        self.pools.hear_limits(self.peers.limits(own, now))
+        self.pools.receive_unreachable(self.peers.unreachable(own, now))
+        self.pools.receive_limits(self.peers.limits(own, now))
 
     def _count_store_call(self, seconds: float, outcome: str) -> None:
         self.metrics.store_call.add({"outcome": outcome}, seconds)
--- a/packages/buckthornwall/src/buckthornwall/router/news.py
+++ b/packages/buckthornwall/src/buckthornwall/router/news.py
@@ -77,9 +77,9 @@
         now = self.clock.now()
         if self.peers.is_speaker(now) or self._view_failed:
             return True
-        word_age_s = self.peers.word_age_s(now)
-        unread_ms = self._fleet().read_age_ms + word_age_s * MS_PER_S
-        return unread_ms > self.unread_limit_ms or word_age_s > UNHEARD_S
+        staleness_s = self.peers.staleness_s(now)
+        unread_ms = self._fleet().read_age_ms + staleness_s * MS_PER_S
+        return unread_ms > self.unread_limit_ms or staleness_s > UNHEARD_S
 
     async def run(self) -> None:
         """Look for news at peers until cancelled."""
@@ -142,10 +142,10 @@
 
     def describe(self) -> dict[str, object]:
         """Return which version is in force, and how old the word it rests on is."""
-        word_age_s = self.peers.word_age_s(self.clock.now())
+        staleness_s = self.peers.staleness_s(self.clock.now())
         return {
             "number": self.discovery.table.number,
-            "word_age_ms": round(word_age_s * MS_PER_S),
+            "word_age_ms": round(staleness_s * MS_PER_S),
             "read_age_ms": self.read_age_ms(),
         }
 
--- a/packages/buckthornwall/src/buckthornwall/router/news_watch.py
+++ b/packages/buckthornwall/src/buckthornwall/router/news_watch.py
@@ -28,7 +28,7 @@
 
     def look(self, now: float) -> None:
         """Take the time in seconds; a line a change, not one a look."""
-        age_s = self.peers.word_age_s(now)
+        age_s = self.peers.staleness_s(now)
         if age_s > OVERDUE_S and self.overdue_since is None:
             self.overdue_since = now - age_s
             log_event(
--- a/packages/buckthornwall/src/buckthornwall/router/operators.py
+++ b/packages/buckthornwall/src/buckthornwall/router/operators.py
@@ -43,7 +43,7 @@
         "upstreams": ("Upstreams registered.", len(router.pools.views)),
         "upstreams_aside": (
             "Upstreams set aside.",
-            sum(1 for view in views if view.health.aside),
+            sum(1 for view in views if view.health.ejected),
         ),
         "upstreams_limited": (
             "Upstreams that take only so many requests a second.",
@@ -53,7 +53,7 @@
         "active": ("Requests being answered.", router.callers.active),
         "word_age_seconds": (
             "Age of the speaker's digest that this instance goes by; 0 if it speaks.",
-            router.peers.word_age_s(router.clock.now()),
+            router.peers.staleness_s(router.clock.now()),
         ),
         "upstream_connections": (
             "Connections opened to upstreams.",
@@ -91,7 +91,7 @@
         "quarantine": _describe_quarantine(router, now),
         "fleet": {
             "speaker": fleet.address,
-            "word_age_s": round(router.peers.word_age_s(now), 3),
+            "staleness_s": round(router.peers.staleness_s(now), 3),
             "instances": fleet.count,
             "number": fleet.number,
             "mark": fleet.mark,
@@ -101,7 +101,7 @@
             view.id: {
                 "pool": view.entry.pool,
                 "state": view.entry.state.value,
-                "aside": view.health.aside,
+                "aside": view.health.ejected,
                 "requests": view.load.requests,
                 "in_flight": view.load.in_flight(now),
                 "unread_tokens": view.load.unread_all(),
--- a/packages/buckthornwall/src/buckthornwall/router/tests/test_news.py
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/test_news.py
@@ -50,7 +50,7 @@
     speaker = PeerTable(OTHER, 9.0, ZONE, 0.8, 0.1)
     own = beacon(OTHER, number, read_age_ms)
     digest = speaker.make_digest(own, True, clock.now())
-    exchange.peers.hear_digest(digest, clock.now())
+    exchange.peers.receive_digest(digest, clock.now())
 
 
 def test_a_member_that_is_told_does_not_read(exchange):
--- a/packages/buckthornwall/src/buckthornwall/router/tests/test_news_watch.py
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/test_news_watch.py
@@ -20,7 +20,7 @@
 def test_old_word_is_said_once_and_so_is_its_end(lines, monkeypatch):
     peers = PeerTable("10.0.0.1:7340", 1.0, ZoneId("z"), 0.8, 0.1)
     ages = iter([0.4, 1.5, 2.0, 0.2, 0.3])
-    monkeypatch.setattr(peers, "word_age_s", lambda now: next(ages))
+    monkeypatch.setattr(peers, "staleness_s", lambda now: next(ages))
     monkeypatch.setattr(peers, "speaker_address", lambda now: "10.0.0.2:7340")
     watch = NewsWatch(peers, RoutingTable())
     for now in (10.0, 11.5, 12.0, 12.5, 13.0):
