--- a/packages/buckthornwall/src/buckthornwall/pools/rate_limit.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/rate_limit.py
@@ -2,8 +2,8 @@
 
 An instance sends by a token bucket of its own part of it (`limit_share`), which is
 nothing for most. What one instance learns from an answer it reports to the others; the
-newest report holds, however old: were a limit to lapse where nobody sends, all instances
-would send at once.
+newest report holds, however old: were a limit to lapse where nobody sends, all
+instances would send at once.
 """
 
 import math
