Let a request through as a limit ends, and take two jobs out of the forwarder

A request that came while others still waited for a token of a pool whose limit had just ended was refused with 2003: the queue was asked before it was asked whether the pool is limited. A repeat waited behind them too, though its caller had waited already. Seen in reading, for 10 ms after each end of a limit; test_limit_gate.py has both, and they fail on the order as it was.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/__init__.py
@@ -7,6 +7,9 @@
 `delivery`    what the caller has got so far
 `attempt`     one attempt at one upstream, and how it ended
 `budgets`     this instance's part of the fleet's retries
+`liveness`    whether an upstream has ended, or only a connection to it
+`crash_guard` requests that crash upstreams: what shows it, what follows
+`limit_gate`  who is sent, and who waits, where a pool has rate limits
 `job`         a request on its way through the attempts
 `account`     what is logged and counted of requests
 `forwarder`   the attempts of a request until it is answered or refused
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/crash_guard.py
@@ -0,0 +1,69 @@
+"""What attempts show of requests that crash upstreams, and what follows for them."""
+
+from buckthornwall.codes import Refusal, ResultCode
+from buckthornwall.pools import Choice, PoolTable, UpstreamState
+from buckthornwall.quarantine import QuarantineTable, run_tag
+from buckthornwall.utils import Clock
+
+from .attempt import AttemptEnd, AttemptResult
+from .job import Job
+from .liveness import LivenessChecks
+
+__all__ = ["CrashGuard"]
+
+
+class CrashGuard:
+    """Keeps requests that crash upstreams from them.
+
+    Parameters
+    ----------
+    quarantine
+        Which requests crash upstreams.
+    pools
+        Which upstreams are registered.
+    liveness
+        Tells an upstream that ended from a connection that broke off.
+    clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        quarantine: QuarantineTable,
+        pools: PoolTable,
+        liveness: LivenessChecks,
+        clock: Clock,
+    ) -> None:
+        self.quarantine = quarantine
+        self.pools = pools
+        self.liveness = liveness
+        self.clock = clock
+
+    def refusal(self, job: Job) -> Refusal | None:
+        """Return the refusal of a request that crashes upstreams, None for others."""
+        now = self.clock.now()
+        if not self.quarantine.is_refused(job.fingerprint, now):
+            return None
+        self.quarantine.record_refused(job.fingerprint, now)
+        crashes = self.quarantine.crashes(job.fingerprint)
+        return Refusal(
+            ResultCode.REQUEST_QUARANTINED,
+            f"crashes={crashes}",
+            job.run,
+            self.quarantine.settings.forget_s,
+        )
+
+    async def record(self, job: Job, choice: Choice, result: AttemptResult) -> bool:
+        """Record the end of an attempt; tell whether its upstream ended with it."""
+        entry = choice.view.entry
+        if result.end is AttemptEnd.DONE:
+            now = self.clock.now()
+            self.quarantine.record_success(job.fingerprint, entry.pool, now)
+            return False
+        is_listed = self.pools.views.get(entry.id) is choice.view
+        if not result.is_broken_off or not await self.liveness.has_ended(entry):
+            return False
+        if is_listed and entry.state is UpstreamState.READY:  # else it left as planned
+            tag = run_tag(entry.pool, entry.id, entry.start)
+            self.quarantine.record_end(job.fingerprint, tag, self.clock.now())
+        return True
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -10,7 +10,6 @@
     Choice,
     PoolTable,
     RequestTraits,
-    UpstreamState,
     Verdict,
     choose_upstream,
     expected_s,
@@ -18,7 +17,7 @@
     record_decision,
     retry_after_s,
 )
-from buckthornwall.quarantine import QuarantineTable, fingerprint_of, run_tag
+from buckthornwall.quarantine import QuarantineTable, fingerprint_of
 from buckthornwall.routing import (
     AnswerForm,
     RoutedRequest,
@@ -37,8 +36,10 @@
 from .attempt import Attempt, AttemptEnd, AttemptResult
 from .budgets import RetryBudgets
 from .connections import ConnectionCache
+from .crash_guard import CrashGuard
 from .delivery import Delivery
 from .job import Job
+from .limit_gate import LimitGate
 from .liveness import LivenessChecks
 from .reply import WireCodec
 
@@ -59,10 +60,6 @@
 SILENCE_WAITS = 3.0
 SILENCE_PAUSES = 4.0
 LEAST_REMAINING_S = 0.02
-# A request waits for a token of a limited pool for this part of its target, and looks
-# for one this often.
-TOKEN_TARGETS = 0.5
-TOKEN_LOOK_S = 0.01
 NO_ENGINE_RETRY_S = 0.3
 LEAVING_RETRY_S = 0.05
 
@@ -127,7 +124,6 @@
         quarantine: QuarantineTable,
     ) -> None:
         self.metrics = metrics
-        self.quarantine = quarantine
         self.account = RequestAccount(metrics, clock)
         self.settings = settings
         self.zone = zone
@@ -139,6 +135,8 @@
         connect_timeout_s = settings.connect_timeout_ms / 1000
         self.connections = ConnectionCache(clock, connect_timeout_s)
         self.liveness = LivenessChecks(clock, connect_timeout_s)
+        self.crash_guard = CrashGuard(quarantine, pools, self.liveness, clock)
+        self.limit_gate = LimitGate(pools, clock, self._choose)
 
     async def forward(self, request: RoutedRequest, answer: Answer) -> None:
         """Answer a request.
@@ -208,9 +206,9 @@
     async def _attempts(self, job: Job) -> Refusal | None:
         """Try upstreams until one answers; return why none did."""
         while len(job.tried) < self.settings.most_upstreams:
-            if refusal := self._quarantined(job):
+            if refusal := self.crash_guard.refusal(job):
                 return refusal
-            choice = self._choose(job) or await self._await_token(job)
+            choice = await self.limit_gate.pass_through(job)
             if choice is None:
                 return self._nobody(job)
             if not job.tried and (refusal := self._overloaded(job, choice)):
@@ -223,66 +221,9 @@
         return self._nobody(job)
 
     def _choose(self, job: Job) -> Choice | None:
-        """Return where the request goes now, or None if nowhere."""
-        pool, rank = job.resolution.pool.id, job.resolution.rank
-        queue, now = self.pools.limit_queue(pool), self.clock.now()
-        queue.record_arrival(rank, now)
-        if queue.count_before(rank) or not self._may_take_token(job):
-            return None
-        return self._choose_any(job)
-
-    def _choose_any(self, job: Job) -> Choice | None:
         now = self.clock.now()
         return choose_upstream(self.pools, job.traits, job.tried, self.zone, now)
 
-    def _may_take_token(self, job: Job) -> bool:
-        """Tell whether a limited pool has a token for a request of this rank."""
-        pool, rank = job.resolution.pool.id, job.resolution.rank
-        if not self.pools.is_limited(pool):
-            return True
-        queue = self.pools.limit_queue(pool)
-        is_first = queue.is_most_urgent(rank, self.clock.now())
-        return is_first or self.pools.has_spare_token(pool)
-
-    async def _await_token(self, job: Job) -> Choice | None:
-        """Wait until a limited pool takes the request, or return None at once.
-
-        The most urgent that wait go first. It is not waited where the token would
-        come too late.
-        """
-        pool = job.resolution.pool.id
-        if job.tried or not self.pools.is_limited(pool):
-            return None
-        queue, rank = self.pools.limit_queue(pool), job.resolution.rank
-        wait_s = self.pools.limit_wait_s(pool)
-        if before := queue.count_before(rank):
-            wait_s += before * self.pools.limit_interval_s(pool)
-        until = job.request.received_at + TOKEN_TARGETS * job.resolution.route.target_s
-        if self.clock.now() + wait_s > until:
-            return None
-        with queue.join(rank) as place:
-            while self.clock.now() <= until:
-                is_next = queue.is_next(place) and self._may_take_token(job)
-                if is_next and (choice := self._choose_any(job)):
-                    queue.record_given()
-                    return choice
-                await trio.sleep(TOKEN_LOOK_S)
-        return None
-
-    def _quarantined(self, job: Job) -> Refusal | None:
-        """Return the refusal of a request that crashes upstreams, if it does."""
-        now = self.clock.now()
-        if not self.quarantine.is_refused(job.fingerprint, now):
-            return None
-        self.quarantine.record_refused(job.fingerprint, now)
-        crashes = self.quarantine.crashes(job.fingerprint)
-        return Refusal(
-            ResultCode.REQUEST_QUARANTINED,
-            f"crashes={crashes}",
-            job.run,
-            self.quarantine.settings.forget_s,
-        )
-
     def _overloaded(self, job: Job, choice: Choice) -> Refusal | None:
         """Return the refusal of a request that would come far too late, if any."""
         now = self.clock.now()
@@ -331,30 +272,13 @@
         else:
             job.arrivals += 1
         self._judge(choice, result)
-        ended = await self._note_crash(job, choice, result)
+        ended = await self.crash_guard.record(job, choice, result)
         self.account.attempted(job, choice, result, sent_at, ended)
         self._note_pace(job, choice, sent_at)
         if result.end is not AttemptEnd.DONE:
             job.detail = result.detail
         return result
 
-    async def _note_crash(
-        self, job: Job, choice: Choice, result: AttemptResult
-    ) -> bool:
-        """Let a request's end count for or against it; tell if its upstream ended."""
-        entry = choice.view.entry
-        if result.end is AttemptEnd.DONE:
-            now = self.clock.now()
-            self.quarantine.record_success(job.fingerprint, entry.pool, now)
-            return False
-        is_listed = self.pools.views.get(entry.id) is choice.view
-        if not result.is_broken_off or not await self.liveness.has_ended(entry):
-            return False
-        if is_listed and entry.state is UpstreamState.READY:  # else it left as planned
-            tag = run_tag(entry.pool, entry.id, entry.start)
-            self.quarantine.record_end(job.fingerprint, tag, self.clock.now())
-        return True
-
     def _note_pace(self, job: Job, choice: Choice, sent_at: float) -> None:
         first_at = job.delivery.first_at
         if job.request.prompt is None or first_at is None:
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/limit_gate.py
@@ -0,0 +1,82 @@
+"""When a request may be sent to a pool all of whose upstreams have a rate limit."""
+
+from collections.abc import Callable
+
+import trio
+
+from buckthornwall.pools import Choice, PoolTable
+from buckthornwall.utils import Clock
+
+from .job import Job
+
+__all__ = ["LimitGate"]
+
+# A request waits for a token for this part of its target, and looks for one this often.
+MAX_WAIT_TARGETS = 0.5
+POLL_INTERVAL_S = 0.01
+
+
+class LimitGate:
+    """Lets requests through in the order of urgency, as tokens come.
+
+    Parameters
+    ----------
+    pools
+        What is known of upstreams, and who waits.
+    clock
+        Source of time.
+    choose
+        Returns where a request goes now, or None if nowhere.
+    """
+
+    def __init__(
+        self, pools: PoolTable, clock: Clock, choose: Callable[[Job], Choice | None]
+    ) -> None:
+        self.pools = pools
+        self.clock = clock
+        self.choose = choose
+
+    async def pass_through(self, job: Job) -> Choice | None:
+        """Return where a request goes, once a token is there; None if none comes soon.
+
+        Repeats do not wait: their callers have waited already.
+        """
+        pool, rank = job.resolution.pool.id, job.resolution.rank
+        queue = self.pools.limit_queue(pool)
+        queue.record_arrival(rank, self.clock.now())
+        if job.tried or not self.pools.is_limited(pool):
+            return self.choose(job)
+        if not queue.count_before(rank) and (choice := self._take(job)):
+            return choice
+        return await self._wait(job)
+
+    def _take(self, job: Job) -> Choice | None:
+        """Return where a request goes, if there is a token for its rank."""
+        pool, rank = job.resolution.pool.id, job.resolution.rank
+        queue = self.pools.limit_queue(pool)
+        is_first = queue.is_most_urgent(rank, self.clock.now())
+        if is_first or self.pools.has_spare_token(pool):
+            return self.choose(job)
+        return None
+
+    async def _wait(self, job: Job) -> Choice | None:
+        pool, rank = job.resolution.pool.id, job.resolution.rank
+        queue = self.pools.limit_queue(pool)
+        target_s = job.resolution.route.target_s
+        until = job.request.received_at + MAX_WAIT_TARGETS * target_s
+        if self.clock.now() + self._expected_wait_s(job) > until:
+            return None
+        with queue.join(rank) as place:
+            while self.clock.now() <= until:
+                if queue.is_next(place) and (choice := self._take(job)):
+                    queue.record_given()
+                    return choice
+                await trio.sleep(POLL_INTERVAL_S)
+        return None
+
+    def _expected_wait_s(self, job: Job) -> float:
+        """Return how long a request would wait for a token, in seconds."""
+        pool = job.resolution.pool.id
+        wait_s = self.pools.limit_wait_s(pool)
+        before = self.pools.limit_queue(pool).count_before(job.resolution.rank)
+        return wait_s + before * self.pools.limit_interval_s(pool) if before else wait_s
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_limit_gate.py
@@ -0,0 +1,94 @@
+"""Tests of who is sent, waits or is turned away at a pool with rate limits."""
+
+from types import SimpleNamespace
+
+import pytest
+import trio
+
+from buckthornwall.forwarding.limit_gate import LimitGate
+from buckthornwall.pools import PoolTable, UpstreamEntry, UpstreamState
+from buckthornwall.pools.rate_limit import UNLIMITED
+from buckthornwall.routing import PoolId
+from buckthornwall.utils import TrioClock, UpstreamId, ZoneId
+
+POOL = PoolId("p")
+URGENT, ROUTINE = 1, 7
+
+
+class Gate:
+    """A gate before one upstream; `sent` are the ranks that it let through."""
+
+    def __init__(self):
+        self.clock = TrioClock()
+        self.pools = PoolTable(self.clock)
+        name, zone = UpstreamId("a"), ZoneId("z")
+        entry = UpstreamEntry(name, POOL, "h:1", zone, 8, UpstreamState.READY)
+        self.pools.adopt(entry)
+        self.view = self.pools.views[name]
+        self.gate = LimitGate(self.pools, self.clock, self.choose)
+        self.sent = []
+
+    def limit(self, own_per_s):
+        self.pools.record_rate_limit(self.view, 100.0)
+        self.view.rate_limit.share(own_per_s, self.clock.now())
+
+    def choose(self, job):
+        if not self.pools.usable(POOL, job.tried):
+            return None
+        self.view.rate_limit.take(self.clock.now())
+        return self.view
+
+    async def ask(self, rank, target_s=1.0, tried=frozenset()):
+        job = SimpleNamespace(
+            tried=tried,
+            request=SimpleNamespace(received_at=self.clock.now()),
+            resolution=SimpleNamespace(
+                pool=SimpleNamespace(id=POOL),
+                rank=rank,
+                route=SimpleNamespace(target_s=target_s),
+            ),
+        )
+        choice = await self.gate.pass_through(job)
+        if choice is not None:
+            self.sent.append(rank)
+        return choice
+
+
+@pytest.fixture
+async def gate():
+    return Gate()
+
+
+async def test_a_request_goes_on_at_once_where_nothing_is_limited(gate):
+    assert await gate.ask(ROUTINE)
+
+
+async def test_the_most_urgent_that_wait_go_first(autojump_clock, gate, nursery):
+    gate.limit(5.0)
+    for rank in (ROUTINE, URGENT):
+        nursery.start_soon(gate.ask, rank, 4.0)
+        await trio.sleep(0.01)
+    await trio.sleep(3.0)
+    assert gate.sent == [URGENT, ROUTINE]
+
+
+async def test_nobody_waits_for_a_token_that_comes_too_late(autojump_clock, gate):
+    gate.limit(0.5)
+    began = trio.current_time()
+    assert await gate.ask(URGENT) is None
+    assert trio.current_time() == began
+
+
+async def test_who_comes_as_a_limit_ends_is_not_turned_away(autojump_clock, gate):
+    """Others still waited for a token, and it was refused behind them."""
+    gate.limit(2.0)
+    with gate.pools.limit_queue(POOL).join(URGENT):
+        gate.pools.record_rate_limit(gate.view, UNLIMITED)
+        assert await gate.ask(ROUTINE)
+
+
+async def test_a_repeat_does_not_wait_behind_others(autojump_clock, gate):
+    gate.limit(2.0)
+    await trio.sleep(1.0)
+    with gate.pools.limit_queue(POOL).join(URGENT):
+        assert await gate.ask(ROUTINE, tried=frozenset({"b"}))
