Test that an instance which joins is told of requests that crash engines

It is ready once it has its configuration and may send such a request until its speaker has told it: a greeting, its answer and a turn, 0.25 s in a simulated fleet. Open: an instance could hold its first requests until then, which would cost each start of all together.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_crash_reports.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_crash_reports.py
@@ -11,6 +11,8 @@
 # Of the 3 s after which sends count.
 KNOWN_S = 1.0
 KNOWN_WITH_LOSSES_S = 3.0
+# A greeting and its answer, and a turn of the speaker.
+JOINED_S = 0.25
 REQUEST = Fingerprint(7)
 
 
@@ -72,6 +74,17 @@
     assert len(refusing(fleet)) == 6
 
 
+async def test_an_instance_that_joins_is_told_at_once(autojump_clock, nursery):
+    """It is ready once it has its configuration, and sends what it knows nothing of."""
+    fleet = await settled(nursery, 2, 3)
+    for upstream in "abc":
+        end_at(fleet.peers["10.1.0.2:7340"], upstream)
+    await trio.sleep(KNOWN_S)
+    newcomer = fleet.start("10.1.0.99:7340", "z1")
+    await trio.sleep(JOINED_S)
+    assert newcomer in refusing(fleet)
+
+
 async def test_who_was_cut_off_is_told_once_it_is_back(autojump_clock, nursery):
     fleet = await settled(nursery, 3, 2)
     fleet.network.isolated = {"10.2.0.1:7340", "10.2.0.2:7340"}
