Hold the first requests of an instance until it knows what the others refuse

An instance that starts is ready once it has its configuration, and callers that came while it started are served at once: before its speaker has told it which requests crash engines. Requests now wait until a peer is found to know the same, 0.5 s after it is ready at most, which only an instance without any peer waits in full. Ruled out: telling it with the first configuration, as an instance that knows no speaker yet reads that by itself.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_router.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_router.py
@@ -5,7 +5,10 @@
 import pytest
 import trio
 from buckthornwall.http1 import ClientConnection, ExchangeError
+from buckthornwall.quarantine import fingerprint_of, run_tag
 from buckthornwall.router import Router
+from buckthornwall.routing import PoolId, RoutedRequest
+from buckthornwall.utils import TeamId
 
 from buckthornwall_standins.users_platform import (
     Deployment,
@@ -33,6 +36,7 @@
         self.routers: dict[int, Router] = {}
         self.scopes: dict[int, trio.CancelScope] = {}
         self.ended: dict[int, trio.Event] = {}
+        self.digest_ms = 100.0
 
     async def start(self, instances: int) -> None:
         await self.nursery.start(self.store.run, f"127.0.9.1:{self.ports + 4}")
@@ -56,7 +60,9 @@
         await self.until(lambda: self.routers[number].state.name == "READY")
 
     async def _run_router(self, number: int) -> None:
-        router = Router.from_config(make_settings(number, [1, 2], self.ports))
+        settings = make_settings(number, [1, 2], self.ports)
+        settings.peers.digest_ms = self.digest_ms
+        router = Router.from_config(settings)
         self.ended[number] = trio.Event()
         with trio.CancelScope() as scope:
             self.scopes[number] = scope
@@ -323,3 +329,21 @@
             body += data
         assert mark in body
     connection.close()
+
+
+async def test_an_instance_that_starts_does_not_send_what_others_refuse(site):
+    """Requests that came while it started were sent on before it was told."""
+    site.digest_ms = 250.0
+    await site.start(2)
+    request = RoutedRequest("", b"POST", b"/once/x", HOST, "", [], b"hi", 0.0)
+    for upstream in ("a", "b", "c"):
+        router = site.routers[1]
+        tag = run_tag(PoolId(DRAFTS), upstream, "")
+        fingerprint = fingerprint_of(request, TeamId("one"))
+        router.quarantine.record_end(fingerprint, tag, router.clock.now())
+    await trio.sleep(1.0)
+    await site.add_router(3)
+    status, _, _ = await site.call("/once/x", 3, prompt=True)
+    assert status == 503
+    assert not site.upstreams["e1"].runs
+    assert not site.upstreams["e2"].runs
--- a/packages/buckthornwall/src/buckthornwall/peers/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/agent.py
@@ -356,7 +356,7 @@
             await self._greet_one(digest.address)
             return
         self.table.receive_digest(digest, now)
-        if not digest.age_ms and not digest.points_only:
+        if not digest.points_only:
             self._compare(digest, now)
         if is_own_zone and self.table.is_outranked(digest, now):
             await self._redirect(digest.address, now)
--- a/packages/buckthornwall/src/buckthornwall/peers/crash_exchange.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/crash_exchange.py
@@ -37,15 +37,22 @@
     ----------
     table
         What is known here.
+
+    Attributes
+    ----------
+    was_in_sync : bool
+        Whether this instance has once known what another one knew.
     """
 
     def __init__(self, table: QuarantineTable) -> None:
         self.table = table
+        self.was_in_sync = False
         self._differing: dict[str, _Difference] = {}
 
     def note_checksum(self, address: str, checksum: int, now: float) -> None:
         """Compare what another instance knows with what is known here."""
         if checksum == self.table.checksum:
+            self.was_in_sync = True
             self._differing.pop(address, None)
         elif address not in self._differing:
             knows_nothing = checksum == 0
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -51,6 +51,10 @@
 # long, in seconds, and is then refused as not run: that version is read sooner than a
 # refused caller would come back.
 FIRST_VERSION_S = 0.25
+# An instance that starts holds requests until a peer has told it which ones crash
+# upstreams, for so many seconds at most.
+FIRST_SYNC_S = 0.5
+SYNC_POLL_S = 0.01
 OPERATOR_LIMITS = ServerLimits(8192, 0, 3.0, 30.0)
 
 
@@ -75,6 +79,7 @@
         self.early = EarlyListeners()
         self.first_version = trio.Event()
         self.callers_listen = False
+        self.ready_at = float("-inf")
         self.stopping = trio.Event()
         self.refusing = False
 
@@ -222,6 +227,7 @@
     def _news_adopted(self) -> None:
         if self.state is PeerState.JOINING and self.table.number:
             self.state = PeerState.READY
+            self.ready_at = self.clock.now()
             self.first_version.set()
             log_event(
                 "ready",
@@ -252,8 +258,15 @@
         if not self.table.number:
             with trio.move_on_after(FIRST_VERSION_S):
                 await self.first_version.wait()
+        await self._first_sync()
         await self.forwarder.forward(request, answer)
 
+    async def _first_sync(self) -> None:
+        """Wait until this instance knows what others refuse, if it has just started."""
+        until = self.ready_at + FIRST_SYNC_S
+        while not self.peer_agent.crashes.was_in_sync and self.clock.now() < until:
+            await trio.sleep(SYNC_POLL_S)
+
     async def _handle_readiness(
         self, incoming: IncomingRequest, answer: Answer
     ) -> None:
