--- a/packages/buckthornwall-standins/src/buckthornwall_standins/crash_soak.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/crash_soak.py
@@ -8,7 +8,6 @@
 
 import argparse
 import itertools
-import random
 import sys
 import tempfile
 from collections import Counter
@@ -16,18 +15,15 @@
 from pathlib import Path
 
 import trio
-from buckthornwall.http1 import ClientConnection, ExchangeError
 
-from .soak_instances import SoakInstances
-from .users_platform import Deployment, Store, Upstream
+from .soak_run import PATIENCE_S, SoakRun
+from .users_platform import Upstream
 from .users_platform.crashing import CRASHING, CrashingEngine
 from .users_platform.deployment import DRAFTS, HOST, KEY, ORDERS, route
 from .users_platform.wire import call_headers
 
 __all__ = ["CrashSoak", "Limits", "Sending", "find_late", "main"]
 
-SETTLE_S = 3.0
-PATIENCE_S = 3.0
 # When the registration of an engine that ended is removed, and when it is back.
 LAPSE_S = 1.5
 DOWN_S = 2.0
@@ -99,25 +95,15 @@
     return late
 
 
-class CrashSoak:
-    """One run.
+class CrashSoak(SoakRun):
+    """One run; see `SoakRun` for what is not named here.
 
     Parameters
     ----------
-    seed
-        Draws who is asked, and when.
-    seconds
-        How long callers come.
-    ports
-        First of five ports that all instances share.
-    folder
-        Where settings and logs go.
-    instances, engines
-        How many of each.
+    engines
+        How many there are.
     crashing
         How many different requests crash engines.
-    restarts
-        Whether instances are killed and started in turn.
     """
 
     def __init__(
@@ -131,40 +117,19 @@
         crashing: int = 1,
         restarts: bool = False,
     ) -> None:
-        self.draw = random.Random(seed)
-        self.seconds = seconds
-        self.ports = ports
-        self.count = instances
+        super().__init__(seed, seconds, ports, folder, instances, restarts)
         self.engines = engines
         self.bodies = [CRASHING + b"-%d" % n for n in range(crashing)]
-        self.restarts = restarts
-        self.store = Store()
-        self.deployment = Deployment(self.store)
-        self.instances = SoakInstances(ports, folder)
         self.sendings: dict[str, Sending] = {}
         self.arrivals: list[Arrival] = []
         self.ends: list[tuple[float, bytes]] = []
-        self.started: list[tuple[float, int]] = []
-        self.statuses: Counter[tuple[str, str]] = Counter()
-        self._numbers = itertools.count(1)
-
-    async def run(self) -> None:
-        """Start all, play the load, and end the instances."""
-        async with trio.open_nursery() as nursery:
-            await self._start(nursery)
-            try:
-                with trio.move_on_after(self.seconds):
-                    await self._play()
-            finally:
-                self.instances.end()
-            nursery.cancel_scope.cancel()
 
     def late(self, limits: Limits) -> list[Arrival]:
         """Return the arrivals that count against `limits`."""
         return find_late(self.arrivals, self.ends, self.started, limits)
 
-    async def _start(self, nursery: trio.Nursery) -> None:
-        await nursery.start(self.store.run, f"127.0.9.1:{self.ports + 4}")
+    async def start_upstreams(self, nursery: trio.Nursery) -> None:
+        """Publish a configuration, start upstreams and register them."""
         self.deployment.slots = 32
         self.deployment.routes = [
             route("once", "/once/", "stream", DRAFTS, max_attempts=1),
@@ -177,10 +142,6 @@
         address = f"127.0.7.200:{self.ports}"
         await nursery.start(Upstream("s1").run, address)
         self.deployment.register("s1", ORDERS, address)
-        for number in range(1, self.count + 1):
-            self.instances.start(number)
-        await self.instances.until_ready()
-        await trio.sleep(SETTLE_S)
 
     async def _keep_engine(
         self, address: str, *, task_status=trio.TASK_STATUS_IGNORED
@@ -188,7 +149,7 @@
         """Run incarnations of one engine, each under an id of its own."""
         while True:
             engine = CrashingEngine(
-                f"e{next(self._numbers)}", event_s=0.05, on_arrival=self._note_arrival
+                f"e{next(self.numbers)}", event_s=0.05, on_arrival=self._note_arrival
             )
             async with trio.open_nursery() as nursery:
                 await nursery.start(engine.run_until_crash, address)
@@ -205,14 +166,12 @@
         if sending.body in self.bodies:
             self.arrivals.append(Arrival(sending, trio.current_time()))
 
-    async def _play(self) -> None:
-        async with trio.open_nursery() as callers:
-            for body in self.bodies:
-                callers.start_soon(self._send_again, body, callers)
-            for path, per_s in (("once", 10.0), ("draft", 10.0), ("look", 5.0)):
-                callers.start_soon(self._come, path, per_s, callers)
-            if self.restarts:
-                callers.start_soon(self._restart_in_turn)
+    async def play(self, callers: trio.Nursery) -> None:
+        """Let callers come, some with a request that crashes engines."""
+        for body in self.bodies:
+            callers.start_soon(self._send_again, body, callers)
+        for path, per_s in (("once", 10.0), ("draft", 10.0), ("look", 5.0)):
+            callers.start_soon(self._come, path, per_s, callers)
 
     async def _send_again(self, body: bytes, callers: trio.Nursery) -> None:
         while True:
@@ -225,44 +184,14 @@
             callers.start_soon(self._call, path, body)
             await trio.sleep(self.draw.expovariate(per_s))
 
-    async def _restart_in_turn(self) -> None:
-        for number in itertools.cycle(range(1, self.count + 1)):
-            await trio.sleep(1.5)
-            self.instances.processes[number].kill()
-            self.instances.processes[number].wait()
-            self.started.append((trio.current_time(), number))
-            await trio.sleep(0.5)
-            self.instances.start(number)
-            self.started.append((trio.current_time(), number))
-
     async def _call(self, path: str, body: bytes) -> None:
-        request = f"r{next(self._numbers)}"
+        request = f"r{next(self.numbers)}"
         number = self.draw.randint(1, self.count)
         self.sendings[request] = Sending(body, number, trio.current_time())
         prompt = None if path == "look" else ("900,10", f"aa:600,{request[1:]}:300")
         headers = call_headers(request, HOST, KEY, PATIENCE_S, prompt, body)
         kind = "crashing" if body in self.bodies else path
-        self.statuses[kind, await self._exchange(number, path, headers, body)] += 1
-
-    async def _exchange(
-        self, number: int, path: str, headers: list[tuple[bytes, bytes]], body: bytes
-    ) -> str:
-        connection = None
-        with trio.move_on_after(PATIENCE_S):
-            try:
-                address = f"127.0.8.{number}:{self.ports}"
-                connection = await ClientConnection.connect(address, 1.0)
-                await connection.send(b"POST", f"/{path}/x".encode(), headers, body)
-                head = await connection.receive_head()
-                while await connection.receive_data():
-                    pass
-                return str(head.status)
-            except ExchangeError as error:
-                return error.failure.value
-            finally:
-                if connection is not None:
-                    connection.close()
-        return "left"
+        self.statuses[kind, await self.exchange(number, path, headers, body)] += 1
 
 
 def main(arguments: list[str] | None = None) -> int:
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/limit_soak.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/limit_soak.py
@@ -6,28 +6,22 @@
 """
 
 import argparse
-import itertools
-import random
 import sys
 import tempfile
-from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
 
 import trio
-from buckthornwall.http1 import ClientConnection, ExchangeError
 
-from .soak_instances import SoakInstances
-from .users_platform import Deployment, Store, Upstream
+from .soak_run import PATIENCE_S, SoakRun
+from .users_platform import Upstream
 from .users_platform.deployment import DRAFTS, HOST, KEY, ORDERS, route
 from .users_platform.wire import call_headers
 
 __all__ = ["Allowance", "LimitSoak", "main", "most_in_window"]
 
-SETTLE_S = 3.0
 # When limits are named, after the first caller.
 NAMED_S = 3.0
-PATIENCE_S = 3.0
 # Different shared parts of prompts, so that all engines have work.
 SUBJECTS = 24
 
@@ -56,25 +50,15 @@
     return most
 
 
-class LimitSoak:
-    """One run.
+class LimitSoak(SoakRun):
+    """One run; see `SoakRun` for what is not named here.
 
     Parameters
     ----------
-    seed
-        Draws who is asked, and when.
-    seconds
-        How long callers come.
-    ports
-        First of five ports that all instances share.
-    folder
-        Where settings and logs go.
-    instances, engines
-        How many of each.
+    engines
+        How many there are.
     limited, per_s
         How many engines name a limit, and which.
-    restarts
-        Whether instances are killed and started in turn.
     """
 
     def __init__(
@@ -89,35 +73,14 @@
         per_s: float,
         restarts: bool = False,
     ) -> None:
-        self.draw = random.Random(seed)
-        self.seconds = seconds
-        self.ports = ports
-        self.count = instances
+        super().__init__(seed, seconds, ports, folder, instances, restarts)
         self.limited = limited
         self.per_s = per_s
-        self.restarts = restarts
         self.upstreams = [Upstream(f"e{n}", event_s=0.05) for n in range(engines)]
         self.services = [Upstream(f"s{n}") for n in range(3)]
-        self.store = Store()
-        self.deployment = Deployment(self.store)
-        self.instances = SoakInstances(ports, folder)
         self.arrivals: dict[str, list[tuple[float, int]]] = {}
         self.asked: dict[str, int] = {}
-        self.started: list[tuple[float, int]] = []
         self.named_at = 0.0
-        self.statuses: Counter[tuple[str, str]] = Counter()
-        self._numbers = itertools.count(1)
-
-    async def run(self) -> None:
-        """Start all, play the load, and end the instances."""
-        async with trio.open_nursery() as nursery:
-            await self._start(nursery)
-            try:
-                with trio.move_on_after(self.seconds):
-                    await self._play()
-            finally:
-                self.instances.end()
-            nursery.cancel_scope.cancel()
 
     def most(self, allowance: Allowance) -> dict[str, int]:
         """Return the most requests in a window at each upstream that names a limit.
@@ -141,8 +104,8 @@
     def _limited(self) -> list[Upstream]:
         return [*self.upstreams[: self.limited], self.services[0]]
 
-    async def _start(self, nursery: trio.Nursery) -> None:
-        await nursery.start(self.store.run, f"127.0.9.1:{self.ports + 4}")
+    async def start_upstreams(self, nursery: trio.Nursery) -> None:
+        """Publish a configuration, start upstreams and register them."""
         self.deployment.slots = 32
         self.deployment.routes = [
             route("once", "/once/", "stream", DRAFTS, max_attempts=1),
@@ -157,10 +120,6 @@
                 upstream.on_arrival = self._make_counter(upstream.id)
                 await nursery.start(upstream.run, address)
                 self.deployment.register(upstream.id, pool, address)
-        for number in range(1, self.count + 1):
-            self.instances.start(number)
-        await self.instances.until_ready()
-        await trio.sleep(SETTLE_S)
 
     def _make_counter(self, upstream: str):
         arrivals = self.arrivals.setdefault(upstream, [])
@@ -170,61 +129,29 @@
 
         return count
 
-    async def _play(self) -> None:
-        async with trio.open_nursery() as callers:
-            for path, per_s in (("once", 15.0), ("draft", 10.0), ("look", 15.0)):
-                callers.start_soon(self._come, path, per_s, callers)
-            if self.restarts:
-                callers.start_soon(self._restart_in_turn)
-            await trio.sleep(NAMED_S)
-            self.named_at = trio.current_time()
-            for upstream in self._limited():
-                upstream.rate_limit = f"{self.per_s:g}"
+    async def play(self, callers: trio.Nursery) -> None:
+        """Let callers come, and upstreams name their limits a while later."""
+        for path, per_s in (("once", 15.0), ("draft", 10.0), ("look", 15.0)):
+            callers.start_soon(self._come, path, per_s, callers)
+        await trio.sleep(NAMED_S)
+        self.named_at = trio.current_time()
+        for upstream in self._limited():
+            upstream.rate_limit = f"{self.per_s:g}"
 
     async def _come(self, path: str, per_s: float, callers: trio.Nursery) -> None:
         while True:
             callers.start_soon(self._call, path)
             await trio.sleep(self.draw.expovariate(per_s))
 
-    async def _restart_in_turn(self) -> None:
-        for number in itertools.cycle(range(1, self.count + 1)):
-            await trio.sleep(1.5)
-            self.instances.processes[number].kill()
-            self.instances.processes[number].wait()
-            self.started.append((trio.current_time(), number))
-            await trio.sleep(0.5)
-            self.instances.start(number)
-            self.started.append((trio.current_time(), number))
-
     async def _call(self, path: str) -> None:
-        request = f"r{next(self._numbers)}"
+        request = f"r{next(self.numbers)}"
         number = self.asked[request] = self.draw.randint(1, self.count)
         subject = f"{self.draw.randrange(SUBJECTS):x}a"
         prompt = None
         if path != "look":
             prompt = ("900,10", f"{subject}:600,{request[1:]}:300")
         headers = call_headers(request, HOST, KEY, PATIENCE_S, prompt)
-        self.statuses[path, await self._exchange(number, path, headers)] += 1
-
-    async def _exchange(
-        self, number: int, path: str, headers: list[tuple[bytes, bytes]]
-    ) -> str:
-        connection = None
-        with trio.move_on_after(PATIENCE_S):
-            try:
-                address = f"127.0.8.{number}:{self.ports}"
-                connection = await ClientConnection.connect(address, 1.0)
-                await connection.send(b"POST", f"/{path}/x".encode(), headers, b"")
-                head = await connection.receive_head()
-                while await connection.receive_data():
-                    pass
-                return str(head.status)
-            except ExchangeError as error:
-                return error.failure.value
-            finally:
-                if connection is not None:
-                    connection.close()
-        return "left"
+        self.statuses[path, await self.exchange(number, path, headers)] += 1
 
 
 def main(arguments: list[str] | None = None) -> int:
--- a/packages/buckthornwall/src/buckthornwall/quarantine/table.py
+++ b/packages/buckthornwall/src/buckthornwall/quarantine/table.py
@@ -143,11 +143,6 @@
         """Return reports on all that is known."""
         return [self._report(fingerprint, now) for fingerprint in self.records]
 
-    @property
-    def has_changed(self) -> bool:
-        """Whether others are still to be told of a change."""
-        return bool(self._changed)
-
     def _report(self, fingerprint: Fingerprint, now: float) -> CrashReport:
         record = self.records[fingerprint]
         record.told_at = now
