--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
@@ -109,6 +109,8 @@
             self.state = PeerState.READY
 
     def _work_told(self) -> None:
+        if not self.pools.views:
+            return
         limits = self.agent.table.limits(self.make_beacon(), self.clock.now())
         self.pools.receive_limits(limits)
 
