Send nothing to the upstreams of an evacuated zone

The operator may ask that a zone's upstreams get nothing more until the request is taken back. Nothing read those records, so instances of all zones went on sending to both services of an emptied zone for as long as it lasted.

The records now come the way of all news: by the reader's watch, by complete reads and by views that instances hand each other. What cannot be read, and zones that nobody knows, are refused with a line and change nothing. First attempts, repeats, resumed streams and copies of memory all choose among the upstreams that `PoolTable` calls ready, which leaves evacuated zones out; what runs there ends by itself. Where nobody else is left, callers get 503 with a code of its own.

--- /dev/null
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/router_views.py
@@ -0,0 +1,25 @@
+"""What an instance behind a balancer looks like, as text."""
+
+from typing import Any
+
+__all__ = ["is_router", "router_lines"]
+
+
+def is_router(status: dict[str, Any]) -> bool:
+    """Tell whether a status is that of an instance behind a balancer."""
+    return "fleet" in status
+
+
+def router_lines(status: dict[str, Any]) -> list[str]:
+    """Return a line of the instance, and one of each zone that is evacuated."""
+    upstreams = status["upstreams"].values()
+    in_use = sum(1 for each in upstreams if not each["aside"])
+    lines = [
+        f"{status['node']:<32}{status['state']:<9}{status['number']:>8}"
+        f"  {status['active']:>9}  {in_use} of {len(upstreams)} upstreams"
+    ]
+    lines += [
+        f"  evacuated: {zone} since revision {revision}"
+        for zone, revision in sorted(status["evacuated"].items())
+    ]
+    return lines
--- /dev/null
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/tests/test_router_views.py
@@ -0,0 +1,25 @@
+"""Tests of what operators see of instances behind a balancer."""
+
+from buckthornwall_ctl.router_views import is_router, router_lines
+
+UPSTREAM = {"aside": False}
+STATUS = {
+    "node": "front-1",
+    "state": "ready",
+    "number": 7,
+    "active": 3,
+    "fleet": {},
+    "evacuated": {"north": 41},
+    "upstreams": {"a": UPSTREAM, "b": {"aside": True}},
+}
+
+
+def test_an_evacuated_zone_is_shown_below_its_instance():
+    first, second = router_lines(STATUS)
+    assert first.split() == ["front-1", "ready", "7", "3", "1", "of", "2", "upstreams"]
+    assert second == "  evacuated: north since revision 41"
+
+
+def test_the_two_kinds_of_instances_are_told_apart():
+    assert is_router(STATUS)
+    assert not is_router({"records": {}})
--- a/packages/buckthornwall-ctl/src/buckthornwall_ctl/views.py
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/views.py
@@ -5,6 +5,7 @@
 from buckthornwall.codes import PeerError
 
 from .client import read_json
+from .router_views import is_router, router_lines
 
 __all__ = ["fleet_lines"]
 
@@ -44,6 +45,10 @@
             lines.append(f"{address}: {error}")
             failed += 1
             continue
+        if is_router(status):
+            numbers.add((status["number"], ""))
+            lines += router_lines(status)
+            continue
         numbers.add((status["records"]["number"], status["records"]["digest"]))
         lines.append(_line(status))
         lines += [
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
@@ -27,7 +27,7 @@
 
 
 class SimFeed:
-    """The store as one instance reaches it; a change is a number."""
+    """The store as one instance reaches it; a change is a number or a record."""
 
     def __init__(self, simulation: "PeersSimulation", address: str) -> None:
         self.simulation = simulation
@@ -52,7 +52,15 @@
             raise PeerError(ResultCode.PLATFORM_UNREACHABLE, "no answer in time")
         await trio.sleep(STORE_DELAY_S)
         number = self.simulation.number
-        return News(number, whole, number, b"%d" % number)
+        return News(
+            number,
+            whole,
+            number,
+            b"%d" % number,
+            dict(self.simulation.entries),
+            evacuated=dict(self.simulation.evacuated),
+            reopened=dict(self.simulation.reopened),
+        )
 
 
 def decode_number(raw: bytes) -> Published:
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/simulation.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/simulation.py
@@ -6,8 +6,8 @@
 import trio
 from buckthornwall.peers import Work
 from buckthornwall.peers.order import order_of
-from buckthornwall.pools import HeldParts
-from buckthornwall.utils import UpstreamId
+from buckthornwall.pools import HeldParts, UpstreamEntry
+from buckthornwall.utils import UpstreamId, ZoneId
 
 from .network import SimNetwork
 from .peer import SimPeer
@@ -39,6 +39,10 @@
     make_loads, make_held
         Return the work that an instance has at upstreams, and the parts of prompts
         that it tells of, by its address.
+    entries : dict
+        Upstreams that are registered.
+    evacuated, reopened : dict
+        Zones, and the changes by which they were evacuated or reopened.
     """
 
     def __init__(self, nursery: trio.Nursery, seed: int = 1) -> None:
@@ -49,6 +53,9 @@
         self.make_loads: Callable[[str], dict[UpstreamId, Work]] = lambda address: {}
         self.make_held: Callable[[str], HeldParts] = lambda address: {}
         self.without_store: set[str] = set()
+        self.entries: dict[UpstreamId, UpstreamEntry] = {}
+        self.evacuated: dict[ZoneId, int] = {}
+        self.reopened: dict[ZoneId, int] = {}
         self.number = 1
         self.changed = trio.Event()
         self._changed_at: deque[float] = deque([trio.current_time()])
@@ -57,10 +64,27 @@
         """Change the store again and again."""
         while True:
             await trio.sleep(CHANGE_S)
-            self.number += 1
-            self._changed_at.append(trio.current_time())
-            self.changed.set()
-            self.changed = trio.Event()
+            self.change_once()
+
+    def change_once(self) -> int:
+        """Change the store; return the number of the change."""
+        self.number += 1
+        self._changed_at.append(trio.current_time())
+        self.changed.set()
+        self.changed = trio.Event()
+        return self.number
+
+    def evacuate(self, zone: ZoneId) -> None:
+        """Write the record of a zone's evacuation."""
+        self.evacuated[zone] = self.number + 1
+        self.reopened.pop(zone, None)
+        self.change_once()
+
+    def reopen(self, zone: ZoneId) -> None:
+        """Remove the record of a zone's evacuation."""
+        del self.evacuated[zone]
+        self.reopened[zone] = self.number + 1
+        self.change_once()
 
     def behind_s(self, number: int) -> float:
         """Return for how long a newer change than `number` has been there."""
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_router.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_router.py
@@ -1,6 +1,7 @@
 """Tests of whole instances behind a stand-in of the users' platform."""
 
 import itertools
+import json
 
 import pytest
 import trio
@@ -46,12 +47,14 @@
         for number in range(1, instances + 1):
             await self.add_router(number)
 
-    async def add_upstream(self, name: str, service: str) -> Upstream:
+    async def add_upstream(
+        self, name: str, service: str, zone: str = "zone-1"
+    ) -> Upstream:
         number = len(self.upstreams) + 1
         address = f"127.0.7.{number}:{self.ports}"
         upstream = self.upstreams[name] = Upstream(name)
         await self.nursery.start(upstream.run, address)
-        self.deployment.register(name, service, address)
+        self.deployment.register(name, service, address, zone=zone)
         return upstream
 
     async def add_router(self, number: int) -> None:
@@ -180,6 +183,38 @@
             await trio.sleep(0.05)
 
 
+async def test_an_evacuated_zone_gets_no_work_until_it_is_reopened(site):
+    """Requests went on to a zone's upstreams after the operator had it emptied."""
+    await site.start(2)
+    far = await site.add_upstream("e3", DRAFTS, "zone-0")
+    routers = site.routers.values()
+    await site.until(lambda: all("e3" in router.pools.views for router in routers))
+    site.deployment.evacuate("zone-1")
+    await site.until(lambda: all(r.pools.evacuations.zones() for r in routers))
+    before = sum(site.upstreams["e1"].runs.values())
+    for number in (1, 2):
+        assert (await site.call("/draft/x", number, prompt=True))[0] == 200
+        status, headers, body = await site.call("/order/x", number)
+        assert (status, json.loads(body)["code"]) == (503, 2009)
+        assert float(headers[b"retry-after"]) > 0
+    assert sum(far.runs.values()) == 2
+    assert sum(site.upstreams["e1"].runs.values()) == before
+    assert not site.upstreams["s1"].runs
+    site.deployment.reopen("zone-1")
+    await site.until(lambda: not any(r.pools.evacuations.zones() for r in routers))
+    assert (await site.call("/order/x"))[0] == 200
+
+
+async def test_an_instance_that_the_store_turns_away_hears_of_an_evacuation(site):
+    await site.start(2)
+    site.routers[2].store.settings.address = "127.0.9.9:1"
+    site.routers[2].store.drop_connection()
+    site.deployment.evacuate("zone-1")
+    await site.until(lambda: site.routers[2].pools.evacuations.zones())
+    await site.add_router(3)
+    assert site.routers[3].pools.evacuations.zones()
+
+
 @pytest.mark.parametrize("fault", [f for f in StoreFault if f is not StoreFault.NONE])
 async def test_an_outage_of_the_store_stops_nothing_and_ends(site, fault):
     await site.start(1)
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/deployment.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/deployment.py
@@ -123,14 +123,27 @@
         self.store.put("op/config", config)
         return self.number
 
+    def evacuate(self, zone: str) -> None:
+        """Ask that upstreams of a zone get no new requests."""
+        self.store.put(f"op/evacuate/{zone}", {})
+
+    def reopen(self, zone: str) -> None:
+        """Take an evacuation back."""
+        self.store.remove(f"op/evacuate/{zone}")
+
     def register(
-        self, upstream: str, service: str, address: str, state: str = "ready"
+        self,
+        upstream: str,
+        service: str,
+        address: str,
+        state: str = "ready",
+        zone: str = "zone-1",
     ) -> None:
         """Write an upstream's registration."""
         entry = {
             "service": service,
             "address": address,
-            "zone": "zone-1",
+            "zone": zone,
             "version": "v1",
             "slots": self.slots,
             "state": state,
--- a/packages/buckthornwall/src/buckthornwall/codes/core.py
+++ b/packages/buckthornwall/src/buckthornwall/codes/core.py
@@ -88,6 +88,13 @@
         "send again after Retry-After",
     )
 
+    UPSTREAMS_EVACUATED = (
+        2009,
+        503,
+        "all upstreams that could run this are in evacuated zones",
+        "send again after Retry-After",
+    )
+
     UPSTREAM_UNREACHABLE = (3001, 503, "no upstream could be reached", "send again")
     UPSTREAM_BROKEN = (
         3002,
--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -206,6 +206,7 @@
             self._doubted |= gone
         else:
             self._remove(gone)
+        self._adopt_zones(news)
         self.revision = max(self.revision, news.revision)
         self.mark = max(self.mark, news.mark)
         self.read_once = True
@@ -229,6 +230,31 @@
                 teams=len(published.teams),
             )
 
+    def _adopt_zones(self, news: News) -> None:
+        """Put in force which zones are evacuated, as far as it is newer."""
+        evacuations = self.pools.evacuations
+        for zone, revision in news.evacuated.items():
+            if not self.pools.knows_zone(zone):
+                log_event(
+                    "evacuation_refused",
+                    "WARNING",
+                    zone=zone,
+                    revision=revision,
+                    detail="unknown zone",
+                )
+            elif evacuations.record(zone, revision, True):
+                log_event("zone_evacuated", "WARNING", zone=zone, revision=revision)
+        reopened = [
+            zone
+            for zone, revision in news.reopened.items()
+            if evacuations.record(zone, revision, False)
+        ]
+        if news.whole:
+            present = news.evacuated.keys() | news.unreadable_zones
+            reopened += evacuations.record_absent(present, news.revision)
+        for zone in reopened:
+            log_event("zone_reopened", "WARNING", zone=zone, revision=news.revision)
+
     def unbroken_s(self) -> float:
         """Return for how long the source has answered here without an outage.
 
--- a/packages/buckthornwall/src/buckthornwall/discovery/news.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/news.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from buckthornwall.pools import UpstreamEntry
-from buckthornwall.utils import UpstreamId
+from buckthornwall.utils import UpstreamId, ZoneId
 
 __all__ = ["Feed", "HistoryLost", "News"]
 
@@ -21,6 +21,8 @@
     is gone. A watch from `revision` brings what changes later; `mark` is the
     revision of the newest change among these, which is lower where others wrote
     meanwhile. `published` is the operator's configuration as it was written.
+    `evacuated` and `reopened` give the revisions of records on zones, and
+    `unreadable_zones` those whose records cannot be read, which change nothing.
     """
 
     revision: int
@@ -29,6 +31,9 @@
     published: bytes | None = None
     entries: dict[UpstreamId, UpstreamEntry] = field(default_factory=dict)
     removed: set[UpstreamId] = field(default_factory=set)
+    evacuated: dict[ZoneId, int] = field(default_factory=dict)
+    reopened: dict[ZoneId, int] = field(default_factory=dict)
+    unreadable_zones: set[ZoneId] = field(default_factory=set)
 
 
 class Feed(Protocol):
--- a/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
@@ -177,3 +177,29 @@
     await trio.sleep(DiscoverySettings().settle_ms / 1000 + 0.2)
     assert set(pools.views) == {"b"}
     nursery.cancel_scope.cancel()
+
+
+def zones(revision: int, whole=False, **more) -> News:
+    return News(revision, whole, revision, entries={"a": entry("a")}, **more)
+
+
+def test_a_zone_is_evacuated_until_its_record_is_removed(agent):
+    agent.adopt(zones(5, evacuated={"z": 5}))
+    assert agent.pools.evacuations.zones() == {"z": 5}
+    agent.adopt(zones(6, reopened={"z": 6}))
+    assert agent.pools.evacuations.zones() == {}
+
+
+def test_a_whole_read_without_a_record_reopens_its_zone(agent):
+    agent.adopt(zones(5, evacuated={"z": 5}))
+    agent.adopt(zones(4, whole=True))
+    assert agent.pools.evacuations.zones() == {"z": 5}
+    agent.adopt(zones(6, whole=True, unreadable_zones={"z"}))
+    assert agent.pools.evacuations.zones() == {"z": 5}
+    agent.adopt(zones(7, whole=True))
+    assert agent.pools.evacuations.zones() == {}
+
+
+def test_a_record_on_an_unknown_zone_is_refused(agent):
+    agent.adopt(zones(5, evacuated={"nowhere": 4, "z": 5}))
+    assert agent.pools.evacuations.zones() == {"z": 5}
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -62,6 +62,7 @@
 LEAST_REMAINING_S = 0.02
 NO_ENGINE_RETRY_S = 0.3
 LEAVING_RETRY_S = 0.05
+EVACUATED_RETRY_S = 1.0
 
 
 class ForwardingSettings(ConfigNamespace):
@@ -377,6 +378,10 @@
             record_decision(self.pools, job.traits, False, self.clock.now())
             wait_s = retry_after_s(self.pools.limit_wait_s(pool))
             return Refusal(ResultCode.UPSTREAMS_LIMITED, retry_after_s=wait_s)
+        if not job.tried and self.pools.is_evacuated(pool):
+            return Refusal(
+                ResultCode.UPSTREAMS_EVACUATED, retry_after_s=EVACUATED_RETRY_S
+            )
         code = ResultCode.UPSTREAM_UNREACHABLE if job.tried else ResultCode.NO_ENGINE
         return Refusal(code, job.detail, retry_after_s=NO_ENGINE_RETRY_S)
 
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -192,13 +192,15 @@
     """What is in force at an instance; `published` is b'' if not asked for.
 
     A watch from `revision` brings what changed after it; `mark` is the revision
-    of the newest change.
+    of the newest change. `evacuated` gives the evacuated zones, and the revisions of
+    their records.
     """
 
     revision: int
     mark: int
     published: bytes
     entries: list[UpstreamEntry]
+    evacuated: dict[ZoneId, int] = {}
 
 
 def encode(message: PeerMessage | PeerView) -> bytes:
--- a/packages/buckthornwall/src/buckthornwall/platform/store.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/store.py
@@ -20,6 +20,7 @@
 
 CONFIG_KEY = "op/config"
 REGISTRATIONS = "servers/"
+EVACUATIONS = "op/evacuate/"
 # One watch on everything costs half the calls of one for each of the two.
 EVERYTHING = ""
 MS_PER_S = 1000.0
@@ -166,6 +167,8 @@
     news.mark = max(news.mark, change.revision)
     if change.key == CONFIG_KEY:
         news.published = change.value or news.published
+    elif change.key.startswith(EVACUATIONS):
+        _add_zone(news, ZoneId(change.key.removeprefix(EVACUATIONS)), change)
     elif change.key.startswith(REGISTRATIONS):
         upstream = UpstreamId(change.key.removeprefix(REGISTRATIONS))
         entry = _entry_or_none(upstream, change.value)
@@ -177,6 +180,30 @@
             news.entries[upstream] = entry
 
 
+def _add_zone(news: News, zone: ZoneId, change: StoredValue) -> None:
+    """Add the record of a zone's evacuation, or that there is none any longer."""
+    if change.value is None:
+        news.evacuated.pop(zone, None)
+        news.unreadable_zones.discard(zone)
+        news.reopened[zone] = change.revision
+        return
+    try:
+        msgspec.json.decode(change.value, type=dict)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        news.unreadable_zones.add(zone)
+        log_event(
+            "evacuation_refused",
+            "WARNING",
+            zone=zone,
+            revision=change.revision,
+            code=ResultCode.RECORDS_MALFORMED.number,
+            detail=error,
+        )
+        return
+    news.reopened.pop(zone, None)
+    news.evacuated[zone] = change.revision
+
+
 def _entry_or_none(upstream: UpstreamId, raw: bytes | None) -> UpstreamEntry | None:
     """Return a registration, or None where it was removed or cannot be read."""
     if raw is None:
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/platform/tests/test_evacuations.py
@@ -0,0 +1,35 @@
+"""Tests of records on zones as they lie in the platform's store."""
+
+import pytest
+
+from buckthornwall.platform.calls import Changes, StoredValue
+from buckthornwall.platform.store import news_of
+
+
+def news(*values, whole=False):
+    changes = [
+        StoredValue(f"op/evacuate/{zone}", place, raw)
+        for place, (zone, raw) in enumerate(values, 1)
+    ]
+    return news_of(Changes(len(changes), changes), whole)
+
+
+def test_a_record_names_its_zone_in_its_key():
+    found = news(("north", b"{}"), ("south", b'{"since": 3}'))
+    assert found.evacuated == {"north": 1, "south": 2}
+    assert found.mark == 2
+
+
+def test_a_removal_later_in_the_same_answer_holds():
+    found = news(("north", b"{}"), ("north", None))
+    assert (found.evacuated, found.reopened) == ({}, {"north": 2})
+    again = news(("north", None), ("north", b"{}"))
+    assert (again.evacuated, again.reopened) == ({"north": 2}, {})
+
+
+@pytest.mark.parametrize("raw", [b"\xff\xfe", b"{", b"[]", b"7", b'"north"', b""])
+def test_a_record_that_cannot_be_read_changes_nothing(raw):
+    found = news(("north", raw), ("south", b"{}"), whole=True)
+    assert found.evacuated == {"south": 2}
+    assert found.reopened == {}
+    assert found.unreadable_zones == {"north"}
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -6,6 +6,7 @@
 `waits`       how long requests there have waited for their first token
 `prefixes`    which shared parts of prompts an engine is likely to hold
 `prefix_news` what instances tell each other of that
+`evacuation`  which availability zones get no new requests
 `health`      which upstreams fail requests, whatever their health check says
 `reach`       which upstreams cannot be reached, as instances tell each other
 `rate_limit`  how many requests a second an upstream takes from all instances
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -12,9 +12,10 @@
     RequestRoute,
 )
 from buckthornwall.telemetry import log_event
-from buckthornwall.utils import Clock, UpstreamId
+from buckthornwall.utils import Clock, UpstreamId, ZoneId
 
 from .entry import UpstreamEntry, UpstreamState
+from .evacuation import Evacuations
 from .health import Verdict
 from .ledger import AdmissionLedger
 from .limit_queue import LimitQueue
@@ -44,6 +45,8 @@
     ----------
     instances : float
         How many instances serve the pools, this one included.
+    evacuations : Evacuations
+        Which availability zones get no new requests.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -57,6 +60,7 @@
         self._ledgers: dict[PoolId, AdmissionLedger] = {}
         self._limit_queues: dict[PoolId, LimitQueue] = {}
         self.news = PrefixNews()
+        self.evacuations = Evacuations()
 
     def adopt(self, entry: UpstreamEntry) -> bool:
         """Take a registration, new or changed.
@@ -122,6 +126,19 @@
         """Return every registered upstream of a pool."""
         return self._members.get(pool, {}).values()
 
+    def knows_zone(self, zone: ZoneId) -> bool:
+        """Tell whether a zone has upstreams."""
+        return any(view.entry.zone == zone for view in self.views.values())
+
+    def is_evacuated(self, pool: PoolId) -> bool:
+        """Tell whether all ready upstreams of a pool are in evacuated zones."""
+        zones = {
+            view.entry.zone
+            for view in self.members(pool)
+            if view.entry.state is UpstreamState.READY
+        }
+        return bool(zones) and all(map(self.evacuations.is_evacuated, zones))
+
     def pace(self, pool: PoolId) -> Pace:
         """Return how a pool's first tokens compare with the counts."""
         return self._paces.setdefault(pool, Pace())
@@ -172,6 +189,7 @@
             if view.entry.state is UpstreamState.READY
             and view.entry.loaded
             and view.id not in tried
+            and not self.evacuations.is_evacuated(view.entry.zone)
         ]
 
     def usable(
--- a/packages/buckthornwall/src/buckthornwall/router/news.py
+++ b/packages/buckthornwall/src/buckthornwall/router/news.py
@@ -126,6 +126,7 @@
                 mark=view.mark,
                 published=view.published or None,
                 entries={entry.id: entry for entry in view.entries},
+                evacuated=view.evacuated,
             )
         )
 
@@ -133,7 +134,13 @@
         """Return what is in force here, for a peer that asks."""
         discovery = self.discovery
         entries = [view.entry for view in discovery.pools.views.values()]
-        return PeerView(discovery.revision, discovery.mark, discovery.raw, entries)
+        return PeerView(
+            discovery.revision,
+            discovery.mark,
+            discovery.raw,
+            entries,
+            discovery.pools.evacuations.zones(),
+        )
 
     def read_age_ms(self) -> int:
         """Return how long ago the store last answered here."""
--- a/packages/buckthornwall/src/buckthornwall/router/operators.py
+++ b/packages/buckthornwall/src/buckthornwall/router/operators.py
@@ -49,6 +49,10 @@
             "Upstreams that take only so many requests a second.",
             sum(1 for view in views if view.rate_limit.is_limited),
         ),
+        "zones_evacuated": (
+            "Availability zones that get no new requests.",
+            len(router.pools.evacuations.zones()),
+        ),
         "instances": ("Instances that serve.", router.fleet().count),
         "active": ("Requests being answered.", router.callers.active),
         "word_age_seconds": (
@@ -88,6 +92,7 @@
             "answered_s_ago": round(now - router.discovery.answered_at, 3),
         },
         "active": router.callers.active,
+        "evacuated": router.pools.evacuations.zones(),
         "quarantine": _describe_quarantine(router, now),
         "fleet": {
             "speaker": fleet.address,
