Keep requests in the regions that their route and team allow

Routes and teams may name the regions that may serve them. The field was not read, so a request could go to an upstream of any region, first or as a repeat, and copy memory from there.

The regions of route and team are intersected when a request is resolved, and every list of upstreams that a decision looks at is cut down to them, so placement, refusals for overload, waits for limited upstreams and sources of copies are all within. The zones' regions are settings of the platform; an upstream in a zone without one is in no region. Nobody allowed or up there is a refusal of its own code, told apart from an evacuation of all that is allowed.

The reasons why no upstream takes a request go into a module of their own. Tests of placement, repeats, copies and real instances fail with the condition taken out.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_router.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_router.py
@@ -215,6 +215,21 @@
     assert site.routers[3].pools.evacuations.zones()
 
 
+async def test_a_route_stays_in_the_regions_that_it_allows(site):
+    """Its requests went to whatever upstream was idle, in any region."""
+    site.deployment.routes[0]["allowed_regions"] = ["east"]
+    site.deployment.routes[2]["allowed_regions"] = ["east"]
+    await site.start(1)
+    near = await site.add_upstream("e3", DRAFTS, "zone-0")
+    await site.until(lambda: "e3" in site.routers[1].pools.views)
+    for _ in range(6):
+        assert (await site.call("/draft/x", prompt=True))[0] == 200
+    assert sum(near.runs.values()) == 6
+    status, headers, body = await site.call("/order/x")
+    assert (status, json.loads(body)["code"]) == (503, 2010)
+    assert float(headers[b"retry-after"]) > 0
+
+
 @pytest.mark.parametrize("fault", [f for f in StoreFault if f is not StoreFault.NONE])
 async def test_an_outage_of_the_store_stops_nothing_and_ends(site, fault):
     await site.start(1)
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/deployment.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/deployment.py
@@ -33,6 +33,7 @@
         [node]
         id = node-{number}
         zone = zone-{number % 2}
+        regions = zone-0=east,zone-1=west
         [edge]
         listen = {ip}:{ports}
         ready = {ip}:{ports + 1}
--- a/packages/buckthornwall/src/buckthornwall/codes/core.py
+++ b/packages/buckthornwall/src/buckthornwall/codes/core.py
@@ -95,6 +95,13 @@
         "send again after Retry-After",
     )
 
+    REGIONS_WITHOUT_UPSTREAM = (
+        2010,
+        503,
+        "no upstream is up in the regions that its route and team allow",
+        "send again after Retry-After",
+    )
+
     UPSTREAM_UNREACHABLE = (3001, 503, "no upstream could be reached", "send again")
     UPSTREAM_BROKEN = (
         3002,
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -15,7 +15,6 @@
     expected_s,
     find_overload,
     record_decision,
-    retry_after_s,
 )
 from buckthornwall.quarantine import QuarantineTable, fingerprint_of
 from buckthornwall.routing import (
@@ -41,6 +40,7 @@
 from .job import Job
 from .limit_gate import LimitGate
 from .liveness import LivenessChecks
+from .no_upstream import NO_ENGINE_RETRY_S, refusal_without_upstream
 from .reply import WireCodec
 
 __all__ = ["Forwarder", "ForwardingSettings"]
@@ -60,9 +60,7 @@
 SILENCE_WAITS = 3.0
 SILENCE_PAUSES = 4.0
 LEAST_REMAINING_S = 0.02
-NO_ENGINE_RETRY_S = 0.3
 LEAVING_RETRY_S = 0.05
-EVACUATED_RETRY_S = 1.0
 
 
 class ForwardingSettings(ConfigNamespace):
@@ -371,19 +369,10 @@
         self.pools.note_end(choice.view, verdict)
 
     def _nobody(self, job: Job) -> Refusal:
-        if job.runs:
-            return Refusal(ResultCode.UPSTREAM_BROKEN, job.detail, job.run)
-        pool = job.resolution.pool.id
-        if not job.tried and self.pools.is_limited(pool):
+        refusal = refusal_without_upstream(self.pools, job)
+        if refusal.code is ResultCode.UPSTREAMS_LIMITED:
             record_decision(self.pools, job.traits, False, self.clock.now())
-            wait_s = retry_after_s(self.pools.limit_wait_s(pool))
-            return Refusal(ResultCode.UPSTREAMS_LIMITED, retry_after_s=wait_s)
-        if not job.tried and self.pools.is_evacuated(pool):
-            return Refusal(
-                ResultCode.UPSTREAMS_EVACUATED, retry_after_s=EVACUATED_RETRY_S
-            )
-        code = ResultCode.UPSTREAM_UNREACHABLE if job.tried else ResultCode.NO_ENGINE
-        return Refusal(code, job.detail, retry_after_s=NO_ENGINE_RETRY_S)
+        return refusal
 
     async def _refuse(
         self, request_id: str, job: Job | None, answer: Answer, refusal: Refusal
--- a/packages/buckthornwall/src/buckthornwall/forwarding/limit_gate.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/limit_gate.py
@@ -42,9 +42,10 @@
         Repeats do not wait: their callers have waited already.
         """
         pool, rank = job.resolution.pool.id, job.resolution.rank
+        regions = job.resolution.regions
         queue = self.pools.limit_queue(pool)
         queue.record_arrival(rank, self.clock.now())
-        if job.tried or not self.pools.is_limited(pool):
+        if job.tried or not self.pools.is_limited(pool, regions):
             return self.choose(job)
         if not queue.count_before(rank) and (choice := self._take(job)):
             return choice
@@ -55,7 +56,7 @@
         pool, rank = job.resolution.pool.id, job.resolution.rank
         queue = self.pools.limit_queue(pool)
         is_first = queue.is_most_urgent(rank, self.clock.now())
-        if is_first or self.pools.has_spare_token(pool):
+        if is_first or self.pools.has_spare_token(pool, job.resolution.regions):
             return self.choose(job)
         return None
 
@@ -76,7 +77,9 @@
 
     def _expected_wait_s(self, job: Job) -> float:
         """Return how long a request would wait for a token, in seconds."""
-        pool = job.resolution.pool.id
-        wait_s = self.pools.limit_wait_s(pool)
+        pool, regions = job.resolution.pool.id, job.resolution.regions
+        wait_s = self.pools.limit_wait_s(pool, regions)
         before = self.pools.limit_queue(pool).count_before(job.resolution.rank)
-        return wait_s + before * self.pools.limit_interval_s(pool) if before else wait_s
+        if not before:
+            return wait_s
+        return wait_s + before * self.pools.limit_interval_s(pool, regions)
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_limit_gate.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_limit_gate.py
@@ -45,6 +45,7 @@
             resolution=SimpleNamespace(
                 pool=SimpleNamespace(id=POOL),
                 rank=rank,
+                regions=None,
                 route=SimpleNamespace(target_s=target_s),
             ),
         )
--- a/packages/buckthornwall/src/buckthornwall/platform/published.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/published.py
@@ -14,7 +14,7 @@
     RequestRoute,
     TeamGrant,
 )
-from buckthornwall.utils import RouteId, TeamId
+from buckthornwall.utils import RegionId, RouteId, TeamId
 
 __all__ = ["decode_published"]
 
@@ -47,6 +47,7 @@
     public: bool = False
     resumable: bool = False
     gap_aim_ms: float = 0.0
+    allowed_regions: list[str] | None = None
 
 
 class _Engine(msgspec.Struct):
@@ -68,6 +69,7 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    allowed_regions: list[str] | None = None
 
 
 class _Limits(msgspec.Struct):
@@ -122,9 +124,14 @@
         max_runs=max(1, route.max_attempts),
         tier=route.priority,
         needs_key=not route.public,
+        regions=_regions(route.allowed_regions),
     )
 
 
+def _regions(names: list[str] | None) -> frozenset[RegionId]:
+    return frozenset(map(RegionId, names or ()))
+
+
 def _shares(route: _Route) -> tuple[PoolShare, ...]:
     if route.traffic_split:
         return tuple(
@@ -151,7 +158,12 @@
 
 
 def _team(tenant: _Tenant) -> TeamGrant:
-    return TeamGrant(TeamId(tenant.name), tuple(tenant.api_keys), tenant.priority)
+    return TeamGrant(
+        TeamId(tenant.name),
+        tuple(tenant.api_keys),
+        tenant.priority,
+        _regions(tenant.allowed_regions),
+    )
 
 
 def _limits(limits: _Limits | None) -> CallerLimits:
--- a/packages/buckthornwall/src/buckthornwall/platform/tests/test_wire.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/tests/test_wire.py
@@ -184,3 +184,14 @@
 def test_a_configuration_that_is_none_is_refused(raw):
     with pytest.raises(RecordError):
         decode_published(raw)
+
+
+def test_the_regions_of_routes_and_teams_are_read():
+    raw = b"""{"version": 7, "routes": [
+     {"name": "r", "host": "h", "path_prefix": "/", "kind": "stream",
+      "allowed_regions": ["east", "west"]}],
+     "tenants": [{"name": "t", "allowed_regions": ["west"]},
+                 {"name": "u", "allowed_regions": null}]}"""
+    published = decode_published(raw)
+    assert published.routes[0].regions == {"east", "west"}
+    assert [team.regions for team in published.teams] == [{"west"}, set()]
--- a/packages/buckthornwall/src/buckthornwall/pools/decision.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/decision.py
@@ -47,7 +47,7 @@
         The time in seconds.
     """
     pool = traits.resolution.pool
-    views = pools.usable(pool.id, tried)
+    views = pools.usable(pool.id, tried, traits.resolution.regions)
     if traits.prompt is None:
         return choose_service(views, zone, now)
     route = traits.resolution.route
--- a/packages/buckthornwall/src/buckthornwall/pools/refusal.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/refusal.py
@@ -66,7 +66,7 @@
     if traits.prompt is None or resolution.urgent:
         return None
     wait_s = expected_s(pools, traits, choice)
-    usable = pools.usable(resolution.pool.id, frozenset())
+    usable = pools.usable(resolution.pool.id, frozenset(), resolution.regions)
     reason = _refusal_reason(pools, traits, choice, usable, now)
     if reason is None:
         return None
@@ -104,11 +104,11 @@
     """Return why a request is refused where it would go, or None to take it."""
     wait_s = expected_s(pools, traits, choice)
     target_s = traits.resolution.route.target_s
-    pool = traits.resolution.pool.id
+    pool, regions = traits.resolution.pool.id, traits.resolution.regions
     # With nothing before it a prompt would only be refused for its own length.
     is_alone = choice.wait_s <= choice.own_s and not choice.oldest_s
     if is_alone or not is_overloaded(wait_s, choice.own_s, target_s, usable, now):
-        is_scarce = is_loaded(usable, now) or pools.is_limited(pool)
+        is_scarce = is_loaded(usable, now) or pools.is_limited(pool, regions)
         should_wait = is_scarce and _should_defer(pools, traits, now)
         return RefusalReason.YIELDS if should_wait else None
     if choice.busy_share >= 1 or is_hopeless(wait_s, target_s):
@@ -134,6 +134,6 @@
     ledger = pools.ledger(resolution.pool.id)
     if ledger.has_deficit(rank, tokens, now):
         return True
-    views = pools.usable(resolution.pool.id, frozenset())
+    views = pools.usable(resolution.pool.id, frozenset(), resolution.regions)
     waiting = sum(view.load.unread_after(rank) for view in views)
     return waiting > pools.instances * ledger.refused(rank, now) + tokens
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -1,7 +1,7 @@
 """All upstreams by id, and what is known of each."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from buckthornwall.engine_model import EngineModel
 from buckthornwall.routing import (
@@ -12,7 +12,7 @@
     RequestRoute,
 )
 from buckthornwall.telemetry import log_event
-from buckthornwall.utils import Clock, UpstreamId, ZoneId
+from buckthornwall.utils import Clock, RegionId, UpstreamId, ZoneId
 
 from .entry import UpstreamEntry, UpstreamState
 from .evacuation import Evacuations
@@ -29,6 +29,9 @@
 
 __all__ = ["PoolTable"]
 
+# Where a request may go; None is anywhere.
+Regions = frozenset[RegionId] | None
+
 # The last token of a limited pool is kept for more urgent requests so long, in seconds.
 RESERVED_S = 0.5
 
@@ -40,6 +43,8 @@
     ----------
     clock
         Source of time.
+    regions
+        The region of each availability zone.
 
     Attributes
     ----------
@@ -49,8 +54,11 @@
         Which availability zones get no new requests.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, regions: Mapping[ZoneId, RegionId] | None = None
+    ) -> None:
         self.clock = clock
+        self.regions = dict(regions or {})
         self.views: dict[UpstreamId, UpstreamView] = {}
         self._members: dict[PoolId, dict[UpstreamId, UpstreamView]] = {}
         self._paces: dict[PoolId, Pace] = {}
@@ -127,18 +135,28 @@
         return self._members.get(pool, {}).values()
 
     def knows_zone(self, zone: ZoneId) -> bool:
-        """Tell whether a zone has upstreams."""
-        return any(view.entry.zone == zone for view in self.views.values())
+        """Tell whether a zone is set, or has upstreams."""
+        return zone in self.regions or any(
+            view.entry.zone == zone for view in self.views.values()
+        )
 
-    def is_evacuated(self, pool: PoolId) -> bool:
+    def is_evacuated(self, pool: PoolId, regions: Regions = None) -> bool:
         """Tell whether all ready upstreams of a pool are in evacuated zones."""
         zones = {
             view.entry.zone
             for view in self.members(pool)
             if view.entry.state is UpstreamState.READY
+            and self._is_allowed(view, regions)
         }
         return bool(zones) and all(map(self.evacuations.is_evacuated, zones))
 
+    def is_within(self, pool: PoolId, regions: Regions) -> bool:
+        """Tell whether a pool has ready upstreams in some regions."""
+        return regions is None or any(
+            view.entry.state is UpstreamState.READY and self._is_allowed(view, regions)
+            for view in self.members(pool)
+        )
+
     def pace(self, pool: PoolId) -> Pace:
         """Return how a pool's first tokens compare with the counts."""
         return self._paces.setdefault(pool, Pace())
@@ -180,8 +198,15 @@
                     pool.engine.tokens_per_event, pauses.get(pool.id, set())
                 )
 
+    def _is_allowed(self, view: UpstreamView, regions: Regions) -> bool:
+        """Tell whether an upstream is in one of some regions."""
+        return regions is None or self.regions.get(view.entry.zone) in regions
+
     def _ready(
-        self, pool: PoolId, tried: frozenset[UpstreamId] | set[UpstreamId]
+        self,
+        pool: PoolId,
+        tried: frozenset[UpstreamId] | set[UpstreamId],
+        regions: Regions = None,
     ) -> list[UpstreamView]:
         return [
             view
@@ -190,20 +215,26 @@
             and view.entry.loaded
             and view.id not in tried
             and not self.evacuations.is_evacuated(view.entry.zone)
+            and self._is_allowed(view, regions)
         ]
 
     def usable(
-        self, pool: PoolId, tried: frozenset[UpstreamId] | set[UpstreamId]
+        self,
+        pool: PoolId,
+        tried: frozenset[UpstreamId] | set[UpstreamId],
+        regions: Regions = None,
     ) -> list[UpstreamView]:
         """Return who may take a new request, the healthy before the others.
 
         If all are set aside, all that are ready count: where everybody
         fails, sending on is better than refusing everything. What an upstream takes
-        in a second is kept in any case.
+        in a second is kept in any case, and so are `regions` (None is any).
         """
         now = self.clock.now()
         ready = [
-            view for view in self._ready(pool, tried) if view.rate_limit.may_send(now)
+            view
+            for view in self._ready(pool, tried, regions)
+            if view.rate_limit.may_send(now)
         ]
         sound = [
             view
@@ -250,37 +281,37 @@
         """Return who waits for a token of a limited pool."""
         return self._limit_queues.setdefault(pool, LimitQueue())
 
-    def is_limited(self, pool: PoolId) -> bool:
+    def is_limited(self, pool: PoolId, regions: Regions = None) -> bool:
         """Tell whether all upstreams of a pool take only so many requests a second."""
-        ready = self._ready(pool, frozenset())
+        ready = self._ready(pool, frozenset(), regions)
         return bool(ready) and all(view.rate_limit.is_limited for view in ready)
 
-    def limit_wait_s(self, pool: PoolId) -> float:
+    def limit_wait_s(self, pool: PoolId, regions: Regions = None) -> float:
         """Return how long until a limited pool takes another request from here.
 
         In seconds; infinite where this instance has no part.
         """
         now = self.clock.now()
-        ready = self._ready(pool, frozenset())
+        ready = self._ready(pool, frozenset(), regions)
         return min((view.rate_limit.wait_s(now) for view in ready), default=math.inf)
 
-    def has_spare_token(self, pool: PoolId) -> bool:
+    def has_spare_token(self, pool: PoolId, regions: Regions = None) -> bool:
         """Tell whether a limited pool takes a request that is not the most urgent.
 
         One token is left to more urgent ones for a while.
         """
         now = self.clock.now()
-        limits = [view.rate_limit for view in self._ready(pool, frozenset())]
+        limits = [view.rate_limit for view in self._ready(pool, frozenset(), regions)]
         if sum(1 for limit in limits if limit.may_send(now)) > 1:
             return True
         return any(limit.ready_for_s(now) >= RESERVED_S for limit in limits)
 
-    def limit_interval_s(self, pool: PoolId) -> float:
+    def limit_interval_s(self, pool: PoolId, regions: Regions = None) -> float:
         """Return the seconds between two requests that a limited pool takes from here.
 
         Infinite where this instance has no part.
         """
-        ready = self._ready(pool, frozenset())
+        ready = self._ready(pool, frozenset(), regions)
         per_s = sum(view.rate_limit.own_per_s for view in ready)
         return 1 / per_s if per_s else math.inf
 
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -85,7 +85,7 @@
 
         self.metrics = RouterMetrics()
         self.table = RoutingTable()
-        self.pools = PoolTable(clock)
+        self.pools = PoolTable(clock, settings.node.region_by_zone())
         self.quarantine = QuarantineTable(settings.quarantine)
         self.forwarder = Forwarder(
             settings.forwarding,
--- a/packages/buckthornwall/src/buckthornwall/routing/contract.py
+++ b/packages/buckthornwall/src/buckthornwall/routing/contract.py
@@ -4,7 +4,7 @@
 from enum import Enum
 from typing import NewType
 
-from buckthornwall.utils import RouteId, TeamId
+from buckthornwall.utils import RegionId, RouteId, TeamId
 
 __all__ = [
     "AnswerForm",
@@ -42,7 +42,8 @@
 
     `repeatable` tells whether an upstream may run a request again after it
     may have run once; `resumable` whether an event stream may go on at
-    another upstream. `tier` 0 is the most urgent. Times are in seconds.
+    another upstream. `tier` 0 is the most urgent. Times are in seconds. Requests
+    go to upstreams in `regions` only, to any if there are none.
     """
 
     id: RouteId
@@ -58,6 +59,7 @@
     max_runs: int
     tier: int
     needs_key: bool
+    regions: frozenset[RegionId] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,11 +83,15 @@
 
 @dataclass(frozen=True, slots=True)
 class TeamGrant:
-    """A team, its keys, and the tier that goes before its routes' tiers."""
+    """A team, its keys, and the tier that goes before its routes' tiers.
+
+    Its requests go to upstreams in `regions` only, to any if there are none.
+    """
 
     id: TeamId
     keys: tuple[str, ...]
     tier: int | None = None
+    regions: frozenset[RegionId] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/buckthornwall/src/buckthornwall/routing/table.py
+++ b/packages/buckthornwall/src/buckthornwall/routing/table.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from buckthornwall.codes import Refusal, ResultCode
-from buckthornwall.utils import TeamId
+from buckthornwall.utils import RegionId, TeamId
 
 from .contract import CallerLimits, Pool, PoolId, Published, RequestRoute, TeamGrant
 from .request import RoutedRequest
@@ -23,6 +23,8 @@
 class Resolution:
     """Where a request may go, for whom, and how urgent it is.
 
+    `regions` are those that both its route and its team allow; None is any.
+
     A route's tier goes before its teams' tiers: `rank` orders by the first and then
     by the second, and 0 is the most urgent. With the team's first, engines preempted
     streams of the most urgent route while long drafts of an urgent team ran on.
@@ -33,6 +35,7 @@
     team: TeamId
     team_tier: int
     number: int
+    regions: frozenset[RegionId] | None = None
 
     @property
     def rank(self) -> int:
@@ -103,7 +106,8 @@
         if team is not None and team.tier is not None:
             team_tier = team.tier
         team_id = team.id if team else TeamId("")
-        return Resolution(route, pool, team_id, team_tier, self.number)
+        regions = _allowed_regions(route, team)
+        return Resolution(route, pool, team_id, team_tier, self.number, regions)
 
     def _route(self, request: RoutedRequest) -> RequestRoute:
         for route in self._by_host.get(request.host, ()):
@@ -122,3 +126,12 @@
             return route.shares[0].pool
         weights = [share.weight for share in route.shares]
         return self._draw.choices(route.shares, weights)[0].pool
+
+
+def _allowed_regions(
+    route: RequestRoute, team: TeamGrant | None
+) -> frozenset[RegionId] | None:
+    """Return the regions that a route and a team allow, None for any."""
+    bounds = [each.regions for each in (route, team) if each is not None]
+    bounds = [regions for regions in bounds if regions]
+    return frozenset.intersection(*bounds) if bounds else None
--- a/packages/buckthornwall/src/buckthornwall/routing/tests/test_table.py
+++ b/packages/buckthornwall/src/buckthornwall/routing/tests/test_table.py
@@ -20,7 +20,7 @@
 ORDERS = PoolId("orders")
 
 
-def route(name, prefix, pool=DRAFTS, tier=1, needs_key=True, shares=None):
+def route(name, prefix, pool=DRAFTS, tier=1, needs_key=True, shares=None, regions=()):
     return RequestRoute(
         id=RouteId(name),
         host="h",
@@ -35,6 +35,7 @@
         max_runs=2,
         tier=tier,
         needs_key=needs_key,
+        regions=frozenset(regions),
     )
 
 
@@ -117,3 +118,21 @@
     table.adopt(Published(6, (route("split", "/s/", shares=shares),), pools))
     chosen = [table.resolve(request("/s/x")).pool.id for _ in range(1000)]
     assert 840 < chosen.count(DRAFTS) < 960
+
+
+@pytest.mark.parametrize(
+    ("of_route", "of_team", "allowed"),
+    [
+        ((), (), None),
+        (("east", "west"), (), {"east", "west"}),
+        ((), ("west",), {"west"}),
+        (("east", "west"), ("west", "south"), {"west"}),
+        (("east",), ("west",), set()),
+    ],
+)
+def test_regions_of_route_and_team_both_bind(of_route, of_team, allowed):
+    table = RoutingTable()
+    team = TeamGrant(TeamId("one"), ("k",), regions=frozenset(of_team))
+    routes = (route("r", "/a/", regions=of_route),)
+    table.adopt(Published(1, routes, (Pool(DRAFTS, "/", 10),), (team,)))
+    assert table.resolve(request("/a/x")).regions == allowed
--- a/packages/buckthornwall/src/buckthornwall/settings/node.py
+++ b/packages/buckthornwall/src/buckthornwall/settings/node.py
@@ -1,6 +1,6 @@
 """Who this instance is."""
 
-from buckthornwall.utils import ConfigItem, ConfigNamespace
+from buckthornwall.utils import ConfigItem, ConfigNamespace, RegionId, ZoneId
 
 __all__ = ["NodeSettings"]
 
@@ -12,3 +12,24 @@
 
     id = ConfigItem("", "Name of this instance, unique in the fleet.", required=True)
     zone = ConfigItem("", "Availability zone of this instance.", required=True)
+    regions = ConfigItem(
+        [],
+        "Regions of all availability zones, as zone=region; upstreams of others are "
+        "in no region.",
+    )
+
+    def region_by_zone(self) -> dict[ZoneId, RegionId]:
+        """Return the region of each zone.
+
+        Raises
+        ------
+        ValueError
+            If an entry is not ``zone=region``.
+        """
+        found = {}
+        for entry in self.regions:
+            zone, _, region = entry.partition("=")
+            if not zone or not region:
+                raise ValueError(f"expected zone=region, got {entry!r}")
+            found[ZoneId(zone)] = RegionId(region)
+        return found
--- a/packages/buckthornwall/src/buckthornwall/settings/router.py
+++ b/packages/buckthornwall/src/buckthornwall/settings/router.py
@@ -72,6 +72,12 @@
         )
         for namespace, key in addresses:
             check_address(origin, namespace.section, key, getattr(namespace, key))
+        try:
+            self.node.region_by_zone()
+        except ValueError as error:
+            raise SettingsError(
+                ResultCode.SETTING_INVALID, f"{origin} [node] regions: {error}"
+            ) from error
         if self.stop.notice_s >= self.stop.grace_s:
             raise SettingsError(
                 ResultCode.SETTING_INVALID, f"{origin} [stop] notice_s: over grace_s"
--- a/packages/buckthornwall/src/buckthornwall/utils/ids.py
+++ b/packages/buckthornwall/src/buckthornwall/utils/ids.py
@@ -10,6 +10,7 @@
     "Incarnation",
     "ModelId",
     "NodeId",
+    "RegionId",
     "RequestId",
     "RouteId",
     "TeamId",
@@ -20,6 +21,7 @@
 
 NodeId = NewType("NodeId", str)
 ZoneId = NewType("ZoneId", str)
+RegionId = NewType("RegionId", str)
 ClassId = NewType("ClassId", str)
 TeamId = NewType("TeamId", str)
 ModelId = NewType("ModelId", str)
