Send cold upstreams no more requests than they bear

An upstream that has just started, or is cold again, bears few requests a second from all instances together and crashes above that.

It is the class of limits that upstreams name, so `RateLimit` now holds both, and parts are found the same way. Out of touch counts too: an instance that is cut off or has just started takes itself to be alone, so parts in cold upstreams are drawn among all that were live in the last 30 s. Without any word an upstream is assumed cold when its registration appears, when it starts again under its id, and when its zone is reopened. A view that is handed over tells for how much longer; told as read, each view began the time anew. Ruled out: equal parts (84 whole tokens at once), and a draw over all cold upstreams (instances differ in which they know).

The limits of all upstreams move from `PoolTable` to a module of their own.

Tests: 84 simulated instances, also where speakers die, all restart, a third is cut off and datagrams are lost; real instances, killed and started in turn, with engines that come back cold and zones that are reopened. With the limit switched off they fail.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
@@ -6,10 +6,10 @@
 from buckthornwall.codes import PeerError, ResultCode
 from buckthornwall.discovery import DiscoveryAgent, DiscoverySettings, News
 from buckthornwall.peers import Beacon, PeerAgent, PeerSettings, PeerState
-from buckthornwall.pools import PoolTable
+from buckthornwall.pools import FleetMemory, PoolTable
 from buckthornwall.quarantine import QuarantineSettings, QuarantineTable
 from buckthornwall.router.news import NewsExchange
-from buckthornwall.routing import Published, RoutingTable
+from buckthornwall.routing import Pool, PoolId, Published, RoutingTable
 from buckthornwall.utils import Incarnation, NodeId, TrioClock, ZoneId
 
 from .network import SimSocket, SimViews
@@ -21,11 +21,16 @@
 
 # How often it is looked how far behind an instance is.
 LOOK_S = 0.05
+HOUSEKEEPING_S = 0.5
 STORE_DELAY_S = 0.004
 # What the product waits for an answer of the store that does not come, in seconds.
 STORE_SILENCE_S = 1.0
 
 
+# A pool whose upstreams bear 9.7 requests a second for 3 s after they start.
+SIM_POOL = Pool(PoolId("p"), "/", 10, cold_s=3.0, cold_per_s=9.7)
+
+
 class SimFeed:
     """The store as one instance reaches it; a change is a number or a record."""
 
@@ -57,15 +62,15 @@
             whole,
             number,
             b"%d" % number,
-            dict(self.simulation.entries),
+            self.simulation.registrations(),
             evacuated=dict(self.simulation.evacuated),
             reopened=dict(self.simulation.reopened),
         )
 
 
 def decode_number(raw: bytes) -> Published:
-    """Return a configuration that holds nothing but its number."""
-    return Published(number=int(raw))
+    """Return a configuration that holds its number and one pool."""
+    return Published(number=int(raw), pools=(SIM_POOL,))
 
 
 class SimPeer:
@@ -96,6 +101,7 @@
             self.clock,
         )
         settings = PeerSettings(listen=address, seeds=simulation.seeds)
+        self.fleet_memory = FleetMemory(simulation.zones, self.clock.now())
         self.quarantine = QuarantineTable(QuarantineSettings())
         self.agent = PeerAgent(
             settings, self.zone, self.make_beacon, self.clock, self.quarantine
@@ -115,12 +121,21 @@
     def _news_adopted(self) -> None:
         if self.state is PeerState.JOINING:
             self.state = PeerState.READY
+        self.share_limits()
+
+    def share_limits(self) -> None:
+        """Find the part of this instance in what upstreams take, as a router does."""
+        now = self.clock.now()
+        live = self.agent.table.whole(self.make_beacon(), now)
+        live = live.live(self.address, self.zone)
+        self.fleet_memory.record(live, now)
+        self.pools.rate_limits.share(live, self.fleet_memory.lately(live, now))
 
     def _work_told(self) -> None:
         if not self.pools.views:
             return
         limits = self.agent.table.limits(self.make_beacon(), self.clock.now())
-        self.pools.receive_limits(limits)
+        self.pools.rate_limits.receive(limits)
 
     def make_beacon(self) -> Beacon:
         """Return what this instance says of itself."""
@@ -138,7 +153,7 @@
             loads=self.simulation.make_loads(self.address),
             held=self.simulation.make_held(self.address),
             crash_checksum=self.quarantine.checksum,
-            limits=self.pools.limits(),
+            limits=self.pools.rate_limits.reports(),
         )
 
     @property
@@ -158,8 +173,14 @@
                 nursery.start_soon(self.agent.run)
                 nursery.start_soon(self.discovery.run)
                 nursery.start_soon(self.news.run)
+                nursery.start_soon(self._keep_house)
                 await self._look()
 
+    async def _keep_house(self) -> None:
+        while True:
+            await trio.sleep(HOUSEKEEPING_S)
+            self.share_limits()
+
     async def _look(self) -> None:
         while True:
             await trio.sleep(LOOK_S)
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/simulation.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/simulation.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 
 import trio
 from buckthornwall.peers import Work
@@ -39,8 +40,12 @@
     make_loads, make_held
         Return the work that an instance has at upstreams, and the parts of prompts
         that it tells of, by its address.
+    zones : list of str
+        All zones, as settings name them.
     entries : dict
         Upstreams that are registered.
+    cold_until : dict
+        Until when upstreams are cold, in seconds.
     evacuated, reopened : dict
         Zones, and the changes by which they were evacuated or reopened.
     """
@@ -54,6 +59,8 @@
         self.make_held: Callable[[str], HeldParts] = lambda address: {}
         self.without_store: set[str] = set()
         self.entries: dict[UpstreamId, UpstreamEntry] = {}
+        self.zones: list[ZoneId] = []
+        self.cold_until: dict[UpstreamId, float] = {}
         self.evacuated: dict[ZoneId, int] = {}
         self.reopened: dict[ZoneId, int] = {}
         self.number = 1
@@ -74,6 +81,14 @@
         self.changed = trio.Event()
         return self.number
 
+    def registrations(self) -> dict[UpstreamId, UpstreamEntry]:
+        """Return what upstreams say of themselves now."""
+        now = trio.current_time()
+        return {
+            name: replace(entry, cold_s=max(0.0, self.cold_until.get(name, 0.0) - now))
+            for name, entry in self.entries.items()
+        }
+
     def evacuate(self, zone: ZoneId) -> None:
         """Write the record of a zone's evacuation."""
         self.evacuated[zone] = self.number + 1
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_limits_at_size.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_limits_at_size.py
@@ -14,7 +14,6 @@
 
 ALLOWANCE = Allowance(grace_s=2.0)
 SETTLE_S = 6.0
-HOUSEKEEPING_S = 0.5
 ENTRY = UpstreamEntry(
     UpstreamId("u"), PoolId("p"), "10.9.0.1:1", ZoneId("z1"), 64, UpstreamState.READY
 )
@@ -50,16 +49,7 @@
 
     async def answer(self, peer, view):
         await trio.sleep(0.05)
-        peer.pools.record_rate_limit(view, self.per_s)
-
-    async def keep_house(self):
-        while True:
-            await trio.sleep(HOUSEKEEPING_S)
-            for peer in self.live():
-                self.view(peer)
-                now = trio.current_time()
-                digest = peer.agent.table.whole(peer.make_beacon(), now)
-                peer.pools.share_limits(digest.live(peer.address, peer.zone))
+        peer.pools.rate_limits.record(view, self.per_s)
 
     def since(self, at):
         return [each for each in self.arrivals if each > at]
@@ -71,7 +61,6 @@
     for place in range(1, zones + 1):
         fleet.start_zone(f"z{place}", place, of_zone)
     upstream = LimitedUpstream(fleet)
-    nursery.start_soon(upstream.keep_house)
     await trio.sleep(SETTLE_S)
     nursery.start_soon(upstream.ask, per_s)
     await trio.sleep(2.0)
@@ -130,7 +119,7 @@
     limited = [
         peer.address
         for peer in fleet.peers.values()
-        if upstream.view(peer).rate_limit.is_limited
+        if upstream.view(peer).rate_limit.names_limit
     ]
     assert limited == []
 
@@ -142,4 +131,4 @@
     newcomer = fleet.start("10.1.0.99:7340", ZoneId("z1"))
     upstream.view(newcomer)
     await trio.sleep(1.0)
-    assert upstream.view(newcomer).rate_limit.is_limited
+    assert upstream.view(newcomer).rate_limit.names_limit
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/deployment.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/deployment.py
@@ -84,6 +84,8 @@
     number: int = 1
     slots: int = 8
     memory_tokens: int = 100_000
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
     keys: list[str] = field(default_factory=lambda: [KEY])
     routes: list[dict[str, Any]] = field(
         default_factory=lambda: [
@@ -105,6 +107,8 @@
                     "name": DRAFTS,
                     "health_path": "/health",
                     "max_connections": 100,
+                    "cold_start_s": self.cold_s,
+                    "cold_per_s": self.cold_per_s,
                     "engine": {
                         "slots": self.slots,
                         "kv_capacity": self.memory_tokens,
@@ -139,6 +143,7 @@
         address: str,
         state: str = "ready",
         zone: str = "zone-1",
+        cold_s: float = 0.0,
     ) -> None:
         """Write an upstream's registration."""
         entry = {
@@ -148,7 +153,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": state,
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": int(cold_s * 1000),
             "sequence": 1,
         }
         self.store.put(f"servers/{upstream}", entry)
--- /dev/null
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/zone_soak.py
@@ -0,0 +1,242 @@
+"""Zones that are emptied and taken back, and engines that start cold, under load.
+
+The instances are processes of their own; the store and the upstreams are stand-ins in
+this process. A zone is evacuated and reopened again and again, its engines are cold
+then; others are stopped and come back cold under another id. Some runs kill and start
+the instances in turn.
+"""
+
+import argparse
+import itertools
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+import trio
+
+from .soak_run import PATIENCE_S, SoakRun
+from .users_platform.cold import ColdEngine
+from .users_platform.deployment import DRAFTS, HOST, KEY, route
+from .users_platform.wire import call_headers
+
+__all__ = ["Bounds", "ZoneSoak", "main"]
+
+ZONES = ("zone-0", "zone-1")
+EVACUATED = ZONES[0]
+EVACUATED_S = 5.0
+REOPENED_S = 4.0
+BEATS_S = 0.5
+# Different shared parts of prompts, so that all engines have work.
+SUBJECTS = 24
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """What is allowed at emptied zones and at cold engines."""
+
+    evacuate_s: float = 3.0
+    restart_s: float = 4.0
+    cold_s: float = 3.0
+    cold_per_s: float = 9.7
+    share: float = 1.5
+    besides: float = 5.0
+
+    @property
+    def most_cold(self) -> float:
+        """Return the requests that may reach a cold engine in a second."""
+        return self.share * self.cold_per_s + self.besides
+
+
+class ZoneSoak(SoakRun):
+    """One run; see `SoakRun` for what is not named here.
+
+    Parameters
+    ----------
+    engines
+        How many there are in each zone.
+    bounds
+        What is allowed.
+
+    Attributes
+    ----------
+    late : list of tuple
+        Requests that reached an emptied zone too late: how late in seconds, and from
+        which instance.
+    most_cold : int
+        The most requests that reached a cold engine within a second.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        ports: int,
+        folder: Path,
+        instances: int,
+        engines: int,
+        per_s: float,
+        restarts: bool = False,
+        bounds: Bounds | None = None,
+    ) -> None:
+        super().__init__(seed, seconds, ports, folder, instances, restarts)
+        self.engines = engines
+        self.per_s = per_s
+        self.bounds = bounds or Bounds()
+        self.late: list[tuple[float, int]] = []
+        self.ended: list[ColdEngine] = []
+        self.running: dict[str, ColdEngine] = {}
+        self.asked: dict[str, int] = {}
+        self.evacuated_at: float | None = None
+        self._ids = itertools.count(1)
+
+    @property
+    def most_cold(self) -> int:
+        """Return the most requests that reached a cold engine within a second."""
+        engines = [*self.ended, *self.running.values()]
+        return max(engine.most_seen for engine in engines)
+
+    async def start_upstreams(self, nursery: trio.Nursery) -> None:
+        """Publish a configuration, start engines and register them."""
+        self.deployment.slots = 32
+        self.deployment.cold_s = self.bounds.cold_s
+        self.deployment.cold_per_s = self.bounds.cold_per_s
+        self.deployment.routes = [
+            route("once", "/once/", "stream", DRAFTS, max_attempts=1),
+            route("draft", "/draft/", "stream", DRAFTS, resumable=True, priority=0),
+        ]
+        self.deployment.publish()
+        for zone in ZONES:
+            for address in self._addresses(zone):
+                await nursery.start(self._keep_engine, address, zone)
+
+    def _addresses(self, zone: str) -> list[str]:
+        """Return the addresses of a zone's engines."""
+        first = 100 * ZONES.index(zone) + 1
+        numbers = range(first, first + self.engines)
+        return [f"127.0.7.{number}:{self.ports}" for number in numbers]
+
+    async def _keep_engine(
+        self, address: str, zone: str, *, task_status=trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run incarnations of one engine, each under an id of its own."""
+        is_first = True
+        while True:
+            engine = ColdEngine(f"e{next(self._ids)}", event_s=0.03)
+            engine.most_per_s = 2 * self.bounds.most_cold
+            engine.on_arrival = self._make_check(zone)
+            if not is_first:
+                engine.cool(self.bounds.cold_s)
+            self.running[address] = engine
+            async with trio.open_nursery() as nursery:
+                await nursery.start(engine.run_until_crash, address)
+                nursery.start_soon(self._beat, engine, address, zone, nursery)
+                if is_first:
+                    task_status.started()
+            is_first = False
+            self.ended.append(engine)
+            self.deployment.store.remove(f"servers/{engine.id}")
+            await trio.sleep(1.0)
+
+    async def _beat(
+        self, engine: ColdEngine, address: str, zone: str, nursery: trio.Nursery
+    ) -> None:
+        """Register an engine again and again, until it ends."""
+        while not engine.crashed.is_set():
+            cold_s = max(0.0, engine.cold_until - trio.current_time())
+            self.deployment.register(
+                engine.id, DRAFTS, address, zone=zone, cold_s=cold_s
+            )
+            with trio.move_on_after(BEATS_S):
+                await engine.crashed.wait()
+        nursery.cancel_scope.cancel()
+
+    def _make_check(self, zone: str):
+        def check(request: str) -> None:
+            if zone != EVACUATED or self.evacuated_at is None:
+                return
+            now, instance = trio.current_time(), self.asked[request]
+            late_s = now - self.evacuated_at - self.bounds.evacuate_s
+            has_restarted = any(
+                number == instance and 0 <= now - at <= self.bounds.restart_s
+                for at, number in self.started
+            )
+            if late_s > 0 and not has_restarted:
+                self.late.append((late_s, instance))
+
+        return check
+
+    async def play(self, callers: trio.Nursery) -> None:
+        """Let callers come, and zones and engines go and come back."""
+        for path in ("once", "draft"):
+            callers.start_soon(self._come, path, self.per_s / 2, callers)
+        callers.start_soon(self._stop_engines)
+        while True:
+            await trio.sleep(REOPENED_S)
+            self.deployment.evacuate(EVACUATED)
+            self.evacuated_at = trio.current_time()
+            await trio.sleep(EVACUATED_S)
+            self.evacuated_at = None
+            self.deployment.reopen(EVACUATED)
+            for address in self._addresses(EVACUATED):
+                self.running[address].cool(self.bounds.cold_s)
+
+    async def _stop_engines(self) -> None:
+        """Stop one engine after the other; each comes back cold."""
+        while True:
+            await trio.sleep(2.5)
+            address = self.draw.choice(sorted(self.running))
+            self.running[address].crashed.set()
+
+    async def _come(self, path: str, per_s: float, callers: trio.Nursery) -> None:
+        while True:
+            callers.start_soon(self._call, path)
+            await trio.sleep(self.draw.expovariate(per_s))
+
+    async def _call(self, path: str) -> None:
+        request = f"r{next(self.numbers)}"
+        number = self.asked[request] = self.draw.randint(1, self.count)
+        subject = f"{self.draw.randrange(SUBJECTS):x}a"
+        prompt = ("900,10", f"{subject}:600,{request[1:]}:300")
+        headers = call_headers(request, HOST, KEY, PATIENCE_S, prompt)
+        self.statuses[path, await self.exchange(number, path, headers)] += 1
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Play seeds one after the other; return 1 if any is over what is allowed."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seeds", type=int, nargs="+", default=[1])
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--instances", type=int, default=6)
+    parser.add_argument("--engines", type=int, default=4)
+    parser.add_argument("--per-s", type=float, default=60.0)
+    parser.add_argument("--restarts", action="store_true")
+    parser.add_argument("--ports", type=int, default=8400)
+    options = parser.parse_args(arguments)
+    failed = 0
+    for seed in options.seeds:
+        with tempfile.TemporaryDirectory(prefix="zone-soak-") as name:
+            soak = ZoneSoak(
+                seed,
+                options.seconds,
+                options.ports,
+                Path(name),
+                options.instances,
+                options.engines,
+                options.per_s,
+                options.restarts,
+            )
+            trio.run(soak.run)
+        is_broken = bool(soak.late) or soak.most_cold > soak.bounds.most_cold
+        failed += is_broken
+        print(
+            f"seed {seed}: {'BROKEN' if is_broken else 'kept'}, late {soak.late[:5]}, "
+            f"{soak.most_cold} of {soak.bounds.most_cold} in a second at a cold engine"
+        )
+        for (kind, status), count in sorted(soak.statuses.items()):
+            print(f"  {kind} {status}: {count}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -195,10 +195,7 @@
         """Put news in force."""
         if news.published is not None:
             self._adopt_published(news.published)
-        for entry in news.entries.values():
-            self._doubted.discard(entry.id)
-            if self.pools.adopt(entry):
-                self.on_restart(entry.id)
+        self._adopt_entries(news)
         gone = set(news.removed)
         if news.whole:
             gone |= set(self.pools.views) - set(news.entries)
@@ -213,6 +210,24 @@
         self.pools.set_contracts(self.table.pools.values(), self.table.routes)
         self.on_change()
 
+    def _adopt_entries(self, news: News) -> None:
+        """Put registrations in force; what is new here may have just started.
+
+        That does not hold of what an instance finds when it starts itself.
+        """
+        known = set(self.pools.views)
+        restarted = set()
+        for entry in news.entries.values():
+            self._doubted.discard(entry.id)
+            if self.pools.adopt(entry):
+                restarted.add(entry.id)
+                self.on_restart(entry.id)
+        if self.read_once:
+            started = (news.entries.keys() - known) | restarted
+            self.pools.rate_limits.assume_cold(
+                self.pools.views[name] for name in started
+            )
+
     def _adopt_published(self, raw: bytes) -> None:
         try:
             published = self.decode(raw)
@@ -254,6 +269,7 @@
             reopened += evacuations.record_absent(present, news.revision)
         for zone in reopened:
             log_event("zone_reopened", "WARNING", zone=zone, revision=news.revision)
+            self.pools.rate_limits.assume_cold(self.pools.of_zone(zone))
 
     def unbroken_s(self) -> float:
         """Return for how long the source has answered here without an outage.
--- a/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
@@ -203,3 +203,43 @@
 def test_a_record_on_an_unknown_zone_is_refused(agent):
     agent.adopt(zones(5, evacuated={"nowhere": 4, "z": 5}))
     assert agent.pools.evacuations.zones() == {"z": 5}
+
+
+def cold_decode(raw: bytes) -> Published:
+    pool = Pool(POOL, "/health", 10, cold_s=3.0, cold_per_s=9.7)
+    return Published(number=int(raw), pools=(pool,))
+
+
+def cold(agent) -> set[str]:
+    now = agent.clock.now()
+    views = agent.pools.views.values()
+    return {view.id for view in views if view.rate_limit.is_cold(now)}
+
+
+@pytest.fixture
+def cold_agent(agent):
+    """Return an agent that found one upstream when it started."""
+    agent.decode = cold_decode
+    agent.adopt(news(1, "a", whole=True, published=b"1"))
+    return agent
+
+
+def test_what_an_instance_finds_at_its_start_is_not_assumed_cold(cold_agent):
+    assert cold(cold_agent) == set()
+
+
+def test_an_upstream_that_appears_later_is_assumed_cold(cold_agent, clock):
+    """Its record may not say so yet."""
+    cold_agent.adopt(news(2, "b"))
+    assert cold(cold_agent) == {"b"}
+    clock.time += 3.1
+    cold_agent.adopt(news(3, "b"))
+    assert cold(cold_agent) == set()
+
+
+def test_upstreams_of_a_reopened_zone_are_assumed_cold(cold_agent, clock):
+    cold_agent.adopt(zones(5, evacuated={"z": 5}))
+    assert cold(cold_agent) == set()
+    clock.time += 20.0
+    cold_agent.adopt(zones(6, reopened={"z": 6}))
+    assert cold(cold_agent) == {"a"}
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -255,7 +255,7 @@
             most_idle_s=self._most_idle_s(job),
             silence_s=self._silence_s(job, choice, remaining_s),
             note_prompt=self.pools.note_prompt,
-            record_rate_limit=self.pools.record_rate_limit,
+            record_rate_limit=self.pools.rate_limits.record,
             model=self.pools.model(job.resolution.pool.id),
             event_silence_s=self._event_silence_s(job),
             tight=job.traits.tight,
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
@@ -162,7 +162,7 @@
             )
             pools.views[f"u{number}"].load.requests = number
         if limit_per_s is not None:
-            pools.record_rate_limit(pools.views[limited], limit_per_s)
+            pools.rate_limits.record(pools.views[limited], limit_per_s)
             pools.views[limited].rate_limit.share(own_per_s, clock.now())
         settings = ForwardingSettings(retry_ratio=0.0, retry_reserve=reserve)
         quarantine = QuarantineTable(QuarantineSettings())
@@ -461,7 +461,7 @@
 async def test_a_limit_named_at_an_address_of_another_upstream_is_not_its(forward):
     misdirected = MISDIRECTED.replace(b"X-Not-Run", b"X-Limit: 2.5\r\nX-Not-Run")
     await forward([misdirected], [whole()])
-    assert not forward.pools.views["u0"].rate_limit.is_limited
+    assert not forward.pools.views["u0"].rate_limit.names_limit
 
 
 async def test_a_request_waits_for_a_token_that_comes_soon(forward):
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_limit_gate.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_limit_gate.py
@@ -29,7 +29,7 @@
         self.sent = []
 
     def limit(self, own_per_s):
-        self.pools.record_rate_limit(self.view, 100.0)
+        self.pools.rate_limits.record(self.view, 100.0)
         self.view.rate_limit.share(own_per_s, self.clock.now())
 
     def choose(self, job):
@@ -84,7 +84,7 @@
     """Others still waited for a token, and it was refused behind them."""
     gate.limit(2.0)
     with gate.pools.limit_queue(POOL).join(URGENT):
-        gate.pools.record_rate_limit(gate.view, UNLIMITED)
+        gate.pools.rate_limits.record(gate.view, UNLIMITED)
         assert await gate.ask(ROUTINE)
 
 
--- a/packages/buckthornwall/src/buckthornwall/platform/published.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/published.py
@@ -1,5 +1,7 @@
 """The operator's configuration, from the platform's form to the product's."""
 
+from typing import Annotated
+
 import msgspec
 
 from buckthornwall.codes import RecordError, ResultCode
@@ -63,6 +65,8 @@
     health_path: str = "/"
     max_connections: int = 100
     engine: _Engine | None = None
+    cold_start_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    cold_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class _Tenant(msgspec.Struct):
@@ -154,6 +158,8 @@
         health_path=service.health_path,
         max_connections=service.max_connections,
         engine=traits,
+        cold_s=service.cold_start_s,
+        cold_per_s=service.cold_per_s,
     )
 
 
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -10,7 +10,9 @@
 `health`      which upstreams fail requests, whatever their health check says
 `reach`       which upstreams cannot be reached, as instances tell each other
 `rate_limit`  how many requests a second an upstream takes from all instances
+`rate_limits` those of all upstreams, and what an instance may send
 `limit_share` which instances send to one, and how much each
+`fleet_memory` which instances were live lately
 `limit_queue` who gets the next token where all of a pool have a limit
 `view`        all of these for one upstream
 `table`       the views by upstream; adopts registrations
@@ -28,6 +30,7 @@
 from .decision import choose_upstream
 from .entry import UpstreamEntry, UpstreamState
 from .expectation import expected_s
+from .fleet_memory import FleetMemory
 from .health import Verdict
 from .limit_queue import LimitQueue
 from .limit_share import Fleet
@@ -46,6 +49,7 @@
 __all__ = [
     "Choice",
     "Fleet",
+    "FleetMemory",
     "HeldParts",
     "LimitQueue",
     "LimitReport",
--- a/packages/buckthornwall/src/buckthornwall/pools/decision.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/decision.py
@@ -52,7 +52,7 @@
         return choose_service(views, zone, now)
     route = traits.resolution.route
     # A stream that may not pause stays away from engines in need, if it can.
-    steady = [view for view in views if not view.rate_limit.is_limited] or views
+    steady = [view for view in views if not view.rate_limit.is_limited(now)] or views
     split = pools.quiet(pool.id).split(steady, now, route if traits.tight else None)
     wanted = _wanted(pools, traits, split, zone)
     compared = split.open_to(traits.id, now) if traits.tight else views
--- a/packages/buckthornwall/src/buckthornwall/pools/limit_share.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/limit_share.py
@@ -1,4 +1,4 @@
-"""Which instances send to an upstream that names a rate, and how much each.
+"""Which instances send to an upstream with a rate limit, and how much each.
 
 No instance asks another: who sends is drawn by a hash over those that are live, as all
 know them. With equal parts for all, one request a second would be a request in 200 s at
@@ -34,7 +34,7 @@
     zone: ZoneId
     zones: tuple[ZoneId, ...]
     members: tuple[str, ...]
-    instances: int
+    instances: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,9 +45,9 @@
     per_s: float
     said_s_ago: float
 
-    def senders(self, instances: int) -> int:
+    def senders(self, instances: float) -> int:
         """Return how many instances send to it."""
-        return max(1, min(instances, math.floor(self.per_s)))
+        return max(1, int(min(instances, math.floor(self.per_s))))
 
     @property
     def key(self) -> str:
--- a/packages/buckthornwall/src/buckthornwall/pools/rate_limit.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/rate_limit.py
@@ -1,8 +1,9 @@
-"""The rate of requests that an upstream names for all instances together.
+"""The rate of requests that an upstream takes from all instances together.
 
-An instance sends by a token bucket of its own part of it (`limit_share`), which is
-nothing for most. What one instance learns from an answer it reports to the others; the
-newest report holds, however old: were a limit to lapse where nobody sends, all
+It names one in its answers, or is cold: it has just started, and bears little for a
+while. An instance sends by a token bucket of its own part of it (`limit_share`), which
+is nothing for most. What one instance learns from an answer it reports to the others;
+the newest report holds, however old: were a limit to lapse where nobody sends, all
 instances would send at once.
 """
 
@@ -59,14 +60,18 @@
 
 
 class RateLimit:
-    """What one upstream last said, and what this instance may send it.
+    """What one upstream takes, and what this instance may send it.
 
     Attributes
     ----------
     per_s : float
-        Requests a second from all instances; infinite without a limit.
+        Requests a second that it names; infinite without a limit.
     said_at : float
         When the upstream said so, in seconds, to whichever instance.
+    cold_per_s : float
+        Requests a second that it bears while it is cold; infinite if any number.
+    cold_until : float
+        When it is cold no longer, in seconds.
     own_per_s : float
         The part of this instance.
     """
@@ -74,22 +79,37 @@
     def __init__(self) -> None:
         self.per_s = UNLIMITED
         self.said_at = float("-inf")
+        self.cold_per_s = UNLIMITED
+        self.cold_until = float("-inf")
         self.own_per_s = 0.0
         self._answered_here_at = float("-inf")
         self._tokens = 0.0
         self._filled_at = 0.0
         self._ready_since = 0.0
+        self._begins_cold = False
 
     @property
-    def is_limited(self) -> bool:
-        """Whether the upstream takes only so many requests a second."""
+    def names_limit(self) -> bool:
+        """Whether the upstream names a limit."""
         return math.isfinite(self.per_s)
 
+    def is_cold(self, now: float) -> bool:
+        """Tell whether it bears little since it has just started."""
+        return now < self.cold_until and math.isfinite(self.cold_per_s)
+
+    def most_per_s(self, now: float) -> float:
+        """Return the requests a second that it takes, infinite if any number."""
+        return min(self.per_s, self.cold_per_s) if self.is_cold(now) else self.per_s
+
+    def is_limited(self, now: float) -> bool:
+        """Tell whether it takes only so many requests a second."""
+        return self.names_limit or self.is_cold(now)
+
     # What it says
 
     def record_answer(self, per_s: float, now: float) -> bool:
         """Record what an answer to this instance says; tell whether it is new."""
-        if per_s != self.per_s or self.is_limited:
+        if per_s != self.per_s or self.names_limit:
             self._answered_here_at = now
         return self._note(per_s, now)
 
@@ -102,7 +122,7 @@
 
     def _note(self, per_s: float, said_at: float) -> bool:
         is_new = per_s != self.per_s
-        if is_new and not self.is_limited:
+        if is_new and not self.names_limit:
             self.own_per_s = self._tokens = 0.0
         self.per_s = per_s
         self.said_at = said_at
@@ -110,31 +130,49 @@
 
     def report(self, now: float) -> LimitReport | None:
         """Return what others are told of it, if this instance was told itself."""
-        reported_for_s = math.inf if self.is_limited else END_REPORTED_S
+        reported_for_s = math.inf if self.names_limit else END_REPORTED_S
         if now - self._answered_here_at >= reported_for_s:
             return None
         age_ms = math.ceil((now - self.said_at) * MS_PER_S)
-        return LimitReport(self.per_s if self.is_limited else None, age_ms)
+        return LimitReport(self.per_s if self.names_limit else None, age_ms)
+
+    # What it bears
+
+    def cool(self, until: float, now: float) -> None:
+        """Record that it is cold until a time, at least."""
+        if not self.is_limited(now):
+            self.own_per_s = self._tokens = 0.0
+            self._begins_cold = True
+        self.cold_until = max(self.cold_until, until)
 
     # What may be sent
 
-    def share(self, own_per_s: float, now: float) -> None:
-        """Set the part of this instance; who had none begins without a token."""
+    def share(self, own_per_s: float, now: float, first_token: float = 0.0) -> None:
+        """Set the part of this instance.
+
+        Who had none begins without a token, so that those who had one have heard of
+        the change. When an upstream begins to be cold nobody had one: then a part
+        begins with `first_token`, below 1.
+        """
         self._fill(now)
         if not own_per_s:
             self._tokens = 0.0
+        elif self._begins_cold:
+            self._tokens = first_token
+            self._filled_at = now
+            self._begins_cold = False
         self.own_per_s = own_per_s
 
     def may_send(self, now: float) -> bool:
         """Tell whether a request may be sent now."""
-        if not self.is_limited:
+        if not self.is_limited(now):
             return True
         self._fill(now)
         return self._tokens >= 1
 
     def take(self, now: float) -> None:
         """Count a request that is sent."""
-        if self.is_limited:
+        if self.is_limited(now):
             self._fill(now)
             self._tokens -= 1
 
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -19,11 +19,10 @@
 from .health import Verdict
 from .ledger import AdmissionLedger
 from .limit_queue import LimitQueue
-from .limit_share import Fleet, NamedLimit, own_rates
 from .pace import Pace
 from .prefix_news import HeldParts, PrefixNews
 from .quiet import QuietEngines
-from .rate_limit import LimitReports
+from .rate_limits import RateLimits
 from .reach import Unreachable
 from .view import UpstreamView
 
@@ -50,6 +49,8 @@
     ----------
     instances : float
         How many instances serve the pools, this one included.
+    rate_limits : RateLimits
+        How many requests a second upstreams take.
     evacuations : Evacuations
         Which availability zones get no new requests.
     """
@@ -60,6 +61,7 @@
         self.clock = clock
         self.regions = dict(regions or {})
         self.views: dict[UpstreamId, UpstreamView] = {}
+        self.rate_limits = RateLimits(clock, self.views)
         self._members: dict[PoolId, dict[UpstreamId, UpstreamView]] = {}
         self._paces: dict[PoolId, Pace] = {}
         self._models: dict[PoolId, EngineModel] = {}
@@ -106,10 +108,14 @@
         if view.entry.pool != entry.pool:
             self._members[view.entry.pool].pop(entry.id, None)
         view.entry = entry
-        view.cold_until = self.clock.now() + entry.cold_s
         self._members.setdefault(entry.pool, {})[entry.id] = view
+        self.rate_limits.adopt(view)
         return started_again
 
+    def of_zone(self, zone: ZoneId) -> list[UpstreamView]:
+        """Return the upstreams of an availability zone."""
+        return [view for view in self.views.values() if view.entry.zone == zone]
+
     def remove(self, upstream: UpstreamId) -> None:
         """Forget an upstream that is gone."""
         view = self.views.pop(upstream, None)
@@ -136,9 +142,7 @@
 
     def knows_zone(self, zone: ZoneId) -> bool:
         """Tell whether a zone is set, or has upstreams."""
-        return zone in self.regions or any(
-            view.entry.zone == zone for view in self.views.values()
-        )
+        return zone in self.regions or bool(self.of_zone(zone))
 
     def is_evacuated(self, pool: PoolId, regions: Regions = None) -> bool:
         """Tell whether all ready upstreams of a pool are in evacuated zones."""
@@ -185,6 +189,8 @@
         self, pools: Iterable[Pool], routes: Iterable[RequestRoute]
     ) -> None:
         """Take sizes of engines and contracts of streams from a new version."""
+        pools = list(pools)
+        self.rate_limits.set_pools(pools)
         pauses: dict[PoolId, set[float]] = {}
         for route in routes:
             if route.form is AnswerForm.EVENTS:
@@ -243,40 +249,6 @@
         ]
         return sound or ready
 
-    def record_rate_limit(self, view: UpstreamView, per_s: float) -> None:
-        """Take the requests a second that an upstream names in an answer."""
-        before = view.rate_limit.per_s
-        if view.rate_limit.record_answer(per_s, self.clock.now()):
-            _log_limit(view, before, is_told=False)
-
-    def receive_limits(self, reports: LimitReports) -> None:
-        """Take what other instances know of the limits that upstreams name."""
-        now = self.clock.now()
-        for upstream, report in reports.items():
-            view = self.views.get(upstream)
-            if view is None:
-                continue
-            before = view.rate_limit.per_s
-            if view.rate_limit.receive(report, now):
-                _log_limit(view, before, is_told=True)
-
-    def limits(self) -> LimitReports:
-        """Return what others are told of the limits that upstreams name."""
-        now = self.clock.now()
-        reports = {view.id: view.rate_limit.report(now) for view in self.views.values()}
-        return {each: report for each, report in reports.items() if report is not None}
-
-    def share_limits(self, fleet: Fleet) -> None:
-        """Find the part of this instance in what upstreams take."""
-        now = self.clock.now()
-        limits = [
-            NamedLimit(view.id, view.rate_limit.per_s, now - view.rate_limit.said_at)
-            for view in self.views.values()
-            if view.rate_limit.is_limited
-        ]
-        for upstream, rate in own_rates(limits, fleet).items():
-            self.views[upstream].rate_limit.share(rate, now)
-
     def limit_queue(self, pool: PoolId) -> LimitQueue:
         """Return who waits for a token of a limited pool."""
         return self._limit_queues.setdefault(pool, LimitQueue())
@@ -284,7 +256,8 @@
     def is_limited(self, pool: PoolId, regions: Regions = None) -> bool:
         """Tell whether all upstreams of a pool take only so many requests a second."""
         ready = self._ready(pool, frozenset(), regions)
-        return bool(ready) and all(view.rate_limit.is_limited for view in ready)
+        now = self.clock.now()
+        return bool(ready) and all(view.rate_limit.is_limited(now) for view in ready)
 
     def limit_wait_s(self, pool: PoolId, regions: Regions = None) -> float:
         """Return how long until a limited pool takes another request from here.
@@ -353,17 +326,6 @@
         return sorted(others)[len(others) // 2] if others else 0.0
 
 
-def _log_limit(view: UpstreamView, before: float, is_told: bool) -> None:
-    log_event(
-        "upstream_limit",
-        "WARNING",
-        upstream=view.id,
-        per_s=view.rate_limit.per_s,
-        before=before,
-        told=is_told,
-    )
-
-
 def _is_another_start(before: UpstreamEntry, now: UpstreamEntry) -> bool:
     """Tell whether two registrations under one id are of two starts.
 
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_limited_pool.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_limited_pool.py
@@ -23,7 +23,7 @@
 
 def limit(pools, name, own_per_s):
     view = pools.views[name]
-    pools.record_rate_limit(view, 1.0)
+    pools.rate_limits.record(view, 1.0)
     view.rate_limit.share(own_per_s, pools.clock.now())
 
 
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_rate_limit.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_rate_limit.py
@@ -75,16 +75,16 @@
 
 def test_the_newest_word_holds(limit):
     assert not limit.receive(LimitReport(None, 2000), NOW + 1)
-    assert limit.is_limited
+    assert limit.is_limited(NOW)
     assert limit.receive(LimitReport(None, 200), NOW + 1)
-    assert not limit.is_limited
+    assert not limit.is_limited(NOW)
 
 
 def test_who_was_only_told_tells_nobody():
     """Word that goes round among instances would never grow old."""
     limit = RateLimit()
     limit.receive(LimitReport(1.0, 0), NOW)
-    assert limit.is_limited
+    assert limit.is_limited(NOW)
     assert limit.report(NOW) is None
 
 
--- a/packages/buckthornwall/src/buckthornwall/pools/view.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/view.py
@@ -18,7 +18,7 @@
     """One upstream: its registration, load, health and likely memory.
 
     `reach` tells whether it can be reached, by own tries and by what others tell, and
-    `rate_limit` how many requests a second it takes.
+    `rate_limit` how many requests a second it takes, and until when it is cold.
     """
 
     def __init__(self, entry: UpstreamEntry) -> None:
@@ -28,11 +28,10 @@
         self.prefixes = PrefixMemory(DEFAULT_MEMORY_TOKENS)
         self.reach = Reach()
         self.rate_limit = RateLimit()
-        self.cold_until = 0.0
 
     def cold_s(self, now: float) -> float:
         """Return how much longer it starts up slowly, in seconds."""
-        return max(0.0, self.cold_until - now)
+        return max(0.0, self.rate_limit.cold_until - now)
 
     @property
     def id(self) -> UpstreamId:
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -21,7 +21,7 @@
     decode_published,
     decode_request,
 )
-from buckthornwall.pools import PoolTable
+from buckthornwall.pools import FleetMemory, PoolTable
 from buckthornwall.pools.load import NO_PEERS
 from buckthornwall.quarantine import QuarantineTable
 from buckthornwall.routing import RoutingTable
@@ -86,6 +86,7 @@
         self.metrics = RouterMetrics()
         self.table = RoutingTable()
         self.pools = PoolTable(clock, settings.node.region_by_zone())
+        self.fleet_memory = FleetMemory(self.pools.regions, clock.now())
         self.quarantine = QuarantineTable(settings.quarantine)
         self.forwarder = Forwarder(
             settings.forwarding,
@@ -174,14 +175,19 @@
             fleet = self.fleet()
             self.forwarder.budgets.set_instances(fleet.count)
             self.pools.instances = float(fleet.count)
-            self.pools.share_limits(fleet.live(self.settings.peers.listen, self.zone))
             now = self.clock.now()
+            self._share_limits(fleet, now)
             self.quarantine.expire(now)
             self.news_watch.look(now)
             if now - logged_at >= LOG_SPEEDS_S:
                 logged_at = now
                 self.pools.log_speeds()
 
+    def _share_limits(self, fleet: Digest, now: float) -> None:
+        live = fleet.live(self.settings.peers.listen, self.zone)
+        self.fleet_memory.record(live, now)
+        self.pools.rate_limits.share(live, self.fleet_memory.lately(live, now))
+
     # Messages
 
     def fleet(self) -> Digest:
@@ -210,7 +216,7 @@
             held=self.pools.news.told(now),
             unreachable=self.pools.unreachable(),
             crash_checksum=self.quarantine.checksum,
-            limits=self.pools.limits(),
+            limits=self.pools.rate_limits.reports(),
         )
 
     def _work_told(self) -> None:
@@ -219,12 +225,13 @@
         for view in self.pools.views.values():
             view.load.peers = work.get(view.id, NO_PEERS)
         self.pools.receive_unreachable(self.peers.unreachable(own, now))
-        self.pools.receive_limits(self.peers.limits(own, now))
+        self.pools.rate_limits.receive(self.peers.limits(own, now))
 
     def _count_store_call(self, seconds: float, outcome: str) -> None:
         self.metrics.store_call.add({"outcome": outcome}, seconds)
 
     def _news_adopted(self) -> None:
+        self._share_limits(self.fleet(), self.clock.now())
         if self.state is PeerState.JOINING and self.table.number:
             self.state = PeerState.READY
             self.ready_at = self.clock.now()
--- a/packages/buckthornwall/src/buckthornwall/router/news.py
+++ b/packages/buckthornwall/src/buckthornwall/router/news.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 import trio
 
@@ -133,7 +134,11 @@
     def view(self) -> PeerView:
         """Return what is in force here, for a peer that asks."""
         discovery = self.discovery
-        entries = [view.entry for view in discovery.pools.views.values()]
+        now = self.clock.now()
+        entries = [
+            replace(view.entry, cold_s=view.cold_s(now))
+            for view in discovery.pools.views.values()
+        ]
         return PeerView(
             discovery.revision,
             discovery.mark,
--- a/packages/buckthornwall/src/buckthornwall/router/operators.py
+++ b/packages/buckthornwall/src/buckthornwall/router/operators.py
@@ -47,12 +47,16 @@
         ),
         "upstreams_limited": (
             "Upstreams that take only so many requests a second.",
-            sum(1 for view in views if view.rate_limit.is_limited),
+            sum(1 for view in views if view.rate_limit.names_limit),
         ),
         "zones_evacuated": (
             "Availability zones that get no new requests.",
             len(router.pools.evacuations.zones()),
         ),
+        "upstreams_cold": (
+            "Upstreams that have just started and bear little.",
+            sum(1 for view in views if view.rate_limit.is_cold(router.clock.now())),
+        ),
         "instances": ("Instances that serve.", router.fleet().count),
         "active": ("Requests being answered.", router.callers.active),
         "word_age_seconds": (
@@ -111,6 +115,7 @@
                 "in_flight": view.load.in_flight(now),
                 "unread_tokens": view.load.unread_all(),
                 "limit_per_s": _finite(view.rate_limit.per_s),
+                "cold_s": round(view.cold_s(now), 3),
                 "own_part_per_s": round(view.rate_limit.own_per_s, 3),
             }
             for view in router.pools.views.values()
--- a/packages/buckthornwall/src/buckthornwall/router/tests/test_news.py
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/test_news.py
@@ -4,13 +4,16 @@
 
 from buckthornwall.discovery import DiscoveryAgent, DiscoverySettings, News
 from buckthornwall.peers import Beacon, PeerState, PeerTable, ViewClient
-from buckthornwall.pools import PoolTable
+from buckthornwall.pools import PoolTable, UpstreamEntry, UpstreamState
 from buckthornwall.router.news import UNHEARD_S, NewsExchange, view_pause_s
-from buckthornwall.routing import Published, RoutingTable
-from buckthornwall.utils import Incarnation, NodeId, ZoneId
+from buckthornwall.routing import PoolId, Published, RoutingTable
+from buckthornwall.utils import Incarnation, NodeId, UpstreamId, ZoneId
 
 ZONE = ZoneId("z")
 OWN, OTHER = "10.0.0.1:7340", "10.0.0.2:7340"
+COLD = UpstreamEntry(
+    UpstreamId("u"), PoolId("p"), "h:1", ZONE, 4, UpstreamState.READY, cold_s=3.0
+)
 
 
 def beacon(address: str, number: int = 1, read_age_ms: int = 100) -> Beacon:
@@ -106,3 +109,10 @@
 def test_views_that_take_long_are_asked_for_less_often(took_s, pause_s):
     """They take the link from the callers' answers: 150 KB over 5 Mbit/s, 0.25 s."""
     assert view_pause_s(took_s) == pytest.approx(pause_s)
+
+
+def test_a_view_tells_for_how_much_longer_an_upstream_is_cold(exchange, clock):
+    """Told as it was read, it began anew with each view that was taken."""
+    exchange.discovery.pools.adopt(COLD)
+    clock.time += 2.0
+    assert [entry.cold_s for entry in exchange.view().entries] == [1.0]
--- a/packages/buckthornwall/src/buckthornwall/routing/contract.py
+++ b/packages/buckthornwall/src/buckthornwall/routing/contract.py
@@ -73,12 +73,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Pool:
-    """Upstreams that serve the same; `engine` is None for a plain service."""
+    """Upstreams that serve the same; `engine` is None for a plain service.
+
+    After a start an upstream is cold for `cold_s` seconds, and bears `cold_per_s`
+    requests a second from all instances together; 0 is any number.
+    """
 
     id: PoolId
     health_path: str
     max_connections: int
     engine: EngineTraits | None = None
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
