--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_limits_at_size.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_limits_at_size.py
@@ -29,8 +29,6 @@
         self.arrivals = []
 
     def view(self, peer):
-        if ENTRY.id not in peer.pools.views:
-            peer.pools.adopt(ENTRY)
         return peer.pools.views[ENTRY.id]
 
     def live(self):
@@ -41,8 +39,8 @@
         while True:
             await trio.sleep(self.draw.expovariate(per_s))
             peer = self.draw.choice(self.live())
-            view = self.view(peer)
-            if view.rate_limit.may_send(trio.current_time()):
+            view = peer.pools.views.get(ENTRY.id)
+            if view is not None and view.rate_limit.may_send(trio.current_time()):
                 view.rate_limit.take(trio.current_time())
                 self.arrivals.append(trio.current_time())
                 self.fleet.nursery.start_soon(self.answer, peer, view)
@@ -58,6 +56,7 @@
 async def started(nursery, zones, of_zone, per_s):
     fleet = PeersSimulation(nursery)
     fleet.seeds = ["10.1.0.1:7340", "10.2.0.1:7340"]
+    fleet.entries = {ENTRY.id: ENTRY}
     for place in range(1, zones + 1):
         fleet.start_zone(f"z{place}", place, of_zone)
     upstream = LimitedUpstream(fleet)
@@ -129,6 +128,5 @@
     upstream.per_s = 1.0
     await trio.sleep(ALLOWANCE.grace_s)
     newcomer = fleet.start("10.1.0.99:7340", ZoneId("z1"))
-    upstream.view(newcomer)
     await trio.sleep(1.0)
     assert upstream.view(newcomer).rate_limit.names_limit
