--- a/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/large.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/large.py
@@ -7,7 +7,7 @@
 
 import argparse
 import sys
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from loguru import logger
 
@@ -89,11 +89,7 @@
     def traffic(self, share: float) -> list[Traffic]:
         """Return what callers send to this part of the engines."""
         return [
-            replace(
-                traffic,
-                per_s=traffic.per_s * self.times * share,
-                subjects=max(1, int(traffic.subjects * share)),
-            )
+            traffic.scaled(self.times * share, share)
             for traffic in (DRAFTS, QUESTIONS, LISTS)
         ]
 
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/request.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/request.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from buckthornwall.routing import (
     AnswerForm,
@@ -49,6 +49,14 @@
     spread: float = 0.0
     patience_s: float = math.inf
 
+    def scaled(self, rate: float, subjects: float) -> "Traffic":
+        """Return so many times the requests, about so many times the subjects."""
+        return replace(
+            self,
+            per_s=self.per_s * rate,
+            subjects=max(1, int(self.subjects * subjects)),
+        )
+
     def route(self) -> RequestRoute:
         """Return the contract."""
         return RequestRoute(
@@ -135,6 +143,17 @@
             return LATE_CREDIT
         return 1.0 if self.refusals == 0 else (1 + LATE_CREDIT) / 2
 
+    @property
+    def credit_from_first(self) -> float:
+        """What its caller got, where time counts from when it first asked."""
+        if not self.done:
+            return 0.0
+        is_prompt = (
+            self.first_at - self.at <= self.traffic.target_s
+            and self.longest_pause_s <= self.traffic.max_pause_s
+        )
+        return 1.0 if is_prompt else LATE_CREDIT
+
     def returns_after_s(self, retry_after_s: float, now: float) -> float | None:
         """Return after how long its caller asks again, or None if it does not."""
         if self.refusals > self.traffic.retries:
