Test that a reopened zone is used once its upstreams are no longer cold

Upstreams of a zone that is reopened are taken to be cold for 3 s since the limits on cold upstreams, and most instances send them nothing then: five cases of the test at size expected all to be used by everyone 3 s after the reopening, and failed. The test now asks for both: that nobody takes the zone to be evacuated after the same 3 s, which is what it meant, and that everyone uses it after the time for which it is cold.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_evacuation_at_size.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_evacuation_at_size.py
@@ -7,6 +7,7 @@
 from buckthornwall.utils import UpstreamId, ZoneId
 
 from buckthornwall_standins.peers_sim import PeersSimulation
+from buckthornwall_standins.peers_sim.peer import SIM_POOL
 
 ZONES = 6
 SETTLE_S = 6.0
@@ -91,6 +92,8 @@
     fleet.reopen(EMPTIED)
     await trio.sleep(BOUND_S)
     live = [peer for peer in fleet.peers.values() if peer.is_live]
+    assert not any(peer.pools.evacuations.zones() for peer in live)
+    await trio.sleep(SIM_POOL.cold_s)
     assert len(sending(fleet)) == len(live)
 
 
