Show cold upstreams and zones without a region to operators

`buckthornwallctl status` named evacuated zones only. `/status` now has the zone of each upstream and the region of each zone; the command lists cold upstreams and zones that are in no region. A method that nobody called goes.

--- a/packages/buckthornwall-ctl/src/buckthornwall_ctl/router_views.py
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/router_views.py
@@ -11,7 +11,7 @@
 
 
 def router_lines(status: dict[str, Any]) -> list[str]:
-    """Return a line of the instance, and one of each zone that is evacuated."""
+    """Return a line of the instance, and what keeps requests from upstreams."""
     upstreams = status["upstreams"].values()
     in_use = sum(1 for each in upstreams if not each["aside"])
     lines = [
@@ -22,4 +22,11 @@
         f"  evacuated: {zone} since revision {revision}"
         for zone, revision in sorted(status["evacuated"].items())
     ]
+    cold = sorted(name for name, each in status["upstreams"].items() if each["cold_s"])
+    if cold:
+        lines.append(f"  cold: {', '.join(cold)}")
+    regions = status["regions"]
+    outside = sorted({each["zone"] for each in upstreams} - regions.keys())
+    if regions and outside:
+        lines.append(f"  in no region: {', '.join(outside)}")
     return lines
--- a/packages/buckthornwall-ctl/src/buckthornwall_ctl/tests/test_router_views.py
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/tests/test_router_views.py
@@ -2,7 +2,7 @@
 
 from buckthornwall_ctl.router_views import is_router, router_lines
 
-UPSTREAM = {"aside": False}
+UPSTREAM = {"aside": False, "cold_s": 0.0, "zone": "north"}
 STATUS = {
     "node": "front-1",
     "state": "ready",
@@ -10,7 +10,8 @@
     "active": 3,
     "fleet": {},
     "evacuated": {"north": 41},
-    "upstreams": {"a": UPSTREAM, "b": {"aside": True}},
+    "regions": {"north": "east"},
+    "upstreams": {"a": UPSTREAM, "b": UPSTREAM | {"aside": True}},
 }
 
 
@@ -20,6 +21,15 @@
     assert second == "  evacuated: north since revision 41"
 
 
+def test_cold_upstreams_and_those_outside_of_all_regions_are_shown():
+    upstreams = {
+        "a": UPSTREAM | {"cold_s": 1.5},
+        "b": UPSTREAM | {"zone": "lost"},
+    }
+    lines = router_lines(STATUS | {"evacuated": {}, "upstreams": upstreams})
+    assert lines[1:] == ["  cold: a", "  in no region: lost"]
+
+
 def test_the_two_kinds_of_instances_are_told_apart():
     assert is_router(STATUS)
     assert not is_router({"records": {}})
--- a/packages/buckthornwall/src/buckthornwall/pools/rate_limit.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/rate_limit.py
@@ -97,10 +97,6 @@
         """Tell whether it bears little since it has just started."""
         return now < self.cold_until and math.isfinite(self.cold_per_s)
 
-    def most_per_s(self, now: float) -> float:
-        """Return the requests a second that it takes, infinite if any number."""
-        return min(self.per_s, self.cold_per_s) if self.is_cold(now) else self.per_s
-
     def is_limited(self, now: float) -> bool:
         """Tell whether it takes only so many requests a second."""
         return self.names_limit or self.is_cold(now)
--- a/packages/buckthornwall/src/buckthornwall/router/operators.py
+++ b/packages/buckthornwall/src/buckthornwall/router/operators.py
@@ -97,6 +97,7 @@
         },
         "active": router.callers.active,
         "evacuated": router.pools.evacuations.zones(),
+        "regions": dict(router.pools.regions),
         "quarantine": _describe_quarantine(router, now),
         "fleet": {
             "speaker": fleet.address,
@@ -109,6 +110,7 @@
         "upstreams": {
             view.id: {
                 "pool": view.entry.pool,
+                "zone": view.entry.zone,
                 "state": view.entry.state.value,
                 "aside": view.health.ejected,
                 "requests": view.load.requests,
