Take the new checks of upstreams off the way of each request

The cause: whether a zone is evacuated, a region allowed and an upstream cold were asked by a call for each upstream, four times a request. Evacuated zones are looked up once for each list now, regions only where there are any, and whether a whole pool is limited is settled by the first upstream that is not. Besides, the hash order of a pool's engines was computed for each request though it changes only with the engines; it is kept.

--- a/packages/buckthornwall/src/buckthornwall/pools/quiet.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/quiet.py
@@ -112,6 +112,8 @@
         self._event_tokens = 0
         self._pauses: list[float] = []
         self._seen_pause_s = math.inf
+        self._ordered_ids: list[UpstreamId] = []
+        self._order: list[UpstreamId] = []
 
     def set_contracts(self, tokens_per_event: int, pauses: Iterable[float]) -> None:
         """Take the longest pauses that streams of this pool allow, in seconds."""
@@ -155,7 +157,7 @@
             self._seen_pause_s = min(self._seen_pause_s, arriving.max_pause_s)
         self._update_demand(views, now, arriving is not None)
         by_id = {view.id: view for view in views}
-        order = rendezvous_order(self.pool, by_id)
+        order = self._order_of(list(by_id))
         most = int(len(order) * MOST_SHARE)
         slots = max((view.entry.slots for view in views), default=1)
         filled = self._demand / (slots * FILL_SHARE)
@@ -168,6 +170,13 @@
             overflow=max(0.0, 1 - room / self._demand) if size else 0.0,
         )
 
+    def _order_of(self, ids: list[UpstreamId]) -> list[UpstreamId]:
+        """Return engines in their hash order, kept from one request to the next."""
+        if ids != self._ordered_ids:
+            self._ordered_ids = ids
+            self._order = rendezvous_order(self.pool, ids)
+        return self._order
+
     def _update_demand(
         self, views: list[UpstreamView], now: float, arriving: bool
     ) -> None:
--- a/packages/buckthornwall/src/buckthornwall/pools/rate_limit.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/rate_limit.py
@@ -91,11 +91,11 @@
     @property
     def names_limit(self) -> bool:
         """Whether the upstream names a limit."""
-        return math.isfinite(self.per_s)
+        return self.per_s < UNLIMITED
 
     def is_cold(self, now: float) -> bool:
         """Tell whether it bears little since it has just started."""
-        return now < self.cold_until and math.isfinite(self.cold_per_s)
+        return now < self.cold_until and self.cold_per_s < UNLIMITED
 
     def is_limited(self, now: float) -> bool:
         """Tell whether it takes only so many requests a second."""
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -1,7 +1,7 @@
 """All upstreams by id, and what is known of each."""
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 from buckthornwall.engine_model import EngineModel
 from buckthornwall.routing import (
@@ -213,16 +213,18 @@
         pool: PoolId,
         tried: frozenset[UpstreamId] | set[UpstreamId],
         regions: Regions = None,
-    ) -> list[UpstreamView]:
-        return [
-            view
-            for view in self.members(pool)
-            if view.entry.state is UpstreamState.READY
-            and view.entry.loaded
-            and view.id not in tried
-            and not self.evacuations.is_evacuated(view.entry.zone)
-            and self._is_allowed(view, regions)
-        ]
+    ) -> Iterator[UpstreamView]:
+        emptied = self.evacuations.zones()
+        for view in self.members(pool):
+            entry = view.entry
+            if (
+                entry.state is UpstreamState.READY
+                and entry.loaded
+                and entry.id not in tried
+                and entry.zone not in emptied
+                and (regions is None or self._is_allowed(view, regions))
+            ):
+                yield view
 
     def usable(
         self,
@@ -255,9 +257,13 @@
 
     def is_limited(self, pool: PoolId, regions: Regions = None) -> bool:
         """Tell whether all upstreams of a pool take only so many requests a second."""
-        ready = self._ready(pool, frozenset(), regions)
         now = self.clock.now()
-        return bool(ready) and all(view.rate_limit.is_limited(now) for view in ready)
+        is_any_ready = False
+        for view in self._ready(pool, frozenset(), regions):
+            if not view.rate_limit.is_limited(now):
+                return False
+            is_any_ready = True
+        return is_any_ready
 
     def limit_wait_s(self, pool: PoolId, regions: Regions = None) -> float:
         """Return how long until a limited pool takes another request from here.
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_quiet.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_quiet.py
@@ -198,3 +198,12 @@
     views = list(table.members(POOL))[:2]
     views[0].load.tight = 9
     assert table.quiet(POOL).split(views, clock.now()).kept == []
+
+
+def test_engines_are_ordered_anew_when_one_is_gone(table):
+    quiet = table.quiet(POOL)
+    views = list(table.members(POOL))
+    first = quiet.split(views, 0.0).others
+    fewer = [view for view in views if view is not first[0]]
+    assert quiet.split(fewer, 0.0).others == first[1:]
+    assert quiet.split(views, 0.0).others == first
