Split the peers' agent and table by their tasks

How instances find their speaker goes into `greetings`, and how what several of them tell is summed into `sums`; whom an instance tells of its leave and of crashes was written twice and is one method. The seeds are asked for each time, since a reload changes them; a test holds that, which nothing did before.

--- a/packages/buckthornwall/src/buckthornwall/peers/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/__init__.py
@@ -3,16 +3,18 @@
 ============= ============================================================
 `messages`    beacons, digests, heartbeats, and the view that a peer may ask for
 `table`       who speaks for a zone, and what it tells
-`heard`       the last message of a sender
+`received`    the last message of a sender
 `leavers`     who has said that it leaves
 `order`       the order in which instances speak
 `newest`      what is newest of two words
 `parts`       which parts of prompts a speaker tells of
 `counts`      counts in heartbeats, named as in the last digest
-`work`        sums of the work of instances
+`work`        the work of one instance, and sums of it
+`sums`        what several instances tell, put together
 `packing`     counts of work in few bytes
 `pacing`      how often a speaker tells what
 `listeners`   whom it tells the same words
+`greetings`   how instances find the speaker of their zone
 `agent`       the tasks that tell and hear
 `views`       asking a peer for what is in force, and answering that
 ============= ============================================================
--- a/packages/buckthornwall/src/buckthornwall/peers/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/agent.py
@@ -13,6 +13,7 @@
 from buckthornwall.utils import Clock, ConfigItem, ConfigNamespace, ZoneId
 
 from .crash_exchange import CrashExchange
+from .greetings import GREET_INTERVAL_S, Greetings
 from .listeners import Listeners
 from .messages import (
     Beacon,
@@ -31,10 +32,6 @@
 
 MAX_DATAGRAM_BYTES = 65_536
 MS_PER_S = 1000.0
-GREET_INTERVAL_S = 0.5
-# A speaker looks for others that it does not know of this often.
-SEEK_INTERVAL_S = 2.0
-NEVER_MS = 1_000_000_000
 
 
 class PeerSettings(ConfigNamespace):
@@ -153,6 +150,9 @@
         self.members = Listeners(
             True, WordPacing(turn_s, heartbeat_s, settings.digest_bytes_per_s)
         )
+        self.greetings = Greetings(
+            lambda: settings.seeds, self.table, make_beacon, self._send, clock
+        )
         self._was_speaker = False
         self._socket: SocketType | None = None
 
@@ -162,7 +162,7 @@
         with self._socket:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._hear)
-                nursery.start_soon(self._greet)
+                nursery.start_soon(self.greetings.run)
                 task_status.started()
                 await self._tell()
 
@@ -185,11 +185,7 @@
 
     async def _tell_crashes(self, speaker: str | None, now: float) -> None:
         """Tell what is new of requests that crash upstreams."""
-        told = [speaker]
-        if speaker is None:
-            others = self.table.other_speakers().values()
-            told = [*self.table.member_addresses(now), *others]
-        for address, reports in self.crashes.due(told, now):
+        for address, reports in self.crashes.due(self._told(speaker, now), now):
             message = CrashReports(self.settings.listen, reports)
             await self._send(encode(message), address)
 
@@ -231,13 +227,16 @@
     async def _take_leave(self, own: Beacon, speaker: str | None, now: float) -> None:
         """Tell who counts this instance that it leaves, and speak no more."""
         data = encode(own)
-        told = [speaker]
-        if speaker is None:
-            others = self.table.other_speakers().values()
-            told = [*self.table.member_addresses(now), *others]
-        for address in told:
+        for address in self._told(speaker, now):
             await self._send(data, address)
 
+    def _told(self, speaker: str | None, now: float) -> list[str]:
+        """Return whom this instance tells: its speaker, or as the speaker everyone."""
+        if speaker is not None:
+            return [speaker]
+        others = self.table.other_speakers().values()
+        return [*self.table.member_addresses(now), *others]
+
     def _note_role(self, is_speaker: bool, speaker: str | None) -> None:
         if is_speaker != self._was_speaker:
             self._was_speaker = is_speaker
@@ -259,31 +258,6 @@
             )
             await trio.sleep(turn_ms / MS_PER_S)
 
-    async def _greet(self) -> None:
-        """Greet seeds, which may come up at any time, until a speaker is known.
-
-        A speaker goes on, since another group may not know of this one.
-        """
-        while True:
-            now = self.clock.now()
-            is_speaker = self.table.is_speaker(now)
-            if is_speaker and self.make_beacon().state is not PeerState.LEAVING:
-                await self._greet_seeds()
-            knows_others = self.table.members or self.table.zones
-            is_slow = not is_speaker or knows_others
-            await trio.sleep(SEEK_INTERVAL_S if is_slow else GREET_INTERVAL_S)
-
-    async def _greet_seeds(self) -> None:
-        port = self.settings.listen.rpartition(":")[2]
-        for seed in self.settings.seeds:
-            await self._greet_one(f"{seed.partition(':')[0]}:{port}")
-
-    async def _greet_one(self, address: str) -> None:
-        own = self.make_beacon()
-        own.greets = True
-        if address != self.settings.listen:
-            await self._send(encode(own), address)
-
     async def _send(self, data: bytes, address: str) -> None:
         host, _, port = address.rpartition(":")
         try:
@@ -343,72 +317,23 @@
             log_event("peer_heard", peer=beacon.address, zone=beacon.zone)
         self._compare(beacon, now)
         if beacon.greets:
-            await self._answer_greeting(beacon, now)
+            await self.greetings.answer(beacon, now)
         elif beacon.state is PeerState.LEAVING or beacon.zone != self.table.zone:
             return
         elif not self.table.is_speaker(now):
-            await self._redirect(beacon.address, now)
+            await self.greetings.redirect(beacon.address, now)
 
     async def _take_digest(self, digest: Digest, now: float) -> None:
         is_own_zone = digest.zone == self.table.zone
         if is_own_zone and digest.points_only and self.table.is_speaker(now):
             # A pointer is not the word of whom it names: taken for that, it would
             # make a speaker fall silent.
-            await self._greet_one(digest.address)
+            await self.greetings.greet(digest.address)
             return
         self.table.receive_digest(digest, now)
         if not digest.points_only:
             self._compare(digest, now)
         if is_own_zone and self.table.is_outranked(digest, now):
-            await self._redirect(digest.address, now)
+            await self.greetings.redirect(digest.address, now)
         elif is_own_zone and digest.is_fleet:
             self.on_work()
-
-    async def _redirect(self, address: str, now: float) -> None:
-        """Tell an instance that goes by another one who speaks for the zone.
-
-        Left to greetings, instances that start together would have several speakers
-        for seconds, each with a part of the members.
-        """
-        own = self.make_beacon()
-        if own.state is not PeerState.LEAVING:
-            await self._send(encode(self.table.passed_on(own, now)), address)
-
-    async def _answer_greeting(self, beacon: Beacon, now: float) -> None:
-        """Tell who speaks: in the greeter's zone, and for this one.
-
-        Whoever leaves says that instead, or it would be taken for a speaker again.
-        """
-        own = self.make_beacon()
-        if own.state is PeerState.LEAVING:
-            await self._send(encode(own), beacon.address)
-            return
-        digest = self.table.passed_on(own, now)
-        if beacon.zone == self.table.zone:
-            await self._send(encode(digest), beacon.address)
-            return
-        own_zone = digest if not digest.is_fleet else self._zone_only(digest)
-        await self._send(encode(own_zone), beacon.address)
-        speaker = digest.speakers.get(beacon.zone)
-        if speaker is not None and speaker != beacon.address:
-            pointer = self._zone_only(digest)
-            pointer.zone, pointer.address = beacon.zone, speaker
-            await self._send(encode(pointer), beacon.address)
-
-    def _zone_only(self, digest: Digest) -> Digest:
-        """Return who speaks, without work that would be counted twice."""
-        return Digest(
-            address=digest.address,
-            weight=digest.weight,
-            zone=digest.zone,
-            is_fleet=False,
-            count=0,
-            members={},
-            speakers=digest.speakers,
-            number=0,
-            mark=0,
-            informed="",
-            read_age_ms=NEVER_MS,
-            unbroken_ms=0,
-            loads={},
-        )
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/peers/greetings.py
@@ -0,0 +1,126 @@
+"""How instances find the speaker of their zone."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from buckthornwall.utils import Clock
+
+from .messages import Beacon, Digest, PeerState, encode
+from .table import PeerTable
+
+__all__ = ["GREET_INTERVAL_S", "Greetings"]
+
+GREET_INTERVAL_S = 0.5
+# A speaker looks for others that it does not know of this often.
+SEEK_INTERVAL_S = 2.0
+NEVER_MS = 1_000_000_000
+
+
+class Greetings:
+    """Asks who speaks, and answers those that ask.
+
+    Parameters
+    ----------
+    seeds
+        Returns the instances to greet first, as IP:port, which may change; only the IP
+        number is used.
+    table
+        What is known of the others.
+    make_beacon
+        Returns what this instance says of itself.
+    send
+        Sends a datagram to an address.
+    clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        seeds: Callable[[], list[str]],
+        table: PeerTable,
+        make_beacon: Callable[[], Beacon],
+        send: Callable[[bytes, str], Awaitable[None]],
+        clock: Clock,
+    ) -> None:
+        self.seeds = seeds
+        self.table = table
+        self.make_beacon = make_beacon
+        self.send = send
+        self.clock = clock
+
+    async def run(self) -> None:
+        """Greet seeds, which may come up at any time, until a speaker is known.
+
+        A speaker goes on, since another group may not know of this one.
+        """
+        while True:
+            now = self.clock.now()
+            is_speaker = self.table.is_speaker(now)
+            if is_speaker and self.make_beacon().state is not PeerState.LEAVING:
+                await self._greet_seeds()
+            knows_others = self.table.members or self.table.zones
+            is_slow = not is_speaker or knows_others
+            await trio.sleep(SEEK_INTERVAL_S if is_slow else GREET_INTERVAL_S)
+
+    async def _greet_seeds(self) -> None:
+        port = self.table.address.rpartition(":")[2]
+        for seed in self.seeds():
+            await self.greet(f"{seed.partition(':')[0]}:{port}")
+
+    async def greet(self, address: str) -> None:
+        """Ask an instance who speaks for this one's zone."""
+        own = self.make_beacon()
+        own.greets = True
+        if address != self.table.address:
+            await self.send(encode(own), address)
+
+    async def redirect(self, address: str, now: float) -> None:
+        """Tell an instance that goes by another one who speaks for the zone.
+
+        Left to greetings, instances that start together would have several speakers
+        for seconds, each with a part of the members.
+        """
+        own = self.make_beacon()
+        if own.state is not PeerState.LEAVING:
+            await self.send(encode(self.table.passed_on(own, now)), address)
+
+    async def answer(self, beacon: Beacon, now: float) -> None:
+        """Tell who speaks: in the greeter's zone, and for this one.
+
+        Whoever leaves says that instead, or it would be taken for a speaker again.
+        """
+        own = self.make_beacon()
+        if own.state is PeerState.LEAVING:
+            await self.send(encode(own), beacon.address)
+            return
+        digest = self.table.passed_on(own, now)
+        if beacon.zone == self.table.zone:
+            await self.send(encode(digest), beacon.address)
+            return
+        own_zone = digest if not digest.is_fleet else _zone_only(digest)
+        await self.send(encode(own_zone), beacon.address)
+        speaker = digest.speakers.get(beacon.zone)
+        if speaker is not None and speaker != beacon.address:
+            pointer = _zone_only(digest)
+            pointer.zone, pointer.address = beacon.zone, speaker
+            await self.send(encode(pointer), beacon.address)
+
+
+def _zone_only(digest: Digest) -> Digest:
+    """Return who speaks, without work that would be counted twice."""
+    return Digest(
+        address=digest.address,
+        weight=digest.weight,
+        zone=digest.zone,
+        is_fleet=False,
+        count=0,
+        members={},
+        speakers=digest.speakers,
+        number=0,
+        mark=0,
+        informed="",
+        read_age_ms=NEVER_MS,
+        unbroken_ms=0,
+        loads={},
+    )
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -13,7 +13,6 @@
     HeldParts,
     LimitReports,
     Unreachable,
-    add_unreachable,
     merge_limit_reports,
 )
 from buckthornwall.pools.load import PeerLoad
@@ -26,7 +25,8 @@
 from .order import order_of, order_of_sender
 from .parts import PartsTold
 from .received import Received
-from .work import NOTHING, add_work, without_own
+from .sums import newest_limits, sum_loads, sum_unreachable
+from .work import NOTHING, without_own
 
 __all__ = ["PeerTable"]
 
@@ -251,15 +251,15 @@
         now
             The time in seconds.
         """
-        parts = self._parts(own)
+        parts, far = self._parts(own), self._far(is_fleet)
         count = sum(1 for part in parts if part.state is not PeerState.JOINING)
         newest = self.make_heartbeat(own, is_fleet, now)
-        digest = Digest(
+        return Digest(
             address=self.address,
             weight=self.weight,
             zone=self.zone,
             is_fleet=is_fleet,
-            count=count,
+            count=count + sum(zone.message.count for zone in far),
             members={part.address: part.weight for part in parts},
             speakers={self.zone: self.address} | self.other_speakers(),
             number=newest.number,
@@ -267,14 +267,12 @@
             informed=newest.informed,
             read_age_ms=newest.read_age_ms,
             unbroken_ms=newest.unbroken_ms,
-            loads=self._loads(own, is_fleet),
+            loads=sum_loads(parts, far),
             held=self.parts.told(own, is_fleet, now),
-            unreachable=self._unreachable(own, is_fleet),
+            unreachable=sum_unreachable(parts, far),
             crash_checksum=own.crash_checksum,
             limits=newest.limits,
         )
-        digest.count += sum(far.message.count for far in self._far(is_fleet))
-        return digest
 
     def number(self, digest: Digest) -> None:
         """Give a digest its number, so that counts may name its upstreams."""
@@ -290,34 +288,11 @@
         own, now
             As for a digest.
         """
-        loads = self._loads(own, heartbeat.is_fleet)
+        parts, far = self._parts(own), self._far(heartbeat.is_fleet)
+        loads = sum_loads(parts, far)
         held = self.parts.told(own, heartbeat.is_fleet, now)
         self._counts.fill(heartbeat, loads, held)
-        heartbeat.unreachable = self._unreachable(own, heartbeat.is_fleet)
-
-    def _loads(self, own: Beacon, is_fleet: bool) -> dict[UpstreamId, Work]:
-        """Return the work of the zone's instances, or of the fleet's."""
-        loads: dict[UpstreamId, Work] = {}
-        for part in self._parts(own):
-            add_work(loads, part.loads)
-        for far in self._far(is_fleet):
-            add_work(loads, far.message.loads)
-        return loads
-
-    def _unreachable(self, own: Beacon, is_fleet: bool) -> Unreachable:
-        """Return how many of the zone's instances, or the fleet's, miss whom."""
-        total: Unreachable = {}
-        for part in self._parts(own):
-            add_unreachable(total, dict.fromkeys(part.unreachable, 1))
-        for far in self._far(is_fleet):
-            add_unreachable(total, far.message.unreachable)
-        return total
-
-    def _limits(self, own: Beacon, is_fleet: bool, now: float) -> LimitReports:
-        """Return the newest word of the zone, or of the fleet, on each upstream."""
-        heard = [*self.members.values(), *self._far(is_fleet)]
-        parts = [(each.message.limits, now - each.told_at) for each in heard]
-        return merge_limit_reports([(own.limits, 0.0), *parts])
+        heartbeat.unreachable = sum_unreachable(parts, far)
 
     def _parts(self, own: Beacon) -> list[Beacon]:
         """Return what the instances of the zone say of themselves."""
@@ -332,7 +307,8 @@
 
         Parameters are those of a digest. What was heard grows older meanwhile.
         """
-        parts = self._parts(own)
+        parts, far = self._parts(own), self._far(is_fleet)
+        heard_of = [*self.members.values(), *far]
         best = max(parts, key=lambda part: (part.number, part.mark))
         heartbeat = Heartbeat(
             address=self.address,
@@ -345,10 +321,9 @@
             read_age_ms=own.read_age_ms,
             unbroken_ms=max(part.unbroken_ms for part in parts),
             crash_checksum=own.crash_checksum,
-            limits=self._limits(own, is_fleet, now),
+            limits=newest_limits(own, heard_of, now),
         )
-        far = self._far(is_fleet)
-        for heard in [*self.members.values(), *far]:
+        for heard in heard_of:
             take_read_age(heartbeat, heard, now)
         for heard in far:
             heartbeat.unbroken_ms = max(
@@ -388,7 +363,8 @@
     def others_work(self, own: Beacon, now: float) -> dict[UpstreamId, PeerLoad]:
         """Return the work of all other instances by upstream."""
         if self.is_speaker(now):
-            loads, counted = self._loads(own, is_fleet=True), own.loads
+            loads = sum_loads(self._parts(own), self._far(is_fleet=True))
+            counted = own.loads
         else:
             loads, counted = self.speaker.message.loads, self.told
         return {
@@ -399,7 +375,8 @@
     def limits(self, own: Beacon, now: float) -> LimitReports:
         """Return the newest word on what upstreams take in a second."""
         if self.is_speaker(now):
-            return self._limits(own, is_fleet=True, now=now)
+            heard = [*self.members.values(), *self._far(is_fleet=True)]
+            return newest_limits(own, heard, now)
         return merge_limit_reports(
             [(self.speaker.message.limits, self.staleness_s(now))]
         )
@@ -407,5 +384,5 @@
     def unreachable(self, own: Beacon, now: float) -> Unreachable:
         """Return how many instances could lately not reach which upstream."""
         if self.is_speaker(now):
-            return self._unreachable(own, is_fleet=True)
+            return sum_unreachable(self._parts(own), self._far(is_fleet=True))
         return self.speaker.message.unreachable
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_greetings.py
@@ -0,0 +1,32 @@
+"""Tests of whom an instance greets that knows nobody."""
+
+import trio
+
+from buckthornwall.peers import Beacon, PeerState, PeerTable
+from buckthornwall.peers.greetings import Greetings
+from buckthornwall.peers.messages import decode
+from buckthornwall.utils import Incarnation, NodeId, TrioClock, ZoneId
+
+OWN, FIRST, SECOND = (f"10.0.0.{n}:7340" for n in (1, 2, 3))
+
+
+def beacon():
+    node, zone = NodeId("n"), ZoneId("z")
+    return Beacon(node, Incarnation(1), OWN, 1.0, zone, PeerState.READY, 1, 1, 0, 0, {})
+
+
+async def test_seeds_that_changed_are_greeted(autojump_clock, nursery):
+    """A reload names others, and those of before may be gone for good."""
+    seeds, sent = [OWN, "10.0.0.2:9"], []
+
+    async def send(data, address):
+        sent.append((address, decode(data, Beacon).greets))
+
+    table = PeerTable(OWN, 1.0, ZoneId("z"), 0.8, 0.1)
+    greetings = Greetings(lambda: seeds, table, beacon, send, TrioClock())
+    nursery.start_soon(greetings.run)
+    await trio.sleep(0.1)
+    assert sent == [(FIRST, True)]
+    seeds = ["10.0.0.3:9"]
+    await trio.sleep(0.5)
+    assert sent[1:] == [(SECOND, True)]
