--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/conftest.py
@@ -0,0 +1,109 @@
+"""Fixtures that the tests of forwarding share."""
+
+import pytest
+import trio
+
+from buckthornwall.forwarding import (
+    Forwarder,
+    ForwardingSettings,
+)
+from buckthornwall.pools import PoolTable, UpstreamEntry, UpstreamState
+from buckthornwall.quarantine import QuarantineSettings, QuarantineTable
+from buckthornwall.routing import (
+    AnswerForm,
+    Pool,
+    PoolShare,
+    Published,
+    RequestRoute,
+    RoutedRequest,
+    RoutingTable,
+)
+from buckthornwall.telemetry import RouterMetrics
+from buckthornwall.utils import RouteId, TrioClock, UpstreamId, ZoneId
+
+from .helpers import POOL, PlainCodec, Recorder
+
+
+@pytest.fixture
+def forward(raw_upstream):
+    """Return a function that forwards one request to scripted upstreams."""
+
+    async def forward(
+        *scripts,
+        form=AnswerForm.WHOLE,
+        repeatable=True,
+        max_runs=3,
+        timeout_s=2.0,
+        reserve=50.0,
+        patience_s=None,
+        limit_per_s=None,
+        limited="u0",
+        own_per_s=0.0,
+    ):
+        clock = TrioClock()
+        table, pools = RoutingTable(), PoolTable(clock)
+        route = RequestRoute(
+            id=RouteId("route"),
+            host="h",
+            path_prefix="/",
+            shares=(PoolShare(POOL, 1.0),),
+            form=form,
+            repeatable=repeatable,
+            resumable=repeatable and form is AnswerForm.EVENTS,
+            timeout_s=timeout_s,
+            target_s=0.2,
+            max_pause_s=0.1,
+            max_runs=max_runs,
+            tier=1,
+            needs_key=False,
+        )
+        table.adopt(Published(1, (route,), (Pool(POOL, "/", 10),)))
+        forward.addresses = []
+        for number, script in enumerate(scripts):
+            address = script if isinstance(script, str) else await raw_upstream(*script)
+            forward.addresses.append(address)
+            # More slots look less loaded, so the scripts are used in turn.
+            slots = 1000 if number == 0 else 100 - number
+            pools.adopt(
+                UpstreamEntry(
+                    UpstreamId(f"u{number}"),
+                    POOL,
+                    address,
+                    ZoneId("z"),
+                    slots,
+                    UpstreamState.READY,
+                )
+            )
+            pools.views[f"u{number}"].load.requests = number
+        if limit_per_s is not None:
+            pools.rate_limits.record(pools.views[limited], limit_per_s)
+            pools.views[limited].rate_limit.share(own_per_s, clock.now())
+        settings = ForwardingSettings(retry_ratio=0.0, retry_reserve=reserve)
+        quarantine = QuarantineTable(QuarantineSettings())
+        subject = Forwarder(
+            settings,
+            ZoneId("z"),
+            table,
+            pools,
+            PlainCodec(),
+            clock,
+            RouterMetrics(),
+            quarantine,
+        )
+        forward.quarantine = quarantine
+        forward.metrics, forward.pools = subject.metrics, pools
+        subject.budgets.instances = 1.0
+        request = RoutedRequest("r", b"POST", b"/", "h", "/", [], b"x", clock.now())
+        request.patience_s = patience_s
+        answer = Recorder()
+        with trio.fail_after(5):
+            await subject.forward(request, answer)
+        return answer
+
+    def arrivals():
+        requests = raw_upstream.requests
+        return [len(requests.get(address, ())) for address in forward.addresses]
+
+    forward.arrivals = arrivals
+    forward.requests = raw_upstream.requests
+    return forward
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/helpers.py
@@ -0,0 +1,90 @@
+"""Replies of scripted upstreams, a plain codec, and an answer that is recorded."""
+
+import json
+
+from buckthornwall.forwarding import (
+    Reply,
+)
+from buckthornwall.routing import (
+    PoolId,
+)
+
+POOL = PoolId("p")
+MISDIRECTED = b"HTTP/1.1 421 Any\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+NOT_RUN = b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+def whole(status=200, body=b"ok", request="r", extra=b""):
+    head = b"HTTP/1.1 %d Any\r\nX-Id: %s\r\nX-Signed: 1\r\n" % (
+        status,
+        request.encode(),
+    )
+    return head + extra + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+def event(number):
+    return b"id: %d\ndata: w%d\n\n" % (number, number)
+
+
+def stream(*numbers, end=True):
+    head = b"HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signed: 1\r\n"
+    data = head + b"Transfer-Encoding: chunked\r\n\r\n"
+    for number in numbers:
+        part = event(number)
+        data += b"%x\r\n%s\r\n" % (len(part), part)
+    return data + (b"0\r\n\r\n" if end else b"")
+
+
+class PlainCodec:
+    """A codec of a few short names."""
+
+    def encode(self, request, sending):
+        headers = [
+            (b"host", b"h"),
+            (b"x-left", b"%d" % (sending.remaining_s * 1000)),
+            (b"content-length", b"%d" % len(request.body)),
+        ]
+        if sending.resume_after:
+            headers.append((b"last-event-id", sending.resume_after.encode()))
+        return headers
+
+    def decode(self, head):
+        found = dict(head.headers)
+        return Reply(
+            status=head.status,
+            headers=[],
+            request_id=found.get(b"x-id", b"").decode(),
+            attested=b"x-signed" in found,
+            not_run=b"x-not-run" in found,
+            misdirected=head.status == 421,
+            rate_limit=float(found.get(b"x-limit", b"inf")),
+        )
+
+
+class Recorder:
+    """An answer that keeps what it is given."""
+
+    def __init__(self):
+        self.started = self.ended = False
+        self.status = 0
+        self.body = b""
+        self.headers = {}
+
+    async def whole(self, status, headers, body):
+        self.started = self.ended = True
+        self.status, self.headers, self.body = status, dict(headers), body
+
+    async def begin(self, status, headers, data=b""):
+        self.started = True
+        self.status, self.body = status, data
+
+    async def send(self, data):
+        self.body += data
+
+    async def end(self, data=b""):
+        self.body += data
+        self.ended = True
+
+    @property
+    def run(self):
+        return json.loads(self.body)["run"]
