--- a/packages/buckthornwall-standins/src/buckthornwall_standins/soak_run.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/soak_run.py
@@ -1,11 +1,14 @@
 """Common parts of soaks with their own load: instances, callers, restarts."""
 
 import argparse
+import errno
 import itertools
 import random
+import sys
 import tempfile
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -193,6 +196,9 @@
     else:
         parser.set_defaults(restarts=False)
     parser.add_argument("--ports", type=int, default=ports)
+    parser.add_argument(
+        "--logs", type=Path, help="keep settings and logs here, in a directory a seed"
+    )
     return parser
 
 
@@ -214,17 +220,21 @@
     """
     failed = 0
     for seed in options.seeds:
-        with tempfile.TemporaryDirectory(prefix="soak-") as name:
+        with _run_directory(options.logs, seed) as directory:
             settings = RunSettings(
                 seed,
                 options.seconds,
                 options.ports,
-                Path(name),
+                directory,
                 options.instances,
                 options.restarts,
             )
             soak = make_soak(settings)
-            trio.run(soak.run)
+            try:
+                trio.run(soak.run)
+            except* OSError as group:
+                _exit_if_address_in_use(group, settings.ports)
+                raise
         violations = find_violations(soak)
         failed += bool(violations)
         print(f"seed {seed}: {'BROKEN' if violations else 'kept'}; {soak.describe()}")
@@ -233,3 +243,29 @@
         for (kind, status), count in sorted(soak.statuses.items()):
             print(f"  {kind} {status}: {count}")
     return 1 if failed else 0
+
+
+@contextmanager
+def _run_directory(logs: Path | None, seed: int) -> Iterator[Path]:
+    """Provide the directory of a run: one that is kept in `logs`, or a temporary one.
+
+    Logs of an earlier run of the seed are deleted.
+    """
+    if logs is None:
+        with tempfile.TemporaryDirectory(prefix="soak-") as name:
+            yield Path(name)
+        return
+    directory = logs / f"seed-{seed}"
+    directory.mkdir(parents=True, exist_ok=True)
+    for path in directory.glob("node-*"):
+        path.unlink()
+    yield directory
+
+
+def _exit_if_address_in_use(group: BaseExceptionGroup, ports: int) -> None:
+    """Exit with one line if any of the errors is that an address is in use."""
+    in_use, _ = group.split(
+        lambda error: isinstance(error, OSError) and error.errno == errno.EADDRINUSE
+    )
+    if in_use is not None:
+        sys.exit(f"address in use: is another soak running on ports {ports} and above?")
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tier_soak.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tier_soak.py
@@ -7,6 +7,7 @@
 """
 
 import sys
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
 import trio
@@ -18,7 +19,7 @@
 from .users_platform.deployment import API_KEY, DRAFTS, HOST, make_route
 from .users_platform.headers import make_request_headers
 
-__all__ = ["TierSoak", "main"]
+__all__ = ["TierSoak", "main", "with_bursts"]
 
 ENGINE_MEMORY_TOKENS = 600_000
 # Callers without a first event time out after the longest of these: seconds, multiples
@@ -75,10 +76,18 @@
         Settings common to all soaks.
     engines
         Number of engines.
+    traffic_classes
+        The load, one entry for each route.
     """
 
-    def __init__(self, settings: RunSettings, engines: int) -> None:
+    def __init__(
+        self,
+        settings: RunSettings,
+        engines: int,
+        traffic_classes: tuple[TrafficClass, ...] = TRAFFIC_CLASSES,
+    ) -> None:
         super().__init__(settings)
+        self.traffic_classes = traffic_classes
         self.engines = [Engine(f"e{number}") for number in range(1, engines + 1)]
         self.attempts: list[RequestAttempt] = []
         self._load_started_at = 0.0
@@ -98,7 +107,7 @@
                 resumable=traffic.tier == 1,
                 max_attempts=2 if traffic.tier == 1 else 1,
             )
-            for traffic in TRAFFIC_CLASSES
+            for traffic in self.traffic_classes
         ]
         self.deployment.slots = self.engines[0].slots
         self.deployment.memory_tokens = ENGINE_MEMORY_TOKENS
@@ -112,7 +121,7 @@
         """Generate requests for the set time, and wait for the last of them."""
         self._load_started_at = trio.current_time()
         async with trio.open_nursery() as callers:
-            for traffic in TRAFFIC_CLASSES:
+            for traffic in self.traffic_classes:
                 callers.start_soon(self._call_repeatedly, traffic, callers)
 
     def _now(self) -> float:
@@ -200,6 +209,14 @@
         return f"{len(self.attempts)} attempts"
 
 
+def with_bursts(factors: Iterable[float]) -> tuple[TrafficClass, ...]:
+    """Return the usual load with other burst factors, in the order of its routes."""
+    return tuple(
+        replace(traffic, burst_factor=factor)
+        for traffic, factor in zip(TRAFFIC_CLASSES, factors, strict=True)
+    )
+
+
 def find_violations(soak: TierSoak) -> list[str]:
     """Return a line for each window with a priority inversion."""
     return [str(each) for each in find_inversions(soak.attempts)]
@@ -210,10 +227,19 @@
     parser = make_parser(__doc__, 16.0, 7900, can_restart=False)
     parser.set_defaults(instances=12)
     parser.add_argument("--engines", type=int, default=8)
+    parser.add_argument(
+        "--bursts",
+        type=float,
+        nargs=len(TRAFFIC_CLASSES),
+        metavar=tuple(traffic.name.upper() for traffic in TRAFFIC_CLASSES),
+        default=[traffic.burst_factor for traffic in TRAFFIC_CLASSES],
+        help="multiples of the usual rates during the burst",
+    )
     options = parser.parse_args(arguments)
+    classes = with_bursts(options.bursts)
 
     def make_soak(settings: RunSettings) -> TierSoak:
-        return TierSoak(settings, options.engines)
+        return TierSoak(settings, options.engines, classes)
 
     return run_seeds(options, make_soak, find_violations)
 
