Log what distinguishes a refusal by rank from one by full slots

A refused reply named neither the share of its engine's slots in use nor what had been admitted and refused of other ranks, and an attempt given up as silent not what still waited at its upstream, so that the hypotheses of the incident could not be told apart. Refusals now name both, failed attempts unread_before and oldest_ms, and retries_denied_total and attempt_timeouts_total count by tier. buckthornwallctl urgency shows the reasons. No decision changes.

--- a/packages/buckthornwall-ctl/src/buckthornwall_ctl/priority_inversion.py
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/priority_inversion.py
@@ -22,7 +22,7 @@
     """Outcomes of one pool's requests of one tier within a window.
 
     `served` counts requests that received at least part of a response, `unserved` those
-    that received none, by result code or outcome.
+    that received none, by result code or outcome, with the reason of a refusal.
     """
 
     served: int = 0
@@ -55,11 +55,18 @@
         if line.fields.get("first_ms", "").strip('"'):
             window.served += 1
         else:
-            reason = line.fields.get("code") or line.fields.get("outcome", "?")
-            window.unserved[reason] += 1
+            window.unserved[_reason(line)] += 1
     return windows
 
 
+def _reason(line: LogLine) -> str:
+    """Return why a request was unserved: code or outcome, and what explains it."""
+    fields = line.fields
+    end = fields.get("code") or fields.get("outcome", "?")
+    detail = (fields.get("reason") or fields.get("detail", "")).strip('"')
+    return f"{end}/{detail}" if detail.isalpha() else end
+
+
 def _served_less_urgent(windows: Windows, key: tuple[int, str, int]) -> int:
     """Return how many less urgent requests of the pool were served in the window."""
     index, pool, tier = key
--- a/packages/buckthornwall-ctl/src/buckthornwall_ctl/tests/test_priority_inversion.py
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/tests/test_priority_inversion.py
@@ -36,6 +36,18 @@
     assert windows[1, "p", 2].unserved == {"2001": 1}
 
 
+def test_reason_distinguishes_timeouts_from_refusals(tmp_path):
+    path = tmp_path / "log"
+    line = REFUSED.format(at=0, request="r1", tier=1)
+    path.write_text(
+        line.replace("pool=p", "detail=silent pool=p")
+        + line.replace("pool=p", 'detail="expected_ms=754" reason=late pool=p')
+        + line.replace("pool=p", 'detail="expected_ms=754" pool=p')
+    )
+    window = count_by_window(read_logs([path]))[0, "p", 1]
+    assert window.unserved == {"2001/silent": 1, "2001/late": 1, "2001": 1}
+
+
 def test_only_windows_with_less_urgent_requests_served_are_shown(log, capsys):
     assert main(["urgency", str(log)]) == 0
     shown = capsys.readouterr().out.splitlines()[1:]
--- a/packages/buckthornwall/src/buckthornwall/forwarding/request_telemetry.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/request_telemetry.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from buckthornwall.codes import Refusal
+from buckthornwall.http1 import ExchangeFailure
 from buckthornwall.pools import Choice
 from buckthornwall.quarantine import format_fingerprint
 from buckthornwall.telemetry import RouterMetrics, log_event
@@ -53,7 +54,10 @@
         )
 
     def record_budget_spent(self, job: Job, instances: float) -> None:
-        """Log that the retry budget is spent when a request needs a retry."""
+        """Log and count that the retry budget is spent when a request needs a retry."""
+        self.metrics.retries_denied.inc(
+            {"pool": job.resolution.pool.id, "tier": str(job.resolution.route.tier)}
+        )
         log_event(
             "budget_spent",
             "WARNING",
@@ -123,6 +127,8 @@
         upstream = choice.view.id
         now = self.clock.now()
         self.metrics.attempts.inc({"upstream": upstream, "end": result.end.value})
+        if result.failure is ExchangeFailure.TIMED_OUT:
+            self.metrics.timeouts.inc({"tier": str(job.resolution.route.tier)})
         if result.end is AttemptEnd.DONE:
             return
         log_event(
@@ -137,6 +143,10 @@
             rank=job.resolution.rank,
             waited_ms=round((now - sent_at) * 1000),
             upstream_quiet_ms=_silent_ms(choice, now),
+            unread_before=choice.view.load.pending_prefill_before(job.resolution.rank),
+            oldest_ms=round(
+                choice.view.load.oldest_wait_before_s(job.resolution.rank, now) * 1000
+            ),
             busy_share=round(choice.slot_utilization, 2),
             remaining_ms=round((job.deadline - now) * 1000),
         )
@@ -196,6 +206,11 @@
         "oldest_ms": round(overload.oldest_wait_s * 1000),
         "target_ms": round(overload.target_s * 1000),
         "least_ms": round(overload.min_expected_s * 1000),
+        "busy_share": round(overload.slot_utilization, 2),
+        "admitted_below": overload.balance.admitted_below,
+        "refused_so_far": overload.balance.refused,
+        "refused_above": overload.balance.refused_above,
+        "waiting_below": overload.balance.waiting_below,
     }
 
 
--- a/packages/buckthornwall/src/buckthornwall/pools/ledger.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/ledger.py
@@ -54,7 +54,7 @@
         It is while more tokens of less urgent requests were admitted than tokens of
         requests at least as urgent were refused, this one included.
         """
-        return self._admitted_below(rank, now) > self.refused(rank, now) + tokens
+        return self.admitted_below(rank, now) > self.refused(rank, now) + tokens
 
     def refused(self, rank: int, now: float) -> int:
         """Return the tokens refused of ranks at least as urgent as `rank`."""
@@ -69,9 +69,9 @@
         admitted, so that no rank starves.
         """
         refused = self.refused(rank - 1, now)
-        return 0 < refused < self._admitted_below(rank - 1, now) + tokens
+        return 0 < refused < self.admitted_below(rank - 1, now) + tokens
 
-    def _admitted_below(self, rank: int, now: float) -> int:
+    def admitted_below(self, rank: int, now: float) -> int:
         """Return the tokens admitted of ranks less urgent than `rank`."""
         _expire(self._admitted, now)
         return sum(each.tokens for each in self._admitted if each.rank > rank)
--- a/packages/buckthornwall/src/buckthornwall/pools/refusal.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/refusal.py
@@ -13,6 +13,7 @@
 __all__ = [
     "Overload",
     "RefusalReason",
+    "TierBalance",
     "find_overload",
     "has_deficit",
     "record_decision",
@@ -26,6 +27,28 @@
     YIELDS = "yields"  # more urgent requests were refused recently
 
 
+@dataclass(frozen=True, slots=True)
+class TierBalance:
+    """Prompt tokens that this instance decided on recently, and waiting ones.
+
+    Attributes
+    ----------
+    admitted_below : int
+        Admitted of less urgent ranks than a request's.
+    refused : int
+        Refused of ranks at least as urgent.
+    refused_above : int
+        Refused of more urgent ranks.
+    waiting_below : int
+        Pending prefill of less urgent ranks, of all instances.
+    """
+
+    admitted_below: int
+    refused: int
+    refused_above: int
+    waiting_below: int
+
+
 @dataclass(frozen=True, slots=True)
 class Overload:
     """Why a request is refused, and its retry delay; times are in seconds.
@@ -48,6 +71,10 @@
         Lowest expected time to first token of all engines of the pool.
     retry_after_s : float
         When the client should retry.
+    slot_utilization : float
+        Requests in flight per slot of the chosen engine.
+    balance : TierBalance
+        What was admitted and refused recently, on which the decision depends.
     """
 
     reason: RefusalReason
@@ -58,6 +85,8 @@
     target_s: float
     min_expected_s: float
     retry_after_s: float
+    slot_utilization: float
+    balance: "TierBalance"
 
 
 def find_overload(
@@ -95,6 +124,21 @@
             expected_on_engine_s(pools, traits, view, now) for view in usable
         ),
         retry_after_s=retry_after_s(wait_s),
+        slot_utilization=choice.slot_utilization,
+        balance=_tier_balance(pools, traits, usable, now),
+    )
+
+
+def _tier_balance(
+    pools: PoolTable, traits: RequestTraits, usable: list[UpstreamView], now: float
+) -> TierBalance:
+    resolution = traits.resolution
+    ledger, rank = pools.ledger(resolution.pool.id), resolution.rank
+    return TierBalance(
+        admitted_below=ledger.admitted_below(rank, now),
+        refused=ledger.refused(rank, now),
+        refused_above=ledger.refused(rank - 1, now),
+        waiting_below=sum(view.load.pending_prefill_after(rank) for view in usable),
     )
 
 
--- a/packages/buckthornwall/src/buckthornwall/telemetry/metrics.py
+++ b/packages/buckthornwall/src/buckthornwall/telemetry/metrics.py
@@ -79,6 +79,12 @@
             "attempts_total", "Attempts ended, by upstream and end."
         )
         self.retries = self._counter("retries_total", "Repeats paid from the budget.")
+        self.retries_denied = self._counter(
+            "retries_denied_total", "Retries denied by the budget, by pool and tier."
+        )
+        self.timeouts = self._counter(
+            "attempt_timeouts_total", "Attempts given up as silent, by tier."
+        )
         self.first_token = self._histogram(
             "first_token_seconds", "Seconds from request to first event, by tier."
         )
