List the tests of replies that are unserved while reviews begin as red

What callers see: replies are answered with 502 or nothing, or refused with 429, while reviews of the same pool begin.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_tier_soak.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_tier_soak.py
@@ -13,7 +13,7 @@
 import trio
 
 from buckthornwall_standins.soak_run import RunSettings
-from buckthornwall_standins.tier_soak import TierSoak
+from buckthornwall_standins.tier_soak import TierSoak, with_bursts
 from buckthornwall_standins.tiers import find_inversions
 
 
@@ -23,3 +23,21 @@
     trio.run(soak.run)
     assert [str(each) for each in find_inversions(soak.attempts)] == []
     assert sum(each.first_event_at is not None for each in soak.attempts) > 200
+
+
+@pytest.mark.live
+def test_no_tier_is_starved_when_urgent_requests_alone_exceed_the_capacity(tmp_path):
+    """23 of 119 replies were unserved within five seconds, while reviews began.
+
+    First those that had waited in order for two targets were given up, and no retry was
+    left for them. Later they were refused by instances that had admitted few reviews
+    themselves, or none (expected_ms=1028 least_ms=416).
+    """
+    soak = TierSoak(
+        RunSettings(322, 24.0, 7870, tmp_path, 24),
+        engines=10,
+        traffic_classes=with_bursts([5.0, 4.0, 3.0]),
+    )
+    trio.run(soak.run)
+    assert [str(each) for each in find_inversions(soak.attempts)] == []
+    assert sum(each.first_event_at is not None for each in soak.attempts) > 800
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_tiers.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_tiers.py
@@ -75,11 +75,17 @@
 
 
 def find_simulated_inversions(
-    traffic: list[Traffic], speed: float, seed: int
+    traffic: list[Traffic],
+    speed: float,
+    seed: int,
+    engines: int = 45,
+    instances: int = 73,
 ) -> list[str]:
     """Return every window in which a route was unserved for less urgent requests."""
     logger.disable("buckthornwall")
-    simulation = PoolSimulation(SPEED.scaled(speed), traffic, 45, 73, seed, STALENESS_S)
+    simulation = PoolSimulation(
+        SPEED.scaled(speed), traffic, engines, instances, seed, STALENESS_S
+    )
     simulation.run(SECONDS)
     logger.enable("buckthornwall")
     return [str(each) for each in find_inversions(simulation.attempts())]
@@ -115,3 +121,20 @@
         replace(QUESTIONS, bursts=((2.0, 9.5, 5.0),)),
     ]
     assert find_simulated_inversions(traffic, 0.65, seed) == []
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_refusals_of_one_instance_hold_back_less_urgent_requests_at_all(seed):
+    """Replies were refused or left unserved while other instances admitted reviews.
+
+    Each of 24 instances sees few requests of a pool. One that refuses replies has often
+    admitted no review, and those that admit reviews do not know of its refusals: 28 of
+    207 replies were unserved while reviews of 656,445 tokens began.
+    """
+    share = 15 / 45
+    traffic = [
+        replace(REVIEWS, bursts=((2.0, 9.0, 2.0),)).scaled(share, share),
+        replace(REPLIES, bursts=((3.0, 9.0, 6.0),)).scaled(share, share),
+        replace(QUESTIONS, bursts=((3.0, 9.0, 3.0),)).scaled(share, share),
+    ]
+    assert find_simulated_inversions(traffic, 0.65, seed, 15, 24) == []
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/conftest.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/conftest.py
@@ -8,8 +8,10 @@
     ForwardingSettings,
 )
 from buckthornwall.pools import PoolTable, UpstreamEntry, UpstreamState
+from buckthornwall.pools.load import PeerLoad
 from buckthornwall.quarantine import QuarantineSettings, QuarantineTable
 from buckthornwall.routing import (
+    EngineSpec,
     Pool,
     PoolShare,
     PublishedConfig,
@@ -23,6 +25,8 @@
 
 from .helpers import POOL, PlainCodec, Recorder
 
+ENGINE = EngineSpec(slots=100, memory_tokens=300_000, tokens_per_event=5)
+
 
 @pytest.fixture
 def forward(raw_upstream):
@@ -35,10 +39,13 @@
         max_runs=3,
         timeout_s=2.0,
         reserve=50.0,
+        has_retries=True,
         client_timeout_s=None,
         limit_per_s=None,
         limited="u0",
         local_per_s=0.0,
+        prompt=None,
+        waiting_tokens=None,
     ):
         clock = TrioClock()
         table, pools = RoutingTable(), PoolTable(clock)
@@ -57,7 +64,9 @@
             tier=1,
             needs_key=False,
         )
-        table.adopt(PublishedConfig(1, (route,), (Pool(POOL, "/", 10),)))
+        engine = ENGINE if prompt is not None else None
+        pool = Pool(POOL, "/", 10, engine)
+        table.adopt(PublishedConfig(1, (route,), (pool,)))
         forward.addresses = []
         for number, script in enumerate(scripts):
             address = script if isinstance(script, str) else await raw_upstream(*script)
@@ -75,6 +84,8 @@
                 )
             )
             pools.views[f"u{number}"].load.requests = number
+        for name, tokens in (waiting_tokens or {}).items():
+            pools.views[name].load.peers = PeerLoad(1, {4: tokens})
         if limit_per_s is not None:
             pools.rate_limits.record(pools.views[limited], limit_per_s)
             pools.views[limited].rate_limit.set_share(local_per_s, clock.now())
@@ -93,8 +104,11 @@
         forward.quarantine = quarantine
         forward.metrics, forward.pools = forwarder.metrics, pools
         forwarder.budgets.instances = 1.0
+        while not has_retries and forwarder.budgets.spend(POOL):
+            pass
         request = RoutedRequest("r", b"POST", b"/", "h", "/", [], b"x", clock.now())
         request.client_timeout_s = client_timeout_s
+        request.prompt = prompt
         answer = Recorder()
         with trio.fail_after(5):
             await forwarder.forward(request, answer)
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/helpers.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/helpers.py
@@ -7,13 +7,20 @@
 )
 from buckthornwall.routing import (
     PoolId,
+    PromptSegment,
+    PromptShape,
 )
+from buckthornwall.utils import ModelId
 
 POOL = PoolId("p")
 MISDIRECTED = b"HTTP/1.1 421 Any\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 NOT_RUN = b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 
 
+def prompt(tokens=500):
+    return PromptShape(ModelId("m"), tokens, 100, (PromptSegment("own", tokens),))
+
+
 def reply(status=200, body=b"ok", request="r", extra=b""):
     head = b"HTTP/1.1 %d Any\r\nX-Id: %s\r\nX-Signed: 1\r\n" % (
         status,
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_forwarder.py
@@ -127,6 +127,11 @@
     assert answer.status == 200
 
 
+async def test_slow_upstream_is_waited_for_while_no_retry_is_left(forward):
+    answer = await forward([1.1, reply()], [reply()], timeout_s=2.0, has_retries=False)
+    assert answer.status == 200
+
+
 async def test_each_decision_about_request_is_logged_with_its_id(forward):
     lines = []
     logger.remove()
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_streams.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_streams.py
@@ -7,7 +7,7 @@
     ResponseMode,
 )
 
-from .helpers import event, stream
+from .helpers import POOL, event, prompt, stream
 
 
 async def test_stream_is_forwarded_by_complete_events(forward):
@@ -66,6 +66,69 @@
     assert forward.arrivals() == [1, 0]
 
 
+async def test_stream_that_waits_in_order_is_not_given_up(forward):
+    """Replies behind others of their rank were given up after two targets.
+
+    They lost their place and waited behind the same queue at the next engine, until
+    their callers left (waited_ms=1201 unread_before=21415), or no retry was left.
+    """
+    answer = await forward(
+        [0.9, stream(1, 2)],
+        [stream(1)],
+        response_mode=ResponseMode.EVENT_STREAM,
+        prompt=prompt(),
+        waiting_tokens={"u0": 5_000, "u1": 90_000},
+    )
+    assert answer.body == event(1) + event(2)
+    assert forward.arrivals() == [1, 0]
+
+
+async def test_stream_that_waits_in_order_moves_to_an_engine_that_is_in_time(forward):
+    answer = await forward(
+        [3.0, b""],
+        [stream(1, 2)],
+        response_mode=ResponseMode.EVENT_STREAM,
+        prompt=prompt(),
+        waiting_tokens={"u0": 5_000},
+    )
+    assert answer.body == event(1) + event(2)
+
+
+async def test_stream_is_waited_for_while_no_retry_is_left(forward):
+    """25 replies were answered with 502 when the retry budget was spent."""
+    answer = await forward(
+        [0.9, stream(1, 2)],
+        [stream(1)],
+        response_mode=ResponseMode.EVENT_STREAM,
+        has_retries=False,
+    )
+    assert answer.body == event(1) + event(2)
+
+
+async def test_stream_is_not_cut_in_a_pause_while_no_retry_is_left(forward):
+    rest = stream(2).partition(b"\r\n\r\n")[2]
+    answer = await forward(
+        [stream(1, end=False), 0.9, rest],
+        [stream(2)],
+        response_mode=ResponseMode.EVENT_STREAM,
+        has_retries=False,
+    )
+    assert answer.body == event(1) + event(2)
+    assert answer.ended
+
+
+async def test_stream_that_ended_without_an_event_counts_as_refused(forward):
+    """Less urgent requests were admitted in place of replies that got nothing."""
+    answer = await forward(
+        [None], response_mode=ResponseMode.EVENT_STREAM, prompt=prompt()
+    )
+    assert answer.status == 502
+    ledger = forward.pools.ledger(POOL)
+    now = forward.pools.clock.now()
+    assert ledger.refused(4, now) == prompt().prompt_tokens
+    assert ledger.admitted_below(3, now) == 0
+
+
 async def test_duplicate_events_are_dropped(forward):
     answer = await forward(
         [stream(1, 2, end=False), b""],
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/helpers.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/helpers.py
@@ -56,8 +56,8 @@
     )
 
 
-def traits(shape, tier=1, target_s=0.6, pause_sensitive=False):
-    """Return the traits of a stream of an ordinary team."""
+def traits(shape, tier=1, target_s=0.6, pause_sensitive=False, team_tier=1):
+    """Return the traits of a stream, of an ordinary team if not stated otherwise."""
     route = RequestRoute(
         id=RouteId(f"tier-{tier}"),
         host="h",
@@ -74,5 +74,5 @@
         needs_key=False,
     )
     pool = Pool(POOL, "/", 10, EngineSpec(4, 300_000, 5))
-    resolution = Resolution(route, pool, TeamId("t"), 1, 1)
+    resolution = Resolution(route, pool, TeamId("t"), team_tier, 1)
     return RequestTraits("r", shape, resolution, pause_sensitive)
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_overload.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_overload.py
@@ -145,6 +145,16 @@
     assert decide(table, clock, request)[1] is None
 
 
+def test_less_urgent_route_of_urgent_team_yields_to_refused_requests(table, clock):
+    """A team's priority exempted its reviews while replies of others were refused."""
+    for view in table.members(POOL):
+        view.load.requests = 3
+    request = traits(prompt(), tier=2, target_s=1.5, team_tier=0)
+    assert decide(table, clock, request)[1] is None
+    table.ledger(POOL).record_refused(5, 4_000, clock.now())
+    assert decide(table, clock, request)[1].reason is RefusalReason.YIELDS
+
+
 def test_yielding_rank_is_admitted_up_to_refused_tokens(table, clock):
     """No rank starves while the demand of a more urgent one exceeds the capacity."""
     for view in table.members(POOL):
