Give up a silent attempt only if a retry is left for it

Callers of resumable streams got 502, or a stream that was cut between two events, though their engine would have gone on: an attempt was given up by its timeout, and only then was the retry budget asked, which has one retry for each of many instances.

Ruled out: that the engines were silent. They had 3,956 to 27,750 pending prefill tokens of the same or more urgent ranks, at 20,000 a second, and served others.

A timeout now only starts a review, repeated every 0.1 s: the attempt ends once another upstream may be tried and a retry has been taken for it. Otherwise the response is waited for until the caller's deadline, and delivered late.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -1,10 +1,10 @@
 """One attempt at one upstream, and its outcome."""
 
 import math
-from collections.abc import Callable
-from contextlib import AbstractContextManager
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum
+from typing import TypeVar
 
 import trio
 
@@ -31,6 +31,10 @@
 # Heads that are read to find the reply to this request. If all name other requests, the
 # exchange counts as malformed.
 MAX_FOREIGN_REPLIES = 2
+# Interval at which a wait past its timeout is reviewed.
+REVIEW_INTERVAL_S = 0.1
+
+Received = TypeVar("Received")
 
 
 class AttemptEnd(Enum):
@@ -72,7 +76,8 @@
     """One attempt at one upstream.
 
     `head_timeout_s` is how long to wait for the head of a reply, and `event_timeout_s`
-    for each event after it, in seconds; None is as long as the client waits.
+    for each event after it, in seconds; None is as long as the client waits. After
+    that, the attempt ends once `should_give_up` returns True.
     `note_prompt` records that the prompt is sent to the upstream, `record_rate_limit`
     the limit that it names, and `model` learns the speed of the stream.
     """
@@ -90,6 +95,7 @@
     note_prompt: Callable[[UpstreamView, PromptShape], None]
     record_rate_limit: Callable[[UpstreamView, float], None]
     model: EngineModel
+    should_give_up: Callable[[], bool]
     event_timeout_s: float | None = None
     pause_sensitive: bool = False
 
@@ -140,8 +146,7 @@
                 self.codec.encode(self.request, self._context()),
                 self.request.body,
             )
-            with _timeout(self.head_timeout_s):
-                reply = await self._receive_reply(connection)
+            reply = await self._receive_reply(connection)
             self._record_reply(reply)
             return await self._handle_reply(connection, reply, pending_prefill)
         except ExchangeError as error:
@@ -177,11 +182,12 @@
 
     async def _receive_reply(self, connection: ClientConnection) -> Reply:
         """Return the reply to this request, skipping late replies to others."""
+        patience = _Patience(self.head_timeout_s, self.should_give_up)
         for _ in range(MAX_FOREIGN_REPLIES):
-            reply = self.codec.decode(await connection.receive_head())
+            reply = self.codec.decode(await patience.wait(connection.receive_head))
             if reply.request_id in ("", self.request.id):
                 return reply
-            await connection.skip_response()
+            await patience.wait(connection.skip_response)
         raise ExchangeError(ExchangeFailure.MALFORMED, "replies to other requests")
 
     async def _handle_reply(
@@ -239,13 +245,43 @@
         return engine.tokens_per_event if engine is not None else 0
 
     async def _next_data(self, connection: ClientConnection) -> bytes:
-        with _timeout(self.event_timeout_s):
-            return await connection.receive_data()
+        patience = _Patience(self.event_timeout_s, self.should_give_up)
+        return await patience.wait(connection.receive_data)
+
+
+class _Patience:
+    """A timeout that is extended while the attempt should not be given up.
+
+    Parameters
+    ----------
+    timeout_s
+        Seconds until the first review; None waits for ever.
+    should_give_up
+        Returns whether to end the attempt, when asked in a review.
+    """
 
+    def __init__(
+        self, timeout_s: float | None, should_give_up: Callable[[], bool]
+    ) -> None:
+        self.should_give_up = should_give_up
+        self._review_at = trio.current_time() + (
+            math.inf if timeout_s is None else timeout_s
+        )
 
-def _timeout(seconds: float | None) -> AbstractContextManager[trio.CancelScope]:
-    """Return a scope that raises TooSlowError after `seconds`; never for None."""
-    return trio.fail_after(math.inf if seconds is None else seconds)
+    async def wait(self, receive: Callable[[], Awaitable[Received]]) -> Received:
+        """Return the result of `receive`, which must be safe to cancel and repeat.
+
+        Raises
+        ------
+        trio.TooSlowError
+            If the attempt is given up.
+        """
+        while True:
+            with trio.move_on_at(self._review_at):
+                return await receive()
+            if self.should_give_up():
+                raise trio.TooSlowError
+            self._review_at = trio.current_time() + REVIEW_INTERVAL_S
 
 
 class _StepObserver:
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -5,7 +5,7 @@
 import trio
 
 from buckthornwall.codes import Executed, Refusal, ResultCode
-from buckthornwall.http1 import ResponseAborted, ResponseWriter
+from buckthornwall.http1 import ExchangeFailure, ResponseAborted, ResponseWriter
 from buckthornwall.pools import (
     Choice,
     PoolTable,
@@ -264,6 +264,7 @@
             note_prompt=self.pools.note_prompt,
             record_rate_limit=self.pools.rate_limits.record,
             model=self.pools.model(job.resolution.pool.id),
+            should_give_up=lambda: self._should_give_up(job),
             event_timeout_s=self._event_timeout_s(job),
             pause_sensitive=job.traits.pause_sensitive,
         )
@@ -334,6 +335,18 @@
             return None
         return EVENT_TIMEOUT_PAUSES * job.resolution.route.max_pause_s or None
 
+    def _should_give_up(self, job: Job) -> bool:
+        """Return whether a silent attempt ends for one at another upstream.
+
+        It does only with a retry, which is taken here: otherwise a response that is
+        late would become a failure.
+        """
+        now = self.clock.now()
+        alternative = choose_upstream(self.pools, job.traits, job.tried, self.zone, now)
+        if alternative is None:
+            return False
+        return self._spend_retry(job)
+
     def _may_run_again(self, job: Job) -> bool:
         """Return whether the request may run again after the next attempt."""
         runs = job.runs + 1
@@ -357,7 +370,8 @@
             return self._spend_retry(job)
         if not self._is_retryable(job) or job.runs >= job.resolution.route.max_runs:
             return False
-        if not self._spend_retry(job):
+        is_paid = result.failure is ExchangeFailure.TIMED_OUT
+        if not is_paid and not self._spend_retry(job):
             return False
         job.delivery.joiner.resume()
         return True
@@ -366,7 +380,9 @@
         """Take one retry from the budget; log and return False if it is spent."""
         pool = job.resolution.pool.id
         if not self.budgets.spend(pool):
-            self.telemetry.record_budget_spent(job, self.budgets.instances)
+            if not job.is_retry_denied:
+                self.telemetry.record_budget_spent(job, self.budgets.instances)
+            job.is_retry_denied = True
             return False
         self.metrics.retries.inc({"pool": pool})
         return True
--- a/packages/buckthornwall/src/buckthornwall/forwarding/job.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/job.py
@@ -30,7 +30,8 @@
     `deadline` is when its final response is due, `traits` are the inputs of placement,
     and `fingerprint` is the same when the request is sent again. `runs` counts attempts
     that may have run, `arrivals` those that reached an upstream. `prediction` is that
-    of the last attempt, and `overload` the reason of a refusal.
+    of the last attempt, and `overload` the reason of a refusal. `is_retry_denied` is
+    whether the retry budget was found spent.
     """
 
     request: RoutedRequest
@@ -47,6 +48,7 @@
     prediction: Prediction | None = None
     overload: Overload | None = None
     detail: str = ""
+    is_retry_denied: bool = False
 
     @property
     def run(self) -> Executed:
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_streams.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_streams.py
@@ -1,6 +1,9 @@
 """Tests of event streams that are forwarded, resumed elsewhere or cut."""
 
+from functools import partial
+
 import pytest
+import trio
 
 from buckthornwall.http1 import ResponseAborted
 from buckthornwall.routing import (
@@ -105,16 +108,26 @@
     assert answer.body == event(1) + event(2)
 
 
-async def test_stream_is_not_cut_in_a_pause_while_no_retry_is_left(forward):
+async def test_stream_is_not_cut_in_a_pause_while_no_retry_is_left(forward, nursery):
     rest = stream(2).partition(b"\r\n\r\n")[2]
+
+    async def send_with_pause(connection):
+        await connection.receive_some()
+        await connection.send_all(stream(1, end=False))
+        await trio.sleep(0.9)
+        await connection.send_all(rest)
+
+    serve = partial(trio.serve_tcp, send_with_pause, 0, host="127.0.0.1")
+    listeners = await nursery.start(serve)
     answer = await forward(
-        [stream(1, end=False), 0.9, rest],
+        f"127.0.0.1:{listeners[0].socket.getsockname()[1]}",
         [stream(2)],
         response_mode=ResponseMode.EVENT_STREAM,
         has_retries=False,
     )
     assert answer.body == event(1) + event(2)
     assert answer.ended
+    assert forward.arrivals()[1] == 0
 
 
 async def test_stream_that_ended_without_an_event_counts_as_refused(forward):
