Leave a request where it waits in order

A resumable stream before its first event was given up after two targets wherever it waited.

Ruled out as signs of a lost engine: the time since it last sent data here, which was empty or over 2 s at 13 of 20 engines that served others, since one of many instances has few streams at one engine; and the oldest wait that peers report, which includes this instance's own. What tells them apart is what waits there before it, by all instances' counts.

A request now stays while its engine is usable, has other prompts to prefill before it, and no other engine would serve it in time.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -14,6 +14,7 @@
     choose_upstream,
     expected_s,
     find_overload,
+    is_served_in_order,
     record_decision,
 )
 from buckthornwall.quarantine import QuarantineTable, fingerprint_of
@@ -264,7 +265,7 @@
             note_prompt=self.pools.note_prompt,
             record_rate_limit=self.pools.rate_limits.record,
             model=self.pools.model(job.resolution.pool.id),
-            should_give_up=lambda: self._should_give_up(job),
+            should_give_up=lambda: self._should_give_up(job, choice),
             event_timeout_s=self._event_timeout_s(job),
             pause_sensitive=job.traits.pause_sensitive,
         )
@@ -335,7 +336,7 @@
             return None
         return EVENT_TIMEOUT_PAUSES * job.resolution.route.max_pause_s or None
 
-    def _should_give_up(self, job: Job) -> bool:
+    def _should_give_up(self, job: Job, choice: Choice) -> bool:
         """Return whether a silent attempt ends for one at another upstream.
 
         It does only with a retry, which is taken here: otherwise a response that is
@@ -345,7 +346,10 @@
         alternative = choose_upstream(self.pools, job.traits, job.tried, self.zone, now)
         if alternative is None:
             return False
-        return self._spend_retry(job)
+        may_wait_in_order = not job.delivery.started and is_served_in_order(
+            self.pools, job.traits, choice, alternative, now
+        )
+        return not may_wait_in_order and self._spend_retry(job)
 
     def _may_run_again(self, job: Job) -> bool:
         """Return whether the request may run again after the next attempt."""
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -42,6 +42,7 @@
 from .reachability import Unreachable, add_unreachable
 from .refusal import Overload, RefusalReason, find_overload, record_decision
 from .reserved import is_pause_sensitive
+from .switching import is_served_in_order
 from .table import PoolTable
 from .traits import RequestTraits
 from .view import UpstreamView
@@ -73,6 +74,7 @@
     "expected_s",
     "find_overload",
     "is_pause_sensitive",
+    "is_served_in_order",
     "merge_cached_prefixes",
     "merge_limit_reports",
     "record_decision",
