Tell all instances what was admitted and refused of each rank

Requests that were sent and then waited in vain stood as admitted, so that nothing yielded to them.

Instances now report the tokens that they admitted and refused, by pool and rank, beside their work; speakers sum them (about 75 bytes a report). A request counts as admitted while it waits and for five seconds after its first event, as refused if it got none within its target or later. Less urgent ranks get a tenth of what was refused of more urgent ones, and only where over a twenty-fourth of a rank was refused, half of what the operators tolerate: a single refusal known to all would stop every review of the fleet.

Tests of ratios now go by the named share. The estimate from pending prefill that stood in for the decisions of peers is gone; its test sets their reports instead.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/instance.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/instance.py
@@ -2,6 +2,7 @@
 
 from buckthornwall.peers import Work, outstanding_work, subtract_local
 from buckthornwall.pools import (
+    Admission,
     Choice,
     PoolTable,
     RequestTraits,
@@ -51,6 +52,7 @@
         speed = engines[0].speed
         traits = EngineSpec(speed.slots, speed.memory_tokens, speed.tokens_per_event)
         self.pool = Pool(POOL, "/", 100, traits)
+        self._admission: Admission | None = None
         self.table = RoutingTable()
         self.table.adopt(
             PublishedConfig(1, tuple(t.route() for t in traffic), (self.pool,))
@@ -84,9 +86,26 @@
         """Return the retry-after time of a refusal in seconds, or None if admitted."""
         now = self.clock.now()
         overload = find_overload(self.pools, traits, choice, now)
-        record_decision(self.pools, traits, overload is None, now)
+        self._admission = record_decision(self.pools, traits, overload is None, now)
         return None if overload is None else overload.retry_after_s
 
+    def record_not_taken(self) -> None:
+        """Record that no engine took the request that was admitted last."""
+        if self._admission is not None:
+            self.pools.ledger(POOL).record_ended(self._admission)
+            self._admission = None
+
+    def _record_unserved(
+        self, admission: Admission | None, request: SimRequest, now: float
+    ) -> None:
+        """Record that a request got no response; as refused after its target."""
+        if admission is None:
+            return
+        ledger = self.pools.ledger(POOL)
+        ledger.record_ended(admission)
+        if now - request.last_asked_at >= request.traffic.target_s:
+            ledger.record_refused(admission.rank, admission.tokens, now)
+
     def record_unreachable(self, view: UpstreamView) -> None:
         """Record that an engine could not be reached."""
         self.pools.record_outcome(view, Verdict.UNREACHABLE)
@@ -103,6 +122,7 @@
         calibration, model = self.pools.wait_calibration(POOL), self.pools.model(POOL)
         tokens_per_event = self.pool.engine.tokens_per_event
         sent_at = self.clock.now()
+        admission, self._admission = self._admission, None
         load.requests += 1
         load.pause_sensitive += traits.pause_sensitive
         load.memory += request.prompt.memory_tokens
@@ -117,7 +137,10 @@
             load.add_pending_prefill(rank, -choice.uncached_tokens)
             load.waits.end(rank, request, is_served=not request.failed)
             if request.failed:
+                self._record_unserved(admission, request, now)
                 return
+            if admission is not None:
+                self.pools.ledger(POOL).record_begun(admission, now)
             load.record_report(engine.report(), now)
             calibration.record(rank, choice.wait_s, now - sent_at)
             if choice.is_prefill_idle and not choice.copy_from:
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/simulation.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/simulation.py
@@ -9,9 +9,12 @@
 from buckthornwall.peers import Work, add_work
 from buckthornwall.pools import (
     CachedPrefixes,
+    RankTokens,
     Unreachable,
+    add_rank_tokens,
     add_unreachable,
     merge_cached_prefixes,
+    subtract_rank_tokens,
 )
 from buckthornwall.routing import PromptSegment, PromptShape
 from buckthornwall.utils import ModelId, UpstreamId
@@ -112,8 +115,6 @@
             SimInstance(self.clock, list(self.engines.values()), traffic)
             for _ in range(instances)
         ]
-        for instance in self.instances:
-            instance.pools.instances = float(instances)
         self.requests: list[SimRequest] = []
         self.unreachable_offers = 0
         self._numbers = itertools.count()
@@ -216,6 +217,7 @@
                 instance.send(request, traits, choice, engine)
                 self._wake(engine)
                 return
+        instance.record_not_taken()
         self._refuse(request, REPORT_INTERVAL_S)
 
     def _refuse(self, request: SimRequest, retry_after_s: float) -> None:
@@ -264,6 +266,10 @@
         totals: dict[UpstreamId, Work] = {}
         cached_prefixes: CachedPrefixes = {}
         lost: Unreachable = {}
+        tokens = [instance.pools.rank_tokens() for instance in self.instances]
+        total_tokens: RankTokens = {}
+        for each in tokens:
+            add_rank_tokens(total_tokens, each)
         for instance, work in zip(self.instances, works, strict=True):
             add_work(totals, work)
             merge_cached_prefixes(
@@ -272,7 +278,9 @@
             add_unreachable(lost, dict.fromkeys(instance.pools.unreachable(), 1))
         self._schedule(
             now + self.staleness_s,
-            lambda: self._deliver_reports(totals, works, cached_prefixes, lost),
+            lambda: self._deliver_reports(
+                totals, works, cached_prefixes, lost, total_tokens, tokens
+            ),
         )
         if now < seconds:
             self._schedule(
@@ -285,8 +293,14 @@
         works: list[dict[UpstreamId, Work]],
         cached_prefixes: CachedPrefixes,
         lost: Unreachable,
+        total_tokens: RankTokens,
+        tokens: list[RankTokens],
     ) -> None:
-        for instance, local in zip(self.instances, works, strict=True):
+        for instance, local, local_tokens in zip(
+            self.instances, works, tokens, strict=True
+        ):
+            peers = subtract_rank_tokens(total_tokens, local_tokens)
+            instance.pools.receive_rank_tokens(peers)
             instance.receive_work(totals, local)
             instance.pools.receive_unreachable(lost)
             instance.pools.receive_cached_prefixes(cached_prefixes)
--- a/packages/buckthornwall/src/buckthornwall/forwarding/delivery.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/delivery.py
@@ -1,5 +1,7 @@
 """The response that the client of a request has received so far."""
 
+from collections.abc import Callable
+
 from buckthornwall.http1 import ResponseWriter
 from buckthornwall.utils import Clock
 
@@ -23,6 +25,11 @@
         Source of time.
     resume_after
         Id of the last event that the client has from an earlier request.
+
+    Attributes
+    ----------
+    on_begin : callable
+        Called once, before the first part of the response is sent.
     """
 
     def __init__(self, answer: ResponseWriter, clock: Clock, resume_after: str) -> None:
@@ -34,6 +41,7 @@
         self.longest_pause_s = 0.0
         self.done = False
         self.status = 0
+        self.on_begin: Callable[[], None] = lambda: None
 
     @property
     def started(self) -> bool:
@@ -42,7 +50,7 @@
 
     async def send_complete(self, reply: Reply, body: bytes) -> None:
         """Send a complete reply to the client."""
-        self.first_sent_at = self.clock.now()
+        self._record_time()
         self.status = reply.status
         await self.answer.send_complete(reply.status, reply.headers, body)
         self.done = True
@@ -74,6 +82,7 @@
         now = self.clock.now()
         if self.first_sent_at is None:
             self.first_sent_at = now
+            self.on_begin()
         else:
             self.longest_pause_s = max(self.longest_pause_s, now - self.last_sent_at)
         self.last_sent_at = now
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -165,6 +165,7 @@
             RequestTraits.of(request, resolution, self.pools),
             fingerprint_of(request, resolution.team),
         )
+        job.delivery.on_begin = lambda: self._record_begun(job)
         try:
             await self._answer(job, answer)
         except (ResponseAborted, trio.Cancelled):
@@ -172,6 +173,8 @@
                 job, "cut" if job.delivery.started else "caller_gone"
             )
             raise
+        finally:
+            self._record_unserved(job)
 
     def forget_upstream(self, upstream: UpstreamId) -> None:
         """Drop the connections and liveness results of an upstream that is gone."""
@@ -227,6 +230,27 @@
                 break
         return self._no_upstream_refusal(job)
 
+    def _record_begun(self, job: Job) -> None:
+        """Record in the ledger that the response to an admitted request began."""
+        if job.admission is not None:
+            ledger = self.pools.ledger(job.resolution.pool.id)
+            ledger.record_begun(job.admission, self.clock.now())
+            job.admission = None
+
+    def _record_unserved(self, job: Job) -> None:
+        """Record in the ledger that an admitted request got no response, if so.
+
+        One that ends before its target failed, or its client left, for other reasons
+        than the load.
+        """
+        admission = job.admission
+        if admission is None:
+            return
+        ledger, now = self.pools.ledger(job.resolution.pool.id), self.clock.now()
+        ledger.record_ended(admission)
+        if now - job.request.received_at >= job.resolution.route.target_s:
+            ledger.record_refused(admission.rank, admission.tokens, now)
+
     def _choose(self, job: Job) -> Choice | None:
         now = self.clock.now()
         return choose_upstream(self.pools, job.traits, job.tried, self.zone, now)
@@ -235,7 +259,7 @@
         """Return a refusal if the expected response is far too late, else None."""
         now = self.clock.now()
         overload = find_overload(self.pools, job.traits, choice, now)
-        record_decision(self.pools, job.traits, overload is None, now)
+        job.admission = record_decision(self.pools, job.traits, overload is None, now)
         if overload is None:
             return None
         job.overload = overload
--- a/packages/buckthornwall/src/buckthornwall/forwarding/job.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/job.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from buckthornwall.codes import Executed
-from buckthornwall.pools import Choice, Overload, RequestTraits
+from buckthornwall.pools import Admission, Choice, Overload, RequestTraits
 from buckthornwall.quarantine import Fingerprint
 from buckthornwall.routing import Resolution, RoutedRequest
 from buckthornwall.utils import UpstreamId
@@ -31,7 +31,8 @@
     and `fingerprint` is the same when the request is sent again. `runs` counts attempts
     that may have run, `arrivals` those that reached an upstream. `prediction` is that
     of the last attempt, and `overload` the reason of a refusal. `is_retry_denied` is
-    whether the retry budget was found spent.
+    whether the retry budget was found spent, and `admission` its entry in the ledger of
+    its pool until its response begins.
     """
 
     request: RoutedRequest
@@ -49,6 +50,7 @@
     overload: Overload | None = None
     detail: str = ""
     is_retry_denied: bool = False
+    admission: Admission | None = None
 
     @property
     def run(self) -> Executed:
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_streams.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_streams.py
@@ -130,18 +130,34 @@
     assert forward.arrivals()[1] == 0
 
 
-async def test_stream_that_ended_without_an_event_counts_as_refused(forward):
+@pytest.mark.parametrize(("wait", "status"), [((5.0, b""), 504), ((0.3, None), 502)])
+async def test_stream_that_ended_without_an_event_counts_as_refused(
+    forward, wait, status
+):
     """Less urgent requests were admitted in place of replies that got nothing."""
     answer = await forward(
-        [None], response_mode=ResponseMode.EVENT_STREAM, prompt=prompt()
+        [*wait],
+        response_mode=ResponseMode.EVENT_STREAM,
+        prompt=prompt(),
+        client_timeout_s=1.0,
     )
-    assert answer.status == 502
+    assert answer.status == status
     ledger = forward.pools.ledger(POOL)
     now = forward.pools.clock.now()
     assert ledger.refused(4, now) == prompt().prompt_tokens
     assert ledger.admitted_below(3, now) == 0
 
 
+async def test_stream_that_fails_before_its_target_does_not_count_as_refused(forward):
+    """A crash of an engine would otherwise hold back less urgent requests."""
+    answer = await forward(
+        [None], response_mode=ResponseMode.EVENT_STREAM, prompt=prompt()
+    )
+    assert answer.status == 502
+    ledger = forward.pools.ledger(POOL)
+    assert ledger.refused(4, forward.pools.clock.now()) == 0
+
+
 async def test_duplicate_events_are_dropped(forward):
     answer = await forward(
         [stream(1, 2, end=False), b""],
--- a/packages/buckthornwall/src/buckthornwall/peers/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/agent.py
@@ -184,6 +184,7 @@
         self._note_role(speaker is None, speaker)
         if speaker is not None:
             self.table.reported_work = local_beacon.loads
+            self.table.reported_rank_tokens = local_beacon.rank_tokens
             await self._send(encode(local_beacon), speaker)
             return
         await self._send_speaker_reports(local_beacon, now)
--- a/packages/buckthornwall/src/buckthornwall/peers/aggregation.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/aggregation.py
@@ -4,7 +4,9 @@
 
 from buckthornwall.pools import (
     LimitReports,
+    RankTokens,
     Unreachable,
+    add_rank_tokens,
     add_unreachable,
     merge_limit_reports,
 )
@@ -14,7 +16,7 @@
 from .received_message import ReceivedMessage
 from .work import add_work
 
-__all__ = ["merge_limits", "sum_loads", "sum_unreachable"]
+__all__ = ["merge_limits", "sum_loads", "sum_rank_tokens", "sum_unreachable"]
 
 
 def sum_loads(
@@ -41,6 +43,18 @@
     return total
 
 
+def sum_rank_tokens(
+    beacons: Iterable[Beacon], remote: Iterable[ReceivedMessage]
+) -> RankTokens:
+    """Return the summed admitted and refused tokens by pool and rank."""
+    total: RankTokens = {}
+    for beacon in beacons:
+        add_rank_tokens(total, beacon.rank_tokens)
+    for zone in remote:
+        add_rank_tokens(total, zone.message.rank_tokens)
+    return total
+
+
 def merge_limits(
     local_beacon: Beacon, received: Iterable[ReceivedMessage], now: float
 ) -> LimitReports:
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -14,6 +14,7 @@
     CachedPrefixes,
     Fleet,
     LimitReports,
+    RankTokens,
     Unreachable,
     UpstreamEntry,
 )
@@ -102,6 +103,8 @@
         Checksum of the known requests that crash upstreams.
     limits
         Rate limits that upstreams reported to the sender, in requests a second.
+    rank_tokens
+        Prompt tokens that the sender recently admitted and refused, by pool and rank.
     """
 
     node: NodeId
@@ -120,6 +123,7 @@
     unreachable: list[UpstreamId] = []
     crash_checksum: int = 0
     limits: LimitReports = {}
+    rank_tokens: RankTokens = {}
 
 
 class Digest(msgspec.Struct, array_like=True, tag="d"):
@@ -157,6 +161,8 @@
         The speaker's own.
     limits
         Newest report of each upstream's rate limit.
+    rank_tokens
+        Summed prompt tokens recently admitted and refused, by pool and rank.
     """
 
     address: str
@@ -178,6 +184,7 @@
     unreachable: Unreachable = {}
     crash_checksum: int = 0
     limits: LimitReports = {}
+    rank_tokens: RankTokens = {}
 
     def live(self, address: str, zone: ZoneId) -> Fleet:
         """Return the live fleet for an instance that follows this digest."""
@@ -225,6 +232,7 @@
     unreachable: Unreachable = {}
     crash_checksum: int = 0
     limits: LimitReports = {}
+    rank_tokens: RankTokens = {}
 
 
 class CrashReports(msgspec.Struct, array_like=True, tag="c"):
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -11,13 +11,20 @@
 from buckthornwall.pools import (
     CachedPrefixes,
     LimitReports,
+    RankTokens,
     Unreachable,
     merge_limit_reports,
+    subtract_rank_tokens,
 )
 from buckthornwall.pools.load import PeerLoad
 from buckthornwall.utils import UpstreamId, ZoneId
 
-from .aggregation import merge_limits, sum_loads, sum_unreachable
+from .aggregation import (
+    merge_limits,
+    sum_loads,
+    sum_rank_tokens,
+    sum_unreachable,
+)
 from .counts import CountsWriter, read_counts
 from .departures import DepartingPeers
 from .election import election_priority, sender_priority
@@ -66,6 +73,7 @@
         self.zones: dict[ZoneId, ReceivedMessage] = {}
         self.speaker: ReceivedMessage | None = None
         self.reported_work: dict[UpstreamId, Work] = {}
+        self.reported_rank_tokens: RankTokens = {}
         self.departures = DepartingPeers(silence_s)
         self.prefixes = PrefixRelay()
         self._counts = CountsWriter()
@@ -152,6 +160,7 @@
             return None
         received.message.loads, cached_prefixes = counts
         received.message.unreachable = heartbeat.unreachable
+        received.message.rank_tokens = heartbeat.rank_tokens
         if not is_local_zone:
             self.prefixes.remote_zones.receive(cached_prefixes, now)
         return cached_prefixes
@@ -280,6 +289,7 @@
             loads=sum_loads(beacons, remote),
             cached_prefixes=self.prefixes.current(local_beacon, is_fleet, now),
             unreachable=sum_unreachable(beacons, remote),
+            rank_tokens=sum_rank_tokens(beacons, remote),
             crash_checksum=local_beacon.crash_checksum,
             limits=newest.limits,
         )
@@ -308,6 +318,7 @@
         cached_prefixes = self.prefixes.current(local_beacon, heartbeat.is_fleet, now)
         self._counts.fill(heartbeat, loads, cached_prefixes)
         heartbeat.unreachable = sum_unreachable(beacons, remote)
+        heartbeat.rank_tokens = sum_rank_tokens(beacons, remote)
 
     def _zone_beacons(self, local_beacon: Beacon) -> list[Beacon]:
         """Return the beacons of this instance and of the zone's members."""
@@ -414,3 +425,14 @@
                 self._zone_beacons(local_beacon), self._remote_zones(is_fleet=True)
             )
         return self.speaker.message.unreachable
+
+    def rank_tokens(self, local_beacon: Beacon, now: float) -> RankTokens:
+        """Return the tokens that all other instances recently admitted and refused."""
+        if self.is_speaker(now):
+            total = sum_rank_tokens(
+                self._zone_beacons(local_beacon), self._remote_zones(is_fleet=True)
+            )
+            return subtract_rank_tokens(total, local_beacon.rank_tokens)
+        return subtract_rank_tokens(
+            self.speaker.message.rank_tokens, self.reported_rank_tokens
+        )
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -32,6 +32,7 @@
 from .expectation import expected_s
 from .fleet_memory import FleetMemory
 from .health import Verdict
+from .ledger import Admission, RankTokens, add_rank_tokens, subtract_rank_tokens
 from .limit_queue import LimitQueue
 from .limit_share import Fleet
 from .load import LoadReport
@@ -48,6 +49,7 @@
 from .view import UpstreamView
 
 __all__ = [
+    "Admission",
     "CachedPrefixes",
     "Choice",
     "Fleet",
@@ -60,6 +62,7 @@
     "PlacementRequest",
     "PoolTable",
     "PrefixUpdates",
+    "RankTokens",
     "RefusalReason",
     "RequestTraits",
     "Unreachable",
@@ -67,6 +70,7 @@
     "UpstreamState",
     "UpstreamView",
     "Verdict",
+    "add_rank_tokens",
     "add_unreachable",
     "choose_engine",
     "choose_service",
@@ -79,4 +83,5 @@
     "merge_limit_reports",
     "record_decision",
     "retry_after_s",
+    "subtract_rank_tokens",
 ]
--- a/packages/buckthornwall/src/buckthornwall/pools/refusal.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/refusal.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from .expectation import count_based_s, expected_on_engine_s, expected_s
+from .ledger import Admission
 from .overload import is_hopeless, is_loaded, is_overloaded, retry_after_s
 from .placement import Choice
 from .table import PoolTable
@@ -29,7 +30,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TierBalance:
-    """Prompt tokens that this instance decided on recently, and waiting ones.
+    """Prompt tokens that the instances decided on recently, and waiting ones.
 
     Attributes
     ----------
@@ -144,14 +145,22 @@
 
 def record_decision(
     pools: PoolTable, traits: RequestTraits, is_admitted: bool, now: float
-) -> None:
-    """Record that a prompt was admitted, or refused for overload."""
+) -> Admission | None:
+    """Record that a prompt was admitted, or refused for overload.
+
+    Returns
+    -------
+    Admission or None
+        The entry of an admitted prompt in the ledger, in which its end is recorded.
+    """
     if traits.prompt is None:
-        return
+        return None
     resolution = traits.resolution
-    ledger = pools.ledger(resolution.pool.id)
-    record = ledger.record_admitted if is_admitted else ledger.record_refused
-    record(resolution.rank, traits.prompt.prompt_tokens, now)
+    ledger, tokens = pools.ledger(resolution.pool.id), traits.prompt.prompt_tokens
+    if is_admitted:
+        return ledger.record_admitted(resolution.rank, tokens)
+    ledger.record_refused(resolution.rank, tokens, now)
+    return None
 
 
 def _refusal_reason(
@@ -164,39 +173,32 @@
     """Return why a request is refused at its chosen engine, or None to admit it."""
     wait_s = expected_s(pools, traits, choice)
     target_s = traits.resolution.route.target_s
-    pool, regions = traits.resolution.pool.id, traits.resolution.regions
     # Without a queue a prompt would only be refused for its own prefill.
     has_no_queue = choice.wait_s <= choice.own_prefill_s and not choice.oldest_wait_s
     if has_no_queue or not is_overloaded(
         wait_s, choice.own_prefill_s, target_s, usable, now
     ):
-        is_scarce = is_loaded(usable, now) or pools.is_limited(pool, regions)
-        should_defer = is_scarce and _should_defer(pools, traits, now)
-        return RefusalReason.YIELDS if should_defer else None
+        return _yield_reason(pools, traits, usable, now)
     if choice.slot_utilization >= 1 or is_hopeless(wait_s, target_s):
         return RefusalReason.LATE
+    # With a deficit less urgent ranks yield before this one.
     return None if has_deficit(pools, traits, now) else RefusalReason.LATE
 
 
-def _should_defer(pools: PoolTable, traits: RequestTraits, now: float) -> bool:
-    """Return whether a request yields to more urgent ones refused recently."""
+def _yield_reason(
+    pools: PoolTable, traits: RequestTraits, usable: list[UpstreamView], now: float
+) -> RefusalReason | None:
+    """Return YIELDS if a request yields to more urgent ones that were refused."""
     resolution = traits.resolution
-    ledger = pools.ledger(resolution.pool.id)
-    return ledger.should_defer(resolution.rank, traits.prompt.prompt_tokens, now)
+    pool, rank = resolution.pool.id, resolution.rank
+    if not is_loaded(usable, now) and not pools.is_limited(pool, resolution.regions):
+        return None
+    ledger, tokens = pools.ledger(pool), traits.prompt.prompt_tokens
+    return RefusalReason.YIELDS if ledger.should_defer(rank, tokens, now) else None
 
 
 def has_deficit(pools: PoolTable, traits: RequestTraits, now: float) -> bool:
-    """Return whether less urgent requests were admitted recently in place of this one.
-
-    Admissions of the peers count too, as the pending prefill on the engines, since an
-    instance with few requests may have admitted none. The tokens refused by all
-    instances are estimated as those refused here times the number of instances.
-    """
+    """Return whether less urgent requests were admitted recently in place of this."""
     resolution = traits.resolution
-    rank, tokens = resolution.rank, traits.prompt.prompt_tokens
     ledger = pools.ledger(resolution.pool.id)
-    if ledger.has_deficit(rank, tokens, now):
-        return True
-    views = pools.usable(resolution.pool.id, frozenset(), resolution.regions)
-    waiting = sum(view.load.pending_prefill_after(rank) for view in views)
-    return waiting > pools.instances * ledger.refused(rank, now) + tokens
+    return ledger.has_deficit(resolution.rank, traits.prompt.prompt_tokens, now)
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -17,7 +17,7 @@
 from .entry import UpstreamEntry, UpstreamState
 from .evacuation import Evacuations
 from .health import Verdict
-from .ledger import AdmissionLedger
+from .ledger import AdmissionLedger, RankTokens
 from .limit_queue import LimitQueue
 from .prefix_updates import CachedPrefixes, PrefixUpdates
 from .rate_limits import RateLimits
@@ -47,8 +47,6 @@
 
     Attributes
     ----------
-    instances : float
-        Number of instances that serve the pools, including this one.
     rate_limits : RateLimits
         Rate limits of the upstreams.
     evacuations : Evacuations
@@ -66,7 +64,6 @@
         self._wait_calibrations: dict[PoolId, WaitCalibration] = {}
         self._models: dict[PoolId, EngineModel] = {}
         self._reserved_engines: dict[PoolId, ReservedEngines] = {}
-        self.instances = 1.0
         self._ledgers: dict[PoolId, AdmissionLedger] = {}
         self._limit_queues: dict[PoolId, LimitQueue] = {}
         self.prefix_updates = PrefixUpdates()
@@ -169,6 +166,19 @@
         """Return the ledger of a pool's recently admitted and refused requests."""
         return self._ledgers.setdefault(pool, AdmissionLedger())
 
+    def rank_tokens(self) -> RankTokens:
+        """Return the tokens recently admitted and refused by this instance."""
+        now = self.clock.now()
+        local = {
+            pool: ledger.local_counts(now) for pool, ledger in self._ledgers.items()
+        }
+        return {pool: by_rank for pool, by_rank in local.items() if by_rank}
+
+    def receive_rank_tokens(self, peers: RankTokens) -> None:
+        """Record the tokens recently admitted and refused by all other instances."""
+        for pool in {*self._ledgers, *peers}:
+            self.ledger(pool).peers = peers.get(pool, {})
+
     def model(self, pool: PoolId) -> EngineModel:
         """Return the model of the speed of a pool's engines."""
         return self._models.setdefault(pool, EngineModel())
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_overload.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_overload.py
@@ -3,7 +3,7 @@
 import pytest
 
 from buckthornwall.pools import RefusalReason, choose_upstream, find_overload
-from buckthornwall.pools.load import PeerLoad
+from buckthornwall.pools.ledger import TOKENS_PER_REFUSED
 
 from .helpers import POOL, ZONE, adopt, prompt, traits
 
@@ -44,8 +44,13 @@
         table.views[name].load.add_pending_prefill(rank, tokens)
 
 
+def refused_for(tokens):
+    """Return the refused tokens for which less urgent ranks get this many."""
+    return int(tokens / TOKENS_PER_REFUSED)
+
+
 def admit(table, clock, rank, tokens=20_000):
-    table.ledger(POOL).record_admitted(rank, tokens, clock.now())
+    table.ledger(POOL).record_admitted(rank, tokens)
 
 
 def test_late_request_goes_to_engine_that_is_in_time(busy, clock):
@@ -92,7 +97,7 @@
     assert decide(table, clock, request)[1].reason is RefusalReason.LATE
     admit(table, clock, 7)
     assert decide(table, clock, request)[1] is None
-    table.ledger(POOL).record_refused(4, 20_000, clock.now())
+    table.ledger(POOL).record_refused(4, refused_for(20_000), clock.now())
     assert decide(table, clock, request)[1] is not None
 
 
@@ -104,19 +109,33 @@
     refused here in ten seconds. 11 of 86 replies got no event while reviews of 236,024
     tokens began.
     """
-    table.instances = 24.0
     for view in table.members(POOL):
         view.load.requests = 2
     fill(table, 4, 30_000)
     request = traits(prompt())
     assert decide(table, clock, request)[1].reason is RefusalReason.LATE
-    for view in table.members(POOL):
-        view.load.peers = PeerLoad(requests=1, pending_prefill={7: 20_000})
+    table.receive_rank_tokens({POOL: {7: (60_000, 0)}})
     assert decide(table, clock, request)[1] is None
-    table.ledger(POOL).record_refused(4, 5_000, clock.now())
+    table.receive_rank_tokens({POOL: {7: (60_000, 0), 4: (0, refused_for(60_000))}})
+    assert decide(table, clock, request)[1].reason is RefusalReason.LATE
+    table.receive_rank_tokens({})
     assert decide(table, clock, request)[1].reason is RefusalReason.LATE
 
 
+def test_request_yields_to_more_urgent_ones_that_peers_refused(table, clock):
+    """Reviews were admitted by instances that had refused no reply themselves."""
+    for view in table.members(POOL):
+        view.load.requests = 3
+    request = traits(prompt(), tier=2, target_s=1.5)
+    assert decide(table, clock, request)[1] is None
+    table.receive_rank_tokens({POOL: {4: (0, 4_000)}})
+    assert decide(table, clock, request)[1].reason is RefusalReason.YIELDS
+    table.receive_rank_tokens({POOL: {4: (0, refused_for(40_000)), 7: (30_000, 0)}})
+    assert decide(table, clock, request)[1] is None
+    table.receive_rank_tokens({POOL: {4: (0, refused_for(40_000)), 7: (40_000, 0)}})
+    assert decide(table, clock, request)[1].reason is RefusalReason.YIELDS
+
+
 def test_hopelessly_late_request_is_refused_despite_deficit(table, clock):
     """A client that would wait for several targets is better off with Retry-After."""
     for view in table.members(POOL):
@@ -155,12 +174,12 @@
     assert decide(table, clock, request)[1].reason is RefusalReason.YIELDS
 
 
-def test_yielding_rank_is_admitted_up_to_refused_tokens(table, clock):
+def test_yielding_rank_is_admitted_up_to_its_share_of_refused_tokens(table, clock):
     """No rank starves while the demand of a more urgent one exceeds the capacity."""
     for view in table.members(POOL):
         view.load.requests = 3
     request = traits(prompt(), tier=2, target_s=1.5)
-    table.ledger(POOL).record_refused(4, 40_000, clock.now())
+    table.ledger(POOL).record_refused(4, refused_for(40_000), clock.now())
     assert decide(table, clock, request)[1] is None
     admit(table, clock, 7, 40_000)
     assert decide(table, clock, request)[1] is not None
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -178,7 +178,6 @@
             self.forwarder.connections.expire()
             fleet = self.fleet()
             self.forwarder.budgets.set_instances(fleet.count)
-            self.pools.instances = float(fleet.count)
             now = self.clock.now()
             self._update_limit_shares(fleet, now)
             self.quarantine.expire(now)
@@ -221,6 +220,7 @@
             unreachable=self.pools.unreachable(),
             crash_checksum=self.quarantine.checksum,
             limits=self.pools.rate_limits.reports(),
+            rank_tokens=self.pools.rank_tokens(),
         )
 
     def _apply_peer_work(self) -> None:
@@ -229,6 +229,7 @@
         for view in self.pools.views.values():
             view.load.peers = work.get(view.id, NO_PEERS)
         self.pools.receive_unreachable(self.peers.unreachable(local, now))
+        self.pools.receive_rank_tokens(self.peers.rank_tokens(local, now))
         self.pools.rate_limits.receive(self.peers.limits(local, now))
 
     def _count_store_call(self, seconds: float, outcome: str) -> None:
