--- a/packages/buckthornwall/src/buckthornwall/pools/decision.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/decision.py
@@ -7,7 +7,7 @@
 from buckthornwall.utils import UpstreamId, ZoneId
 
 from .expectation import calibration_factor, expected_on_engine_s, expected_s
-from .overload import is_late
+from .overload import is_hopeless, is_late
 from .placement import (
     DISCOUNTED_TARGET_SHARE,
     Choice,
@@ -23,6 +23,10 @@
 
 __all__ = ["choose_upstream"]
 
+# A request that would be refused at its choice goes to engines where its first token is
+# expected within this many targets. Estimates of much longer waits are often too short.
+DIVERSION_TARGETS = 1.5
+
 
 def choose_upstream(
     pools: PoolTable,
@@ -63,8 +67,8 @@
     choice = choose_engine(eligible, request, now)
     if choice is None or not _should_spread(pools, traits, choice, now):
         return choice
-    on_time = _engines_in_time(pools, traits, split, now)
-    return choose_engine(on_time, request, now, copy_sources=views) or choice
+    preferred = _preferred_engines(pools, traits, choice, split, now)
+    return choose_engine(preferred, request, now, copy_sources=views) or choice
 
 
 def _placement_request(
@@ -104,14 +108,23 @@
     return is_late(wait_s, target_s) and has_deficit(pools, traits, now)
 
 
-def _engines_in_time(
-    pools: PoolTable, traits: RequestTraits, split: Split, now: float
+def _preferred_engines(
+    pools: PoolTable, traits: RequestTraits, choice: Choice, split: Split, now: float
 ) -> list[UpstreamView]:
-    """Return the unreserved engines where the first token is expected in time."""
+    """Return the unreserved engines that are better for a late request than its choice.
+
+    Those where the first token is expected in time. If there are none and the choice is
+    hopeless, those that are clearly better: the few engines that are compared for a
+    prompt may all be slow by chance, and the request would be refused.
+    """
     target_s = traits.resolution.route.target_s
-    return [
-        view
+    waits = [
+        (view, expected_on_engine_s(pools, traits, view, now))
         for view in split.others
         if view.load.in_flight(now) < view.entry.slots
-        and not is_late(expected_on_engine_s(pools, traits, view, now), target_s)
     ]
+    on_time = [view for view, wait_s in waits if not is_late(wait_s, target_s)]
+    if on_time or not is_hopeless(expected_s(pools, traits, choice), target_s):
+        return on_time
+    limit_s = DIVERSION_TARGETS * target_s
+    return [view for view, wait_s in waits if wait_s <= limit_s]
