Let less urgent routes of urgent teams yield to refused requests

A team of the first priority was exempt from all refusals, also on routes that rank behind every other team's more urgent ones: its reviews (rank 6) were admitted while replies (ranks 4 and 5) were refused.

They are still never refused as late, but yield as others do.

--- a/packages/buckthornwall/src/buckthornwall/pools/refusal.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/refusal.py
@@ -100,14 +100,15 @@
     pools
         State of all upstreams.
     traits
-        The request. Requests of the most urgent rank are always admitted.
+        The request. Requests of the most urgent routes are always admitted, and urgent
+        teams' requests of other routes unless they yield to more urgent ranks.
     choice
         Upstream that it would be sent to.
     now
         The time in seconds.
     """
     resolution = traits.resolution
-    if traits.prompt is None or resolution.urgent:
+    if traits.prompt is None or resolution.route.tier == 0:
         return None
     wait_s = expected_s(pools, traits, choice)
     usable = pools.usable(resolution.pool.id, frozenset(), resolution.regions)
@@ -171,6 +172,8 @@
     now: float,
 ) -> RefusalReason | None:
     """Return why a request is refused at its chosen engine, or None to admit it."""
+    if traits.resolution.urgent:
+        return _yield_reason(pools, traits, usable, now)
     wait_s = expected_s(pools, traits, choice)
     target_s = traits.resolution.route.target_s
     # Without a queue a prompt would only be refused for its own prefill.
