--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
@@ -157,6 +157,7 @@
             cached_prefixes=self.simulation.make_cached_prefixes(self.address),
             crash_checksum=self.quarantine.checksum,
             limits=self.pools.rate_limits.reports(),
+            rank_tokens=self.simulation.make_rank_tokens(self.address),
         )
 
     @property
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/simulation.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/simulation.py
@@ -7,7 +7,7 @@
 import trio
 from buckthornwall.peers import Work
 from buckthornwall.peers.election import election_priority
-from buckthornwall.pools import CachedPrefixes, UpstreamEntry
+from buckthornwall.pools import CachedPrefixes, RankTokens, UpstreamEntry
 from buckthornwall.utils import UpstreamId, ZoneId
 
 from .network import SimNetwork
@@ -37,9 +37,9 @@
         Addresses of instances that get no answer from the store.
     seeds : list of str
         Addresses of the instances that a starting instance asks for its speaker.
-    make_loads, make_cached_prefixes
-        Return an instance's work at upstreams, and the cached prefixes that it
-        reports, by its address.
+    make_loads, make_cached_prefixes, make_rank_tokens
+        Return an instance's work at upstreams, the cached prefixes that it reports, and
+        the tokens that it admitted and refused, by its address.
     zones : list of str
         All zones, as named in the settings.
     entries : dict
@@ -57,6 +57,7 @@
         self.seeds: list[str] = []
         self.make_loads: Callable[[str], dict[UpstreamId, Work]] = lambda address: {}
         self.make_cached_prefixes: Callable[[str], CachedPrefixes] = lambda address: {}
+        self.make_rank_tokens: Callable[[str], RankTokens] = lambda address: {}
         self.without_store: set[str] = set()
         self.entries: dict[UpstreamId, UpstreamEntry] = {}
         self.zones: list[ZoneId] = []
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/word_age.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/word_age.py
@@ -14,7 +14,8 @@
 
 import trio
 from buckthornwall.peers import Work
-from buckthornwall.pools import CachedPrefixes, PrefixUpdates
+from buckthornwall.pools import CachedPrefixes, PrefixUpdates, RankTokens
+from buckthornwall.routing import PoolId
 from buckthornwall.utils import UpstreamId
 from loguru import logger
 from trio.testing import MockClock
@@ -33,6 +34,9 @@
 # second, where 195 instances and 59 engines have twice the usual load of a large fleet.
 IN_FLIGHT = 4
 PROMPTS_PER_S = 1.6
+# Ranks of the requests whose admitted and refused tokens are reported.
+RANKS = 9
+POOL = PoolId("drafting")
 
 
 @dataclass
@@ -117,6 +121,7 @@
     def _start(self) -> None:
         self.fleet.make_loads = self._loads
         self.fleet.make_cached_prefixes = self._cached_prefixes
+        self.fleet.make_rank_tokens = self._rank_tokens
         for index, count in enumerate(self.zone_sizes, 1):
             peers = self.fleet.start_zone(f"z{index}", index, count)
             self.probes[self.rng.choice(peers).address] = self._random_id()
@@ -153,6 +158,13 @@
             updates.record(self.rng.choice(self.engines), [(segment, 3800)], now)
         return updates.to_send(now)
 
+    def _rank_tokens(self, address: str) -> RankTokens:
+        counts = {
+            rank: (self.rng.randrange(400_000), self.rng.randrange(40_000))
+            for rank in range(RANKS)
+        }
+        return {POOL: counts}
+
     async def _sample_ages(self, result: ReportAges) -> None:
         while True:
             await trio.sleep(SAMPLE_INTERVAL_S)
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
@@ -29,6 +29,7 @@
     config_number=1,
     change_revision=1,
     store_uptime_ms=0,
+    rank_tokens=None,
 ):
     return Beacon(
         NodeId(address),
@@ -42,6 +43,7 @@
         300,
         store_uptime_ms,
         loads or {},
+        rank_tokens=rank_tokens or {},
     )
 
 
@@ -148,6 +150,30 @@
     assert (peers.requests, peers.pending_prefill) == (1, {})
 
 
+@pytest.mark.parametrize("is_heartbeat", [False, True])
+def test_instances_know_what_all_others_admitted_and_refused(is_heartbeat):
+    first, second = table(FIRST), table(SECOND)
+    remote = table("10.1.0.1:7340", "far")
+    pool = PoolId("p")
+    local = beacon(FIRST, rank_tokens={pool: {4: (10, 1)}})
+    reported = beacon(SECOND, rank_tokens={pool: {4: (20, 2), 7: (5, 0)}})
+    far = beacon(remote.address, zone="far", rank_tokens={pool: {4: (40, 4)}})
+    first.receive_beacon(reported, 0.0)
+    first.receive_digest(remote.make_digest(far, is_fleet=False, now=0.0), 0.0)
+    second.reported_rank_tokens = reported.rank_tokens
+    if is_heartbeat:
+        digest = first.make_digest(beacon(FIRST), is_fleet=True, now=0.0)
+        first.assign_sequence(digest)
+        second.receive_digest(digest, 0.0)
+        heartbeat = first.make_heartbeat(local, is_fleet=True, now=0.0)
+        first.add_counts(heartbeat, local, 0.0)
+        second.receive_heartbeat(decode(encode(heartbeat), PeerMessage), 0.0)
+    else:
+        second.receive_digest(first.make_digest(local, is_fleet=True, now=0.0), 0.0)
+    assert first.rank_tokens(local, 0.1) == {pool: {4: (60, 6), 7: (5, 0)}}
+    assert second.rank_tokens(reported, 0.1) == {pool: {4: (50, 5), 7: (0, 0)}}
+
+
 def test_remote_zone_is_added_once_and_not_from_fleet_digest():
     first = table(FIRST)
     remote = table("10.1.0.1:7340", "far")
