--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_tier_soak.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_tier_soak.py
@@ -27,12 +27,7 @@
 
 @pytest.mark.live
 def test_no_tier_is_starved_when_urgent_requests_alone_exceed_the_capacity(tmp_path):
-    """23 of 119 replies were unserved within five seconds, while reviews began.
-
-    First those that had waited in order for two targets were given up, and no retry was
-    left for them. Later they were refused by instances that had admitted few reviews
-    themselves, or none (expected_ms=1028 least_ms=416).
-    """
+    """Replies were given up while they waited in order, or refused, as reviews began."""
     soak = TierSoak(
         RunSettings(322, 24.0, 7870, tmp_path, 24),
         engines=10,
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_tiers.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_tiers.py
@@ -125,12 +125,7 @@
 
 @pytest.mark.parametrize("seed", [1, 2])
 def test_refusals_of_one_instance_hold_back_less_urgent_requests_at_all(seed):
-    """Replies were refused or left unserved while other instances admitted reviews.
-
-    Each of 24 instances sees few requests of a pool. One that refuses replies has often
-    admitted no review, and those that admit reviews do not know of its refusals: 28 of
-    207 replies were unserved while reviews of 656,445 tokens began.
-    """
+    """Instances that admit reviews must know of the replies that others refuse."""
     share = 15 / 45
     traffic = [
         replace(REVIEWS, bursts=((2.0, 9.0, 2.0),)).scaled(share, share),
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_streams.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_streams.py
@@ -70,11 +70,7 @@
 
 
 async def test_stream_that_waits_in_order_is_not_given_up(forward):
-    """Replies behind others of their rank were given up after two targets.
-
-    They lost their place and waited behind the same queue at the next engine, until
-    their callers left (waited_ms=1201 unread_before=21415), or no retry was left.
-    """
+    """It would lose its place, and wait behind the same queue at the next engine."""
     answer = await forward(
         [0.9, stream(1, 2)],
         [stream(1)],
@@ -98,7 +94,7 @@
 
 
 async def test_stream_is_waited_for_while_no_retry_is_left(forward):
-    """25 replies were answered with 502 when the retry budget was spent."""
+    """Its response is late, not lost."""
     answer = await forward(
         [0.9, stream(1, 2)],
         [stream(1)],
@@ -134,7 +130,7 @@
 async def test_stream_that_ended_without_an_event_counts_as_refused(
     forward, wait, status
 ):
-    """Less urgent requests were admitted in place of replies that got nothing."""
+    """Less urgent requests must not be admitted in its place."""
     answer = await forward(
         [*wait],
         response_mode=ResponseMode.EVENT_STREAM,
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_ledger.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_ledger.py
@@ -50,7 +50,7 @@
 
 
 def test_request_does_not_defer_to_a_rank_that_is_nearly_served(ledger):
-    """A single refused reply of a fleet would hold back all of its reviews."""
+    """A single refusal must not hold back the less urgent requests of a fleet."""
     ledger.record_admitted(ORDINARY, 250_000)
     ledger.record_refused(ORDINARY, 10_000, 1.0)
     assert not ledger.should_defer(LEAST_URGENT, 50_000, 1.0)
@@ -59,7 +59,7 @@
 
 
 def test_less_urgent_ranks_defer_first(ledger):
-    """Replies were refused for questions that got nothing, while reviews began."""
+    """A rank in the middle must not yield while less urgent ones are admitted."""
     ledger.record_refused(URGENT, refused_for(8_000), 1.0)
     assert ledger.should_defer(LEAST_URGENT, 1_000, 1.0)
     assert not ledger.should_defer(ORDINARY, 1_000, 1.0)
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_overload.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_overload.py
@@ -123,7 +123,7 @@
 
 
 def test_request_yields_to_more_urgent_ones_that_peers_refused(table, clock):
-    """Reviews were admitted by instances that had refused no reply themselves."""
+    """The instances that admit less urgent requests have often refused none."""
     for view in table.members(POOL):
         view.load.requests = 3
     request = traits(prompt(), tier=2, target_s=1.5)
@@ -165,7 +165,7 @@
 
 
 def test_less_urgent_route_of_urgent_team_yields_to_refused_requests(table, clock):
-    """A team's priority exempted its reviews while replies of others were refused."""
+    """A team's priority must not exempt routes that rank behind those of all teams."""
     for view in table.members(POOL):
         view.load.requests = 3
     request = traits(prompt(), tier=2, target_s=1.5, team_tier=0)
