--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_tier_soak.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_tier_soak.py
@@ -27,7 +27,7 @@
 
 @pytest.mark.live
 def test_no_tier_is_starved_when_urgent_requests_alone_exceed_the_capacity(tmp_path):
-    """Replies were given up while they waited in order, or refused, as reviews began."""
+    """Replies were given up while waiting in order, or refused, as reviews began."""
     soak = TierSoak(
         RunSettings(322, 24.0, 7870, tmp_path, 24),
         engines=10,
