Log what upstreams state about themselves in their responses

An upstream that is leaving says so in its answers (Server-Leaving), and one that sheds may ask for a rest (503 with Retry-After). Both were dropped by the adapter, so no line told whether an instance had been told. They are decoded into a notice and logged once it changes what is known; no decision reads it yet.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -10,7 +10,7 @@
 
 from buckthornwall.engine_model import EngineModel
 from buckthornwall.http1 import ClientConnection, ExchangeError, ExchangeFailure
-from buckthornwall.pools import Choice, UpstreamView
+from buckthornwall.pools import Choice, Notice, UpstreamView
 from buckthornwall.routing import (
     PromptShape,
     Resolution,
@@ -79,7 +79,8 @@
     for each event after it, in seconds; None is as long as the client waits. After
     that, the attempt ends once `should_give_up` returns True.
     `note_prompt` records that the prompt is sent to the upstream, `record_rate_limit`
-    the limit that it names, and `model` learns the speed of the stream.
+    the limit that it names, `record_notice` what it states about itself, and `model`
+    learns the speed of the stream.
     """
 
     request: RoutedRequest
@@ -94,6 +95,7 @@
     head_timeout_s: float | None
     note_prompt: Callable[[UpstreamView, PromptShape], None]
     record_rate_limit: Callable[[UpstreamView, float], None]
+    record_notice: Callable[[UpstreamView, Notice], None]
     model: EngineModel
     should_give_up: Callable[[], bool]
     event_timeout_s: float | None = None
@@ -169,6 +171,8 @@
             self.choice.view.load.record_report(reply.load, now)
         if reply.rate_limit is not None and (reply.has_rate_limit or reply.attested):
             self.record_rate_limit(self.choice.view, reply.rate_limit)
+        if reply.notice is not None:
+            self.record_notice(self.choice.view, reply.notice)
 
     def _context(self) -> AttemptContext:
         return AttemptContext(
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -288,6 +288,7 @@
             head_timeout_s=self._head_timeout_s(job, choice, remaining_s),
             note_prompt=self.pools.note_prompt,
             record_rate_limit=self.pools.rate_limits.record,
+            record_notice=self.pools.notices.record,
             model=self.pools.model(job.resolution.pool.id),
             should_give_up=lambda: self._should_give_up(job, choice),
             event_timeout_s=self._event_timeout_s(job),
--- a/packages/buckthornwall/src/buckthornwall/forwarding/reply.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/reply.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from buckthornwall.http1 import ResponseHead
-from buckthornwall.pools import LoadReport, UpstreamEntry
+from buckthornwall.pools import LoadReport, Notice, UpstreamEntry
 from buckthornwall.routing import RoutedRequest
 from buckthornwall.utils import TeamId
 
@@ -22,7 +22,8 @@
     upstream states that it did not and will not run the request, and `misdirected` if
     the reason is that another upstream now has that address. `rate_limit` is how many
     requests a second the upstream accepts from all instances, infinite without a limit,
-    and None if it does not say. `attested` is set if the upstream signed the reply.
+    and None if it does not say. `notice` is what it states about itself. `attested` is
+    set if the upstream signed the reply.
     """
 
     status: int
@@ -33,6 +34,7 @@
     misdirected: bool = False
     load: LoadReport | None = None
     rate_limit: float | None = None
+    notice: Notice | None = None
     idle_timeout_s: float | None = None
     closes_connection: bool = False
 
--- a/packages/buckthornwall/src/buckthornwall/platform/codec.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/codec.py
@@ -5,7 +5,7 @@
 from buckthornwall.codes import Refusal, ResultCode
 from buckthornwall.forwarding import AttemptContext, Reply
 from buckthornwall.http1 import IncomingRequest, ResponseHead
-from buckthornwall.pools import LoadReport
+from buckthornwall.pools import LoadReport, Notice
 from buckthornwall.routing import PromptSegment, PromptShape, RoutedRequest
 from buckthornwall.utils import ModelId
 
@@ -14,6 +14,7 @@
 __all__ = ["PlatformCodec", "decode_request"]
 
 HTTP_MISDIRECTED = 421
+HTTP_UNAVAILABLE = 503
 LOWEST_PRIORITY = 9
 MS_PER_S = 1000.0
 MAX_ID_BYTES = 128
@@ -140,6 +141,7 @@
             misdirected=misdirected,
             load=_load(found.get(names.LOAD)),
             rate_limit=_rate_limit(found.get(names.RATE_LIMIT)),
+            notice=_notice(head.status, found),
             idle_timeout_s=_idle_timeout(found.get(b"keep-alive", b"")),
             closes_connection=b"close" in found.get(b"connection", b"").lower(),
         )
@@ -173,6 +175,28 @@
     return limit if 0 <= limit < math.inf else None
 
 
+def _notice(status: int, found: dict[bytes, bytes]) -> Notice | None:
+    """Return what an upstream states about itself, None if nothing."""
+    is_leaving = found.get(names.LEAVING) == b"1"
+    is_unavailable = status == HTTP_UNAVAILABLE
+    rest_s = _rest_s(found.get(names.RETRY_AFTER)) if is_unavailable else None
+    return Notice(is_leaving, rest_s) if is_leaving or rest_s is not None else None
+
+
+def _rest_s(value: bytes | None) -> float | None:
+    """Return the rest that an upstream asks for, in seconds.
+
+    None stands for no value, or one that is not a positive number of seconds.
+    """
+    if value is None:
+        return None
+    try:
+        seconds = float(value)
+    except ValueError:
+        return None
+    return seconds if 0 < seconds < math.inf else None
+
+
 def _idle_timeout(value: bytes) -> float | None:
     for part in value.lower().split(b","):
         name, _, seconds = part.strip().partition(b"=")
--- a/packages/buckthornwall/src/buckthornwall/platform/names.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/names.py
@@ -23,6 +23,10 @@
 INSTANCE = PREFIX + b"instance-id"
 # Requests per second, a decimal number, that an upstream accepts from all instances.
 RATE_LIMIT = b"server-limit"
+# "1" from an upstream that is leaving.
+LEAVING = b"server-leaving"
+# Seconds, a decimal number, for which an upstream wants no request from this instance.
+RETRY_AFTER = b"retry-after"
 LAST_EVENT_ID = b"last-event-id"
 # IP:port of an engine from which the missing prompt segments are copied.
 COPY_FROM = b"kv-fetch"
--- a/packages/buckthornwall/src/buckthornwall/platform/tests/test_wire.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/tests/test_wire.py
@@ -8,7 +8,7 @@
 from buckthornwall.forwarding import AttemptContext
 from buckthornwall.http1 import IncomingRequest, ResponseHead
 from buckthornwall.platform import PlatformCodec, decode_published, decode_request
-from buckthornwall.pools import LoadReport, UpstreamEntry, UpstreamState
+from buckthornwall.pools import LoadReport, Notice, UpstreamEntry, UpstreamState
 from buckthornwall.routing import PoolId, ResponseMode
 from buckthornwall.utils import TeamId, UpstreamId, ZoneId
 
@@ -155,6 +155,32 @@
     assert PlatformCodec().decode(ResponseHead(200, headers)).rate_limit == limit
 
 
+@pytest.mark.parametrize(
+    ("status", "headers", "notice"),
+    [
+        (200, [], None),
+        (200, [(b"server-leaving", b"1")], Notice(is_leaving=True)),
+        (200, [(b"server-leaving", b"0")], None),
+        (503, [(b"retry-after", b"3")], Notice(rest_s=3.0)),
+        (503, [(b"retry-after", b"2.5")], Notice(rest_s=2.5)),
+        (
+            503,
+            [(b"server-leaving", b"1"), (b"retry-after", b"1")],
+            Notice(is_leaving=True, rest_s=1.0),
+        ),
+        (429, [(b"retry-after", b"3")], None),
+        (503, [(b"retry-after", b"0")], None),
+        (503, [(b"retry-after", b"-1")], None),
+        (503, [(b"retry-after", b"nan")], None),
+        (503, [(b"retry-after", b"inf")], None),
+        (503, [(b"retry-after", b"soon")], None),
+        (503, [(b"retry-after", b"Fri, 31 Dec 1999 23:59:59 GMT")], None),
+    ],
+)
+def test_notice_of_an_upstream_is_decoded(status, headers, notice):
+    assert PlatformCodec().decode(ResponseHead(status, headers)).notice == notice
+
+
 CONFIG = b"""{"version": 7, "later": 1, "routes": [
  {"name": "r1", "host": "H", "path_prefix": "/a/", "kind": "stream",
   "timeout_ms": 4000, "target_latency_ms": 400, "priority": 1, "service": "s",
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -1,30 +1,32 @@
 """Upstreams of each pool: registrations, load, health, and placement of requests.
 
-================ ==============================================================
-`entry`          an upstream as it is registered
-`load`           load of an upstream as known to this instance
-`waits`          how long requests there have waited for their first token
-`prefixes`       estimate of the prefix cache of an engine
-`prefix_updates` exchange of cached prefixes between instances
-`evacuation`     availability zones that get no new requests
-`health`         upstreams that fail requests, whatever their health check says
-`reachability`   upstreams that cannot be reached, as reported by instances
-`rate_limit`     rate limit of one upstream over all instances
-`rate_limits`    rate limits of all upstreams, and the local shares
-`limit_share`    shares of the instances in the rate limit of an upstream
-`fleet_memory`   instances that were live recently
-`limit_queue`    queue for the tokens of a pool whose upstreams are all limited
-`view`           all of these for one upstream
-`table`          views by upstream; adopts registrations
-`reserved`       engines reserved for pause-sensitive streams
-`placement`      choice of an upstream for a request
-`ledger`         requests admitted and refused recently, by rank
-`overload`       limits of the expected wait, and the delay of retries
-`traits`         properties of a request that decisions depend on
-`expectation`    expected time to the first token
-`refusal`        whether a request is refused for overload
-`decision`       which upstream a request is sent to
-================ ==============================================================
+================== ==============================================================
+`entry`            an upstream as it is registered
+`load`             load of an upstream as known to this instance
+`waits`            how long requests there have waited for their first token
+`prefixes`         estimate of the prefix cache of an engine
+`prefix_updates`   exchange of cached prefixes between instances
+`evacuation`       availability zones that get no new requests
+`health`           upstreams that fail requests, whatever their health check says
+`reachability`     upstreams that cannot be reached, as reported by instances
+`upstream_notices` notices of one upstream that are in force
+`notices`          what upstreams state about themselves in their responses
+`rate_limit`       rate limit of one upstream over all instances
+`rate_limits`      rate limits of all upstreams, and the local shares
+`limit_share`      shares of the instances in the rate limit of an upstream
+`fleet_memory`     instances that were live recently
+`limit_queue`      queue for the tokens of a pool whose upstreams are all limited
+`view`             all of these for one upstream
+`table`            views by upstream; adopts registrations
+`reserved`         engines reserved for pause-sensitive streams
+`placement`        choice of an upstream for a request
+`ledger`           requests admitted and refused recently, by rank
+`overload`         limits of the expected wait, and the delay of retries
+`traits`           properties of a request that decisions depend on
+`expectation`      expected time to the first token
+`refusal`          whether a request is refused for overload
+`decision`         which upstream a request is sent to
+================== ==============================================================
 """
 
 from .decision import choose_upstream
@@ -36,6 +38,7 @@
 from .limit_queue import LimitQueue
 from .limit_share import Fleet
 from .load import LoadReport
+from .notices import Notice
 from .overload import retry_after_s
 from .placement import Choice, PlacementRequest, choose_engine, choose_service
 from .prefix_updates import CachedPrefixes, PrefixUpdates, merge_cached_prefixes
@@ -58,6 +61,7 @@
     "LimitReport",
     "LimitReports",
     "LoadReport",
+    "Notice",
     "Overload",
     "PlacementRequest",
     "PoolTable",
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -19,6 +19,7 @@
 from .health import Verdict
 from .ledger import AdmissionLedger, RankTokens
 from .limit_queue import LimitQueue
+from .notices import NoticeTable
 from .prefix_updates import CachedPrefixes, PrefixUpdates
 from .rate_limits import RateLimits
 from .reachability import Unreachable
@@ -49,6 +50,8 @@
     ----------
     rate_limits : RateLimits
         Rate limits of the upstreams.
+    notices : NoticeTable
+        What the upstreams state about themselves.
     evacuations : Evacuations
         Availability zones that get no new requests.
     """
@@ -60,6 +63,7 @@
         self.regions = dict(regions or {})
         self.views: dict[UpstreamId, UpstreamView] = {}
         self.rate_limits = RateLimits(clock, self.views)
+        self.notices = NoticeTable(clock)
         self._members: dict[PoolId, dict[UpstreamId, UpstreamView]] = {}
         self._wait_calibrations: dict[PoolId, WaitCalibration] = {}
         self._models: dict[PoolId, EngineModel] = {}
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/pools/upstream_notices.py
@@ -0,0 +1,41 @@
+"""The notices of one upstream that are in force."""
+
+__all__ = ["UpstreamNotices"]
+
+# A longer rest is taken for an error of the upstream. It ends at the latest when the
+# upstream starts again.
+MAX_REST_S = 3600.0
+
+
+class UpstreamNotices:
+    """What one incarnation of an upstream has stated about itself.
+
+    Attributes
+    ----------
+    is_leaving : bool
+        Whether it has stated that it is leaving. An incarnation that leaves does not
+        return, so nothing but another incarnation ends this.
+    rest_until : float
+        Time in seconds until which it wants no request from this instance.
+    """
+
+    def __init__(self) -> None:
+        self.is_leaving = False
+        self.rest_until = float("-inf")
+
+    def record_leaving(self) -> bool:
+        """Record that it is leaving; return whether that was not known."""
+        was_known, self.is_leaving = self.is_leaving, True
+        return not was_known
+
+    def record_rest(self, seconds: float, now: float) -> None:
+        """Record that it wants no request for some seconds from now.
+
+        A response that asks for less than an earlier one shortens nothing: it may
+        answer a request that was under way before.
+        """
+        self.rest_until = max(self.rest_until, now + min(seconds, MAX_REST_S))
+
+    def is_resting(self, now: float) -> bool:
+        """Return whether it wants no request now."""
+        return now < self.rest_until
--- a/packages/buckthornwall/src/buckthornwall/pools/view.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/view.py
@@ -8,6 +8,7 @@
 from .prefixes import PrefixCacheEstimate
 from .rate_limit import RateLimit
 from .reachability import Reachability
+from .upstream_notices import UpstreamNotices
 
 __all__ = ["UpstreamView"]
 
@@ -19,7 +20,7 @@
 
     `reachability` combines this instance's attempts with the reports of its peers.
     `rate_limit` holds the requests a second that the upstream accepts, and the end of
-    its cold start.
+    its cold start, and `notices` what the upstream has stated about itself.
     """
 
     def __init__(self, entry: UpstreamEntry) -> None:
@@ -29,6 +30,7 @@
         self.prefixes = PrefixCacheEstimate(DEFAULT_MEMORY_TOKENS)
         self.reachability = Reachability()
         self.rate_limit = RateLimit()
+        self.notices = UpstreamNotices()
 
     def cold_s(self, now: float) -> float:
         """Return how much longer its cold start lasts, in seconds."""
