--- a/packages/buckthornwall-standins/src/buckthornwall_standins/soak_run.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/soak_run.py
@@ -51,10 +51,11 @@
 
 @dataclass(frozen=True)
 class RequestTarget:
-    """Path of a request and number of the instance it was sent to."""
+    """Path of a request, and when it was sent to which instance."""
 
     path: str
     instance: int
+    sent_at: float
 
 
 class SoakRun:
@@ -151,7 +152,7 @@
         """Make one call to a sampled instance."""
         request = f"r{next(self.numbers)}"
         number = self.rng.randint(1, self.instance_count)
-        self.targets[request] = RequestTarget(path, number)
+        self.targets[request] = RequestTarget(path, number, trio.current_time())
         prefix = f"{self.rng.randrange(PROMPT_PREFIXES):x}a"
         prompt = ("900,10", f"{prefix}:600,{request[1:]}:300") if has_prompt else None
         headers = make_request_headers(request, HOST, API_KEY, CLIENT_TIMEOUT_S, prompt)
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/upstream.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/upstream.py
@@ -1,4 +1,8 @@
-"""An upstream that seals its responses, marks shed requests and counts runs."""
+"""An upstream that seals its responses, marks shed requests and counts runs.
+
+Its responses state when it is leaving; those to requests that it sheds may ask for a
+rest.
+"""
 
 import itertools
 from collections import Counter
@@ -43,8 +47,15 @@
         Headers of each received request, names in lower case.
     rate_limit : str
         Requests per second that it announces in its responses, or '' for none.
+    is_leaving : bool
+        Whether its responses state that it is leaving.
+    retry_after : str
+        Rest that it asks for when it sheds a request, or '' for none.
     on_arrival : callable
         Called with the id of each request, unless it expected another instance.
+    on_notice : callable
+        Called with the id of each request to which it states that it is leaving, or
+        that it wants a rest.
     """
 
     id: str
@@ -58,7 +69,10 @@
     running: int = 0
     cut_after_events: int = 0  # events before a stream is cut off; 0 for no cut
     rate_limit: str = ""
+    is_leaving: bool = False
+    retry_after: str = ""
     on_arrival: Callable[[str], None] = lambda request: None
+    on_notice: Callable[[str], None] = lambda request: None
 
     async def run(self, address: str, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled."""
@@ -71,28 +85,28 @@
         request_headers = dict(incoming.headers)
         self.received_headers.append(request_headers)
         request_id = request_headers.get(b"x-buckthornwall-attempt-id", b"")
-        common = make_response_headers(request_id, self.running, 0, self.slots)
-        if self.rate_limit:
-            common.append((b"Server-Limit", self.rate_limit.encode()))
         expected = request_headers.get(
             b"x-buckthornwall-expect-instance", self.id.encode()
         )
         if expected != self.id.encode():
-            await response.send_complete(421, common, b"")
+            await response.send_complete(421, self._common_headers(request_id), b"")
             return
         self.on_arrival(request_id.decode())
         if self.is_shedding:
-            await response.send_complete(
-                503, [*common, (PREFIX + b"Not-Executed", b"1")], b""
-            )
+            await self._shed(request_id, response)
             return
         self.runs[request_id.decode()] += 1
         if incoming.target.startswith(NON_RETRYABLE_PATHS):
             self.non_retryable_runs[request_id.decode()] += 1
         self.running += 1
-        signed = [*common, (PREFIX + b"Response-Seal", b"seal-of-" + request_id)]
         try:
             await trio.sleep(self.work_s)
+            signed = [
+                *self._common_headers(request_id),
+                (PREFIX + b"Response-Seal", b"seal-of-" + request_id),
+            ]
+            if self.is_leaving:
+                self.on_notice(request_id.decode())
             if b"x-buckthornwall-token-count" in request_headers:
                 await self._stream(request_headers, response, signed)
             else:
@@ -100,6 +114,24 @@
         finally:
             self.running -= 1
 
+    def _common_headers(self, request: bytes) -> list[tuple[bytes, bytes]]:
+        """Return the headers of every response to a request."""
+        headers = make_response_headers(request, self.running, 0, self.slots)
+        if self.rate_limit:
+            headers.append((b"Server-Limit", self.rate_limit.encode()))
+        if self.is_leaving:
+            headers.append((b"Server-Leaving", b"1"))
+        return headers
+
+    async def _shed(self, request: bytes, response: ResponseWriter) -> None:
+        """Turn a request away, and ask for a rest if one is set."""
+        headers = [*self._common_headers(request), (PREFIX + b"Not-Executed", b"1")]
+        if self.retry_after:
+            headers.append((b"Retry-After", self.retry_after.encode()))
+        if self.retry_after or self.is_leaving:
+            self.on_notice(request.decode())
+        await response.send_complete(503, headers, b"")
+
     async def _stream(
         self,
         request_headers: dict[bytes, bytes],
