Send nothing to upstreams that said that they leave, or that asked for a rest

Callers' requests reached an engine 2.3 s after an answer had said that it leaves, and an engine that had answered 503 with Retry-After got more than two requests in that time.

Ruled out: that some path did not ask (the late ones were first attempts at engines that were not ejected), and that a belief ended too soon (there was none).

One module (pools/availability.py) now says whether an upstream may get a request, and by whose word not. The choice for first attempts, retries and resumed streams asks it, and each attempt asks again once it has its connection. A leaving upstream stays so until another incarnation is registered, also where its registration expires and returns. A rest holds for the time asked for, an hour at most, and a random extension of up to a tenth (0.25 s at most), so that instances do not all return at once; a shorter one does not shorten it, and it counts as no failure. Where all of a pool rest, requests wait at the gate of rate limits by urgency if the end comes within half their target, or are told (code 2011) when it comes.

--- a/packages/buckthornwall/src/buckthornwall/codes/core.py
+++ b/packages/buckthornwall/src/buckthornwall/codes/core.py
@@ -107,6 +107,13 @@
         "send again after Retry-After",
     )
 
+    UPSTREAMS_RESTING = (
+        2011,
+        503,
+        "all upstreams that could run this have asked for a rest",
+        "send again after Retry-After",
+    )
+
     UPSTREAM_UNREACHABLE = (3001, 503, "no upstream could be reached", "send again")
     UPSTREAM_BROKEN = (
         3002,
--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -10,7 +10,7 @@
 
 from buckthornwall.engine_model import EngineModel
 from buckthornwall.http1 import ClientConnection, ExchangeError, ExchangeFailure
-from buckthornwall.pools import Choice, Notice, UpstreamView
+from buckthornwall.pools import Choice, Notice, Obstacle, UpstreamView
 from buckthornwall.routing import (
     PromptShape,
     Resolution,
@@ -42,6 +42,7 @@
 
     DONE = "done"  # the client has the complete response
     NOT_SENT = "not_sent"  # no byte reached the upstream
+    WITHHELD = "withheld"  # nothing was sent, since the upstream no longer wants it
     NOT_RUN = "not_run"  # the upstream states that it did not run the request
     FAILED = "failed"  # a complete reply reports a failure
     BROKEN = "broken"  # it may have run; no complete reply arrived
@@ -65,6 +66,12 @@
         """Whether another upstream answered at the address."""
         return self.reply is not None and self.reply.misdirected
 
+    @property
+    def asked_for_rest(self) -> bool:
+        """Whether the upstream wants no request for a while."""
+        notice = self.reply.notice if self.reply is not None else None
+        return notice is not None and notice.rest_s is not None
+
     @property
     def is_connection_lost(self) -> bool:
         """Whether the exchange failed as when its upstream ends."""
@@ -77,7 +84,8 @@
 
     `head_timeout_s` is how long to wait for the head of a reply, and `event_timeout_s`
     for each event after it, in seconds; None is as long as the client waits. After
-    that, the attempt ends once `should_give_up` returns True.
+    that, the attempt ends once `should_give_up` returns True. `find_obstacle` returns
+    why the upstream is not to get the request any more, if so.
     `note_prompt` records that the prompt is sent to the upstream, `record_rate_limit`
     the limit that it names, `record_notice` what it states about itself, and `model`
     learns the speed of the stream.
@@ -98,6 +106,7 @@
     record_notice: Callable[[UpstreamView, Notice], None]
     model: EngineModel
     should_give_up: Callable[[], bool]
+    find_obstacle: Callable[[UpstreamView], Obstacle | None]
     event_timeout_s: float | None = None
     pause_sensitive: bool = False
 
@@ -110,6 +119,10 @@
             )
         except ExchangeError as error:
             return AttemptResult(AttemptEnd.NOT_SENT, error.detail)
+        # Notices may have arrived while the connection was opened.
+        if obstacle := self.find_obstacle(view):
+            self.connections.release(view.id, connection, None)
+            return AttemptResult(AttemptEnd.WITHHELD, obstacle.value)
         load = view.load
         pending_prefill = _PendingPrefill(
             view, self.resolution.rank, self.choice.uncached_tokens, self.clock.now()
--- a/packages/buckthornwall/src/buckthornwall/forwarding/crash_guard.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/crash_guard.py
@@ -1,7 +1,7 @@
 """Detection and refusal of requests that crash upstreams."""
 
 from buckthornwall.codes import Refusal, ResultCode
-from buckthornwall.pools import Choice, PoolTable, UpstreamState
+from buckthornwall.pools import Choice, PoolTable
 from buckthornwall.quarantine import QuarantineTable, incarnation_tag
 from buckthornwall.utils import Clock
 
@@ -63,7 +63,7 @@
         is_listed = self.pools.views.get(entry.id) is choice.view
         if not result.is_connection_lost or not await self.liveness.has_ended(entry):
             return False
-        if is_listed and entry.state is UpstreamState.READY:  # else a planned departure
+        if is_listed and not choice.view.is_leaving:  # else a planned departure
             tag = incarnation_tag(entry.pool, entry.id, entry.incarnation)
             self.quarantine.record_termination(job.fingerprint, tag, self.clock.now())
         return True
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -50,6 +50,8 @@
 # never used for a request that may have run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 BAD_GATEWAY = 502
+# Ends of attempts that sent nothing. They are no retries of the budget.
+UNSENT_ENDS = frozenset({AttemptEnd.NOT_SENT, AttemptEnd.WITHHELD})
 # An upstream that sends no reply is given up after this multiple of the target, or this
 # fraction of the remaining time, if another may be tried.
 HEAD_TIMEOUT_TARGETS = 4.0
@@ -291,6 +293,7 @@
             record_notice=self.pools.notices.record,
             model=self.pools.model(job.resolution.pool.id),
             should_give_up=lambda: self._should_give_up(job, choice),
+            find_obstacle=self.pools.forbidding_obstacle,
             event_timeout_s=self._event_timeout_s(job),
             pause_sensitive=job.traits.pause_sensitive,
         )
@@ -301,9 +304,9 @@
         job.runs += 1
         sent_at = self.clock.now()
         result = await attempt.run()
-        if result.end in (AttemptEnd.NOT_SENT, AttemptEnd.NOT_RUN):
+        if result.end in UNSENT_ENDS or result.end is AttemptEnd.NOT_RUN:
             job.runs -= 1
-        if result.end is AttemptEnd.NOT_SENT:
+        if result.end in UNSENT_ENDS:
             view.rate_limit.refund()
         else:
             job.arrivals += 1
@@ -393,7 +396,7 @@
             job.last_failed = result
         if job.deadline - self.clock.now() < MIN_REMAINING_S:
             return False
-        if result.end is AttemptEnd.NOT_SENT:
+        if result.end in UNSENT_ENDS:
             return True
         if result.end is AttemptEnd.NOT_RUN:
             return self._spend_retry(job)
@@ -418,6 +421,8 @@
 
     def _record_verdict(self, choice: Choice, result: AttemptResult) -> None:
         """Record the end of an attempt in its upstream's health."""
+        if result.end is AttemptEnd.WITHHELD or result.asked_for_rest:
+            return  # it says itself when it accepts requests
         if result.end is AttemptEnd.DONE:
             verdict = Verdict.GOOD
         elif result.end is AttemptEnd.NOT_SENT or result.is_misdirected:
@@ -432,7 +437,10 @@
 
     def _no_upstream_refusal(self, job: Job) -> Refusal:
         refusal = refusal_without_upstream(self.pools, job)
-        if refusal.code is ResultCode.UPSTREAMS_LIMITED:
+        if refusal.code in (
+            ResultCode.UPSTREAMS_LIMITED,
+            ResultCode.UPSTREAMS_RESTING,
+        ):
             record_decision(self.pools, job.traits, False, self.clock.now())
         return refusal
 
--- a/packages/buckthornwall/src/buckthornwall/forwarding/no_upstream.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/no_upstream.py
@@ -10,16 +10,22 @@
 NO_UPSTREAM_RETRY_S = 0.3
 # Used where only an operator or a returning upstream makes one available again.
 NONE_ALLOWED_RETRY_S = 1.0
+MIN_RESTING_RETRY_S = 0.05
 
 
 def refusal_without_upstream(pools: PoolTable, job: Job) -> Refusal:
     """Return the refusal of a request for which no upstream is left."""
     if job.runs:
         return Refusal(ResultCode.UPSTREAM_BROKEN, job.detail, job.run)
+    pool, regions = job.resolution.pool.id, job.resolution.regions
+    if pools.is_resting(pool, regions):
+        # When a rest ends is known, and a client that returns before is refused again.
+        wait_s = max(MIN_RESTING_RETRY_S, pools.limit_wait_s(pool, regions))
+        code = ResultCode.UPSTREAMS_RESTING
+        return Refusal(code, job.detail, retry_after_s=wait_s)
     if job.tried:
         code = ResultCode.UPSTREAM_UNREACHABLE
         return Refusal(code, job.detail, retry_after_s=NO_UPSTREAM_RETRY_S)
-    pool, regions = job.resolution.pool.id, job.resolution.regions
     if not pools.has_ready_in(pool, regions):
         return _none_allowed_refusal(ResultCode.REGIONS_WITHOUT_UPSTREAM)
     if pools.is_evacuated(pool, regions):
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/helpers.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/helpers.py
@@ -5,6 +5,7 @@
 from buckthornwall.forwarding import (
     Reply,
 )
+from buckthornwall.pools import Notice
 from buckthornwall.routing import (
     PoolId,
     PromptSegment,
@@ -15,6 +16,7 @@
 POOL = PoolId("p")
 MISDIRECTED = b"HTTP/1.1 421 Any\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 NOT_RUN = b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+RESTING = NOT_RUN.replace(b"Content", b"X-Rest: 3\r\nContent")
 
 
 def prompt(tokens=500):
@@ -65,9 +67,14 @@
             not_run=b"x-not-run" in found,
             misdirected=head.status == 421,
             rate_limit=float(found.get(b"x-limit", b"inf")),
+            notice=Notice(b"x-leaving" in found, _rest_s(found)),
         )
 
 
+def _rest_s(found):
+    return float(found[b"x-rest"]) if b"x-rest" in found else None
+
+
 class Recorder:
     """A response that records what is sent to the client."""
 
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_limit_gate.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_limit_gate.py
@@ -6,7 +6,7 @@
 import trio
 
 from buckthornwall.forwarding.limit_gate import LimitGate
-from buckthornwall.pools import PoolTable, UpstreamEntry, UpstreamState
+from buckthornwall.pools import Notice, PoolTable, UpstreamEntry, UpstreamState
 from buckthornwall.pools.rate_limit import UNLIMITED
 from buckthornwall.routing import PoolId
 from buckthornwall.utils import TrioClock, UpstreamId, ZoneId
@@ -73,6 +73,28 @@
     assert gate.sent == [URGENT, ROUTINE]
 
 
+async def test_waiting_requests_are_admitted_by_urgency_when_a_rest_ends(
+    autojump_clock, gate, nursery
+):
+    gate.pools.notices.record(gate.view, Notice(rest_s=1.0))
+    for rank in (ROUTINE, URGENT, ROUTINE, URGENT):
+        nursery.start_soon(gate.ask, rank, 4.0)
+        await trio.sleep(0.01)
+    await trio.sleep(0.9)
+    assert gate.sent == []
+    await trio.sleep(0.5)
+    assert gate.sent == [URGENT, URGENT, ROUTINE, ROUTINE]
+
+
+async def test_request_is_rejected_at_once_if_a_rest_ends_too_late(
+    autojump_clock, gate
+):
+    gate.pools.notices.record(gate.view, Notice(rest_s=1.0))
+    began = trio.current_time()
+    assert await gate.ask(URGENT, target_s=1.0) is None
+    assert trio.current_time() == began
+
+
 async def test_request_is_rejected_at_once_if_token_comes_too_late(
     autojump_clock, gate
 ):
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -11,6 +11,7 @@
 `reachability`     upstreams that cannot be reached, as reported by instances
 `upstream_notices` notices of one upstream that are in force
 `notices`          what upstreams state about themselves in their responses
+`availability`     whether an upstream may get a request now
 `rate_limit`       rate limit of one upstream over all instances
 `rate_limits`      rate limits of all upstreams, and the local shares
 `limit_share`      shares of the instances in the rate limit of an upstream
@@ -29,6 +30,7 @@
 ================== ==============================================================
 """
 
+from .availability import Obstacle
 from .decision import choose_upstream
 from .entry import UpstreamEntry, UpstreamState
 from .expectation import expected_s
@@ -62,6 +64,7 @@
     "LimitReports",
     "LoadReport",
     "Notice",
+    "Obstacle",
     "Overload",
     "PlacementRequest",
     "PoolTable",
--- a/packages/buckthornwall/src/buckthornwall/pools/entry.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/entry.py
@@ -6,7 +6,7 @@
 from buckthornwall.routing import PoolId
 from buckthornwall.utils import UpstreamId, ZoneId
 
-__all__ = ["UpstreamEntry", "UpstreamState"]
+__all__ = ["UpstreamEntry", "UpstreamState", "is_same_incarnation"]
 
 
 class UpstreamState(Enum):
@@ -33,3 +33,13 @@
     cold_s: float = 0.0
     loaded: bool = True
     incarnation: str = ""
+
+
+def is_same_incarnation(before: UpstreamEntry, now: UpstreamEntry) -> bool:
+    """Return whether two registrations under one id are of the same incarnation.
+
+    An entry without an incarnation does not count as a restart.
+    """
+    return not (before.incarnation and now.incarnation) or (
+        before.incarnation == now.incarnation
+    )
--- a/packages/buckthornwall/src/buckthornwall/pools/notices.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/notices.py
@@ -5,15 +5,23 @@
 answered is to send it no request for some seconds.
 """
 
+import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from buckthornwall.telemetry import log_event
-from buckthornwall.utils import Clock
+from buckthornwall.utils import Clock, UpstreamId
 
+from .entry import UpstreamEntry, is_same_incarnation
+from .upstream_notices import UpstreamNotices
 from .view import UpstreamView
 
 __all__ = ["Notice", "NoticeTable"]
 
+# Notices of an upstream whose registration is gone are kept for this long: it may still
+# serve, and its registration may only have expired.
+RETENTION_S = 600.0
+
 
 @dataclass(frozen=True, slots=True)
 class Notice:
@@ -26,6 +34,15 @@
     rest_s: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _Removed:
+    """An upstream whose registration was removed, and when in seconds."""
+
+    entry: UpstreamEntry
+    notices: UpstreamNotices
+    at: float
+
+
 class NoticeTable:
     """Records the notices of all upstreams.
 
@@ -33,10 +50,17 @@
     ----------
     clock
         Source of time.
+
+    Attributes
+    ----------
+    sample : callable
+        Returns a random number from 0 to 1.
     """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
+        self.sample: Callable[[], float] = random.random
+        self._removed: dict[UpstreamId, _Removed] = {}
 
     def record(self, view: UpstreamView, notice: Notice) -> None:
         """Record a notice that this instance received from an upstream."""
@@ -48,7 +72,27 @@
                 registered=view.entry.state.value,
             )
         if notice.rest_s is not None:
-            view.notices.record_rest(notice.rest_s, self.clock.now())
+            view.notices.record_rest(notice.rest_s, self.clock.now(), self.sample())
             log_event(
                 "upstream_rest", "WARNING", upstream=view.id, seconds=notice.rest_s
             )
+
+    def retain(self, view: UpstreamView) -> None:
+        """Keep the notices of an upstream whose registration is removed."""
+        self._removed[view.id] = _Removed(view.entry, view.notices, self.clock.now())
+
+    def restore(self, view: UpstreamView) -> None:
+        """Restore the notices of an upstream that is registered again.
+
+        Those of another incarnation are dropped.
+        """
+        removed = self._removed.pop(view.id, None)
+        if removed is not None and is_same_incarnation(removed.entry, view.entry):
+            view.notices = removed.notices
+
+    def expire(self) -> None:
+        """Drop the notices of upstreams that have been gone for long."""
+        oldest = self.clock.now() - RETENTION_S
+        for upstream, removed in list(self._removed.items()):
+            if removed.at < oldest:
+                del self._removed[upstream]
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -14,7 +14,15 @@
 from buckthornwall.telemetry import log_event
 from buckthornwall.utils import Clock, RegionId, UpstreamId, ZoneId
 
-from .entry import UpstreamEntry, UpstreamState
+from .availability import (
+    ADVISORY,
+    FORBIDDING,
+    LASTING,
+    Obstacle,
+    find_obstacle,
+    wait_s,
+)
+from .entry import UpstreamEntry, is_same_incarnation
 from .evacuation import Evacuations
 from .health import Verdict
 from .ledger import AdmissionLedger, RankTokens
@@ -83,7 +91,7 @@
             discarded, and the requests in flight there have failed.
         """
         view = self.views.get(entry.id)
-        restarted = view is not None and _has_restarted(view.entry, entry)
+        restarted = view is not None and not is_same_incarnation(view.entry, entry)
         if restarted:
             self._members[view.entry.pool].pop(entry.id, None)
             log_event(
@@ -97,6 +105,7 @@
             view = None
         if view is None:
             view = self.views[entry.id] = UpstreamView(entry)
+            self.notices.restore(view)
             log_event(
                 "upstream_registered",
                 upstream=entry.id,
@@ -122,6 +131,7 @@
         view = self.views.pop(upstream, None)
         if view is not None:
             self._members[view.entry.pool].pop(upstream, None)
+            self.notices.retain(view)
             log_event("upstream_gone", upstream=upstream, pool=view.entry.pool)
 
     def note_prompt(self, view: UpstreamView, prompt: PromptShape) -> None:
@@ -150,15 +160,14 @@
         zones = {
             view.entry.zone
             for view in self.members(pool)
-            if view.entry.state is UpstreamState.READY
-            and self._is_allowed(view, regions)
+            if not view.is_leaving and self._is_allowed(view, regions)
         }
         return bool(zones) and all(map(self.evacuations.is_evacuated, zones))
 
     def has_ready_in(self, pool: PoolId, regions: Regions) -> bool:
         """Return whether a pool has ready upstreams in any of some regions."""
         return regions is None or any(
-            view.entry.state is UpstreamState.READY and self._is_allowed(view, regions)
+            not view.is_leaving and self._is_allowed(view, regions)
             for view in self.members(pool)
         )
 
@@ -222,22 +231,22 @@
         """Return whether an upstream is in an allowed region."""
         return regions is None or self.regions.get(view.entry.zone) in regions
 
-    def _ready(
+    def _obstacles(
         self,
         pool: PoolId,
         tried: frozenset[UpstreamId] | set[UpstreamId],
-        regions: Regions = None,
-    ) -> Iterator[UpstreamView]:
-        evacuated = self.evacuations.zones()
+        regions: Regions,
+    ) -> Iterator[tuple[UpstreamView, Obstacle | None]]:
+        """Yield the upstreams that a request may go to, with their obstacles."""
+        evacuated, now = self.evacuations.zones(), self.clock.now()
         for view in self.members(pool):
-            entry = view.entry
-            if (
-                entry.state is UpstreamState.READY
-                and entry.loaded
-                and entry.id not in tried
-                and entry.zone not in evacuated
-                and (regions is None or self._is_allowed(view, regions))
-            ):
+            if view.id not in tried and self._is_allowed(view, regions):
+                yield view, find_obstacle(view, evacuated, now)
+
+    def _ready(self, pool: PoolId, regions: Regions) -> Iterator[UpstreamView]:
+        """Yield the upstreams without a lasting obstacle."""
+        for view, obstacle in self._obstacles(pool, frozenset(), regions):
+            if obstacle not in LASTING:
                 yield view
 
     def usable(
@@ -246,48 +255,53 @@
         tried: frozenset[UpstreamId] | set[UpstreamId],
         regions: Regions = None,
     ) -> list[UpstreamView]:
-        """Return the upstreams that may get a new request: the healthy ones, if any.
+        """Return the upstreams that may get a new request.
 
-        If none is healthy, all that are ready count: where all upstreams fail, to keep
-        sending is better than to refuse everything. Rate limits and `regions` (None is
-        any) are kept in any case.
+        Those with obstacles that are only advisory count if there are no others.
         """
-        now = self.clock.now()
-        ready = [
-            view
-            for view in self._ready(pool, tried, regions)
-            if view.rate_limit.may_send(now)
-        ]
-        healthy = [
-            view
-            for view in ready
-            if view.health.allows_request(now)
-            and not view.reachability.is_unreachable(now)
-        ]
-        return healthy or ready
+        available, advised_against = [], []
+        for view, obstacle in self._obstacles(pool, tried, regions):
+            if obstacle is None:
+                available.append(view)
+            elif obstacle in ADVISORY:
+                advised_against.append(view)
+        return available or advised_against
+
+    def forbidding_obstacle(self, view: UpstreamView) -> Obstacle | None:
+        """Return why a request is not to be sent to its chosen upstream any more."""
+        if self.views.get(view.id) is not view:
+            return Obstacle.REGISTERED_LEAVING
+        obstacle = find_obstacle(view, self.evacuations.zones(), self.clock.now())
+        return obstacle if obstacle in FORBIDDING else None
 
     def limit_queue(self, pool: PoolId) -> LimitQueue:
         """Return the queue of requests for tokens of a limited pool."""
         return self._limit_queues.setdefault(pool, LimitQueue())
 
     def is_limited(self, pool: PoolId, regions: Regions = None) -> bool:
-        """Return whether all ready upstreams of a pool have a rate limit."""
+        """Return whether all ready upstreams of a pool have a rate limit or rest."""
         now = self.clock.now()
         is_any_ready = False
-        for view in self._ready(pool, frozenset(), regions):
-            if not view.rate_limit.is_limited(now):
+        for view in self._ready(pool, regions):
+            if not (view.rate_limit.is_limited(now) or view.notices.is_resting(now)):
                 return False
             is_any_ready = True
         return is_any_ready
 
+    def is_resting(self, pool: PoolId, regions: Regions = None) -> bool:
+        """Return whether all ready upstreams of a pool want no request now."""
+        now = self.clock.now()
+        ready = list(self._ready(pool, regions))
+        return bool(ready) and all(view.notices.is_resting(now) for view in ready)
+
     def limit_wait_s(self, pool: PoolId, regions: Regions = None) -> float:
         """Return how long until a limited pool accepts another request from here.
 
         In seconds; infinite where this instance has no share.
         """
         now = self.clock.now()
-        ready = self._ready(pool, frozenset(), regions)
-        return min((view.rate_limit.wait_s(now) for view in ready), default=math.inf)
+        ready = self._ready(pool, regions)
+        return min((wait_s(view, now) for view in ready), default=math.inf)
 
     def has_spare_token(self, pool: PoolId, regions: Regions = None) -> bool:
         """Return whether a limited pool accepts a request that is not the most urgent.
@@ -295,7 +309,11 @@
         The last token is reserved for more urgent ones for a while.
         """
         now = self.clock.now()
-        limits = [view.rate_limit for view in self._ready(pool, frozenset(), regions)]
+        limits = [
+            view.rate_limit
+            for view in self._ready(pool, regions)
+            if not view.notices.is_resting(now)
+        ]
         if sum(1 for limit in limits if limit.may_send(now)) > 1:
             return True
         return any(limit.ready_for_s(now) >= RESERVED_TOKEN_S for limit in limits)
@@ -303,10 +321,14 @@
     def limit_interval_s(self, pool: PoolId, regions: Regions = None) -> float:
         """Return the seconds between two requests from here to a limited pool.
 
-        Infinite where this instance has no share.
+        Infinite where this instance has no share; 0 if any upstream has no rate limit
+        and only rests.
         """
-        ready = self._ready(pool, frozenset(), regions)
-        per_s = sum(view.rate_limit.local_per_s for view in ready)
+        now = self.clock.now()
+        limits = [view.rate_limit for view in self._ready(pool, regions)]
+        if any(not limit.is_limited(now) for limit in limits):
+            return 0.0
+        per_s = sum(limit.local_per_s for limit in limits)
         return 1 / per_s if per_s else math.inf
 
     def unreachable(self) -> list[UpstreamId]:
@@ -352,14 +374,3 @@
             if other is not view
         ]
         return sorted(others)[len(others) // 2] if others else 0.0
-
-
-def _has_restarted(before: UpstreamEntry, now: UpstreamEntry) -> bool:
-    """Return whether two registrations under one id are of different incarnations.
-
-    An entry without an incarnation does not count as a restart.
-    """
-    return (
-        bool(before.incarnation and now.incarnation)
-        and before.incarnation != now.incarnation
-    )
--- a/packages/buckthornwall/src/buckthornwall/pools/upstream_notices.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/upstream_notices.py
@@ -5,6 +5,10 @@
 # A longer rest is taken for an error of the upstream. It ends at the latest when the
 # upstream starts again.
 MAX_REST_S = 3600.0
+# A rest is extended by up to this fraction, and this many seconds, by a random part for
+# each instance: instances that were told at the same moment would all return at once.
+MAX_SPREAD_FRACTION = 0.1
+MAX_SPREAD_S = 0.25
 
 
 class UpstreamNotices:
@@ -28,13 +32,28 @@
         was_known, self.is_leaving = self.is_leaving, True
         return not was_known
 
-    def record_rest(self, seconds: float, now: float) -> None:
+    def record_rest(self, seconds: float, now: float, spread: float) -> None:
         """Record that it wants no request for some seconds from now.
 
         A response that asks for less than an earlier one shortens nothing: it may
         answer a request that was under way before.
+
+        Parameters
+        ----------
+        seconds
+            The rest that it asked for.
+        now
+            The time in seconds.
+        spread
+            Part of the longest extension that this instance adds, 0 to 1.
         """
-        self.rest_until = max(self.rest_until, now + min(seconds, MAX_REST_S))
+        seconds = min(seconds, MAX_REST_S)
+        seconds += spread * min(MAX_SPREAD_S, MAX_SPREAD_FRACTION * seconds)
+        self.rest_until = max(self.rest_until, now + seconds)
+
+    def rest_s(self, now: float) -> float:
+        """Return how much longer it wants no request, in seconds."""
+        return max(0.0, self.rest_until - now)
 
     def is_resting(self, now: float) -> bool:
         """Return whether it wants no request now."""
--- a/packages/buckthornwall/src/buckthornwall/pools/view.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/view.py
@@ -2,7 +2,7 @@
 
 from buckthornwall.utils import UpstreamId
 
-from .entry import UpstreamEntry
+from .entry import UpstreamEntry, UpstreamState
 from .health import Health
 from .load import Load
 from .prefixes import PrefixCacheEstimate
@@ -36,6 +36,11 @@
         """Return how much longer its cold start lasts, in seconds."""
         return max(0.0, self.rate_limit.cold_until - now)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it leaves, by its registration or by its own responses."""
+        return self.notices.is_leaving or self.entry.state is UpstreamState.LEAVING
+
     @property
     def id(self) -> UpstreamId:
         """The id that the upstream is registered under."""
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -181,6 +181,7 @@
             now = self.clock.now()
             self._update_limit_shares(fleet, now)
             self.quarantine.expire(now)
+            self.pools.notices.expire()
             self.staleness_monitor.check(now)
             if now - logged_at >= SPEED_LOG_INTERVAL_S:
                 logged_at = now
--- a/packages/buckthornwall/src/buckthornwall/router/operators.py
+++ b/packages/buckthornwall/src/buckthornwall/router/operators.py
@@ -52,6 +52,14 @@
             "Upstreams that take only so many requests a second.",
             sum(1 for view in views if view.rate_limit.advertises_limit),
         ),
+        "upstreams_leaving": (
+            "Upstreams that leave, by their registration or their own answers.",
+            sum(1 for view in views if view.is_leaving),
+        ),
+        "upstreams_resting": (
+            "Upstreams that want no request from this instance for a while.",
+            sum(1 for view in views if view.notices.is_resting(router.clock.now())),
+        ),
         "zones_evacuated": (
             "Availability zones that get no new requests.",
             len(router.pools.evacuations.zones()),
@@ -115,6 +123,8 @@
                 "pool": view.entry.pool,
                 "zone": view.entry.zone,
                 "state": view.entry.state.value,
+                "says_it_leaves": view.notices.is_leaving,
+                "rest_s": round(view.notices.rest_s(now), 3),
                 "aside": view.health.ejected,
                 "requests": view.load.requests,
                 "in_flight": view.load.in_flight(now),
