Tell all instances which upstreams said that they leave, and which ask for a rest

Each instance learned of either only by an answer to itself: with many of them, each one sent a request to an upstream that another one knew to leave, and one that sheds turned away requests of each of them.

Beacons, digests and heartbeats carry the upstreams that leave while they are registered as ready, with their incarnations. Whoever was told passes it on: a fact on an incarnation that only its end changes. A rest is for one instance, so for a second it counts among the reports that an upstream does not accept requests, which three instances must make before others avoid it. Instances of an earlier build ignore the new field, and heed the reports.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
@@ -66,6 +66,7 @@
             number,
             b"%d" % number,
             self.simulation.registrations(),
+            removed=set(self.simulation.removed),
             evacuated=dict(self.simulation.evacuated),
             reopened=dict(self.simulation.reopened),
         )
@@ -137,8 +138,10 @@
     def _apply_peer_work(self) -> None:
         if not self.pools.views:
             return
-        limits = self.agent.table.limits(self.make_beacon(), self.clock.now())
-        self.pools.rate_limits.receive(limits)
+        local, now = self.make_beacon(), self.clock.now()
+        self.pools.rate_limits.receive(self.agent.table.limits(local, now))
+        self.pools.notices.receive(self.agent.table.leaving(local, now))
+        self.pools.receive_unreachable(self.agent.table.unreachable(local, now))
 
     def make_beacon(self) -> Beacon:
         """Return this instance's beacon."""
@@ -156,8 +159,10 @@
             loads=self.simulation.make_loads(self.address),
             cached_prefixes=self.simulation.make_cached_prefixes(self.address),
             crash_checksum=self.quarantine.checksum,
+            unreachable=self.pools.unreachable(),
             limits=self.pools.rate_limits.reports(),
             rank_tokens=self.simulation.make_rank_tokens(self.address),
+            leaving=self.pools.notices.reports(),
         )
 
     @property
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/simulation.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/simulation.py
@@ -44,6 +44,8 @@
         All zones, as named in the settings.
     entries : dict
         Registered upstreams.
+    removed : set
+        Upstreams whose registrations were removed.
     cold_until : dict
         Times until which upstreams are cold, in seconds.
     evacuated, reopened : dict
@@ -60,6 +62,7 @@
         self.make_rank_tokens: Callable[[str], RankTokens] = lambda address: {}
         self.without_store: set[str] = set()
         self.entries: dict[UpstreamId, UpstreamEntry] = {}
+        self.removed: set[UpstreamId] = set()
         self.zones: list[ZoneId] = []
         self.cold_until: dict[UpstreamId, float] = {}
         self.evacuated: dict[ZoneId, int] = {}
@@ -90,6 +93,12 @@
             for name, entry in self.entries.items()
         }
 
+    def remove(self, upstream: UpstreamId) -> None:
+        """Remove the registration of an upstream."""
+        del self.entries[upstream]
+        self.removed.add(upstream)
+        self.change_once()
+
     def evacuate(self, zone: ZoneId) -> None:
         """Write the record of a zone's evacuation."""
         self.evacuated[zone] = self.change_number + 1
--- a/packages/buckthornwall/src/buckthornwall/peers/aggregation.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/aggregation.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from buckthornwall.pools import (
+    LeavingUpstreams,
     LimitReports,
     RankTokens,
     Unreachable,
@@ -16,7 +17,13 @@
 from .received_message import ReceivedMessage
 from .work import add_work
 
-__all__ = ["merge_limits", "sum_loads", "sum_rank_tokens", "sum_unreachable"]
+__all__ = [
+    "merge_leaving",
+    "merge_limits",
+    "sum_loads",
+    "sum_rank_tokens",
+    "sum_unreachable",
+]
 
 
 def sum_loads(
@@ -61,3 +68,13 @@
     """Return the newest report of each upstream's rate limit."""
     reports = [(each.message.limits, now - each.sent_at) for each in received]
     return merge_limit_reports([(local_beacon.limits, 0.0), *reports])
+
+
+def merge_leaving(
+    local_beacon: Beacon, received: Iterable[ReceivedMessage]
+) -> LeavingUpstreams:
+    """Return all upstreams that stated to any instance that they are leaving."""
+    merged: LeavingUpstreams = {}
+    for each in received:
+        merged |= each.message.leaving
+    return merged | local_beacon.leaving
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -13,6 +13,7 @@
 from buckthornwall.pools import (
     CachedPrefixes,
     Fleet,
+    LeavingUpstreams,
     LimitReports,
     RankTokens,
     Unreachable,
@@ -98,13 +99,15 @@
     cached_prefixes
         Shared prompt prefixes that were recently sent to each upstream.
     unreachable
-        Upstreams that could not be reached recently.
+        Upstreams that could not be reached recently, or that asked for a rest.
     crash_checksum
         Checksum of the known requests that crash upstreams.
     limits
         Rate limits that upstreams reported to the sender, in requests a second.
     rank_tokens
         Prompt tokens that the sender recently admitted and refused, by pool and rank.
+    leaving
+        Upstreams that stated that they are leaving but are registered as ready.
     """
 
     node: NodeId
@@ -124,6 +127,7 @@
     crash_checksum: int = 0
     limits: LimitReports = {}
     rank_tokens: RankTokens = {}
+    leaving: LeavingUpstreams = {}
 
 
 class Digest(msgspec.Struct, array_like=True, tag="d"):
@@ -156,13 +160,16 @@
     sequence
         Number by which heartbeats refer to the order of `loads`; 0 if none does.
     unreachable
-        By upstream, the number of instances that could not reach it recently.
+        By upstream, the number of instances that could not reach it recently, or that
+        it asked for a rest.
     crash_checksum
         The speaker's own.
     limits
         Newest report of each upstream's rate limit.
     rank_tokens
         Summed prompt tokens recently admitted and refused, by pool and rank.
+    leaving
+        Upstreams that stated that they are leaving but are registered as ready.
     """
 
     address: str
@@ -185,6 +192,7 @@
     crash_checksum: int = 0
     limits: LimitReports = {}
     rank_tokens: RankTokens = {}
+    leaving: LeavingUpstreams = {}
 
     def live(self, address: str, zone: ZoneId) -> Fleet:
         """Return the live fleet for an instance that follows this digest."""
@@ -233,6 +241,7 @@
     crash_checksum: int = 0
     limits: LimitReports = {}
     rank_tokens: RankTokens = {}
+    leaving: LeavingUpstreams = {}
 
 
 class CrashReports(msgspec.Struct, array_like=True, tag="c"):
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -10,6 +10,7 @@
 
 from buckthornwall.pools import (
     CachedPrefixes,
+    LeavingUpstreams,
     LimitReports,
     RankTokens,
     Unreachable,
@@ -20,6 +21,7 @@
 from buckthornwall.utils import UpstreamId, ZoneId
 
 from .aggregation import (
+    merge_leaving,
     merge_limits,
     sum_loads,
     sum_rank_tokens,
@@ -154,6 +156,7 @@
         received.message.read_age_ms = heartbeat.read_age_ms
         received.message.store_uptime_ms = heartbeat.store_uptime_ms
         received.message.limits = heartbeat.limits
+        received.message.leaving = heartbeat.leaving
         merge_newer_revision(received.message, heartbeat)
         counts = read_counts(heartbeat, received.message, received.upstreams)
         if counts is None:
@@ -292,6 +295,7 @@
             rank_tokens=sum_rank_tokens(beacons, remote),
             crash_checksum=local_beacon.crash_checksum,
             limits=newest.limits,
+            leaving=newest.leaving,
         )
 
     def assign_sequence(self, digest: Digest) -> None:
@@ -353,6 +357,7 @@
             store_uptime_ms=max(beacon.store_uptime_ms for beacon in beacons),
             crash_checksum=local_beacon.crash_checksum,
             limits=merge_limits(local_beacon, messages, now),
+            leaving=merge_leaving(local_beacon, messages),
         )
         for received in messages:
             merge_read_age(heartbeat, received, now)
@@ -418,6 +423,13 @@
             [(self.speaker.message.limits, self.staleness_s(now))]
         )
 
+    def leaving(self, local_beacon: Beacon, now: float) -> LeavingUpstreams:
+        """Return all upstreams that stated to any instance that they are leaving."""
+        if self.is_speaker(now):
+            received = [*self.members.values(), *self._remote_zones(is_fleet=True)]
+            return merge_leaving(local_beacon, received)
+        return self.speaker.message.leaving
+
     def unreachable(self, local_beacon: Beacon, now: float) -> Unreachable:
         """Return by upstream how many instances could not reach it recently."""
         if self.is_speaker(now):
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_mutations.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_mutations.py
@@ -23,6 +23,7 @@
 def messages():
     """Return a beacon, a digest and a heartbeat with packed loads."""
     speaker, local_beacon = table(FIRST), beacon(FIRST, random_loads(20))
+    local_beacon.leaving = {UpstreamId("i-2"): "7"}
     local_beacon.cached_prefixes = {UpstreamId("i-1"): [("00c0ffee", 900)]}
     digest = speaker.make_digest(local_beacon, True, 0.0)
     speaker.assign_sequence(digest)
@@ -43,6 +44,7 @@
         receiver.receive_beacon(message, 0.0)
     receiver.peer_work(local_beacon, 0.1)
     receiver.unreachable(local_beacon, 0.1)
+    receiver.leaving(local_beacon, 0.1)
     receiver.make_digest(local_beacon, True, 0.1)
 
 
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
@@ -1,5 +1,6 @@
 """Tests of the election of speakers and of the aggregation of reports."""
 
+import cbor2
 import pytest
 
 from buckthornwall.codes import PeerError
@@ -30,6 +31,7 @@
     change_revision=1,
     store_uptime_ms=0,
     rank_tokens=None,
+    leaving=None,
 ):
     return Beacon(
         NodeId(address),
@@ -44,6 +46,7 @@
         store_uptime_ms,
         loads or {},
         rank_tokens=rank_tokens or {},
+        leaving=leaving or {},
     )
 
 
@@ -333,3 +336,24 @@
     local_beacon = beacon(FIRST)
     local_beacon.read_age_ms = 5000
     assert first.make_digest(local_beacon, True, now=0.7).read_age_ms == 800
+
+
+def test_leaving_upstreams_reach_other_zones_and_are_passed_on():
+    """A heartbeat replaces what the digest before it said."""
+    speaker, remote, member = table(FIRST), table(SECOND, "y"), table(THIRD, "y")
+    remote.receive_digest(
+        speaker.make_digest(beacon(FIRST, leaving={ENGINE: "1"}), False, 0.0), 0.0
+    )
+    local_beacon = beacon(SECOND, zone="y", leaving={UpstreamId("f"): ""})
+    member.receive_digest(remote.make_digest(local_beacon, True, 0.0), 0.0)
+    known = {ENGINE: "1", UpstreamId("f"): ""}
+    assert remote.leaving(local_beacon, 0.1) == known
+    assert member.leaving(beacon(THIRD, zone="y"), 0.1) == known
+    remote.receive_heartbeat(speaker.make_heartbeat(beacon(FIRST), False, 0.1), 0.1)
+    member.receive_heartbeat(remote.make_heartbeat(local_beacon, True, 0.1), 0.1)
+    assert member.leaving(beacon(THIRD, zone="y"), 0.1) == {UpstreamId("f"): ""}
+
+
+def test_message_of_an_older_build_lacks_leaving_upstreams():
+    older = cbor2.loads(encode(beacon(FIRST)))[:-1]
+    assert decode(cbor2.dumps(older), PeerMessage).leaving == {}
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -8,7 +8,7 @@
 `prefix_updates`   exchange of cached prefixes between instances
 `evacuation`       availability zones that get no new requests
 `health`           upstreams that fail requests, whatever their health check says
-`reachability`     upstreams that cannot be reached, as reported by instances
+`reachability`     upstreams that do not accept requests, as reported by instances
 `upstream_notices` notices of one upstream that are in force
 `notices`          what upstreams state about themselves in their responses
 `availability`     whether an upstream may get a request now
@@ -40,7 +40,7 @@
 from .limit_queue import LimitQueue
 from .limit_share import Fleet
 from .load import LoadReport
-from .notices import Notice
+from .notices import LeavingUpstreams, Notice
 from .overload import retry_after_s
 from .placement import Choice, PlacementRequest, choose_engine, choose_service
 from .prefix_updates import CachedPrefixes, PrefixUpdates, merge_cached_prefixes
@@ -59,6 +59,7 @@
     "Choice",
     "Fleet",
     "FleetMemory",
+    "LeavingUpstreams",
     "LimitQueue",
     "LimitReport",
     "LimitReports",
--- a/packages/buckthornwall/src/buckthornwall/pools/notices.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/notices.py
@@ -12,11 +12,15 @@
 from buckthornwall.telemetry import log_event
 from buckthornwall.utils import Clock, UpstreamId
 
-from .entry import UpstreamEntry, is_same_incarnation
+from .entry import UpstreamEntry, UpstreamState, is_same_incarnation
 from .upstream_notices import UpstreamNotices
 from .view import UpstreamView
 
-__all__ = ["Notice", "NoticeTable"]
+__all__ = ["LeavingUpstreams", "Notice", "NoticeTable"]
+
+# Incarnations of upstreams that stated that they are leaving, by upstream. They may be
+# passed on by whoever received them: an incarnation that leaves does not return.
+LeavingUpstreams = dict[UpstreamId, str]
 
 # Notices of an upstream whose registration is gone are kept for this long: it may still
 # serve, and its registration may only have expired.
@@ -50,6 +54,8 @@
     ----------
     clock
         Source of time.
+    views
+        All upstreams by id, kept up to date by the caller.
 
     Attributes
     ----------
@@ -57,26 +63,37 @@
         Returns a random number from 0 to 1.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, views: dict[UpstreamId, UpstreamView]) -> None:
         self.clock = clock
+        self.views = views
         self.sample: Callable[[], float] = random.random
         self._removed: dict[UpstreamId, _Removed] = {}
 
     def record(self, view: UpstreamView, notice: Notice) -> None:
         """Record a notice that this instance received from an upstream."""
-        if notice.is_leaving and view.notices.record_leaving():
-            log_event(
-                "upstream_leaving",
-                "WARNING",
-                upstream=view.id,
-                registered=view.entry.state.value,
-            )
+        if notice.is_leaving:
+            _record_leaving(view, is_from_peer=False)
         if notice.rest_s is not None:
             view.notices.record_rest(notice.rest_s, self.clock.now(), self.sample())
             log_event(
                 "upstream_rest", "WARNING", upstream=view.id, seconds=notice.rest_s
             )
 
+    def receive(self, leaving: LeavingUpstreams) -> None:
+        """Record which upstreams other instances know to leave."""
+        for upstream, incarnation in leaving.items():
+            view = self.views.get(upstream)
+            if view is not None and view.entry.incarnation == incarnation:
+                _record_leaving(view, is_from_peer=True)
+
+    def reports(self) -> LeavingUpstreams:
+        """Return the upstreams that leave while they are registered as ready."""
+        return {
+            view.id: view.entry.incarnation
+            for view in self.views.values()
+            if view.notices.is_leaving and view.entry.state is UpstreamState.READY
+        }
+
     def retain(self, view: UpstreamView) -> None:
         """Keep the notices of an upstream whose registration is removed."""
         self._removed[view.id] = _Removed(view.entry, view.notices, self.clock.now())
@@ -96,3 +113,14 @@
         for upstream, removed in list(self._removed.items()):
             if removed.at < oldest:
                 del self._removed[upstream]
+
+
+def _record_leaving(view: UpstreamView, is_from_peer: bool) -> None:
+    if view.notices.record_leaving():
+        log_event(
+            "upstream_leaving",
+            "WARNING",
+            upstream=view.id,
+            registered=view.entry.state.value,
+            told=is_from_peer,
+        )
--- a/packages/buckthornwall/src/buckthornwall/pools/reachability.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/reachability.py
@@ -1,14 +1,16 @@
-"""Upstreams that cannot be reached, as reported among instances.
+"""Upstreams that do not accept requests, as reported among instances.
 
-The list of upstreams lags: one that crashed stays on it for seconds. Without reports,
-each of many instances would find out for itself, by requests of its callers.
+The list of upstreams lags: one that crashed stays on it for seconds. One that sheds
+requests asks each instance by itself for a rest. Without reports, each of many
+instances would find out for itself, by requests of its callers.
 """
 
 from buckthornwall.utils import UpstreamId
 
 __all__ = ["Reachability", "Unreachable", "add_unreachable"]
 
-# Number of instances that recently could not reach an upstream, by upstream.
+# Number of instances that recently could not reach an upstream, or that it asked for a
+# rest, by upstream.
 Unreachable = dict[UpstreamId, int]
 
 # A failure is reported for this many seconds. The next attempt then finds out anew, so
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -71,7 +71,7 @@
         self.regions = dict(regions or {})
         self.views: dict[UpstreamId, UpstreamView] = {}
         self.rate_limits = RateLimits(clock, self.views)
-        self.notices = NoticeTable(clock)
+        self.notices = NoticeTable(clock, self.views)
         self._members: dict[PoolId, dict[UpstreamId, UpstreamView]] = {}
         self._wait_calibrations: dict[PoolId, WaitCalibration] = {}
         self._models: dict[PoolId, EngineModel] = {}
@@ -332,12 +332,16 @@
         return 1 / per_s if per_s else math.inf
 
     def unreachable(self) -> list[UpstreamId]:
-        """Return the upstreams that this instance recently could not reach."""
+        """Return the upstreams to report to peers as not accepting requests.
+
+        Those that this instance recently could not reach, or that asked it for a rest.
+        """
         now = self.clock.now()
         return [
             view.id
             for view in self.views.values()
             if view.reachability.should_report(now)
+            or view.notices.should_report_rest(now)
         ]
 
     def receive_unreachable(self, unreachable: Unreachable) -> None:
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_notices.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_notices.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from buckthornwall.pools import Notice, Verdict
+from buckthornwall.pools import Notice, UpstreamState, Verdict
 
 from .helpers import POOL
 
@@ -122,3 +122,30 @@
     clock.time += 2.1
     assert not table.is_resting(POOL)
     assert names(table) == ["b"]
+
+
+def test_leaving_upstream_is_reported_until_its_registration_says_so(table):
+    view = table.views["a"]
+    table.notices.record(view, LEAVING)
+    assert table.notices.reports() == {"a": ""}
+    table.adopt(replace(view.entry, state=UpstreamState.LEAVING))
+    assert table.notices.reports() == {}
+
+
+def test_report_of_a_peer_on_another_incarnation_is_ignored(table):
+    register_again(table, "a", incarnation="2")
+    table.notices.receive({"a": "1", "b": "", "unknown": ""})
+    assert sorted(names(table)) == ["a", "c"]
+
+
+def test_rest_is_reported_to_peers_for_a_moment_only(table, clock):
+    """It concerns one instance: the others find out again whether it is for them."""
+    rest(table, "a", 3.0)
+    assert table.unreachable() == ["a"]
+    clock.time += 1.1
+    assert table.unreachable() == []
+
+
+def test_upstream_that_rests_for_three_peers_is_avoided(table):
+    table.receive_unreachable({"a": 3, "b": 2})
+    assert names(table) == ["b", "c"]
--- a/packages/buckthornwall/src/buckthornwall/pools/upstream_notices.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/upstream_notices.py
@@ -9,6 +9,9 @@
 # each instance: instances that were told at the same moment would all return at once.
 MAX_SPREAD_FRACTION = 0.1
 MAX_SPREAD_S = 0.25
+# A rest is reported to peers for this many seconds. It is for this instance alone, so
+# later they find out themselves whether the upstream accepts their requests.
+REPORT_S = 1.0
 
 
 class UpstreamNotices:
@@ -26,6 +29,7 @@
     def __init__(self) -> None:
         self.is_leaving = False
         self.rest_until = float("-inf")
+        self._asked_for_rest_at = float("-inf")
 
     def record_leaving(self) -> bool:
         """Record that it is leaving; return whether that was not known."""
@@ -47,6 +51,7 @@
         spread
             Part of the longest extension that this instance adds, 0 to 1.
         """
+        self._asked_for_rest_at = now
         seconds = min(seconds, MAX_REST_S)
         seconds += spread * min(MAX_SPREAD_S, MAX_SPREAD_FRACTION * seconds)
         self.rest_until = max(self.rest_until, now + seconds)
@@ -58,3 +63,7 @@
     def is_resting(self, now: float) -> bool:
         """Return whether it wants no request now."""
         return now < self.rest_until
+
+    def should_report_rest(self, now: float) -> bool:
+        """Return whether to report to peers that it asked for a rest."""
+        return self.is_resting(now) and now - self._asked_for_rest_at <= REPORT_S
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -222,6 +222,7 @@
             crash_checksum=self.quarantine.checksum,
             limits=self.pools.rate_limits.reports(),
             rank_tokens=self.pools.rank_tokens(),
+            leaving=self.pools.notices.reports(),
         )
 
     def _apply_peer_work(self) -> None:
@@ -232,6 +233,7 @@
         self.pools.receive_unreachable(self.peers.unreachable(local, now))
         self.pools.receive_rank_tokens(self.peers.rank_tokens(local, now))
         self.pools.rate_limits.receive(self.peers.limits(local, now))
+        self.pools.notices.receive(self.peers.leaving(local, now))
 
     def _count_store_call(self, seconds: float, outcome: str) -> None:
         self.metrics.store_call.add({"outcome": outcome}, seconds)
