Heed notices of upstreams on the completions interface too

The same class of fault stood there: a 503 of an engine or a service backed it off for 0.5 s at first, whatever rest it asked for, and of its leaving only a report of its load or the platform's list told.

Clients of engines and services pass each response's status and headers to the node, which decodes the notice where the other interface does. A leaving upstream gets no slots and calls, for as long as any other word of it holds there: its id is that of a record and outlives restarts, so the belief ends by time. A rest excludes it here until its end; a released slot tells the scheduler of the pool, which may be another instance. Orders to load adapters are not held back by either.

--- a/packages/buckthornwall/src/buckthornwall/gateway/completions.py
+++ b/packages/buckthornwall/src/buckthornwall/gateway/completions.py
@@ -51,6 +51,8 @@
         Seconds within which chunks are forwarded together.
     on_engine_leaving
         Called with the id of an engine that refuses new work because it is leaving.
+    rest_s
+        Returns for how many more seconds an engine wants no requests.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         limits: Any,
         coalesce_s: float,
         on_engine_leaving: Callable[[UpstreamId], None],
+        rest_s: Callable[[UpstreamId], float],
     ) -> None:
         self.admission = admission
         self.teams = teams
@@ -78,6 +81,7 @@
         self.limits = limits
         self.coalesce_s = coalesce_s
         self.on_engine_leaving = on_engine_leaving
+        self.rest_s = rest_s
 
     async def handle(self, exchange: Exchange) -> None:
         """Serve one request; cancel its work as soon as the client disconnects."""
@@ -216,6 +220,9 @@
             engine = self.admission.view.upstreams.get(slot.engine)
             if engine is None:
                 raise UpstreamError(ResultCode.UPSTREAM_UNREACHABLE, sent=False)
+            if self.rest_s(engine.id):  # its scheduler has not heard of the rest
+                detail = "the engine asked for a rest"
+                raise UpstreamError(ResultCode.UPSTREAM_UNREACHABLE, detail, sent=False)
             with self.tracing.span(
                 "upstream", job.traceparent, engine=engine.id
             ) as outgoing:
@@ -226,7 +233,11 @@
             raise
         finally:
             self.entry.release(
-                slot, kind, timings.first_token_s, timings.mean_gap_s(slot.tokens)
+                slot,
+                kind,
+                timings.first_token_s,
+                timings.mean_gap_s(slot.tokens),
+                self.rest_s(slot.engine),
             )
 
     def _release_kind(self, error: UpstreamError, slot: HeldSlot) -> ReleaseKind:
--- a/packages/buckthornwall/src/buckthornwall/gateway/tests/test_completions.py
+++ b/packages/buckthornwall/src/buckthornwall/gateway/tests/test_completions.py
@@ -1,5 +1,7 @@
 """Tests of attempts of completions and of request body checks."""
 
+from types import SimpleNamespace
+
 import msgspec
 import pytest
 from hypothesis import given
@@ -10,6 +12,7 @@
 from buckthornwall.gateway.completion_response import CompletionResponse
 from buckthornwall.gateway.completions import CompletionHandler
 from buckthornwall.gateway.job import CHAT_PATH, CompletionJob, check_body
+from buckthornwall.links import ReleaseKind
 from buckthornwall.scheduling.entry import HeldSlot
 from buckthornwall.telemetry import Metrics
 from buckthornwall.upstreams import RetryBudget
@@ -48,6 +51,7 @@
             None,
             0.0,
             None,
+            lambda engine: 0.0,
         )
         remaining_failures = list(failures)
 
@@ -103,7 +107,11 @@
 
 def test_resumed_attempt_continues_received_text(job, store):
     handler = CompletionHandler(
-        Admission(store), *[None] * 8, coalesce_s=0.0, on_engine_leaving=None
+        Admission(store),
+        *[None] * 8,
+        coalesce_s=0.0,
+        on_engine_leaving=None,
+        rest_s=lambda engine: 0.0,
     )
     job.body["max_tokens"] = 10
     job.response.record_chunks([{"choices": [{"delta": {"content": "so far "}}]}])
@@ -114,6 +122,27 @@
     assert body["priority"] == 0
 
 
+async def test_request_is_not_sent_to_an_engine_that_asked_for_rest(job, store, clock):
+    """Its scheduler may be another instance that has not heard of the rest yet."""
+    released = []
+    entry = SimpleNamespace(release=lambda *values: released.append(values))
+    handler = CompletionHandler(
+        Admission(store),
+        None,
+        entry,
+        *[None] * 6,
+        coalesce_s=0.0,
+        on_engine_leaving=None,
+        rest_s=lambda engine: 2.5,
+    )
+    handler.clock = clock
+    with pytest.raises(UpstreamError) as caught:
+        await handler._attempt(job, HeldSlot(1, "e1", None, "a", False, 0.0))
+    assert not caught.value.sent
+    assert released[0][1] is ReleaseKind.FAILED
+    assert released[0][-1] == 2.5
+
+
 json_bytes = st.recursive(
     st.sampled_from([None, True, 1, -1, "m", ""]),
     lambda inner: (
--- a/packages/buckthornwall/src/buckthornwall/links/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/links/messages.py
@@ -5,8 +5,9 @@
 """
 
 from enum import Enum
+from typing import Annotated
 
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from buckthornwall.utils import (
     ClassId,
@@ -174,13 +175,17 @@
 
 
 class Release(Struct, array_like=True, tag=10):
-    """Return of a slot, with what the entry measured of the engine."""
+    """Return of a slot, with what the entry measured of the engine.
+
+    `rest_s` is for how many seconds the engine wants no requests.
+    """
 
     grant: GrantId
     kind: ReleaseKind
     tokens: int = 0
     first_token_s: float = 0.0
     inter_token_s: float = 0.0
+    rest_s: Annotated[float, Meta(ge=0)] = 0.0
 
 
 class Withdraw(Struct, array_like=True, tag=11):
--- a/packages/buckthornwall/src/buckthornwall/membership/core.py
+++ b/packages/buckthornwall/src/buckthornwall/membership/core.py
@@ -76,6 +76,7 @@
         self._winners: dict[str, NodeId | None] = {}
         self._leaving_until: dict[UpstreamId, float] = {}
         self._first_hand_leaving_until: dict[UpstreamId, float] = {}
+        self._resting_until: dict[UpstreamId, float] = {}
 
     def apply_list(self, listed: dict[NodeId, PeerAddress], now: float) -> None:
         """Apply the platform's list of instances, however old it is."""
@@ -228,9 +229,21 @@
         self._first_hand_leaving_until.pop(upstream, None)
 
     def is_leaving(self, upstream: UpstreamId, now: float) -> bool:
-        """Return whether an upstream should get no new requests."""
+        """Return whether an upstream is known to be leaving."""
         return self._leaving_until.get(upstream, now) > now
 
+    def mark_resting(self, upstream: UpstreamId, until: float) -> None:
+        """Send an upstream no requests until a time in seconds, as it asked for."""
+        self._resting_until[upstream] = max(until, self.resting_until(upstream))
+
+    def resting_until(self, upstream: UpstreamId) -> float:
+        """Return the end of the rest that an upstream asked for, in seconds."""
+        return self._resting_until.get(upstream, 0.0)
+
+    def is_unavailable(self, upstream: UpstreamId, now: float) -> bool:
+        """Return whether an upstream should get no new requests now."""
+        return self.is_leaving(upstream, now) or now < self.resting_until(upstream)
+
     def leaving_upstreams(self, now: float) -> list[UpstreamId]:
         """Return the upstreams known first-hand to be leaving."""
         return [
--- a/packages/buckthornwall/src/buckthornwall/membership/tests/test_membership.py
+++ b/packages/buckthornwall/src/buckthornwall/membership/tests/test_membership.py
@@ -58,6 +58,16 @@
     assert table.live() == ["a"]
 
 
+def test_upstream_that_asked_for_rest_is_unavailable_until_its_end(table):
+    table.mark_resting("e1", 3.0)
+    table.mark_resting("e1", 2.0)
+    assert table.is_unavailable("e1", 2.9)
+    assert not table.is_unavailable("e1", 3.1)
+    assert not table.is_leaving("e1", 2.9)
+    table.mark_leaving("e2", 0.0, first_hand=False)
+    assert table.is_unavailable("e2", 1.0)
+
+
 def test_second_hand_report_of_leaving_upstream_is_not_relayed(table):
     table.mark_leaving("e1", 0.0, first_hand=True)
     table.mark_leaving("e2", 0.0, first_hand=False)
--- a/packages/buckthornwall/src/buckthornwall/node/core.py
+++ b/packages/buckthornwall/src/buckthornwall/node/core.py
@@ -34,7 +34,8 @@
     Withdraw,
 )
 from buckthornwall.membership import FreezeDetector, MemberTable
-from buckthornwall.platform import PlatformClient
+from buckthornwall.platform import PlatformClient, decode_notice
+from buckthornwall.pools import MAX_REST_S
 from buckthornwall.records import RecordStore
 from buckthornwall.scheduling import EntryAgent, SchedulerAgent
 from buckthornwall.settings import Settings
@@ -203,6 +204,7 @@
             settings.gateway,
             settings.upstreams.coalesce_ms / 1000,
             self._engine_is_leaving,
+            self._rest_s,
         )
         self.services = ServiceHandler(
             admission,
@@ -213,7 +215,7 @@
             self.tracing,
             self.clock,
             settings.gateway,
-            self.members.is_leaving,
+            self.members.is_unavailable,
         )
         self.app = GatewayApp(
             settings.gateway, admission, completions, self.services, self.metrics
@@ -230,6 +232,8 @@
         self.hub.on_up = self._on_link_up
         self.hub.on_down = self._on_link_down
         self.freeze.listeners.append(self._on_freeze)
+        self.engines.on_response = self._receive_notice
+        self.service_client.on_response = self._receive_notice
 
     # Messages
 
@@ -307,6 +311,28 @@
         self.members.mark_leaving(engine, self.clock.now(), first_hand=True)
         self.announcer.send_heartbeats()
 
+    def _receive_notice(
+        self, upstream: UpstreamId, status: int, headers: list[tuple[bytes, bytes]]
+    ) -> None:
+        """Record what an upstream states about itself in a response."""
+        found = {name.lower(): value for name, value in headers}
+        notice = decode_notice(status, found)
+        if notice is None:
+            return
+        if notice.is_leaving and not self.members.is_leaving(
+            upstream, self.clock.now()
+        ):
+            log_event("upstream_leaving", "WARNING", upstream=upstream)
+            self._engine_is_leaving(upstream)
+        if notice.rest_s is not None:
+            seconds = min(notice.rest_s, MAX_REST_S)
+            log_event("upstream_rest", "WARNING", upstream=upstream, seconds=seconds)
+            self.members.mark_resting(upstream, self.clock.now() + seconds)
+
+    def _rest_s(self, upstream: UpstreamId) -> float:
+        """Return for how many more seconds an upstream wants no requests."""
+        return max(0.0, self.members.resting_until(upstream) - self.clock.now())
+
     def _raw_records(self) -> bytes:
         return self.store.view.raw if self.store.view else b"{}"
 
--- a/packages/buckthornwall/src/buckthornwall/platform/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/__init__.py
@@ -21,6 +21,7 @@
     "PlatformSettings",  # noqa: F822 - imported at its first use
     "StoreClient",  # noqa: F822 - imported at its first use
     "StoreSettings",  # noqa: F822 - imported at its first use
+    "decode_notice",  # noqa: F822 - imported at its first use
     "decode_published",  # noqa: F822 - imported at its first use
     "decode_request",  # noqa: F822 - imported at its first use
 ]
@@ -36,6 +37,7 @@
         "PlatformSettings": "client",
         "StoreClient": "store",
         "StoreSettings": "store",
+        "decode_notice": "codec",
         "decode_published": "published",
         "decode_request": "codec",
     },
--- a/packages/buckthornwall/src/buckthornwall/platform/codec.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/codec.py
@@ -11,7 +11,7 @@
 
 from . import names
 
-__all__ = ["PlatformCodec", "decode_request"]
+__all__ = ["PlatformCodec", "decode_notice", "decode_request"]
 
 HTTP_MISDIRECTED = 421
 HTTP_UNAVAILABLE = 503
@@ -141,7 +141,7 @@
             misdirected=misdirected,
             load=_load(found.get(names.LOAD)),
             rate_limit=_rate_limit(found.get(names.RATE_LIMIT)),
-            notice=_notice(head.status, found),
+            notice=decode_notice(head.status, found),
             idle_timeout_s=_idle_timeout(found.get(b"keep-alive", b"")),
             closes_connection=b"close" in found.get(b"connection", b"").lower(),
         )
@@ -175,8 +175,16 @@
     return limit if 0 <= limit < math.inf else None
 
 
-def _notice(status: int, found: dict[bytes, bytes]) -> Notice | None:
-    """Return what an upstream states about itself, None if nothing."""
+def decode_notice(status: int, found: dict[bytes, bytes]) -> Notice | None:
+    """Return what an upstream states about itself in a response, None if nothing.
+
+    Parameters
+    ----------
+    status
+        Status of the response.
+    found
+        Headers of the response by name in lower case.
+    """
     is_leaving = found.get(names.LEAVING) == b"1"
     is_unavailable = status == HTTP_UNAVAILABLE
     rest_s = _rest_s(found.get(names.RETRY_AFTER)) if is_unavailable else None
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -51,9 +51,11 @@
 from .switching import is_served_in_order
 from .table import PoolTable
 from .traits import RequestTraits
+from .upstream_notices import MAX_REST_S
 from .view import UpstreamView
 
 __all__ = [
+    "MAX_REST_S",
     "Admission",
     "CachedPrefixes",
     "Choice",
--- a/packages/buckthornwall/src/buckthornwall/pools/upstream_notices.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/upstream_notices.py
@@ -1,6 +1,6 @@
 """The notices of one upstream that are in force."""
 
-__all__ = ["UpstreamNotices"]
+__all__ = ["MAX_REST_S", "UpstreamNotices"]
 
 # A longer rest is taken for an error of the upstream. It ends at the latest when the
 # upstream starts again.
--- a/packages/buckthornwall/src/buckthornwall/scheduling/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/agent.py
@@ -190,7 +190,7 @@
             scheduler = PoolScheduler.from_config(
                 pool,
                 self.store.view,
-                self.members.is_leaving,
+                self.members.is_unavailable,
                 reported_capacity if uses_load_report else share_capacity,
             )
             role = self.roles[pool, local] = _PoolRole(scheduler, local)
--- a/packages/buckthornwall/src/buckthornwall/scheduling/core.py
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/core.py
@@ -204,6 +204,7 @@
             self._record_completion(engine, slot, message, now)
         if message.kind is ReleaseKind.LEAVING:
             engine.down_until = now + STARVATION_S
+        engine.down_until = max(engine.down_until, now + message.rest_s)
         self.queue.charge(
             slot.service_class, slot.team, message.tokens - slot.charged_tokens, now
         )
--- a/packages/buckthornwall/src/buckthornwall/scheduling/entry.py
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/entry.py
@@ -279,11 +279,14 @@
         kind: ReleaseKind,
         first_token_s: float = 0.0,
         inter_token_s: float = 0.0,
+        rest_s: float = 0.0,
     ) -> None:
         """Release a slot to its scheduler and to the current one of the pool."""
         if self.held.pop(slot.grant, None) is None:
             return
-        message = Release(slot.grant, kind, slot.tokens, first_token_s, inter_token_s)
+        message = Release(
+            slot.grant, kind, slot.tokens, first_token_s, inter_token_s, rest_s
+        )
         holder = self.share_leases.holder(slot.request.pool)
         for node in {slot.scheduler_node, holder or slot.scheduler_node}:
             self.send(node, message)
--- a/packages/buckthornwall/src/buckthornwall/scheduling/tests/test_scheduler.py
+++ b/packages/buckthornwall/src/buckthornwall/scheduling/tests/test_scheduler.py
@@ -223,6 +223,15 @@
     assert granted(scheduler.decide(0.1))[0].engine != first.engine
 
 
+def test_engine_that_asked_for_rest_gets_no_grant_until_its_end(scheduler):
+    scheduler.enqueue(NODE, make_enqueue(1, "urgent"), 0.0)
+    first = granted(scheduler.decide(0.0))[0]
+    scheduler.release(Release(first.grant, ReleaseKind.FAILED, rest_s=3.0), 0.1)
+    enqueue(scheduler, 20, "urgent")
+    assert first.engine not in {each.engine for each in granted(scheduler.decide(2.9))}
+    assert first.engine in {each.engine for each in granted(scheduler.decide(3.2))}
+
+
 def test_slow_engine_gets_lower_limit_and_is_chosen_last(scheduler):
     for step in range(40):
         now = float(step)
--- a/packages/buckthornwall/src/buckthornwall/upstreams/engine.py
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/engine.py
@@ -1,6 +1,6 @@
 """Streams from engines that speak the OpenAI-style API."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import httpcore
@@ -14,15 +14,18 @@
     Clock,
     ConfigItem,
     ConfigNamespace,
+    UpstreamId,
 )
 
-__all__ = ["EngineClient", "UpstreamSettings"]
+__all__ = ["EngineClient", "ResponseListener", "UpstreamSettings"]
 
 EVENT_END = b"\n\n"
 DATA_PREFIX = b"data:"
 DONE_DATA = b"[DONE]"
 MAX_EVENT_BYTES = 2**20
 MAX_ERROR_BYTES = 300
+# Called with the upstream, the status and the headers of each response.
+ResponseListener = Callable[[UpstreamId, int, list[tuple[bytes, bytes]]], None]
 NOT_EXECUTED_STATUSES = {429, 503}  # sent before an engine starts the request
 
 
@@ -85,6 +88,7 @@
         self.pool = pool
         self.clock = clock
         self.foreign_chunks = 0
+        self.on_response: ResponseListener = lambda upstream, status, headers: None
 
     def _timeouts(self) -> dict[str, float]:
         return {
@@ -127,6 +131,7 @@
         )
         try:
             async with response_context as response:
+                self.on_response(engine.id, response.status, response.headers)
                 if response.status != 200:
                     await self._raise_for_status(response)
                 async for chunks in self._iter_chunks(response, attempt):
--- a/packages/buckthornwall/src/buckthornwall/upstreams/service.py
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/service.py
@@ -6,7 +6,7 @@
 from buckthornwall.records import Upstream
 from buckthornwall.utils import TRANSPORT_ERRORS
 
-from .engine import UpstreamSettings
+from .engine import ResponseListener, UpstreamSettings
 
 __all__ = ["ServiceClient", "ServiceResponse"]
 
@@ -47,6 +47,7 @@
     ) -> None:
         self.settings = settings
         self.pool = pool
+        self.on_response: ResponseListener = lambda upstream, status, headers: None
 
     async def call(
         self,
@@ -92,6 +93,7 @@
                 else ResultCode.UPSTREAM_UNREACHABLE
             )
             raise UpstreamError(code, repr(error), sent=sending) from error
+        self.on_response(upstream.id, response.status, response.headers)
         forwarded = [
             (name.decode("latin-1").lower(), value.decode("latin-1"))
             for name, value in response.headers
--- a/packages/buckthornwall/src/buckthornwall/upstreams/tests/test_upstreams.py
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/tests/test_upstreams.py
@@ -1,9 +1,18 @@
-"""Tests of the retry budget and of parsing server-sent events."""
+"""Tests of the retry budget, of parsing server-sent events, and of responses."""
 
+import httpcore
+import msgspec
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from buckthornwall.upstreams import RetryBudget
+from buckthornwall.codes import UpstreamError
+from buckthornwall.upstreams import (
+    EngineClient,
+    RetryBudget,
+    ServiceClient,
+    UpstreamSettings,
+)
 from buckthornwall.upstreams.engine import extract_sse_events
 
 
@@ -33,3 +42,42 @@
 
 def test_sse_comments_are_skipped():
     assert extract_sse_events(bytearray(b": ping\n\ndata: x\n\n")) == [b"x"]
+
+
+RESTING = (
+    b"HTTP/1.1 503 Busy\r\nRetry-After: 3\r\nServer-Leaving: 1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+
+
+def collect_responses(client):
+    """Let a client append each response to the returned list."""
+    responses = []
+    client.on_response = lambda upstream, status, headers: responses.append(
+        (upstream, status, {name.lower(): value for name, value in headers})
+    )
+    return responses
+
+
+async def test_listener_receives_the_response_of_an_engine(raw_upstream, view, clock):
+    address = await raw_upstream(RESTING)
+    engine = msgspec.structs.replace(view.upstreams["e1"], address=address)
+    async with httpcore.AsyncConnectionPool() as pool:
+        client = EngineClient(UpstreamSettings(), pool, clock)
+        responses = collect_responses(client)
+        with pytest.raises(UpstreamError):
+            async for _ in client.stream(engine, "/x", {}, "a", None):
+                pass
+    ((upstream, status, headers),) = responses
+    assert (upstream, status) == ("e1", 503)
+    assert (headers[b"retry-after"], headers[b"server-leaving"]) == (b"3", b"1")
+
+
+async def test_listener_receives_the_response_of_a_service(raw_upstream, view):
+    address = await raw_upstream(RESTING)
+    service = msgspec.structs.replace(view.upstreams["e1"], address=address)
+    async with httpcore.AsyncConnectionPool() as pool:
+        client = ServiceClient(UpstreamSettings(), pool)
+        responses = collect_responses(client)
+        await client.call(service, "GET", "/", [], b"", 1.0)
+    assert [status for _, status, _ in responses] == [503]
