--- a/packages/buckthornwall-standins/src/buckthornwall_standins/soak.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/soak.py
@@ -3,14 +3,16 @@
 The store and the upstreams are stand-ins inside this process; the instances are
 separate processes on loopback addresses. Faults follow one another and overlap:
 instances are killed, stopped gracefully, paused and restarted; the store is down,
-unresponsive or slow, or loses its history; upstreams shed requests, cut streams off
-and hang; proxies in front of both delay data, reset connections, block one or both
-directions, or stall open connections; the configuration changes. What callers and
-upstreams observe is checked against the guarantees. The same seed repeats the sampled
-faults and calls, not their timing. No wall-clock time is used, so no fault steps it.
+unresponsive or slow, or loses its history; upstreams shed requests, with and without
+asking for a rest, cut streams off, hang and leave; proxies in front of both delay
+data, reset connections, block one or both directions, or stall open connections; the
+configuration changes. What callers and upstreams observe is checked against the
+guarantees. The same seed repeats the sampled faults and calls, not their timing. No
+wall-clock time is used, so no fault steps it.
 """
 
 import argparse
+import itertools
 import random
 import signal
 import sys
@@ -79,6 +81,7 @@
         self.proxies: dict[str, FaultProxy] = {}
         self.instances = SoakInstances(ports, directory)
         self.callers = SoakCallers(self.rng, ports)
+        self.incarnations = itertools.count(2)
 
     async def run(self) -> SoakResult:
         """Inject faults, wait for recovery, and return the result of the checks."""
@@ -99,14 +102,14 @@
         store = f"127.0.9.1:{self.ports + 4}"
         await self._start_proxy(nursery, "store", store, f"127.0.9.2:{self.ports + 4}")
         self.deployment.publish()
-        names = (("e1", DRAFTS), ("e2", DRAFTS), ("s1", ORDERS), ("s2", ORDERS))
-        for number, (name, service) in enumerate(names, 1):
+        names = ("e1", "e2", "s1", "s2")
+        for number, name in enumerate(names, 1):
             address = f"127.0.7.{number}:{self.ports}"
             target = f"127.0.6.{number}:{self.ports}"
             self.upstreams[name] = Upstream(name)
             await nursery.start(self.upstreams[name].run, target)
             await self._start_proxy(nursery, name, address, target)
-            self.deployment.register(name, service, address)
+            self._register(name)
         for number in range(1, self.instance_count + 1):
             self.instances.start(number)
         await self.instances.wait_until_ready()
@@ -141,6 +144,7 @@
             self._upstream_cuts_streams,
             self._upstream_hangs,
             self._upstream_drains,
+            self._upstream_leaves,
             self._proxy_fails,
             self._proxy_stalls,
             self._publish_config,
@@ -202,6 +206,7 @@
     async def _upstream_sheds(self) -> None:
         upstream = self.rng.choice(list(self.upstreams.values()))
         upstream.is_shedding = True
+        upstream.retry_after = self.rng.choice(["", "0.5", "2"])
         await trio.sleep(self.rng.uniform(0.2, 1.0))
         upstream.is_shedding = False
 
@@ -219,12 +224,32 @@
 
     async def _upstream_drains(self) -> None:
         name = self.rng.choice(["e2", "s2"])
+        upstream = self.upstreams[name]
+        incarnation = upstream.id
+        self._register(name, "draining")
+        await trio.sleep(1.0)
+        if upstream.id == incarnation:
+            self._register(name)
+
+    async def _upstream_leaves(self) -> None:
+        """Let an upstream state that it leaves; another one takes its address."""
+        name = self.rng.choice(["e2", "s2"])
+        upstream = self.upstreams[name]
+        if upstream.is_leaving:
+            return
+        upstream.is_leaving = True
+        await trio.sleep(self.rng.uniform(0.2, 1.0))
+        self.store.remove(f"servers/{upstream.id}")
+        upstream.id = f"{name}-{next(self.incarnations)}"
+        upstream.is_leaving = False
+        self._register(name)
+
+    def _register(self, name: str, state: str = "ready") -> None:
+        """Register the current incarnation of an upstream."""
         number = list(self.upstreams).index(name) + 1
-        service = DRAFTS if name == "e2" else ORDERS
         address = f"127.0.7.{number}:{self.ports}"
-        self.deployment.register(name, service, address, "draining")
-        await trio.sleep(1.0)
-        self.deployment.register(name, service, address)
+        service = ORDERS if name.startswith("s") else DRAFTS
+        self.deployment.register(self.upstreams[name].id, service, address, state)
 
     async def _proxy_fails(self) -> None:
         proxy = self.rng.choice(list(self.proxies.values()))
