--- a/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/store.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/store.py
@@ -1,4 +1,8 @@
-"""The platform's key-value store: revisions, paged reads, watches and faults."""
+"""The platform's key-value store: revisions, paged reads, watches and faults.
+
+It can return from an older copy: what was written since is lost, revisions are given
+out again, and its era rises by one.
+"""
 
 import base64
 from dataclasses import dataclass, field
@@ -16,12 +20,20 @@
 )
 from buckthornwall.utils import TrioClock
 
-__all__ = ["Store", "StoreFault"]
+__all__ = ["Store", "StoreCopy", "StoreFault"]
 
 LIMITS = ServerLimits(8192, 0, 3.0, 60.0)
 JSON = [(b"Content-Type", b"application/json")]
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """Items and revision of a store at some time."""
+
+    items: dict[str, tuple[bytes, int]]
+    revision: int
+
+
 class StoreFault(Enum):
     """Fault that the store injects until another one is set."""
 
@@ -52,6 +64,8 @@
     max_events: int = 100
     delay_s: float = 0.0
     revision: int = 1
+    era: int = 1
+    history_start: int = 0  # watches from before it get 410
     calls: int = 0
     items: dict[str, tuple[bytes, int]] = field(default_factory=dict)
     events: list[dict[str, Any]] = field(default_factory=list)
@@ -75,15 +89,49 @@
         self.items.pop(key, None)
         self._record_event({"key": key, "revision": self.revision, "removed": True})
 
+    def make_copy(self) -> StoreCopy:
+        """Return a copy to which the store may return."""
+        return StoreCopy(dict(self.items), self.revision)
+
+    def restore(self, copy: StoreCopy) -> dict[str, bytes | None]:
+        """Return to an older copy.
+
+        Returns
+        -------
+        dict
+            The values that are lost by key, None if the key had been removed.
+        """
+        lost = {
+            key: self.items[key][0] if key in self.items else None
+            for key in self.items | copy.items
+            if self.items.get(key) != copy.items.get(key)
+        }
+        self.items, self.revision = dict(copy.items), copy.revision
+        self.events.clear()
+        self.history_start = self.revision
+        self.era += 1
+        self._wake_watches()
+        return lost
+
+    def rewrite(self, key: str, raw: bytes | None) -> None:
+        """Write or remove an item again that was lost."""
+        if raw is None:
+            self.remove(key)
+        else:
+            self.put_raw(key, raw)
+
     def drop_history(self) -> None:
         """Drop all recorded changes, so that watchers must read everything again."""
+        self.history_start = self.revision
         self.revision += 1
         self.events.clear()
         self._wake_watches()
 
     def _record_event(self, event: dict[str, Any]) -> None:
         self.events.append(event)
-        del self.events[: -self.max_events]
+        if len(self.events) > self.max_events:
+            del self.events[: -self.max_events]
+            self.history_start = self.events[0]["revision"] - 1
         self._wake_watches()
 
     def _wake_watches(self) -> None:
@@ -108,7 +156,7 @@
             return  # no response was begun, so the server closes the connection
         elif fault is not StoreFault.NONE:
             status = 503 if fault is StoreFault.BUSY else 429
-            await response.send_complete(status, JSON, b"{}")
+            await response.send_complete(status, self._headers(), b"{}")
             return
         target = urlsplit(incoming.target.decode())
         query = {key: values[0] for key, values in parse_qs(target.query).items()}
@@ -118,7 +166,10 @@
             status, body = await self.watch(query)
         else:
             status, body = 404, {"error": "no such call"}
-        await response.send_complete(status, JSON, msgspec.json.encode(body))
+        await response.send_complete(status, self._headers(), msgspec.json.encode(body))
+
+    def _headers(self) -> list[tuple[bytes, bytes]]:
+        return [*JSON, (b"Store-Era", b"%d" % self.era)]
 
     def range(self, query: dict[str, str]) -> dict[str, Any]:
         """Return a page of items as a response body."""
@@ -138,8 +189,7 @@
         prefix = query.get("path_prefix", "")
         with trio.move_on_after(int(query["wait_ms"]) / 1000):
             while True:
-                oldest = self.events[0]["revision"] if self.events else self.revision
-                if after + 1 < oldest and after < self.revision:
+                if not self.history_start <= after <= self.revision:
                     return 410, {"error": "history is gone"}
                 found = [
                     event
--- a/packages/buckthornwall/src/buckthornwall/platform/calls.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/calls.py
@@ -1,7 +1,7 @@
 """Reads and watches of the platform's store, over any transport."""
 
 import binascii
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from urllib.parse import quote
 
@@ -9,19 +9,36 @@
 
 from buckthornwall.codes import PeerError, ResultCode
 from buckthornwall.discovery import HistoryLost
+from buckthornwall.telemetry import log_event
+
+from .names import STORE_ERA
 
 __all__ = ["Changes", "StoreAnswer", "StoreCalls", "StoredValue", "Transport"]
 
 HTTP_GONE = 410
 MS_PER_S = 1000.0
+MAX_ERA_DIGITS = 18
 
 
 @dataclass(frozen=True, slots=True)
 class StoreAnswer:
-    """A response of the store."""
+    """A response of the store.
+
+    `era` counts the store's returns from an older copy; 0 if it does not say.
+    """
 
     status: int
     body: bytes
+    era: int = 0
+
+    @classmethod
+    def from_response(
+        cls, status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes
+    ) -> "StoreAnswer":
+        """Return the answer in an HTTP response."""
+        era = next((value for name, value in headers if name.lower() == STORE_ERA), b"")
+        is_valid = era.isdigit() and len(era) <= MAX_ERA_DIGITS
+        return cls(status, body, int(era) if is_valid else 0)
 
 
 # Requests a target (path and query) from the store. The response may take the given
@@ -80,6 +97,7 @@
     def __init__(self, transport: Transport) -> None:
         self.transport = transport
         self.calls = 0
+        self.era = 0
 
     async def read_all(self, prefix: str) -> Changes:
         """Return the values of all keys that begin with `prefix`.
@@ -128,7 +146,11 @@
 
     async def _call(self, target: str, wait_s: float) -> StoreAnswer:
         self.calls += 1
-        return await self.transport(target, wait_s)
+        answer = await self.transport(target, wait_s)
+        if answer.era != self.era:
+            log_event("store_era", era=answer.era, before=self.era, target=target)
+            self.era = answer.era
+        return answer
 
 
 def _decode(answer: StoreAnswer, schema: type) -> _Page | _Events:
--- a/packages/buckthornwall/src/buckthornwall/platform/client.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/client.py
@@ -173,4 +173,6 @@
             httpcore.ProtocolError,
         ) as error:
             raise PeerError(ResultCode.PLATFORM_UNREACHABLE, repr(error)) from error
-        return StoreAnswer(response.status, response.content)
+        return StoreAnswer.from_response(
+            response.status, response.headers, response.content
+        )
--- a/packages/buckthornwall/src/buckthornwall/platform/names.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/names.py
@@ -27,6 +27,8 @@
 LEAVING = b"server-leaving"
 # Seconds, a decimal number, for which an upstream wants no request from this instance.
 RETRY_AFTER = b"retry-after"
+# In each answer of the store, how often it has returned from an older copy.
+STORE_ERA = b"store-era"
 LAST_EVENT_ID = b"last-event-id"
 # IP:port of an engine from which the missing prompt segments are copied.
 COPY_FROM = b"kv-fetch"
--- a/packages/buckthornwall/src/buckthornwall/platform/store.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/store.py
@@ -152,7 +152,7 @@
         body = bytearray()
         while data := await connection.receive_data():
             body += data
-        return StoreAnswer(head.status, bytes(body))
+        return StoreAnswer.from_response(head.status, head.headers, bytes(body))
 
 
 def to_store_update(changes: Changes, is_snapshot: bool) -> StoreUpdate:
