Soak of a restored store: write again within the settling time, no writes while away

It wrote the lost evacuation again up to 1.5 s after the return while its instances were set to wait for 0.5 s (the platform's upstreams are back within 2 s, and the default is 2.2 s), and it counted evacuations from a moment at which the store was silent, so could not have acknowledged them. Instances now have the default, and writes wait for the store.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/restore_soak.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/restore_soak.py
@@ -29,8 +29,10 @@
 MAX_COPY_AGE_S = 3.5
 MIN_AWAY_S, MAX_AWAY_S = 0.1, 1.0
 RESTORE_INTERVAL_S = 5.0
-# What is lost is written again within this time of the return.
+# What is lost is written again within this time of the return, which is less than the
+# time that instances wait for it.
 REWRITE_S = 1.5
+SETTLE_MS = 2200
 CONFIG_INTERVAL_S = 0.9
 DRAIN_INTERVAL_S = 2.0
 # A drained upstream serves for this long after its registration says so.
@@ -83,6 +85,7 @@
         self.engine_count = engines
         self.per_s = per_s
         self.bounds = bounds or RestoreBounds()
+        self.instances.settle_ms = SETTLE_MS
         self.running: dict[str, CrashableUpstream] = {}
         self.left_at: dict[str, float] = {}
         self.evacuated_at: float | None = None
@@ -185,17 +188,25 @@
         if revision <= self.store.history_start:
             self.store.rewrite(key, raw)
 
+    async def _wait_for_store(self) -> None:
+        """Wait until the store acknowledges writes."""
+        while self.store.faults:
+            await trio.sleep(0.01)
+
     async def _change_config(self) -> None:
         while True:
             await trio.sleep(CONFIG_INTERVAL_S)
+            await self._wait_for_store()
             self.deployment.publish()
 
     async def _evacuate_repeatedly(self) -> None:
         while True:
             await trio.sleep(OPEN_S)
+            await self._wait_for_store()
             self.deployment.evacuate(EVACUATED_ZONE)
             self.evacuated_at = trio.current_time()
             await trio.sleep(EVACUATED_S)
+            await self._wait_for_store()
             self.evacuated_at = None
             self.deployment.reopen(EVACUATED_ZONE)
 
@@ -210,6 +221,7 @@
         """Drain an upstream by its registration, and end it later."""
         upstream = self.running[address]
         zone = ZONES[int(address.split(":")[0].rpartition(".")[2]) // 100]
+        await self._wait_for_store()
         self.deployment.register(upstream.id, DRAFTS, address, "draining", zone)
         self.left_at[upstream.id] = trio.current_time()
         await trio.sleep(DRAINING_S)
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/soak_instances.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/soak_instances.py
@@ -25,10 +25,16 @@
         First of five consecutive ports, the same for all instances.
     directory
         Directory of the settings and log files.
+
+    Attributes
+    ----------
+    settle_ms : int
+        Time in which registrations are renewed after an outage of the store.
     """
 
     def __init__(self, ports: int, directory: Path) -> None:
         self.ports = ports
+        self.settle_ms = 500
         self.directory = directory
         self.processes: dict[int, subprocess.Popen] = {}
         self.start_counts: dict[int, int] = {}
@@ -36,7 +42,7 @@
     def start(self, number: int) -> None:
         """Start or restart an instance."""
         path = self.directory / f"node-{number}.ini"
-        path.write_text(format_settings(number, [1, 2], self.ports))
+        path.write_text(format_settings(number, [1, 2], self.ports, self.settle_ms))
         command = [sys.executable, "-m", "buckthornwall.start"]
         command += ["--interface", "platform", "--settings", str(path)]
         self.start_counts[number] = self.start_counts.get(number, 0) + 1
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/deployment.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/deployment.py
@@ -15,7 +15,9 @@
 ORDERS = "orders"
 
 
-def format_settings(number: int, seeds: list[int], ports: int) -> str:
+def format_settings(
+    number: int, seeds: list[int], ports: int, settle_ms: int = 500
+) -> str:
     """Return the contents of the settings file of instance `number`.
 
     Parameters
@@ -26,6 +28,8 @@
         Numbers of the instances it contacts first to join the others.
     ports
         First of five consecutive ports, the same for all instances.
+    settle_ms
+        Time in which registrations are renewed after an outage of the store.
     """
     ip = f"127.0.8.{number}"
     seed_addresses = ",".join(f"127.0.8.{seed}:{ports + 2}" for seed in seeds)
@@ -47,7 +51,7 @@
         [discovery]
         gap_ms = 50
         outage_ms = 200
-        settle_ms = 500
+        settle_ms = {settle_ms}
         [stop]
         grace_s = 3
         notice_s = 0.3
