--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
@@ -4,13 +4,18 @@
 
 import trio
 from buckthornwall.codes import PeerError, ResultCode
-from buckthornwall.discovery import DiscoveryAgent, DiscoverySettings, StoreUpdate
+from buckthornwall.discovery import (
+    DiscoveryAgent,
+    DiscoverySettings,
+    HistoryLost,
+    StoreUpdate,
+)
 from buckthornwall.peers import Beacon, PeerAgent, PeerSettings, PeerState
 from buckthornwall.pools import FleetMemory, PoolTable
 from buckthornwall.quarantine import QuarantineSettings, QuarantineTable
 from buckthornwall.router.state_sync import StateSync
 from buckthornwall.routing import Pool, PoolId, PublishedConfig, RoutingTable
-from buckthornwall.utils import Incarnation, NodeId, TrioClock, ZoneId
+from buckthornwall.utils import Incarnation, NodeId, StorePosition, TrioClock, ZoneId
 
 from .network import SimSocket, SimViewClient
 
@@ -46,12 +51,19 @@
         """Return the newest change."""
         return await self._answer(is_snapshot=True)
 
-    async def watch(self, after: int, wait_s: float) -> StoreUpdate:
+    async def watch(self, after: StorePosition, wait_s: float) -> StoreUpdate:
         """Return the store's state once newer than `after`, or after `wait_s`."""
         with trio.move_on_after(wait_s):
-            while self.simulation.change_number <= after:
+            while self._is_current(after):
                 await self.simulation.changed.wait()
-        return await self._answer(is_snapshot=False)
+        update = await self._answer(is_snapshot=False)
+        if after.is_in_former_era(update.position) or after > update.position:
+            raise HistoryLost
+        return update
+
+    def _is_current(self, after: StorePosition) -> bool:
+        position = self.simulation.position
+        return after.in_era(position.era) == position
 
     async def _answer(self, is_snapshot: bool) -> StoreUpdate:
         self.calls += 1
@@ -59,16 +71,17 @@
             await trio.sleep(STORE_TIMEOUT_S)
             raise PeerError(ResultCode.PLATFORM_UNREACHABLE, "no answer in time")
         await trio.sleep(STORE_DELAY_S)
-        number = self.simulation.change_number
+        position = self.simulation.position
         return StoreUpdate(
-            number,
+            position.revision,
             is_snapshot,
-            number,
-            b"%d" % number,
+            position.revision,
+            b"%d" % self.simulation.published_number,
             self.simulation.registrations(),
             removed=set(self.simulation.removed),
             evacuated=dict(self.simulation.evacuated),
             reopened=dict(self.simulation.reopened),
+            era=position.era,
         )
 
 
@@ -153,7 +166,7 @@
             zone=self.zone,
             state=self.state,
             config_number=self.discovery.table.number,
-            change_revision=self.discovery.change_revision,
+            change_revision=self.discovery.change_position.revision,
             read_age_ms=self.state_sync.read_age_ms(),
             store_uptime_ms=int(self.discovery.store_uptime_s() * 1000),
             loads=self.simulation.make_loads(self.address),
@@ -163,6 +176,7 @@
             limits=self.pools.rate_limits.reports(),
             rank_tokens=self.simulation.make_rank_tokens(self.address),
             leaving=self.pools.notices.reports(),
+            store_era=self.discovery.change_position.era,
         )
 
     @property
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/simulation.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/simulation.py
@@ -2,13 +2,13 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import trio
 from buckthornwall.peers import Work
 from buckthornwall.peers.election import election_priority
 from buckthornwall.pools import CachedPrefixes, RankTokens, UpstreamEntry
-from buckthornwall.utils import UpstreamId, ZoneId
+from buckthornwall.utils import StorePosition, UpstreamId, ZoneId
 
 from .network import SimNetwork
 from .peer import SimPeer
@@ -19,6 +19,17 @@
 CHANGE_INTERVAL_S = 0.08
 
 
+@dataclass(frozen=True)
+class SimCopy:
+    """The contents of the store at some time."""
+
+    published_number: int
+    revision: int
+    entries: dict[UpstreamId, UpstreamEntry]
+    removed: set[UpstreamId]
+    evacuated: dict[ZoneId, StorePosition]
+
+
 class PeersSimulation:
     """Instances by address, the store's changes, and the network.
 
@@ -32,7 +43,11 @@
     Attributes
     ----------
     change_number : int
-        Number of the newest change.
+        Number of the newest change, and of the configuration that it publishes.
+    published_number : int
+        Number of the configuration that the store holds.
+    position : StorePosition
+        The store's position.
     without_store : set of str
         Addresses of instances that get no answer from the store.
     seeds : list of str
@@ -49,7 +64,7 @@
     cold_until : dict
         Times until which upstreams are cold, in seconds.
     evacuated, reopened : dict
-        Numbers of the changes by which zones were evacuated or reopened.
+        Positions of the changes by which zones were evacuated or reopened.
     """
 
     def __init__(self, nursery: trio.Nursery, seed: int = 1) -> None:
@@ -65,9 +80,11 @@
         self.removed: set[UpstreamId] = set()
         self.zones: list[ZoneId] = []
         self.cold_until: dict[UpstreamId, float] = {}
-        self.evacuated: dict[ZoneId, int] = {}
-        self.reopened: dict[ZoneId, int] = {}
+        self.evacuated: dict[ZoneId, StorePosition] = {}
+        self.reopened: dict[ZoneId, StorePosition] = {}
         self.change_number = 1
+        self.published_number = 1
+        self.position = StorePosition(1, 1)
         self.changed = trio.Event()
         self._change_times: deque[float] = deque([trio.current_time()])
 
@@ -80,11 +97,32 @@
     def change_once(self) -> int:
         """Change the store; return the number of the change."""
         self.change_number += 1
+        self.published_number = self.change_number
+        self.position = replace(self.position, revision=self.position.revision + 1)
         self._change_times.append(trio.current_time())
         self.changed.set()
         self.changed = trio.Event()
         return self.change_number
 
+    def make_copy(self) -> SimCopy:
+        """Return a copy to which the store may return."""
+        return SimCopy(
+            self.published_number,
+            self.position.revision,
+            dict(self.entries),
+            set(self.removed),
+            dict(self.evacuated),
+        )
+
+    def restore(self, copy: SimCopy) -> None:
+        """Return to an older copy, in the next era of the store."""
+        self.published_number = copy.published_number
+        self.position = StorePosition(self.position.era + 1, copy.revision)
+        self.entries, self.removed = dict(copy.entries), set(copy.removed)
+        self.evacuated, self.reopened = dict(copy.evacuated), {}
+        self.changed.set()
+        self.changed = trio.Event()
+
     def registrations(self) -> dict[UpstreamId, UpstreamEntry]:
         """Return the upstreams' registrations with the cold time left."""
         now = trio.current_time()
@@ -101,16 +139,19 @@
 
     def evacuate(self, zone: ZoneId) -> None:
         """Write the record of a zone's evacuation."""
-        self.evacuated[zone] = self.change_number + 1
+        self.evacuated[zone] = self._next_position()
         self.reopened.pop(zone, None)
         self.change_once()
 
     def reopen(self, zone: ZoneId) -> None:
         """Remove the record of a zone's evacuation."""
         del self.evacuated[zone]
-        self.reopened[zone] = self.change_number + 1
+        self.reopened[zone] = self._next_position()
         self.change_once()
 
+    def _next_position(self) -> StorePosition:
+        return replace(self.position, revision=self.position.revision + 1)
+
     def lag_s(self, number: int) -> float:
         """Return for how long the store has held a newer change than `number`."""
         changes_since = self.change_number - number
--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -14,9 +14,12 @@
     Clock,
     ConfigItem,
     ConfigNamespace,
+    StorePosition,
     UpstreamId,
+    ZoneId,
 )
 
+from .restoration import reconcile_registration
 from .updates import HistoryLost, StoreUpdate, UpdateSource
 
 __all__ = ["DiscoveryAgent", "DiscoverySettings"]
@@ -70,6 +73,9 @@
     outage although their upstreams are alive, so those that are missing afterwards are
     only removed once the upstreams have had time to register again.
 
+    The store may return from an older copy, and then begins the next era: what it has
+    lost stays in force until its owners have had time to write it again.
+
     Parameters
     ----------
     settings
@@ -99,8 +105,8 @@
         self.table = table
         self.pools = pools
         self.clock = clock
-        self.revision = 0
-        self.change_revision = 0
+        self.position = StorePosition()
+        self.change_position = StorePosition()
         self.raw_config = b""
         self.has_adopted = False
         self.answered_at = clock.now()
@@ -114,7 +120,9 @@
         self.on_call: Callable[[float, str], None] = lambda seconds, outcome: None
         self._defer_removals_until = 0.0
         self._remove_deferred_at = 0.0
+        self._era_settles_at = 0.0
         self._deferred_removals: set[UpstreamId] = set()
+        self._deferred_reopenings: dict[ZoneId, StorePosition] = {}
 
     async def run(self) -> None:
         """Read and watch the source until cancelled."""
@@ -127,7 +135,7 @@
                 update = await self._read_next(needs_snapshot)
             except HistoryLost:
                 self.on_call(self.clock.now() - started, "history_lost")
-                log_event("history_lost", "WARNING", revision=self.revision)
+                log_event("history_lost", "WARNING", **self._describe_position())
                 needs_snapshot = True
                 continue
             except PeerError as error:
@@ -158,12 +166,12 @@
     async def _read_next(self, needs_snapshot: bool) -> StoreUpdate:
         if needs_snapshot:
             return await self.source.read_all()
-        return await self.source.watch(self.revision, self.max_watch_s())
+        return await self.source.watch(self.position, self.max_watch_s())
 
     def max_watch_s(self) -> float:
         """Return the longest duration of the next watch, in seconds."""
         limit_s = self.settings.watch_ms / MS_PER_S
-        if self._deferred_removals:
+        if self._deferred_removals or self._deferred_reopenings:
             left_s = max(0.0, self._remove_deferred_at - self.clock.now())
             limit_s = min(limit_s, left_s, MAX_DEFERRED_WATCH_S)
         return limit_s
@@ -191,29 +199,71 @@
             self._defer_removals_until = now + DEFER_REMOVALS_S
             self._remove_deferred_at = now + self.settings.settle_ms / MS_PER_S
             outage_ms = round((now - self.answered_at) * MS_PER_S)
-            log_event("store_regained", away_ms=outage_ms, revision=self.revision)
+            log_event("store_regained", away_ms=outage_ms, **self._describe_position())
         self.answered_at = self.read_at = now
 
     def adopt(self, update: StoreUpdate) -> None:
         """Apply an update to routes, upstreams and zones."""
         if update.published is not None:
             self._adopt_published(update.published)
-        self._adopt_entries(update)
-        missing = set(update.removed)
-        if update.is_snapshot:
-            missing |= set(self.pools.views) - set(update.entries)
-        if self.clock.now() < self._defer_removals_until:
-            self._deferred_removals |= missing
-        else:
-            self._remove(missing)
-        self._adopt_zones(update)
-        self.revision = max(self.revision, update.revision)
-        self.change_revision = max(self.change_revision, update.change_revision)
+        if not self._is_older(update):
+            self._adopt_state(update)
         self.has_adopted = True
         self.pools.set_contracts(self.table.pools.values(), self.table.routes)
         self.on_change()
 
-    def _adopt_entries(self, update: StoreUpdate) -> None:
+    def _is_older(self, update: StoreUpdate) -> bool:
+        """Return whether an update holds an older state than the one in force.
+
+        A late answer of the store may be of a former era, and a peer's view may be
+        newer by its configuration alone.
+        """
+        if update.position.is_in_former_era(self.position):
+            log_event(
+                "update_outdated",
+                "WARNING",
+                era=update.era,
+                revision=update.revision,
+                known_era=self.position.era,
+            )
+            return True
+        position = update.change_position.in_era(self.change_position.era)
+        return update.is_relayed and position < self.change_position
+
+    def _adopt_state(self, update: StoreUpdate) -> None:
+        """Apply the registrations and evacuations of an update."""
+        is_restored = self.has_adopted and self.position.is_in_former_era(
+            update.position
+        )
+        if is_restored:
+            self._begin_era(update)
+        self._adopt_entries(update, is_restored)
+        self._adopt_removals(update)
+        self._adopt_zones(update)
+        era = self.position.era
+        self.position = max(self.position, update.position.in_era(era))
+        self.change_position = max(
+            self.change_position, update.change_position.in_era(era)
+        )
+
+    def _begin_era(self, update: StoreUpdate) -> None:
+        """Defer what follows from the lack of records that the store may have lost."""
+        log_event(
+            "store_restored",
+            "WARNING",
+            era=update.era,
+            revision=update.revision,
+            before=self.position.era,
+            revision_before=self.position.revision,
+            told=update.is_relayed,
+        )
+        now = self.clock.now()
+        self._store_up_since = now
+        self._defer_removals_until = now + DEFER_REMOVALS_S
+        self._remove_deferred_at = now + self.settings.settle_ms / MS_PER_S
+        self._era_settles_at = self._remove_deferred_at
+
+    def _adopt_entries(self, update: StoreUpdate, is_restored: bool) -> None:
         """Apply registrations, and assume new upstreams to be cold.
 
         The first update is an exception: its upstreams need not have just started.
@@ -222,6 +272,8 @@
         restarted = set()
         for entry in update.entries.values():
             self._deferred_removals.discard(entry.id)
+            if is_restored:
+                entry = reconcile_registration(self.pools, entry)
             if self.pools.adopt(entry):
                 restarted.add(entry.id)
                 self.on_restart(entry.id)
@@ -231,6 +283,23 @@
                 self.pools.views[name] for name in started
             )
 
+    def _adopt_removals(self, update: StoreUpdate) -> None:
+        """Remove upstreams, or defer it where their registrations may be renewed.
+
+        What is missing in a snapshot of the store may be missing since before its
+        return, however late the snapshot is read; a removal was made after it.
+        """
+        missing = set(update.removed)
+        defer_until = self._defer_removals_until
+        if update.is_snapshot:
+            missing |= set(self.pools.views) - set(update.entries)
+            if not update.is_relayed:
+                defer_until = max(defer_until, self._era_settles_at)
+        if self.clock.now() < defer_until:
+            self._deferred_removals |= missing
+        else:
+            self._remove(missing)
+
     def _adopt_published(self, raw: bytes) -> None:
         try:
             published = self.decode(raw)
@@ -251,27 +320,46 @@
     def _adopt_zones(self, update: StoreUpdate) -> None:
         """Apply the evacuation records that are newer than the known ones."""
         evacuations = self.pools.evacuations
-        for zone, revision in update.evacuated.items():
+        for zone, position in update.evacuated.items():
             if not self.pools.knows_zone(zone):
                 log_event(
                     "evacuation_refused",
                     "WARNING",
                     zone=zone,
-                    revision=revision,
+                    revision=position.revision,
                     detail="unknown zone",
                 )
-            elif evacuations.record(zone, revision, True):
-                log_event("zone_evacuated", "WARNING", zone=zone, revision=revision)
-        reopened = [
-            zone
-            for zone, revision in update.reopened.items()
-            if evacuations.record(zone, revision, False)
-        ]
+            elif evacuations.record(zone, position, True):
+                log_event(
+                    "zone_evacuated",
+                    "WARNING",
+                    zone=zone,
+                    revision=position.revision,
+                    era=position.era,
+                )
+        for zone, position in update.reopened.items():
+            self._reopen(zone, position)
         if update.is_snapshot:
             present = update.evacuated.keys() | update.unreadable_zones
-            reopened += evacuations.record_absent(present, update.revision)
-        for zone in reopened:
-            log_event("zone_reopened", "WARNING", zone=zone, revision=update.revision)
+            for zone in evacuations.absent(present):
+                if self.clock.now() < self._era_settles_at:
+                    self._deferred_reopenings[zone] = update.position
+                else:
+                    self._reopen(zone, update.position)
+
+    def _reopen(self, zone: ZoneId, position: StorePosition) -> None:
+        """End the evacuation of a zone as of a position, unless there is a newer one.
+
+        Its upstreams may have become cold meanwhile.
+        """
+        if self.pools.evacuations.record(zone, position, False):
+            log_event(
+                "zone_reopened",
+                "WARNING",
+                zone=zone,
+                revision=position.revision,
+                era=position.era,
+            )
             self.pools.rate_limits.assume_cold(self.pools.in_zone(zone))
 
     def store_uptime_s(self) -> float:
@@ -286,10 +374,14 @@
         return now - self._store_up_since
 
     def remove_deferred(self) -> None:
-        """Remove upstreams that have not registered again in time after an outage."""
-        if self._deferred_removals and self.clock.now() >= self._remove_deferred_at:
-            deferred, self._deferred_removals = self._deferred_removals, set()
-            self._remove(deferred)
+        """Apply what was not written again in time after an outage or a return."""
+        if self.clock.now() < self._remove_deferred_at:
+            return
+        deferred, self._deferred_removals = self._deferred_removals, set()
+        self._remove(deferred)
+        reopenings, self._deferred_reopenings = self._deferred_reopenings, {}
+        for zone, position in reopenings.items():
+            self._reopen(zone, position)
 
     def receive_store_uptime(self, seconds: float) -> None:
         """Stop deferring removals if only this instance could not reach the source.
@@ -307,6 +399,10 @@
             now = self.clock.now()
             self._defer_removals_until = min(self._defer_removals_until, now)
             self._remove_deferred_at = min(self._remove_deferred_at, now)
+            self._era_settles_at = min(self._era_settles_at, now)
+
+    def _describe_position(self) -> dict[str, int]:
+        return {"era": self.position.era, "revision": self.position.revision}
 
     def _remove(self, missing: set[UpstreamId]) -> None:
         for upstream in missing:
--- a/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
@@ -1,5 +1,7 @@
 """Tests of applying updates, and of outages of their source."""
 
+from dataclasses import replace
+
 import pytest
 import trio
 
@@ -7,7 +9,7 @@
 from buckthornwall.discovery import DiscoveryAgent, DiscoverySettings, StoreUpdate
 from buckthornwall.pools import PoolTable, UpstreamEntry, UpstreamState
 from buckthornwall.routing import Pool, PoolId, PublishedConfig, RoutingTable
-from buckthornwall.utils import TrioClock, UpstreamId, ZoneId
+from buckthornwall.utils import StorePosition, TrioClock, UpstreamId, ZoneId
 
 POOL = PoolId("drafts")
 
@@ -25,6 +27,22 @@
     )
 
 
+def in_era(era: int, revision: int, *entries: UpstreamEntry, **more) -> StoreUpdate:
+    """Return a snapshot of the store in an era."""
+    return StoreUpdate(
+        revision,
+        is_snapshot=True,
+        change_revision=revision,
+        entries={each.id: each for each in entries},
+        era=era,
+        **more,
+    )
+
+
+def usable(agent) -> set[str]:
+    return {view.id for view in agent.pools.usable(POOL, frozenset())}
+
+
 def decode(raw: bytes) -> PublishedConfig:
     if not raw.isdigit():
         raise RecordError(ResultCode.RECORDS_MALFORMED, "not a number")
@@ -160,7 +178,7 @@
 def test_change_revision_advances_only_with_changes(agent):
     agent.adopt(update(5, "a", is_snapshot=True))
     agent.adopt(StoreUpdate(revision=9, is_snapshot=False))
-    assert (agent.revision, agent.change_revision) == (9, 5)
+    assert (agent.position, agent.change_position) == (at(9), at(5))
 
 
 async def test_instance_that_stops_reading_still_applies_deferred_removals(
@@ -183,7 +201,14 @@
     nursery.cancel_scope.cancel()
 
 
+def at(revision: int, era: int = 0) -> StorePosition:
+    return StorePosition(era, revision)
+
+
 def zones(revision: int, is_snapshot=False, **more) -> StoreUpdate:
+    for name in ("evacuated", "reopened"):
+        records = more.get(name, {})
+        more[name] = {zone: at(number) for zone, number in records.items()}
     return StoreUpdate(
         revision, is_snapshot, revision, entries={"a": entry("a")}, **more
     )
@@ -191,7 +216,7 @@
 
 def test_zone_is_evacuated_until_its_record_is_removed(agent):
     agent.adopt(zones(5, evacuated={"z": 5}))
-    assert agent.pools.evacuations.zones() == {"z": 5}
+    assert agent.pools.evacuations.zones() == {"z": at(5)}
     agent.adopt(zones(6, reopened={"z": 6}))
     assert agent.pools.evacuations.zones() == {}
 
@@ -199,16 +224,16 @@
 def test_newer_snapshot_without_a_record_reopens_its_zone(agent):
     agent.adopt(zones(5, evacuated={"z": 5}))
     agent.adopt(zones(4, is_snapshot=True))
-    assert agent.pools.evacuations.zones() == {"z": 5}
+    assert agent.pools.evacuations.zones() == {"z": at(5)}
     agent.adopt(zones(6, is_snapshot=True, unreadable_zones={"z"}))
-    assert agent.pools.evacuations.zones() == {"z": 5}
+    assert agent.pools.evacuations.zones() == {"z": at(5)}
     agent.adopt(zones(7, is_snapshot=True))
     assert agent.pools.evacuations.zones() == {}
 
 
 def test_evacuation_of_an_unknown_zone_is_refused(agent):
     agent.adopt(zones(5, evacuated={"nowhere": 4, "z": 5}))
-    assert agent.pools.evacuations.zones() == {"z": 5}
+    assert agent.pools.evacuations.zones() == {"z": at(5)}
 
 
 def cold_decode(raw: bytes) -> PublishedConfig:
@@ -249,3 +274,100 @@
     clock.time += 20.0
     cold_agent.adopt(zones(6, reopened={"z": 6}))
     assert cold(cold_agent) == {"a"}
+
+
+LEAVING = UpstreamState.LEAVING
+
+
+def test_snapshot_of_a_later_era_is_adopted_although_its_revision_is_lower(agent):
+    agent.adopt(in_era(1, 30, entry("a"), entry("b")))
+    agent.adopt(in_era(2, 12, entry("a", LEAVING), entry("b")))
+    assert usable(agent) == {"b"}
+    assert agent.position == agent.change_position == at(12, era=2)
+
+
+def test_answer_of_a_former_era_changes_no_registration(agent):
+    agent.adopt(in_era(1, 30, entry("a")))
+    agent.adopt(in_era(2, 12, entry("a", LEAVING)))
+    agent.adopt(in_era(1, 31, entry("a"), entry("c")))
+    assert usable(agent) == set()
+
+
+def test_configuration_of_a_former_era_still_applies(agent):
+    """It was acknowledged, and no accepted configuration may be missing for long."""
+    agent.adopt(in_era(2, 12, published=b"7"))
+    agent.adopt(in_era(1, 30, published=b"8"))
+    assert agent.table.number == 8
+
+
+def test_view_with_older_registrations_is_taken_for_its_configuration_only(agent):
+    agent.adopt(in_era(2, 12, entry("a", LEAVING), published=b"7"))
+    agent.adopt(in_era(2, 11, entry("a"), published=b"8", is_relayed=True))
+    assert usable(agent) == set()
+    assert agent.table.number == 8
+
+
+def test_registration_removed_in_a_lost_history_rests_until_it_would_expire(
+    agent, clock
+):
+    agent.adopt(in_era(1, 30, entry("a"), entry("b")))
+    agent.adopt(in_era(1, 31, entry("b")))
+    agent.adopt(in_era(2, 12, entry("a"), entry("b")))
+    assert usable(agent) == {"b"}
+    clock.time += 5.1
+    assert usable(agent) == {"a", "b"}
+
+
+def test_other_incarnation_in_a_copy_does_not_replace_the_known_one(agent):
+    newer, older = (replace(entry("a"), incarnation=name) for name in ("2", "1"))
+    agent.adopt(in_era(1, 30, newer))
+    agent.adopt(in_era(2, 12, older))
+    assert agent.pools.views["a"].entry.incarnation == "2"
+
+
+def test_removal_written_after_the_return_is_not_deferred_for_long(agent, clock):
+    agent.adopt(in_era(1, 30, entry("a"), entry("b")))
+    agent.adopt(in_era(2, 12, entry("a"), entry("b")))
+    clock.time += 0.8
+    removed = StoreUpdate(13, False, 13, removed={UpstreamId("a")}, era=2)
+    agent.adopt(removed)
+    assert usable(agent) == {"b"}
+
+
+def test_second_snapshot_of_an_era_does_not_drop_what_the_copy_lacked(agent, clock):
+    agent.adopt(in_era(1, 30, entry("a"), entry("b")))
+    agent.adopt(in_era(2, 12, entry("b")))
+    clock.time += 1.0
+    agent.adopt(in_era(2, 13, entry("b")))
+    assert usable(agent) == {"a", "b"}
+    clock.time += 1.3
+    agent.remove_deferred()
+    assert usable(agent) == {"b"}
+
+
+def test_evacuation_missing_in_a_copy_ends_once_it_could_have_been_written_again(
+    agent, clock
+):
+    agent.adopt(in_era(1, 30, entry("a"), evacuated={ZoneId("z"): at(30, era=1)}))
+    agent.adopt(in_era(2, 12, entry("a")))
+    assert usable(agent) == set()
+    clock.time += 2.3
+    agent.remove_deferred()
+    assert usable(agent) == {"a"}
+
+
+def test_evacuation_written_again_outlasts_its_deferred_end(agent, clock):
+    agent.adopt(in_era(1, 30, entry("a"), evacuated={ZoneId("z"): at(30, era=1)}))
+    agent.adopt(in_era(2, 12, entry("a")))
+    evacuated = {ZoneId("z"): at(13, era=2)}
+    agent.adopt(StoreUpdate(13, False, 13, evacuated=evacuated, era=2))
+    clock.time += 2.3
+    agent.remove_deferred()
+    assert usable(agent) == set()
+
+
+def test_update_without_an_era_counts_as_of_the_known_one(agent):
+    agent.adopt(in_era(3, 12, entry("a")))
+    agent.adopt(in_era(0, 13, entry("a", LEAVING), is_relayed=True))
+    assert usable(agent) == set()
+    assert agent.position == at(13, era=3)
--- a/packages/buckthornwall/src/buckthornwall/discovery/updates.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/updates.py
@@ -4,13 +4,13 @@
 from typing import Protocol
 
 from buckthornwall.pools import UpstreamEntry
-from buckthornwall.utils import UpstreamId, ZoneId
+from buckthornwall.utils import StorePosition, UpstreamId, ZoneId
 
 __all__ = ["UpdateSource", "HistoryLost", "StoreUpdate"]
 
 
 class HistoryLost(Exception):
-    """The source no longer holds the requested changes."""
+    """The source no longer holds the requested changes, or has lost some of them."""
 
 
 @dataclass(slots=True)
@@ -34,9 +34,13 @@
     entries, removed
         Upstreams that are registered, and those that have been removed.
     evacuated, reopened
-        The revisions of the records of evacuated and of reopened zones.
+        The positions of the records of evacuated and of reopened zones.
     unreadable_zones
         Zones whose records cannot be decoded; their state does not change.
+    era
+        Era of the store that counts the revisions; 0 if it is not known.
+    is_relayed
+        Whether this is the view of a peer, which may be older than what is known.
     """
 
     revision: int
@@ -45,9 +49,21 @@
     published: bytes | None = None
     entries: dict[UpstreamId, UpstreamEntry] = field(default_factory=dict)
     removed: set[UpstreamId] = field(default_factory=set)
-    evacuated: dict[ZoneId, int] = field(default_factory=dict)
-    reopened: dict[ZoneId, int] = field(default_factory=dict)
+    evacuated: dict[ZoneId, StorePosition] = field(default_factory=dict)
+    reopened: dict[ZoneId, StorePosition] = field(default_factory=dict)
     unreadable_zones: set[ZoneId] = field(default_factory=set)
+    era: int = 0
+    is_relayed: bool = False
+
+    @property
+    def position(self) -> StorePosition:
+        """The position from which the next watch continues."""
+        return StorePosition(self.era, self.revision)
+
+    @property
+    def change_position(self) -> StorePosition:
+        """The position of the newest change contained here."""
+        return StorePosition(self.era, self.change_revision)
 
 
 class UpdateSource(Protocol):
@@ -62,13 +78,13 @@
             If the source does not answer, or not as expected.
         """
 
-    async def watch(self, after: int, wait_s: float) -> StoreUpdate:
-        """Return the changes after a revision, waiting up to `wait_s` for one.
+    async def watch(self, after: StorePosition, wait_s: float) -> StoreUpdate:
+        """Return the changes after a position, waiting up to `wait_s` for one.
 
         Raises
         ------
         HistoryLost
-            If the source no longer holds those changes.
+            If the source no longer holds those changes, or is in a later era.
         PeerError
             If the source does not answer, or not as expected.
         """
--- a/packages/buckthornwall/src/buckthornwall/node/instance_list.py
+++ b/packages/buckthornwall/src/buckthornwall/node/instance_list.py
@@ -8,7 +8,7 @@
 from buckthornwall.links import PeerAddress
 from buckthornwall.membership import MemberTable
 from buckthornwall.platform import InstanceKind, InstanceList, PlatformClient
-from buckthornwall.utils import Backoff, Clock, NodeId, UpstreamId
+from buckthornwall.utils import Backoff, Clock, NodeId, StorePosition, UpstreamId
 
 __all__ = ["InstanceListAgent"]
 
@@ -41,7 +41,7 @@
         self.members = members
         self.clock = clock
         self.on_change = on_change
-        self.number = 0
+        self.position = StorePosition()
         self.polled = False
 
     async def run(self) -> None:
@@ -58,17 +58,22 @@
                 continue
             self.polled = True
             wait_s = settings.watch_s
-            if listed is not None and listed.number > self.number:
+            if listed is not None and self.is_newer(listed):
                 backoff.reset()
                 self.apply(listed)
             elif listed is not None:
                 # Not a newer list: back off instead of polling in a tight loop.
                 await trio.sleep(backoff.next_delay())
 
+    def is_newer(self, listed: InstanceList) -> bool:
+        """Return whether a list is newer than the last one that was applied."""
+        return listed.position.in_era(self.position.era) > self.position
+
     def apply(self, listed: InstanceList) -> None:
         """Apply a list to the membership table."""
         now = self.clock.now()
-        self.number = listed.number
+        is_first_of_era = self.position.is_in_former_era(listed.position)
+        self.position = listed.position.in_era(self.position.era)
         entries = {
             NodeId(each.id): PeerAddress(NodeId(each.id), each.address, each.zone)
             for each in listed.instances
@@ -80,6 +85,7 @@
                 continue
             if each.leaving:
                 self.members.mark_leaving(UpstreamId(each.id), now, first_hand=True)
-            else:
+            elif not is_first_of_era:
+                # The first list of an era may be an older copy.
                 self.members.clear_leaving(UpstreamId(each.id))
         self.on_change()
--- a/packages/buckthornwall/src/buckthornwall/peers/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/__init__.py
@@ -11,7 +11,7 @@
 `received_message`   the last message of a peer, and when it was received
 `departures`         peers that have announced their departure
 `election`           the priority of instances in the election of a speaker
-`freshness`          merges of the newest revision and of the store's read age
+`freshness`          merges of the newest state and of the store's read age
 `prefix_relay`       the cached prefixes that a speaker relays
 `counts`             packed loads in heartbeats, by the order of the last digest
 `work`               outstanding work at an upstream, and sums of it
@@ -27,6 +27,7 @@
 """
 
 from .agent import PeerAgent, PeerSettings
+from .freshness import freshness
 from .messages import Beacon, Digest, Heartbeat, PeerState, PeerView, Work
 from .table import PeerTable
 from .views import ViewClient, answer_view
@@ -45,6 +46,7 @@
     "Work",
     "add_work",
     "answer_view",
+    "freshness",
     "subtract_local",
     "outstanding_work",
 ]
--- a/packages/buckthornwall/src/buckthornwall/peers/freshness.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/freshness.py
@@ -1,21 +1,34 @@
-"""Merges of the newest revision and of the age of the last read of the store."""
+"""Merges of the newest state and of the age of the last read of the store."""
 
-from .messages import Digest, Heartbeat
+from .messages import Beacon, Digest, Heartbeat
 from .received_message import ReceivedMessage
 
-__all__ = ["merge_newer_revision", "merge_read_age"]
+__all__ = ["freshness", "merge_newer_revision", "merge_read_age", "uptime_ms"]
 
 MS_PER_S = 1000.0
 
 
+def freshness(message: Beacon | Digest | Heartbeat, era: int) -> tuple[int, int, int]:
+    """Return the key by which the states of instances are ordered.
+
+    The era of the store comes first: whoever knows a later one has read the store since
+    it returned from an older copy. An instance of an earlier build does not name an era
+    and counts as being in the current one, `era`.
+    """
+    return (
+        message.store_era or era,
+        message.config_number,
+        message.change_revision,
+    )
+
+
 def merge_newer_revision(
     target: Digest | Heartbeat, source: Digest | Heartbeat
 ) -> None:
-    """Copy a newer revision, and the peer that has it, into `target`."""
-    if (source.config_number, source.change_revision) > (
-        target.config_number,
-        target.change_revision,
-    ):
+    """Copy a newer state, and the peer that has it, into `target`."""
+    era = max(source.store_era, target.store_era)
+    if freshness(source, era) > freshness(target, era):
+        target.store_era = source.store_era
         target.config_number = source.config_number
         target.change_revision = source.change_revision
         target.freshest_peer = source.freshest_peer
@@ -25,3 +38,8 @@
     """Lower the read age to that of another instance, aged since it was sent."""
     age_ms = received.message.read_age_ms + int((now - received.sent_at) * MS_PER_S)
     heartbeat.read_age_ms = min(heartbeat.read_age_ms, age_ms)
+
+
+def uptime_ms(message: Beacon | Digest, era: int) -> int:
+    """Return the store's uptime, 0 as reported by an instance of a former era."""
+    return 0 if 0 < message.store_era < era else message.store_uptime_ms
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -5,6 +5,7 @@
 
 import zlib
 from enum import Enum
+from typing import Annotated
 
 import cbor2
 import msgspec
@@ -108,6 +109,8 @@
         Prompt tokens that the sender recently admitted and refused, by pool and rank.
     leaving
         Upstreams that stated that they are leaving but are registered as ready.
+    store_era
+        Era of the store that counts `change_revision`; 0 if it is not known.
     """
 
     node: NodeId
@@ -128,6 +131,7 @@
     limits: LimitReports = {}
     rank_tokens: RankTokens = {}
     leaving: LeavingUpstreams = {}
+    store_era: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class Digest(msgspec.Struct, array_like=True, tag="d"):
@@ -170,6 +174,8 @@
         Summed prompt tokens recently admitted and refused, by pool and rank.
     leaving
         Upstreams that stated that they are leaving but are registered as ready.
+    store_era
+        Era of the store that counts `change_revision`; 0 if it is not known.
     """
 
     address: str
@@ -193,6 +199,7 @@
     limits: LimitReports = {}
     rank_tokens: RankTokens = {}
     leaving: LeavingUpstreams = {}
+    store_era: Annotated[int, msgspec.Meta(ge=0)] = 0
 
     def live(self, address: str, zone: ZoneId) -> Fleet:
         """Return the live fleet for an instance that follows this digest."""
@@ -242,6 +249,7 @@
     limits: LimitReports = {}
     rank_tokens: RankTokens = {}
     leaving: LeavingUpstreams = {}
+    store_era: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class CrashReports(msgspec.Struct, array_like=True, tag="c"):
@@ -267,6 +275,10 @@
         The configuration, or b'' if the client has it already.
     evacuated
         Evacuated zones, with the revisions of their records.
+    store_era
+        Era of the store that counts the revisions; 0 if it is not known.
+    evacuated_eras
+        Eras that count the revisions in `evacuated`, by zone.
     """
 
     revision: int
@@ -274,6 +286,8 @@
     published: bytes
     entries: list[UpstreamEntry]
     evacuated: dict[ZoneId, int] = {}
+    store_era: Annotated[int, msgspec.Meta(ge=0)] = 0
+    evacuated_eras: dict[ZoneId, int] = {}
 
 
 def encode(message: PeerMessage | PeerView) -> bytes:
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -30,7 +30,7 @@
 from .counts import CountsWriter, read_counts
 from .departures import DepartingPeers
 from .election import election_priority, sender_priority
-from .freshness import merge_newer_revision, merge_read_age
+from .freshness import freshness, merge_newer_revision, merge_read_age, uptime_ms
 from .messages import Beacon, Digest, Heartbeat, PeerState, Work
 from .prefix_relay import PrefixRelay
 from .received_message import ReceivedMessage
@@ -296,6 +296,7 @@
             crash_checksum=local_beacon.crash_checksum,
             limits=newest.limits,
             leaving=newest.leaving,
+            store_era=newest.store_era,
         )
 
     def assign_sequence(self, digest: Digest) -> None:
@@ -342,9 +343,8 @@
         """
         beacons, remote = self._zone_beacons(local_beacon), self._remote_zones(is_fleet)
         messages = [*self.members.values(), *remote]
-        best = max(
-            beacons, key=lambda beacon: (beacon.config_number, beacon.change_revision)
-        )
+        era = max(each.store_era for each in [*beacons, *_messages(remote)])
+        best = max(beacons, key=lambda beacon: freshness(beacon, era))
         heartbeat = Heartbeat(
             address=self.address,
             weight=self.weight,
@@ -354,16 +354,17 @@
             change_revision=best.change_revision,
             freshest_peer=best.address,
             read_age_ms=local_beacon.read_age_ms,
-            store_uptime_ms=max(beacon.store_uptime_ms for beacon in beacons),
+            store_uptime_ms=max(uptime_ms(beacon, era) for beacon in beacons),
             crash_checksum=local_beacon.crash_checksum,
             limits=merge_limits(local_beacon, messages, now),
             leaving=merge_leaving(local_beacon, messages),
+            store_era=best.store_era,
         )
         for received in messages:
             merge_read_age(heartbeat, received, now)
         for received in remote:
             heartbeat.store_uptime_ms = max(
-                heartbeat.store_uptime_ms, received.message.store_uptime_ms
+                heartbeat.store_uptime_ms, uptime_ms(received.message, era)
             )
             merge_newer_revision(heartbeat, received.message)
         return heartbeat
@@ -448,3 +449,7 @@
         return subtract_rank_tokens(
             self.speaker.message.rank_tokens, self.reported_rank_tokens
         )
+
+
+def _messages(received: list[ReceivedMessage]) -> list[Beacon | Digest]:
+    return [each.message for each in received]
--- a/packages/buckthornwall/src/buckthornwall/platform/calls.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/calls.py
@@ -10,6 +10,7 @@
 from buckthornwall.codes import PeerError, ResultCode
 from buckthornwall.discovery import HistoryLost
 from buckthornwall.telemetry import log_event
+from buckthornwall.utils import StorePosition
 
 from .names import STORE_ERA
 
@@ -57,9 +58,9 @@
 
 @dataclass(slots=True)
 class Changes:
-    """Values in the order of keys or changes; a watch continues from `revision`."""
+    """Values in the order of keys or changes; a watch continues from `position`."""
 
-    revision: int
+    position: StorePosition
     values: list[StoredValue] = field(default_factory=list)
 
 
@@ -102,52 +103,65 @@
     async def read_all(self, prefix: str) -> Changes:
         """Return the values of all keys that begin with `prefix`.
 
-        The pages are not a consistent snapshot; the revision of the first one is
+        The pages are not a consistent snapshot; the position of the first one is
         returned, so that a watch from there also returns the changes in the meantime.
 
         Raises
         ------
+        HistoryLost
+            If the store returned from an older copy between two pages.
         PeerError
             If the store does not answer, or not as expected.
         """
         found: Changes | None = None
         after = ""
         while True:
-            page = await self._read_page(prefix, after)
-            found = found or Changes(page.store_revision)
+            era, page = await self._read_page(prefix, after)
+            found = found or Changes(StorePosition(era, page.store_revision))
+            if era != found.position.era:
+                raise HistoryLost
             found.values += [_value(item) for item in page.items]
             if not page.truncated or not page.items:
                 return found
             after = page.items[-1].key
 
-    async def _read_page(self, prefix: str, after: str) -> _Page:
+    async def _read_page(self, prefix: str, after: str) -> tuple[int, _Page]:
+        """Return the era of the store, and the page after a key."""
         query = f"path_prefix={quote(prefix, safe='')}"
         if after:
             query += f"&after={quote(after, safe='')}"
-        return _decode(await self._call(f"/kv-range?{query}", 0.0), _Page)
+        answer = await self._call(f"/kv-range?{query}", 0.0)
+        return answer.era, _decode(answer, _Page)
 
-    async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
-        """Return the changes after a revision, waiting up to `wait_s` for one.
+    async def watch(self, prefix: str, after: StorePosition, wait_s: float) -> Changes:
+        """Return the changes after a position, waiting up to `wait_s` for one.
 
         Raises
         ------
         HistoryLost
-            If the store no longer holds the changes since `after`.
+            If the store no longer holds the changes since `after`, or has lost some:
+            in a later era the revision may have been given to another change.
         PeerError
             If the store does not answer, or not as expected.
         """
-        query = f"path_prefix={quote(prefix, safe='')}&after={after}"
+        query = f"path_prefix={quote(prefix, safe='')}&after={after.revision}"
         query += f"&wait_ms={int(wait_s * MS_PER_S)}"
         answer = await self._call(f"/kv-watch?{query}", wait_s)
-        if answer.status == HTTP_GONE:
+        position = StorePosition(answer.era)
+        if position.is_in_former_era(after):
+            raise PeerError(ResultCode.PLATFORM_UNREACHABLE, "answer of a former era")
+        if answer.status == HTTP_GONE or after.is_in_former_era(position):
             raise HistoryLost
         events = _decode(answer, _Events)
-        return Changes(events.store_revision, [_value(item) for item in events.events])
+        return Changes(
+            StorePosition(answer.era, events.store_revision),
+            [_value(item) for item in events.events],
+        )
 
     async def _call(self, target: str, wait_s: float) -> StoreAnswer:
         self.calls += 1
         answer = await self.transport(target, wait_s)
-        if answer.era != self.era:
+        if answer.era and answer.era != self.era:
             log_event("store_era", era=answer.era, before=self.era, target=target)
             self.era = answer.era
         return answer
--- a/packages/buckthornwall/src/buckthornwall/platform/client.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/client.py
@@ -11,7 +11,7 @@
 
 from buckthornwall.codes import PeerError, ResultCode
 from buckthornwall.discovery import HistoryLost
-from buckthornwall.utils import ConfigItem, ConfigNamespace, ZoneId
+from buckthornwall.utils import ConfigItem, ConfigNamespace, StorePosition, ZoneId
 
 from .calls import Changes, StoreAnswer, StoreCalls
 
@@ -65,7 +65,7 @@
 class InstanceList(msgspec.Struct):
     """The platform's list of live and leaving instances; it may be out of date."""
 
-    number: int
+    position: StorePosition
     instances: list[ListedInstance]
 
 
@@ -75,7 +75,7 @@
     def __init__(self, calls: StoreCalls, prefix: str) -> None:
         self.calls = calls
         self.prefix = prefix
-        self.revision: int | None = None
+        self.position: StorePosition | None = None
         self.values: dict[str, bytes] = {}
 
     async def update(self, wait_s: float) -> bool:
@@ -86,21 +86,25 @@
         PeerError
             If the store does not answer, or not as expected.
         """
-        if self.revision is not None:
+        if self.position is not None:
             try:
-                changes = await self.calls.watch(self.prefix, self.revision, wait_s)
+                changes = await self.calls.watch(self.prefix, self.position, wait_s)
             except HistoryLost:
-                self.revision = None
+                self.position = None
             else:
                 self._apply(changes)
                 return bool(changes.values)
-        changes = await self.calls.read_all(self.prefix)
+        try:
+            changes = await self.calls.read_all(self.prefix)
+        except HistoryLost as error:
+            detail = "the store returned from an older copy"
+            raise PeerError(ResultCode.PLATFORM_UNREACHABLE, detail) from error
         self.values.clear()
         self._apply(changes)
         return bool(changes.values)
 
     def _apply(self, changes: Changes) -> None:
-        self.revision = changes.revision
+        self.position = changes.position
         for each in changes.values:
             if each.value is None:
                 self.values.pop(each.key, None)
@@ -157,7 +161,7 @@
             ]
         except msgspec.DecodeError as error:
             raise PeerError(ResultCode.PLATFORM_UNREACHABLE, str(error)) from error
-        return InstanceList(self._instances.revision, listed)
+        return InstanceList(self._instances.position, listed)
 
     async def _call(self, target: str, wait_s: float) -> StoreAnswer:
         url = f"http://{self.settings.address}{target}"
--- a/packages/buckthornwall/src/buckthornwall/platform/store.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/store.py
@@ -12,7 +12,13 @@
 from buckthornwall.pools import UpstreamEntry, UpstreamState
 from buckthornwall.routing import PoolId
 from buckthornwall.telemetry import log_event
-from buckthornwall.utils import ConfigItem, ConfigNamespace, UpstreamId, ZoneId
+from buckthornwall.utils import (
+    ConfigItem,
+    ConfigNamespace,
+    StorePosition,
+    UpstreamId,
+    ZoneId,
+)
 
 from .calls import Changes, StoreAnswer, StoreCalls, StoredValue
 
@@ -102,13 +108,14 @@
         """
         return to_store_update(await self.store.read_all(ALL_KEYS), is_snapshot=True)
 
-    async def watch(self, after: int, wait_s: float) -> StoreUpdate:
-        """Return the changes after a revision, waiting up to `wait_s` for one.
+    async def watch(self, after: StorePosition, wait_s: float) -> StoreUpdate:
+        """Return the changes after a position, waiting up to `wait_s` for one.
 
         Raises
         ------
         HistoryLost
-            If the store no longer holds the changes since `after`.
+            If the store no longer holds the changes since `after`, or is in a later
+            era.
         PeerError
             If the store does not answer, or not as expected.
         """
@@ -160,7 +167,11 @@
 
     An invalid registration counts as removed; the others apply.
     """
-    update = StoreUpdate(revision=changes.revision, is_snapshot=is_snapshot)
+    update = StoreUpdate(
+        revision=changes.position.revision,
+        is_snapshot=is_snapshot,
+        era=changes.position.era,
+    )
     for each in changes.values:
         _add_change(update, each)
     return update
@@ -189,7 +200,7 @@
     if change.value is None:
         update.evacuated.pop(zone, None)
         update.unreadable_zones.discard(zone)
-        update.reopened[zone] = change.revision
+        update.reopened[zone] = StorePosition(update.era, change.revision)
         return
     try:
         msgspec.json.decode(change.value, type=dict)
@@ -205,7 +216,7 @@
         )
         return
     update.reopened.pop(zone, None)
-    update.evacuated[zone] = change.revision
+    update.evacuated[zone] = StorePosition(update.era, change.revision)
 
 
 def _entry_or_none(upstream: UpstreamId, raw: bytes | None) -> UpstreamEntry | None:
--- a/packages/buckthornwall/src/buckthornwall/platform/tests/test_client.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/tests/test_client.py
@@ -19,8 +19,10 @@
 
     async def request(self, method, url, extensions):
         self.targets.append(url.removeprefix("http://10.0.0.1:80"))
-        status, body = self.answers.pop(0)
-        response = httpcore.Response(status, content=msgspec.json.encode(body))
+        status, body, *era = self.answers.pop(0)
+        headers = [(b"Store-Era", b"%d" % each) for each in era]
+        content = msgspec.json.encode(body)
+        response = httpcore.Response(status, headers=headers, content=content)
         response.read()
         return response
 
@@ -74,6 +76,26 @@
     assert await watched.watch_records(5.0) == b"two"
 
 
+async def test_records_are_read_again_after_the_store_returned_from_a_copy():
+    """It may have given out the watched revision again, and then answers 200."""
+    watched = client(
+        (*page(4, item(RECORDS_KEY, b"one", 3)), 1),
+        (*events(6, item(RECORDS_KEY, b"three", 6)), 2),
+        (*page(6, item(RECORDS_KEY, b"two", 4)), 2),
+    )
+    await watched.watch_records(5.0)
+    assert await watched.watch_records(5.0) == b"two"
+
+
+async def test_pages_of_two_eras_are_not_taken_for_one_list():
+    watched = client(
+        (*page(2, item(INSTANCES_PREFIX + "a", listed("a"), 1), truncated=True), 1),
+        (*page(1, item(INSTANCES_PREFIX + "b", listed("b"), 1)), 2),
+    )
+    with pytest.raises(PeerError):
+        await watched.watch_instances(0.0)
+
+
 async def test_instance_list_follows_changes_and_removals():
     watched = client(
         page(2, item(INSTANCES_PREFIX + "a", listed("a"), 1), truncated=True),
@@ -86,7 +108,7 @@
     assert first.instances[0].kind is InstanceKind.ENTRY
     assert [each.id for each in (await watched.watch_instances(1.0)).instances] == ["b"]
     last = await watched.watch_instances(1.0)
-    assert (last.number, last.instances[0].leaving) == (6, True)
+    assert (last.position.revision, last.instances[0].leaving) == (6, True)
 
 
 @pytest.mark.parametrize("answer", [(503, {}), (429, {}), (200, {"items": []})])
--- a/packages/buckthornwall/src/buckthornwall/platform/tests/test_registrations.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/tests/test_registrations.py
@@ -8,6 +8,7 @@
 from buckthornwall.platform.calls import Changes, StoredValue
 from buckthornwall.platform.store import to_store_update
 from buckthornwall.pools import UpstreamState
+from buckthornwall.utils import StorePosition
 
 GOOD = {
     "service": "drafts",
@@ -23,7 +24,7 @@
         StoredValue(f"servers/u{place}", place + 1, raw)
         for place, raw in enumerate(raws)
     ]
-    return Changes(len(raws), values)
+    return Changes(StorePosition(1, len(raws)), values)
 
 
 def written(**fields) -> bytes:
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -32,7 +32,7 @@
 
 from .availability import Obstacle
 from .decision import choose_upstream
-from .entry import UpstreamEntry, UpstreamState
+from .entry import UpstreamEntry, UpstreamState, is_same_incarnation
 from .expectation import expected_s
 from .fleet_memory import FleetMemory
 from .health import Verdict
@@ -88,6 +88,7 @@
     "expected_s",
     "find_overload",
     "is_pause_sensitive",
+    "is_same_incarnation",
     "is_served_in_order",
     "merge_cached_prefixes",
     "merge_limit_reports",
--- a/packages/buckthornwall/src/buckthornwall/pools/evacuation.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/evacuation.py
@@ -2,19 +2,21 @@
 
 An instance receives the operator's records from its own watch, from its own complete
 reads and from its peers, and each of these sources may lag behind another. The record
-with the highest revision is in force for a zone, so an old snapshot undoes nothing.
+with the highest position in the store's history is in force for a zone, so an old
+snapshot undoes nothing.
 """
 
+from collections.abc import Container
 from dataclasses import dataclass
 
-from buckthornwall.utils import ZoneId
+from buckthornwall.utils import StorePosition, ZoneId
 
 __all__ = ["Evacuations"]
 
 
 @dataclass(frozen=True, slots=True)
 class _Status:
-    revision: int
+    position: StorePosition
     is_evacuated: bool
 
 
@@ -29,24 +31,30 @@
         status = self._newest.get(zone)
         return status is not None and status.is_evacuated
 
-    def zones(self) -> dict[ZoneId, int]:
-        """Return the evacuated zones with the revisions of their records."""
+    def zones(self) -> dict[ZoneId, StorePosition]:
+        """Return the evacuated zones with the positions of their records."""
         return {
-            zone: status.revision
+            zone: status.position
             for zone, status in self._newest.items()
             if status.is_evacuated
         }
 
-    def record(self, zone: ZoneId, revision: int, is_evacuated: bool) -> bool:
+    def record(self, zone: ZoneId, position: StorePosition, is_evacuated: bool) -> bool:
         """Record a newer status of a zone; return whether `is_evacuated` changed."""
         before = self._newest.get(zone)
-        if before is not None and revision <= before.revision:
+        if before is not None and position.in_era(before.position.era) <= (
+            before.position
+        ):
             return False
-        self._newest[zone] = _Status(revision, is_evacuated)
+        self._newest[zone] = _Status(position, is_evacuated)
         return is_evacuated != (before is not None and before.is_evacuated)
 
+    def absent(self, present: Container[ZoneId]) -> list[ZoneId]:
+        """Return the evacuated zones without a record among `present`."""
+        return [zone for zone in self.zones() if zone not in present]
+
     def record_absent(
-        self, present: set[ZoneId] | dict[ZoneId, int], revision: int
+        self, present: Container[ZoneId], position: StorePosition
     ) -> list[ZoneId]:
         """End the evacuation of all zones without a record in a snapshot.
 
@@ -54,8 +62,8 @@
         ----------
         present
             Zones with a record, including records that cannot be read.
-        revision
-            Revision of the store as of the snapshot.
+        position
+            Position of the store as of the snapshot.
 
         Returns
         -------
@@ -63,7 +71,5 @@
             Zones whose evacuation has ended.
         """
         return [
-            zone
-            for zone in self.zones()
-            if zone not in present and self.record(zone, revision, False)
+            zone for zone in self.absent(present) if self.record(zone, position, False)
         ]
--- a/packages/buckthornwall/src/buckthornwall/pools/notices.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/notices.py
@@ -25,6 +25,9 @@
 # Notices of an upstream whose registration is gone are kept for this long: it may still
 # serve, and its registration may only have expired.
 RETENTION_S = 600.0
+# A registration in an older copy of the store lasts for three heartbeats of 1.2 s if
+# its upstream is gone, from the return of the store on.
+RESTORED_REGISTRATION_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +101,23 @@
         """Keep the notices of an upstream whose registration is removed."""
         self._removed[view.id] = _Removed(view.entry, view.notices, self.clock.now())
 
+    def keep_leaving(self, view: UpstreamView) -> None:
+        """Record that an upstream left although its registration says ready again."""
+        _record_leaving(view, is_from_peer=False)
+
+    def doubt_registration(self, entry: UpstreamEntry) -> None:
+        """Send nothing to an upstream whose removed registration has returned.
+
+        It is in an older copy of the store. If the upstream is gone, it expires soon.
+        """
+        removed = self._removed.get(entry.id)
+        if removed is None or not is_same_incarnation(removed.entry, entry):
+            return
+        if removed.entry.state is UpstreamState.LEAVING:
+            removed.notices.record_leaving()
+        removed.notices.record_rest(RESTORED_REGISTRATION_S, self.clock.now(), 0.0)
+        log_event("registration_doubted", "WARNING", upstream=entry.id)
+
     def restore(self, view: UpstreamView) -> None:
         """Restore the notices of an upstream that is registered again.
 
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -213,7 +213,7 @@
             self.zone,
             self.state,
             self.table.number,
-            self.discovery.change_revision,
+            self.discovery.change_position.revision,
             self.state_sync.read_age_ms(),
             int(self.discovery.store_uptime_s() * 1000),
             loads,
@@ -223,6 +223,7 @@
             limits=self.pools.rate_limits.reports(),
             rank_tokens=self.pools.rank_tokens(),
             leaving=self.pools.notices.reports(),
+            store_era=self.discovery.change_position.era,
         )
 
     def _apply_peer_work(self) -> None:
--- a/packages/buckthornwall/src/buckthornwall/router/operators.py
+++ b/packages/buckthornwall/src/buckthornwall/router/operators.py
@@ -103,11 +103,15 @@
         "number": router.table.number,
         "store": {
             "away": router.discovery.is_store_unavailable,
-            "revision": router.discovery.revision,
+            "era": router.discovery.position.era,
+            "revision": router.discovery.position.revision,
             "answered_s_ago": round(now - router.discovery.answered_at, 3),
         },
         "active": router.callers.active,
-        "evacuated": router.pools.evacuations.zones(),
+        "evacuated": {
+            zone: position.revision
+            for zone, position in router.pools.evacuations.zones().items()
+        },
         "regions": dict(router.pools.regions),
         "quarantine": _describe_quarantine(router, now),
         "fleet": {
--- a/packages/buckthornwall/src/buckthornwall/router/state_sync.py
+++ b/packages/buckthornwall/src/buckthornwall/router/state_sync.py
@@ -8,9 +8,16 @@
 
 from buckthornwall.codes import PeerError
 from buckthornwall.discovery import DiscoveryAgent, StoreUpdate
-from buckthornwall.peers import Beacon, Digest, PeerTable, PeerView, ViewClient
+from buckthornwall.peers import (
+    Beacon,
+    Digest,
+    PeerTable,
+    PeerView,
+    ViewClient,
+    freshness,
+)
 from buckthornwall.telemetry import log_event
-from buckthornwall.utils import Clock
+from buckthornwall.utils import Clock, StorePosition
 
 __all__ = ["StateSync"]
 
@@ -87,7 +94,8 @@
         while True:
             await trio.sleep(POLL_INTERVAL_S)
             fleet = self._fleet()
-            self.discovery.receive_store_uptime(fleet.store_uptime_ms / MS_PER_S)
+            if not 0 < fleet.store_era < self.discovery.position.era:
+                self.discovery.receive_store_uptime(fleet.store_uptime_ms / MS_PER_S)
             if self.should_fetch_view(fleet):
                 started = self.clock.now()
                 await self.fetch_view(fleet.freshest_peer)
@@ -95,8 +103,10 @@
 
     def should_fetch_view(self, fleet: Digest) -> bool:
         """Return whether to fetch the newer view of a peer."""
-        local = (self.discovery.table.number, self.discovery.change_revision)
-        if (fleet.config_number, fleet.change_revision) <= local:
+        known = self.discovery.change_position
+        era = max(known.era, fleet.store_era)
+        local = (known.era or era, self.discovery.table.number, known.revision)
+        if freshness(fleet, era) <= local:
             self._stale_since = None
             self._view_failed = False
             return False
@@ -119,7 +129,9 @@
             self._view_failed = True
             log_event("view_not_had", "WARNING", peer=peer, detail=error)
             return
-        log_event("view_taken", peer=peer, mark=view.change_revision)
+        log_event(
+            "view_taken", peer=peer, mark=view.change_revision, era=view.store_era
+        )
         self.discovery.adopt(
             StoreUpdate(
                 revision=view.revision,
@@ -127,7 +139,14 @@
                 change_revision=view.change_revision,
                 published=view.published or None,
                 entries={entry.id: entry for entry in view.entries},
-                evacuated=view.evacuated,
+                evacuated={
+                    zone: StorePosition(
+                        view.evacuated_eras.get(zone, view.store_era), revision
+                    )
+                    for zone, revision in view.evacuated.items()
+                },
+                era=view.store_era,
+                is_relayed=True,
             )
         )
 
@@ -139,12 +158,15 @@
             replace(view.entry, cold_s=view.cold_s(now))
             for view in discovery.pools.views.values()
         ]
+        evacuated = discovery.pools.evacuations.zones()
         return PeerView(
-            discovery.revision,
-            discovery.change_revision,
+            discovery.position.revision,
+            discovery.change_position.revision,
             discovery.raw_config,
             entries,
-            discovery.pools.evacuations.zones(),
+            {zone: position.revision for zone, position in evacuated.items()},
+            discovery.position.era,
+            {zone: position.era for zone, position in evacuated.items()},
         )
 
     def read_age_ms(self) -> int:
--- a/packages/buckthornwall/src/buckthornwall/router/tests/test_state_sync.py
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/test_state_sync.py
@@ -7,7 +7,13 @@
 from buckthornwall.pools import PoolTable, UpstreamEntry, UpstreamState
 from buckthornwall.router.state_sync import MAX_DIGEST_AGE_S, StateSync, view_pause_s
 from buckthornwall.routing import PoolId, PublishedConfig, RoutingTable
-from buckthornwall.utils import Incarnation, NodeId, UpstreamId, ZoneId
+from buckthornwall.utils import (
+    Incarnation,
+    NodeId,
+    StorePosition,
+    UpstreamId,
+    ZoneId,
+)
 
 ZONE = ZoneId("z")
 LOCAL, OTHER = "10.0.0.1:7340", "10.0.0.2:7340"
@@ -122,3 +128,62 @@
     sync.discovery.pools.adopt(COLD)
     clock.time += 2.0
     assert [entry.cold_s for entry in sync.view().entries] == [1.0]
+
+
+def adopt(sync, era, revision, number):
+    sync.discovery.adopt(
+        StoreUpdate(
+            revision,
+            is_snapshot=True,
+            change_revision=revision,
+            published=b"%d" % number,
+            era=era,
+        )
+    )
+
+
+def hears_of_newer(sync, clock, era, revision, number) -> bool:
+    """Return whether a view is fetched from an instance that reports its state."""
+    speaker = PeerTable(OTHER, 9.0, ZONE, 0.8, 0.1)
+    local = beacon(OTHER, number)
+    local.change_revision, local.store_era = revision, era
+    digest = speaker.make_digest(local, True, clock.now())
+    sync.peers.receive_digest(digest, clock.now())
+    return sync.should_fetch_view(digest)
+
+
+@pytest.mark.parametrize(
+    ("era", "revision", "number", "is_newer"),
+    [
+        (2, 3, 7, True),  # read since the store returned
+        (1, 99, 9, False),  # it will name the later era too, and then be newer
+        (2, 30, 9, True),
+        (1, 99, 7, False),  # more changes, but of the lost history
+        (0, 31, 7, True),  # an earlier build
+        (0, 30, 7, False),
+    ],
+)
+def test_view_of_a_later_era_is_newer_than_one_of_a_higher_revision(
+    sync, clock, era, revision, number, is_newer
+):
+    adopt(sync, 1 if (era, revision) == (2, 3) or not era else 2, 30, 7)
+    assert hears_of_newer(sync, clock, era, revision, number) == is_newer
+
+
+def test_view_keeps_the_era_of_each_evacuation(sync):
+    evacuations = sync.discovery.pools.evacuations
+    adopt(sync, 2, 12, 7)
+    evacuations.record(ZoneId("kept"), StorePosition(1, 30), True)
+    evacuations.record(ZoneId("new"), StorePosition(2, 11), True)
+    view = sync.view()
+    assert (view.store_era, view.evacuated_eras) == (2, {"kept": 1, "new": 2})
+    assert view.evacuated == {"kept": 30, "new": 11}
+
+
+def test_uptime_of_a_former_era_does_not_end_deferrals(clock):
+    speaker = PeerTable(OTHER, 9.0, ZONE, 0.8, 0.1)
+    member, local = beacon(LOCAL), beacon(OTHER)
+    member.store_uptime_ms, member.store_era = 90_000, 1
+    local.store_uptime_ms, local.store_era = 700, 2
+    speaker.receive_beacon(member, clock.now())
+    assert speaker.make_digest(local, True, clock.now()).store_uptime_ms == 700
--- a/packages/buckthornwall/src/buckthornwall/utils/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/utils/__init__.py
@@ -20,6 +20,7 @@
     new_id,
 )
 from .lazy import lazy_exports
+from .store_position import StorePosition
 from .suspension import SuspensionClock
 
 __all__ = [
@@ -37,6 +38,7 @@
     "RegionId",
     "RequestId",
     "RouteId",
+    "StorePosition",
     "SuspensionClock",
     "TeamId",
     "TrioClock",
