--- a/packages/buckthornwall/src/buckthornwall/pools/availability.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/availability.py
@@ -58,9 +58,16 @@
     now
         The time in seconds.
     """
-    if obstacle := _lasting_obstacle(view, evacuated):
-        return obstacle
-    if view.notices.is_resting(now):
+    entry, notices = view.entry, view.notices
+    if entry.state is not UpstreamState.READY:
+        return Obstacle.REGISTERED_LEAVING
+    if notices.is_leaving:
+        return Obstacle.STATED_LEAVING
+    if not entry.loaded:
+        return Obstacle.NOT_LOADED
+    if entry.zone in evacuated:
+        return Obstacle.EVACUATED
+    if now < notices.rest_until:
         return Obstacle.RESTING
     if not view.rate_limit.may_send(now):
         return Obstacle.RATE_LIMITED
@@ -69,19 +76,6 @@
     return Obstacle.UNREACHABLE if view.reachability.is_unreachable(now) else None
 
 
-def _lasting_obstacle(
-    view: UpstreamView, evacuated: Container[ZoneId]
-) -> Obstacle | None:
-    entry = view.entry
-    if entry.state is not UpstreamState.READY:
-        return Obstacle.REGISTERED_LEAVING
-    if view.notices.is_leaving:
-        return Obstacle.STATED_LEAVING
-    if not entry.loaded:
-        return Obstacle.NOT_LOADED
-    return Obstacle.EVACUATED if entry.zone in evacuated else None
-
-
 def wait_s(view: UpstreamView, now: float) -> float:
     """Return how long until an upstream without lasting obstacle may get a request.
 
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -240,7 +240,9 @@
         """Yield the upstreams that a request may go to, with their obstacles."""
         evacuated, now = self.evacuations.zones(), self.clock.now()
         for view in self.members(pool):
-            if view.id not in tried and self._is_allowed(view, regions):
+            if view.entry.id in tried:
+                continue
+            if regions is None or self._is_allowed(view, regions):
                 yield view, find_obstacle(view, evacuated, now)
 
     def _ready(self, pool: PoolId, regions: Regions) -> Iterator[UpstreamView]:
