Follow a store that goes back without naming an era

A store of an earlier release names none. A complete read is where the next watch goes on in any case; with the larger of both revisions each watch got 410 until the store had passed the old one. What such a copy lacks is believed at once, as before.

--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -241,7 +241,10 @@
         self._adopt_removals(update)
         self._adopt_zones(update)
         era = self.position.era
-        self.position = max(self.position, update.position.in_era(era))
+        position = update.position.in_era(era)
+        # A complete read gives the store's position even if it names no era.
+        is_read = update.is_snapshot and not update.is_relayed
+        self.position = position if is_read else max(self.position, position)
         self.change_position = max(
             self.change_position, update.change_position.in_era(era)
         )
--- a/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
@@ -371,3 +371,11 @@
     agent.adopt(in_era(0, 13, entry("a", LEAVING), is_relayed=True))
     assert usable(agent) == set()
     assert agent.position == at(13, era=3)
+
+
+def test_complete_read_of_a_store_without_eras_may_go_back(agent):
+    """Otherwise each watch is answered with 410 until the store has passed it."""
+    agent.adopt(in_era(0, 30, entry("a")))
+    agent.adopt(in_era(0, 12, entry("a", LEAVING)))
+    assert agent.position == at(12)
+    assert usable(agent) == set()
