--- a/packages/buckthornwall-standins/src/buckthornwall_standins/model/check.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/model/check.py
@@ -10,7 +10,7 @@
 
 from minicheck import check_safety
 
-from . import at_most_once, pool_parts, removals, spread, succession
+from . import at_most_once, pool_parts, removals, restoration, spread, succession
 
 __all__ = ["Verdict", "check_all", "render"]
 
@@ -18,7 +18,14 @@
 # A counterexample is valid wherever the search stops, so broken variants need no
 # exhaustive search.
 MAX_STATES_BROKEN = 30_000
-SPECIFICATIONS = (at_most_once, spread, pool_parts, removals, succession)
+SPECIFICATIONS = (
+    at_most_once,
+    spread,
+    pool_parts,
+    removals,
+    restoration,
+    succession,
+)
 
 
 @dataclass
