Move the limits of an attempt out of the forwarder

Whether another attempt may follow and how long one may be silent are functions of a request, its route and the pools.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/__init__.py
@@ -6,6 +6,7 @@
 `events`            event streams, forwarded by complete events, joined by event id
 `delivery`          the response that the client has received so far
 `attempt`           one attempt at one upstream, and its outcome
+`attempt_limits`    whether another attempt may follow, and how long one may be silent
 `budgets`           this instance's share of the fleet's retry budget
 `liveness`          whether an upstream has ended, or only a connection to it
 `crash_guard`       detection and refusal of requests that crash upstreams
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -18,11 +18,7 @@
     record_decision,
 )
 from buckthornwall.quarantine import QuarantineTable, fingerprint_of
-from buckthornwall.routing import (
-    ResponseMode,
-    RoutedRequest,
-    RoutingTable,
-)
+from buckthornwall.routing import RoutedRequest, RoutingTable
 from buckthornwall.telemetry import RouterMetrics
 from buckthornwall.utils import (
     Clock,
@@ -33,6 +29,12 @@
 )
 
 from .attempt import Attempt, AttemptEnd, AttemptResult
+from .attempt_limits import (
+    event_timeout_s,
+    head_timeout_s,
+    is_retryable,
+    max_idle_s,
+)
 from .budgets import RetryBudgets
 from .connections import ConnectionCache
 from .crash_guard import CrashGuard
@@ -52,17 +54,6 @@
 BAD_GATEWAY = 502
 # Ends of attempts that sent nothing. They are no retries of the budget.
 UNSENT_ENDS = frozenset({AttemptEnd.NOT_SENT, AttemptEnd.WITHHELD})
-# An upstream that sends no reply is given up after this multiple of the target, or this
-# fraction of the remaining time, if another may be tried.
-HEAD_TIMEOUT_TARGETS = 4.0
-HEAD_TIMEOUT_FRACTION = 0.5
-# A resumable stream is given up before its first event after these multiples of the
-# target or of the expected wait, and later after this multiple of the longest pause
-# that its route allows. A connection may go silent for good without a reset, and
-# clients leave after eight such pauses.
-STREAM_HEAD_TIMEOUT_TARGETS = 2.0
-STREAM_HEAD_TIMEOUT_WAITS = 3.0
-EVENT_TIMEOUT_PAUSES = 4.0
 MIN_REMAINING_S = 0.02
 DRAINING_RETRY_S = 0.05
 
@@ -286,15 +277,15 @@
             codec=self.codec,
             clock=self.clock,
             remaining_s=remaining_s,
-            max_idle_s=self._max_idle_s(job),
-            head_timeout_s=self._head_timeout_s(job, choice, remaining_s),
+            max_idle_s=max_idle_s(job, self.settings.once_idle_ms / 1000),
+            head_timeout_s=head_timeout_s(self.pools, job, choice, remaining_s),
             note_prompt=self.pools.note_prompt,
             record_rate_limit=self.pools.rate_limits.record,
             record_notice=self.pools.notices.record,
             model=self.pools.model(job.resolution.pool.id),
             should_give_up=lambda: self._should_give_up(job, choice),
             find_obstacle=self.pools.forbidding_obstacle,
-            event_timeout_s=self._event_timeout_s(job),
+            event_timeout_s=event_timeout_s(job),
             pause_sensitive=job.traits.pause_sensitive,
         )
         self.telemetry.record_placement(
@@ -333,37 +324,6 @@
                     choice.uncached_tokens, seen_s
                 )
 
-    def _max_idle_s(self, job: Job) -> float:
-        """Return the longest idle time of a connection for this request.
-
-        A request sent on a connection that the upstream has closed meanwhile is lost,
-        and cannot be known not to have run.
-        """
-        if self._is_retryable(job):
-            return float("inf")
-        return self.settings.once_idle_ms / 1000
-
-    def _head_timeout_s(
-        self, job: Job, choice: Choice, remaining_s: float
-    ) -> float | None:
-        """Return the timeout for the head of a reply, None if no other may be tried."""
-        if not self._may_run_again(job):
-            return None
-        route = job.resolution.route
-        limit_s = HEAD_TIMEOUT_TARGETS * route.target_s
-        if route.response_mode is ResponseMode.EVENT_STREAM:
-            limit_s = max(
-                STREAM_HEAD_TIMEOUT_TARGETS * route.target_s,
-                STREAM_HEAD_TIMEOUT_WAITS * expected_s(self.pools, job.traits, choice),
-            )
-        return min(remaining_s * HEAD_TIMEOUT_FRACTION, limit_s)
-
-    def _event_timeout_s(self, job: Job) -> float | None:
-        """Return the timeout for the next event, None if no other may continue."""
-        if not self._may_run_again(job):
-            return None
-        return EVENT_TIMEOUT_PAUSES * job.resolution.route.max_pause_s or None
-
     def _should_give_up(self, job: Job, choice: Choice) -> bool:
         """Return whether a silent attempt ends for one at another upstream.
 
@@ -379,17 +339,6 @@
         )
         return not may_wait_in_order and self._spend_retry(job)
 
-    def _may_run_again(self, job: Job) -> bool:
-        """Return whether the request may run again after the next attempt."""
-        runs = job.runs + 1
-        return self._is_retryable(job) and runs < job.resolution.route.max_runs
-
-    def _is_retryable(self, job: Job) -> bool:
-        route = job.resolution.route
-        if route.response_mode is ResponseMode.EVENT_STREAM:
-            return route.resumable
-        return route.retryable
-
     def _may_try_another(self, job: Job, result: AttemptResult) -> bool:
         """Return whether another upstream may be tried after this result."""
         if result.end is AttemptEnd.FAILED:
@@ -400,7 +349,8 @@
             return True
         if result.end is AttemptEnd.NOT_RUN:
             return self._spend_retry(job)
-        if not self._is_retryable(job) or job.runs >= job.resolution.route.max_runs:
+        route = job.resolution.route
+        if not is_retryable(route) or job.runs >= route.max_runs:
             return False
         is_paid = result.failure is ExchangeFailure.TIMED_OUT
         if not is_paid and not self._spend_retry(job):
