--- a/packages/buckthornwall/src/buckthornwall/discovery/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/__init__.py
@@ -2,6 +2,8 @@
 
 ============= ============================================================
 `updates`     updates of the store, and the protocol of their source
+`deferral`    removals and reopenings that are not applied yet
+`restoration` what is kept when the store has returned from an older copy
 `agent`       the task that watches the source and applies its updates
 ============= ============================================================
 """
--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -19,6 +19,7 @@
     ZoneId,
 )
 
+from .deferral import Deferral
 from .restoration import reconcile_registration
 from .updates import HistoryLost, StoreUpdate, UpdateSource
 
@@ -27,9 +28,6 @@
 RETRY_FIRST_S = 0.05
 RETRY_LIMIT_S = 0.5
 POLL_S = 0.1
-# A registration that is missing this soon after an outage may have expired during it.
-# A later removal was made by the upstream itself, and applies at once.
-DEFER_REMOVALS_S = 0.5
 MS_PER_S = 1000.0
 # The uptime is unknown if the last answer is older than the longest watch by more than
 # this: an instance that was paused or cut off may not have noticed an outage yet.
@@ -118,11 +116,7 @@
         self.on_restart: Callable[[UpstreamId], None] = lambda upstream: None
         self.may_read: Callable[[], bool] = lambda: True
         self.on_call: Callable[[float, str], None] = lambda seconds, outcome: None
-        self._defer_removals_until = 0.0
-        self._remove_deferred_at = 0.0
-        self._era_settles_at = 0.0
-        self._deferred_removals: set[UpstreamId] = set()
-        self._deferred_reopenings: dict[ZoneId, StorePosition] = {}
+        self.deferral = Deferral()
 
     async def run(self) -> None:
         """Read and watch the source until cancelled."""
@@ -171,8 +165,8 @@
     def max_watch_s(self) -> float:
         """Return the longest duration of the next watch, in seconds."""
         limit_s = self.settings.watch_ms / MS_PER_S
-        if self._deferred_removals or self._deferred_reopenings:
-            left_s = max(0.0, self._remove_deferred_at - self.clock.now())
+        left_s = self.deferral.left_s(self.clock.now())
+        if left_s is not None:
             limit_s = min(limit_s, left_s, MAX_DEFERRED_WATCH_S)
         return limit_s
 
@@ -196,8 +190,7 @@
         if self.is_store_unavailable:
             self.is_store_unavailable = False
             self._store_up_since = now
-            self._defer_removals_until = now + DEFER_REMOVALS_S
-            self._remove_deferred_at = now + self.settings.settle_ms / MS_PER_S
+            self._begin_deferral(is_new_era=False)
             outage_ms = round((now - self.answered_at) * MS_PER_S)
             log_event("store_regained", away_ms=outage_ms, **self._describe_position())
         self.answered_at = self.read_at = now
@@ -260,11 +253,12 @@
             revision_before=self.position.revision,
             told=update.is_relayed,
         )
-        now = self.clock.now()
-        self._store_up_since = now
-        self._defer_removals_until = now + DEFER_REMOVALS_S
-        self._remove_deferred_at = now + self.settings.settle_ms / MS_PER_S
-        self._era_settles_at = self._remove_deferred_at
+        self._store_up_since = self.clock.now()
+        self._begin_deferral(is_new_era=True)
+
+    def _begin_deferral(self, is_new_era: bool) -> None:
+        settle_s = self.settings.settle_ms / MS_PER_S
+        self.deferral.begin(self.clock.now(), settle_s, is_new_era)
 
     def _adopt_entries(self, update: StoreUpdate, is_restored: bool) -> None:
         """Apply registrations, and assume new upstreams to be cold.
@@ -274,7 +268,7 @@
         known = set(self.pools.views)
         restarted = set()
         for entry in update.entries.values():
-            self._deferred_removals.discard(entry.id)
+            self.deferral.removals.discard(entry.id)
             if is_restored:
                 entry = reconcile_registration(self.pools, entry)
             if self.pools.adopt(entry):
@@ -293,13 +287,10 @@
         return, however late the snapshot is read; a removal was made after it.
         """
         missing = set(update.removed)
-        defer_until = self._defer_removals_until
         if update.is_snapshot:
             missing |= set(self.pools.views) - set(update.entries)
-            if not update.is_relayed:
-                defer_until = max(defer_until, self._era_settles_at)
-        if self.clock.now() < defer_until:
-            self._deferred_removals |= missing
+        if self.deferral.defers_removals(update, self.clock.now()):
+            self.deferral.removals |= missing
         else:
             self._remove(missing)
 
@@ -345,8 +336,8 @@
         if update.is_snapshot:
             present = update.evacuated.keys() | update.unreadable_zones
             for zone in evacuations.absent(present):
-                if self.clock.now() < self._era_settles_at:
-                    self._deferred_reopenings[zone] = update.position
+                if self.deferral.defers_reopenings(self.clock.now()):
+                    self.deferral.reopenings[zone] = update.position
                 else:
                     self._reopen(zone, update.position)
 
@@ -378,11 +369,8 @@
 
     def remove_deferred(self) -> None:
         """Apply what was not written again in time after an outage or a return."""
-        if self.clock.now() < self._remove_deferred_at:
-            return
-        deferred, self._deferred_removals = self._deferred_removals, set()
-        self._remove(deferred)
-        reopenings, self._deferred_reopenings = self._deferred_reopenings, {}
+        removals, reopenings = self.deferral.take_due(self.clock.now())
+        self._remove(removals)
         for zone, position in reopenings.items():
             self._reopen(zone, position)
 
@@ -399,10 +387,7 @@
             outage. If it exceeds `settle_ms`, the registrations are complete.
         """
         if seconds * MS_PER_S > self.settings.settle_ms:
-            now = self.clock.now()
-            self._defer_removals_until = min(self._defer_removals_until, now)
-            self._remove_deferred_at = min(self._remove_deferred_at, now)
-            self._era_settles_at = min(self._era_settles_at, now)
+            self.deferral.end(self.clock.now())
 
     def _describe_position(self) -> dict[str, int]:
         return {"era": self.position.era, "revision": self.position.revision}
