--- a/packages/buckthornwall/src/buckthornwall/node/core.py
+++ b/packages/buckthornwall/src/buckthornwall/node/core.py
@@ -34,8 +34,7 @@
     Withdraw,
 )
 from buckthornwall.membership import FreezeDetector, MemberTable
-from buckthornwall.platform import PlatformClient, decode_notice
-from buckthornwall.pools import MAX_REST_S
+from buckthornwall.platform import PlatformClient
 from buckthornwall.records import RecordStore
 from buckthornwall.scheduling import EntryAgent, SchedulerAgent
 from buckthornwall.settings import Settings
@@ -51,7 +50,6 @@
     Incarnation,
     NodeId,
     TrioClock,
-    UpstreamId,
     ZoneId,
     new_id,
 )
@@ -61,6 +59,7 @@
 from .freshness import RecordsFreshness
 from .instance_list import InstanceListAgent
 from .load_poller import LoadPoller
+from .notice_handler import NoticeHandler
 from .records_agent import RecordsAgent
 from .status import describe_node, render_metrics
 
@@ -168,12 +167,15 @@
         )
         self.entry = EntryAgent(*common)
         self.scheduler = SchedulerAgent(*common)
+        self.notices = NoticeHandler(
+            self.members, self.clock, lambda: self.announcer.send_heartbeats()
+        )
         self.load_poller = LoadPoller(
             settings.scheduling,
             self.store,
             self.scheduler,
             self.engines,
-            self._engine_is_leaving,
+            self.notices.record_leaving,
         )
         self.idempotency = IdempotencyAgent(
             self.node,
@@ -203,8 +205,8 @@
             self.clock,
             settings.gateway,
             settings.upstreams.coalesce_ms / 1000,
-            self._engine_is_leaving,
-            self._rest_s,
+            self.notices.record_leaving,
+            self.notices.rest_s,
         )
         self.services = ServiceHandler(
             admission,
@@ -232,8 +234,8 @@
         self.hub.on_up = self._on_link_up
         self.hub.on_down = self._on_link_down
         self.freeze.listeners.append(self._on_freeze)
-        self.engines.on_response = self._receive_notice
-        self.service_client.on_response = self._receive_notice
+        self.engines.on_response = self.notices.receive
+        self.service_client.on_response = self.notices.receive
 
     # Messages
 
@@ -307,32 +309,6 @@
         route = view.routes.get(route_id) if view else None
         return route.timeout_s if route else self.settings.idempotency.hand_over_s
 
-    def _engine_is_leaving(self, engine: UpstreamId) -> None:
-        self.members.mark_leaving(engine, self.clock.now(), first_hand=True)
-        self.announcer.send_heartbeats()
-
-    def _receive_notice(
-        self, upstream: UpstreamId, status: int, headers: list[tuple[bytes, bytes]]
-    ) -> None:
-        """Record what an upstream states about itself in a response."""
-        found = {name.lower(): value for name, value in headers}
-        notice = decode_notice(status, found)
-        if notice is None:
-            return
-        if notice.is_leaving and not self.members.is_leaving(
-            upstream, self.clock.now()
-        ):
-            log_event("upstream_leaving", "WARNING", upstream=upstream)
-            self._engine_is_leaving(upstream)
-        if notice.rest_s is not None:
-            seconds = min(notice.rest_s, MAX_REST_S)
-            log_event("upstream_rest", "WARNING", upstream=upstream, seconds=seconds)
-            self.members.mark_resting(upstream, self.clock.now() + seconds)
-
-    def _rest_s(self, upstream: UpstreamId) -> float:
-        """Return for how many more seconds an upstream wants no requests."""
-        return max(0.0, self.members.resting_until(upstream) - self.clock.now())
-
     def _raw_records(self) -> bytes:
         return self.store.view.raw if self.store.view else b"{}"
 
