--- a/packages/buckthornwall/src/buckthornwall/forwarding/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/__init__.py
@@ -8,6 +8,7 @@
 `attempt`           one attempt at one upstream, and its outcome
 `attempt_limits`    whether another attempt may follow, and how long one may be silent
 `budgets`           this instance's share of the fleet's retry budget
+`verdicts`          what the end of an attempt says about the health of its upstream
 `liveness`          whether an upstream has ended, or only a connection to it
 `crash_guard`       detection and refusal of requests that crash upstreams
 `limit_gate`        admission to pools whose upstreams have rate limits
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -10,7 +10,6 @@
     Choice,
     PoolTable,
     RequestTraits,
-    Verdict,
     choose_upstream,
     expected_s,
     find_overload,
@@ -45,6 +44,7 @@
 from .no_upstream import NO_UPSTREAM_RETRY_S, refusal_without_upstream
 from .reply import WireCodec
 from .request_telemetry import RequestTelemetry
+from .verdicts import health_verdict
 
 __all__ = ["Forwarder", "ForwardingSettings"]
 
@@ -301,7 +301,9 @@
             view.rate_limit.refund()
         else:
             job.arrivals += 1
-        self._record_verdict(choice, result)
+        verdict = health_verdict(choice, result)
+        if verdict is not None:
+            self.pools.record_outcome(view, verdict)
         ended = await self.crash_guard.record(job, choice, result)
         self.telemetry.record_attempt(job, choice, result, sent_at, ended)
         self._record_first_token(job, choice, sent_at)
@@ -369,22 +371,6 @@
         self.metrics.retries.inc({"pool": pool})
         return True
 
-    def _record_verdict(self, choice: Choice, result: AttemptResult) -> None:
-        """Record the end of an attempt in its upstream's health."""
-        if result.end is AttemptEnd.WITHHELD or result.asked_for_rest:
-            return  # it says itself when it accepts requests
-        if result.end is AttemptEnd.DONE:
-            verdict = Verdict.GOOD
-        elif result.end is AttemptEnd.NOT_SENT or result.is_misdirected:
-            # If misdirected, another upstream has its address: this one is gone, and
-            # other instances are to be notified.
-            verdict = Verdict.UNREACHABLE
-        elif result.end is AttemptEnd.NOT_RUN and choice.slot_utilization >= 1:
-            return  # an upstream that refuses because it is full is healthy
-        else:
-            verdict = Verdict.FAILED
-        self.pools.record_outcome(choice.view, verdict)
-
     def _no_upstream_refusal(self, job: Job) -> Refusal:
         refusal = refusal_without_upstream(self.pools, job)
         if refusal.code in (
