--- a/packages/buckthornwall-standins/src/buckthornwall_standins/notice_soak.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/notice_soak.py
@@ -199,12 +199,12 @@
         the time at which the client sent the request.
         """
         for upstream, notices in self.notices.items():
-            told_at: dict[int, float] = {}
+            notified_at: dict[int, float] = {}
             for notice in notices:
                 if not notice.rest_s:
-                    told_at.setdefault(notice.instance, notice.at)
+                    notified_at.setdefault(notice.instance, notice.at)
             for arrival in self.arrivals[upstream]:
-                first_at = told_at.get(arrival.instance, arrival.at)
+                first_at = notified_at.get(arrival.instance, arrival.at)
                 late_s = arrival.sent_at - first_at
                 if late_s > self.bounds.drain_s and not self._has_restarted_since(
                     arrival.instance, first_at, arrival.at
--- a/packages/buckthornwall/src/buckthornwall/gateway/completions.py
+++ b/packages/buckthornwall/src/buckthornwall/gateway/completions.py
@@ -220,7 +220,7 @@
             engine = self.admission.view.upstreams.get(slot.engine)
             if engine is None:
                 raise UpstreamError(ResultCode.UPSTREAM_UNREACHABLE, sent=False)
-            if self.rest_s(engine.id):  # its scheduler has not heard of the rest
+            if self.rest_s(engine.id):  # its scheduler does not know of the rest yet
                 detail = "the engine asked for a rest"
                 raise UpstreamError(ResultCode.UPSTREAM_UNREACHABLE, detail, sent=False)
             with self.tracing.span(
--- a/packages/buckthornwall/src/buckthornwall/gateway/tests/test_completions.py
+++ b/packages/buckthornwall/src/buckthornwall/gateway/tests/test_completions.py
@@ -123,7 +123,7 @@
 
 
 async def test_request_is_not_sent_to_an_engine_that_asked_for_rest(job, store, clock):
-    """Its scheduler may be another instance that has not heard of the rest yet."""
+    """Its scheduler may be another instance that does not know of the rest yet."""
     released = []
     entry = SimpleNamespace(release=lambda *values: released.append(values))
     handler = CompletionHandler(
--- a/packages/buckthornwall/src/buckthornwall/pools/availability.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/availability.py
@@ -1,7 +1,7 @@
-"""Whether an upstream may get a request now, and by whose word not.
+"""Whether an upstream may get a request now, and if not, why.
 
-Every path to an upstream asks here: first attempts, retries and resumed streams at
-their choice, and each of them again right before it is sent.
+Every path to an upstream checks this: first attempts, retries and resumed streams when
+their upstream is chosen, and each of them again right before it is sent.
 """
 
 from collections.abc import Container
@@ -37,7 +37,7 @@
         Obstacle.EVACUATED,
     }
 )
-# Obstacles that also hold for a request whose upstream was chosen before.
+# Obstacles that also apply to a request whose upstream is already chosen.
 FORBIDDING = LASTING | {Obstacle.RESTING}
 # Obstacles that are disregarded if all upstreams of a pool have one: where all fail, to
 # keep sending is better than to refuse everything.
--- a/packages/buckthornwall/src/buckthornwall/pools/notices.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/notices.py
@@ -18,8 +18,8 @@
 
 __all__ = ["LeavingUpstreams", "Notice", "NoticeTable"]
 
-# Incarnations of upstreams that stated that they are leaving, by upstream. They may be
-# passed on by whoever received them: an incarnation that leaves does not return.
+# Incarnations of upstreams that stated that they are leaving, by upstream. Any instance
+# may relay them, since an incarnation that leaves does not return.
 LeavingUpstreams = dict[UpstreamId, str]
 
 # Notices of an upstream whose registration is gone are kept for this long: it may still
@@ -142,5 +142,5 @@
             "WARNING",
             upstream=view.id,
             registered=view.entry.state.value,
-            told=is_from_peer,
+            is_from_peer=is_from_peer,
         )
--- a/packages/buckthornwall/src/buckthornwall/pools/upstream_notices.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/upstream_notices.py
@@ -6,7 +6,7 @@
 # upstream starts again.
 MAX_REST_S = 3600.0
 # A rest is extended by up to this fraction, and this many seconds, by a random part for
-# each instance: instances that were told at the same moment would all return at once.
+# each instance: those that were notified together would otherwise all return together.
 MAX_SPREAD_FRACTION = 0.1
 MAX_SPREAD_S = 0.25
 # A rest is reported to peers for this many seconds. It is for this instance alone, so
