--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_store_restored.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_store_restored.py
@@ -90,7 +90,7 @@
     return reader
 
 
-async def test_leaving_written_below_the_former_revision_is_heard(reader):
+async def test_leaving_written_below_the_former_revision_is_adopted(reader):
     """A watch that goes on from the former revision never returns it."""
     copy = reader.store.make_copy()
     for _ in range(3):
@@ -104,7 +104,7 @@
 
 
 @pytest.mark.parametrize("writes", [1, 3, 9])
-async def test_changes_are_heard_though_the_revision_has_passed_the_former_one(
+async def test_changes_are_adopted_though_the_revision_has_passed_the_former_one(
     reader, writes
 ):
     copy = reader.store.make_copy()
--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -251,7 +251,7 @@
             revision=update.revision,
             before=self.position.era,
             revision_before=self.position.revision,
-            told=update.is_relayed,
+            is_from_peer=update.is_relayed,
         )
         self._store_up_since = self.clock.now()
         self._begin_deferral(is_new_era=True)
--- a/packages/buckthornwall/src/buckthornwall/discovery/restoration.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/restoration.py
@@ -20,9 +20,9 @@
     """Return the registration to adopt for one in the first snapshot of an era.
 
     An upstream that left stays so, by its notice. One whose registration had been
-    removed gets no requests for as long as the copied one may last without it. Of
-    another incarnation than the known one it cannot be told which is newer, so the
-    known one is kept until it is written again.
+    removed gets no requests for as long as the copied one may last without it. If the
+    copy holds another incarnation than the known one, either may be the newer one, so
+    the known one is kept until its registration is written again.
     """
     view = pools.views.get(entry.id)
     if view is None:
