--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
@@ -152,9 +152,9 @@
         if not self.pools.views:
             return
         local, now = self.make_beacon(), self.clock.now()
-        self.pools.rate_limits.receive(self.agent.table.limits(local, now))
-        self.pools.notices.receive(self.agent.table.leaving(local, now))
-        self.pools.receive_unreachable(self.agent.table.unreachable(local, now))
+        self.pools.rate_limits.receive(self.agent.table.totals.limits(local, now))
+        self.pools.notices.receive(self.agent.table.totals.leaving(local, now))
+        self.pools.receive_unreachable(self.agent.table.totals.unreachable(local, now))
 
     def make_beacon(self) -> Beacon:
         """Return this instance's beacon."""
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/word_age.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/word_age.py
@@ -174,7 +174,7 @@
 
     def _ages(self, address, peer, now: float) -> list[float]:
         table = peer.agent.table
-        known = table.peer_work(peer.make_beacon(), now)
+        known = table.totals.peer_work(peer.make_beacon(), now)
         return [
             now - known[probe].pending_prefill[RANK] / TICK_TOKENS * TICK_S
             for prober, probe in self.probes.items()
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_notices_at_size.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_notices_at_size.py
@@ -80,6 +80,6 @@
     await trio.sleep(SETTLE_S)
     assert not any(peer.pools.notices.reports() for peer in fleet.peers.values())
     assert not any(
-        peer.agent.table.leaving(peer.make_beacon(), peer.clock.now())
+        peer.agent.table.totals.leaving(peer.make_beacon(), peer.clock.now())
         for peer in fleet.peers.values()
     )
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_restore_at_size.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_restore_at_size.py
@@ -120,7 +120,7 @@
 
 
 @pytest.mark.parametrize("zone_size", [4, 33])
-async def test_changes_after_the_return_are_heard_by_all_instances(
+async def test_changes_after_the_return_reach_all_instances(
     autojump_clock, nursery, zone_size
 ):
     fleet = await start_fleet(nursery, zone_size)
--- a/packages/buckthornwall/src/buckthornwall/peers/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/__init__.py
@@ -16,6 +16,7 @@
 `counts`             packed loads in heartbeats, by the order of the last digest
 `work`               outstanding work at an upstream, and sums of it
 `aggregation`        loads, reachability and rate limits of several peers
+`totals`             totals of these over the fleet, as seen by this instance
 `packing`            a compact binary form of loads and cached prefixes
 `pacing`             when a speaker sends which kind of report
 `recipients`         peers that are sent the same reports
--- a/packages/buckthornwall/src/buckthornwall/peers/freshness.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/freshness.py
@@ -1,19 +1,32 @@
 """Merges of the newest state and of the age of the last read of the store."""
 
+from collections.abc import Iterable
+
 from .messages import Beacon, Digest, Heartbeat
 from .received_message import ReceivedMessage
 
-__all__ = ["freshness", "merge_newer_revision", "merge_read_age", "uptime_ms"]
+__all__ = [
+    "current_era",
+    "freshness",
+    "merge_newer_revision",
+    "merge_read_age",
+    "uptime_ms",
+]
 
 MS_PER_S = 1000.0
 
 
+def current_era(messages: Iterable[Beacon | Digest]) -> int:
+    """Return the latest era of the store that any of the messages names."""
+    return max(each.store_era for each in messages)
+
+
 def freshness(message: Beacon | Digest | Heartbeat, era: int) -> tuple[int, int, int]:
     """Return the key by which the states of instances are ordered.
 
-    The era of the store comes first: whoever knows a later one has read the store since
-    it returned from an older copy. An instance of an earlier build does not name an era
-    and counts as being in the current one, `era`.
+    The era of the store comes first: an instance in a later era has the state of a read
+    after the store returned from an older copy. An instance of an earlier build reports
+    no era and is assumed to be in the current one, `era`.
     """
     return (
         message.store_era or era,
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -10,14 +10,8 @@
 
 from buckthornwall.pools import (
     CachedPrefixes,
-    LeavingUpstreams,
-    LimitReports,
     RankTokens,
-    Unreachable,
-    merge_limit_reports,
-    subtract_rank_tokens,
 )
-from buckthornwall.pools.load import PeerLoad
 from buckthornwall.utils import UpstreamId, ZoneId
 
 from .aggregation import (
@@ -30,11 +24,17 @@
 from .counts import CountsWriter, read_counts
 from .departures import DepartingPeers
 from .election import election_priority, sender_priority
-from .freshness import freshness, merge_newer_revision, merge_read_age, uptime_ms
+from .freshness import (
+    current_era,
+    freshness,
+    merge_newer_revision,
+    merge_read_age,
+    uptime_ms,
+)
 from .messages import Beacon, Digest, Heartbeat, PeerState, Work
 from .prefix_relay import PrefixRelay
 from .received_message import ReceivedMessage
-from .work import NO_WORK, subtract_local
+from .totals import PeerTotals
 
 __all__ = ["PeerTable"]
 
@@ -79,6 +79,7 @@
         self.departures = DepartingPeers(silence_s)
         self.prefixes = PrefixRelay()
         self._counts = CountsWriter()
+        self.totals = PeerTotals(self)
 
     # Receiving
 
@@ -273,7 +274,7 @@
         now
             The time in seconds.
         """
-        beacons, remote = self._zone_beacons(local_beacon), self._remote_zones(is_fleet)
+        beacons, remote = self.zone_beacons(local_beacon), self.remote_zones(is_fleet)
         count = sum(1 for beacon in beacons if beacon.state is not PeerState.JOINING)
         newest = self.make_heartbeat(local_beacon, is_fleet, now)
         return Digest(
@@ -316,8 +317,8 @@
             As in `make_digest`.
         """
         beacons, remote = (
-            self._zone_beacons(local_beacon),
-            self._remote_zones(heartbeat.is_fleet),
+            self.zone_beacons(local_beacon),
+            self.remote_zones(heartbeat.is_fleet),
         )
         loads = sum_loads(beacons, remote)
         cached_prefixes = self.prefixes.current(local_beacon, heartbeat.is_fleet, now)
@@ -325,11 +326,11 @@
         heartbeat.unreachable = sum_unreachable(beacons, remote)
         heartbeat.rank_tokens = sum_rank_tokens(beacons, remote)
 
-    def _zone_beacons(self, local_beacon: Beacon) -> list[Beacon]:
+    def zone_beacons(self, local_beacon: Beacon) -> list[Beacon]:
         """Return the beacons of this instance and of the zone's members."""
         return [local_beacon, *(received.message for received in self.members.values())]
 
-    def _remote_zones(self, is_fleet: bool) -> list[ReceivedMessage]:
+    def remote_zones(self, is_fleet: bool) -> list[ReceivedMessage]:
         """Return the digests of other zones, or none if only this zone is covered."""
         return list(self.zones.values()) if is_fleet else []
 
@@ -341,9 +342,9 @@
         Parameters are those of `make_digest`. Received values are aged since they were
         sent.
         """
-        beacons, remote = self._zone_beacons(local_beacon), self._remote_zones(is_fleet)
+        beacons, remote = self.zone_beacons(local_beacon), self.remote_zones(is_fleet)
         messages = [*self.members.values(), *remote]
-        era = max(each.store_era for each in [*beacons, *_messages(remote)])
+        era = current_era([*beacons, *(each.message for each in remote)])
         best = max(beacons, key=lambda beacon: freshness(beacon, era))
         heartbeat = Heartbeat(
             address=self.address,
@@ -400,56 +401,3 @@
         0 if this instance is the speaker, and so follows its own reads of the store.
         """
         return 0.0 if self.is_speaker(now) else now - self.speaker.sent_at
-
-    def peer_work(self, local_beacon: Beacon, now: float) -> dict[UpstreamId, PeerLoad]:
-        """Return the work of all other instances by upstream."""
-        if self.is_speaker(now):
-            loads = sum_loads(
-                self._zone_beacons(local_beacon), self._remote_zones(is_fleet=True)
-            )
-            counted = local_beacon.loads
-        else:
-            loads, counted = self.speaker.message.loads, self.reported_work
-        return {
-            upstream: subtract_local(work, counted.get(upstream, NO_WORK))
-            for upstream, work in loads.items()
-        }
-
-    def limits(self, local_beacon: Beacon, now: float) -> LimitReports:
-        """Return the newest report of each upstream's rate limit."""
-        if self.is_speaker(now):
-            received = [*self.members.values(), *self._remote_zones(is_fleet=True)]
-            return merge_limits(local_beacon, received, now)
-        return merge_limit_reports(
-            [(self.speaker.message.limits, self.staleness_s(now))]
-        )
-
-    def leaving(self, local_beacon: Beacon, now: float) -> LeavingUpstreams:
-        """Return all upstreams that stated to any instance that they are leaving."""
-        if self.is_speaker(now):
-            received = [*self.members.values(), *self._remote_zones(is_fleet=True)]
-            return merge_leaving(local_beacon, received)
-        return self.speaker.message.leaving
-
-    def unreachable(self, local_beacon: Beacon, now: float) -> Unreachable:
-        """Return by upstream how many instances could not reach it recently."""
-        if self.is_speaker(now):
-            return sum_unreachable(
-                self._zone_beacons(local_beacon), self._remote_zones(is_fleet=True)
-            )
-        return self.speaker.message.unreachable
-
-    def rank_tokens(self, local_beacon: Beacon, now: float) -> RankTokens:
-        """Return the tokens that all other instances recently admitted and refused."""
-        if self.is_speaker(now):
-            total = sum_rank_tokens(
-                self._zone_beacons(local_beacon), self._remote_zones(is_fleet=True)
-            )
-            return subtract_rank_tokens(total, local_beacon.rank_tokens)
-        return subtract_rank_tokens(
-            self.speaker.message.rank_tokens, self.reported_rank_tokens
-        )
-
-
-def _messages(received: list[ReceivedMessage]) -> list[Beacon | Digest]:
-    return [each.message for each in received]
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_mutations.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_mutations.py
@@ -42,9 +42,9 @@
         receiver.receive_digest(message, 0.0)
     else:
         receiver.receive_beacon(message, 0.0)
-    receiver.peer_work(local_beacon, 0.1)
-    receiver.unreachable(local_beacon, 0.1)
-    receiver.leaving(local_beacon, 0.1)
+    receiver.totals.peer_work(local_beacon, 0.1)
+    receiver.totals.unreachable(local_beacon, 0.1)
+    receiver.totals.leaving(local_beacon, 0.1)
     receiver.make_digest(local_beacon, True, 0.1)
 
 
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_packing.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_packing.py
@@ -189,7 +189,7 @@
         second.receive_heartbeat(heartbeat_with_loads(first, local_beacon, 0.2), 0.2)
         == local_beacon.cached_prefixes
     )
-    others = second.peer_work(beacon(SECOND), 0.2)
+    others = second.totals.peer_work(beacon(SECOND), 0.2)
     assert others[E1].pending_prefill == {5: 640}
     assert others[E2].requests == 1
 
@@ -203,11 +203,11 @@
     local_beacon = beacon(FIRST)
     local_beacon.unreachable = [E1]
     second.receive_digest(fleet_digest(first, local_beacon), 0.0)
-    assert second.unreachable(beacon(SECOND), 0.1) == {E1: 2, E2: 1}
+    assert second.totals.unreachable(beacon(SECOND), 0.1) == {E1: 2, E2: 1}
     local_beacon.unreachable = []
     second.receive_heartbeat(heartbeat_with_loads(first, local_beacon, 0.2), 0.2)
-    assert second.unreachable(beacon(SECOND), 0.2) == {E1: 1, E2: 1}
-    assert first.unreachable(local_beacon, 0.2) == {E1: 1, E2: 1}
+    assert second.totals.unreachable(beacon(SECOND), 0.2) == {E1: 1, E2: 1}
+    assert first.totals.unreachable(local_beacon, 0.2) == {E1: 1, E2: 1}
 
 
 def test_heartbeat_after_missed_digest_changes_no_loads():
@@ -218,7 +218,7 @@
         heartbeat_with_loads(first, beacon(FIRST), 0.2), 0.2
     )
     assert cached_prefixes is None
-    assert second.peer_work(beacon(SECOND), 0.2)[E1].requests == 1
+    assert second.totals.peer_work(beacon(SECOND), 0.2)[E1].requests == 1
     assert second.staleness_s(0.2) == 0.0
 
 
@@ -325,7 +325,7 @@
     heartbeat = heartbeat_with_loads(first, beacon(FIRST, {E1: Work(4)}), 0.1)
     heartbeat.zone = ZoneId("elsewhere")
     assert second.receive_heartbeat(heartbeat, 0.1) is None
-    assert second.peer_work(beacon(SECOND), 0.1)[E1].requests == 1
+    assert second.totals.peer_work(beacon(SECOND), 0.1)[E1].requests == 1
 
 
 def test_new_recipient_is_sent_last_digest_once():
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
@@ -123,10 +123,10 @@
     assert first.make_digest(local_beacon, False, now=0.0).loads[ENGINE] == Work(
         7, {0: 100, 5: 80}, 0
     )
-    peers = first.peer_work(local_beacon, 0.6)[ENGINE]
+    peers = first.totals.peer_work(local_beacon, 0.6)[ENGINE]
     assert (peers.requests, peers.pending_prefill) == (3, {0: 100, 5: 75})
     assert first.expire(1.0) == [SECOND]
-    assert first.peer_work(local_beacon, 1.0)[ENGINE].requests == 1
+    assert first.totals.peer_work(local_beacon, 1.0)[ENGINE].requests == 1
 
 
 def test_digest_holds_oldest_wait_of_any_instance():
@@ -137,7 +137,7 @@
     local_beacon = beacon(FIRST, {ENGINE: Work(1, {5: 9}, 0, {2: 40, 5: 300}, 50)})
     reported = first.make_digest(local_beacon, True, now=0.0).loads[ENGINE]
     assert (reported.oldest_wait_ms, reported.memory) == ({2: 40, 5: 700}, 140)
-    peers = first.peer_work(local_beacon, 0.1)[ENGINE]
+    peers = first.totals.peer_work(local_beacon, 0.1)[ENGINE]
     assert (peers.oldest_wait_s, peers.memory) == ({2: 0.04, 5: 0.7}, 90)
 
 
@@ -149,7 +149,7 @@
     second.receive_digest(
         first.make_digest(beacon(FIRST, {ENGINE: Work(1, {}, 0)}), True, now=0.0), 0.0
     )
-    peers = second.peer_work(beacon(SECOND), 0.1)[ENGINE]
+    peers = second.totals.peer_work(beacon(SECOND), 0.1)[ENGINE]
     assert (peers.requests, peers.pending_prefill) == (1, {})
 
 
@@ -173,8 +173,8 @@
         second.receive_heartbeat(decode(encode(heartbeat), PeerMessage), 0.0)
     else:
         second.receive_digest(first.make_digest(local, is_fleet=True, now=0.0), 0.0)
-    assert first.rank_tokens(local, 0.1) == {pool: {4: (60, 6), 7: (5, 0)}}
-    assert second.rank_tokens(reported, 0.1) == {pool: {4: (50, 5), 7: (0, 0)}}
+    assert first.totals.rank_tokens(local, 0.1) == {pool: {4: (60, 6), 7: (5, 0)}}
+    assert second.totals.rank_tokens(reported, 0.1) == {pool: {4: (50, 5), 7: (0, 0)}}
 
 
 def test_remote_zone_is_added_once_and_not_from_fleet_digest():
@@ -347,11 +347,11 @@
     local_beacon = beacon(SECOND, zone="y", leaving={UpstreamId("f"): ""})
     member.receive_digest(remote.make_digest(local_beacon, True, 0.0), 0.0)
     known = {ENGINE: "1", UpstreamId("f"): ""}
-    assert remote.leaving(local_beacon, 0.1) == known
-    assert member.leaving(beacon(THIRD, zone="y"), 0.1) == known
+    assert remote.totals.leaving(local_beacon, 0.1) == known
+    assert member.totals.leaving(beacon(THIRD, zone="y"), 0.1) == known
     remote.receive_heartbeat(speaker.make_heartbeat(beacon(FIRST), False, 0.1), 0.1)
     member.receive_heartbeat(remote.make_heartbeat(local_beacon, True, 0.1), 0.1)
-    assert member.leaving(beacon(THIRD, zone="y"), 0.1) == {UpstreamId("f"): ""}
+    assert member.totals.leaving(beacon(THIRD, zone="y"), 0.1) == {UpstreamId("f"): ""}
 
 
 def test_message_of_an_older_build_lacks_leaving_upstreams():
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -228,13 +228,13 @@
 
     def _apply_peer_work(self) -> None:
         local, now = self._make_beacon(), self.clock.now()
-        work = self.peers.peer_work(local, now)
+        work = self.peers.totals.peer_work(local, now)
         for view in self.pools.views.values():
             view.load.peers = work.get(view.id, NO_PEERS)
-        self.pools.receive_unreachable(self.peers.unreachable(local, now))
-        self.pools.receive_rank_tokens(self.peers.rank_tokens(local, now))
-        self.pools.rate_limits.receive(self.peers.limits(local, now))
-        self.pools.notices.receive(self.peers.leaving(local, now))
+        self.pools.receive_unreachable(self.peers.totals.unreachable(local, now))
+        self.pools.receive_rank_tokens(self.peers.totals.rank_tokens(local, now))
+        self.pools.rate_limits.receive(self.peers.totals.limits(local, now))
+        self.pools.notices.receive(self.peers.totals.leaving(local, now))
 
     def _count_store_call(self, seconds: float, outcome: str) -> None:
         self.metrics.store_call.add({"outcome": outcome}, seconds)
