Test each path to an upstream against its notices

Retries, resumed streams, requests that were not run, probes of ejected upstreams, copies of cached segments and diverted late requests, for a leaving and for a rest; another upstream at the address starts afresh and speaks for itself only.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_notices.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_notices.py
@@ -4,8 +4,10 @@
 
 from buckthornwall.forwarding.connections import ConnectionCache
 from buckthornwall.forwarding.liveness import LivenessChecks
+from buckthornwall.pools import Notice
+from buckthornwall.routing import ResponseMode
 
-from .helpers import NOT_RUN, POOL, RESTING, reply
+from .helpers import MISDIRECTED, NOT_RUN, POOL, RESTING, reply, stream
 
 LEAVING = b"X-Leaving: 1\r\n"
 
@@ -74,3 +76,44 @@
     monkeypatch.setattr(LivenessChecks, "has_ended", has_ended)
     await forward([None], [reply()])
     assert not forward.quarantine.records
+
+
+STREAM = {"response_mode": ResponseMode.EVENT_STREAM}
+
+
+@pytest.mark.parametrize(
+    ("first", "last", "more"),
+    [
+        pytest.param([None], [reply()], {}, id="retry after a possible run"),
+        pytest.param([NOT_RUN], [reply()], {"retryable": False}, id="not run"),
+        pytest.param([stream(1, end=False), None], [stream(2)], STREAM, id="resumed"),
+    ],
+)
+@pytest.mark.parametrize("rest_s", [None, 30.0])
+async def test_next_attempt_avoids_an_upstream_with_a_notice(
+    forward, monkeypatch, first, last, more, rest_s
+):
+    """The notice arrives while the first attempt is under way."""
+    acquire = ConnectionCache.acquire
+
+    async def acquire_and_notify(cache, upstream, address, max_idle_s):
+        pools = forward.pools
+        pools.notices.record(pools.views["u1"], Notice(rest_s is None, rest_s))
+        return await acquire(cache, upstream, address, max_idle_s)
+
+    monkeypatch.setattr(ConnectionCache, "acquire", acquire_and_notify)
+    answer = await forward(first, [reply()], last, **more)
+    assert answer.status == 200
+    assert forward.arrivals() == [1, 0, 1]
+
+
+async def test_notice_of_another_upstream_at_the_address_is_ignored(forward):
+    misdirected = MISDIRECTED.replace(b"Content", b"X-Leaving: 1\r\nContent")
+    await forward([misdirected], [reply()])
+    assert not forward.pools.views["u0"].is_leaving
+
+
+@pytest.mark.parametrize("status", [200, 404, 500])
+async def test_leaving_is_recorded_from_a_response_of_any_status(forward, status):
+    await forward([reply(status, extra=LEAVING)], [reply()], max_runs=1)
+    assert usable(forward) == ["u1"]
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_notices.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_notices.py
@@ -1,12 +1,20 @@
 """Tests of what upstreams state about themselves in their responses."""
 
+import random
 from dataclasses import replace
 
 import pytest
 
-from buckthornwall.pools import Notice, UpstreamState, Verdict
+from buckthornwall.pools import (
+    Notice,
+    UpstreamState,
+    Verdict,
+    choose_upstream,
+    record_decision,
+)
+from buckthornwall.pools.load import PeerLoad
 
-from .helpers import POOL
+from .helpers import POOL, ZONE, choose, prompt, traits
 
 LEAVING = Notice(is_leaving=True)
 
@@ -149,3 +157,42 @@
 def test_upstream_that_rests_for_three_peers_is_avoided(table):
     table.receive_unreachable({"a": 3, "b": 2})
     assert names(table) == ["b", "c"]
+
+
+@pytest.mark.parametrize("notice", [LEAVING, Notice(rest_s=30.0)])
+def test_ejected_upstream_with_a_notice_gets_no_probe(table, clock, notice):
+    table.record_outcome(table.views["a"], Verdict.UNREACHABLE)
+    table.notices.record(table.views["a"], notice)
+    clock.time += 5.0
+    assert names(table) == ["b", "c"]
+
+
+@pytest.mark.parametrize("notice", [LEAVING, Notice(rest_s=30.0)])
+def test_no_segments_are_copied_from_an_upstream_with_a_notice(table, clock, notice):
+    shape = prompt()
+    table.note_prompt(table.views["a"], shape)
+    table.notices.record(table.views["a"], notice)
+    assert choose(table, clock, shape).copy_from == ""
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_late_requests_are_not_diverted_to_an_upstream_with_a_notice(
+    table, clock, seed
+):
+    """Late requests with a deficit are compared at all engines, busy ones included."""
+    rng = random.Random(seed)
+    for name in ("b", "c"):
+        table.views[name].load.peers = PeerLoad(1, {4: rng.randrange(20_000, 90_000)})
+    record_decision(table, traits(prompt(), tier=2), True, clock.now())
+    notice = rng.choice([LEAVING, Notice(rest_s=30.0)])
+    table.notices.record(table.views["a"], notice)
+    choice = choose_upstream(table, traits(prompt()), set(), ZONE, clock.now())
+    assert choice.view.id in {"b", "c"}
+
+
+def test_other_upstream_at_the_address_of_one_that_leaves_gets_requests(table):
+    entry = table.views["a"].entry
+    table.notices.record(table.views["a"], LEAVING)
+    table.remove("a")
+    table.adopt(replace(entry, id="d"))
+    assert "d" in names(table)
