--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_store_restored.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_store_restored.py
@@ -5,16 +5,16 @@
 import msgspec
 import pytest
 import trio
-from buckthornwall.codes import PeerError, ResultCode
+from buckthornwall.codes import PeerError, Refusal, ResultCode
 from buckthornwall.discovery import DiscoveryAgent, DiscoverySettings
 from buckthornwall.platform import StoreClient, StoreSettings, decode_published
 from buckthornwall.platform.calls import StoreAnswer
 from buckthornwall.pools import PoolTable
-from buckthornwall.routing import PoolId, RoutingTable
+from buckthornwall.routing import PoolId, RoutedRequest, RoutingTable
 from buckthornwall.utils import TrioClock
 
 from buckthornwall_standins.users_platform import Deployment, Store
-from buckthornwall_standins.users_platform.deployment import DRAFTS
+from buckthornwall_standins.users_platform.deployment import API_KEY, DRAFTS, HOST
 
 # The users allow 2 s for a configuration or a leaving, and more for an evacuation.
 BOUND_S = 2.0
@@ -23,6 +23,14 @@
 ZONE = "zone-1"
 
 
+def request_with(key: str) -> RoutedRequest:
+    """Return a request of the team that holds an API key."""
+    path = "/draft/x"
+    request = RoutedRequest("r", b"POST", path.encode(), HOST, path, [], b"", 0.0)
+    request.key = key
+    return request
+
+
 class Reader:
     """A store, the operator and upstreams that write to it, and one reader of it."""
 
@@ -199,6 +207,19 @@
     assert reader.table.number == number
 
 
+async def test_key_revoked_before_the_return_is_not_accepted_again(reader):
+    copy = reader.store.make_copy()
+    reader.deployment.keys = ["another-key"]
+    reader.deployment.publish()
+    await trio.sleep(BOUND_S)
+    reader.store.restore(copy)
+    for _ in range(int(SETTLED_S / 0.05)):
+        await trio.sleep(0.05)
+        with pytest.raises(Refusal):
+            reader.table.resolve(request_with(API_KEY))
+        assert reader.table.resolve(request_with("another-key")).team == "one"
+
+
 async def test_store_that_returns_twice_in_a_row_is_followed(reader):
     first = reader.store.make_copy()
     for _ in range(3):
