Log the framing of replies and what follows the last event of a stream

Lines of a stream that was delivered as complete and was not do not tell whether its reply had a length, chunks or neither, nor whether it ended inside an event. request_finished and attempt_failed now name both.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -201,7 +201,9 @@
         """Return the reply to this request, skipping late replies to others."""
         patience = _Patience(self.head_timeout_s, self.should_give_up)
         for _ in range(MAX_FOREIGN_REPLIES):
-            reply = self.codec.decode(await patience.wait(connection.receive_head))
+            head = await patience.wait(connection.receive_head)
+            self.delivery.framing = head.framing
+            reply = self.codec.decode(head)
             if reply.request_id in ("", self.request.id):
                 return reply
             await patience.wait(connection.skip_response)
--- a/packages/buckthornwall/src/buckthornwall/forwarding/delivery.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/delivery.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from buckthornwall.http1 import ResponseWriter
+from buckthornwall.http1 import BodyFraming, ResponseWriter
 from buckthornwall.utils import Clock
 
 from .events import EventJoiner
@@ -28,6 +28,10 @@
 
     Attributes
     ----------
+    framing : BodyFraming or None
+        Framing of the last reply, None before the first.
+    partial_bytes : int
+        Bytes after the last complete event of the last stream that ended.
     on_begin : callable
         Called once, before the first part of the response is sent.
     """
@@ -41,6 +45,8 @@
         self.longest_pause_s = 0.0
         self.done = False
         self.status = 0
+        self.framing: BodyFraming | None = None
+        self.partial_bytes = 0
         self.on_begin: Callable[[], None] = lambda: None
 
     @property
@@ -71,6 +77,7 @@
 
     async def end(self, reply: Reply) -> None:
         """Send the end of a complete stream."""
+        self.partial_bytes = self.joiner.partial_bytes
         rest = self.joiner.finish()
         if not self.answer.started:
             self.status = reply.status
--- a/packages/buckthornwall/src/buckthornwall/forwarding/events.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/events.py
@@ -34,6 +34,11 @@
         self._partial = data[end:]
         return self._forward(data[:end]) if end else b""
 
+    @property
+    def partial_bytes(self) -> int:
+        """Bytes received after the last complete event."""
+        return len(self._partial)
+
     def finish(self) -> bytes:
         """Return the bytes after the last complete event of a complete stream."""
         rest, self._partial = self._partial, b""
--- a/packages/buckthornwall/src/buckthornwall/forwarding/request_telemetry.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/request_telemetry.py
@@ -139,6 +139,7 @@
             fingerprint=format_fingerprint(job.fingerprint),
             end=result.end.value,
             detail=result.detail,
+            **_describe_framing(job),
             upstream_ended=upstream_ended,
             rank=job.resolution.rank,
             waited_ms=round((now - sent_at) * 1000),
@@ -190,10 +191,20 @@
             status=job.delivery.status,
             detail=job.detail,
             events=job.delivery.joiner.event_count,
+            **_describe_framing(job),
             **self._describe(job),
         )
 
 
+def _describe_framing(job: Job) -> dict[str, object]:
+    """Return the log fields on the framing and the end of the last reply."""
+    framing = job.delivery.framing
+    return {
+        "framing": framing.value if framing is not None else "",
+        "partial_bytes": job.delivery.partial_bytes,
+    }
+
+
 def _describe_overload(job: Job | None) -> dict[str, object]:
     """Return the log fields of an overload refusal, or none."""
     overload = job.overload if job is not None else None
--- a/packages/buckthornwall/src/buckthornwall/http1/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/__init__.py
@@ -7,7 +7,7 @@
 ============= ============================================================
 """
 
-from .client import ClientConnection, ResponseHead
+from .client import BodyFraming, ClientConnection, ResponseHead
 from .failures import ExchangeError, ExchangeFailure
 from .server import (
     HttpServer,
@@ -18,6 +18,7 @@
 )
 
 __all__ = [
+    "BodyFraming",
     "ClientConnection",
     "ExchangeError",
     "ExchangeFailure",
--- a/packages/buckthornwall/src/buckthornwall/http1/client.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/client.py
@@ -3,13 +3,14 @@
 import socket
 from collections.abc import Sequence
 from dataclasses import dataclass
+from enum import Enum
 
 import h11
 import trio
 
 from .failures import ExchangeError, ExchangeFailure
 
-__all__ = ["ClientConnection", "ResponseHead"]
+__all__ = ["BodyFraming", "ClientConnection", "ResponseHead"]
 
 RECEIVE_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
@@ -21,16 +22,35 @@
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 Headers = Sequence[tuple[bytes, bytes]]
 
 
+class BodyFraming(Enum):
+    """What marks the end of a response's body (RFC 9112, section 6.3)."""
+
+    LENGTH = "length"  # its length, which may be 0
+    CHUNKED = "chunked"
+    CLOSE = "close"  # only the end of the connection
+
+
 @dataclass(slots=True)
 class ResponseHead:
-    """Status and headers of a response; header names are in lower case."""
+    """Status, headers and framing of a response; header names are in lower case."""
 
     status: int
     headers: list[tuple[bytes, bytes]]
+    framing: BodyFraming = BodyFraming.LENGTH
+
+
+def _find_framing(response: h11.Response, method: bytes) -> BodyFraming:
+    names = {name for name, _ in response.headers}
+    if method == b"HEAD" or response.status_code in STATUSES_WITHOUT_BODY:
+        return BodyFraming.LENGTH
+    if b"transfer-encoding" in names:
+        return BodyFraming.CHUNKED
+    return BodyFraming.LENGTH if b"content-length" in names else BodyFraming.CLOSE
 
 
 def _set_options(sock: trio.socket.SocketType) -> None:
@@ -140,7 +160,8 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                return ResponseHead(event.status_code, list(event.headers))
+                framing = _find_framing(event, self._request.method)
+                return ResponseHead(event.status_code, list(event.headers), framing)
             if not isinstance(event, h11.InformationalResponse):
                 raise ExchangeError(ExchangeFailure.CLOSED, "before a response")
 
