--- a/packages/buckthornwall/src/buckthornwall/conftest.py
+++ b/packages/buckthornwall/src/buckthornwall/conftest.py
@@ -161,3 +161,33 @@
 
     start_server.requests = {}
     return start_server
+
+
+@pytest.fixture
+async def ending_upstream(nursery):
+    """Return a function that starts a server and returns its address.
+
+    The server ends with its first reply, whose bytes are the argument: its listener
+    closes before the connection.
+    """
+
+    async def start_server(data):
+        async def answer_and_end(connection):
+            await connection.receive_some()
+            for listener in listeners:
+                await listener.aclose()
+            await connection.send_all(data)
+            await connection.aclose()
+
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(_serve_until_closed, answer_and_end, listeners)
+        return f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+
+    return start_server
+
+
+async def _serve_until_closed(handler, listeners):
+    try:
+        await trio.serve_listeners(handler, listeners)
+    except* trio.ClosedResourceError:
+        pass  # the handler has closed the listener
--- a/packages/buckthornwall/src/buckthornwall/http1/tests/test_server.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/tests/test_server.py
@@ -3,6 +3,8 @@
 import pytest
 import trio
 
+from buckthornwall.http1 import ResponseAborted
+
 HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\n"
 
 
@@ -117,3 +119,18 @@
     assert b"connection: close" in (await client.read_all()).lower()
     server.close_idle()
     assert await idle.read_all() == b""
+
+
+async def test_aborted_response_without_chunks_is_reset(serve):
+    """A client of HTTP/1.0 takes the end of the connection for the end of the body."""
+
+    async def abort(request, response):
+        await response.begin(200, [], b"part")
+        await trio.sleep(0.05)
+        raise ResponseAborted
+
+    _, connect = await serve(abort)
+    client = await connect()
+    await client.send(b"GET /a HTTP/1.0\r\nHost: h\r\n\r\n")
+    with pytest.raises(trio.BrokenResourceError):
+        await client.read_all()
--- a/packages/buckthornwall/src/buckthornwall/upstreams/tests/test_upstreams.py
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/tests/test_upstreams.py
@@ -81,3 +81,27 @@
         responses = collect_responses(client)
         await client.call(service, "GET", "/", [], b"", 1.0)
     assert [status for _, status, _ in responses] == [503]
+
+
+async def test_unframed_response_of_service_that_ended_is_not_complete(
+    ending_upstream, view
+):
+    """Its process closed the connection, perhaps in the middle of the body."""
+    address = await ending_upstream(b"HTTP/1.1 200 OK\r\n\r\npart")
+    service = msgspec.structs.replace(view.upstreams["e1"], address=address)
+    async with httpcore.AsyncConnectionPool() as pool:
+        client = ServiceClient(UpstreamSettings(), pool)
+        with pytest.raises(UpstreamError) as caught:
+            await client.call(service, "GET", "/", [], b"", 1.0)
+    assert caught.value.sent
+
+
+async def test_unframed_response_of_service_is_complete_with_its_connection(
+    raw_upstream, view
+):
+    address = await raw_upstream(b"HTTP/1.1 200 OK\r\n\r\nwhole", b"")
+    service = msgspec.structs.replace(view.upstreams["e1"], address=address)
+    async with httpcore.AsyncConnectionPool() as pool:
+        client = ServiceClient(UpstreamSettings(), pool)
+        status, _, body = await client.call(service, "GET", "/", [], b"", 1.0)
+    assert (status, body) == (200, b"whole")
