Deliver a reply as complete only if it is

Cause: a reply without length or chunks ends with its connection, and the parser reports the end of the connection as the end of the message. The rest of a begun event was then sent as the end of the stream.

A stream is now complete only after the end of an event, however it is framed, and one without framing only after its first event. A reply without framing also counts as broken if its upstream refuses connections right after it and did not leave as planned: its process closed the connection, between two events or in the middle of a body. What is broken is resumed or retried where that is allowed, cut visibly where the response has begun, and else answered with 502 as unknown. Settings of the forwarder move to a module of their own.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/__init__.py
@@ -10,8 +10,10 @@
 `budgets`           this instance's share of the fleet's retry budget
 `verdicts`          what the end of an attempt says about the health of its upstream
 `liveness`          whether an upstream has ended, or only a connection to it
+`completeness`      whether a reply that has ended is complete
 `crash_guard`       detection and refusal of requests that crash upstreams
 `limit_gate`        admission to pools whose upstreams have rate limits
+`settings`          settings of attempts
 `job`               the state of a request over all of its attempts
 `request_telemetry` log lines and metrics of requests
 `forwarder`         the attempts of a request until it is answered or refused
@@ -20,8 +22,9 @@
 
 from .budgets import RetryBudgets
 from .connections import ConnectionCache
-from .forwarder import Forwarder, ForwardingSettings
+from .forwarder import Forwarder
 from .reply import AttemptContext, Reply, WireCodec
+from .settings import ForwardingSettings
 
 __all__ = [
     "AttemptContext",
--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -19,6 +19,7 @@
 )
 from buckthornwall.utils import Clock
 
+from .completeness import CompletenessChecks
 from .connections import ConnectionCache
 from .delivery import Delivery
 from .reply import AttemptContext, Reply, WireCodec
@@ -85,7 +86,8 @@
     `head_timeout_s` is how long to wait for the head of a reply, and `event_timeout_s`
     for each event after it, in seconds; None is as long as the client waits. After
     that, the attempt ends once `should_give_up` returns True. `find_obstacle` returns
-    why the upstream is not to get the request any more, if so.
+    why the upstream is not to get the request any more, if so. `completeness` checks a
+    reply that has ended.
     `note_prompt` records that the prompt is sent to the upstream, `record_rate_limit`
     the limit that it names, `record_notice` what it states about itself, and `model`
     learns the speed of the stream.
@@ -107,6 +109,7 @@
     model: EngineModel
     should_give_up: Callable[[], bool]
     find_obstacle: Callable[[UpstreamView], Obstacle | None]
+    completeness: CompletenessChecks
     event_timeout_s: float | None = None
     pause_sensitive: bool = False
 
@@ -222,6 +225,7 @@
         body = await self._read_body(connection)
         if reply.not_run:
             return reply, AttemptResult(AttemptEnd.NOT_RUN, str(reply.status), reply)
+        await self.completeness.check_body(self.choice.view, self.delivery.framing)
         if 200 <= reply.status < 300 and not reply.is_attested_success:
             return None, AttemptResult(AttemptEnd.BROKEN, "success not attested")
         if reply.status >= 500:
@@ -257,6 +261,9 @@
             if events:
                 pending_prefill.clear(is_served=True)
                 observer.record(events, now)
+        await self.completeness.check_stream(
+            view, self.delivery.framing, self.delivery.joiner
+        )
         await self.delivery.end(reply)
 
     def _tokens_per_event(self) -> int:
--- a/packages/buckthornwall/src/buckthornwall/forwarding/delivery.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/delivery.py
@@ -30,8 +30,6 @@
     ----------
     framing : BodyFraming or None
         Framing of the last reply, None before the first.
-    partial_bytes : int
-        Bytes after the last complete event of the last stream that ended.
     on_begin : callable
         Called once, before the first part of the response is sent.
     """
@@ -46,7 +44,6 @@
         self.done = False
         self.status = 0
         self.framing: BodyFraming | None = None
-        self.partial_bytes = 0
         self.on_begin: Callable[[], None] = lambda: None
 
     @property
@@ -77,7 +74,6 @@
 
     async def end(self, reply: Reply) -> None:
         """Send the end of a complete stream."""
-        self.partial_bytes = self.joiner.partial_bytes
         rest = self.joiner.finish()
         if not self.answer.started:
             self.status = reply.status
--- a/packages/buckthornwall/src/buckthornwall/forwarding/events.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/events.py
@@ -5,6 +5,7 @@
 __all__ = ["EventJoiner"]
 
 EVENT_END = re.compile(rb"\r?\n\r?\n")
+LINE_BREAKS = b"\r\n"
 EVENT_ID = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
 
 
@@ -39,8 +40,13 @@
         """Bytes received after the last complete event."""
         return len(self._partial)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the bytes so far end inside an event, not only in line breaks."""
+        return bool(self._partial.strip(LINE_BREAKS))
+
     def finish(self) -> bytes:
-        """Return the bytes after the last complete event of a complete stream."""
+        """Return the line breaks after the last event of a complete stream."""
         rest, self._partial = self._partial, b""
         return rest
 
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -21,8 +21,6 @@
 from buckthornwall.telemetry import RouterMetrics
 from buckthornwall.utils import (
     Clock,
-    ConfigItem,
-    ConfigNamespace,
     UpstreamId,
     ZoneId,
 )
@@ -35,6 +33,7 @@
     max_idle_s,
 )
 from .budgets import RetryBudgets
+from .completeness import CompletenessChecks
 from .connections import ConnectionCache
 from .crash_guard import CrashGuard
 from .delivery import Delivery
@@ -44,9 +43,10 @@
 from .no_upstream import NO_UPSTREAM_RETRY_S, refusal_without_upstream
 from .reply import WireCodec
 from .request_telemetry import RequestTelemetry
+from .settings import ForwardingSettings
 from .verdicts import health_verdict
 
-__all__ = ["Forwarder", "ForwardingSettings"]
+__all__ = ["Forwarder"]
 
 # Statuses that mean to a client that its request was not and will not be run. They are
 # never used for a request that may have run.
@@ -58,31 +58,6 @@
 DRAINING_RETRY_S = 0.05
 
 
-class ForwardingSettings(ConfigNamespace):
-    """Settings of attempts at upstreams."""
-
-    section = "forwarding"
-
-    connect_timeout_ms = ConfigItem(
-        250.0, "Maximum milliseconds to connect to an upstream.", minimum=1
-    )
-    once_idle_ms = ConfigItem(
-        1000.0,
-        "Maximum milliseconds that a connection may have been idle to carry a call "
-        "that may not be repeated.",
-        minimum=0,
-    )
-    most_upstreams = ConfigItem(
-        4, "Maximum upstreams that a request is sent to.", minimum=1
-    )
-    retry_ratio = ConfigItem(
-        0.2, "Retries for each request to a pool, over the fleet.", minimum=0
-    )
-    retry_reserve = ConfigItem(
-        20.0, "Additional retries in one window, over the fleet.", minimum=0
-    )
-
-
 class Forwarder:
     """Forwards requests to upstreams, with retries.
 
@@ -129,6 +104,7 @@
         connect_timeout_s = settings.connect_timeout_ms / 1000
         self.connections = ConnectionCache(clock, connect_timeout_s)
         self.liveness = LivenessChecks(clock, connect_timeout_s)
+        self.completeness = CompletenessChecks(pools, self.liveness)
         self.crash_guard = CrashGuard(quarantine, pools, self.liveness, clock)
         self.limit_gate = LimitGate(pools, clock, self._choose)
 
@@ -285,6 +261,7 @@
             model=self.pools.model(job.resolution.pool.id),
             should_give_up=lambda: self._should_give_up(job, choice),
             find_obstacle=self.pools.forbidding_obstacle,
+            completeness=self.completeness,
             event_timeout_s=event_timeout_s(job),
             pause_sensitive=job.traits.pause_sensitive,
         )
--- a/packages/buckthornwall/src/buckthornwall/forwarding/request_telemetry.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/request_telemetry.py
@@ -201,7 +201,7 @@
     framing = job.delivery.framing
     return {
         "framing": framing.value if framing is not None else "",
-        "partial_bytes": job.delivery.partial_bytes,
+        "partial_bytes": job.delivery.joiner.partial_bytes,
     }
 
 
