Reset the connection where a response to a client of HTTP/1.0 is cut

A client of HTTP/1.0 is sent no chunks and takes the end of the connection for the end of the body: a response that was cut looked complete to it. Closing by a reset is the only sign that it understands. Found by looking for the cause of the streams that were broken off and delivered as complete elsewhere.

Writing of responses moves to a module of its own.

--- a/packages/buckthornwall/src/buckthornwall/http1/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/__init__.py
@@ -2,6 +2,7 @@
 
 ============= ============================================================
 `client`      a client connection that carries one exchange at a time
+`response`    the response to one request, written complete or in pieces
 `server`      a listener, its client connections, and graceful shutdown
 `failures`    failures of an exchange below the level of HTTP
 ============= ============================================================
@@ -9,13 +10,8 @@
 
 from .client import BodyFraming, ClientConnection, ResponseHead
 from .failures import ExchangeError, ExchangeFailure
-from .server import (
-    HttpServer,
-    IncomingRequest,
-    ResponseAborted,
-    ResponseWriter,
-    ServerLimits,
-)
+from .response import ResponseAborted, ResponseWriter
+from .server import HttpServer, IncomingRequest, ServerLimits
 
 __all__ = [
     "BodyFraming",
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/http1/response.py
@@ -0,0 +1,72 @@
+"""The response to one request, written complete or in pieces."""
+
+from typing import TYPE_CHECKING
+
+import h11
+
+if TYPE_CHECKING:
+    from .server import ServerConnection
+
+__all__ = ["ResponseAborted", "ResponseWriter"]
+
+
+class ResponseAborted(Exception):
+    """A response that was begun cannot be completed; its connection must close."""
+
+
+class ResponseWriter:
+    """Writes the response to one request, complete or in pieces."""
+
+    def __init__(self, connection: "ServerConnection", parser: h11.Connection) -> None:
+        self.connection = connection
+        self.parser = parser
+        self.started = False
+        self.ended = False
+
+    async def send_complete(
+        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        """Send a complete response in one write."""
+        self.started = True
+        sized = [*headers, (b"Content-Length", b"%d" % len(body))]
+        data = self._head(status, sized)
+        if body:
+            data += self.parser.send(h11.Data(data=body))
+        data += self.parser.send(h11.EndOfMessage())
+        await self.connection.write(data)
+        self.ended = True
+
+    async def begin(
+        self, status: int, headers: list[tuple[bytes, bytes]], data: bytes = b""
+    ) -> None:
+        """Send the head of a response of unknown length, and its first bytes."""
+        self.started = True
+        out = self._head(status, headers)
+        if data:
+            out += self.parser.send(h11.Data(data=data))
+        await self.connection.write(out)
+
+    async def send(self, data: bytes) -> None:
+        """Send more bytes of a response that was begun."""
+        await self.connection.write(self.parser.send(h11.Data(data=data)))
+
+    async def end(self, data: bytes = b"") -> None:
+        """Send the last bytes and the end of the message."""
+        out = self.parser.send(h11.Data(data=data)) if data else b""
+        out += self.parser.send(h11.EndOfMessage())
+        await self.connection.write(out)
+        self.ended = True
+
+    @property
+    def is_cut_without_framing(self) -> bool:
+        """Whether the response is incomplete, and only a reset can show that.
+
+        A client of HTTP/1.0 is sent no chunks.
+        """
+        is_framed = self.parser.their_http_version != b"1.0"
+        return self.started and not self.ended and not is_framed
+
+    def _head(self, status: int, headers: list[tuple[bytes, bytes]]) -> bytes:
+        if self.connection.server.closing:
+            headers = [*headers, (b"Connection", b"close")]
+        return self.parser.send(h11.Response(status_code=status, headers=headers))
--- a/packages/buckthornwall/src/buckthornwall/http1/server.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/server.py
@@ -1,6 +1,7 @@
 """A listener, its client connections, and graceful shutdown."""
 
 import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -11,11 +12,11 @@
 from buckthornwall.telemetry import log_event
 from buckthornwall.utils import Clock
 
+from .response import ResponseAborted, ResponseWriter
+
 __all__ = [
     "HttpServer",
     "IncomingRequest",
-    "ResponseAborted",
-    "ResponseWriter",
     "ServerLimits",
 ]
 
@@ -27,10 +28,8 @@
 # After a refusal the rest of the body is still read for this long: closing with
 # unread bytes resets the connection, and the client would lose the refusal.
 LINGER_S = 0.5
-
-
-class ResponseAborted(Exception):
-    """A response that was begun cannot be completed; its connection must close."""
+# SO_LINGER with a timeout of zero: closing the socket resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,56 +67,7 @@
     """The client closed the connection, or left it idle for too long."""
 
 
-Handler = Callable[[IncomingRequest, "ResponseWriter"], Awaitable[None]]
-
-
-class ResponseWriter:
-    """Writes the response to one request, complete or in pieces."""
-
-    def __init__(self, connection: "ServerConnection", parser: h11.Connection) -> None:
-        self.connection = connection
-        self.parser = parser
-        self.started = False
-        self.ended = False
-
-    async def send_complete(
-        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
-    ) -> None:
-        """Send a complete response in one write."""
-        self.started = True
-        sized = [*headers, (b"Content-Length", b"%d" % len(body))]
-        data = self._head(status, sized)
-        if body:
-            data += self.parser.send(h11.Data(data=body))
-        data += self.parser.send(h11.EndOfMessage())
-        await self.connection.write(data)
-        self.ended = True
-
-    async def begin(
-        self, status: int, headers: list[tuple[bytes, bytes]], data: bytes = b""
-    ) -> None:
-        """Send the head of a response of unknown length, and its first bytes."""
-        self.started = True
-        out = self._head(status, headers)
-        if data:
-            out += self.parser.send(h11.Data(data=data))
-        await self.connection.write(out)
-
-    async def send(self, data: bytes) -> None:
-        """Send more bytes of a response that was begun."""
-        await self.connection.write(self.parser.send(h11.Data(data=data)))
-
-    async def end(self, data: bytes = b"") -> None:
-        """Send the last bytes and the end of the message."""
-        out = self.parser.send(h11.Data(data=data)) if data else b""
-        out += self.parser.send(h11.EndOfMessage())
-        await self.connection.write(out)
-        self.ended = True
-
-    def _head(self, status: int, headers: list[tuple[bytes, bytes]]) -> bytes:
-        if self.connection.server.closing:
-            headers = [*headers, (b"Connection", b"close")]
-        return self.parser.send(h11.Response(status_code=status, headers=headers))
+Handler = Callable[[IncomingRequest, ResponseWriter], Awaitable[None]]
 
 
 class ServerConnection:
@@ -129,6 +79,7 @@
         self.unparsed = bytearray()
         self.disconnected = False
         self.idle_scope: trio.CancelScope | None = None
+        self.response: ResponseWriter | None = None
 
     async def write(self, data: bytes) -> None:
         """Send all of `data`; raise ResponseAborted if the client has disconnected."""
@@ -147,7 +98,12 @@
         except (ConnectionEnded, ResponseAborted, OSError):
             pass  # an ordinary end of a connection; no client is left to answer
         finally:
-            self.sock.close()
+            self._close()
+
+    def _close(self) -> None:
+        if self.response is not None and self.response.is_cut_without_framing:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.sock.close()
 
     async def _serve_one(self) -> bool:
         parser = h11.Connection(h11.SERVER, self.server.limits().max_head_bytes)
@@ -157,7 +113,7 @@
         except RequestRefused as refused:
             await self._refuse(parser, refused)
             return False
-        response = ResponseWriter(self, parser)
+        response = self.response = ResponseWriter(self, parser)
         disconnected = await self._handle(request, response)
         if disconnected or not response.ended:
             return False
