Do not take an unframed response of a service that ended for complete

The completions interface took the end of the connection for the end of a body too: a caller got the part of a response that a service had sent before its process ended. Its streams end with a marker of their own and are not concerned.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/liveness.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/liveness.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from buckthornwall.http1 import ClientConnection, ExchangeError
+from buckthornwall.http1 import refuses_connections
 from buckthornwall.pools import UpstreamEntry
 from buckthornwall.utils import Clock, UpstreamId
 
@@ -50,12 +50,7 @@
             return ended
 
     async def _refuses_connection(self, address: str) -> bool:
-        try:
-            connection = await ClientConnection.connect(address, self.connect_timeout_s)
-        except ExchangeError as error:
-            return isinstance(error.__cause__, ConnectionRefusedError)
-        connection.close()
-        return False
+        return await refuses_connections(address, self.connect_timeout_s)
 
     def forget(self, upstream: UpstreamId) -> None:
         """Drop the results for an upstream that is gone."""
--- a/packages/buckthornwall/src/buckthornwall/http1/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/__init__.py
@@ -8,7 +8,12 @@
 ============= ============================================================
 """
 
-from .client import BodyFraming, ClientConnection, ResponseHead
+from .client import (
+    BodyFraming,
+    ClientConnection,
+    ResponseHead,
+    refuses_connections,
+)
 from .failures import ExchangeError, ExchangeFailure
 from .response import ResponseAborted, ResponseWriter
 from .server import HttpServer, IncomingRequest, ServerLimits
@@ -24,4 +29,5 @@
     "ResponseHead",
     "ResponseWriter",
     "ServerLimits",
+    "refuses_connections",
 ]
--- a/packages/buckthornwall/src/buckthornwall/http1/client.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/client.py
@@ -10,7 +10,12 @@
 
 from .failures import ExchangeError, ExchangeFailure
 
-__all__ = ["BodyFraming", "ClientConnection", "ResponseHead"]
+__all__ = [
+    "BodyFraming",
+    "ClientConnection",
+    "ResponseHead",
+    "refuses_connections",
+]
 
 RECEIVE_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
@@ -228,3 +233,16 @@
                 detail = "before the response was complete"
                 raise ExchangeError(ExchangeFailure.CLOSED, detail) from error
             raise ExchangeError(ExchangeFailure.MALFORMED, str(error)) from error
+
+
+async def refuses_connections(address: str, timeout_s: float) -> bool:
+    """Return whether no process listens at ``IP:port``, whose host answers.
+
+    A host that does not answer within `timeout_s` seconds may be partitioned.
+    """
+    try:
+        connection = await ClientConnection.connect(address, timeout_s)
+    except ExchangeError as error:
+        return isinstance(error.__cause__, ConnectionRefusedError)
+    connection.close()
+    return False
--- a/packages/buckthornwall/src/buckthornwall/upstreams/service.py
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/service.py
@@ -3,6 +3,7 @@
 import httpcore
 
 from buckthornwall.codes import ResultCode, UpstreamError
+from buckthornwall.http1 import refuses_connections
 from buckthornwall.records import Upstream
 from buckthornwall.utils import TRANSPORT_ERRORS
 
@@ -24,6 +25,8 @@
     b"date",
     b"server",
 }
+FRAMING_HEADERS = {b"content-length", b"transfer-encoding"}
+STATUSES_WITHOUT_BODY = {204, 304}
 ServiceResponse = tuple[int, list[tuple[str, str]], bytes]
 
 
@@ -93,6 +96,7 @@
                 else ResultCode.UPSTREAM_UNREACHABLE
             )
             raise UpstreamError(code, repr(error), sent=sending) from error
+        await self._check_complete(upstream, method, response)
         self.on_response(upstream.id, response.status, response.headers)
         forwarded = [
             (name.decode("latin-1").lower(), value.decode("latin-1"))
@@ -100,3 +104,18 @@
             if name.lower() not in DROPPED_HEADERS
         ]
         return response.status, forwarded, response.content
+
+    async def _check_complete(
+        self, upstream: Upstream, method: str, response: httpcore.Response
+    ) -> None:
+        """Raise UpstreamError if a response may be cut off by the service's end.
+
+        One without length or chunks ends with its connection, which also ends with the
+        process of the service.
+        """
+        names = {name.lower() for name, _ in response.headers}
+        has_body = method != "HEAD" and response.status not in STATUSES_WITHOUT_BODY
+        if not has_body or names & FRAMING_HEADERS:
+            return
+        if await refuses_connections(upstream.address, self.settings.connect_s):
+            raise UpstreamError(ResultCode.UPSTREAM_BROKEN, "ended with its response")
