--- a/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/upstream.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/upstream.py
@@ -110,7 +110,7 @@
             if b"x-buckthornwall-token-count" in request_headers:
                 await self._stream(request_headers, response, signed)
             else:
-                await response.send_complete(200, signed, b"answer-to-" + request_id)
+                await self._answer(request_id, response, signed)
         finally:
             self.running -= 1
 
@@ -132,6 +132,15 @@
             self.on_notice(request.decode())
         await response.send_complete(503, headers, b"")
 
+    async def _answer(
+        self,
+        request: bytes,
+        response: ResponseWriter,
+        headers: list[tuple[bytes, bytes]],
+    ) -> None:
+        """Send the response to a request that is no stream."""
+        await response.send_complete(200, headers, b"answer-to-" + request)
+
     async def _stream(
         self,
         request_headers: dict[bytes, bytes],
