Callers of the soaks do not take the end of a connection for that of a response

A response with neither length nor chunks counted as whole, whatever part of it had arrived. Found by reading; no instance sends such a response to HTTP/1.1.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/soak_callers.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/soak_callers.py
@@ -5,7 +5,12 @@
 from dataclasses import dataclass, field
 
 import trio
-from buckthornwall.http1 import ClientConnection, ExchangeError
+from buckthornwall.http1 import (
+    BodyFraming,
+    ClientConnection,
+    ExchangeError,
+    ExchangeFailure,
+)
 
 from .users_platform import Upstream
 from .users_platform.deployment import API_KEY, HOST
@@ -89,6 +94,8 @@
             body = b""
             while data := await connection.receive_data():
                 body += data
+            if head.framing is BodyFraming.CLOSE:
+                raise ExchangeError(ExchangeFailure.CLOSED, "without framing")
         finally:
             connection.close()
         return head.status, dict(head.headers), body
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/soak_run.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/soak_run.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 import trio
-from buckthornwall.http1 import ClientConnection, ExchangeError
+from buckthornwall.http1 import BodyFraming, ClientConnection, ExchangeError
 
 from .soak_instances import SoakInstances
 from .users_platform import Deployment, Store
@@ -165,7 +165,10 @@
         headers: list[tuple[bytes, bytes]],
         body: bytes = b"",
     ) -> str:
-        """Call an instance; return the status, the failure, or "left" on a timeout."""
+        """Call an instance; return the status, the failure, or "left" on a timeout.
+
+        The end of an "unframed" response does not show that it is complete.
+        """
         connection = None
         with trio.move_on_after(CLIENT_TIMEOUT_S):
             try:
@@ -175,7 +178,8 @@
                 head = await connection.receive_head()
                 while await connection.receive_data():
                     pass
-                return str(head.status)
+                is_framed = head.framing is not BodyFraming.CLOSE
+                return str(head.status) if is_framed else "unframed"
             except ExchangeError as error:
                 return error.failure.value
             finally:
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tier_soak.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tier_soak.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, replace
 
 import trio
-from buckthornwall.http1 import ClientConnection, ExchangeError
+from buckthornwall.http1 import BodyFraming, ClientConnection, ExchangeError
 
 from .soak_run import RunSettings, SoakRun, make_parser, run_seeds
 from .tiers import RequestAttempt, find_inversions
@@ -180,8 +180,8 @@
     ) -> tuple[float | None, str]:
         """Return the time of the first event, if any, and the outcome.
 
-        The outcome is the status, the failure, "whole" for a complete response, or
-        "left" on a timeout.
+        The outcome is the status, the failure, "whole" for a complete response,
+        "unframed" for one that only its connection ended, or "left" on a timeout.
         """
         first_event_at, connection = None, None
         path = f"/{traffic.name}/x".encode()
@@ -196,7 +196,8 @@
                 while await connection.receive_data():
                     first_event_at = first_event_at or self._now()
                     scope.deadline = trio.current_time() + traffic.deadline_s
-                return first_event_at, "whole"
+                is_framed = head.framing is not BodyFraming.CLOSE
+                return first_event_at, "whole" if is_framed else "unframed"
             except ExchangeError as error:
                 return first_event_at, error.failure.value
             finally:
