Tests of two incomplete replies that still look complete, listed as red

A reply without length or chunks of an upstream that is leaving is not checked at its end, so that the part that was sent before the upstream ended is complete to the caller. Found by reading.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_unframed.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_unframed.py
@@ -8,6 +8,7 @@
 from .helpers import event, stream
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signed: 1\r\nConnection: close\r\n\r\n"
+LEAVING_HEAD = HEAD.replace(b"X-Id", b"X-Leaving: 1\r\nX-Id")
 FIRST_HALF = event(2)[:8]
 BEFORE_BLANK_LINE = event(2)[:-1]
 STREAM = ResponseMode.EVENT_STREAM
@@ -112,3 +113,23 @@
     )
     assert answer.status == 502
     assert answer.run == "unknown"
+
+
+async def test_unframed_stream_of_leaving_upstream_that_ended_continues_elsewhere(
+    forward, ending_upstream
+):
+    answer = await forward(
+        await ending_upstream(LEAVING_HEAD + event(1)),
+        [stream(2)],
+        response_mode=STREAM,
+    )
+    assert answer.body == event(1) + event(2)
+
+
+async def test_unframed_reply_of_leaving_upstream_that_ended_is_retried(
+    forward, ending_upstream
+):
+    answer = await forward(
+        await ending_upstream(LEAVING_HEAD + b"who"), [HEAD + b"whole", b""]
+    )
+    assert answer.body == b"whole"
