Reset responses to clients of HTTP/1.0 also where their instance is killed

The reset on close was set when the instance closed the connection itself. The option is now set while a response without chunks is under way.

--- a/packages/buckthornwall/src/buckthornwall/http1/response.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/response.py
@@ -44,6 +44,8 @@
         out = self._head(status, headers)
         if data:
             out += self.parser.send(h11.Data(data=data))
+        if not self.is_chunked:
+            self.connection.set_reset_on_close(True)
         await self.connection.write(out)
 
     async def send(self, data: bytes) -> None:
@@ -55,16 +57,17 @@
         out = self.parser.send(h11.Data(data=data)) if data else b""
         out += self.parser.send(h11.EndOfMessage())
         await self.connection.write(out)
+        if not self.is_chunked:
+            self.connection.set_reset_on_close(False)
         self.ended = True
 
     @property
-    def is_cut_without_framing(self) -> bool:
-        """Whether the response is incomplete, and only a reset can show that.
+    def is_chunked(self) -> bool:
+        """Whether a response of unknown length is sent in chunks.
 
-        A client of HTTP/1.0 is sent no chunks.
+        To a client of HTTP/1.0 it is not, and only a reset shows that it is incomplete.
         """
-        is_framed = self.parser.their_http_version != b"1.0"
-        return self.started and not self.ended and not is_framed
+        return self.parser.their_http_version != b"1.0"
 
     def _head(self, status: int, headers: list[tuple[bytes, bytes]]) -> bytes:
         if self.connection.server.closing:
--- a/packages/buckthornwall/src/buckthornwall/http1/server.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/server.py
@@ -30,6 +30,8 @@
 LINGER_S = 0.5
 # SO_LINGER with a timeout of zero: closing the socket resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# SO_LINGER switched off: the data that is left is sent before the end.
+FLUSH_ON_CLOSE = struct.pack("ii", 0, 0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +81,6 @@
         self.unparsed = bytearray()
         self.disconnected = False
         self.idle_scope: trio.CancelScope | None = None
-        self.response: ResponseWriter | None = None
 
     async def write(self, data: bytes) -> None:
         """Send all of `data`; raise ResponseAborted if the client has disconnected."""
@@ -98,12 +99,12 @@
         except (ConnectionEnded, ResponseAborted, OSError):
             pass  # an ordinary end of a connection; no client is left to answer
         finally:
-            self._close()
+            self.sock.close()
 
-    def _close(self) -> None:
-        if self.response is not None and self.response.is_cut_without_framing:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        self.sock.close()
+    def set_reset_on_close(self, is_reset: bool) -> None:
+        """Set whether the end of this connection, or of its process, is a reset."""
+        linger = RESET_ON_CLOSE if is_reset else FLUSH_ON_CLOSE
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
     async def _serve_one(self) -> bool:
         parser = h11.Connection(h11.SERVER, self.server.limits().max_head_bytes)
@@ -113,7 +114,7 @@
         except RequestRefused as refused:
             await self._refuse(parser, refused)
             return False
-        response = self.response = ResponseWriter(self, parser)
+        response = ResponseWriter(self, parser)
         disconnected = await self._handle(request, response)
         if disconnected or not response.ended:
             return False
