Retry an unframed reply of a leaving upstream that ended with it

A leaving upstream may also fail before its last reply is complete. Where the request may be retried, nothing is lost by doubting the reply; else it is taken for complete, since a planned end right after it is more likely.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -225,7 +225,9 @@
         body = await self._read_body(connection)
         if reply.not_run:
             return reply, AttemptResult(AttemptEnd.NOT_RUN, str(reply.status), reply)
-        await self.completeness.check_body(self.choice.view, self.delivery.framing)
+        await self.completeness.check_body(
+            self.choice.view, self.resolution.route, self.delivery.framing
+        )
         if 200 <= reply.status < 300 and not reply.is_attested_success:
             return None, AttemptResult(AttemptEnd.BROKEN, "success not attested")
         if reply.status >= 500:
@@ -262,7 +264,10 @@
                 pending_prefill.clear(is_served=True)
                 observer.record(events, now)
         await self.completeness.check_stream(
-            view, self.delivery.framing, self.delivery.joiner
+            view,
+            self.resolution.route,
+            self.delivery.framing,
+            self.delivery.joiner,
         )
         await self.delivery.end(reply)
 
--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt_limits.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt_limits.py
@@ -1,14 +1,13 @@
 """Limits of an attempt: whether another may follow, and how long it may be silent."""
 
 from buckthornwall.pools import Choice, PoolTable, expected_s
-from buckthornwall.routing import RequestRoute, ResponseMode
+from buckthornwall.routing import ResponseMode
 
 from .job import Job
 
 __all__ = [
     "event_timeout_s",
     "head_timeout_s",
-    "is_retryable",
     "max_idle_s",
     "may_run_again",
 ]
@@ -26,17 +25,10 @@
 EVENT_TIMEOUT_PAUSES = 4.0
 
 
-def is_retryable(route: RequestRoute) -> bool:
-    """Return whether requests of a route may run more than once."""
-    if route.response_mode is ResponseMode.EVENT_STREAM:
-        return route.resumable
-    return route.retryable
-
-
 def may_run_again(job: Job) -> bool:
     """Return whether the request may run again after the next attempt."""
     route = job.resolution.route
-    return is_retryable(route) and job.runs + 1 < route.max_runs
+    return route.may_repeat and job.runs + 1 < route.max_runs
 
 
 def max_idle_s(job: Job, once_idle_s: float) -> float:
@@ -45,7 +37,7 @@
     A request sent on a connection that the upstream has closed meanwhile is lost, and
     cannot be known not to have run.
     """
-    return float("inf") if is_retryable(job.resolution.route) else once_idle_s
+    return float("inf") if job.resolution.route.may_repeat else once_idle_s
 
 
 def head_timeout_s(
--- a/packages/buckthornwall/src/buckthornwall/forwarding/completeness.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/completeness.py
@@ -6,6 +6,7 @@
 
 from buckthornwall.http1 import BodyFraming, ExchangeError, ExchangeFailure
 from buckthornwall.pools import PoolTable, UpstreamView
+from buckthornwall.routing import RequestRoute
 
 from .events import EventJoiner
 from .liveness import LivenessChecks
@@ -29,9 +30,13 @@
         self.liveness = liveness
 
     async def check_stream(
-        self, view: UpstreamView, framing: BodyFraming | None, joiner: EventJoiner
+        self,
+        view: UpstreamView,
+        route: RequestRoute,
+        framing: BodyFraming | None,
+        joiner: EventJoiner,
     ) -> None:
-        """Check an event stream.
+        """Check an event stream; the parameters are those of `check_body`.
 
         Raises
         ------
@@ -43,22 +48,35 @@
         has_events = joiner.event_count or joiner.last_id
         if framing is BodyFraming.CLOSE and not has_events:
             raise ExchangeError(ExchangeFailure.CLOSED, "before the first event")
-        await self.check_body(view, framing)
+        await self.check_body(view, route, framing)
 
-    async def check_body(self, view: UpstreamView, framing: BodyFraming | None) -> None:
+    async def check_body(
+        self, view: UpstreamView, route: RequestRoute, framing: BodyFraming | None
+    ) -> None:
         """Check the body of a reply.
 
+        Parameters
+        ----------
+        view
+            The upstream.
+        route
+            The route of the request.
+        framing
+            What marks the end of the body.
+
         Raises
         ------
         ExchangeError
             CLOSED if it may be incomplete, since its upstream ended with it.
         """
-        if framing is BodyFraming.CLOSE and await self._has_failed(view):
+        if framing is not BodyFraming.CLOSE:
+            return
+        # An upstream that leaves may end right after its last reply, which is lost if
+        # it counts as incomplete and may not be retried.
+        if self._is_leaving(view) and not route.may_repeat:
+            return
+        if await self.liveness.has_ended(view.entry):
             raise ExchangeError(ExchangeFailure.CLOSED, "with its upstream")
 
-    async def _has_failed(self, view: UpstreamView) -> bool:
-        """Return whether an upstream has ended, other than by a planned departure."""
-        is_listed = self.pools.views.get(view.id) is view
-        if not is_listed or view.is_leaving:
-            return False
-        return await self.liveness.has_ended(view.entry)
+    def _is_leaving(self, view: UpstreamView) -> bool:
+        return self.pools.views.get(view.id) is not view or view.is_leaving
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -29,7 +29,6 @@
 from .attempt_limits import (
     event_timeout_s,
     head_timeout_s,
-    is_retryable,
     max_idle_s,
 )
 from .budgets import RetryBudgets
@@ -329,7 +328,7 @@
         if result.end is AttemptEnd.NOT_RUN:
             return self._spend_retry(job)
         route = job.resolution.route
-        if not is_retryable(route) or job.runs >= route.max_runs:
+        if not route.may_repeat or job.runs >= route.max_runs:
             return False
         is_paid = result.failure is ExchangeFailure.TIMED_OUT
         if not is_paid and not self._spend_retry(job):
--- a/packages/buckthornwall/src/buckthornwall/routing/config.py
+++ b/packages/buckthornwall/src/buckthornwall/routing/config.py
@@ -61,6 +61,13 @@
     needs_key: bool
     regions: frozenset[RegionId] = frozenset()
 
+    @property
+    def may_repeat(self) -> bool:
+        """Whether its requests may run more than once."""
+        if self.response_mode is ResponseMode.EVENT_STREAM:
+            return self.resumable
+        return self.retryable
+
 
 @dataclass(frozen=True, slots=True)
 class EngineSpec:
