--- a/packages/buckthornwall-standins/src/buckthornwall_standins/soak_callers.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/soak_callers.py
@@ -41,19 +41,23 @@
         Samples the calls; shared with the faults.
     ports
         First of five consecutive ports, the same for all instances.
+    prompt_prefixes
+        Number of different shared prompt segments, given to prompts in turn.
     """
 
-    def __init__(self, rng: random.Random, ports: int) -> None:
+    def __init__(
+        self, rng: random.Random, ports: int, prompt_prefixes: int = 1
+    ) -> None:
         self.rng = rng
         self.ports = ports
+        self.prompt_prefixes = prompt_prefixes
         self.result = SoakResult()
         self.refused_requests: set[str] = set()
         self._call_count = 0
 
     async def call(self, number: int) -> bool:
         """Make one call, check its response, and return whether it was served."""
-        self._call_count += 1
-        request = f"r{self._call_count}"
+        request = self.next_request()
         path = self.rng.choice(["/draft/x", "/once/x", "/order/x", "/look/x"])
         is_stream = path in ("/draft/x", "/once/x")
         self.result.calls += 1
@@ -76,10 +80,16 @@
             self.result.violations.append(f"{path} {request}: {body[:80]!r}")
         return True
 
+    def next_request(self) -> str:
+        """Return a new request id."""
+        self._call_count += 1
+        return f"r{self._call_count}"
+
     async def _exchange(
         self, number: int, path: str, request: str, is_stream: bool
     ) -> tuple[int, dict[bytes, bytes], bytes]:
-        prompt = ("900,10", "aa:600,bb:300") if is_stream else None
+        prefix = f"aa{int(request[1:]) % self.prompt_prefixes:x}"
+        prompt = ("900,10", f"{prefix}:600,bb:300") if is_stream else None
         headers = make_request_headers(request, HOST, API_KEY, CLIENT_TIMEOUT_S, prompt)
         address = f"127.0.8.{number}:{self.ports}"
         connection = await ClientConnection.connect(address, 1.0)
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/soak_instances.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/soak_instances.py
@@ -28,12 +28,15 @@
 
     Attributes
     ----------
+    module : str
+        Module that is run to start an instance.
     settle_ms : int
         Time in which registrations are renewed after an outage of the store.
     """
 
     def __init__(self, ports: int, directory: Path) -> None:
         self.ports = ports
+        self.module = "buckthornwall.start"
         self.settle_ms = 500
         self.directory = directory
         self.processes: dict[int, subprocess.Popen] = {}
@@ -41,14 +44,18 @@
 
     def start(self, number: int) -> None:
         """Start or restart an instance."""
-        path = self.directory / f"node-{number}.ini"
+        path = self.settings_path(number)
         path.write_text(format_settings(number, [1, 2], self.ports, self.settle_ms))
-        command = [sys.executable, "-m", "buckthornwall.start"]
+        command = [sys.executable, "-m", self.module]
         command += ["--interface", "platform", "--settings", str(path)]
         self.start_counts[number] = self.start_counts.get(number, 0) + 1
         with self.log_path(number).open("ab") as log:
             self.processes[number] = subprocess.Popen(command, stdout=log, stderr=log)
 
+    def settings_path(self, number: int) -> Path:
+        """Return the settings file of an instance."""
+        return self.directory / f"node-{number}.ini"
+
     def log_path(self, number: int) -> Path:
         """Return the log file of an instance."""
         return self.directory / f"node-{number}.log"
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/soak_run.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/soak_run.py
@@ -7,7 +7,7 @@
 import sys
 import tempfile
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
@@ -70,6 +70,8 @@
     ----------
     targets : dict
         Targets by request id.
+    restarted : iterable of int
+        Numbers of the instances that are killed and restarted in turn.
     restart_events : list of tuple
         Times and numbers of instances that were killed or restarted.
     """
@@ -84,6 +86,7 @@
         self.deployment = Deployment(self.store)
         self.instances = SoakInstances(settings.ports, settings.directory)
         self.targets: dict[str, RequestTarget] = {}
+        self.restarted: Iterable[int] = range(1, settings.instances + 1)
         self.restart_events: list[tuple[float, int]] = []
         self.statuses: Counter[tuple[str, str]] = Counter()
         self.numbers = itertools.count(1)
@@ -131,7 +134,7 @@
         )
 
     async def _restart_in_turn(self) -> None:
-        for number in itertools.cycle(range(1, self.instance_count + 1)):
+        for number in itertools.cycle(self.restarted):
             await trio.sleep(RESTART_INTERVAL_S)
             self.instances.processes[number].kill()
             self.instances.processes[number].wait()
