Find out whether this instance reaches no upstream

An instance that is partitioned from all upstreams went on sending its requests to each of them in turn, as if each had failed by itself. Only new connections tell: open ones may hang, or live on while new ones are refused.

After a failure, and where requests wait while nothing arrives from any upstream, it probes upstreams of all pools and zones: two first, the others only if both fail. It is isolated if all of them failed and no connection was opened meanwhile. While isolated it probes one upstream at a time; one connection that opens ends it, and is kept for requests.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/__init__.py
@@ -9,6 +9,7 @@
 `attempt_limits`    whether another attempt may follow, and how long one may be silent
 `budgets`           this instance's share of the fleet's retry budget
 `verdicts`          what the end of an attempt says about the health of its upstream
+`isolation_monitor` probes that find whether this instance reaches no upstream
 `liveness`          whether an upstream has ended, or only a connection to it
 `completeness`      whether a reply that has ended is complete
 `crash_guard`       detection and refusal of requests that crash upstreams
--- a/packages/buckthornwall/src/buckthornwall/forwarding/connections.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/connections.py
@@ -1,6 +1,8 @@
 """Reuse of connections to upstreams."""
 
-from buckthornwall.http1 import ClientConnection
+from collections.abc import Callable
+
+from buckthornwall.http1 import ClientConnection, ExchangeError
 from buckthornwall.utils import Clock, UpstreamId
 
 __all__ = ["ConnectionCache"]
@@ -22,12 +24,19 @@
         Source of time.
     connect_timeout_s
         Longest time to connect.
+
+    Attributes
+    ----------
+    on_connected, on_failed : Callable
+        Called with the upstream when a connection has opened, or could not be.
     """
 
     def __init__(self, clock: Clock, connect_timeout_s: float) -> None:
         self.clock = clock
         self.connect_timeout_s = connect_timeout_s
         self.opened = 0
+        self.on_connected: Callable[[UpstreamId], None] = lambda upstream: None
+        self.on_failed: Callable[[UpstreamId], None] = lambda upstream: None
         self._idle: dict[UpstreamId, list[ClientConnection]] = {}
         self._busy: dict[UpstreamId, set[ClientConnection]] = {}
         self._idle_timeouts: dict[UpstreamId, float] = {}
@@ -59,9 +68,27 @@
             if now - connection.idle_since <= limit_s and connection.is_healthy():
                 return self._check_out(upstream, connection)
             connection.close()
+        return self._check_out(upstream, await self._open(upstream, address))
+
+    async def open_idle(self, upstream: UpstreamId, address: str) -> None:
+        """Open a connection, and keep it for a later request.
+
+        Raises
+        ------
+        ExchangeError
+            UNREACHABLE.
+        """
+        self._keep(upstream, await self._open(upstream, address))
+
+    async def _open(self, upstream: UpstreamId, address: str) -> ClientConnection:
         self.opened += 1
-        connection = await ClientConnection.connect(address, self.connect_timeout_s)
-        return self._check_out(upstream, connection)
+        try:
+            connection = await ClientConnection.connect(address, self.connect_timeout_s)
+        except ExchangeError:
+            self.on_failed(upstream)
+            raise
+        self.on_connected(upstream)
+        return connection
 
     def _check_out(
         self, upstream: UpstreamId, connection: ClientConnection
@@ -82,12 +109,19 @@
     ) -> None:
         """Keep a connection whose exchange is complete, or close it."""
         self._busy.get(upstream, set()).discard(connection)
-        idle = self._idle.setdefault(upstream, [])
-        if not connection.is_reusable() or len(idle) >= MAX_IDLE_PER_UPSTREAM:
+        if not connection.is_reusable():
             connection.close()
             return
         if idle_timeout_s is not None:
             self._idle_timeouts[upstream] = idle_timeout_s * IDLE_TIMEOUT_FRACTION
+        self._keep(upstream, connection)
+
+    def _keep(self, upstream: UpstreamId, connection: ClientConnection) -> None:
+        """Add a connection to the idle ones, or close it if there are many."""
+        idle = self._idle.setdefault(upstream, [])
+        if len(idle) >= MAX_IDLE_PER_UPSTREAM:
+            connection.close()
+            return
         connection.idle_since = self.clock.now()
         idle.append(connection)
 
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -37,6 +37,7 @@
 from .connections import ConnectionCache
 from .crash_guard import CrashGuard
 from .delivery import Delivery
+from .isolation_monitor import IsolationMonitor
 from .job import Job
 from .limit_gate import LimitGate
 from .liveness import LivenessChecks
@@ -103,6 +104,8 @@
         self.budgets = RetryBudgets(settings.retry_ratio, settings.retry_reserve)
         connect_timeout_s = settings.connect_timeout_ms / 1000
         self.connections = ConnectionCache(clock, connect_timeout_s)
+        self.isolation = pools.isolation
+        self.isolation_monitor = IsolationMonitor(pools, self.connections, clock)
         self.liveness = LivenessChecks(clock, connect_timeout_s)
         self.completeness = CompletenessChecks(pools, self.liveness)
         self.crash_guard = CrashGuard(quarantine, pools, self.liveness, clock)
@@ -278,6 +281,8 @@
             view.rate_limit.refund()
         else:
             job.arrivals += 1
+        if result.suggests_isolation:
+            self.isolation.record_failed(view.id, self.clock.now())
         verdict = health_verdict(choice, result)
         if verdict is not None:
             self.pools.record_outcome(view, verdict)
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -9,6 +9,8 @@
 `evacuation`       availability zones that get no new requests
 `health`           upstreams that fail requests, whatever their health check says
 `reachability`     upstreams that do not accept requests, as reported by instances
+`isolation`        whether this instance reaches no upstream at all
+`probe_order`      the upstreams that are probed to find that out
 `upstream_notices` notices of one upstream that are in force
 `notices`          what upstreams state about themselves in their responses
 `availability`     whether an upstream may get a request now
@@ -36,6 +38,7 @@
 from .expectation import expected_s
 from .fleet_memory import FleetMemory
 from .health import Verdict
+from .isolation import Isolation
 from .ledger import Admission, RankTokens, add_rank_tokens, subtract_rank_tokens
 from .limit_queue import LimitQueue
 from .limit_share import Fleet
@@ -44,6 +47,7 @@
 from .overload import retry_after_s
 from .placement import Choice, PlacementRequest, choose_engine, choose_service
 from .prefix_updates import CachedPrefixes, PrefixUpdates, merge_cached_prefixes
+from .probe_order import probe_order
 from .rate_limit import LimitReport, LimitReports, merge_limit_reports
 from .reachability import Unreachable, add_unreachable
 from .refusal import Overload, RefusalReason, find_overload, record_decision
@@ -61,6 +65,7 @@
     "Choice",
     "Fleet",
     "FleetMemory",
+    "Isolation",
     "LeavingUpstreams",
     "LimitQueue",
     "LimitReport",
@@ -92,6 +97,7 @@
     "is_served_in_order",
     "merge_cached_prefixes",
     "merge_limit_reports",
+    "probe_order",
     "record_decision",
     "retry_after_s",
     "subtract_rank_tokens",
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -25,6 +25,7 @@
 from .entry import UpstreamEntry, is_same_incarnation
 from .evacuation import Evacuations
 from .health import Verdict
+from .isolation import Isolation
 from .ledger import AdmissionLedger, RankTokens
 from .limit_queue import LimitQueue
 from .notices import NoticeTable
@@ -62,6 +63,8 @@
         What the upstreams state about themselves.
     evacuations : Evacuations
         Availability zones that get no new requests.
+    isolation : Isolation
+        Whether this instance reaches no upstream.
     """
 
     def __init__(
@@ -80,6 +83,7 @@
         self._limit_queues: dict[PoolId, LimitQueue] = {}
         self.prefix_updates = PrefixUpdates()
         self.evacuations = Evacuations()
+        self.isolation = Isolation()
 
     def adopt(self, entry: UpstreamEntry) -> bool:
         """Add or update a registration.
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -166,6 +166,7 @@
             self.is_listening = True
             nursery.start_soon(self.discovery.run)
             nursery.start_soon(self._housekeeping)
+            nursery.start_soon(self.forwarder.isolation_monitor.run)
             nursery.start_soon(self.state_sync.run)
             await self.stopping.wait()
             await stop_gracefully(self)
