Blame no upstream for the isolation of this instance

What an isolated instance sees of upstreams says nothing about them. It reports none as unreachable, ejects none, and leaves the waits of its requests and its unserved requests out of what it tells peers, who would refuse requests for them. A refused connection counts as the end of an upstream, for the crash guard and for replies that end with their connection, only once a probe has shown that others accept connections.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -106,7 +106,9 @@
         self.connections = ConnectionCache(clock, connect_timeout_s)
         self.isolation = pools.isolation
         self.isolation_monitor = IsolationMonitor(pools, self.connections, clock)
-        self.liveness = LivenessChecks(clock, connect_timeout_s)
+        self.liveness = LivenessChecks(
+            clock, connect_timeout_s, self.isolation_monitor.check
+        )
         self.completeness = CompletenessChecks(pools, self.liveness)
         self.crash_guard = CrashGuard(quarantine, pools, self.liveness, clock)
         self.limit_gate = LimitGate(pools, clock, self._choose)
@@ -213,13 +215,15 @@
         """Record in the ledger that an admitted request got no response, if so.
 
         One that ends before its target failed, or its client left, for other reasons
-        than the load.
+        than the load, and so does one that this instance could send nowhere.
         """
         admission = job.admission
         if admission is None:
             return
         ledger, now = self.pools.ledger(job.resolution.pool.id), self.clock.now()
         ledger.record_ended(admission)
+        if self.isolation.is_isolated:
+            return
         if now - job.request.received_at >= job.resolution.route.target_s:
             ledger.record_refused(admission.rank, admission.tokens, now)
 
--- a/packages/buckthornwall/src/buckthornwall/forwarding/liveness.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/liveness.py
@@ -1,5 +1,7 @@
 """Checks of whether an upstream has ended, or only a connection to it."""
 
+from collections.abc import Awaitable, Callable
+
 import trio
 
 from buckthornwall.http1 import refuses_connections
@@ -22,11 +24,19 @@
         Source of time.
     connect_timeout_s
         Longest time to connect.
+    is_isolated
+        Returns, by probes if needed, whether this instance reaches no upstream at all.
     """
 
-    def __init__(self, clock: Clock, connect_timeout_s: float) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        connect_timeout_s: float,
+        is_isolated: Callable[[], Awaitable[bool]],
+    ) -> None:
         self.clock = clock
         self.connect_timeout_s = connect_timeout_s
+        self.is_isolated = is_isolated
         self._locks: dict[UpstreamId, trio.Lock] = {}
         self._ended_at: dict[UpstreamId, float] = {}
         self._alive_at: dict[UpstreamId, float] = {}
@@ -34,7 +44,8 @@
     async def has_ended(self, entry: UpstreamEntry) -> bool:
         """Return whether the host of an upstream refuses connections.
 
-        A host that does not answer counts as alive, since it may be partitioned.
+        A host that does not answer counts as alive, since it may be partitioned, and
+        one that refuses does if this instance is isolated.
         """
         requested_at = self.clock.now()
         async with self._locks.setdefault(entry.id, trio.Lock()):
@@ -45,6 +56,7 @@
                 return False
             checked_at = self.clock.now()
             ended = await self._refuses_connection(entry.address)
+            ended = ended and not await self.is_isolated()
             checks = self._ended_at if ended else self._alive_at
             checks[entry.id] = checked_at
             return ended
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_liveness.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_liveness.py
@@ -16,7 +16,14 @@
 
 @pytest.fixture
 def checks():
-    return LivenessChecks(TrioClock(), 0.2)
+    return checks_of(is_isolated=False)
+
+
+def checks_of(is_isolated):
+    async def find():
+        return is_isolated
+
+    return LivenessChecks(TrioClock(), 0.2, find)
 
 
 async def test_listening_upstream_has_not_ended(checks, raw_upstream):
@@ -27,6 +34,10 @@
     assert await checks.has_ended(entry("127.0.0.1:1"))
 
 
+async def test_refusal_to_an_isolated_instance_does_not_count_as_ended():
+    assert not await checks_of(is_isolated=True).has_ended(entry("127.0.0.1:1"))
+
+
 async def test_unreachable_host_does_not_count_as_ended(checks):
     """A network partition looks the same."""
     assert not await checks.has_ended(entry("not-an-address:1"))
--- a/packages/buckthornwall/src/buckthornwall/peers/work.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/work.py
@@ -13,12 +13,15 @@
 MIN_REPORTED_WAIT_S = 0.2
 
 
-def outstanding_work(load: Load, now: float) -> Work:
-    """Return the outstanding work of this instance at an upstream."""
+def outstanding_work(load: Load, now: float, has_waits: bool = True) -> Work:
+    """Return the outstanding work of this instance at an upstream.
+
+    Without `has_waits`, how long it has waited says nothing about the upstream.
+    """
     oldest_wait_ms = {
         rank: int(age * MS_PER_S)
         for rank, age in load.waits.oldest_wait_s(now).items()
-        if age >= MIN_REPORTED_WAIT_S
+        if has_waits and age >= MIN_REPORTED_WAIT_S
     }
     return Work(
         load.requests,
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -10,6 +10,7 @@
 `health`           upstreams that fail requests, whatever their health check says
 `reachability`     upstreams that do not accept requests, as reported by instances
 `isolation`        whether this instance reaches no upstream at all
+`regained`         what is forgotten when an isolation ends
 `probe_order`      the upstreams that are probed to find that out
 `upstream_notices` notices of one upstream that are in force
 `notices`          what upstreams state about themselves in their responses
--- a/packages/buckthornwall/src/buckthornwall/pools/health.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/health.py
@@ -34,6 +34,7 @@
     def __init__(self) -> None:
         self.results: deque[tuple[float, bool]] = deque(maxlen=MAX_RESULTS)
         self.ejection_s = 0.0
+        self.ejected_at = 0.0
         self.ejected_until = 0.0
         self.probe_sent_at: float | None = None
 
@@ -103,7 +104,20 @@
             return True
         return False
 
+    def forget_since(self, since: float) -> bool:
+        """Forget results from `since` on; return whether this readmitted it."""
+        self.results = deque(
+            (result for result in self.results if result[0] < since), MAX_RESULTS
+        )
+        if not self.ejected or self.ejected_at < since:
+            return False
+        self.ejection_s = 0.0
+        self.probe_sent_at = None
+        return True
+
     def _eject(self, now: float) -> None:
+        if not self.ejected:
+            self.ejected_at = now
         self.ejection_s = min(MAX_EJECTION_S, self.ejection_s * 2 or BASE_EJECTION_S)
         self.ejected_until = now + self.ejection_s
         self.probe_sent_at = None
--- a/packages/buckthornwall/src/buckthornwall/pools/reachability.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/reachability.py
@@ -38,6 +38,11 @@
         """Record that nothing could be sent to the upstream."""
         self.failed_at = now
 
+    def forget_since(self, since: float) -> None:
+        """Forget a failure from `since` on."""
+        if self.failed_at >= since:
+            self.failed_at = float("-inf")
+
     def record_answered(self, now: float) -> None:
         """Record that data arrived from the upstream."""
         self.answered_at = now
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -32,6 +32,7 @@
 from .prefix_updates import CachedPrefixes, PrefixUpdates
 from .rate_limits import RateLimits
 from .reachability import Unreachable
+from .regained import forget_failures
 from .reserved import ReservedEngines
 from .view import UpstreamView
 from .wait_calibration import WaitCalibration
@@ -84,6 +85,9 @@
         self.prefix_updates = PrefixUpdates()
         self.evacuations = Evacuations()
         self.isolation = Isolation()
+        self.isolation.on_regained = lambda since: forget_failures(
+            self.views.values(), self.isolation.since, since, clock.now()
+        )
 
     def adopt(self, entry: UpstreamEntry) -> bool:
         """Add or update a registration.
@@ -341,12 +345,13 @@
         """Return the upstreams to report to peers as not accepting requests.
 
         Those that this instance recently could not reach, or that asked it for a rest.
+        The former not while the reason may be that it reaches no upstream at all.
         """
-        now = self.clock.now()
+        now, is_in_doubt = self.clock.now(), self.isolation.is_in_doubt
         return [
             view.id
             for view in self.views.values()
-            if view.reachability.should_report(now)
+            if (not is_in_doubt and view.reachability.should_report(now))
             or view.notices.should_report_rest(now)
         ]
 
@@ -360,6 +365,8 @@
 
     def record_outcome(self, view: UpstreamView, verdict: Verdict) -> None:
         """Record the outcome of a request at an upstream."""
+        if self.isolation.is_isolated and verdict is not Verdict.GOOD:
+            return
         now = self.clock.now()
         if verdict is Verdict.UNREACHABLE:
             view.reachability.record_failed(now)
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_isolation.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_isolation.py
@@ -9,6 +9,7 @@
     UpstreamEntry,
     UpstreamState,
     UpstreamView,
+    Verdict,
     probe_order,
 )
 from buckthornwall.routing import PoolId
@@ -82,3 +83,44 @@
     one_pool = [view(f"{n}", zone=f"z{n % 3}") for n in range(30)]
     zones = [v.entry.zone for v in probe_order(one_pool, (), random.Random(1))]
     assert sorted(zones) == ["z0", "z0", "z1", "z1", "z2", "z2"]
+
+
+def isolate(table, clock):
+    table.isolation.record_failed(A, clock.now())
+    table.isolation.begin_round(clock.now())
+    table.isolation.end_round(3, clock.now())
+
+
+def test_isolated_instance_reports_and_ejects_nothing(table, clock):
+    before, during, after = list(table.views.values())[:3]
+    table.record_outcome(before, Verdict.UNREACHABLE)
+    assert table.unreachable() == [before.id]
+    clock.time += 0.3
+    isolate(table, clock)
+    table.record_outcome(during, Verdict.UNREACHABLE)
+    assert table.unreachable() == []
+    assert not during.health.ejected
+    table.isolation.record_connected(A, clock.now())
+    assert table.unreachable() == []
+    assert not before.health.ejected
+    table.record_outcome(after, Verdict.UNREACHABLE)
+    assert table.unreachable() == [after.id]
+
+
+def test_ejection_before_the_cut_outlasts_it(table, clock):
+    view = next(iter(table.views.values()))
+    table.record_outcome(view, Verdict.UNREACHABLE)
+    clock.time += 10.0
+    table.record_outcome(view, Verdict.UNREACHABLE)
+    isolate(table, clock)
+    table.isolation.record_connected(A, clock.now())
+    assert view.health.ejected
+
+
+def test_nothing_is_reported_until_probes_have_refuted_an_isolation(table, clock):
+    view = next(iter(table.views.values()))
+    table.isolation.record_failed(view.id, clock.now())
+    table.record_outcome(view, Verdict.UNREACHABLE)
+    assert table.unreachable() == []
+    table.isolation.record_connected(A, clock.now())
+    assert table.unreachable() == [view.id]
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -202,7 +202,9 @@
     def _make_beacon(self) -> Beacon:
         now = self.clock.now()
         loads = {
-            view.id: outstanding_work(view.load, now)
+            view.id: outstanding_work(
+                view.load, now, not self.pools.isolation.is_isolated
+            )
             for view in self.pools.views.values()
             if view.load.requests
         }
--- a/packages/buckthornwall/src/buckthornwall/router/operators.py
+++ b/packages/buckthornwall/src/buckthornwall/router/operators.py
@@ -44,6 +44,10 @@
         ),
         "store_calls": ("Calls to the store.", router.store.calls),
         "upstreams": ("Upstreams registered.", len(router.pools.views)),
+        "isolated": (
+            "Whether this instance can open connections to no upstream.",
+            router.pools.isolation.is_isolated,
+        ),
         "upstreams_aside": (
             "Upstreams set aside.",
             sum(1 for view in views if view.health.ejected),
