Probe as often where connections hang as where they are refused

An isolated instance whose probes hang made one in half a second, since it waited after each one. The interval is now counted from the start of a probe.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/isolation_monitor.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/isolation_monitor.py
@@ -66,9 +66,10 @@
         """Probe whenever it is due, for ever."""
         while True:
             if self.isolation.is_isolated:
-                await self._probe_next()
                 jitter = self.rng.uniform(1 - REGAIN_JITTER, 1 + REGAIN_JITTER)
-                await trio.sleep(REGAIN_INTERVAL_S * jitter)
+                next_at = trio.current_time() + REGAIN_INTERVAL_S * jitter
+                await self._probe_next()
+                await trio.sleep_until(next_at)
                 continue
             now = self.clock.now()
             if self.isolation.is_probe_due(self._is_silent(now), now):
