Keep connections over a silence of up to 2 s

A sound engine may fall silent for a second or so and go on. TCP_USER_TIMEOUT also decides when keep-alive probes give up, whatever their count (tcp(7)): at 2 s, as long as the idle time before the first probe, one unanswered probe ended a connection a second later.

Of three probes, after 1, 2 and 3 s, a silence of up to 2 s leaves one to be answered, whenever it begins. The user timeout is as long as all of them, so that a dead path is found after 4 s. Tested are the arithmetic and the options, not a silent path.

--- a/packages/buckthornwall/src/buckthornwall/http1/client.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/client.py
@@ -19,14 +19,16 @@
 
 RECEIVE_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
-# A path that leaves bytes unacknowledged for this long is dead; Linux would wait
-# 15 minutes.
-USER_TIMEOUT_MS = 2_000
-# An idle path is probed after 2 s, then every second, and is dead after three
-# unanswered probes.
-KEEPALIVE_IDLE_S = 2
+# An idle path is probed after 1 s, then every second, and is dead a second after the
+# third unanswered probe. A silence of up to 2 s that begins just before the first probe
+# ends before the third.
+KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
+# A path that leaves bytes unacknowledged for this long is dead; Linux would wait
+# 15 minutes. It also decides when probes give up, whatever their count (tcp(7)), so it
+# is as long as all of them.
+USER_TIMEOUT_MS = 1000 * (KEEPALIVE_IDLE_S + KEEPALIVE_PROBES * KEEPALIVE_INTERVAL_S)
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 Headers = Sequence[tuple[bytes, bytes]]
--- a/packages/buckthornwall/src/buckthornwall/http1/tests/test_client.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/tests/test_client.py
@@ -1,9 +1,12 @@
 """Tests of an exchange: complete, truncated, misdirected and unsolicited responses."""
 
+import socket
+
 import pytest
 import trio
 
 from buckthornwall.http1 import ClientConnection, ExchangeError, ExchangeFailure
+from buckthornwall.http1 import client as constants
 
 HEADERS = [(b"host", b"h")]
 COMPLETE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -76,3 +79,33 @@
     with pytest.raises(ExchangeError) as caught:
         await ClientConnection.connect("127.0.0.1:1", 1.0)
     assert not caught.value.sent
+
+
+def test_silence_of_two_seconds_at_any_moment_leaves_a_keepalive_probe():
+    idle_s, interval_s = constants.KEEPALIVE_IDLE_S, constants.KEEPALIVE_INTERVAL_S
+    end_s = constants.USER_TIMEOUT_MS / 1000
+    probes = [idle_s + n * interval_s for n in range(constants.KEEPALIVE_PROBES)]
+    assert end_s == probes[-1] + interval_s
+    assert probes[-1] - probes[0] >= 2.0
+    assert end_s <= 4.0
+
+
+async def test_connection_has_the_options_that_find_a_dead_path(raw_upstream):
+    connection = await ClientConnection.connect(await raw_upstream(b""), 1.0)
+    options = {
+        name: connection.sock.getsockopt(socket.IPPROTO_TCP, getattr(socket, name))
+        for name in (
+            "TCP_KEEPIDLE",
+            "TCP_KEEPINTVL",
+            "TCP_KEEPCNT",
+            "TCP_USER_TIMEOUT",
+        )
+    }
+    assert options == {
+        "TCP_KEEPIDLE": constants.KEEPALIVE_IDLE_S,
+        "TCP_KEEPINTVL": constants.KEEPALIVE_INTERVAL_S,
+        "TCP_KEEPCNT": constants.KEEPALIVE_PROBES,
+        "TCP_USER_TIMEOUT": constants.USER_TIMEOUT_MS,
+    }
+    assert connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
+    connection.close()
