Tell peers which instances are isolated, and whom to forward through

Beacons say whether their sender is isolated; digests and heartbeats list the isolated instances and, while there are any, up to eight instances of each zone that are not. The fields are the last ones, so that builds before and after read each other's messages.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
@@ -177,6 +177,7 @@
             rank_tokens=self.simulation.make_rank_tokens(self.address),
             leaving=self.pools.notices.reports(),
             store_era=self.discovery.change_position.era,
+            is_isolated=self.pools.isolation.is_isolated,
         )
 
     @property
--- a/packages/buckthornwall/src/buckthornwall/peers/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/__init__.py
@@ -9,6 +9,7 @@
 `messages`           beacons, digests, heartbeats, and the view of the state in force
 `table`              the election, and the aggregation of what peers report
 `received_message`   the last message of a peer, and when it was received
+`relay_candidates`   instances that an isolated one may forward through
 `departures`         peers that have announced their departure
 `election`           the priority of instances in the election of a speaker
 `freshness`          merges of the newest state and of the store's read age
@@ -30,6 +31,7 @@
 from .agent import PeerAgent, PeerSettings
 from .freshness import freshness
 from .messages import Beacon, Digest, Heartbeat, PeerState, PeerView, Work
+from .relay_candidates import RelayCandidate, relay_candidates
 from .table import PeerTable
 from .views import ViewClient, answer_view
 from .work import add_work, outstanding_work, subtract_local
@@ -43,6 +45,7 @@
     "PeerState",
     "PeerTable",
     "PeerView",
+    "RelayCandidate",
     "ViewClient",
     "Work",
     "add_work",
@@ -50,4 +53,5 @@
     "freshness",
     "subtract_local",
     "outstanding_work",
+    "relay_candidates",
 ]
--- a/packages/buckthornwall/src/buckthornwall/peers/aggregation.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/aggregation.py
@@ -11,13 +11,15 @@
     add_unreachable,
     merge_limit_reports,
 )
-from buckthornwall.utils import UpstreamId
+from buckthornwall.utils import UpstreamId, ZoneId
 
-from .messages import Beacon, Work
+from .messages import Beacon, PeerState, Work
 from .received_message import ReceivedMessage
 from .work import add_work
 
 __all__ = [
+    "list_isolated",
+    "list_relays",
     "merge_leaving",
     "merge_limits",
     "sum_loads",
@@ -25,6 +27,8 @@
     "sum_unreachable",
 ]
 
+MAX_RELAYS_PER_ZONE = 8
+
 
 def sum_loads(
     beacons: Iterable[Beacon], remote: Iterable[ReceivedMessage]
@@ -78,3 +82,26 @@
     for each in received:
         merged |= each.message.leaving
     return merged | local_beacon.leaving
+
+
+def list_isolated(
+    beacons: Iterable[Beacon], remote: Iterable[ReceivedMessage]
+) -> list[str]:
+    """Return the addresses of the instances that are isolated from all upstreams."""
+    isolated = [beacon.address for beacon in beacons if beacon.is_isolated]
+    return [*isolated, *(each for zone in remote for each in zone.message.isolated)]
+
+
+def list_relays(
+    beacons: Iterable[Beacon], remote: Iterable[ReceivedMessage]
+) -> dict[ZoneId, list[str]]:
+    """Return by zone some instances that isolated ones may forward through."""
+    relays: dict[ZoneId, list[str]] = {}
+    for zone in remote:
+        relays |= zone.message.relays
+    for beacon in beacons:
+        in_zone = relays.setdefault(beacon.zone, [])
+        is_fit = beacon.state is PeerState.READY and not beacon.is_isolated
+        if is_fit and len(in_zone) < MAX_RELAYS_PER_ZONE:
+            in_zone.append(beacon.address)
+    return relays
--- a/packages/buckthornwall/src/buckthornwall/peers/election.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/election.py
@@ -5,7 +5,7 @@
 
 from .messages import Digest
 
-__all__ = ["election_priority", "sender_priority"]
+__all__ = ["count_higher_members", "election_priority", "sender_priority"]
 
 # Twice the number of instances in the largest planned fleet.
 HASH_CACHE_SIZE = 700
@@ -21,6 +21,17 @@
     return election_priority(digest.address, digest.weight)
 
 
+def count_higher_members(digest: Digest, address: str, weight: float) -> int:
+    """Return how many members have a higher priority, the sender excepted."""
+    priority = election_priority(address, weight)
+    return sum(
+        1
+        for member, member_weight in digest.members.items()
+        if member != digest.address
+        and election_priority(member, member_weight) > priority
+    )
+
+
 @lru_cache(HASH_CACHE_SIZE)
 def _hash(address: str) -> bytes:
     return blake2b(address.encode(), digest_size=8).digest()
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -111,6 +111,8 @@
         Upstreams that stated that they are leaving but are registered as ready.
     store_era
         Era of the store that counts `change_revision`; 0 if it is not known.
+    is_isolated
+        Whether the sender can open connections to no upstream.
     """
 
     node: NodeId
@@ -132,6 +134,7 @@
     rank_tokens: RankTokens = {}
     leaving: LeavingUpstreams = {}
     store_era: Annotated[int, msgspec.Meta(ge=0)] = 0
+    is_isolated: bool = False
 
 
 class Digest(msgspec.Struct, array_like=True, tag="d"):
@@ -176,6 +179,10 @@
         Upstreams that stated that they are leaving but are registered as ready.
     store_era
         Era of the store that counts `change_revision`; 0 if it is not known.
+    isolated
+        Addresses of the instances that can open connections to no upstream.
+    relays
+        By zone, some ready instances that can, while any instance cannot.
     """
 
     address: str
@@ -200,6 +207,8 @@
     rank_tokens: RankTokens = {}
     leaving: LeavingUpstreams = {}
     store_era: Annotated[int, msgspec.Meta(ge=0)] = 0
+    isolated: list[str] = []
+    relays: dict[ZoneId, list[str]] = {}
 
     def live(self, address: str, zone: ZoneId) -> Fleet:
         """Return the live fleet for an instance that follows this digest."""
@@ -250,6 +259,8 @@
     rank_tokens: RankTokens = {}
     leaving: LeavingUpstreams = {}
     store_era: Annotated[int, msgspec.Meta(ge=0)] = 0
+    isolated: list[str] = []
+    relays: dict[ZoneId, list[str]] = {}
 
 
 class CrashReports(msgspec.Struct, array_like=True, tag="c"):
--- a/packages/buckthornwall/src/buckthornwall/peers/received_message.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/received_message.py
@@ -4,7 +4,7 @@
 
 from buckthornwall.utils import UpstreamId
 
-from .messages import Beacon, Digest
+from .messages import Beacon, Digest, Heartbeat
 
 __all__ = ["ReceivedMessage"]
 
@@ -32,3 +32,13 @@
     def from_digest(cls, digest: Digest, sent_at: float) -> "ReceivedMessage":
         """Return the record of a digest that was sent at `sent_at`."""
         return cls(digest, sent_at, sent_at, list(digest.loads))
+
+    def update(self, heartbeat: Heartbeat, now: float) -> None:
+        """Replace what every heartbeat of the sender of this digest states anew."""
+        self.last_seen_at = self.sent_at = now
+        self.message.read_age_ms = heartbeat.read_age_ms
+        self.message.store_uptime_ms = heartbeat.store_uptime_ms
+        self.message.limits = heartbeat.limits
+        self.message.leaving = heartbeat.leaving
+        self.message.isolated = heartbeat.isolated
+        self.message.relays = heartbeat.relays
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -15,6 +15,8 @@
 from buckthornwall.utils import UpstreamId, ZoneId
 
 from .aggregation import (
+    list_isolated,
+    list_relays,
     merge_leaving,
     merge_limits,
     sum_loads,
@@ -23,7 +25,7 @@
 )
 from .counts import CountsWriter, read_counts
 from .departures import DepartingPeers
-from .election import election_priority, sender_priority
+from .election import count_higher_members, election_priority, sender_priority
 from .freshness import (
     current_era,
     freshness,
@@ -153,11 +155,7 @@
             return None
         if self.departures.is_leaving(heartbeat.address, now):
             return None
-        received.last_seen_at = received.sent_at = now
-        received.message.read_age_ms = heartbeat.read_age_ms
-        received.message.store_uptime_ms = heartbeat.store_uptime_ms
-        received.message.limits = heartbeat.limits
-        received.message.leaving = heartbeat.leaving
+        received.update(heartbeat, now)
         merge_newer_revision(received.message, heartbeat)
         counts = read_counts(heartbeat, received.message, received.upstreams)
         if counts is None:
@@ -225,13 +223,7 @@
 
     def _takeover_delay_s(self, digest: Digest) -> float:
         """Return the time that instances of higher priority have to take over first."""
-        local_priority = election_priority(self.address, self.weight)
-        higher = sum(
-            1
-            for address, weight in digest.members.items()
-            if address != digest.address
-            and election_priority(address, weight) > local_priority
-        )
+        higher = count_higher_members(digest, self.address, self.weight)
         return higher * self.stagger_s
 
     def speaker_address(self, now: float) -> str | None:
@@ -298,6 +290,8 @@
             limits=newest.limits,
             leaving=newest.leaving,
             store_era=newest.store_era,
+            isolated=newest.isolated,
+            relays=newest.relays,
         )
 
     def assign_sequence(self, digest: Digest) -> None:
@@ -345,6 +339,7 @@
         beacons, remote = self.zone_beacons(local_beacon), self.remote_zones(is_fleet)
         messages = [*self.members.values(), *remote]
         era = current_era([*beacons, *(each.message for each in remote)])
+        is_any_isolated = list_isolated(beacons, self.zones.values())
         best = max(beacons, key=lambda beacon: freshness(beacon, era))
         heartbeat = Heartbeat(
             address=self.address,
@@ -360,6 +355,8 @@
             limits=merge_limits(local_beacon, messages, now),
             leaving=merge_leaving(local_beacon, messages),
             store_era=best.store_era,
+            isolated=list_isolated(beacons, remote),
+            relays=list_relays(beacons, remote) if is_any_isolated else {},
         )
         for received in messages:
             merge_read_age(heartbeat, received, now)
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -115,6 +115,9 @@
             settings.peers, self.zone, self._make_beacon, clock, self.quarantine
         )
         self.peers = self.peer_agent.table
+        self.forwarder.isolation_monitor.count_isolated_peers = lambda: len(
+            self.fleet().isolated
+        )
         self.state_sync = StateSync(
             self.discovery, self.peers, self._make_beacon, ViewClient(), clock
         )
@@ -227,6 +230,7 @@
             rank_tokens=self.pools.rank_tokens(),
             leaving=self.pools.notices.reports(),
             store_era=self.discovery.change_position.era,
+            is_isolated=self.pools.isolation.is_isolated,
         )
 
     def _apply_peer_work(self) -> None:
