--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_isolation_monitor.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_isolation_monitor.py
@@ -3,13 +3,13 @@
 import pytest
 import trio
 
-from buckthornwall.forwarding import ConnectionCache
+from buckthornwall.forwarding import ConnectionCache, liveness
 from buckthornwall.forwarding.isolation_monitor import IsolationMonitor
 from buckthornwall.http1 import ClientConnection, ExchangeError, ExchangeFailure
 from buckthornwall.pools import PoolTable, UpstreamEntry, UpstreamState
 from buckthornwall.utils import TrioClock, UpstreamId, ZoneId
 
-from .helpers import POOL
+from .helpers import POOL, reply
 
 
 class Network:
@@ -114,3 +114,27 @@
     monitor.isolation.record_failed(UpstreamId("u0"), trio.current_time())
     assert not await monitor.check()
     assert not monitor.isolation.is_in_doubt
+
+
+@pytest.mark.parametrize(("reached", "crashes"), [(0, 0), (1, 1)])
+async def test_refused_connection_is_a_crash_only_if_others_accept_some(
+    forward, monkeypatch, reached, crashes
+):
+    """A cut that refuses connections would quarantine the requests of all clients."""
+    connect, left = ClientConnection.connect, 1 + reached
+
+    async def connect_some(address, timeout_s):
+        nonlocal left
+        left -= 1
+        if left < 0:
+            raise ExchangeError(ExchangeFailure.UNREACHABLE, address, sent=False)
+        return await connect(address, timeout_s)
+
+    async def refuses(address, timeout_s):
+        return True
+
+    monkeypatch.setattr(ClientConnection, "connect", connect_some)
+    monkeypatch.setattr(liveness, "refuses_connections", refuses)
+    await forward([None], [reply()], [reply()])
+    assert len(forward.quarantine.records) == crashes
+    assert forward.pools.isolation.is_isolated is not bool(crashes)
