--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -36,6 +36,7 @@
 from .connections import ConnectionCache
 from .crash_guard import CrashGuard
 from .delivery import Delivery
+from .isolation_monitor import IsolationMonitor
 from .job import Job
 from .limit_gate import LimitGate
 from .liveness import LivenessChecks
@@ -102,7 +103,11 @@
         self.budgets = RetryBudgets(settings.retry_ratio, settings.retry_reserve)
         connect_timeout_s = settings.connect_timeout_ms / 1000
         self.connections = ConnectionCache(clock, connect_timeout_s)
-        self.liveness = LivenessChecks(clock, connect_timeout_s)
+        self.isolation = pools.isolation
+        self.isolation_monitor = IsolationMonitor(pools, self.connections, clock)
+        self.liveness = LivenessChecks(
+            clock, connect_timeout_s, self.isolation_monitor.check
+        )
         self.completeness = CompletenessChecks(pools, self.liveness)
         self.crash_guard = CrashGuard(quarantine, pools, self.liveness, clock)
         self.limit_gate = LimitGate(pools, clock, self._choose)
@@ -209,13 +214,15 @@
         """Record in the ledger that an admitted request got no response, if so.
 
         One that ends before its target failed, or its client left, for other reasons
-        than the load.
+        than the load, and so does one that this instance could send nowhere.
         """
         admission = job.admission
         if admission is None:
             return
         ledger, now = self.pools.ledger(job.resolution.pool.id), self.clock.now()
         ledger.record_ended(admission)
+        if self.isolation.is_isolated:
+            return
         if now - job.request.received_at >= job.resolution.route.target_s:
             ledger.record_refused(admission.rank, admission.tokens, now)
 
@@ -277,6 +284,8 @@
             view.rate_limit.refund()
         else:
             job.arrivals += 1
+        if result.suggests_isolation:
+            self.isolation.record_failed(view.id, self.clock.now())
         verdict = health_verdict(choice, result)
         if verdict is not None:
             self.pools.record_outcome(view, verdict)
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -25,12 +25,14 @@
 from .entry import UpstreamEntry, is_same_incarnation
 from .evacuation import Evacuations
 from .health import Verdict
+from .isolation import Isolation
 from .ledger import AdmissionLedger, RankTokens
 from .limit_queue import LimitQueue
 from .notices import NoticeTable
 from .prefix_updates import CachedPrefixes, PrefixUpdates
 from .rate_limits import RateLimits
 from .reachability import Unreachable
+from .regained import forget_failures
 from .reserved import ReservedEngines
 from .view import UpstreamView
 from .wait_calibration import WaitCalibration
@@ -62,6 +64,8 @@
         What the upstreams state about themselves.
     evacuations : Evacuations
         Availability zones that get no new requests.
+    isolation : Isolation
+        Whether this instance reaches no upstream.
     """
 
     def __init__(
@@ -80,6 +84,10 @@
         self._limit_queues: dict[PoolId, LimitQueue] = {}
         self.prefix_updates = PrefixUpdates()
         self.evacuations = Evacuations()
+        self.isolation = Isolation()
+        self.isolation.on_regained = lambda since: forget_failures(
+            self.views.values(), self.isolation.since, since, clock.now()
+        )
 
     def adopt(self, entry: UpstreamEntry) -> bool:
         """Add or update a registration.
@@ -337,12 +345,13 @@
         """Return the upstreams to report to peers as not accepting requests.
 
         Those that this instance recently could not reach, or that asked it for a rest.
+        The former not while the reason may be that it reaches no upstream at all.
         """
-        now = self.clock.now()
+        now, is_in_doubt = self.clock.now(), self.isolation.is_in_doubt
         return [
             view.id
             for view in self.views.values()
-            if view.reachability.should_report(now)
+            if (not is_in_doubt and view.reachability.should_report(now))
             or view.notices.should_report_rest(now)
         ]
 
@@ -356,6 +365,8 @@
 
     def record_outcome(self, view: UpstreamView, verdict: Verdict) -> None:
         """Record the outcome of a request at an upstream."""
+        if self.isolation.is_isolated and verdict is not Verdict.GOOD:
+            return
         now = self.clock.now()
         if verdict is Verdict.UNREACHABLE:
             view.reachability.record_failed(now)
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -115,6 +115,9 @@
             settings.peers, self.zone, self._make_beacon, clock, self.quarantine
         )
         self.peers = self.peer_agent.table
+        self.forwarder.isolation_monitor.count_isolated_peers = lambda: len(
+            self.fleet().isolated
+        )
         self.state_sync = StateSync(
             self.discovery, self.peers, self._make_beacon, ViewClient(), clock
         )
@@ -166,6 +169,7 @@
             self.is_listening = True
             nursery.start_soon(self.discovery.run)
             nursery.start_soon(self._housekeeping)
+            nursery.start_soon(self.forwarder.isolation_monitor.run)
             nursery.start_soon(self.state_sync.run)
             await self.stopping.wait()
             await stop_gracefully(self)
@@ -201,7 +205,9 @@
     def _make_beacon(self) -> Beacon:
         now = self.clock.now()
         loads = {
-            view.id: outstanding_work(view.load, now)
+            view.id: outstanding_work(
+                view.load, now, not self.pools.isolation.is_isolated
+            )
             for view in self.pools.views.values()
             if view.load.requests
         }
@@ -224,6 +230,7 @@
             rank_tokens=self.pools.rank_tokens(),
             leaving=self.pools.notices.reports(),
             store_era=self.discovery.change_position.era,
+            is_isolated=self.pools.isolation.is_isolated,
         )
 
     def _apply_peer_work(self) -> None:
