Forward requests through a peer while no upstream can be reached

While an instance reached no upstream, each request to it waited for refused connections and ended as 503. It now sends the request, as it was routed, to the internal port of a peer that reaches upstreams; the peer places, orders and limits it beside its own, and its answer comes back as that of an attempt. A peer that is isolated, leaving or has an older configuration declines it; refusals by a peer are marked for the sender, so that an attempt counts as run until the peer says otherwise. Waits of silent attempts are reviewed when the isolation begins.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/__init__.py
@@ -13,6 +13,11 @@
 `completeness`      whether a reply that has ended is complete
 `crash_guard`       detection and refusal of requests that crash upstreams
 `limit_gate`        admission to pools whose upstreams have rate limits
+`admissions`        admission by the expected time of the response
+`patience`          waits for an upstream, with reviews of whether to wait longer
+`relaying`          forwarding through a peer while no upstream can be reached
+`relay_order`       the order in which peers are asked
+`relay_messages`    the message in which a request is forwarded to a peer
 `settings`          settings of attempts
 `job`               the state of a request over all of its attempts
 `request_telemetry` log lines and metrics of requests
@@ -23,15 +28,19 @@
 from .budgets import RetryBudgets
 from .connections import ConnectionCache
 from .forwarder import Forwarder
+from .relay_messages import RELAY_PATH, RelayedRequest, decode_relayed
 from .reply import AttemptContext, Reply, WireCodec
 from .settings import ForwardingSettings
 
 __all__ = [
+    "RELAY_PATH",
     "AttemptContext",
     "ConnectionCache",
     "Forwarder",
     "ForwardingSettings",
+    "RelayedRequest",
     "Reply",
     "RetryBudgets",
     "WireCodec",
+    "decode_relayed",
 ]
--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -1,10 +1,8 @@
 """One attempt at one upstream, and its outcome."""
 
-import math
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from enum import Enum
-from typing import TypeVar
 
 import trio
 
@@ -22,6 +20,7 @@
 from .completeness import CompletenessChecks
 from .connections import ConnectionCache
 from .delivery import Delivery
+from .patience import Patience, Reviews
 from .reply import AttemptContext, Reply, WireCodec
 
 __all__ = ["Attempt", "AttemptEnd", "AttemptResult"]
@@ -32,10 +31,6 @@
 # Heads that are read to find the reply to this request. If all name other requests, the
 # exchange counts as malformed.
 MAX_FOREIGN_REPLIES = 2
-# Interval at which a wait past its timeout is reviewed.
-REVIEW_INTERVAL_S = 0.1
-
-Received = TypeVar("Received")
 
 
 class AttemptEnd(Enum):
@@ -90,7 +85,7 @@
     reply that has ended.
     `note_prompt` records that the prompt is sent to the upstream, `record_rate_limit`
     the limit that it names, `record_notice` what it states about itself, and `model`
-    learns the speed of the stream.
+    learns the speed of the stream. `reviews` lists its waits.
     """
 
     request: RoutedRequest
@@ -112,6 +107,7 @@
     completeness: CompletenessChecks
     event_timeout_s: float | None = None
     pause_sensitive: bool = False
+    reviews: Reviews = field(default_factory=Reviews)
 
     async def run(self) -> AttemptResult:
         """Make the attempt, and count its load while it lasts."""
@@ -202,7 +198,7 @@
 
     async def _receive_reply(self, connection: ClientConnection) -> Reply:
         """Return the reply to this request, skipping late replies to others."""
-        patience = _Patience(self.head_timeout_s, self.should_give_up)
+        patience = Patience(self.head_timeout_s, self.should_give_up, self.reviews)
         for _ in range(MAX_FOREIGN_REPLIES):
             head = await patience.wait(connection.receive_head)
             self.delivery.framing = head.framing
@@ -271,45 +267,10 @@
         return engine.tokens_per_event if engine is not None else 0
 
     async def _next_data(self, connection: ClientConnection) -> bytes:
-        patience = _Patience(self.event_timeout_s, self.should_give_up)
+        patience = Patience(self.event_timeout_s, self.should_give_up, self.reviews)
         return await patience.wait(connection.receive_data)
 
 
-class _Patience:
-    """A timeout that is extended while the attempt should not be given up.
-
-    Parameters
-    ----------
-    timeout_s
-        Seconds until the first review; None waits for ever.
-    should_give_up
-        Returns whether to end the attempt, when asked in a review.
-    """
-
-    def __init__(
-        self, timeout_s: float | None, should_give_up: Callable[[], bool]
-    ) -> None:
-        self.should_give_up = should_give_up
-        self._review_at = trio.current_time() + (
-            math.inf if timeout_s is None else timeout_s
-        )
-
-    async def wait(self, receive: Callable[[], Awaitable[Received]]) -> Received:
-        """Return the result of `receive`, which must be safe to cancel and repeat.
-
-        Raises
-        ------
-        trio.TooSlowError
-            If the attempt is given up.
-        """
-        while True:
-            with trio.move_on_at(self._review_at):
-                return await receive()
-            if self.should_give_up():
-                raise trio.TooSlowError
-            self._review_at = trio.current_time() + REVIEW_INTERVAL_S
-
-
 class _StepObserver:
     """Records the gaps between a stream's events in the engine model."""
 
--- a/packages/buckthornwall/src/buckthornwall/forwarding/budgets.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/budgets.py
@@ -52,6 +52,10 @@
         """Count a request."""
         self._budget(pool).earn()
 
+    def take_back(self, pool: PoolId) -> None:
+        """Take back the count of a request that a peer counts."""
+        self._budget(pool).take_back()
+
     def spend(self, pool: PoolId) -> bool:
         """Take one retry; return False if none is left."""
         return self._budget(pool).spend()
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -1,21 +1,23 @@
 """The attempts of a request until it is answered or refused."""
 
 import json
+from collections.abc import Callable
 
 import trio
 
 from buckthornwall.codes import Executed, Refusal, ResultCode
 from buckthornwall.http1 import ExchangeFailure, ResponseAborted, ResponseWriter
+from buckthornwall.peers.relay_candidates import RelayCandidate
 from buckthornwall.pools import (
     Choice,
     PoolTable,
     RequestTraits,
     choose_upstream,
     expected_s,
-    find_overload,
     is_served_in_order,
     record_decision,
 )
+from buckthornwall.pools.isolation import Isolation
 from buckthornwall.quarantine import QuarantineTable, fingerprint_of
 from buckthornwall.routing import RoutedRequest, RoutingTable
 from buckthornwall.telemetry import RouterMetrics
@@ -25,6 +27,7 @@
     ZoneId,
 )
 
+from .admissions import Admissions
 from .attempt import Attempt, AttemptEnd, AttemptResult
 from .attempt_limits import (
     event_timeout_s,
@@ -41,6 +44,8 @@
 from .limit_gate import LimitGate
 from .liveness import LivenessChecks
 from .no_upstream import NO_UPSTREAM_RETRY_S, refusal_without_upstream
+from .patience import Reviews
+from .relaying import Relaying
 from .reply import WireCodec
 from .request_telemetry import RequestTelemetry
 from .settings import ForwardingSettings
@@ -107,6 +112,21 @@
         self.completeness = CompletenessChecks(pools, self.liveness)
         self.crash_guard = CrashGuard(quarantine, pools, self.liveness, clock)
         self.limit_gate = LimitGate(pools, clock, self._choose)
+        self.admissions = Admissions(pools, clock)
+        self.reviews = Reviews()
+        self.isolation = Isolation()
+        self.isolation.on_isolated = self.reviews.review_now
+        self.relay_candidates: Callable[[], list[RelayCandidate]] = list
+        self.relaying = Relaying(
+            zone,
+            self.isolation,
+            lambda: self.relay_candidates(),
+            clock,
+            ConnectionCache(clock, connect_timeout_s),
+            settings.once_idle_ms / 1000,
+            self.budgets,
+            self.completeness,
+        )
 
     async def forward(self, request: RoutedRequest, answer: ResponseWriter) -> None:
         """Send a client the response to its request.
@@ -134,7 +154,7 @@
             RequestTraits.of(request, resolution, self.pools),
             fingerprint_of(request, resolution.team),
         )
-        job.delivery.on_begin = lambda: self._record_begun(job)
+        job.delivery.on_begin = lambda: self.admissions.record_begun(job)
         try:
             await self._answer(job, answer)
         except (ResponseAborted, trio.Cancelled):
@@ -143,7 +163,7 @@
             )
             raise
         finally:
-            self._record_unserved(job)
+            self.admissions.record_unserved(job)
 
     def forget_upstream(self, upstream: UpstreamId) -> None:
         """Drop the connections and liveness results of an upstream that is gone."""
@@ -154,6 +174,12 @@
         """Refuse a request that could not be decoded."""
         await self._refuse("", None, answer, refusal)
 
+    async def refuse_relayed(
+        self, request_id: str, answer: ResponseWriter, refusal: Refusal
+    ) -> None:
+        """Decline a request of a peer."""
+        await self._refuse(request_id, None, answer, refusal)
+
     async def refuse_draining(
         self, request: RoutedRequest, answer: ResponseWriter
     ) -> None:
@@ -183,61 +209,37 @@
             await self._refuse(job.request.id, job, answer, refusal)
 
     async def _run_attempts(self, job: Job) -> Refusal | None:
-        """Try upstreams until one answers; return the refusal if none did."""
-        while len(job.tried) < self.settings.most_upstreams:
-            if refusal := self.crash_guard.refusal(job):
+        """Try upstreams or peers until one answers; return the refusal if none did."""
+        while True:
+            if refusal := self.crash_guard.refusal(job) or self.relaying.refusal(job):
                 return refusal
-            choice = await self.limit_gate.admit(job)
-            if choice is None:
-                return self._no_upstream_refusal(job)
-            if not job.tried and (refusal := self._overload_refusal(job, choice)):
+            if self.relaying.is_due(job):
+                result = await self.relaying.attempt(job)
+            elif (choice := await self._next_choice(job)) is None:
+                break
+            elif refusal := self.admissions.refusal(job, choice):
                 return refusal
-            result = await self._attempt(job, choice)
+            else:
+                result = await self._attempt(job, choice)
             if result.end is AttemptEnd.DONE:
                 return None
+            if job.peer_refusal is not None:
+                return job.peer_refusal
             if not self._may_try_another(job, result):
                 break
         return self._no_upstream_refusal(job)
 
-    def _record_begun(self, job: Job) -> None:
-        """Record in the ledger that the response to an admitted request began."""
-        if job.admission is not None:
-            ledger = self.pools.ledger(job.resolution.pool.id)
-            ledger.record_begun(job.admission, self.clock.now())
-            job.admission = None
-
-    def _record_unserved(self, job: Job) -> None:
-        """Record in the ledger that an admitted request got no response, if so.
-
-        One that ends before its target failed, or its client left, for other reasons
-        than the load.
-        """
-        admission = job.admission
-        if admission is None:
-            return
-        ledger, now = self.pools.ledger(job.resolution.pool.id), self.clock.now()
-        ledger.record_ended(admission)
-        if now - job.request.received_at >= job.resolution.route.target_s:
-            ledger.record_refused(admission.rank, admission.tokens, now)
+    async def _next_choice(self, job: Job) -> Choice | None:
+        """Return the next upstream to try once it may be, None if there is none."""
+        is_last = len(job.tried) >= self.settings.most_upstreams
+        if is_last or self.relaying.is_exhausted(job):
+            return None
+        return await self.limit_gate.admit(job)
 
     def _choose(self, job: Job) -> Choice | None:
         now = self.clock.now()
         return choose_upstream(self.pools, job.traits, job.tried, self.zone, now)
 
-    def _overload_refusal(self, job: Job, choice: Choice) -> Refusal | None:
-        """Return a refusal if the expected response is far too late, else None."""
-        now = self.clock.now()
-        overload = find_overload(self.pools, job.traits, choice, now)
-        job.admission = record_decision(self.pools, job.traits, overload is None, now)
-        if overload is None:
-            return None
-        job.overload = overload
-        job.last_choice = choice
-        detail = f"expected_ms={overload.expected_s * 1000:.0f}"
-        return Refusal(
-            ResultCode.OVERLOADED, detail, retry_after_s=overload.retry_after_s
-        )
-
     async def _attempt(self, job: Job, choice: Choice) -> AttemptResult:
         view = choice.view
         job.tried.add(view.id)
@@ -264,6 +266,7 @@
             completeness=self.completeness,
             event_timeout_s=event_timeout_s(job),
             pause_sensitive=job.traits.pause_sensitive,
+            reviews=self.reviews,
         )
         self.telemetry.record_placement(
             job, choice, expected_s(self.pools, job.traits, choice)
@@ -278,6 +281,7 @@
             view.rate_limit.refund()
         else:
             job.arrivals += 1
+            job.reached.add(view.id)
         verdict = health_verdict(choice, result)
         if verdict is not None:
             self.pools.record_outcome(view, verdict)
@@ -304,11 +308,13 @@
                 )
 
     def _should_give_up(self, job: Job, choice: Choice) -> bool:
-        """Return whether a silent attempt ends for one at another upstream.
+        """Return whether a silent attempt ends for one at another upstream or a peer.
 
         It does only with a retry, which is taken here: otherwise a response that is
         late would become a failure.
         """
+        if self.relaying.is_due(job):
+            return self._spend_retry(job)
         now = self.clock.now()
         alternative = choose_upstream(self.pools, job.traits, job.tried, self.zone, now)
         if alternative is None:
@@ -322,6 +328,8 @@
         """Return whether another upstream may be tried after this result."""
         if result.end is AttemptEnd.FAILED:
             job.last_failed = result
+            if job.peers:  # the peer has tried others
+                return False
         if job.deadline - self.clock.now() < MIN_REMAINING_S:
             return False
         if result.end in UNSENT_ENDS:
@@ -367,6 +375,9 @@
         headers = [(b"Content-Type", b"application/json")]
         if refusal.run is Executed.NO and refusal.retry_after_s is not None:
             headers.append((b"Retry-After", b"%.2f" % refusal.retry_after_s))
+        headers += answer.refusal_headers(
+            refusal, job is not None and job.may_have_run_here
+        )
         body = {
             "code": refusal.code.number,
             "message": refusal.code.meaning,
--- a/packages/buckthornwall/src/buckthornwall/forwarding/job.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/job.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from buckthornwall.codes import Executed
+from buckthornwall.codes import Executed, Refusal
 from buckthornwall.pools import Admission, Choice, Overload, RequestTraits
 from buckthornwall.quarantine import Fingerprint
 from buckthornwall.routing import Resolution, RoutedRequest
@@ -32,7 +32,9 @@
     that may have run, `arrivals` those that reached an upstream. `prediction` is that
     of the last attempt, and `overload` the reason of a refusal. `is_retry_denied` is
     whether the retry budget was found spent, and `admission` its entry in the ledger of
-    its pool until its response begins.
+    its pool until its response begins. `reached` are the upstreams that it may have
+    reached, `peers` the addresses of the peers that it was forwarded to, and
+    `peer_refusal` the final refusal of one.
     """
 
     request: RoutedRequest
@@ -51,8 +53,23 @@
     detail: str = ""
     is_retry_denied: bool = False
     admission: Admission | None = None
+    reached: set[UpstreamId] = field(default_factory=set)
+    peers: list[str] = field(default_factory=list)
+    peer_refusal: Refusal | None = None
+
+    def __post_init__(self) -> None:
+        """Take over what a peer did before."""
+        if origin := self.request.relay_origin:
+            self.runs = origin.runs
+            self.tried |= origin.reached
 
     @property
     def run(self) -> Executed:
         """Whether any attempt may have run."""
         return Executed.UNKNOWN if self.runs else Executed.NO
+
+    @property
+    def may_have_run_here(self) -> bool:
+        """Whether an attempt of this instance, not of a peer before, may have run."""
+        origin = self.request.relay_origin
+        return self.runs > (origin.runs if origin is not None else 0)
--- a/packages/buckthornwall/src/buckthornwall/forwarding/no_upstream.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/no_upstream.py
@@ -23,7 +23,7 @@
         wait_s = max(MIN_RESTING_RETRY_S, pools.limit_wait_s(pool, regions))
         code = ResultCode.UPSTREAMS_RESTING
         return Refusal(code, job.detail, retry_after_s=wait_s)
-    if job.tried:
+    if job.tried or job.peers:
         code = ResultCode.UPSTREAM_UNREACHABLE
         return Refusal(code, job.detail, retry_after_s=NO_UPSTREAM_RETRY_S)
     if not pools.has_ready_in(pool, regions):
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/relay_messages.py
@@ -0,0 +1,123 @@
+"""The message in which a request is forwarded to a peer, encoded in CBOR."""
+
+import cbor2
+import msgspec
+
+from buckthornwall.codes import PeerError, ResultCode
+from buckthornwall.routing import PromptShape, RelayOrigin, RoutedRequest
+from buckthornwall.utils import UpstreamId
+
+from .job import Job
+
+__all__ = [
+    "RELAY_PATH",
+    "RelayedRequest",
+    "decode_relayed",
+    "encode_relayed",
+    "relayed_request",
+]
+
+RELAY_PATH = b"/relay"
+MS_PER_S = 1000.0
+
+
+class RelayedRequest(msgspec.Struct, array_like=True, frozen=True):
+    """A request that an isolated instance forwards through a peer.
+
+    Attributes
+    ----------
+    elapsed_ms, remaining_ms
+        Time since the client's request was received, and until its response is due.
+    resume_after
+        Id of the last event that the client has.
+    reached
+        Upstreams that the request may have reached.
+    runs
+        Attempts that may have run.
+    number
+        Configuration in force at the sender.
+    """
+
+    id: str
+    method: bytes
+    target: bytes
+    host: str
+    path: str
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    key: str
+    elapsed_ms: int
+    remaining_ms: int
+    prompt: PromptShape | None
+    resume_after: str
+    reached: list[UpstreamId]
+    runs: int
+    number: int
+
+    def as_routed(self, received_at: float) -> RoutedRequest:
+        """Return the request as if the client had sent it to this instance.
+
+        Parameters
+        ----------
+        received_at
+            When the message was received.
+        """
+        elapsed_s = self.elapsed_ms / MS_PER_S
+        return RoutedRequest(
+            id=self.id,
+            method=self.method,
+            target=self.target,
+            host=self.host,
+            path=self.path,
+            headers=self.headers,
+            body=self.body,
+            received_at=received_at - elapsed_s,
+            key=self.key,
+            client_timeout_s=elapsed_s + self.remaining_ms / MS_PER_S,
+            prompt=self.prompt,
+            resume_after=self.resume_after,
+            relay_origin=RelayOrigin(self.runs, frozenset(self.reached)),
+        )
+
+
+def relayed_request(job: Job, now: float) -> RelayedRequest:
+    """Return the message that forwards a request in its present state."""
+    request = job.request
+    return RelayedRequest(
+        id=request.id,
+        method=request.method,
+        target=request.target,
+        host=request.host,
+        path=request.path,
+        headers=request.headers,
+        body=request.body,
+        key=request.key,
+        elapsed_ms=max(0, int((now - request.received_at) * MS_PER_S)),
+        remaining_ms=max(1, int((job.deadline - now) * MS_PER_S)),
+        prompt=request.prompt,
+        resume_after=job.delivery.joiner.last_id,
+        reached=sorted(job.reached),
+        runs=job.runs,
+        number=job.resolution.number,
+    )
+
+
+def encode_relayed(message: RelayedRequest) -> bytes:
+    """Return the encoded message."""
+    return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
+
+
+def decode_relayed(data: bytes) -> RelayedRequest:
+    """Return the decoded message.
+
+    Raises
+    ------
+    PeerError
+        PEER_MESSAGE if `data` is not such a message.
+    """
+    try:
+        return msgspec.convert(
+            cbor2.loads(data), RelayedRequest, builtin_types=(bytes,)
+        )
+    except (cbor2.CBORError, msgspec.ValidationError, TypeError, EOFError) as error:
+        raise PeerError(ResultCode.PEER_MESSAGE, str(error)) from error
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/relaying.py
@@ -0,0 +1,220 @@
+"""Forwarding of requests through a peer while no upstream can be reached."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from buckthornwall.codes import Executed, Refusal, ResultCode
+from buckthornwall.engine_model import EngineModel
+from buckthornwall.peers.relay_candidates import RelayCandidate
+from buckthornwall.pools import Choice, UpstreamEntry, UpstreamState, UpstreamView
+from buckthornwall.pools.isolation import Isolation
+from buckthornwall.telemetry import log_event
+from buckthornwall.utils import Clock, UpstreamId, ZoneId
+
+from .attempt import Attempt, AttemptEnd, AttemptResult
+from .attempt_limits import max_idle_s
+from .budgets import RetryBudgets
+from .completeness import CompletenessChecks
+from .connections import ConnectionCache
+from .job import Job
+from .relay_messages import RELAY_PATH, encode_relayed, relayed_request
+from .relay_order import choose_peer
+from .reply import WireCodec
+
+__all__ = ["Relaying"]
+
+MAX_PEERS = 2
+# How long a peer that failed or declined is asked only after all others.
+FAILED_S = 1.0
+# Refusals of a peer that another peer may not share.
+DECLINING_CODES = frozenset(
+    {
+        ResultCode.NOT_READY,
+        ResultCode.UPSTREAM_UNREACHABLE,
+        ResultCode.PEER_MESSAGE,
+    }
+)
+
+
+@dataclass(slots=True)
+class Relaying:
+    """Forwards the requests of an isolated instance through its peers.
+
+    `candidates` returns the instances that reach upstreams, and `codec` translates to
+    and from the headers between instances; without it nothing is forwarded.
+    """
+
+    zone: ZoneId
+    isolation: Isolation
+    candidates: Callable[[], list[RelayCandidate]]
+    clock: Clock
+    connections: ConnectionCache
+    once_idle_s: float
+    budgets: RetryBudgets
+    completeness: CompletenessChecks
+    codec: WireCodec | None = None
+    failed_at: dict[str, float] = field(default_factory=dict)
+
+    def is_due(self, job: Job) -> bool:
+        """Return whether a request is to be forwarded through a peer now."""
+        return (
+            self.isolation.is_isolated
+            and job.request.relay_origin is None
+            and self.codec is not None
+            and self._next_peer(job) is not None
+        )
+
+    def is_exhausted(self, job: Job) -> bool:
+        """Return whether no peer is left for a request that needs one."""
+        return self.isolation.is_isolated and bool(job.peers)
+
+    def refusal(self, job: Job) -> Refusal | None:
+        """Return a refusal if a peer forwarded the request to this isolated instance.
+
+        It is forwarded once at most.
+        """
+        if job.request.relay_origin is None or not self.isolation.is_isolated:
+            return None
+        return Refusal(ResultCode.NOT_READY, "isolated", job.run)
+
+    async def attempt(self, job: Job) -> AttemptResult:
+        """Forward a request through the next peer; return the result.
+
+        The final refusal by the peer, if it sent one, is `job.peer_refusal`.
+        """
+        peer = self._next_peer(job)
+        job.peers.append(peer.address)
+        attempt = self._make_attempt(job, peer)
+        job.last_choice, job.prediction = attempt.choice, None
+        self._log_sent(job, peer, attempt.remaining_s)
+        # The peer may run it until it says otherwise.
+        job.runs += 1
+        sent_at = self.clock.now()
+        result = await attempt.run()
+        if result.end in (AttemptEnd.NOT_SENT, AttemptEnd.NOT_RUN):
+            job.runs -= 1
+        result = _outcome(result)
+        if result.end is not AttemptEnd.DONE:
+            job.detail = result.detail
+            self._record_failure(job, peer, result, sent_at)
+        if result.end is not AttemptEnd.NOT_SENT:
+            # The peer has counted the request too.
+            self.budgets.take_back(job.resolution.pool.id)
+        if (refusal := _peer_refusal(result)) is not None:
+            job.peer_refusal = Refusal(
+                refusal.code, refusal.detail, job.run, refusal.retry_after_s
+            )
+        return result
+
+    def _next_peer(self, job: Job) -> RelayCandidate | None:
+        if len(job.peers) >= MAX_PEERS:
+            return None
+        limit = self.clock.now() - FAILED_S
+        failed = {peer for peer, at in self.failed_at.items() if at > limit}
+        return choose_peer(
+            job.request.id, self.zone, self.candidates(), job.peers, failed
+        )
+
+    def _make_attempt(self, job: Job, peer: RelayCandidate) -> Attempt:
+        """Return an attempt whose upstream is the peer.
+
+        It has no timeouts of its own: the peer tries other upstreams if one is silent.
+        """
+        now = self.clock.now()
+        body = encode_relayed(relayed_request(job, now))
+        request = replace(
+            job.request, method=b"POST", target=RELAY_PATH, body=body, prompt=None
+        )
+        return Attempt(
+            request=request,
+            resolution=job.resolution,
+            choice=Choice(_view_of(job, peer), 0, 0.0, 0.0, 0.0),
+            delivery=job.delivery,
+            connections=self.connections,
+            codec=self.codec,
+            clock=self.clock,
+            remaining_s=job.deadline - now,
+            max_idle_s=max_idle_s(job, self.once_idle_s),
+            head_timeout_s=None,
+            note_prompt=lambda view, prompt: None,
+            record_rate_limit=lambda view, limit: None,
+            record_notice=lambda view, notice: None,
+            model=EngineModel(),
+            should_give_up=lambda: False,
+            find_obstacle=lambda view: None,
+            completeness=self.completeness,
+        )
+
+    def _log_sent(self, job: Job, peer: RelayCandidate, remaining_s: float) -> None:
+        log_event(
+            "request_relayed",
+            request=job.request.id,
+            peer=peer.address,
+            zone=peer.zone,
+            reason="isolated",
+            attempt=len(job.peers),
+            runs=job.runs,
+            rank=job.resolution.rank,
+            resumes_after=job.delivery.joiner.last_id,
+            remaining_ms=round(remaining_s * 1000),
+        )
+
+    def _record_failure(
+        self, job: Job, peer: RelayCandidate, result: AttemptResult, sent_at: float
+    ) -> None:
+        """Log an attempt that failed, and ask its peer after others if it did."""
+        now = self.clock.now()
+        is_declined = result.end is AttemptEnd.NOT_SENT
+        if is_declined or result.end is AttemptEnd.BROKEN:
+            self.failed_at[peer.address] = now
+        log_event(
+            "relay_declined" if is_declined else "relay_failed",
+            "WARNING",
+            request=job.request.id,
+            peer=peer.address,
+            zone=peer.zone,
+            end=result.end.value,
+            detail=result.detail,
+            attempt=len(job.peers),
+            runs=job.runs,
+            waited_ms=round((now - sent_at) * 1000),
+            remaining_ms=round((job.deadline - now) * 1000),
+        )
+
+
+def _view_of(job: Job, peer: RelayCandidate) -> UpstreamView:
+    """Return a view of the peer, which is in no pool."""
+    return UpstreamView(
+        UpstreamEntry(
+            UpstreamId(f"peer {peer.address}"),
+            job.resolution.pool.id,
+            peer.address,
+            peer.zone,
+            1,
+            UpstreamState.READY,
+        )
+    )
+
+
+def _peer_refusal(result: AttemptResult) -> Refusal | None:
+    return result.reply.refusal if result.reply is not None else None
+
+
+def _outcome(result: AttemptResult) -> AttemptResult:
+    """Return the result as that of the upstreams behind the peer.
+
+    Nothing was sent to them if the peer declined. If it declines the rest of a request
+    that it may have run, it counts as broken.
+    """
+    refusal = _peer_refusal(result)
+    if refusal is None:
+        if result.end is not AttemptEnd.NOT_RUN:
+            return result
+        return AttemptResult(AttemptEnd.NOT_SENT, f"other build, {result.detail}")
+    detail = f"{refusal.code.number} {refusal.detail}"
+    if refusal.code in DECLINING_CODES:
+        is_run = refusal.run is not Executed.NO
+        return AttemptResult(
+            AttemptEnd.BROKEN if is_run else AttemptEnd.NOT_SENT, detail
+        )
+    return replace(result, detail=detail)
--- a/packages/buckthornwall/src/buckthornwall/forwarding/reply.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/reply.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from buckthornwall.codes import Refusal
 from buckthornwall.http1 import ResponseHead
 from buckthornwall.pools import LoadReport, Notice, UpstreamEntry
 from buckthornwall.routing import RoutedRequest
@@ -23,7 +24,8 @@
     the reason is that another upstream now has that address. `rate_limit` is how many
     requests a second the upstream accepts from all instances, infinite without a limit,
     and None if it does not say. `notice` is what it states about itself. `attested` is
-    set if the upstream signed the reply.
+    set if the upstream signed the reply. `refusal` is that of a peer that the request
+    was forwarded to, if it refused it.
     """
 
     status: int
@@ -37,6 +39,7 @@
     notice: Notice | None = None
     idle_timeout_s: float | None = None
     closes_connection: bool = False
+    refusal: Refusal | None = None
 
     @property
     def has_rate_limit(self) -> bool:
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/helpers.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/helpers.py
@@ -83,6 +83,7 @@
         self.status = 0
         self.body = b""
         self.headers = {}
+        self.refusal_headers = lambda refusal, may_have_run: []
 
     async def send_complete(self, status, headers, body):
         self.started = self.ended = True
--- a/packages/buckthornwall/src/buckthornwall/http1/response.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/response.py
@@ -1,27 +1,44 @@
 """The response to one request, written complete or in pieces."""
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import h11
 
+from buckthornwall.codes import Refusal
+
 if TYPE_CHECKING:
     from .server import ServerConnection
 
 __all__ = ["ResponseAborted", "ResponseWriter"]
 
 
+RefusalHeaders = Callable[[Refusal, bool], list[tuple[bytes, bytes]]]
+
+
 class ResponseAborted(Exception):
     """A response that was begun cannot be completed; its connection must close."""
 
 
 class ResponseWriter:
-    """Writes the response to one request, complete or in pieces."""
+    """Writes the response to one request, complete or in pieces.
+
+    Attributes
+    ----------
+    extra_headers : list of (bytes, bytes)
+        Headers that are added to every response.
+    refusal_headers : callable
+        Returns the headers that are added to a refusal by this instance, given it and
+        whether an attempt of this instance may have run.
+    """
 
     def __init__(self, connection: "ServerConnection", parser: h11.Connection) -> None:
         self.connection = connection
         self.parser = parser
         self.started = False
         self.ended = False
+        self.extra_headers: list[tuple[bytes, bytes]] = []
+        self.refusal_headers: RefusalHeaders = lambda refusal, may_have_run: []
 
     async def send_complete(
         self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
@@ -67,6 +84,7 @@
         return self.started and not self.ended and not is_framed
 
     def _head(self, status: int, headers: list[tuple[bytes, bytes]]) -> bytes:
+        headers = [*headers, *self.extra_headers]
         if self.connection.server.closing:
             headers = [*headers, (b"Connection", b"close")]
         return self.parser.send(h11.Response(status_code=status, headers=headers))
--- a/packages/buckthornwall/src/buckthornwall/platform/names.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/names.py
@@ -30,6 +30,10 @@
 # In each answer of the store, how often it has returned from an older copy.
 STORE_ERA = b"store-era"
 LAST_EVENT_ID = b"last-event-id"
+# Between instances only: marks the response to a request from a peer, and the refusal
+# by the peer itself as CODE RUN DETAIL.
+RELAYED = PREFIX + b"relayed"
+RELAY_REFUSAL = PREFIX + b"relay-refusal"
 # IP:port of an engine from which the missing prompt segments are copied.
 COPY_FROM = b"kv-fetch"
 
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -4,7 +4,7 @@
 
 from buckthornwall.codes import Refusal
 from buckthornwall.discovery import DiscoveryAgent
-from buckthornwall.forwarding import Forwarder
+from buckthornwall.forwarding import RELAY_PATH, Forwarder
 from buckthornwall.http1 import (
     HttpServer,
     IncomingRequest,
@@ -22,6 +22,7 @@
 )
 from buckthornwall.platform import (
     PlatformCodec,
+    RelayCodec,
     StoreClient,
     decode_published,
     decode_request,
@@ -43,6 +44,7 @@
 )
 
 from .operators import answer_operator
+from .relay_handler import accept_relayed
 from .staleness_monitor import StalenessMonitor
 from .state_sync import StateSync
 from .stopping import stop_gracefully
@@ -60,6 +62,8 @@
 MAX_CRASH_SYNC_WAIT_S = 0.5
 CRASH_SYNC_POLL_S = 0.01
 OPERATOR_LIMITS = ServerLimits(8192, 0, 3.0, 30.0)
+# What a peer adds to the head and body of a request that it forwards.
+MAX_RELAY_OVERHEAD_BYTES = 65_536
 
 
 class Router:
@@ -126,10 +130,11 @@
         self.balancer = HttpServer(
             clock, lambda: OPERATOR_LIMITS, self._handle_readiness
         )
-        self.view_server = HttpServer(clock, lambda: OPERATOR_LIMITS, self._handle_view)
+        self.view_server = HttpServer(clock, self._peer_limits, self._handle_peer)
         self.discovery.may_read = self.state_sync.may_read
         self.discovery.on_change = self._update_adopted
         self.discovery.on_removed = self.forwarder.forget_upstream
+        self.forwarder.relaying.codec = RelayCodec()
         self.discovery.on_restart = self.forwarder.connections.close_all
         self.discovery.on_call = self._count_store_call
         self.peer_agent.on_work = self._apply_peer_work
@@ -176,6 +181,7 @@
         while True:
             await trio.sleep(HOUSEKEEPING_INTERVAL_S)
             self.forwarder.connections.expire()
+            self.forwarder.relaying.connections.expire()
             fleet = self.fleet()
             self.forwarder.budgets.set_instances(fleet.count)
             now = self.clock.now()
@@ -262,6 +268,16 @@
             limits.idle_timeout_s,
         )
 
+    def _peer_limits(self) -> ServerLimits:
+        """Return limits that admit any request of a client, forwarded by a peer."""
+        limits = self.table.limits
+        return ServerLimits(
+            OPERATOR_LIMITS.max_head_bytes,
+            limits.max_head_bytes + limits.max_body_bytes + MAX_RELAY_OVERHEAD_BYTES,
+            OPERATOR_LIMITS.head_timeout_s,
+            OPERATOR_LIMITS.idle_timeout_s,
+        )
+
     async def _handle_caller(
         self, incoming: IncomingRequest, answer: ResponseWriter
     ) -> None:
@@ -293,9 +309,15 @@
         status = 200 if self.state is PeerState.READY else 503
         await answer.send_complete(status, [], b"")
 
-    async def _handle_view(
+    async def _handle_peer(
         self, incoming: IncomingRequest, answer: ResponseWriter
     ) -> None:
+        if incoming.target == RELAY_PATH:
+            request = await accept_relayed(self, incoming, answer)
+            if request is not None:
+                await self._wait_for_crash_sync()
+                await self.forwarder.forward(request, answer)
+            return
         await answer_view(incoming, answer, self.state_sync.view(), self.table.number)
 
     async def _handle_operator(
--- a/packages/buckthornwall/src/buckthornwall/router/stopping.py
+++ b/packages/buckthornwall/src/buckthornwall/router/stopping.py
@@ -27,7 +27,7 @@
     """
     started = router.clock.now()
     stop = router.settings.stop
-    log_event("stopping", active=router.callers.active)
+    log_event("stopping", active=_count_active(router))
     router.state = PeerState.LEAVING
     router.callers.closing = True
     await router.peer_agent.send_reports()
@@ -36,11 +36,16 @@
     router.refuses_requests = True
     router.callers.close_idle()
     limit = started + stop.grace_s - CUTOFF_MARGIN_S
-    while router.callers.active and router.clock.now() < limit:
+    while _count_active(router) and router.clock.now() < limit:
         await trio.sleep(POLL_S)
         router.callers.close_idle()
     log_event(
         "stopped",
-        cut=router.callers.active,
+        cut=_count_active(router),
         after_ms=round((router.clock.now() - started) * 1000),
     )
+
+
+def _count_active(router: "Router") -> int:
+    """Return the number of requests in progress, those of peers included."""
+    return router.callers.active + router.view_server.active
--- a/packages/buckthornwall/src/buckthornwall/routing/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/routing/__init__.py
@@ -18,7 +18,7 @@
     ResponseMode,
     TeamConfig,
 )
-from .request import PromptSegment, PromptShape, RoutedRequest
+from .request import PromptSegment, PromptShape, RelayOrigin, RoutedRequest
 from .table import Resolution, RoutingTable
 
 __all__ = [
@@ -30,6 +30,7 @@
     "PromptSegment",
     "PromptShape",
     "PublishedConfig",
+    "RelayOrigin",
     "RequestRoute",
     "Resolution",
     "ResponseMode",
--- a/packages/buckthornwall/src/buckthornwall/routing/request.py
+++ b/packages/buckthornwall/src/buckthornwall/routing/request.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-from buckthornwall.utils import ModelId
+from buckthornwall.utils import ModelId, UpstreamId
 
-__all__ = ["PromptSegment", "PromptShape", "RoutedRequest"]
+__all__ = ["PromptSegment", "PromptShape", "RelayOrigin", "RoutedRequest"]
 
 # A generated token takes about as long as ten prompt tokens.
 OUTPUT_TOKEN_COST = 10
@@ -48,12 +48,25 @@
         return self.segments[0].id if self.segments else ""
 
 
+@dataclass(frozen=True, slots=True)
+class RelayOrigin:
+    """What a peer did for a request before it forwarded it to this instance.
+
+    `runs` counts its attempts that may have run, and `reached` are the upstreams that
+    they may have reached.
+    """
+
+    runs: int
+    reached: frozenset[UpstreamId]
+
+
 @dataclass(slots=True)
 class RoutedRequest:
     """A complete request from a client.
 
     `headers` are those that are forwarded unchanged. `client_timeout_s` is how long
-    the client waits after `received_at`, or None if it does not say.
+    the client waits after `received_at`, or None if it does not say. `relay_origin` is
+    None unless a peer forwarded the request.
     """
 
     id: str
@@ -68,3 +81,4 @@
     client_timeout_s: float | None = None
     prompt: PromptShape | None = None
     resume_after: str = ""
+    relay_origin: RelayOrigin | None = None
--- a/packages/buckthornwall/src/buckthornwall/upstreams/budget.py
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/budget.py
@@ -31,6 +31,10 @@
         """Record a first attempt."""
         self.balance = min(self.reserve, self.balance + self.ratio)
 
+    def take_back(self) -> None:
+        """Take back the record of a first attempt."""
+        self.balance = max(0.0, self.balance - self.ratio)
+
     def spend(self) -> bool:
         """Take one retry from the balance; return False if none is left."""
         if self.balance < 1 - ROUNDING_TOLERANCE:
