--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -45,7 +45,7 @@
 from .liveness import LivenessChecks
 from .no_upstream import NO_UPSTREAM_RETRY_S, refusal_without_upstream
 from .patience import Reviews
-from .relaying import Relaying
+from .relaying import Relaying, reached_before
 from .reply import WireCodec
 from .request_telemetry import RequestTelemetry
 from .settings import ForwardingSettings
@@ -153,7 +153,10 @@
             request.received_at + timeout_s,
             RequestTraits.of(request, resolution, self.pools),
             fingerprint_of(request, resolution.team),
+            tried=reached_before(self.pools, request, resolution),
         )
+        if request.relay_origin is not None:
+            job.runs = request.relay_origin.runs
         job.delivery.on_begin = lambda: self.admissions.record_begun(job)
         try:
             await self._answer(job, answer)
--- a/packages/buckthornwall/src/buckthornwall/forwarding/job.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/job.py
@@ -57,12 +57,6 @@
     peers: list[str] = field(default_factory=list)
     peer_refusal: Refusal | None = None
 
-    def __post_init__(self) -> None:
-        """Take over what a peer did before."""
-        if origin := self.request.relay_origin:
-            self.runs = origin.runs
-            self.tried |= origin.reached
-
     @property
     def run(self) -> Executed:
         """Whether any attempt may have run."""
--- a/packages/buckthornwall/src/buckthornwall/forwarding/relaying.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/relaying.py
@@ -6,8 +6,15 @@
 from buckthornwall.codes import Executed, Refusal, ResultCode
 from buckthornwall.engine_model import EngineModel
 from buckthornwall.peers.relay_candidates import RelayCandidate
-from buckthornwall.pools import Choice, UpstreamEntry, UpstreamState, UpstreamView
+from buckthornwall.pools import (
+    Choice,
+    PoolTable,
+    UpstreamEntry,
+    UpstreamState,
+    UpstreamView,
+)
 from buckthornwall.pools.isolation import Isolation
+from buckthornwall.routing import Resolution, RoutedRequest
 from buckthornwall.telemetry import log_event
 from buckthornwall.utils import Clock, UpstreamId, ZoneId
 
@@ -21,7 +28,7 @@
 from .relay_order import choose_peer
 from .reply import WireCodec
 
-__all__ = ["Relaying"]
+__all__ = ["Relaying", "reached_before"]
 
 MAX_PEERS = 2
 # How long a peer that failed or declined is asked only after all others.
@@ -182,6 +189,21 @@
         )
 
 
+def reached_before(
+    pools: PoolTable, request: RoutedRequest, resolution: Resolution
+) -> set[UpstreamId]:
+    """Return the upstreams that a peer tried before it forwarded a request here.
+
+    None if there are no others: they may have failed because the peer is isolated.
+    """
+    origin = request.relay_origin
+    if origin is None:
+        return set()
+    reached = set(origin.reached)
+    has_others = pools.usable(resolution.pool.id, reached, resolution.regions)
+    return reached if has_others else set()
+
+
 def _view_of(job: Job, peer: RelayCandidate) -> UpstreamView:
     """Return a view of the peer, which is in no pool."""
     return UpstreamView(
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_budgets.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_budgets.py
@@ -45,3 +45,12 @@
     for _ in range(5):
         budgets.earn(POOL)
     assert spendable(budgets) == 1
+
+
+def test_request_that_a_peer_counts_earns_nothing_here():
+    budgets = RetryBudgets(0.25, 1.0)
+    assert spendable(budgets) == 1
+    for _ in range(50):
+        budgets.earn(POOL)
+        budgets.take_back(POOL)
+    assert spendable(budgets) == 0
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/test_relaying.py
@@ -0,0 +1,375 @@
+"""Tests of requests that an isolated instance forwards through a peer."""
+
+import json
+from functools import partial
+
+import pytest
+import trio
+
+from buckthornwall.forwarding.tests.helpers import (
+    NOT_RUN,
+    POOL,
+    Recorder,
+    event,
+    reply,
+    stream,
+)
+from buckthornwall.http1 import HttpServer, ResponseAborted
+from buckthornwall.peers import PeerState, PeerView, answer_view
+from buckthornwall.peers.relay_candidates import RelayCandidate
+from buckthornwall.pools import UpstreamEntry, UpstreamState
+from buckthornwall.router.core import OPERATOR_LIMITS, Router
+from buckthornwall.routing import (
+    Pool,
+    PoolShare,
+    PublishedConfig,
+    RequestRoute,
+    ResponseMode,
+    RoutedRequest,
+    TeamConfig,
+)
+from buckthornwall.settings import RouterSettings
+from buckthornwall.utils import RouteId, TeamId, UpstreamId, ZoneId
+
+from .test_main import TEXT
+
+NAMES = {
+    b"X-Signed": b"X-Buckthornwall-Response-Seal",
+    b"X-Id": b"X-Buckthornwall-Attempt-Id",
+    b"X-Not-Run": b"X-Buckthornwall-Not-Executed",
+}
+STREAM = ResponseMode.EVENT_STREAM
+UNREACHABLE = "127.0.0.1:1"
+
+
+def wire(data, is_relayed=False):
+    """Return a scripted reply with the platform's header names."""
+    if not isinstance(data, bytes):
+        return data
+    for short, name in NAMES.items():
+        data = data.replace(short, name)
+    mark = b"\r\nX-Buckthornwall-Relayed: 1\r\n" if is_relayed else b"\r\n"
+    return data.replace(b"\r\n", mark, 1)
+
+
+@pytest.fixture
+def start(nursery, raw_upstream, tmp_path):
+    """Return a function that starts an instance with scripted upstreams."""
+    path = tmp_path / "settings.ini"
+    path.write_text(TEXT)
+
+    async def start(
+        *scripts, number=1, mode=ResponseMode.COMPLETE, retryable=True, max_runs=3
+    ):
+        router = Router.from_config(RouterSettings.from_file(path))
+        route = RequestRoute(
+            RouteId("route"),
+            "h",
+            "/",
+            (PoolShare(POOL, 1.0),),
+            mode,
+            retryable,
+            retryable and mode is STREAM,
+            3.0,
+            0.2,
+            0.1,
+            max_runs,
+            1,
+            False,
+        )
+        teams = (TeamConfig(TeamId("t"), ("key",), 0),)
+        published = PublishedConfig(number, (route,), (Pool(POOL, "/", 10),), teams)
+        router.table.adopt(published)
+        router.state = PeerState.READY
+        router.upstreams = []
+        for order, script in enumerate(scripts):
+            address = script
+            if not isinstance(script, str):
+                address = await raw_upstream(*map(wire, script))
+            router.upstreams.append(address)
+            entry = (UpstreamId(address), POOL, address, ZoneId("z"), 1000 - order)
+            router.pools.adopt(UpstreamEntry(*entry, UpstreamState.READY))
+            router.pools.views[address].load.requests = order * 10
+        (listener,) = await nursery.start(router.view_server.run, "127.0.0.1:0")
+        router.address = f"127.0.0.1:{listener.socket.getsockname()[1]}"
+        return router
+
+    return start
+
+
+@pytest.fixture
+def relay(start, raw_upstream):
+    """Return a function that sends a request to an isolated instance."""
+
+    async def relay(
+        *peers,
+        upstreams=(UNREACHABLE,),
+        body=b"x",
+        key="",
+        elapsed_s=0.0,
+        prepare=lambda forwarder: None,
+        **options,
+    ):
+        sender = relay.sender = await start(*upstreams, **options)
+        forwarder = sender.forwarder
+        forwarder.isolation.is_isolated = True
+        addresses = [getattr(peer, "address", peer) for peer in peers]
+        # Earlier ones are of the same zone, so that they are asked in this order.
+        candidates = [
+            RelayCandidate(address, ZoneId(zone))
+            for address, zone in zip(addresses, ("z", "y", "x"), strict=False)
+        ]
+        forwarder.relay_candidates = lambda: candidates
+        prepare(forwarder)
+        request = RoutedRequest(
+            "r",
+            b"POST",
+            b"/a?b=c",
+            "h",
+            "/a",
+            [(b"host", b"h")],
+            body,
+            sender.clock.now() - elapsed_s,
+            key,
+        )
+        answer = Recorder()
+        with trio.fail_after(5):
+            await forwarder.forward(request, answer)
+        return answer
+
+    def arrivals(router):
+        requests = raw_upstream.requests
+        return [b"".join(requests.get(each, ())) for each in router.upstreams]
+
+    relay.arrivals = arrivals
+    return relay
+
+
+async def test_reply_of_upstream_is_unchanged_through_a_peer(relay, start):
+    peer = await start([reply(extra=b"X-More: 1\r\nServer-Limit: 5\r\n")])
+    answer = await relay(peer, key="key")
+    assert (answer.status, answer.body) == (200, b"ok")
+    assert answer.headers[b"x-more"] == b"1"
+    assert not any(b"relay" in name for name in answer.headers)
+    (request,) = relay.arrivals(peer)
+    assert request.startswith(b"POST /a?b=c HTTP/1.1\r\n")
+    assert b"x-buckthornwall-tenant: t\r\n" in request  # the peer resolves its team
+    view = relay.sender.pools.views[UNREACHABLE]
+    assert not view.rate_limit.is_limited(0.0)
+    assert view.reachability.answered_at < 0
+
+
+async def test_large_body_reaches_upstream(relay, start):
+    peer = await start([0.3, reply()])
+    answer = await relay(peer, body=b"x" * 2**20)
+    assert answer.status == 200
+    assert b"content-length: 1048576\r\n" in relay.arrivals(peer)[0]
+
+
+async def test_stream_is_resumed_by_the_peer(relay, start):
+    peer = await start(
+        [stream(1, 2, end=False), b""], [stream(3, 4)], mode=STREAM, retryable=True
+    )
+    answer = await relay(peer, mode=STREAM)
+    assert answer.ended
+    assert answer.body == b"".join(map(event, (1, 2, 3, 4)))
+
+
+async def test_stream_is_resumed_when_its_peer_dies(relay, start, raw_upstream):
+    dying = await raw_upstream(wire(stream(1, 2, end=False), True), b"")
+    peer = await start([stream(3)], mode=STREAM)
+    answer = await relay(dying, peer, mode=STREAM)
+    assert answer.body == b"".join(map(event, (1, 2, 3)))
+    assert b"last-event-id: 2\r\n" in relay.arrivals(peer)[0]
+
+
+@pytest.mark.parametrize("retryable", [True, False])
+async def test_request_runs_again_after_its_peer_died_only_if_it_may(
+    relay, start, raw_upstream, retryable
+):
+    peer = await start([reply()], retryable=retryable)
+    answer = await relay(await raw_upstream(None), peer, retryable=retryable)
+    if retryable:
+        assert answer.status == 200
+    else:
+        assert (answer.status, answer.run) == (502, "unknown")
+        assert relay.arrivals(peer) == [b""]
+
+
+async def test_runs_are_counted_over_the_hop(relay, start, raw_upstream):
+    peer = await start([None], [reply()], max_runs=2)
+    answer = await relay(await raw_upstream(None), peer, max_runs=2)
+    assert (answer.status, answer.run) == (502, "unknown")
+    assert relay.arrivals(peer)[1] == b""
+
+
+@pytest.fixture(params=["isolated", "leaving", "starting", "older", "no_upstream"])
+async def declining(request, start):
+    """Return a peer that cannot forward a request."""
+    peer = await start(UNREACHABLE, number=1 if request.param == "older" else 2)
+    peer.forwarder.isolation.is_isolated = request.param == "isolated"
+    states = {"leaving": PeerState.LEAVING, "starting": PeerState.JOINING}
+    peer.state = states.get(request.param, PeerState.READY)
+    return peer
+
+
+async def test_request_that_a_peer_declines_goes_to_another(relay, start, declining):
+    peer = await start([reply()], number=2)
+    answer = await relay(declining, peer, number=2, retryable=False)
+    assert answer.status == 200
+
+
+async def test_request_that_all_peers_decline_is_refused_as_not_run(relay, declining):
+    answer = await relay(declining, UNREACHABLE, number=2, retryable=False)
+    assert (answer.status, answer.run) == (503, "no")
+    assert 0 < float(answer.headers[b"Retry-After"]) < 1
+
+
+@pytest.mark.parametrize("size", [0, 1, 2**20])
+async def test_peer_of_an_earlier_build_declines(
+    relay, start, clock, nursery, monkeypatch, size
+):
+    async def answer_older(incoming, answer):
+        await answer_view(incoming, answer, PeerView(1, 1, b"", []), 1)
+
+    server = HttpServer(clock, lambda: OPERATOR_LIMITS, answer_older)
+    (listener,) = await nursery.start(server.run, "127.0.0.1:0")
+    older = f"127.0.0.1:{listener.socket.getsockname()[1]}"
+    peer = await start([0.3, reply()], retryable=False)
+    answer = await relay(older, peer, body=b"x" * size, retryable=False)
+    assert answer.status == 200
+
+
+async def test_refusal_by_a_peer_reaches_the_client(relay, start):
+    peer = await start()
+    answer = await relay(peer, await start([reply()]))
+    assert (answer.status, answer.run) == (503, "no")
+    assert json.loads(answer.body)["code"] == 2003
+    assert answer.headers[b"Retry-After"] == b"0.30"
+
+
+async def test_attempt_of_a_peer_that_may_have_run_is_not_repeated(relay, start):
+    peer, other = await start([None], retryable=False), await start([reply()])
+    answer = await relay(peer, other, retryable=False)
+    assert (answer.status, answer.run) == (502, "unknown")
+    assert relay.arrivals(other) == [b""]
+
+
+async def test_refusal_by_upstreams_of_a_peer_is_not_run(relay, start):
+    peer = await start([NOT_RUN], retryable=False)
+    answer = await relay(peer, retryable=False)
+    assert (answer.status, answer.run) == (503, "no")
+
+
+async def test_failure_reply_of_upstream_is_unchanged_and_not_repeated(relay, start):
+    peer, other = await start([reply(500, b"why")], max_runs=1), await start([reply()])
+    answer = await relay(peer, other)
+    assert (answer.status, answer.body) == (500, b"why")
+    assert relay.arrivals(other) == [b""]
+
+
+async def test_request_is_forwarded_once_at_most(relay, start):
+    peer, third = await start(UNREACHABLE), await start([reply()])
+    peer.forwarder.relay_candidates = lambda: [
+        RelayCandidate(third.address, ZoneId("z"))
+    ]
+
+    def isolate(view, verdict):
+        peer.forwarder.isolation.is_isolated = True
+
+    peer.pools.record_outcome = isolate
+    answer = await relay(peer)
+    assert (answer.status, answer.run) == (503, "no")
+    assert relay.arrivals(third) == [b""]
+
+
+async def test_instance_without_peers_tries_its_upstreams(relay):
+    answer = await relay(upstreams=([reply()],))
+    assert answer.status == 200
+
+
+async def test_time_before_the_hop_counts(relay, start):
+    peer = await start([reply()])
+    await relay(peer, elapsed_s=1.0)
+    (request,) = relay.arrivals(peer)
+    deadline_ms = int(request.partition(b"deadline-ms: ")[2].partition(b"\r\n")[0])
+    assert 1000 < deadline_ms <= 2000  # of the 3 s of the route
+
+
+def isolate(nursery, forwarder):
+    """Let the isolation begin after a moment."""
+    isolation = forwarder.isolation
+    isolation.is_isolated = False
+
+    async def begin():
+        await trio.sleep(0.2)
+        isolation.is_isolated = True
+        isolation.on_isolated()
+
+    nursery.start_soon(begin)
+
+
+@pytest.mark.parametrize("retryable", [True, False])
+async def test_silent_attempt_moves_to_a_peer_when_isolation_begins(
+    relay, start, nursery, retryable
+):
+    peer = await start([reply(body=b"by a peer")])
+    own, started_at = [0.5, reply(body=b"own")], trio.current_time()
+    prepare = partial(isolate, nursery)
+    answer = await relay(peer, upstreams=(own,), prepare=prepare, retryable=retryable)
+    assert answer.body == (b"by a peer" if retryable else b"own")
+    assert not retryable or trio.current_time() - started_at < 0.4
+
+
+async def test_only_upstream_of_a_pool_gets_the_request_again(
+    relay, start, nursery, raw_upstream
+):
+    """The isolated instance cannot tell that its upstream is sound."""
+    shared = await raw_upstream(5.0, wire(reply()))
+    peer = await start(shared)
+    answer = await relay(peer, upstreams=(shared,), prepare=partial(isolate, nursery))
+    assert answer.status == 200
+
+
+async def test_unsent_attempt_of_a_call_is_followed_by_one_through_a_peer(relay, start):
+    def prepare(forwarder):
+        isolation = forwarder.isolation
+        isolation.is_isolated = False
+        forwarder.pools.record_outcome = lambda view, verdict: setattr(
+            isolation, "is_isolated", True
+        )
+
+    peer = await start([reply()], retryable=False)
+    answer = await relay(peer, prepare=prepare, retryable=False)
+    assert answer.status == 200
+
+
+async def test_upstream_connection_ends_with_the_client(relay, start, nursery):
+    begun, ended = trio.Event(), trio.Event()
+
+    async def serve(stream):
+        await stream.receive_some()
+        begun.set()
+        await stream.receive_some()
+        ended.set()
+
+    (listener,) = await nursery.start(
+        partial(trio.serve_tcp, host="127.0.0.1"), serve, 0
+    )
+    peer = await start(f"127.0.0.1:{listener.socket.getsockname()[1]}")
+    with trio.CancelScope() as client:
+
+        async def leave():
+            await begun.wait()
+            client.cancel()
+
+        nursery.start_soon(leave)
+        await relay(peer)
+    with trio.fail_after(1):
+        await ended.wait()
+
+
+async def test_cut_of_a_stream_that_may_not_be_repeated_is_visible(relay, start):
+    peer = await start([stream(1, end=False), b""], mode=STREAM, retryable=False)
+    with pytest.raises(ResponseAborted):
+        await relay(peer, mode=STREAM, retryable=False)
