Give up a silent peer for another, and count forwarded requests

A peer that falls silent held its requests until their deadline. What may be repeated now goes to the other peer, paid by the retry budget. The peer ends a little before the deadline, so that its own result arrives in time.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -126,6 +126,8 @@
             settings.once_idle_ms / 1000,
             self.budgets,
             self.completeness,
+            self._spend_retry,
+            metrics,
         )
 
     async def forward(self, request: RoutedRequest, answer: ResponseWriter) -> None:
@@ -219,6 +221,8 @@
             if self.relaying.is_due(job):
                 result = await self.relaying.attempt(job)
             elif (choice := await self._next_choice(job)) is None:
+                if self.relaying.is_due(job):  # isolated while it waited
+                    continue
                 break
             elif refusal := self.admissions.refusal(job, choice):
                 return refusal
@@ -226,11 +230,9 @@
                 result = await self._attempt(job, choice)
             if result.end is AttemptEnd.DONE:
                 return None
-            if job.peer_refusal is not None:
-                return job.peer_refusal
-            if not self._may_try_another(job, result):
+            if job.is_settled or not self._may_try_another(job, result):
                 break
-        return self._no_upstream_refusal(job)
+        return job.peer_refusal or self._no_upstream_refusal(job)
 
     async def _next_choice(self, job: Job) -> Choice | None:
         """Return the next upstream to try once it may be, None if there is none."""
@@ -331,8 +333,6 @@
         """Return whether another upstream may be tried after this result."""
         if result.end is AttemptEnd.FAILED:
             job.last_failed = result
-            if job.peers:  # the peer has tried others
-                return False
         if job.deadline - self.clock.now() < MIN_REMAINING_S:
             return False
         if result.end in UNSENT_ENDS:
--- a/packages/buckthornwall/src/buckthornwall/forwarding/job.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/job.py
@@ -34,7 +34,8 @@
     whether the retry budget was found spent, and `admission` its entry in the ledger of
     its pool until its response begins. `reached` are the upstreams that it may have
     reached, `peers` the addresses of the peers that it was forwarded to, and
-    `peer_refusal` the final refusal of one.
+    `peer_refusal` the final refusal of one. `is_settled` is whether a peer has the
+    result of all attempts.
     """
 
     request: RoutedRequest
@@ -56,6 +57,7 @@
     reached: set[UpstreamId] = field(default_factory=set)
     peers: list[str] = field(default_factory=list)
     peer_refusal: Refusal | None = None
+    is_settled: bool = False
 
     @property
     def run(self) -> Executed:
--- a/packages/buckthornwall/src/buckthornwall/forwarding/relay_messages.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/relay_messages.py
@@ -19,6 +19,8 @@
 
 RELAY_PATH = b"/relay"
 MS_PER_S = 1000.0
+# The peer ends this much earlier, so that its final response arrives in time.
+RETURN_MS = 20
 
 
 class RelayedRequest(msgspec.Struct, array_like=True, frozen=True):
@@ -93,7 +95,7 @@
         body=request.body,
         key=request.key,
         elapsed_ms=max(0, int((now - request.received_at) * MS_PER_S)),
-        remaining_ms=max(1, int((job.deadline - now) * MS_PER_S)),
+        remaining_ms=max(1, int((job.deadline - now) * MS_PER_S) - RETURN_MS),
         prompt=request.prompt,
         resume_after=job.delivery.joiner.last_id,
         reached=sorted(job.reached),
--- a/packages/buckthornwall/src/buckthornwall/forwarding/relaying.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/relaying.py
@@ -15,11 +15,16 @@
 )
 from buckthornwall.pools.isolation import Isolation
 from buckthornwall.routing import Resolution, RoutedRequest
-from buckthornwall.telemetry import log_event
+from buckthornwall.telemetry import RouterMetrics, log_event
 from buckthornwall.utils import Clock, UpstreamId, ZoneId
 
 from .attempt import Attempt, AttemptEnd, AttemptResult
-from .attempt_limits import max_idle_s
+from .attempt_limits import (
+    HEAD_TIMEOUT_FRACTION,
+    event_timeout_s,
+    max_idle_s,
+    may_run_again,
+)
 from .budgets import RetryBudgets
 from .completeness import CompletenessChecks
 from .connections import ConnectionCache
@@ -31,6 +36,9 @@
 __all__ = ["Relaying", "reached_before"]
 
 MAX_PEERS = 2
+# A peer gives up a silent upstream itself. It is given up after this multiple of the
+# time that it grants its upstream.
+SILENT_UPSTREAMS = 2.0
 # How long a peer that failed or declined is asked only after all others.
 FAILED_S = 1.0
 # Refusals of a peer that another peer may not share.
@@ -49,6 +57,7 @@
 
     `candidates` returns the instances that reach upstreams, and `codec` translates to
     and from the headers between instances; without it nothing is forwarded.
+    `spend_retry` takes a retry from the budget, and returns False if it is spent.
     """
 
     zone: ZoneId
@@ -59,6 +68,8 @@
     once_idle_s: float
     budgets: RetryBudgets
     completeness: CompletenessChecks
+    spend_retry: Callable[[Job], bool]
+    metrics: RouterMetrics
     codec: WireCodec | None = None
     failed_at: dict[str, float] = field(default_factory=dict)
 
@@ -87,7 +98,8 @@
     async def attempt(self, job: Job) -> AttemptResult:
         """Forward a request through the next peer; return the result.
 
-        The final refusal by the peer, if it sent one, is `job.peer_refusal`.
+        The request is settled if the peer has refused it, or has passed on a failure:
+        it has tried what it could.
         """
         peer = self._next_peer(job)
         job.peers.append(peer.address)
@@ -111,6 +123,10 @@
             job.peer_refusal = Refusal(
                 refusal.code, refusal.detail, job.run, refusal.retry_after_s
             )
+        elif result.end is AttemptEnd.FAILED:
+            job.last_failed = result
+        job.is_settled = refusal is not None or result.end is AttemptEnd.FAILED
+        self.metrics.relays.inc({"end": result.end.value})
         return result
 
     def _next_peer(self, job: Job) -> RelayCandidate | None:
@@ -123,11 +139,10 @@
         )
 
     def _make_attempt(self, job: Job, peer: RelayCandidate) -> Attempt:
-        """Return an attempt whose upstream is the peer.
-
-        It has no timeouts of its own: the peer tries other upstreams if one is silent.
-        """
+        """Return an attempt whose upstream is the peer."""
         now = self.clock.now()
+        remaining_s = job.deadline - now
+        pause_s = event_timeout_s(job)
         body = encode_relayed(relayed_request(job, now))
         request = replace(
             job.request, method=b"POST", target=RELAY_PATH, body=body, prompt=None
@@ -140,16 +155,19 @@
             connections=self.connections,
             codec=self.codec,
             clock=self.clock,
-            remaining_s=job.deadline - now,
+            remaining_s=remaining_s,
             max_idle_s=max_idle_s(job, self.once_idle_s),
-            head_timeout_s=None,
+            head_timeout_s=(
+                remaining_s * HEAD_TIMEOUT_FRACTION if may_run_again(job) else None
+            ),
             note_prompt=lambda view, prompt: None,
             record_rate_limit=lambda view, limit: None,
             record_notice=lambda view, notice: None,
             model=EngineModel(),
-            should_give_up=lambda: False,
+            should_give_up=lambda: self.is_due(job) and self.spend_retry(job),
             find_obstacle=lambda view: None,
             completeness=self.completeness,
+            event_timeout_s=pause_s and pause_s * SILENT_UPSTREAMS,
         )
 
     def _log_sent(self, job: Job, peer: RelayCandidate, remaining_s: float) -> None:
--- a/packages/buckthornwall/src/buckthornwall/router/tests/test_relaying.py
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/test_relaying.py
@@ -331,6 +331,19 @@
     assert answer.status == 200
 
 
+async def test_silent_peer_is_given_up_for_another(relay, start, raw_upstream):
+    silent, peer = await raw_upstream(5.0, b""), await start([reply()])
+    answer = await relay(silent, peer, elapsed_s=2.0)
+    assert answer.status == 200
+
+
+async def test_refusal_at_the_deadline_is_that_of_the_peer(relay, start):
+    peer = await start([5.0, b""])
+    answer = await relay(peer, elapsed_s=2.7)
+    assert (answer.status, answer.run) == (504, "unknown")
+    assert answer.headers == {b"Content-Type": b"application/json"}
+
+
 async def test_unsent_attempt_of_a_call_is_followed_by_one_through_a_peer(relay, start):
     def prepare(forwarder):
         isolation = forwarder.isolation
--- a/packages/buckthornwall/src/buckthornwall/telemetry/metrics.py
+++ b/packages/buckthornwall/src/buckthornwall/telemetry/metrics.py
@@ -78,6 +78,9 @@
         self.attempts = self._counter(
             "attempts_total", "Attempts ended, by upstream and end."
         )
+        self.relays = self._counter(
+            "relays_total", "Requests forwarded through a peer, by end."
+        )
         self.retries = self._counter("retries_total", "Repeats paid from the budget.")
         self.retries_denied = self._counter(
             "retries_denied_total", "Retries denied by the budget, by pool and tier."
