--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -29,8 +29,6 @@
 MAX_BODY_BYTES = 4 * 2**20
 # How an exchange fails when its upstream ends during it.
 CONNECTION_LOST = frozenset({ExchangeFailure.RESET, ExchangeFailure.CLOSED})
-# How it fails when this instance loses all upstreams.
-SUGGEST_ISOLATION = CONNECTION_LOST | {ExchangeFailure.TIMED_OUT}
 # Heads that are read to find the reply to this request. If all name other requests, the
 # exchange counts as malformed.
 MAX_FOREIGN_REPLIES = 2
@@ -80,11 +78,6 @@
         """Whether the exchange failed as when its upstream ends."""
         return self.failure in CONNECTION_LOST
 
-    @property
-    def suggests_isolation(self) -> bool:
-        """Whether the exchange failed as when this instance loses all upstreams."""
-        return self.failure in SUGGEST_ISOLATION
-
 
 @dataclass(slots=True)
 class Attempt:
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -285,8 +285,7 @@
             view.rate_limit.refund()
         else:
             job.arrivals += 1
-        if result.suggests_isolation:
-            self.isolation.record_failed(view.id, self.clock.now())
+        self.isolation_monitor.record_result(view.id, result)
         verdict = health_verdict(choice, result)
         if verdict is not None:
             self.pools.record_outcome(view, verdict)
--- a/packages/buckthornwall/src/buckthornwall/forwarding/isolation_monitor.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/isolation_monitor.py
@@ -5,11 +5,12 @@
 
 import trio
 
-from buckthornwall.http1 import ExchangeError
+from buckthornwall.http1 import ExchangeError, ExchangeFailure
 from buckthornwall.pools import PoolTable, UpstreamView, probe_order
 from buckthornwall.telemetry import log_event
-from buckthornwall.utils import Clock
+from buckthornwall.utils import Clock, UpstreamId
 
+from .attempt import AttemptResult
 from .connections import ConnectionCache
 
 __all__ = ["IsolationMonitor"]
@@ -62,6 +63,18 @@
             upstream, clock.now()
         )
 
+    def record_result(self, upstream: UpstreamId, result: AttemptResult) -> None:
+        """Record the end of an attempt that may be due to an isolation.
+
+        One that is silent is not, while data arrives from any upstream.
+        """
+        now = self.clock.now()
+        is_silent = result.failure is ExchangeFailure.TIMED_OUT
+        if result.is_connection_lost or (
+            is_silent and now - self._answered_at() > SILENCE_S
+        ):
+            self.isolation.record_failed(upstream, now)
+
     async def run(self) -> None:
         """Probe whenever it is due, for ever."""
         while True:
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_isolation_monitor.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_isolation_monitor.py
@@ -4,6 +4,7 @@
 import trio
 
 from buckthornwall.forwarding import ConnectionCache, liveness
+from buckthornwall.forwarding.attempt import AttemptEnd, AttemptResult
 from buckthornwall.forwarding.isolation_monitor import IsolationMonitor
 from buckthornwall.http1 import ClientConnection, ExchangeError, ExchangeFailure
 from buckthornwall.pools import PoolTable, UpstreamEntry, UpstreamState
@@ -91,6 +92,17 @@
     assert len(network.connects) <= 4 * 5
 
 
+async def test_silent_attempt_costs_no_probe_while_data_arrives(monitor):
+    result = AttemptResult(AttemptEnd.BROKEN, failure=ExchangeFailure.TIMED_OUT)
+    view = monitor.pools.views["u1"]
+    view.reachability.record_answered(trio.current_time())
+    monitor.record_result(UpstreamId("u0"), result)
+    assert not monitor.isolation.is_in_doubt
+    view.reachability.record_answered(trio.current_time() - 1.0)
+    monitor.record_result(UpstreamId("u0"), result)
+    assert monitor.isolation.is_in_doubt
+
+
 async def test_no_probe_without_a_reason(network, monitor, nursery, autojump_clock):
     nursery.start_soon(monitor.run)
     await trio.sleep(5.0)
