--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -289,8 +289,7 @@
         else:
             job.arrivals += 1
             job.reached.add(view.id)
-        if result.suggests_isolation:
-            self.isolation.record_failed(view.id, self.clock.now())
+        self.isolation_monitor.record_result(view.id, result)
         verdict = health_verdict(choice, result)
         if verdict is not None:
             self.pools.record_outcome(view, verdict)
