Check in the isolation soak that runs end with their clients

The soak read the logs of instances after a temporary directory was deleted, and counted clients that were refused among those that left a run. It now reads them at the end of the run, and counts runs that go on or begin half a second after their clients left. The duration of the cut is the common option of soaks.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/isolation_soak.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/isolation_soak.py
@@ -7,8 +7,11 @@
 """
 
 import math
+import random
 import sys
 from dataclasses import dataclass, field
+from itertools import pairwise
+from typing import NamedTuple
 
 import trio
 from buckthornwall.http1 import (
@@ -25,7 +28,7 @@
 from .users_platform.deployment import API_KEY, DRAFTS, HOST, ORDERS
 from .users_platform.headers import make_request_headers
 
-__all__ = ["IsolationBounds", "IsolationSoak", "find_violations", "main"]
+__all__ = ["IsolationSoak", "find_violations", "main"]
 
 SHARES = ("third", "most", "zone")
 CUTS = (Cut.HANG, Cut.RESET, Cut.REFUSE)
@@ -37,29 +40,21 @@
 BEFORE_S, AFTER_S = 5.0, 4.5
 EVENT_S = 0.15
 SILENT_AFTER_S, SILENT_S = 5.0, 1.2
+# From `STABLE_S` after the cut began, first tries at the cut instances are served at
+# least `MIN_RATIO` times as often as at the others, unless no more than
+# `ALLOWED_FAILURES` and `ALLOWED_SHARE` of all fail there. The others are served at
+# least `MIN_OTHERS` times as often as before.
+STABLE_S = 3.0
+MIN_RATIO, MIN_OTHERS = 2 / 3, 0.9
+ALLOWED_FAILURES, ALLOWED_SHARE = 10, 1 / 50
+# Of the runs whose clients left, how many go on for longer, and how many begin later.
 LEFT_RUN_S = 0.5
+MAX_RAN_ON_SHARE, MAX_LATE_ARRIVALS = 0.25, 3
 RESTART_GRACE_S = 1.0
 # Any of these in a log says that an upstream crashed; none does in this soak.
 CRASH_MARKS = (b"event=request_suspected", b"upstream_ended=True")
 
 
-@dataclass(frozen=True)
-class IsolationBounds:
-    """How well first attempts of clients have to be served during the cut.
-
-    They count from `stable_s` after the cut began. At the cut instances they are served
-    at least `min_ratio` times as often as at the others, unless no more than
-    `allowed_failures` and `allowed_share` of all fail there. The others are served at
-    least `min_others` times as often as before.
-    """
-
-    stable_s: float = 3.0
-    min_ratio: float = 2 / 3
-    allowed_failures: int = 10
-    allowed_share: float = 1 / 50
-    min_others: float = 0.9
-
-
 @dataclass(frozen=True)
 class FirstTry:
     """A client's first attempt, sent at `sent_at` seconds."""
@@ -69,21 +64,17 @@
     served: bool
 
 
-@dataclass
-class Tally:
-    """Number of first tries, and how many of them were served."""
+class Tally(NamedTuple):
+    """How many first tries were served, of how many."""
 
-    tries: int = 0
-    served: int = 0
+    served: int
+    tries: int
 
     @property
     def share(self) -> float:
         """Return the share that was served."""
         return self.served / self.tries if self.tries else 1.0
 
-    def __str__(self) -> str:
-        return f"{self.served} of {self.tries}"
-
 
 @dataclass
 class RunningUpstream(Upstream):
@@ -103,7 +94,7 @@
             self.running_requests.discard(request)
 
 
-def sample_instances(rng, count: int, share: str) -> set[int]:
+def sample_instances(rng: random.Random, count: int, share: str) -> set[int]:
     """Return the numbers of the instances to cut."""
     numbers = range(1, count + 1)
     if share == "zone":
@@ -114,7 +105,7 @@
 
 
 class IsolationSoak(SoakRun):
-    """One run; see `SoakRun` for the other parameters.
+    """One run; see `SoakRun`; `seconds` of the settings is the duration of the cut.
 
     Parameters
     ----------
@@ -122,17 +113,14 @@
         Part of the instances to cut, one of `SHARES`.
     cut
         How to cut their paths.
-    cut_s
-        Duration of the cut.
     """
 
-    def __init__(
-        self, settings: RunSettings, share: str, cut: Cut, cut_s: float = 12.0
-    ) -> None:
+    def __init__(self, settings: RunSettings, share: str, cut: Cut) -> None:
         super().__init__(settings)
         self.instances.module = "buckthornwall_standins.partitioned_instance"
-        self.seconds = BEFORE_S + cut_s + AFTER_S
-        self.share, self.cut, self.cut_s = share, cut, cut_s
+        self.cut_s = settings.seconds
+        self.seconds = BEFORE_S + self.cut_s + AFTER_S
+        self.share, self.cut = share, cut
         self.cut_instances = sample_instances(self.rng, settings.instances, share)
         self.restarted = sorted(set(self.restarted) - self.cut_instances)
         self.callers = SoakCallers(self.rng, settings.ports, PROMPT_PREFIXES)
@@ -142,8 +130,20 @@
         self.silent_proxy: FaultProxy | None = None
         self.began_at = 0.0
         self.first_tries: list[FirstTry] = []
-        self.left = 0
-        self.run_on_after_leaving: list[str] = []
+        self.left_at: dict[str, float] = {}
+        self.left_running = 0
+        self.ran_on: list[str] = []
+        self.late_arrivals: list[str] = []
+        self.crash_lines: list[bytes] = []
+
+    async def run(self) -> None:
+        """Run, and read the logs before they are deleted."""
+        await super().run()
+        for number in range(1, self.instance_count + 1):
+            lines = self.instances.log_path(number).read_bytes().splitlines()
+            self.crash_lines += [
+                line for line in lines if any(mark in line for mark in CRASH_MARKS)
+            ]
 
     # Setup and load
 
@@ -152,6 +152,7 @@
         self.deployment.slots = 32
         self.deployment.publish()
         for number, upstream in enumerate(self.upstreams, 1):
+            upstream.on_arrival = self._note_arrival
             address = listen = f"127.0.7.{number}:{self.ports}"
             if self.silent_proxy is None:
                 listen = f"127.0.6.{number}:{self.ports}"
@@ -211,9 +212,19 @@
             finally:
                 if connection is not None:
                     connection.close()
-        self.left += 1
-        await trio.sleep(LEFT_RUN_S)
-        self.run_on_after_leaving += [
+        self.left_at[request] = trio.current_time()
+        if self._upstreams_running(request):
+            self.left_running += 1
+            await trio.sleep(LEFT_RUN_S)
+            self.ran_on += self._upstreams_running(request)
+
+    def _note_arrival(self, request: str) -> None:
+        left_at = self.left_at.get(request, math.inf)
+        if trio.current_time() > left_at + LEFT_RUN_S:
+            self.late_arrivals.append(request)
+
+    def _upstreams_running(self, request: str) -> list[str]:
+        return [
             f"{request} at {upstream.id}"
             for upstream in self.upstreams
             if request in upstream.running_requests
@@ -231,85 +242,73 @@
         start, end
             Seconds after the cut began. Instances do not count while they restart.
         """
-        tally = Tally()
-        for each in self.first_tries:
-            if (
-                (each.instance in self.cut_instances) is is_cut
-                and start <= each.sent_at - self.began_at < end
-                and not self.has_restarted(each.instance, each.sent_at, RESTART_GRACE_S)
-            ):
-                tally.tries += 1
-                tally.served += each.served
-        return tally
+        served = [
+            each.served
+            for each in self.first_tries
+            if (each.instance in self.cut_instances) is is_cut
+            and start <= each.sent_at - self.began_at < end
+            and not self.has_restarted(each.instance, each.sent_at, RESTART_GRACE_S)
+        ]
+        return Tally(sum(served), len(served))
 
     def describe(self) -> str:
         """Return the case, and how often first tries were served during the cut."""
-        stable_s, end = IsolationBounds().stable_s, self.cut_s
-        lines = [
-            f"{len(self.cut_instances)} of {self.instance_count} cut "
-            f"({self.share}, {self.cut.value})"
-        ]
-        for name, is_cut in (("cut", True), ("others", False)):
-            lines.append(
-                f"served {name}: before {self.tally(is_cut, -BEFORE_S, 0)}, "
-                f"early {self.tally(is_cut, 0, stable_s)}, "
-                f"during {self.tally(is_cut, stable_s, end)}, "
-                f"after {self.tally(is_cut, end, math.inf)}"
+        times = (-BEFORE_S, 0.0, STABLE_S, self.cut_s, math.inf)
+        served = {
+            name: " ".join(
+                "{}/{}".format(*self.tally(is_cut, start, end))
+                for start, end in pairwise(times)
             )
-        lines.append(f"{self.left} left, {len(self.run_on_after_leaving)} ran on")
-        return "; ".join(lines)
-
-    def crash_lines(self) -> list[str]:
-        """Return the lines of logs that say that an upstream crashed."""
-        return [
-            line.decode(errors="replace")
-            for number in range(1, self.instance_count + 1)
-            for line in self.instances.log_path(number).read_bytes().splitlines()
-            if any(mark in line for mark in CRASH_MARKS)
-        ]
+            for name, is_cut in (("cut", True), ("others", False))
+        }
+        return (
+            f"{self.share} {self.cut.value} cuts {sorted(self.cut_instances)} of "
+            f"{self.instance_count}; served before, early, during, after: {served}; "
+            f"{len(self.left_at)} clients left, {self.left_running} of them a run, "
+            f"{len(self.ran_on)} ran on, {len(self.late_arrivals)} arrived later"
+        )
 
 
-def find_service_violations(soak: IsolationSoak, bounds: IsolationBounds) -> list[str]:
+def find_service_violations(soak: IsolationSoak) -> list[str]:
     """Return a line for each bound on served first tries that is not kept."""
-    cut = soak.tally(True, bounds.stable_s, soak.cut_s)
-    others = soak.tally(False, bounds.stable_s, soak.cut_s)
+    cut = soak.tally(True, STABLE_S, soak.cut_s)
+    others = soak.tally(False, STABLE_S, soak.cut_s)
     before = soak.tally(False, -BEFORE_S, 0)
-    allowed = bounds.allowed_failures + bounds.allowed_share * (
-        cut.tries + others.tries
-    )
+    allowed = ALLOWED_FAILURES + ALLOWED_SHARE * (cut.tries + others.tries)
     lines = []
-    if cut.share < bounds.min_ratio * others.share and cut.tries - cut.served > allowed:
-        lines.append(f"cut instances served {cut}, the others {others}")
-    if others.share < bounds.min_others * before.share:
-        lines.append(f"the others served {others} during the cut, {before} before")
+    if cut.share < MIN_RATIO * others.share and cut.tries - cut.served > allowed:
+        lines.append(f"cut instances served {tuple(cut)}, others {tuple(others)}")
+    if others.share < MIN_OTHERS * before.share:
+        lines.append(f"others served {tuple(others)}, {tuple(before)} before")
     return lines
 
 
 def find_violations(soak: IsolationSoak) -> list[str]:
     """Return a line for each violation in a run."""
     soak.callers.check_runs(soak.upstreams)
-    lines = find_service_violations(soak, IsolationBounds())
+    lines = find_service_violations(soak)
     lines += soak.callers.result.violations
-    if len(soak.run_on_after_leaving) > soak.left / 4:
-        lines.append(f"ran on after clients left: {soak.run_on_after_leaving[:10]}")
-    crashes = soak.crash_lines()
-    if crashes:
-        lines.append(f"{len(crashes)} lines on crashes, first: {crashes[0]}")
+    if len(soak.ran_on) > MAX_RAN_ON_SHARE * soak.left_running:
+        lines.append(f"ran on after clients left: {soak.ran_on[:10]}")
+    if len(soak.late_arrivals) > MAX_LATE_ARRIVALS:
+        lines.append(f"arrived after clients left: {soak.late_arrivals[:10]}")
+    if soak.crash_lines:
+        count, first = len(soak.crash_lines), soak.crash_lines[0]
+        lines.append(f"{count} lines on crashes, first: {first!r}")
     return lines
 
 
 def main(arguments: list[str] | None = None) -> int:
     """Run seeds one after the other; return 1 if any violates a bound."""
-    parser = make_parser(__doc__, 0.0, 21000)
+    parser = make_parser(__doc__, 12.0, 9100)
     parser.add_argument("--share", choices=SHARES, help="sampled by default")
     parser.add_argument("--cut", choices=[cut.value for cut in CUTS], help="likewise")
-    parser.add_argument("--cut-s", type=float, default=12.0)
     options = parser.parse_args(arguments)
 
     def make_soak(settings: RunSettings) -> IsolationSoak:
         share = options.share or SHARES[settings.seed % 3]
         cut = Cut(options.cut) if options.cut else CUTS[settings.seed // 3 % 3]
-        return IsolationSoak(settings, share, cut, options.cut_s)
+        return IsolationSoak(settings, share, cut)
 
     return run_seeds(options, make_soak, find_violations)
 
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/partitioned_instance.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/partitioned_instance.py
@@ -7,7 +7,7 @@
 
 import socket
 import sys
-from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
 from pathlib import Path
 from weakref import WeakKeyDictionary
@@ -36,12 +36,17 @@
     return settings.with_suffix(".cut")
 
 
+@dataclass
 class Connection:
-    """State of one connection to an upstream; `unsent` is lost if it is closed."""
+    """State of a connection to an upstream; `held_up` is lost if it is closed."""
 
-    def __init__(self) -> None:
-        self.is_reset = False
-        self.unsent = b""
+    is_reset: bool = False
+    held_up: bytes = b""
+
+    def raise_if_reset(self) -> None:
+        """Raise the error that a reset of the connection causes."""
+        if self.is_reset:
+            raise ConnectionResetError("partitioned")
 
 
 class Partition:
@@ -60,61 +65,37 @@
             WeakKeyDictionary()
         )
         self.is_polling = False
-        self.send_now: Callable | None = None
-
-    def hangs(self, connection: Connection) -> bool:
-        """Return whether an open connection passes no data for now."""
-        return self.cut is Cut.HANG and not connection.is_reset
 
-    def read_cut(self) -> Cut:
-        """Return the cut that the file holds; an unfinished write changes nothing."""
+    def read_cut(self) -> None:
+        """Put the cut that the file holds into force."""
         try:
-            return Cut(self.path.read_text())
+            self.cut = Cut(self.path.read_text())
         except FileNotFoundError:
-            return Cut.NONE
+            return
         except ValueError:
-            return self.cut
-
-    def apply(self, cut: Cut) -> None:
-        """Put a cut into force."""
-        self.cut = cut
-        if cut is Cut.RESET:
+            return  # read between the truncation and the write of the file
+        if self.cut is Cut.RESET:
             for connection in self.connections.values():
                 connection.is_reset = True
 
     async def poll(self) -> None:
-        """Put changes of the file into force, and send what was held up."""
+        """Follow the file until cancelled."""
         while True:
-            cut = self.read_cut()
-            if cut is not self.cut:
-                self.apply(cut)
-            for sock, connection in list(self.connections.items()):
-                if connection.unsent and not self.hangs(connection):
-                    await self._send_held_up(sock, connection)
+            self.read_cut()
             await trio.sleep(POLL_S)
 
-    async def _send_held_up(
-        self, sock: trio.socket.SocketType, connection: Connection
-    ) -> None:
-        data, connection.unsent = connection.unsent, b""
-        try:
-            while data:
-                data = data[await self.send_now(sock, data) :]
-        except OSError:
-            pass  # closed meanwhile, with what it held up
-
     def install(self, sockets: type) -> None:
         """Replace the methods of trio's class of sockets that the cut applies to."""
         connect, send, recv = sockets.connect, sockets.send, sockets.recv
         is_readable = sockets.is_readable
-        self.send_now = send
 
         async def cut_connect(sock: trio.socket.SocketType, address: tuple) -> None:
             if not address[0].startswith(UPSTREAM_PREFIX):
-                return await connect(sock, address)
+                await connect(sock, address)
+                return
             if not self.is_polling:
                 self.is_polling = True
-                self.apply(self.read_cut())
+                self.read_cut()
                 trio.lowlevel.spawn_system_task(self.poll)
             while self.cut in (Cut.HANG, Cut.RESET):
                 await trio.sleep(POLL_S)
@@ -122,27 +103,29 @@
                 raise ConnectionRefusedError("partitioned")
             await connect(sock, address)
             self.connections[sock] = Connection()
-            return None
 
         async def cut_send(sock: trio.socket.SocketType, data: bytes, *flags) -> int:
-            connection = self.connections.get(sock)
-            if connection is None:
+            connection = self.connections.get(sock, Connection())
+            connection.raise_if_reset()
+            if sock not in self.connections or self.cut is not Cut.HANG:
                 return await send(sock, data, *flags)
-            _raise_if_reset(connection)
-            if self.hangs(connection) or connection.unsent:
-                await trio.lowlevel.checkpoint()
-                connection.unsent += bytes(data)
-                return len(data)
-            return await send(sock, data, *flags)
+            await trio.lowlevel.checkpoint()
+            connection.held_up += bytes(data)
+            return len(data)
 
         async def cut_recv(sock: trio.socket.SocketType, *arguments) -> bytes:
             connection = self.connections.get(sock)
             if connection is None:
                 return await recv(sock, *arguments)
             while True:
-                _raise_if_reset(connection)
-                if self.hangs(connection):
+                connection.raise_if_reset()
+                if sock.fileno() < 0:
+                    raise trio.ClosedResourceError
+                if self.cut is Cut.HANG:
                     await trio.sleep(POLL_S)
+                elif connection.held_up:
+                    data, connection.held_up = connection.held_up, b""
+                    connection.held_up = data[await send(sock, data) :]
                 elif is_readable(sock):
                     return await recv(sock, *arguments)
                 else:
@@ -151,30 +134,22 @@
 
         def cut_is_readable(sock: trio.socket.SocketType) -> bool:
             connection = self.connections.get(sock)
-            if connection is None or not (
-                connection.is_reset or self.hangs(connection)
-            ):
+            if connection is None:
                 return is_readable(sock)
-            return connection.is_reset
+            return connection.is_reset or (
+                self.cut is not Cut.HANG and is_readable(sock)
+            )
 
         sockets.connect, sockets.send, sockets.recv = cut_connect, cut_send, cut_recv
         sockets.is_readable = cut_is_readable
 
 
-def _raise_if_reset(connection: Connection) -> None:
-    if connection.is_reset:
-        raise ConnectionResetError("partitioned")
-
-
-def _find_socket_class() -> type:
-    with socket.socket() as sock:
-        return type(trio.socket.from_stdlib_socket(sock))
-
-
 def main(arguments: list[str]) -> int:
     """Install the partition, then start the instance; return its exit status."""
     settings = Path(arguments[arguments.index(SETTINGS_OPTION) + 1])
-    Partition(cut_path(settings)).install(_find_socket_class())
+    with socket.socket() as sock:
+        sockets = type(trio.socket.from_stdlib_socket(sock))
+    Partition(cut_path(settings)).install(sockets)
     return start()
 
 
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_isolation_soak.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_isolation_soak.py
@@ -10,7 +10,7 @@
 
 @pytest.mark.live
 def test_instances_that_are_partitioned_from_all_upstreams_serve(tmp_path):
-    settings = RunSettings(1, 0.0, 21010, tmp_path, instances=6)
-    soak = IsolationSoak(settings, "third", Cut.HANG, cut_s=10.0)
+    settings = RunSettings(1, 10.0, 21010, tmp_path, instances=6)
+    soak = IsolationSoak(settings, "third", Cut.HANG)
     trio.run(soak.run)
     assert find_violations(soak) == []
