Soak of brittle engines: calls at times set in advance, and a time to answer all

Calls that were late delayed the next ones, so the load fell short on a busy host, and requests in flight at the end were not counted.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/brittle_soak.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/brittle_soak.py
@@ -30,6 +30,8 @@
 CALM_S = 3.0
 CALM_LOAD = 0.5
 FULL_LOAD = 2.0
+# Time at the end in which all requests are answered.
+DRAIN_S = 3.0
 BASE_FALLS = 2
 FALLS_PER_ENGINE = 0.1
 
@@ -118,6 +120,7 @@
         self.engines: dict[int, BrittleEngine] = {}
         self.is_brittle = self.is_shrunk = False
         self.falls = 0
+        self.max_lag_s = 0.0
 
     @property
     def allowed_falls(self) -> float:
@@ -168,22 +171,34 @@
 
     async def generate_load(self, callers: trio.Nursery) -> None:
         """Generate a light load, then make the engines brittle and the load heavy."""
-        capacity_per_s = self.engine_count * SLOTS / SERVICE_S
-        with trio.move_on_after(CALM_S):
-            await self.call_repeatedly("calm", CALM_LOAD * capacity_per_s, callers)
+        await self._call_for(CALM_S, "calm", CALM_LOAD, callers)
         self.is_brittle = True
         self._apply_to_all()
-        with trio.move_on_after(SHRINK_S):
-            await self.call_repeatedly("calm", CALM_LOAD * capacity_per_s, callers)
+        await self._call_for(SHRINK_S, "calm", CALM_LOAD, callers)
         self.is_shrunk = True
         self._apply_to_all()
-        await self.call_repeatedly("full", self.full_load * capacity_per_s, callers)
+        full_s = self.seconds - CALM_S - SHRINK_S - DRAIN_S
+        await self._call_for(full_s, "full", self.full_load, callers)
+        await trio.sleep(DRAIN_S)
+
+    async def _call_for(
+        self, seconds: float, path: str, load: float, callers: trio.Nursery
+    ) -> None:
+        """Make calls at random times set in advance, however late the last one was."""
+        per_s = load * self.engine_count * SLOTS / SERVICE_S
+        at = trio.current_time()
+        until = at + seconds
+        while (at := at + self.rng.expovariate(per_s)) < until:
+            await trio.sleep_until(at)
+            self.max_lag_s = max(self.max_lag_s, trio.current_time() - at)
+            callers.start_soon(self.call, path, True)
+        await trio.sleep_until(until)
 
     def describe(self) -> str:
         """Return the falls and the share of requests served."""
         return (
             f"{self.falls} falls of {self.allowed_falls:g} allowed,"
-            f" {self.served_share:.2f} served"
+            f" {self.served_share:.2f} served, calls late by {self.max_lag_s:.2f} s"
         )
 
 
@@ -196,7 +211,7 @@
 
 def main(arguments: list[str] | None = None) -> int:
     """Run seeds one after the other; return 1 if the engines fall too often."""
-    parser = make_parser(__doc__, 10.5, 24000, can_restart=False)
+    parser = make_parser(__doc__, 13.5, 24000, can_restart=False)
     parser.add_argument("--engines", type=int, default=9)
     parser.add_argument("--brittle", type=int, default=3)
     parser.add_argument("--full-load", type=float, default=FULL_LOAD)
