Keep the requests to a brittle upstream within shares of its slots

Callers of brittle engines saw nearly all requests fail: instances see only their own rejections and old reports of the others' requests, so together they made each engine reject more than it survives, again soon after it was back.

An instance now sends to a brittle upstream within its share of the slots, by rendezvous over the recently live instances; beyond it only with clear room, bounded over all instances by the number that the upstream states. Rejections pause it. New upstreams of a pool with brittle ones are taken for brittle until they answer. Peers are told, as of rate limits. Requests without room wait in order of rank or get 503 with code 2012. The test of the wire format of rate limits now covers this header with the same values.

--- a/packages/buckthornwall/src/buckthornwall/codes/core.py
+++ b/packages/buckthornwall/src/buckthornwall/codes/core.py
@@ -114,6 +114,13 @@
         "send again after Retry-After",
     )
 
+    UPSTREAMS_BRITTLE = (
+        2012,
+        503,
+        "the upstreams are full and must not reject many requests",
+        "send again after Retry-After",
+    )
+
     UPSTREAM_UNREACHABLE = (3001, 503, "no upstream could be reached", "send again")
     UPSTREAM_BROKEN = (
         3002,
--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -105,6 +105,7 @@
     head_timeout_s: float | None
     note_prompt: Callable[[UpstreamView, PromptShape], None]
     record_rate_limit: Callable[[UpstreamView, float], None]
+    record_brittle: Callable[[UpstreamView, float], None]
     record_notice: Callable[[UpstreamView, Notice], None]
     model: EngineModel
     should_give_up: Callable[[], bool]
@@ -187,6 +188,10 @@
             self.choice.view.load.record_report(reply.load, now)
         if reply.rate_limit is not None and (reply.has_rate_limit or reply.attested):
             self.record_rate_limit(self.choice.view, reply.rate_limit)
+        if reply.brittle is not None and (reply.has_brittle or reply.attested):
+            self.record_brittle(self.choice.view, reply.brittle)
+        if reply.not_run:
+            self.choice.view.brittleness.record_rejection(now)
         if reply.notice is not None:
             self.record_notice(self.choice.view, reply.notice)
 
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -257,6 +257,7 @@
             head_timeout_s=head_timeout_s(self.pools, job, choice, remaining_s),
             note_prompt=self.pools.note_prompt,
             record_rate_limit=self.pools.rate_limits.record,
+            record_brittle=self.pools.brittle.record,
             record_notice=self.pools.notices.record,
             model=self.pools.model(job.resolution.pool.id),
             should_give_up=lambda: self._should_give_up(job, choice),
@@ -271,7 +272,8 @@
         # The attempt may be cancelled, and counts as run until known otherwise.
         job.runs += 1
         sent_at = self.clock.now()
-        result = await attempt.run()
+        with view.brittleness.count_request():
+            result = await attempt.run()
         if result.end in UNSENT_ENDS or result.end is AttemptEnd.NOT_RUN:
             job.runs -= 1
         if result.end in UNSENT_ENDS:
@@ -352,6 +354,7 @@
         refusal = refusal_without_upstream(self.pools, job)
         if refusal.code in (
             ResultCode.UPSTREAMS_LIMITED,
+            ResultCode.UPSTREAMS_BRITTLE,
             ResultCode.UPSTREAMS_RESTING,
         ):
             record_decision(self.pools, job.traits, False, self.clock.now())
--- a/packages/buckthornwall/src/buckthornwall/forwarding/no_upstream.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/no_upstream.py
@@ -30,6 +30,9 @@
         return _none_allowed_refusal(ResultCode.REGIONS_WITHOUT_UPSTREAM)
     if pools.is_evacuated(pool, regions):
         return _none_allowed_refusal(ResultCode.UPSTREAMS_EVACUATED)
+    if pools.is_brittle(pool, regions):
+        wait_s = retry_after_s(pools.limit_wait_s(pool, regions))
+        return Refusal(ResultCode.UPSTREAMS_BRITTLE, retry_after_s=wait_s)
     if pools.is_limited(pool, regions):
         wait_s = retry_after_s(pools.limit_wait_s(pool, regions))
         return Refusal(ResultCode.UPSTREAMS_LIMITED, retry_after_s=wait_s)
--- a/packages/buckthornwall/src/buckthornwall/forwarding/reply.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/reply.py
@@ -22,8 +22,9 @@
     upstream states that it did not and will not run the request, and `misdirected` if
     the reason is that another upstream now has that address. `rate_limit` is how many
     requests a second the upstream accepts from all instances, infinite without a limit,
-    and None if it does not say. `notice` is what it states about itself. `attested` is
-    set if the upstream signed the reply.
+    and None if it does not say. `brittle` is how many rejections a second it survives,
+    in the same way. `notice` is what it states about itself. `attested` is set if the
+    upstream signed the reply.
     """
 
     status: int
@@ -35,6 +36,7 @@
     load: LoadReport | None = None
     rate_limit: float | None = None
     notice: Notice | None = None
+    brittle: float | None = None
     idle_timeout_s: float | None = None
     closes_connection: bool = False
 
@@ -43,6 +45,11 @@
         """Whether the upstream names a finite rate limit."""
         return self.rate_limit is not None and math.isfinite(self.rate_limit)
 
+    @property
+    def has_brittle(self) -> bool:
+        """Whether the upstream states that it is brittle."""
+        return self.brittle is not None and math.isfinite(self.brittle)
+
     @property
     def is_attested_success(self) -> bool:
         """Whether this is a 2xx reply that the upstream signed."""
--- a/packages/buckthornwall/src/buckthornwall/peers/aggregation.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/aggregation.py
@@ -18,6 +18,7 @@
 from .work import add_work
 
 __all__ = [
+    "merge_brittle",
     "merge_leaving",
     "merge_limits",
     "sum_loads",
@@ -70,6 +71,14 @@
     return merge_limit_reports([(local_beacon.limits, 0.0), *reports])
 
 
+def merge_brittle(
+    local_beacon: Beacon, received: Iterable[ReceivedMessage], now: float
+) -> LimitReports:
+    """Return the newest report of each upstream's brittleness."""
+    reports = [(each.message.brittle, now - each.sent_at) for each in received]
+    return merge_limit_reports([(local_beacon.brittle, 0.0), *reports])
+
+
 def merge_leaving(
     local_beacon: Beacon, received: Iterable[ReceivedMessage]
 ) -> LeavingUpstreams:
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -111,6 +111,8 @@
         Upstreams that stated that they are leaving but are registered as ready.
     store_era
         Era of the store that counts `change_revision`; 0 if it is not known.
+    brittle
+        Rejections a second that brittle upstreams survive, by their own statement.
     """
 
     node: NodeId
@@ -132,6 +134,7 @@
     rank_tokens: RankTokens = {}
     leaving: LeavingUpstreams = {}
     store_era: Annotated[int, msgspec.Meta(ge=0)] = 0
+    brittle: LimitReports = {}
 
 
 class Digest(msgspec.Struct, array_like=True, tag="d"):
@@ -176,6 +179,8 @@
         Upstreams that stated that they are leaving but are registered as ready.
     store_era
         Era of the store that counts `change_revision`; 0 if it is not known.
+    brittle
+        Rejections a second that brittle upstreams survive, by their own statement.
     """
 
     address: str
@@ -200,6 +205,7 @@
     rank_tokens: RankTokens = {}
     leaving: LeavingUpstreams = {}
     store_era: Annotated[int, msgspec.Meta(ge=0)] = 0
+    brittle: LimitReports = {}
 
     def live(self, address: str, zone: ZoneId) -> Fleet:
         """Return the live fleet for an instance that follows this digest."""
@@ -250,6 +256,7 @@
     rank_tokens: RankTokens = {}
     leaving: LeavingUpstreams = {}
     store_era: Annotated[int, msgspec.Meta(ge=0)] = 0
+    brittle: LimitReports = {}
 
 
 class CrashReports(msgspec.Struct, array_like=True, tag="c"):
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -15,6 +15,7 @@
 from buckthornwall.utils import UpstreamId, ZoneId
 
 from .aggregation import (
+    merge_brittle,
     merge_leaving,
     merge_limits,
     sum_loads,
@@ -158,6 +159,7 @@
         received.message.store_uptime_ms = heartbeat.store_uptime_ms
         received.message.limits = heartbeat.limits
         received.message.leaving = heartbeat.leaving
+        received.message.brittle = heartbeat.brittle
         merge_newer_revision(received.message, heartbeat)
         counts = read_counts(heartbeat, received.message, received.upstreams)
         if counts is None:
@@ -298,6 +300,7 @@
             limits=newest.limits,
             leaving=newest.leaving,
             store_era=newest.store_era,
+            brittle=newest.brittle,
         )
 
     def assign_sequence(self, digest: Digest) -> None:
@@ -360,6 +363,7 @@
             limits=merge_limits(local_beacon, messages, now),
             leaving=merge_leaving(local_beacon, messages),
             store_era=best.store_era,
+            brittle=merge_brittle(local_beacon, messages, now),
         )
         for received in messages:
             merge_read_age(heartbeat, received, now)
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
@@ -1,13 +1,14 @@
 """Tests of the election of speakers and of the aggregation of reports."""
 
 import cbor2
+import msgspec
 import pytest
 
 from buckthornwall.codes import PeerError
 from buckthornwall.peers import Beacon, Digest, PeerState, PeerTable, PeerView, Work
 from buckthornwall.peers.election import election_priority
 from buckthornwall.peers.messages import PeerMessage, decode, encode
-from buckthornwall.pools import UpstreamEntry, UpstreamState
+from buckthornwall.pools import LimitReport, UpstreamEntry, UpstreamState
 from buckthornwall.routing import PoolId
 from buckthornwall.utils import Incarnation, NodeId, UpstreamId, ZoneId
 
@@ -357,3 +358,22 @@
 def test_message_of_an_older_build_lacks_leaving_upstreams():
     older = cbor2.loads(encode(beacon(FIRST)))[:-1]
     assert decode(cbor2.dumps(older), PeerMessage).leaving == {}
+
+
+def test_the_newest_report_of_brittleness_reaches_members_of_other_zones():
+    speaker, remote, member = table(FIRST), table(SECOND, "y"), table(THIRD, "y")
+    told = msgspec.structs.replace(
+        beacon(FIRST), brittle={ENGINE: LimitReport(3.0, 100)}
+    )
+    remote.receive_digest(speaker.make_digest(told, False, 0.0), 0.0)
+    local_beacon = beacon(SECOND, zone="y")
+    member.receive_digest(remote.make_digest(local_beacon, True, 0.5), 0.5)
+    known = member.totals.brittle(beacon(THIRD, zone="y"), 1.0)
+    assert known == {ENGINE: LimitReport(3.0, 1100)}
+    ended = msgspec.structs.replace(
+        beacon(FIRST), brittle={ENGINE: LimitReport(None, 0)}
+    )
+    remote.receive_heartbeat(speaker.make_heartbeat(ended, False, 1.0), 1.0)
+    member.receive_heartbeat(remote.make_heartbeat(local_beacon, True, 1.0), 1.0)
+    known = member.totals.brittle(beacon(THIRD, zone="y"), 1.0)
+    assert known == {ENGINE: LimitReport(None, 0)}
--- a/packages/buckthornwall/src/buckthornwall/peers/totals.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/totals.py
@@ -14,6 +14,7 @@
 from buckthornwall.utils import UpstreamId
 
 from .aggregation import (
+    merge_brittle,
     merge_leaving,
     merge_limits,
     sum_loads,
@@ -70,6 +71,18 @@
             [(self.table.speaker.message.limits, self.table.staleness_s(now))]
         )
 
+    def brittle(self, local_beacon: Beacon, now: float) -> LimitReports:
+        """Return the newest report of each upstream's brittleness."""
+        if self.table.is_speaker(now):
+            received = [
+                *self.table.members.values(),
+                *self.table.remote_zones(is_fleet=True),
+            ]
+            return merge_brittle(local_beacon, received, now)
+        return merge_limit_reports(
+            [(self.table.speaker.message.brittle, self.table.staleness_s(now))]
+        )
+
     def leaving(self, local_beacon: Beacon, now: float) -> LeavingUpstreams:
         """Return all upstreams that stated to any instance that they are leaving."""
         if self.table.is_speaker(now):
--- a/packages/buckthornwall/src/buckthornwall/platform/codec.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/codec.py
@@ -140,7 +140,8 @@
             not_run=misdirected or names.NOT_RUN in found,
             misdirected=misdirected,
             load=_load(found.get(names.LOAD)),
-            rate_limit=_rate_limit(found.get(names.RATE_LIMIT)),
+            rate_limit=_per_s(found.get(names.RATE_LIMIT)),
+            brittle=_per_s(found.get(names.BRITTLE)),
             notice=decode_notice(head.status, found),
             idle_timeout_s=_idle_timeout(found.get(b"keep-alive", b"")),
             closes_connection=b"close" in found.get(b"connection", b"").lower(),
@@ -161,8 +162,8 @@
     return LoadReport(running, waiting, slots)
 
 
-def _rate_limit(value: bytes | None) -> float | None:
-    """Return the rate limit of an upstream, infinite if the header is missing.
+def _per_s(value: bytes | None) -> float | None:
+    """Return a number a second that an upstream states, infinite if it does not.
 
     None stands for an invalid value, which neither sets nor ends a limit.
     """
--- a/packages/buckthornwall/src/buckthornwall/platform/names.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/names.py
@@ -23,6 +23,8 @@
 INSTANCE = PREFIX + b"instance-id"
 # Requests per second, a decimal number, that an upstream accepts from all instances.
 RATE_LIMIT = b"server-limit"
+# Rejections a second, a decimal number, that an upstream survives for a time.
+BRITTLE = b"server-brittle"
 # "1" from an upstream that is leaving.
 LEAVING = b"server-leaving"
 # Seconds, a decimal number, for which an upstream wants no request from this instance.
--- a/packages/buckthornwall/src/buckthornwall/platform/tests/test_wire.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/tests/test_wire.py
@@ -150,9 +150,11 @@
         (b"many", None),
     ],
 )
-def test_rate_limit_of_an_upstream_is_decoded(value, limit):
-    headers = [] if value is None else [(b"server-limit", value)]
-    assert PlatformCodec().decode(ResponseHead(200, headers)).rate_limit == limit
+def test_rate_limit_and_brittleness_of_an_upstream_are_decoded(value, limit):
+    names = (b"server-limit", b"server-brittle")
+    headers = [] if value is None else [(name, value) for name in names]
+    reply = PlatformCodec().decode(ResponseHead(200, headers))
+    assert (reply.rate_limit, reply.brittle) == (limit, limit)
 
 
 @pytest.mark.parametrize(
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -1,33 +1,36 @@
 """Upstreams of each pool: registrations, load, health, and placement of requests.
 
-================== ==============================================================
-`entry`            an upstream as it is registered
-`load`             load of an upstream as known to this instance
-`waits`            how long requests there have waited for their first token
-`prefixes`         estimate of the prefix cache of an engine
-`prefix_updates`   exchange of cached prefixes between instances
-`evacuation`       availability zones that get no new requests
-`health`           upstreams that fail requests, whatever their health check says
-`reachability`     upstreams that do not accept requests, as reported by instances
-`upstream_notices` notices of one upstream that are in force
-`notices`          what upstreams state about themselves in their responses
-`availability`     whether an upstream may get a request now
-`rate_limit`       rate limit of one upstream over all instances
-`rate_limits`      rate limits of all upstreams, and the local shares
-`limit_share`      shares of the instances in the rate limit of an upstream
-`fleet_memory`     instances that were live recently
-`limit_queue`      queue for the tokens of a pool whose upstreams are all limited
-`view`             all of these for one upstream
-`table`            views by upstream; adopts registrations
-`reserved`         engines reserved for pause-sensitive streams
-`placement`        choice of an upstream for a request
-`ledger`           requests admitted and refused recently, by rank
-`overload`         limits of the expected wait, and the delay of retries
-`traits`           properties of a request that decisions depend on
-`expectation`      expected time to the first token
-`refusal`          whether a request is refused for overload
-`decision`         which upstream a request is sent to
-================== ==============================================================
+=================== ==============================================================
+`entry`             an upstream as it is registered
+`load`              load of an upstream as known to this instance
+`waits`             how long requests there have waited for their first token
+`prefixes`          estimate of the prefix cache of an engine
+`prefix_updates`    exchange of cached prefixes between instances
+`evacuation`        availability zones that get no new requests
+`health`            upstreams that fail requests, whatever their health check says
+`reachability`      upstreams that do not accept requests, as reported by instances
+`upstream_notices`  notices of one upstream that are in force
+`notices`           what upstreams state about themselves in their responses
+`availability`      whether an upstream may get a request now
+`rate_limit`        rate limit of one upstream over all instances
+`rate_limits`       rate limits of all upstreams, and the local shares
+`limit_share`       shares of the instances in the rate limit of an upstream
+`brittleness`       what may be sent to one upstream that must not reject many
+`brittle_upstreams` all such upstreams, reports on them, and the local shares
+`slot_share`        shares of the instances in the slots of an upstream
+`fleet_memory`      instances that were live recently
+`limit_queue`       queue for the tokens of a pool whose upstreams are all limited
+`view`              all of these for one upstream
+`table`             views by upstream; adopts registrations
+`reserved`          engines reserved for pause-sensitive streams
+`placement`         choice of an upstream for a request
+`ledger`            requests admitted and refused recently, by rank
+`overload`          limits of the expected wait, and the delay of retries
+`traits`            properties of a request that decisions depend on
+`expectation`       expected time to the first token
+`refusal`           whether a request is refused for overload
+`decision`          which upstream a request is sent to
+=================== ==============================================================
 """
 
 from .availability import Obstacle
--- a/packages/buckthornwall/src/buckthornwall/pools/availability.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/availability.py
@@ -14,6 +14,9 @@
 
 __all__ = ["ADVISORY", "FORBIDDING", "LASTING", "Obstacle", "find_obstacle", "wait_s"]
 
+# Assumed wait for room at a brittle upstream, in seconds.
+ROOM_WAIT_S = 0.25
+
 
 class Obstacle(Enum):
     """Why an upstream gets no request now, in the order in which they are checked."""
@@ -24,6 +27,7 @@
     EVACUATED = "evacuated"  # by the operator, for its zone
     RESTING = "resting"  # by its own response
     RATE_LIMITED = "rate_limited"  # no token of this instance is left
+    BRITTLE = "brittle"  # no room that is known to be free for this instance
     EJECTED = "ejected"  # by the outcomes of earlier requests
     UNREACHABLE = "unreachable"  # by the reports of other instances
 
@@ -71,6 +75,8 @@
         return Obstacle.RESTING
     if not view.rate_limit.may_send(now):
         return Obstacle.RATE_LIMITED
+    if not view.brittleness.may_send(view.load, now):
+        return Obstacle.BRITTLE
     if not view.health.allows_request(now):
         return Obstacle.EJECTED
     return Obstacle.UNREACHABLE if view.reachability.is_unreachable(now) else None
@@ -81,4 +87,6 @@
 
     In seconds; infinite where this instance has no share of a rate limit.
     """
-    return max(view.notices.rest_s(now), view.rate_limit.wait_s(now))
+    is_free = view.brittleness.may_send(view.load, now)
+    room_wait_s = 0.0 if is_free else ROOM_WAIT_S
+    return max(view.notices.rest_s(now), view.rate_limit.wait_s(now), room_wait_s)
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -22,6 +22,7 @@
     find_obstacle,
     wait_s,
 )
+from .brittle_upstreams import BrittleUpstreams
 from .entry import UpstreamEntry, is_same_incarnation
 from .evacuation import Evacuations
 from .health import Verdict
@@ -58,6 +59,8 @@
     ----------
     rate_limits : RateLimits
         Rate limits of the upstreams.
+    brittle : BrittleUpstreams
+        Upstreams that must not reject many requests.
     notices : NoticeTable
         What the upstreams state about themselves.
     evacuations : Evacuations
@@ -72,6 +75,7 @@
         self.views: dict[UpstreamId, UpstreamView] = {}
         self.rate_limits = RateLimits(clock, self.views)
         self.notices = NoticeTable(clock, self.views)
+        self.brittle = BrittleUpstreams(clock, self.views)
         self._members: dict[PoolId, dict[UpstreamId, UpstreamView]] = {}
         self._wait_calibrations: dict[PoolId, WaitCalibration] = {}
         self._models: dict[PoolId, EngineModel] = {}
@@ -106,6 +110,7 @@
         if view is None:
             view = self.views[entry.id] = UpstreamView(entry)
             self.notices.restore(view)
+            self.brittle.adopt(view)
             log_event(
                 "upstream_registered",
                 upstream=entry.id,
@@ -281,15 +286,25 @@
         return self._limit_queues.setdefault(pool, LimitQueue())
 
     def is_limited(self, pool: PoolId, regions: Regions = None) -> bool:
-        """Return whether all ready upstreams of a pool have a rate limit or rest."""
+        """Return whether all ready upstreams of a pool are limited, rest or brittle."""
         now = self.clock.now()
         is_any_ready = False
         for view in self._ready(pool, regions):
-            if not (view.rate_limit.is_limited(now) or view.notices.is_resting(now)):
+            if not (
+                view.rate_limit.is_limited(now)
+                or view.notices.is_resting(now)
+                or view.brittleness.is_in_force(now)
+            ):
                 return False
             is_any_ready = True
         return is_any_ready
 
+    def is_brittle(self, pool: PoolId, regions: Regions = None) -> bool:
+        """Return whether any ready upstream of a pool is brittle."""
+        now = self.clock.now()
+        ready = self._ready(pool, regions)
+        return any(view.brittleness.is_in_force(now) for view in ready)
+
     def is_resting(self, pool: PoolId, regions: Regions = None) -> bool:
         """Return whether all ready upstreams of a pool want no request now."""
         now = self.clock.now()
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_limited_pool.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_limited_pool.py
@@ -1,8 +1,11 @@
 """Tests of a pool all of whose upstreams have a rate limit."""
 
+from dataclasses import replace
+
 import pytest
 
-from buckthornwall.pools import PoolTable, UpstreamEntry, UpstreamState
+from buckthornwall.pools import Fleet, PoolTable, UpstreamEntry, UpstreamState
+from buckthornwall.pools.brittleness import NOT_BRITTLE
 from buckthornwall.routing import PoolId
 from buckthornwall.utils import UpstreamId, ZoneId
 
@@ -57,3 +60,31 @@
     assert not pools.has_spare_token(POOL)
     clock.time += 0.5
     assert pools.has_spare_token(POOL)
+
+
+def test_brittle_pool_is_queued_for_and_its_new_upstreams_are_brittle(pools, clock):
+    fleet = Fleet("h:9", ZoneId("z"), (ZoneId("z"),), ("h:9",), 1)
+    for name in ("a", "b"):
+        pools.brittle.record(pools.views[name], 3.0)
+    pools.brittle.update_shares(fleet, 0.0)
+    assert pools.is_limited(POOL)
+    assert pools.is_brittle(POOL)
+    assert names(pools) == ["a", "b"]
+    for view in pools.views.values():
+        view.brittleness.in_flight = view.load.requests = 8
+    assert names(pools) == []
+    entry = UpstreamEntry(
+        UpstreamId("c"), POOL, "h:2", ZoneId("z"), 8, UpstreamState.READY
+    )
+    pools.adopt(entry)
+    assert pools.views["c"].brittleness.is_in_force(clock.time)
+    assert names(pools) == ["c"]
+    assert pools.views["c"].brittleness.share == 8
+
+
+def test_an_upstream_that_restarted_is_not_held_to_its_former_value(pools):
+    entry = replace(pools.views["a"].entry, incarnation="1")
+    pools.adopt(entry)
+    pools.brittle.record(pools.views["a"], 3.0)
+    pools.adopt(replace(entry, incarnation="2"))
+    assert pools.views["a"].brittleness.per_s == NOT_BRITTLE
--- a/packages/buckthornwall/src/buckthornwall/pools/view.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/view.py
@@ -2,6 +2,7 @@
 
 from buckthornwall.utils import UpstreamId
 
+from .brittleness import Brittleness
 from .entry import UpstreamEntry, UpstreamState
 from .health import Health
 from .load import Load
@@ -21,6 +22,7 @@
     `reachability` combines this instance's attempts with the reports of its peers.
     `rate_limit` holds the requests a second that the upstream accepts, and the end of
     its cold start, and `notices` what the upstream has stated about itself.
+    `brittleness` limits the requests to one that must not reject many.
     """
 
     def __init__(self, entry: UpstreamEntry) -> None:
@@ -31,6 +33,7 @@
         self.reachability = Reachability()
         self.rate_limit = RateLimit()
         self.notices = UpstreamNotices()
+        self.brittleness = Brittleness()
 
     def cold_s(self, now: float) -> float:
         """Return how much longer its cold start lasts, in seconds."""
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -190,7 +190,9 @@
     def _update_limit_shares(self, fleet: Digest, now: float) -> None:
         live = fleet.live(self.settings.peers.listen, self.zone)
         self.fleet_memory.record(live, now)
-        self.pools.rate_limits.update_shares(live, self.fleet_memory.recent(live, now))
+        recent = self.fleet_memory.recent(live, now)
+        self.pools.rate_limits.update_shares(live, recent)
+        self.pools.brittle.update_shares(recent, self.peers.staleness_s(now))
 
     # Messages between instances
 
@@ -224,6 +226,7 @@
             rank_tokens=self.pools.rank_tokens(),
             leaving=self.pools.notices.reports(),
             store_era=self.discovery.change_position.era,
+            brittle=self.pools.brittle.reports(),
         )
 
     def _apply_peer_work(self) -> None:
@@ -234,6 +237,7 @@
         self.pools.receive_unreachable(self.peers.totals.unreachable(local, now))
         self.pools.receive_rank_tokens(self.peers.totals.rank_tokens(local, now))
         self.pools.rate_limits.receive(self.peers.totals.limits(local, now))
+        self.pools.brittle.receive(self.peers.totals.brittle(local, now))
         self.pools.notices.receive(self.peers.totals.leaving(local, now))
 
     def _count_store_call(self, seconds: float, outcome: str) -> None:
