--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_brittle_at_size.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_brittle_at_size.py
@@ -21,6 +21,7 @@
 
     def __init__(self, seed, instances, load, is_limited):
         self.rng = random.Random(seed)
+        self.arrivals = random.Random(seed)
         self.is_limited = is_limited
         self.count = instances
         self.per_step = load * ENGINES * SLOTS / SERVICE_S * STEP_S
@@ -69,10 +70,10 @@
                 load = self.loads[place][engine]
                 others = max(0, total - load.requests)
                 load.peers = PeerLoad(requests=others)
-        arrivals = int(self.per_step) + (self.rng.random() < self.per_step % 1)
+        arrivals = int(self.per_step) + (self.arrivals.random() < self.per_step % 1)
         for _ in range(arrivals):
             self.arrived += 1
-            self.queues[self.rng.randrange(self.count)].append(now)
+            self.queues[self.arrivals.randrange(self.count)].append(now)
         for place, queue in enumerate(self.queues):
             while queue and now - queue[0] > PATIENCE_S:
                 queue.popleft()
--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -89,7 +89,8 @@
     why the upstream is not to get the request any more, if so. `completeness` checks a
     reply that has ended.
     `note_prompt` records that the prompt is sent to the upstream, `record_rate_limit`
-    the limit that it names, `record_notice` what it states about itself, and `model`
+    the limit that it names, `record_brittle` the rejections that it survives,
+    `record_notice` what it states about itself, and `model`
     learns the speed of the stream.
     """
 
