--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -84,8 +84,9 @@
     why the upstream is not to get the request any more, if so. `completeness` checks a
     reply that has ended.
     `note_prompt` records that the prompt is sent to the upstream, `record_rate_limit`
-    the limit that it names, `record_notice` what it states about itself, and `model`
-    learns the speed of the stream. `reviews` lists its waits.
+    the limit that it names, `record_brittle` the rejections that it survives,
+    `record_notice` what it states about itself, and `model` learns the speed of the
+    stream. `reviews` lists its waits.
     """
 
     request: RoutedRequest
@@ -100,6 +101,7 @@
     head_timeout_s: float | None
     note_prompt: Callable[[UpstreamView, PromptShape], None]
     record_rate_limit: Callable[[UpstreamView, float], None]
+    record_brittle: Callable[[UpstreamView, float], None]
     record_notice: Callable[[UpstreamView, Notice], None]
     model: EngineModel
     should_give_up: Callable[[], bool]
@@ -183,6 +185,10 @@
             self.choice.view.load.record_report(reply.load, now)
         if reply.rate_limit is not None and (reply.has_rate_limit or reply.attested):
             self.record_rate_limit(self.choice.view, reply.rate_limit)
+        if reply.brittle is not None and (reply.has_brittle or reply.attested):
+            self.record_brittle(self.choice.view, reply.brittle)
+        if reply.not_run:
+            self.choice.view.brittleness.record_rejection(now)
         if reply.notice is not None:
             self.record_notice(self.choice.view, reply.notice)
 
--- a/packages/buckthornwall/src/buckthornwall/forwarding/relaying.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/relaying.py
@@ -162,6 +162,7 @@
             ),
             note_prompt=lambda view, prompt: None,
             record_rate_limit=lambda view, limit: None,
+            record_brittle=lambda view, per_s: None,
             record_notice=lambda view, notice: None,
             model=EngineModel(),
             should_give_up=lambda: self.is_due(job) and self.spend_retry(job),
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_isolation_monitor.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_isolation_monitor.py
@@ -38,7 +38,7 @@
 
 
 @pytest.fixture
-def monitor():
+async def monitor():
     pools = PoolTable(TrioClock())
     monitor = IsolationMonitor(pools, ConnectionCache(pools.clock, 0.25), pools.clock)
     for n in range(4):
--- a/packages/buckthornwall/src/buckthornwall/peers/aggregation.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/aggregation.py
@@ -20,6 +20,7 @@
 __all__ = [
     "list_isolated",
     "list_relays",
+    "merge_brittle",
     "merge_leaving",
     "merge_limits",
     "sum_loads",
@@ -74,6 +75,14 @@
     return merge_limit_reports([(local_beacon.limits, 0.0), *reports])
 
 
+def merge_brittle(
+    local_beacon: Beacon, received: Iterable[ReceivedMessage], now: float
+) -> LimitReports:
+    """Return the newest report of each upstream's brittleness."""
+    reports = [(each.message.brittle, now - each.sent_at) for each in received]
+    return merge_limit_reports([(local_beacon.brittle, 0.0), *reports])
+
+
 def merge_leaving(
     local_beacon: Beacon, received: Iterable[ReceivedMessage]
 ) -> LeavingUpstreams:
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -113,6 +113,8 @@
         Era of the store that counts `change_revision`; 0 if it is not known.
     is_isolated
         Whether the sender can open connections to no upstream.
+    brittle
+        Rejections a second that brittle upstreams survive, by their own statement.
     """
 
     node: NodeId
@@ -135,6 +137,7 @@
     leaving: LeavingUpstreams = {}
     store_era: Annotated[int, msgspec.Meta(ge=0)] = 0
     is_isolated: bool = False
+    brittle: LimitReports = {}
 
 
 class Digest(msgspec.Struct, array_like=True, tag="d"):
@@ -183,6 +186,8 @@
         Addresses of the instances that can open connections to no upstream.
     relays
         By zone, some ready instances that can, while any instance cannot.
+    brittle
+        Rejections a second that brittle upstreams survive, by their own statement.
     """
 
     address: str
@@ -209,6 +214,7 @@
     store_era: Annotated[int, msgspec.Meta(ge=0)] = 0
     isolated: list[str] = []
     relays: dict[ZoneId, list[str]] = {}
+    brittle: LimitReports = {}
 
     def live(self, address: str, zone: ZoneId) -> Fleet:
         """Return the live fleet for an instance that follows this digest."""
@@ -261,6 +267,7 @@
     store_era: Annotated[int, msgspec.Meta(ge=0)] = 0
     isolated: list[str] = []
     relays: dict[ZoneId, list[str]] = {}
+    brittle: LimitReports = {}
 
 
 class CrashReports(msgspec.Struct, array_like=True, tag="c"):
--- a/packages/buckthornwall/src/buckthornwall/peers/received_message.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/received_message.py
@@ -42,3 +42,4 @@
         self.message.leaving = heartbeat.leaving
         self.message.isolated = heartbeat.isolated
         self.message.relays = heartbeat.relays
+        self.message.brittle = heartbeat.brittle
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -17,6 +17,7 @@
 from .aggregation import (
     list_isolated,
     list_relays,
+    merge_brittle,
     merge_leaving,
     merge_limits,
     sum_loads,
@@ -248,9 +249,8 @@
     def other_speakers(self) -> dict[ZoneId, str]:
         """Return the known speakers of other zones."""
         known = dict(self.speaker.message.speakers) if self.speaker else {}
-        known |= {
-            zone: received.message.address for zone, received in self.zones.items()
-        }
+        for zone, received in self.zones.items():
+            known[zone] = received.message.address
         known.pop(self.zone, None)
         return known
 
@@ -292,6 +292,7 @@
             store_era=newest.store_era,
             isolated=newest.isolated,
             relays=newest.relays,
+            brittle=newest.brittle,
         )
 
     def assign_sequence(self, digest: Digest) -> None:
@@ -357,6 +358,7 @@
             store_era=best.store_era,
             isolated=list_isolated(beacons, remote),
             relays=list_relays(beacons, remote) if is_any_isolated else {},
+            brittle=merge_brittle(local_beacon, messages, now),
         )
         for received in messages:
             merge_read_age(heartbeat, received, now)
@@ -386,11 +388,9 @@
 
     def _age_ms(self, now: float) -> int:
         """Return the time since the speaker of this zone was last seen."""
-        return (
-            0
-            if self.is_speaker(now)
-            else int((now - self.speaker.last_seen_at) * MS_PER_S)
-        )
+        if self.is_speaker(now):
+            return 0
+        return int((now - self.speaker.last_seen_at) * MS_PER_S)
 
     def staleness_s(self, now: float) -> float:
         """Return the age in seconds of the report that this instance follows.
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_relay_candidates.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_relay_candidates.py
@@ -95,13 +95,14 @@
 def test_builds_before_and_after_read_each_others_messages():
     speakers, beacons = exchange("1", 0.0, ["10.1.0.2:7340"])
     made = [
-        (isolated_beacon("a"), 1),
-        (speakers["1"].make_digest(beacons["1"], True, 0.0), 2),
-        (speakers["1"].make_heartbeat(beacons["1"], True, 0.0), 2),
+        (isolated_beacon("a"), 2),
+        (speakers["1"].make_digest(beacons["1"], True, 0.0), 3),
+        (speakers["1"].make_heartbeat(beacons["1"], True, 0.0), 3),
     ]
     for message, added in made:
         fields = cbor2.loads(encode(message))
         older = decode(cbor2.dumps(fields[:-added]), PeerMessage)
         assert older.store_era == message.store_era
         assert not getattr(older, "isolated", False)
+        assert not older.brittle
         assert decode(cbor2.dumps([*fields, "later"]), PeerMessage) == message
--- a/packages/buckthornwall/src/buckthornwall/pools/health.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/health.py
@@ -8,7 +8,7 @@
 from collections import deque
 from enum import Enum
 
-__all__ = ["Health", "Verdict"]
+__all__ = ["Health", "Verdict", "median_failure_share"]
 
 MAX_RESULTS = 20
 MIN_RESULTS = 5  # fewer are not conclusive
@@ -126,3 +126,9 @@
         self.results.clear()
         self.ejection_s = 0.0
         self.probe_sent_at = None
+
+
+def median_failure_share(others: list[Health], now: float) -> float:
+    """Return the median failure share of the other upstreams of a pool."""
+    shares = sorted(other.failure_share(now) for other in others)
+    return shares[len(shares) // 2] if shares else 0.0
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -22,9 +22,10 @@
     find_obstacle,
     wait_s,
 )
+from .brittle_upstreams import BrittleUpstreams
 from .entry import UpstreamEntry, is_same_incarnation
 from .evacuation import Evacuations
-from .health import Verdict
+from .health import Verdict, median_failure_share
 from .isolation import Isolation
 from .ledger import AdmissionLedger, RankTokens
 from .limit_queue import LimitQueue
@@ -60,6 +61,8 @@
     ----------
     rate_limits : RateLimits
         Rate limits of the upstreams.
+    brittle : BrittleUpstreams
+        Upstreams that must not reject many requests.
     notices : NoticeTable
         What the upstreams state about themselves.
     evacuations : Evacuations
@@ -76,6 +79,7 @@
         self.views: dict[UpstreamId, UpstreamView] = {}
         self.rate_limits = RateLimits(clock, self.views)
         self.notices = NoticeTable(clock, self.views)
+        self.brittle = BrittleUpstreams(clock, self.views)
         self._members: dict[PoolId, dict[UpstreamId, UpstreamView]] = {}
         self._wait_calibrations: dict[PoolId, WaitCalibration] = {}
         self._models: dict[PoolId, EngineModel] = {}
@@ -114,6 +118,7 @@
         if view is None:
             view = self.views[entry.id] = UpstreamView(entry)
             self.notices.restore(view)
+            self.brittle.adopt(view)
             log_event(
                 "upstream_registered",
                 upstream=entry.id,
@@ -289,15 +294,25 @@
         return self._limit_queues.setdefault(pool, LimitQueue())
 
     def is_limited(self, pool: PoolId, regions: Regions = None) -> bool:
-        """Return whether all ready upstreams of a pool have a rate limit or rest."""
+        """Return whether all ready upstreams of a pool are limited, rest or brittle."""
         now = self.clock.now()
         is_any_ready = False
         for view in self._ready(pool, regions):
-            if not (view.rate_limit.is_limited(now) or view.notices.is_resting(now)):
+            if not (
+                view.rate_limit.is_limited(now)
+                or view.notices.is_resting(now)
+                or view.brittleness.is_in_force(now)
+            ):
                 return False
             is_any_ready = True
         return is_any_ready
 
+    def is_brittle(self, pool: PoolId, regions: Regions = None) -> bool:
+        """Return whether any ready upstream of a pool is brittle."""
+        now = self.clock.now()
+        ready = self._ready(pool, regions)
+        return any(view.brittleness.is_in_force(now) for view in ready)
+
     def is_resting(self, pool: PoolId, regions: Regions = None) -> bool:
         """Return whether all ready upstreams of a pool want no request now."""
         now = self.clock.now()
@@ -359,8 +374,7 @@
         """Record how many instances recently could not reach each upstream."""
         now = self.clock.now()
         for upstream, reporters in unreachable.items():
-            view = self.views.get(upstream)
-            if view is not None:
+            if (view := self.views.get(upstream)) is not None:
                 view.reachability.record_reports(reporters, now)
 
     def record_outcome(self, view: UpstreamView, verdict: Verdict) -> None:
@@ -370,8 +384,11 @@
         now = self.clock.now()
         if verdict is Verdict.UNREACHABLE:
             view.reachability.record_failed(now)
+        others = [
+            other.health for other in self.members(view.entry.pool) if other is not view
+        ]
         changed = view.health.record_outcome(
-            verdict, self._failure_share_of_others(view), now
+            verdict, median_failure_share(others, now), now
         )
         if changed:
             log_event(
@@ -381,13 +398,3 @@
                 verdict=verdict.value,
                 pause_s=view.health.ejection_s,
             )
-
-    def _failure_share_of_others(self, view: UpstreamView) -> float:
-        """Return the median failure share of the other upstreams of a pool."""
-        now = self.clock.now()
-        others = [
-            other.health.failure_share(now)
-            for other in self.members(view.entry.pool)
-            if other is not view
-        ]
-        return sorted(others)[len(others) // 2] if others else 0.0
