Failing tests of the isolation monitor and of a resumed stream

A check that was cancelled stands for a result; upstreams that are gone are probed; a request that crashes all upstreams has one crash less; a resumed stream that lacks the event which had begun counts as complete.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_isolation_monitor.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_isolation_monitor.py
@@ -1,5 +1,7 @@
 """Tests of the probes that find whether this instance is isolated."""
 
+from dataclasses import replace
+
 import pytest
 import trio
 
@@ -150,3 +152,51 @@
     await forward([None], [reply()], [reply()])
     assert len(forward.quarantine.records) == crashes
     assert forward.pools.isolation.is_isolated is not bool(crashes)
+
+
+async def test_check_that_its_caller_cancelled_does_not_stand_for_a_result(
+    network, monitor, nursery, autojump_clock
+):
+    cut(network, "hangs")
+    results = []
+
+    async def check():
+        results.append(await monitor.check())
+
+    with trio.move_on_after(0.1):
+        nursery.start_soon(check)
+        await monitor.check()
+    await trio.sleep(2.0)
+    assert results == [True]
+
+
+async def test_upstreams_that_are_gone_are_not_probed_in_the_next_isolation(
+    network, monitor, nursery, autojump_clock
+):
+    nursery.start_soon(monitor.run)
+    for name in ("b", "c"):
+        views = monitor.pools.views
+        network.behaviour = {view.entry.address: "refused" for view in views.values()}
+        monitor.isolation.record_failed(next(iter(views)), trio.current_time())
+        await trio.sleep(0.2)
+        assert monitor.isolation.is_isolated
+        network.behaviour, probed = {}, len(network.connects)
+        registered = [view.entry.address for view in views.values()]
+        await trio.sleep(0.4)
+        assert not monitor.isolation.is_isolated
+        for n in range(4):
+            entry = views[next(iter(views))].entry
+            monitor.pools.remove(entry.id)
+            monitor.pools.adopt(
+                replace(entry, id=UpstreamId(f"{name}{n}"), address=f"{name}{n}")
+            )
+    assert set(network.connects[probed:]) <= set(registered)
+
+
+async def test_crashes_of_all_upstreams_by_one_request_are_counted(
+    forward, ending_upstream
+):
+    upstreams = [await ending_upstream(b"") for _ in range(3)]
+    await forward(*upstreams)
+    (record,) = forward.quarantine.records.values()
+    assert len(record.terminations) == 3
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_unframed.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_unframed.py
@@ -133,3 +133,13 @@
         await ending_upstream(LEAVING_HEAD + b"who"), [HEAD + b"whole", b""]
     )
     assert answer.body == b"whole"
+
+
+@pytest.mark.parametrize("rest", [[HEAD, b""], [stream()]])
+async def test_resumed_stream_without_the_event_that_had_begun_is_cut_visibly(
+    forward, rest
+):
+    with pytest.raises(ResponseAborted):
+        await forward(
+            [HEAD + event(1) + FIRST_HALF, b""], rest, response_mode=STREAM, max_runs=2
+        )
