--- a/packages/buckthornwall/src/buckthornwall/forwarding/isolation_monitor.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/isolation_monitor.py
@@ -56,6 +56,8 @@
         self._lock = trio.Lock()
         self._busy_since: float | None = None
         self._order: list[UpstreamView] = []
+        # When the newest round that was not cancelled began.
+        self._known_at = float("-inf")
         connections.on_connected = lambda upstream: self.isolation.record_connected(
             upstream, clock.now()
         )
@@ -96,7 +98,7 @@
             is_known = (
                 self.isolation.is_isolated
                 or self.isolation.connected_at >= asked_at
-                or self.isolation.round_began_at >= asked_at
+                or self._known_at >= asked_at
             )
             if not is_known:
                 await self._run_round()
@@ -126,6 +128,7 @@
         is_open = await self._probe_any(order[:FIRST_PROBES])
         if not is_open:
             is_open = await self._probe_any(order[FIRST_PROBES:])
+        self._known_at = isolation.round_began_at
         now = self.clock.now()
         if isolation.end_round(0 if is_open else len(order), now):
             log_event(
@@ -165,8 +168,10 @@
 
     async def _probe_next(self) -> None:
         """Probe one upstream, each in turn in random order."""
+        views = self.pools.views
+        self._order = [v for v in self._order if views.get(v.id) is v]
         if not self._order:
-            self._order = [v for v in self.pools.views.values() if not v.is_leaving]
+            self._order = [v for v in views.values() if not v.is_leaving]
             self.rng.shuffle(self._order)
         if self._order:
             await self._probe(self._order.pop())
