--- a/packages/buckthornwall/src/buckthornwall/forwarding/completeness.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/completeness.py
@@ -45,6 +45,9 @@
         """
         if joiner.is_inside_event:
             raise ExchangeError(ExchangeFailure.CLOSED, "inside an event")
+        if joiner.is_event_missing:
+            detail = "without the event that had begun"
+            raise ExchangeError(ExchangeFailure.CLOSED, detail)
         has_events = joiner.event_count or joiner.last_id
         if framing is BodyFraming.CLOSE and not has_events:
             raise ExchangeError(ExchangeFailure.CLOSED, "before the first event")
--- a/packages/buckthornwall/src/buckthornwall/forwarding/events.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/events.py
@@ -18,12 +18,15 @@
         Id of the last event returned, or ''.
     event_count : int
         Number of events returned.
+    is_event_missing : bool
+        Whether an earlier attempt ended inside an event, and none was returned since.
     """
 
     def __init__(self, last_id: str = "") -> None:
         self.last_id = last_id
         self.event_count = 0
         self._partial = b""
+        self.is_event_missing = False
         self._resumed = False
 
     def feed(self, data: bytes) -> bytes:
@@ -52,6 +55,7 @@
 
     def resume(self) -> None:
         """Expect another attempt, which continues after `last_id`."""
+        self.is_event_missing |= self.is_inside_event
         self._partial = b""
         self._resumed = True
 
@@ -62,6 +66,7 @@
         if ids:
             self.last_id = ids[-1].decode("latin-1")
         self.event_count += len(EVENT_END.findall(events))
+        self.is_event_missing &= not events
         return events
 
     def _drop_duplicates(self, events: bytes) -> bytes:
