--- a/packages/buckthornwall/src/buckthornwall/router/tests/test_relaying.py
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/test_relaying.py
@@ -423,3 +423,15 @@
     peer = await start([stream(1, end=False), b""], mode=STREAM, retryable=False)
     with pytest.raises(ResponseAborted):
         await relay(peer, mode=STREAM, retryable=False)
+
+
+async def test_stream_that_a_peer_gave_up_does_not_run_more_often_than_it_may(
+    relay, start
+):
+    parts = [[stream(n, end=False), b""] for n in (1, 2)]
+    peer = await start(*parts, mode=STREAM, max_runs=2)
+    other = await start([stream(3)], mode=STREAM, max_runs=2)
+    with pytest.raises(ResponseAborted):
+        await relay(peer, other, mode=STREAM, max_runs=2)
+    assert all(relay.arrivals(peer))
+    assert relay.arrivals(other) == [b""]
