--- a/packages/buckthornwall/src/buckthornwall/router/tests/test_relaying.py
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/test_relaying.py
@@ -435,3 +435,11 @@
         await relay(peer, other, mode=STREAM, max_runs=2)
     assert all(relay.arrivals(peer))
     assert relay.arrivals(other) == [b""]
+
+
+async def test_peer_that_reaches_nothing_declines_also_after_a_run_of_the_sender(
+    relay, start
+):
+    unaware, peer = await start(UNREACHABLE), await start([reply()])
+    answer = await relay(unaware, peer, upstreams=([None],), prepare=isolate_on_failure)
+    assert answer.status == 200
