Count the crashes of all upstreams by one request

Where a request crashed the last upstreams of all pools, their refused connections were taken for an isolation of the instance, and the crash did not count in the quarantine. Upstreams that are known to have ended say nothing about the instance, so they no longer count in a round of probes.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/isolation_monitor.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/isolation_monitor.py
@@ -42,6 +42,9 @@
     ----------
     count_isolated_peers : Callable
         Returns how many peers are isolated, for the log.
+    is_known_ended : Callable
+        Returns whether an upstream is known to have ended, which says nothing about
+        this instance.
     """
 
     def __init__(
@@ -53,6 +56,7 @@
         self.clock = clock
         self.rng = random.Random()
         self.count_isolated_peers: Callable[[], int] = lambda: 0
+        self.is_known_ended: Callable[[UpstreamId], bool] = lambda upstream: False
         self._lock = trio.Lock()
         self._busy_since: float | None = None
         self._order: list[UpstreamView] = []
@@ -130,7 +134,8 @@
             is_open = await self._probe_any(order[FIRST_PROBES:])
         self._known_at = isolation.round_began_at
         now = self.clock.now()
-        if isolation.end_round(0 if is_open else len(order), now):
+        unexplained = [view for view in order if not self.is_known_ended(view.id)]
+        if isolation.end_round(0 if is_open else len(unexplained), now):
             log_event(
                 "upstreams_lost",
                 "WARNING",
--- a/packages/buckthornwall/src/buckthornwall/forwarding/liveness.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/liveness.py
@@ -13,6 +13,8 @@
 NEVER = float("-inf")
 # How long a result "ended" is reused.
 ENDED_CACHE_S = 0.3
+# How long the end of an upstream explains that it refuses connections.
+KNOWN_ENDED_S = 10.0
 
 
 class LivenessChecks:
@@ -61,6 +63,11 @@
             checks[entry.id] = checked_at
             return ended
 
+    def is_known_ended(self, upstream: UpstreamId) -> bool:
+        """Return whether an upstream was recently found to have ended."""
+        ended_at = self._ended_at.get(upstream, NEVER)
+        return self.clock.now() - ended_at <= KNOWN_ENDED_S
+
     async def _refuses_connection(self, address: str) -> bool:
         return await refuses_connections(address, self.connect_timeout_s)
 
--- a/packages/buckthornwall/src/buckthornwall/pools/isolation.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/isolation.py
@@ -93,7 +93,8 @@
         Parameters
         ----------
         failed
-            Number of upstreams probed if all failed, else 0.
+            Number of upstreams probed, but for those known to have ended, if all
+            failed; else 0.
         now
             Time in seconds.
         """
