--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_relay_order.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_relay_order.py
@@ -21,6 +21,13 @@
     assert order(failed={"p1"})[-2:] == ["far", "p1"]
 
 
+def test_last_instance_of_an_isolated_zone_is_not_asked_for_all_requests():
+    peers = [RelayCandidate("local", LOCAL)]
+    peers += [RelayCandidate(f"far{each}", FAR) for each in range(9)]
+    first = [choose_peer(f"r{each}", LOCAL, peers, [], []) for each in range(400)]
+    assert 10 < first.count(peers[0]) < 80
+
+
 def test_requests_are_spread_over_the_peers_of_a_zone():
     first = [order(f"r{each}")[0] for each in range(400)]
     assert all(60 < first.count(f"p{each}") < 140 for each in range(4))
