Bound what a forwarded request may state, and who may mark a refusal

A message with an absurd number raised an untyped error, and an upstream could send the header that marks a peer's refusal.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/relay_messages.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/relay_messages.py
@@ -1,5 +1,7 @@
 """The message in which a request is forwarded to a peer, encoded in CBOR."""
 
+from typing import Annotated
+
 import cbor2
 import msgspec
 
@@ -21,6 +23,11 @@
 MS_PER_S = 1000.0
 # The peer ends this much earlier, so that its final response arrives in time.
 RETURN_MS = 20
+# Limits of what a message may state: a day, and more attempts than any route allows.
+MAX_MS = 86_400_000
+MAX_RUNS = 1000
+
+Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=MAX_MS)]
 
 
 class RelayedRequest(msgspec.Struct, array_like=True, frozen=True):
@@ -48,13 +55,13 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes
     key: str
-    elapsed_ms: int
-    remaining_ms: int
+    elapsed_ms: Milliseconds
+    remaining_ms: Milliseconds
     prompt: PromptShape | None
     resume_after: str
     reached: list[UpstreamId]
-    runs: int
-    number: int
+    runs: Annotated[int, msgspec.Meta(ge=0, le=MAX_RUNS)]
+    number: Annotated[int, msgspec.Meta(ge=0)]
 
     def as_routed(self, received_at: float) -> RoutedRequest:
         """Return the request as if the client had sent it to this instance.
--- a/packages/buckthornwall/src/buckthornwall/forwarding/relaying.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/relaying.py
@@ -133,9 +133,9 @@
         if len(job.peers) >= MAX_PEERS:
             return None
         limit = self.clock.now() - FAILED_S
-        failed = {peer for peer, at in self.failed_at.items() if at > limit}
+        self.failed_at = {peer: at for peer, at in self.failed_at.items() if at > limit}
         return choose_peer(
-            job.request.id, self.zone, self.candidates(), job.peers, failed
+            job.request.id, self.zone, self.candidates(), job.peers, self.failed_at
         )
 
     def _make_attempt(self, job: Job, peer: RelayCandidate) -> Attempt:
--- a/packages/buckthornwall/src/buckthornwall/platform/codec.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/codec.py
@@ -148,7 +148,7 @@
         )
 
     def _caller_headers(self, headers: Headers) -> Headers:
-        dropped = names.HOP_BY_HOP | _named_by_connection(headers)
+        dropped = names.HOP_BY_HOP | names.RELAY_ONLY | _named_by_connection(headers)
         return [(name, value) for name, value in headers if name not in dropped]
 
 
--- a/packages/buckthornwall/src/buckthornwall/platform/names.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/names.py
@@ -57,6 +57,9 @@
     }
 )
 
+# Headers of responses between instances; those of upstreams are dropped.
+RELAY_ONLY = frozenset({RELAYED, RELAY_REFUSAL})
+
 # Hop-by-hop headers, for a single connection only (RFC 9110, section 7.6.1).
 HOP_BY_HOP = frozenset(
     {
--- a/packages/buckthornwall/src/buckthornwall/platform/relay_codec.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/relay_codec.py
@@ -65,12 +65,10 @@
         found = dict(head.headers)
         reply = self._platform.decode(head)
         refusal = _refusal(found)
-        internal = (names.RELAYED, names.RELAY_REFUSAL)
         is_other_build = names.RELAYED not in found and 400 <= head.status < 500
         is_refused_unrun = refusal is not None and refusal.run is Executed.NO
         return replace(
             reply,
-            headers=[each for each in reply.headers if each[0] not in internal],
             not_run=is_other_build or is_refused_unrun,
             misdirected=False,
             load=None,
--- a/packages/buckthornwall/src/buckthornwall/platform/tests/test_wire.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/tests/test_wire.py
@@ -122,6 +122,11 @@
     assert (reply.not_run, reply.is_attested_success) == (not_run, good)
 
 
+def test_upstream_cannot_refuse_in_the_name_of_an_instance():
+    headers = [(PREFIX + b"relay-refusal", b"2001 no -"), (b"a", b"B")]
+    assert PlatformCodec().decode(ResponseHead(200, headers)).headers == [(b"a", b"B")]
+
+
 def test_load_and_idle_timeout_are_read():
     head = ResponseHead(
         200,
