--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_peers.py
@@ -362,10 +362,10 @@
 
 def test_the_newest_report_of_brittleness_reaches_members_of_other_zones():
     speaker, remote, member = table(FIRST), table(SECOND, "y"), table(THIRD, "y")
-    told = msgspec.structs.replace(
+    informed = msgspec.structs.replace(
         beacon(FIRST), brittle={ENGINE: LimitReport(3.0, 100)}
     )
-    remote.receive_digest(speaker.make_digest(told, False, 0.0), 0.0)
+    remote.receive_digest(speaker.make_digest(informed, False, 0.0), 0.0)
     local_beacon = beacon(SECOND, zone="y")
     member.receive_digest(remote.make_digest(local_beacon, True, 0.5), 0.5)
     known = member.totals.brittle(beacon(THIRD, zone="y"), 1.0)
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_relay_candidates.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_relay_candidates.py
@@ -17,7 +17,7 @@
 
 
 def exchange(zones, now, isolated=(), members=3):
-    """Let the speakers of zones hear their members and each other; return tables."""
+    """Send the speakers their members' and each other's messages; return tables."""
     speakers, beacons = {}, {}
     for zone in zones:
         first = f"10.{zone}.0.1:7340"
--- a/packages/buckthornwall/src/buckthornwall/router/tests/conftest.py
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/conftest.py
@@ -9,6 +9,7 @@
 )
 from buckthornwall.peers import PeerState
 from buckthornwall.peers.relay_candidates import RelayCandidate
+from buckthornwall.platform import names
 from buckthornwall.pools import UpstreamEntry, UpstreamState
 from buckthornwall.router.core import Router
 from buckthornwall.routing import (
@@ -26,9 +27,9 @@
 from .test_main import TEXT
 
 NAMES = {
-    b"X-Signed": b"X-Buckthornwall-Response-Seal",
-    b"X-Id": b"X-Buckthornwall-Attempt-Id",
-    b"X-Not-Run": b"X-Buckthornwall-Not-Executed",
+    b"X-Signed": names.SIGNATURE,
+    b"X-Id": names.REQUEST_ID,
+    b"X-Not-Run": names.NOT_RUN,
 }
 STREAM = ResponseMode.EVENT_STREAM
 UNREACHABLE = "127.0.0.1:1"
@@ -40,7 +41,7 @@
         return data
     for short, name in NAMES.items():
         data = data.replace(short, name)
-    mark = b"\r\nX-Buckthornwall-Relayed: 1\r\n" if is_relayed else b"\r\n"
+    mark = b"\r\n%s: 1\r\n" % names.RELAYED if is_relayed else b"\r\n"
     return data.replace(b"\r\n", mark, 1)
 
 
--- a/packages/buckthornwall/src/buckthornwall/router/tests/test_relaying.py
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/test_relaying.py
@@ -16,6 +16,7 @@
 from buckthornwall.http1 import HttpServer, ResponseAborted
 from buckthornwall.peers import PeerState, PeerView, answer_view
 from buckthornwall.peers.relay_candidates import RelayCandidate
+from buckthornwall.platform import names
 from buckthornwall.router.core import OPERATOR_LIMITS
 from buckthornwall.utils import ZoneId
 
@@ -30,7 +31,7 @@
     assert not any(b"relay" in name for name in answer.headers)
     (request,) = relay.arrivals(peer)
     assert request.startswith(b"POST /a?b=c HTTP/1.1\r\n")
-    assert b"x-buckthornwall-tenant: t\r\n" in request  # the peer resolves its team
+    assert names.TEAM + b": t\r\n" in request  # the peer resolves its team
     view = relay.sender.pools.views[UNREACHABLE]
     assert not view.rate_limit.is_limited(0.0)
     assert view.reachability.answered_at < 0
