--- a/packages/buckthornwall/src/buckthornwall/forwarding/isolation_monitor.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/isolation_monitor.py
@@ -15,7 +15,7 @@
 
 __all__ = ["IsolationMonitor"]
 
-POLL_INTERVAL_S = 0.05
+POLL_INTERVAL_S = 0.1
 # Requests that wait this long while no upstream sends anything are a reason to probe.
 SILENCE_S = 0.5
 # Most rounds are refuted by the first upstreams.
--- a/packages/buckthornwall/src/buckthornwall/pools/brittle_upstreams.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/brittle_upstreams.py
@@ -7,7 +7,7 @@
 from buckthornwall.telemetry import log_event
 from buckthornwall.utils import Clock, UpstreamId
 
-from .brittleness import Brittleness
+from .brittleness import NOT_BRITTLE, Brittleness
 from .limit_share import Fleet
 from .rate_limit import LimitReports
 from .slot_share import local_slots
@@ -36,6 +36,7 @@
         self.clock = clock
         self.views = views
         self._brittle_at: dict[PoolId, float] = {}
+        self._stated: set[UpstreamId] = set()
         self._fleet: Fleet | None = None
         self._report_age_s = 0.0
 
@@ -50,6 +51,8 @@
     def record(self, view: UpstreamView, per_s: float) -> None:
         """Record what an upstream states in a response."""
         before = view.brittleness.per_s
+        if min(per_s, before) < NOT_BRITTLE:
+            self._stated.add(view.id)
         if view.brittleness.record_answer(per_s, self.clock.now()):
             self._log(view, before, is_from_peer=False)
             self._update_shares()
@@ -72,8 +75,10 @@
     def reports(self) -> LimitReports:
         """Return the reports for peers."""
         now = self.clock.now()
+        self._stated &= self.views.keys()
         reports = {
-            view.id: view.brittleness.report(now) for view in self.views.values()
+            upstream: self.views[upstream].brittleness.report(now)
+            for upstream in self._stated
         }
         return {each: report for each, report in reports.items() if report is not None}
 
--- a/packages/buckthornwall/src/buckthornwall/pools/brittleness.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/brittleness.py
@@ -147,6 +147,8 @@
 
     def may_send(self, load: Load, now: float) -> bool:
         """Return whether another request may be sent now."""
+        if self.per_s == NOT_BRITTLE and now >= self._assumed_until:
+            return True
         if not self.is_in_force(now) or not self.slots:
             return True
         known = load.in_flight(now) + self.in_flight - load.requests
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_brittleness.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_brittleness.py
@@ -102,3 +102,12 @@
     assert not state.is_in_force(100.0 + ASSUMED_S)
     state.record_answer(NOT_BRITTLE, 101.0)
     assert not state.is_in_force(101.0)
+
+
+def test_end_is_reported_where_brittleness_was_known_from_a_peer(table, clock):
+    a = UpstreamId("a")
+    table.brittle.receive({a: LimitReport(3.0, 0)})
+    assert table.brittle.reports() == {}
+    clock.time += 1
+    table.brittle.record(table.views[a], NOT_BRITTLE)
+    assert table.brittle.reports() == {a: LimitReport(None, 0)}
