A peer says how often it ran a request, also one that it gives up

Callers of a resumable stream at an isolated instance could have it run once more than its route allows: a peer that had used up the runs cut the stream, which looked like the peer's death, and another peer resumed it.

Cause: a broken connection says neither that the peer gave up nor how often it ran the request; the sender counted one run. Ruled out: reserving a run for a second peer, which takes a retry from every request whose first peer is sound.

The sender takes such an end for broken, never for complete, counts the runs, and asks another peer only if this one got isolated or leaves. Responses to clients have no trailers and end as before, by the loss of their connection.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -222,7 +222,10 @@
     ) -> tuple[Reply | None, AttemptResult]:
         response_mode = self.resolution.route.response_mode
         if reply.is_attested_success and response_mode is ResponseMode.EVENT_STREAM:
-            await self._relay_events(connection, reply, pending_prefill)
+            reply = await self._relay_events(connection, reply, pending_prefill)
+            if reply.refusal is not None:
+                detail = reply.refusal.detail
+                return None, AttemptResult(AttemptEnd.BROKEN, detail, reply)
             return reply, AttemptResult(AttemptEnd.DONE)
         body = await self._read_body(connection)
         if reply.not_run:
@@ -253,7 +256,11 @@
         connection: ClientConnection,
         reply: Reply,
         pending_prefill: "_PendingPrefill",
-    ) -> None:
+    ) -> Reply:
+        """Send a stream to the client; return its reply with the trailers.
+
+        The end of the stream is not sent if a peer could not complete it.
+        """
         view = self.choice.view
         observer = _StepObserver(
             view, self.model, self._tokens_per_event(), self.pause_sensitive
@@ -265,6 +272,9 @@
             if events:
                 pending_prefill.clear(is_served=True)
                 observer.record(events, now)
+        reply = self.codec.decode_trailers(reply, connection.trailers)
+        if reply.refusal is not None:
+            return reply
         await self.completeness.check_stream(
             view,
             self.resolution.route,
@@ -272,6 +282,7 @@
             self.delivery.joiner,
         )
         await self.delivery.end(reply)
+        return reply
 
     def _tokens_per_event(self) -> int:
         engine = self.resolution.pool.engine
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -207,7 +207,7 @@
         if job.delivery.done:
             self.telemetry.record_end(job, "answered")
         elif job.delivery.started:
-            raise ResponseAborted(job.detail)
+            await answer.abort(refusal, job.runs_here)
         elif job.last_failed is not None:
             await job.delivery.send_complete(
                 job.last_failed.reply, job.last_failed.body
@@ -386,7 +386,7 @@
         if refusal.run is Executed.NO and refusal.retry_after_s is not None:
             headers.append((b"Retry-After", b"%.2f" % refusal.retry_after_s))
         headers += answer.refusal_headers(
-            refusal, job is not None and job.may_have_run_here
+            refusal, job.runs_here if job is not None else 0
         )
         body = {
             "code": refusal.code.number,
--- a/packages/buckthornwall/src/buckthornwall/forwarding/job.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/job.py
@@ -65,7 +65,7 @@
         return Executed.UNKNOWN if self.runs else Executed.NO
 
     @property
-    def may_have_run_here(self) -> bool:
-        """Whether an attempt of this instance, not of a peer before, may have run."""
+    def runs_here(self) -> int:
+        """The runs of this instance and its peers, without those of a peer before."""
         origin = self.request.relay_origin
-        return self.runs > (origin.runs if origin is not None else 0)
+        return self.runs - (origin.runs if origin is not None else 0)
--- a/packages/buckthornwall/src/buckthornwall/forwarding/no_upstream.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/no_upstream.py
@@ -15,7 +15,7 @@
 
 def refusal_without_upstream(pools: PoolTable, job: Job) -> Refusal:
     """Return the refusal of a request for which no upstream is left."""
-    if job.may_have_run_here:
+    if job.runs_here:
         return Refusal(ResultCode.UPSTREAM_BROKEN, job.detail, job.run)
     pool, regions = job.resolution.pool.id, job.resolution.regions
     if pools.is_resting(pool, regions):
--- a/packages/buckthornwall/src/buckthornwall/forwarding/relaying.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/relaying.py
@@ -112,6 +112,8 @@
         result = await attempt.run()
         if result.end in (AttemptEnd.NOT_SENT, AttemptEnd.NOT_RUN):
             job.runs -= 1
+        elif result.reply is not None:
+            job.runs += max(0, result.reply.runs - 1)
         result = _outcome(result)
         if result.end is not AttemptEnd.DONE:
             job.detail = result.detail
--- a/packages/buckthornwall/src/buckthornwall/forwarding/reply.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/reply.py
@@ -26,7 +26,8 @@
     and None if it does not say. `brittle` is how many rejections a second it survives,
     in the same way. `notice` is what it states about itself. `attested` is set if the
     upstream signed the reply. `refusal` is that of a peer that the request was
-    forwarded to, if it refused it.
+    forwarded to, if it refused it or could not complete its response, and `runs` how
+    many of its attempts may have run.
     """
 
     status: int
@@ -42,6 +43,7 @@
     idle_timeout_s: float | None = None
     closes_connection: bool = False
     refusal: Refusal | None = None
+    runs: int = 0
 
     @property
     def has_rate_limit(self) -> bool:
@@ -83,3 +85,6 @@
 
     def decode(self, head: ResponseHead) -> Reply:
         """Return an upstream's reply from its head."""
+
+    def decode_trailers(self, reply: Reply, trailers: Headers) -> Reply:
+        """Return a reply with what the trailers after its body add."""
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/helpers.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/helpers.py
@@ -5,6 +5,7 @@
 from buckthornwall.forwarding import (
     Reply,
 )
+from buckthornwall.http1 import ResponseAborted
 from buckthornwall.pools import Notice
 from buckthornwall.routing import (
     PoolId,
@@ -70,6 +71,9 @@
             notice=Notice(b"x-leaving" in found, _rest_s(found)),
         )
 
+    def decode_trailers(self, reply, trailers):
+        return reply
+
 
 def _rest_s(found):
     return float(found[b"x-rest"]) if b"x-rest" in found else None
@@ -83,7 +87,7 @@
         self.status = 0
         self.body = b""
         self.headers = {}
-        self.refusal_headers = lambda refusal, may_have_run: []
+        self.refusal_headers = lambda refusal, runs: []
 
     async def send_complete(self, status, headers, body):
         self.started = self.ended = True
@@ -100,6 +104,9 @@
         self.body += data
         self.ended = True
 
+    async def abort(self, refusal, runs):
+        raise ResponseAborted(refusal.detail)
+
     @property
     def run(self):
         return json.loads(self.body)["run"]
--- a/packages/buckthornwall/src/buckthornwall/http1/client.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/client.py
@@ -79,6 +79,11 @@
     ----------
     sock
         A connected socket; the connection closes it.
+
+    Attributes
+    ----------
+    trailers : list of (bytes, bytes)
+        Trailers of the newest response that was read to its end.
     """
 
     def __init__(self, sock: trio.socket.SocketType) -> None:
@@ -87,6 +92,7 @@
         self.exchanges = 0
         self.idle_since = 0.0
         self.closed = False
+        self.trailers: Headers = []
         self._request: h11.Request | None = None
         self._body = b""
 
@@ -185,6 +191,7 @@
             if isinstance(event, h11.Data):
                 return bytes(event.data)
             if isinstance(event, h11.EndOfMessage):
+                self.trailers = list(event.headers)
                 return b""
 
     async def skip_response(self) -> None:
--- a/packages/buckthornwall/src/buckthornwall/http1/response.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/response.py
@@ -13,7 +13,7 @@
 __all__ = ["ResponseAborted", "ResponseWriter"]
 
 
-RefusalHeaders = Callable[[Refusal, bool], list[tuple[bytes, bytes]]]
+RefusalHeaders = Callable[[Refusal, int], list[tuple[bytes, bytes]]]
 
 
 class ResponseAborted(Exception):
@@ -29,7 +29,8 @@
         Headers that are added to every response.
     refusal_headers : callable
         Returns the headers that are added to a refusal by this instance, given it and
-        whether an attempt of this instance may have run.
+        how many attempts of this instance may have run. If there are any, they are also
+        the trailers of a response that was begun and cannot be completed.
     """
 
     def __init__(self, connection: "ServerConnection", parser: h11.Connection) -> None:
@@ -38,7 +39,7 @@
         self.started = False
         self.ended = False
         self.extra_headers: list[tuple[bytes, bytes]] = []
-        self.refusal_headers: RefusalHeaders = lambda refusal, may_have_run: []
+        self.refusal_headers: RefusalHeaders = lambda refusal, runs: []
 
     async def send_complete(
         self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
@@ -78,6 +79,29 @@
             self.connection.set_reset_on_close(False)
         self.ended = True
 
+    async def abort(self, refusal: Refusal, runs: int) -> None:
+        """End a response that was begun and cannot be completed.
+
+        Without trailers nothing is sent, so that it looks incomplete to its client.
+
+        Parameters
+        ----------
+        refusal
+            Why it cannot be completed.
+        runs
+            Number of attempts of this instance that may have run.
+
+        Raises
+        ------
+        ResponseAborted
+            Always; the connection must close.
+        """
+        if self.is_chunked and (trailers := self.refusal_headers(refusal, runs)):
+            await self.connection.write(
+                self.parser.send(h11.EndOfMessage(headers=trailers))
+            )
+        raise ResponseAborted(refusal.detail)
+
     @property
     def is_chunked(self) -> bool:
         """Whether a response of unknown length is sent in chunks.
--- a/packages/buckthornwall/src/buckthornwall/http1/tests/test_server.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/tests/test_server.py
@@ -1,8 +1,11 @@
 """Tests of the server: framing, limits, disconnected clients, graceful shutdown."""
 
+import contextlib
+
 import pytest
 import trio
 
+from buckthornwall.codes import Refusal, ResultCode
 from buckthornwall.http1 import ResponseAborted
 
 HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\n"
@@ -134,3 +137,24 @@
     await client.send(b"GET /a HTTP/1.0\r\nHost: h\r\n\r\n")
     with pytest.raises(trio.BrokenResourceError):
         await client.read_all()
+
+
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+@pytest.mark.parametrize("trailers", [[], [(b"X-Reason", b"a")]])
+async def test_aborted_response_ends_with_its_trailers_or_looks_incomplete(
+    serve, version, trailers
+):
+    async def abort(request, response):
+        response.refusal_headers = lambda refusal, runs: trailers
+        await response.begin(200, [], b"one")
+        await response.abort(Refusal(ResultCode.UPSTREAM_BROKEN), 1)
+
+    _, connect = await serve(abort)
+    client = await connect()
+    await client.send(HEAD.replace(b"1.1", version) + b"\r\n")
+    data = b""
+    with contextlib.suppress(trio.BrokenResourceError):
+        data = await client.read_all()
+    has_end = data.endswith(b"\r\n0\r\nX-Reason: a\r\n\r\n")
+    assert has_end == (version == b"1.1" and bool(trailers))
+    assert b"\r\n0\r\n" not in data or has_end
--- a/packages/buckthornwall/src/buckthornwall/platform/codec.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/codec.py
@@ -128,6 +128,10 @@
             headers.append((b"content-length", b"%d" % len(request.body)))
         return headers
 
+    def decode_trailers(self, reply: Reply, trailers: Headers) -> Reply:
+        """Return the reply: trailers of upstreams have no meaning."""
+        return reply
+
     def decode(self, head: ResponseHead) -> Reply:
         """Return an upstream's response as the type of this project."""
         found = dict(head.headers)
--- a/packages/buckthornwall/src/buckthornwall/platform/names.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/names.py
@@ -33,7 +33,7 @@
 STORE_ERA = b"store-era"
 LAST_EVENT_ID = b"last-event-id"
 # Between instances only: marks the response to a request from a peer, and the refusal
-# by the peer itself as CODE RUN DETAIL.
+# by the peer itself, also in trailers, as CODE RUNS DETAIL.
 RELAYED = PREFIX + b"relayed"
 RELAY_REFUSAL = PREFIX + b"relay-refusal"
 # IP:port of an engine from which the missing prompt segments are copied.
--- a/packages/buckthornwall/src/buckthornwall/platform/relay_codec.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/relay_codec.py
@@ -23,21 +23,20 @@
 CODES = {code.number: code for code in ResultCode}
 
 
-def relay_refusal_headers(refusal: Refusal, may_have_run: bool) -> Headers:
-    """Return the headers that mark a refusal by this instance for a peer.
+def relay_refusal_headers(refusal: Refusal, runs: int) -> Headers:
+    """Return the headers, or trailers, that mark a refusal by this instance for a peer.
 
     Parameters
     ----------
     refusal
         The refusal.
-    may_have_run
-        Whether an attempt of this instance may have run.
+    runs
+        Number of attempts of this instance that may have run.
     """
-    run = Executed.UNKNOWN if may_have_run else Executed.NO
     detail = refusal.detail.encode("ascii", "replace")[:MAX_DETAIL_BYTES]
-    value = b"%d %s %s" % (
+    value = b"%d %d %s" % (
         refusal.code.number,
-        run.value.encode(),
+        runs,
         NOT_IN_HEADERS.sub(b"_", detail) or b"-",
     )
     return [(names.RELAY_REFUSAL, value)]
@@ -64,7 +63,7 @@
         """
         found = dict(head.headers)
         reply = self._platform.decode(head)
-        refusal = _refusal(found)
+        refusal, runs = _refusal(found)
         is_other_build = names.RELAYED not in found and 400 <= head.status < 500
         is_refused_unrun = refusal is not None and refusal.run is Executed.NO
         return replace(
@@ -75,24 +74,30 @@
             rate_limit=None,
             notice=None,
             refusal=refusal,
+            runs=runs,
         )
 
+    def decode_trailers(self, reply: Reply, trailers: Headers) -> Reply:
+        """Return the reply, with the refusal of a peer that could not complete it."""
+        refusal, runs = _refusal(dict(trailers))
+        if refusal is None:
+            return reply
+        return replace(reply, refusal=refusal, runs=runs)
 
-def _refusal(found: dict[bytes, bytes]) -> Refusal | None:
+
+def _refusal(found: dict[bytes, bytes]) -> tuple[Refusal | None, int]:
+    """Return the refusal of a peer, if any, and how many runs it had."""
     value = found.get(names.RELAY_REFUSAL)
     if value is None:
-        return None
-    number, run, detail = (*value.decode("latin-1").split(" ", 2), "", "")[:3]
+        return None, 0
+    number, count, detail = (*value.decode("latin-1").split(" ", 2), "", "")[:3]
     code = CODES.get(int(number)) if number.isdecimal() else None
-    is_unrun = run == Executed.NO.value
+    runs = int(count) if count.isdecimal() else 1  # unless it says so, it may have run
     if code is None:  # of a later build
-        code = ResultCode.NO_ENGINE if is_unrun else ResultCode.UPSTREAM_BROKEN
-    return Refusal(
-        code,
-        detail,
-        Executed.NO if is_unrun else Executed.UNKNOWN,
-        _retry_after_s(found.get(names.RETRY_AFTER)),
-    )
+        code = ResultCode.UPSTREAM_BROKEN if runs else ResultCode.NO_ENGINE
+    run = Executed.UNKNOWN if runs else Executed.NO
+    retry_after_s = _retry_after_s(found.get(names.RETRY_AFTER))
+    return Refusal(code, detail, run, retry_after_s), runs
 
 
 def _retry_after_s(value: bytes | None) -> float | None:
--- a/packages/buckthornwall/src/buckthornwall/router/tests/test_relaying.py
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/test_relaying.py
@@ -1,5 +1,6 @@
 """Tests of requests that an isolated instance forwards through a peer."""
 
+import contextlib
 import json
 from functools import partial
 
@@ -312,6 +313,27 @@
     assert relay.arrivals(other) == [b""]
 
 
+@pytest.mark.parametrize("max_runs", [2, 3])
+async def test_runs_of_a_peer_that_got_isolated_in_a_stream_are_counted(
+    relay, start, max_runs
+):
+    parts = [[stream(n, end=False), b""] for n in (1, 2)]
+    peer = await start(*parts, mode=STREAM)
+    other = await start([stream(3)], mode=STREAM)
+    peer.forwarder.budgets.spend = lambda pool: True
+    verdicts = []
+
+    def record(view, verdict):
+        verdicts.append(verdict)
+        peer.forwarder.isolation.is_isolated = len(verdicts) == 2
+
+    peer.forwarder.pools.record_outcome = record
+    with contextlib.suppress(ResponseAborted):
+        await relay(peer, other, mode=STREAM, max_runs=max_runs)
+    assert all(relay.arrivals(peer))
+    assert any(relay.arrivals(other)) == (max_runs > 2)
+
+
 async def test_peer_that_reaches_nothing_declines_also_after_a_run_of_the_sender(
     relay, start
 ):
