Test of report ages: count bytes over whole intervals of digests

In one whole test run the rate of bytes to a member was 6,202 a second, where 6,000 are allowed. Cause: the run counted for 3 s, and digests of about 4.7 KB come every 2 s, so that some members got two of them and others one. Ruled out: growth of the messages.

The bounds stay, and the ages are sampled for twice as long.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_word_age.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_word_age.py
@@ -13,7 +13,8 @@
 
 @pytest.mark.parametrize(("instances", "zones"), [(30, 3), (100, 6)])
 def test_peers_work_reports_are_not_stale(instances, zones):
-    result = measure(instances, zones, engines=59, loss=0.0, seconds=3.0)
+    # Digests come every 2 s: in a part of such an interval the bytes are not the rate.
+    result = measure(instances, zones, engines=59, loss=0.0, seconds=6.0)
     assert result.quantile(0.5) < 0.4
     assert result.quantile(0.99) < 0.7
     assert result.member_bytes_per_s < 6000
