Scan the upstreams of a pool with fewer calls

Each request scans its pool several times, and each beacon asked every upstream for its report of a rate limit.

An upstream without limit, cold start, statement of brittleness or ejection is now recognised by its fields, and reports are asked for only where a limit was stated.

--- a/packages/buckthornwall/src/buckthornwall/pools/availability.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/availability.py
@@ -75,9 +75,10 @@
         return Obstacle.RESTING
     if not view.rate_limit.may_send(now):
         return Obstacle.RATE_LIMITED
-    if not view.brittleness.may_send(view.load, now):
+    # Asked for each upstream of a pool with each request, so calls are avoided.
+    if view.brittleness.may_restrict and not view.brittleness.may_send(view.load, now):
         return Obstacle.BRITTLE
-    if not view.health.allows_request(now):
+    if view.health.ejected and not view.health.allows_request(now):
         return Obstacle.EJECTED
     return Obstacle.UNREACHABLE if view.reachability.is_unreachable(now) else None
 
--- a/packages/buckthornwall/src/buckthornwall/pools/brittleness.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/brittleness.py
@@ -52,6 +52,8 @@
     ----------
     per_s : float
         Rejections a second that the upstream survives; infinite if not brittle.
+    may_restrict : bool
+        Whether `may_send` may return False.
     stated_at : float
         When the upstream stated it, in seconds, to any instance.
     slots, share : int
@@ -70,6 +72,7 @@
 
     def __init__(self) -> None:
         self.per_s = NOT_BRITTLE
+        self.may_restrict = False
         self.stated_at = float("-inf")
         self.slots = 0
         self.share = 0
@@ -112,6 +115,7 @@
     def assume(self, now: float) -> None:
         """Treat a new upstream as brittle until it answers, for a while at most."""
         self._assumed_until = now + ASSUMED_S
+        self.may_restrict = True
 
     def report(self, now: float) -> LimitReport | None:
         """Return the report for peers, if this instance learned of the state itself."""
@@ -125,6 +129,7 @@
     def _update(self, per_s: float, stated_at: float) -> bool:
         changed = per_s != self.per_s
         self.per_s, self.stated_at = per_s, stated_at
+        self.may_restrict = per_s < NOT_BRITTLE
         return changed
 
     # Shares
@@ -147,8 +152,6 @@
 
     def may_send(self, load: Load, now: float) -> bool:
         """Return whether another request may be sent now."""
-        if self.per_s == NOT_BRITTLE and now >= self._assumed_until:
-            return True
         if not self.is_in_force(now) or not self.slots:
             return True
         known = load.in_flight(now) + self.in_flight - load.requests
--- a/packages/buckthornwall/src/buckthornwall/pools/rate_limit.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/rate_limit.py
@@ -168,6 +168,9 @@
 
     def may_send(self, now: float) -> bool:
         """Return whether a request may be sent now."""
+        # The usual case; asked for each upstream of a pool with each request.
+        if self.per_s == UNLIMITED and now >= self.cold_until:
+            return True
         if not self.is_limited(now):
             return True
         self._refill(now)
--- a/packages/buckthornwall/src/buckthornwall/pools/rate_limits.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/rate_limits.py
@@ -28,12 +28,15 @@
         self.clock = clock
         self.views = views
         self._pools: dict[PoolId, Pool] = {}
+        self._stated: set[UpstreamId] = set()
 
     # Advertised limits
 
     def record(self, view: UpstreamView, per_s: float) -> None:
         """Record the requests a second that an upstream advertises in a response."""
         before = view.rate_limit.per_s
+        if min(per_s, before) < UNLIMITED:
+            self._stated.add(view.id)
         if view.rate_limit.record_answer(per_s, self.clock.now()):
             _log_limit(view, before, is_from_peer=False)
 
@@ -51,7 +54,11 @@
     def reports(self) -> LimitReports:
         """Return the reports on advertised limits for peers."""
         now = self.clock.now()
-        reports = {view.id: view.rate_limit.report(now) for view in self.views.values()}
+        self._stated &= self.views.keys()
+        reports = {
+            upstream: self.views[upstream].rate_limit.report(now)
+            for upstream in self._stated
+        }
         return {each: report for each, report in reports.items() if report is not None}
 
     # Cold upstreams
