--- a/packages/buckthornwall/src/buckthornwall/forwarding/patience.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/patience.py
@@ -51,7 +51,7 @@
         self.reviews = reviews
         self._since = trio.current_time()
         self._timeout_at = self._since + (math.inf if timeout_s is None else timeout_s)
-        self._scope = trio.CancelScope(deadline=self._timeout_at)
+        self._scope: trio.CancelScope | None = None
 
     async def wait(self, receive: Callable[[], Awaitable[Received]]) -> Received:
         """Return the result of `receive`, which must be safe to cancel and repeat.
@@ -61,8 +61,11 @@
         trio.TooSlowError
             If the attempt is given up.
         """
-        self._scope = trio.CancelScope(deadline=self._timeout_at)
+        if self._timeout_at == math.inf:
+            return await receive()
+        next_at = self._timeout_at
         while True:
+            self._scope = trio.CancelScope(deadline=next_at)
             self.reviews.waits.add(self)
             try:
                 with self._scope:
@@ -72,10 +75,8 @@
             if self.should_give_up():
                 raise trio.TooSlowError
             next_at = max(self._timeout_at, trio.current_time() + REVIEW_INTERVAL_S)
-            self._scope = trio.CancelScope(deadline=next_at)
 
     def review_now(self) -> None:
-        """Review this wait if it has a timeout and has been silent for a moment."""
-        silent_s = trio.current_time() - self._since
-        if math.isfinite(self._timeout_at) and silent_s >= MIN_SILENT_S:
+        """Review this wait, which has a timeout, if it has been silent for a moment."""
+        if trio.current_time() - self._since >= MIN_SILENT_S:
             self._scope.cancel()
