A reply that a peer gives up is never complete, in any mode

Found in a review of the trailers, and reproduced by tests that failed before: a peer whose newer configuration makes a route a stream, which it then gives up, ended the reply properly, and the sender, for which the route has complete replies, delivered it with 200. And trailers that followed a piece whose write the deadline had cut short were read as data of that piece; after a cut end the parser refused them.

The trailers are now read after every reply. They are sent only where the last write was complete, and for half a second at most, so that a sender that does not read cannot hold a request past its deadline.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -223,11 +223,13 @@
         response_mode = self.resolution.route.response_mode
         if reply.is_attested_success and response_mode is ResponseMode.EVENT_STREAM:
             reply = await self._relay_events(connection, reply, pending_prefill)
-            if reply.refusal is not None:
-                detail = reply.refusal.detail
-                return None, AttemptResult(AttemptEnd.BROKEN, detail, reply)
+            if reply.is_given_up:
+                return None, _given_up(reply)
             return reply, AttemptResult(AttemptEnd.DONE)
         body = await self._read_body(connection)
+        reply = self.codec.decode_trailers(reply, connection.trailers)
+        if reply.is_given_up:
+            return None, _given_up(reply)
         if reply.not_run:
             return reply, AttemptResult(AttemptEnd.NOT_RUN, str(reply.status), reply)
         await self.completeness.check_body(
@@ -273,7 +275,7 @@
                 pending_prefill.clear(is_served=True)
                 observer.record(events, now)
         reply = self.codec.decode_trailers(reply, connection.trailers)
-        if reply.refusal is not None:
+        if reply.is_given_up:
             return reply
         await self.completeness.check_stream(
             view,
@@ -293,6 +295,11 @@
         return await patience.wait(connection.receive_data)
 
 
+def _given_up(reply: Reply) -> AttemptResult:
+    """Return the result of a reply that a peer could not complete."""
+    return AttemptResult(AttemptEnd.BROKEN, reply.refusal.detail, reply)
+
+
 class _StepObserver:
     """Records the gaps between a stream's events in the engine model."""
 
--- a/packages/buckthornwall/src/buckthornwall/forwarding/reply.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/reply.py
@@ -27,7 +27,8 @@
     in the same way. `notice` is what it states about itself. `attested` is set if the
     upstream signed the reply. `refusal` is that of a peer that the request was
     forwarded to, if it refused it or could not complete its response, and `runs` how
-    many of its attempts may have run.
+    many of its attempts may have run. `is_given_up` is set if trailers say that the
+    reply is incomplete.
     """
 
     status: int
@@ -44,6 +45,7 @@
     closes_connection: bool = False
     refusal: Refusal | None = None
     runs: int = 0
+    is_given_up: bool = False
 
     @property
     def has_rate_limit(self) -> bool:
--- a/packages/buckthornwall/src/buckthornwall/http1/response.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/response.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 import h11
+import trio
 
 from buckthornwall.codes import Refusal
 
@@ -12,6 +13,8 @@
 
 __all__ = ["ResponseAborted", "ResponseWriter"]
 
+# A reader that does not take the trailers in this time sees only the connection end.
+ABORT_TIMEOUT_S = 0.5
 
 RefusalHeaders = Callable[[Refusal, int], list[tuple[bytes, bytes]]]
 
@@ -82,7 +85,8 @@
     async def abort(self, refusal: Refusal, runs: int) -> None:
         """End a response that was begun and cannot be completed.
 
-        Without trailers nothing is sent, so that it looks incomplete to its client.
+        Without trailers, or within a piece that was not written completely, nothing is
+        sent, so that it looks incomplete to its client.
 
         Parameters
         ----------
@@ -96,10 +100,11 @@
         ResponseAborted
             Always; the connection must close.
         """
-        if self.is_chunked and (trailers := self.refusal_headers(refusal, runs)):
-            await self.connection.write(
-                self.parser.send(h11.EndOfMessage(headers=trailers))
-            )
+        trailers = self.refusal_headers(refusal, runs)
+        if trailers and self.is_chunked and not self.connection.is_write_partial:
+            data = self.parser.send(h11.EndOfMessage(headers=trailers))
+            with trio.move_on_after(ABORT_TIMEOUT_S):
+                await self.connection.write(data)
         raise ResponseAborted(refusal.detail)
 
     @property
--- a/packages/buckthornwall/src/buckthornwall/http1/server.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/server.py
@@ -81,15 +81,18 @@
         self.unparsed = bytearray()
         self.disconnected = False
         self.idle_scope: trio.CancelScope | None = None
+        self.is_write_partial = False
 
     async def write(self, data: bytes) -> None:
         """Send all of `data`; raise ResponseAborted if the client has disconnected."""
         view = memoryview(data)
+        self.is_write_partial = True
         try:
             while view:
                 view = view[await self.sock.send(view) :]
         except OSError as error:
             raise ResponseAborted(str(error)) from error
+        self.is_write_partial = False
 
     async def run(self) -> None:
         """Serve until the client, a limit or a graceful shutdown closes it."""
--- a/packages/buckthornwall/src/buckthornwall/http1/tests/test_server.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/tests/test_server.py
@@ -158,3 +158,27 @@
     has_end = data.endswith(b"\r\n0\r\nX-Reason: a\r\n\r\n")
     assert has_end == (version == b"1.1" and bool(trailers))
     assert b"\r\n0\r\n" not in data or has_end
+
+
+@pytest.mark.parametrize("is_last", [True, False])
+async def test_aborted_response_has_no_end_inside_a_piece(serve, is_last):
+    aborted = trio.Event()
+
+    async def abort(request, response):
+        response.refusal_headers = lambda refusal, runs: [(b"X-Reason", b"a")]
+        await response.begin(200, [], b"one")
+        send = response.end if is_last else response.send
+        with trio.move_on_after(0.1):
+            await send(b"x" * 20_000_000)
+        aborted.set()
+        await response.abort(Refusal(ResultCode.UPSTREAM_BROKEN), 1)
+
+    _, connect = await serve(abort)
+    client = await connect()
+    await client.send(HEAD + b"\r\n")
+    await aborted.wait()
+    data = b""
+    with contextlib.suppress(trio.BrokenResourceError):
+        data = await client.read_all()
+    assert b"X-Reason" not in data
+    assert not data.endswith(b"\r\n0\r\n\r\n")
--- a/packages/buckthornwall/src/buckthornwall/platform/relay_codec.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/relay_codec.py
@@ -82,7 +82,7 @@
         refusal, runs = _refusal(dict(trailers))
         if refusal is None:
             return reply
-        return replace(reply, refusal=refusal, runs=runs)
+        return replace(reply, refusal=refusal, runs=runs, is_given_up=True)
 
 
 def _refusal(found: dict[bytes, bytes]) -> tuple[Refusal | None, int]:
--- a/packages/buckthornwall/src/buckthornwall/router/tests/test_relaying.py
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/test_relaying.py
@@ -301,6 +301,15 @@
         await relay(peer, mode=STREAM, retryable=False)
 
 
+async def test_stream_that_a_peer_gave_up_is_no_complete_reply_of_another_mode(
+    relay, start
+):
+    parts = [stream(1, end=False), b""]
+    peer = await start(parts, mode=STREAM, retryable=False, number=2)
+    answer = await relay(peer, retryable=False, number=1)
+    assert (answer.status, answer.run) == (502, "unknown")
+
+
 async def test_stream_that_a_peer_gave_up_does_not_run_more_often_than_it_may(
     relay, start
 ):
