Soaks: no instance stays killed at the end of the load

Where the load ended between a kill and its restart, the instance stayed dead, and the restore soak, which now waits for the store to be stable, would have counted it as one without the configuration (found in a review, with the real load in virtual time). It is started again, and counts like any other one that was restarted.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/soak_run.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/soak_run.py
@@ -139,9 +139,11 @@
             self.instances.processes[number].kill()
             self.instances.processes[number].wait()
             self.restart_events.append((trio.current_time(), number))
-            await trio.sleep(RESTART_PAUSE_S)
-            self.instances.start(number)
-            self.restart_events.append((trio.current_time(), number))
+            try:
+                await trio.sleep(RESTART_PAUSE_S)
+            finally:  # also where the load ends in between
+                self.instances.start(number)
+                self.restart_events.append((trio.current_time(), number))
 
     async def call_repeatedly(
         self, path: str, per_s: float, callers: trio.Nursery, has_prompt: bool = True
