Stand-ins: the network of a fleet does not depend on the seed

Two test runs on one machine drew the same loopback network, since the tests before leave the shared generator in the same state, and failed each other. test_fleets_of_two_test_runs_do_not_share_their_addresses failed before.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/fleet.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/fleet.py
@@ -38,6 +38,8 @@
 SECRET = "a-secret-of-the-demonstration"
 FIRST_NETWORK = 10
 LAST_NETWORK = 250
+# Not seeded: two runs of the same tests on one machine must not share a network.
+SYSTEM_RANDOM = random.SystemRandom()
 
 
 class Fleet:
@@ -85,7 +87,7 @@
         self.relayed = relayed
         self.relay: subprocess.Popen | None = None
         self.folder = Path(tempfile.mkdtemp(prefix="buckthornwall-"))
-        self.network = f"127.{random.randint(FIRST_NETWORK, LAST_NETWORK)}"
+        self.network = f"127.{SYSTEM_RANDOM.randint(FIRST_NETWORK, LAST_NETWORK)}"
         self.platform_address = f"{self.network}.0.1:{PLATFORM_PORT}"
         self.platform: subprocess.Popen | None = None
         self.config_number = 1
