Run tests side by side

A whole test run took over 18 minutes, most of it waiting for soaks and for tests at size one after the other. No test or bound changes.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.stamp
+# Tests run side by side; packages/conftest.py says which do not.
+TEST_WORKERS ?= 4
 PACKAGES := packages/buckthornwall packages/buckthornwall-ctl packages/buckthornwall-standins
 
 .PHONY: demo test lint types format bench micro faults model docs clean
@@ -16,7 +18,7 @@
 	$(BIN)/python -m buckthornwall_standins.demo
 
 test: $(STAMP)
-	$(BIN)/python -m pytest packages
+	$(BIN)/python -m pytest -n $(TEST_WORKERS) --dist loadgroup packages
 
 lint: $(STAMP)
 	$(BIN)/ruff check packages
