--- a/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/engine.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/engine.py
@@ -7,14 +7,14 @@
 
 import heapq
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from buckthornwall.pools import LoadReport
-from buckthornwall.utils import UpstreamId
+from buckthornwall.utils import UpstreamId, hash_fraction
 
 from .request import SimRequest
 
-__all__ = ["EngineSpeed", "SimEngine"]
+__all__ = ["Disturbance", "EngineSpeed", "SimEngine"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +39,8 @@
         Tokens sent in one event.
     max_queued : int
         Requests that may wait beside those that run.
+    step_per_running_s : float
+        Seconds added to a step for each running request.
     """
 
     decode_step_s: float = 0.004
@@ -49,21 +51,37 @@
     memory_tokens: int = 500_000
     tokens_per_event: int = 4
     max_queued: int = 1000
+    step_per_running_s: float = 0.0
 
     def scaled(self, speed: float) -> "EngineSpeed":
         """Return the speed of an engine that is `speed` times as fast."""
-        return EngineSpeed(
-            self.decode_step_s / speed,
-            self.prefill_tokens_per_s * speed,
-            self.chunk_tokens,
-            self.attention_s_per_m_pairs / speed,
-            self.slots,
-            self.memory_tokens,
-            self.tokens_per_event,
-            self.max_queued,
+        return replace(
+            self,
+            decode_step_s=self.decode_step_s / speed,
+            prefill_tokens_per_s=self.prefill_tokens_per_s * speed,
+            attention_s_per_m_pairs=self.attention_s_per_m_pairs / speed,
+            step_per_running_s=self.step_per_running_s / speed,
         )
 
 
+@dataclass(frozen=True, slots=True)
+class Disturbance:
+    """Work takes `slowdown` times as long on some machines, others every `every_s`.
+
+    `share` is the share of the time for which each machine is disturbed.
+    """
+
+    share: float
+    slowdown: float
+    every_s: float
+
+    def slowdown_at(self, engine: UpstreamId, now: float) -> float:
+        """Return how long work takes at an engine, as a multiple of the usual."""
+        period = int(now / self.every_s)
+        is_disturbed = hash_fraction(f"{engine}/{period}") < self.share
+        return self.slowdown if is_disturbed else 1.0
+
+
 @dataclass(eq=False)
 class SimEngine:
     """One engine with its prefix cache, running requests and waiting ones.
@@ -78,6 +96,8 @@
         A heap of rank, number and request.
     prefilled_tokens : int
         Prompt tokens prefilled so far.
+    disturbance : Disturbance or None
+        What slows its machine down at times.
     """
 
     id: UpstreamId
@@ -88,6 +108,7 @@
     running: list[SimRequest] = field(default_factory=list)
     waiting: list[tuple[int, int, SimRequest]] = field(default_factory=list)
     prefilled_tokens: int = 0
+    disturbance: Disturbance | None = None
 
     def submit(self, request: SimRequest, rank: int, number: int) -> bool:
         """Queue a request; return False if the queue is full."""
@@ -118,10 +139,13 @@
     def step(self, now: float) -> float:
         """Run one step and return its duration in seconds."""
         self._drop_expired(now)
-        duration = self.speed.decode_step_s
+        running = len(self.running)
+        duration = self.speed.decode_step_s + running * self.speed.step_per_running_s
         prefilling = self._next_to_prefill()
         if prefilling is not None:
             duration += self._prefill_chunk(prefilling)
+        if self.disturbance is not None:
+            duration *= self.disturbance.slowdown_at(self.id, now)
         end = now + duration
         for request in list(self.running):
             self._generate_token(request, end)
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/simulation.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/simulation.py
@@ -21,7 +21,7 @@
 
 from buckthornwall_standins.tiers import RequestAttempt
 
-from .engine import EngineSpeed, SimEngine
+from .engine import Disturbance, EngineSpeed, SimEngine
 from .instance import SimInstance
 from .request import SimRequest, Traffic
 
@@ -84,6 +84,10 @@
         Age of peers' reports when they arrive, in seconds.
     faults
         Crashes of engines.
+    relative_speeds
+        Speeds of the engines relative to `speed`, given to them in turn.
+    disturbance
+        What slows the engines' machines down at times.
 
     Attributes
     ----------
@@ -100,6 +104,8 @@
         seed: int = 1,
         staleness_s: float = 0.0,
         faults: tuple[EngineFault, ...] = (),
+        relative_speeds: tuple[float, ...] = (1.0,),
+        disturbance: Disturbance | None = None,
     ) -> None:
         self.rng = random.Random(seed)
         self.clock = _SimClock()
@@ -107,6 +113,8 @@
         self.traffic = traffic
         self.staleness_s = staleness_s
         self.faults = faults
+        self.disturbance = disturbance
+        self._relative_speeds = itertools.cycle(relative_speeds)
         self._names = (UpstreamId(f"e{number}") for number in itertools.count())
         self.engines: dict[UpstreamId, SimEngine] = {}
         for _ in range(engines):
@@ -121,7 +129,8 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
 
     def _add_engine(self) -> SimEngine:
-        engine = SimEngine(next(self._names), self.speed)
+        speed = self.speed.scaled(next(self._relative_speeds))
+        engine = SimEngine(next(self._names), speed, disturbance=self.disturbance)
         self.engines[engine.id] = engine
         return engine
 
