Types, messages and settings of the decisions under hard load

Instances report speeds of engines and tokens of teams to each other in one field, summed by speakers and read as the sums over all others; older builds read the messages without it. The decisions that fill and read them are to come: until then nothing is reported, and teams have no shares. [pools] switches each of them for a deployment.

--- a/packages/buckthornwall/src/buckthornwall/peers/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/agent.py
@@ -194,6 +194,7 @@
         if speaker is not None:
             self.table.reported_work = local_beacon.loads
             self.table.reported_rank_tokens = local_beacon.rank_tokens
+            self.table.reported_pools = local_beacon.pool_reports
             await self._send(encode(local_beacon), speaker)
             return
         await self._send_speaker_reports(local_beacon, now)
--- a/packages/buckthornwall/src/buckthornwall/peers/aggregation.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/aggregation.py
@@ -7,11 +7,13 @@
     LimitNeed,
     LimitReports,
     LimitUsers,
+    PoolReports,
     RankTokens,
     Unreachable,
     add_rank_tokens,
     add_unreachable,
     merge_limit_reports,
+    sum_pool_reports,
 )
 from buckthornwall.utils import UpstreamId, ZoneId
 
@@ -29,6 +31,7 @@
     "merge_limits",
     "sum_loads",
     "sum_rank_tokens",
+    "sum_reports",
     "sum_unreachable",
 ]
 
@@ -73,6 +76,14 @@
     return total
 
 
+def sum_reports(
+    beacons: Iterable[Beacon], remote: Iterable[ReceivedMessage]
+) -> PoolReports:
+    """Return the sums of what instances saw of pools under load."""
+    zones = [zone.message.pool_reports for zone in remote]
+    return sum_pool_reports([*(each.pool_reports for each in beacons), *zones])
+
+
 def merge_limits(
     local_beacon: Beacon, received: Iterable[ReceivedMessage], now: float
 ) -> LimitReports:
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -18,6 +18,7 @@
     LimitNeed,
     LimitReports,
     LimitUsers,
+    PoolReports,
     RankTokens,
     Unreachable,
     UpstreamEntry,
@@ -124,6 +125,8 @@
         Whether the sender keeps records of what began streams.
     limit_need
         What the sender needs of its share of rate limits.
+    pool_reports
+        What the sender saw of pools under load.
     """
 
     node: NodeId
@@ -149,6 +152,7 @@
     brittle: LimitReports = {}
     keeps_origins: bool = False
     limit_need: LimitNeed = LimitNeed.SHARE
+    pool_reports: PoolReports = PoolReports()
 
 
 class Digest(msgspec.Struct, array_like=True, tag="d"):
@@ -205,6 +209,8 @@
         Who needs more than its share of rate limits.
     ceding
         Number of instances that cede most of theirs.
+    pool_reports
+        Sums of what instances saw of pools under load.
     """
 
     address: str
@@ -235,6 +241,7 @@
     without_origins: list[str] = []
     limit_users: LimitUsers = {}
     ceding: Annotated[int, msgspec.Meta(ge=0)] = 0
+    pool_reports: PoolReports = PoolReports()
 
     def live(self, address: str, zone: ZoneId) -> Fleet:
         """Return the live fleet for an instance that follows this digest."""
@@ -290,6 +297,7 @@
     brittle: LimitReports = {}
     limit_users: LimitUsers = {}
     ceding: Annotated[int, msgspec.Meta(ge=0)] = 0
+    pool_reports: PoolReports = PoolReports()
 
 
 class CrashReports(msgspec.Struct, array_like=True, tag="c"):
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -10,6 +10,7 @@
 
 from buckthornwall.pools import (
     CachedPrefixes,
+    PoolReports,
     RankTokens,
 )
 from buckthornwall.utils import UpstreamId, ZoneId
@@ -24,6 +25,7 @@
     merge_limits,
     sum_loads,
     sum_rank_tokens,
+    sum_reports,
     sum_unreachable,
 )
 from .counts import CountsWriter, read_counts
@@ -81,6 +83,7 @@
         self.speaker: ReceivedMessage | None = None
         self.reported_work: dict[UpstreamId, Work] = {}
         self.reported_rank_tokens: RankTokens = {}
+        self.reported_pools = PoolReports()
         self.departures = DepartingPeers(silence_s)
         self.prefixes = PrefixRelay()
         self._counts = CountsWriter()
@@ -166,6 +169,7 @@
         received.message.loads, cached_prefixes = counts
         received.message.unreachable = heartbeat.unreachable
         received.message.rank_tokens = heartbeat.rank_tokens
+        received.message.pool_reports = heartbeat.pool_reports
         if not is_local_zone:
             self.prefixes.remote_zones.receive(cached_prefixes, now)
         return cached_prefixes
@@ -288,6 +292,7 @@
             cached_prefixes=self.prefixes.current(local_beacon, is_fleet, now),
             unreachable=sum_unreachable(beacons, remote),
             rank_tokens=sum_rank_tokens(beacons, remote),
+            pool_reports=sum_reports(beacons, remote),
             crash_checksum=local_beacon.crash_checksum,
             limits=newest.limits,
             leaving=newest.leaving,
@@ -325,6 +330,7 @@
         self._counts.fill(heartbeat, loads, cached_prefixes)
         heartbeat.unreachable = sum_unreachable(beacons, remote)
         heartbeat.rank_tokens = sum_rank_tokens(beacons, remote)
+        heartbeat.pool_reports = sum_reports(beacons, remote)
 
     def zone_beacons(self, local_beacon: Beacon) -> list[Beacon]:
         """Return the beacons of this instance and of the zone's members."""
--- a/packages/buckthornwall/src/buckthornwall/peers/totals.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/totals.py
@@ -6,9 +6,11 @@
     LeavingUpstreams,
     LimitReports,
     LimitUsers,
+    PoolReports,
     RankTokens,
     Unreachable,
     merge_limit_reports,
+    subtract_pool_reports,
     subtract_rank_tokens,
 )
 from buckthornwall.pools.load import PeerLoad
@@ -22,6 +24,7 @@
     merge_limits,
     sum_loads,
     sum_rank_tokens,
+    sum_reports,
     sum_unreachable,
 )
 from .messages import Beacon
@@ -125,3 +128,15 @@
         return subtract_rank_tokens(
             self.table.speaker.message.rank_tokens, self.table.reported_rank_tokens
         )
+
+    def pool_reports(self, local_beacon: Beacon, now: float) -> PoolReports:
+        """Return the sums of what all other instances saw of pools under load."""
+        if self.table.is_speaker(now):
+            total = sum_reports(
+                self.table.zone_beacons(local_beacon),
+                self.table.remote_zones(is_fleet=True),
+            )
+            return subtract_pool_reports(total, local_beacon.pool_reports)
+        return subtract_pool_reports(
+            self.table.speaker.message.pool_reports, self.table.reported_pools
+        )
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -30,6 +30,9 @@
 `table`             views by upstream; adopts registrations
 `reserved`          engines reserved for pause-sensitive streams
 `placement`         choice of an upstream for a request
+`pool_reports`      what instances report to each other about pools under load
+`team_shares`       fair shares of teams in the work that a pool admits
+`settings`          which of the decisions under load are used
 `ledger`            requests admitted and refused recently, by rank
 `overload`          limits of the expected wait, and the delay of retries
 `traits`            properties of a request that decisions depend on
@@ -55,15 +58,25 @@
 from .overload import retry_after_s
 from .permitted import ANY_UPSTREAM, Permitted
 from .placement import Choice, PlacementRequest, choose_engine, choose_service
+from .pool_reports import (
+    EngineSpeeds,
+    PoolReports,
+    SpeedSamples,
+    TeamTokens,
+    subtract_pool_reports,
+    sum_pool_reports,
+)
 from .prefix_updates import CachedPrefixes, PrefixUpdates, merge_cached_prefixes
 from .probe_order import probe_order
 from .rate_limit import LimitReport, LimitReports, merge_limit_reports
 from .reachability import Unreachable, add_unreachable
 from .refusal import Overload, RefusalReason, find_overload, record_decision
 from .reserved import is_pause_sensitive
+from .settings import PoolSettings
 from .software_versions import SoftwareVersions, VersionHistory
 from .switching import is_served_in_order
 from .table import PoolTable
+from .team_shares import TeamShares
 from .traits import RequestTraits
 from .upstream_notices import MAX_REST_S
 from .view import UpstreamView
@@ -74,6 +87,7 @@
     "Admission",
     "CachedPrefixes",
     "Choice",
+    "EngineSpeeds",
     "Fleet",
     "FleetMemory",
     "Isolation",
@@ -89,12 +103,17 @@
     "Overload",
     "Permitted",
     "PlacementRequest",
+    "PoolReports",
+    "PoolSettings",
     "PoolTable",
     "PrefixUpdates",
     "RankTokens",
     "RefusalReason",
     "RequestTraits",
     "SoftwareVersions",
+    "SpeedSamples",
+    "TeamShares",
+    "TeamTokens",
     "Unreachable",
     "UpstreamEntry",
     "UpstreamState",
@@ -116,5 +135,7 @@
     "probe_order",
     "record_decision",
     "retry_after_s",
+    "subtract_pool_reports",
     "subtract_rank_tokens",
+    "sum_pool_reports",
 ]
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -31,12 +31,15 @@
 from .limit_queue import LimitQueue
 from .notices import NoticeTable
 from .permitted import ANY_UPSTREAM, Permitted
+from .pool_reports import PoolReports, TeamTokens
 from .prefix_updates import CachedPrefixes, PrefixUpdates
 from .rate_limits import RateLimits
 from .reachability import Unreachable
 from .regained import forget_failures
 from .reserved import ReservedEngines
+from .settings import PoolSettings
 from .software_versions import SoftwareVersions
+from .team_shares import TeamShares
 from .view import UpstreamView
 from .wait_calibration import WaitCalibration
 
@@ -55,6 +58,8 @@
         Source of time.
     regions
         Region of each availability zone.
+    settings
+        Which of the decisions under load are used.
 
     Attributes
     ----------
@@ -73,9 +78,13 @@
     """
 
     def __init__(
-        self, clock: Clock, regions: Mapping[ZoneId, RegionId] | None = None
+        self,
+        clock: Clock,
+        regions: Mapping[ZoneId, RegionId] | None = None,
+        settings: PoolSettings | None = None,
     ) -> None:
         self.clock = clock
+        self.settings = settings or PoolSettings()
         self.regions = dict(regions or {})
         self.views: dict[UpstreamId, UpstreamView] = {}
         self.rate_limits = RateLimits(clock, self.views)
@@ -87,6 +96,7 @@
         self._models: dict[PoolId, EngineModel] = {}
         self._reserved_engines: dict[PoolId, ReservedEngines] = {}
         self._ledgers: dict[PoolId, AdmissionLedger] = {}
+        self._team_shares: dict[PoolId, TeamShares] = {}
         self._limit_queues: dict[PoolId, LimitQueue] = {}
         self.prefix_updates = PrefixUpdates()
         self.evacuations = Evacuations()
@@ -210,6 +220,27 @@
         for pool in {*self._ledgers, *peers}:
             self.ledger(pool).peers = peers.get(pool, {})
 
+    def team_shares(self, pool: PoolId) -> TeamShares:
+        """Return the fair shares of teams in a pool."""
+        if pool not in self._team_shares:
+            self._team_shares[pool] = TeamShares(pool)
+        return self._team_shares[pool]
+
+    def reports(self) -> PoolReports:
+        """Return what this instance reports to its peers about pools under load."""
+        now = self.clock.now()
+        tokens: TeamTokens = {
+            pool: by_rank
+            for pool, shares in self._team_shares.items()
+            if (by_rank := shares.local_tokens(now))
+        }
+        return PoolReports(team_tokens=tokens)
+
+    def receive_reports(self, peers: PoolReports) -> None:
+        """Record the sums of what all other instances report."""
+        for pool in {*self._team_shares, *peers.team_tokens}:
+            self.team_shares(pool).peers = peers.team_tokens.get(pool, {})
+
     def model(self, pool: PoolId) -> EngineModel:
         """Return the model of the speed of a pool's engines."""
         return self._models.setdefault(pool, EngineModel())
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -95,7 +95,7 @@
 
         self.metrics = RouterMetrics()
         self.table = RoutingTable()
-        self.pools = PoolTable(clock, settings.node.region_by_zone())
+        self.pools = PoolTable(clock, settings.node.region_by_zone(), settings.pools)
         self.fleet_memory = FleetMemory(self.pools.regions, clock.now())
         self.quarantine = QuarantineTable(settings.quarantine)
         self.quarantine.parts.is_selected = self._is_selected
@@ -265,6 +265,7 @@
             brittle=self.pools.brittle.reports(),
             keeps_origins=True,
             limit_need=self.pools.rate_limits.demand.need,
+            pool_reports=self.pools.reports(),
         )
 
     def _apply_peer_work(self) -> None:
@@ -274,6 +275,7 @@
             view.load.peers = work.get(view.id, NO_PEERS)
         self.pools.receive_unreachable(self.peers.totals.unreachable(local, now))
         self.pools.receive_rank_tokens(self.peers.totals.rank_tokens(local, now))
+        self.pools.receive_reports(self.peers.totals.pool_reports(local, now))
         self.pools.rate_limits.receive(self.peers.totals.limits(local, now))
         self.pools.brittle.receive(self.peers.totals.brittle(local, now))
         self.pools.notices.receive(self.peers.totals.leaving(local, now))
--- a/packages/buckthornwall/src/buckthornwall/settings/router.py
+++ b/packages/buckthornwall/src/buckthornwall/settings/router.py
@@ -7,6 +7,7 @@
 from buckthornwall.forwarding import ForwardingSettings
 from buckthornwall.peers import PeerSettings
 from buckthornwall.platform.store import StoreSettings
+from buckthornwall.pools import PoolSettings
 from buckthornwall.quarantine import QuarantineSettings
 from buckthornwall.telemetry import TelemetrySettings
 from buckthornwall.utils import ConfigItem, ConfigNamespace
@@ -63,6 +64,7 @@
     discovery: DiscoverySettings
     peers: PeerSettings
     forwarding: ForwardingSettings
+    pools: PoolSettings
     quarantine: QuarantineSettings
     stop: StopSettings
     telemetry: TelemetrySettings
