Read how long work takes at an upstream from its load report

Cause: a load report with a fourth figure, how long work takes at the upstream at this moment, was dropped as a whole, so that no queue was known on deployments whose engines state it. The figure is decoded into a slowdown (1.0 is as usual); one that is missing, absurd or not a number is no statement and costs the other three nothing. A pure estimate says what a statement is worth at its age, and placement, the choice of a plain service, expected first tokens and pauses go by it. Without a statement the factor is exactly 1.

Ruled out: telling peers, or asking the health path (docs/design/upstream-slowdown.md).

--- a/packages/buckthornwall/src/buckthornwall/engine_model/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/engine_model/__init__.py
@@ -3,6 +3,7 @@
 ============= ============================================================
 `quantile`    streaming estimate of a quantile
 `model`       step times and prefill speed of one pool's engines
+`scaled`      the same for an engine that is faster or slower than usual
 ============= ============================================================
 
 Pure state: samples in, predictions out. `buckthornwall.forwarding` records the samples;
@@ -11,5 +12,6 @@
 
 from .model import EngineModel
 from .quantile import QuantileEstimate
+from .scaled import ScaledEngineModel, scale_model
 
-__all__ = ["EngineModel", "QuantileEstimate"]
+__all__ = ["EngineModel", "QuantileEstimate", "ScaledEngineModel", "scale_model"]
--- a/packages/buckthornwall/src/buckthornwall/forwarding/request_telemetry.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/request_telemetry.py
@@ -115,6 +115,7 @@
             expected_pause_ms=round(choice.pause_s * 1000),
             in_flight=view.load.in_flight(self.clock.now()),
             in_flight_of_peers=view.load.peers.requests,
+            slowness=round(view.slowness(self.clock.now()), 2),
             report_age_ms=view.load.report_age_ms(self.clock.now()),
             remaining_ms=round((job.deadline - self.clock.now()) * 1000),
         )
--- a/packages/buckthornwall/src/buckthornwall/platform/codec.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/codec.py
@@ -5,7 +5,7 @@
 from buckthornwall.codes import Refusal, ResultCode
 from buckthornwall.forwarding import AttemptContext, Reply
 from buckthornwall.http1 import IncomingRequest, ResponseHead
-from buckthornwall.pools import LoadReport, Notice
+from buckthornwall.pools import MAX_SLOWDOWN, LoadReport, Notice, Slowdown
 from buckthornwall.routing import PromptSegment, PromptShape, RoutedRequest
 from buckthornwall.utils import ModelId
 
@@ -17,6 +17,9 @@
 HTTP_UNAVAILABLE = 503
 LOWEST_PRIORITY = 9
 MS_PER_S = 1000.0
+PERCENT = 100.0
+# Counts of a load report; a slowdown in percent may follow.
+LOAD_COUNTS = 3
 MAX_ID_BYTES = 128
 MAX_EVENT_ID_BYTES = 1024
 
@@ -184,11 +187,22 @@
 def _load(value: bytes | None) -> LoadReport | None:
     if value is None:
         return None
+    counts, slowdown = value.split(b",")[:LOAD_COUNTS], value.split(b",")[LOAD_COUNTS:]
     try:
-        running, waiting, slots = (int(part) for part in value.split(b","))
+        running, waiting, slots = (int(part) for part in counts)
     except ValueError:
         return None  # only a hint; the counts of this instance apply
-    return LoadReport(running, waiting, slots)
+    return LoadReport(running, waiting, slots, _slowdown(slowdown))
+
+
+def _slowdown(parts: list[bytes]) -> Slowdown | None:
+    """Return a stated slowdown from percent, None if there is no valid one."""
+    try:
+        slowdown = float(parts[0]) / PERCENT
+    except (IndexError, ValueError):
+        return None
+    is_valid = 1 / MAX_SLOWDOWN <= slowdown <= MAX_SLOWDOWN
+    return Slowdown(slowdown) if is_valid else None
 
 
 def _per_s(value: bytes | None) -> float | None:
--- a/packages/buckthornwall/src/buckthornwall/platform/tests/test_wire.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/tests/test_wire.py
@@ -153,6 +153,28 @@
     assert all(name != b"keep-alive" for name, _ in reply.headers)
 
 
+@pytest.mark.parametrize(
+    ("stated", "slowdown"),
+    [
+        (b"3,1,8,250", 2.5),
+        (b"3,1,8,100", 1.0),
+        (b"3,1,8,62.5", 0.625),
+        (b"3,1,8,100,7", 1.0),
+        (b"3,1,8,", None),
+        (b"3,1,8,0", None),
+        (b"3,1,8,-250", None),
+        (b"3,1,8,1e9", None),
+        (b"3,1,8,nan", None),
+        (b"3,1,8,inf", None),
+        (b"3,1,8,slow", None),
+    ],
+)
+def test_report_with_a_slowdown_is_read_whatever_the_slowdown(stated, slowdown):
+    headers = [(PREFIX + b"engine-load", stated)]
+    reply = PlatformCodec().decode(ResponseHead(200, headers))
+    assert reply.load == LoadReport(3, 1, 8, slowdown)
+
+
 @pytest.mark.parametrize(
     ("value", "limit"),
     [
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -3,6 +3,7 @@
 =================== ==============================================================
 `entry`             an upstream as it is registered
 `load`              load of an upstream as known to this instance
+`slowdown`          how long work takes at an upstream, by its own statements
 `waits`             how long requests there have waited for their first token
 `prefixes`          estimate of the prefix cache of an engine
 `prefix_updates`    exchange of cached prefixes between instances
@@ -73,6 +74,7 @@
 from .refusal import Overload, RefusalReason, find_overload, record_decision
 from .reserved import is_pause_sensitive
 from .settings import PoolSettings
+from .slowdown import MAX_SLOWDOWN, Slowdown
 from .software_versions import SoftwareVersions, VersionHistory
 from .switching import is_served_in_order
 from .table import PoolTable
@@ -84,6 +86,7 @@
 __all__ = [
     "ANY_UPSTREAM",
     "MAX_REST_S",
+    "MAX_SLOWDOWN",
     "Admission",
     "CachedPrefixes",
     "Choice",
@@ -110,6 +113,7 @@
     "RankTokens",
     "RefusalReason",
     "RequestTraits",
+    "Slowdown",
     "SoftwareVersions",
     "SpeedSamples",
     "TeamShares",
--- a/packages/buckthornwall/src/buckthornwall/pools/expectation.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/expectation.py
@@ -1,5 +1,7 @@
 """Predict the time to the first token of a request."""
 
+from buckthornwall.engine_model import scale_model
+
 from .placement import Choice
 from .table import PoolTable
 from .traits import RequestTraits
@@ -37,6 +39,7 @@
         0, traits.prompt.prompt_tokens - view.prefixes.cached_tokens(traits.prompt)
     )
     pending_prefill = uncached + view.load.pending_prefill_before(resolution.rank)
-    wait_s = pools.model(resolution.pool.id).prefill_s(pending_prefill)
+    model = scale_model(pools.model(resolution.pool.id), view.slowness(now))
+    wait_s = model.prefill_s(pending_prefill)
     factor = calibration_factor(pools, traits)
     return max(wait_s * factor, view.load.oldest_wait_before_s(resolution.rank, now))
--- a/packages/buckthornwall/src/buckthornwall/pools/load.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/load.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from .slowdown import Slowdown, SlowdownEstimate
 from .waits import Waits
 
 __all__ = ["NO_PEERS", "Load", "LoadReport", "PeerLoad"]
@@ -12,11 +13,15 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """An upstream's report of its running requests, queued requests, and slots."""
+    """An upstream's report of its running requests, queued requests, and slots.
+
+    `slowdown` is how long work takes there now, None if the upstream does not say.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: Slowdown | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +65,8 @@
         Prompt tokens of this instance sent there and not prefilled yet, by rank.
     memory : int
         Tokens that the requests of this instance take in the engine's memory.
+    slowdown : SlowdownEstimate
+        How long work takes there, by the upstream's reports.
     waits : Waits
         How long requests of this instance have waited there.
     peers : PeerLoad
@@ -71,6 +78,7 @@
         self.pause_sensitive = 0
         self.pending_prefill: dict[int, int] = {}
         self.memory = 0
+        self.slowdown = SlowdownEstimate()
         self.waits = Waits()
         self.peers = NO_PEERS
         self.report: LoadReport | None = None
@@ -81,6 +89,8 @@
         """Record a report that came with a response at `now`."""
         self.report = report
         self._report_at = now
+        if report.slowdown is not None:
+            self.slowdown.record(report.slowdown, now)
         self._requests_at_report = self.requests
 
     def add_pending_prefill(self, rank: int, tokens: int) -> None:
--- a/packages/buckthornwall/src/buckthornwall/pools/placement.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/placement.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from buckthornwall.engine_model import EngineModel
+from buckthornwall.engine_model import EngineModel, ScaledEngineModel, scale_model
 from buckthornwall.routing import PromptShape
 from buckthornwall.utils import UpstreamId, ZoneId, rendezvous_order
 
@@ -191,20 +191,18 @@
     best = min(candidates, key=lambda candidate: candidate.cost)
     load = best.view.load
     pending_prefill = load.total_pending_prefill()
-    own_prefill_s = request.model.prefill_s(best.uncached_tokens)
+    model = scale_model(request.model, best.view.slowness(now))
+    own_prefill_s = model.prefill_s(best.uncached_tokens)
     return Choice(
         best.view,
         best.uncached_tokens,
-        own_prefill_s
-        + request.model.prefill_s(load.pending_prefill_before(request.rank)),
+        own_prefill_s + model.prefill_s(load.pending_prefill_before(request.rank)),
         own_prefill_s,
         _slot_utilization(best.view, now),
         load.oldest_wait_before_s(request.rank, now),
         _copy_from(best.view, copy_sources, best_source, request.prompt),
         pending_prefill == 0,
-        request.model.pause_s(
-            request.tokens_per_event, pending_prefill + best.uncached_tokens
-        ),
+        model.pause_s(request.tokens_per_event, pending_prefill + best.uncached_tokens),
     )
 
 
@@ -265,24 +263,28 @@
     uncached = max(0, prompt.prompt_tokens - cached)
     missing = max(0, shared - cached)
     weight = min(MAX_AFFINITY_WEIGHT, 1 + AFFINITY_WEIGHT_STEP * position)
-    delay_s = _delay_s(view, request, now)
+    model = scale_model(request.model, view.slowness(now))
+    delay_s = _delay_s(view, request, model, now)
     if _is_full(view, prompt):
         delay_s += MEMORY_FULL_PENALTY_S
     delay_s -= (1 - DISCOUNTED_WEIGHT) * min(delay_s, request.discounted_wait_s)
-    cost = delay_s + request.model.prefill_s(uncached + (weight - 1) * missing)
+    cost = delay_s + model.prefill_s(uncached + (weight - 1) * missing)
     if view.entry.zone != request.zone:
         cost += CROSS_ZONE_RTT_S
     if view.id in request.reserved:
-        cost += _pause_penalty_s(view, request, uncached)
+        cost += _pause_penalty_s(view, request, model, uncached)
     return _Candidate(cost, view, uncached)
 
 
 def _pause_penalty_s(
-    view: UpstreamView, request: PlacementRequest, uncached: int
+    view: UpstreamView,
+    request: PlacementRequest,
+    model: EngineModel | ScaledEngineModel,
+    uncached: int,
 ) -> float:
     """Return the cost of longer pauses of an engine's streams, in seconds."""
     pending_prefill = view.load.total_pending_prefill() + uncached
-    pause_s = request.model.pause_s(request.tokens_per_event, pending_prefill)
+    pause_s = model.pause_s(request.tokens_per_event, pending_prefill)
     if pause_s <= SAFE_PAUSE_SHARE * request.max_pause_s:
         return 0.0
     streams = max(1, view.load.total_pause_sensitive())
@@ -295,16 +297,21 @@
     return needed > MAX_MEMORY_SHARE * view.prefixes.memory_tokens
 
 
-def _delay_s(view: UpstreamView, request: PlacementRequest, now: float) -> float:
+def _delay_s(
+    view: UpstreamView,
+    request: PlacementRequest,
+    model: EngineModel | ScaledEngineModel,
+    now: float,
+) -> float:
     """Return the expected delay of a prompt before its own prefill, in seconds."""
     in_flight = view.load.in_flight(now)
     queued = max(0, in_flight - view.entry.slots)
     earlier = view.load.pending_prefill_before(request.rank)
     later = view.load.total_pending_prefill() - earlier
     steps = in_flight * DECODE_STEPS_PER_RUNNING + queued * DECODE_STEPS_PER_QUEUED
-    prefill_s = request.model.prefill_s(earlier + LATER_PREFILL_WEIGHT * later)
+    prefill_s = model.prefill_s(earlier + LATER_PREFILL_WEIGHT * later)
     cold_s = COLD_START_WEIGHT * view.cold_s(now)
-    return prefill_s + steps * request.model.decode_step_s + cold_s
+    return prefill_s + steps * model.decode_step_s + cold_s
 
 
 def _slot_utilization(view: UpstreamView, now: float) -> float:
@@ -314,12 +321,15 @@
 def choose_service(
     views: list[UpstreamView], zone: ZoneId, now: float
 ) -> Choice | None:
-    """Return the upstream with the lowest slot utilization, or None without any."""
+    """Return the upstream with the lowest slot utilization, or None without any.
+
+    A slow upstream counts as fuller: its slots are free again as much later.
+    """
     if not views:
         return None
 
     def cost(view: UpstreamView) -> float:
-        share = _slot_utilization(view, now)
+        share = _slot_utilization(view, now) * view.slowness(now)
         share += SERVICE_COLD_PENALTY * (view.cold_s(now) > 0)
         return share + SERVICE_CROSS_ZONE_PENALTY * (view.entry.zone != zone)
 
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -130,6 +130,7 @@
             view = None
         if view is None:
             view = self.views[entry.id] = UpstreamView(entry)
+            view.load.slowdown.is_used = self.settings.stated_slowdown
             self.notices.restore(view)
             self.brittle.adopt(view)
             log_event(
--- a/packages/buckthornwall/src/buckthornwall/pools/view.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/view.py
@@ -39,6 +39,10 @@
         """Return how much longer its cold start lasts, in seconds."""
         return max(0.0, self.rate_limit.cold_until - now)
 
+    def slowness(self, now: float) -> float:
+        """Return how long work takes there, relative to the pool's usual upstream."""
+        return self.load.slowdown.value(now)
+
     @property
     def is_leaving(self) -> bool:
         """Whether it leaves, by its registration or by its own responses."""
