Run the tests of one module in turn

Cause: groups of the plugin that runs tests side by side are of no effect with this version of pytest (ids of tests do not take the suffix), so two tests of the soak of software versions ran at the same time and found each other's ports in use. Whole modules now go to one process each, which needs no groups.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.stamp
-# Tests run side by side; packages/conftest.py says which do not.
+# Modules run side by side, the tests of one module in turn: those that start processes
+# use the same ports.
 TEST_WORKERS ?= 4
 PACKAGES := packages/buckthornwall packages/buckthornwall-ctl packages/buckthornwall-standins
 
@@ -18,7 +19,7 @@
 	$(BIN)/python -m buckthornwall_standins.demo
 
 test: $(STAMP)
-	$(BIN)/python -m pytest -n $(TEST_WORKERS) --dist loadgroup packages
+	$(BIN)/python -m pytest -n $(TEST_WORKERS) --dist loadfile packages
 
 lint: $(STAMP)
 	$(BIN)/ruff check packages
