Give reserved engines owners, and reserve them ahead of a jump

Cause: instances learn of each other's prompts 0.2 to 0.7 s late, so where many share a pool all of them sent long prompts to an engine reserved for streams that may hardly pause as soon as reports showed it idle. Every step of such a stream then had a whole chunk of prefill. And engines were reserved for the streams that ran, so a jump met full engines and newly reserved ones with a second of backlog.

Change, where there are more instances than engines and more than eight: one live instance, by rendezvous hash, may send long prompts to a reserved engine, within the tokens that half of the streams' pause limit leaves there; engines are reserved for twice the running streams and their growth over the next second. `[pools] prefill_owners` switches both off. The change of the reserved set is logged, two gauges show it.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/instance.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/instance.py
@@ -26,7 +26,7 @@
 from .engine import EngineSpeed, SimEngine
 from .request import POOL, SimRequest, Traffic
 
-__all__ = ["SimInstance"]
+__all__ = ["ZONE", "SimInstance"]
 
 ZONE = ZoneId("z")
 
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/simulation.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/simulation.py
@@ -9,6 +9,7 @@
 from buckthornwall.peers import Work, add_work
 from buckthornwall.pools import (
     CachedPrefixes,
+    Fleet,
     PoolReports,
     RankTokens,
     Unreachable,
@@ -25,7 +26,7 @@
 from buckthornwall_standins.tiers import RequestAttempt
 
 from .engine import Disturbance, EngineSpeed, SimEngine
-from .instance import SimInstance
+from .instance import ZONE, SimInstance
 from .request import SimRequest, Traffic
 
 __all__ = ["EngineFault", "PoolSimulation"]
@@ -126,6 +127,11 @@
             SimInstance(self.clock, list(self.engines.values()), traffic)
             for _ in range(instances)
         ]
+        members = tuple(f"i{number}" for number in range(instances))
+        for address, instance in zip(members, self.instances, strict=True):
+            instance.pools.prefill_owners.set_fleet(
+                Fleet(address, ZONE, (ZONE,), members, instances)
+            )
         self.requests: list[SimRequest] = []
         self.unreachable_offers = 0
         self._numbers = itertools.count()
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -30,6 +30,10 @@
 `view`              all of these for one upstream
 `table`             views by upstream; adopts registrations
 `reserved`          engines reserved for pause-sensitive streams
+`stream_forecast`   forecast of the pause-sensitive streams of a pool
+`prefill_owners`    owner and prefill budget of each reserved engine
+`recent_prefill`    prompt tokens that this instance sent to an engine recently
+`owned_prefill`     engines that long prompts may go to under owners
 `placement`         choice of an upstream for a request
 `pool_reports`      what instances report to each other about pools under load
 `team_shares`       fair shares of teams in the work that a pool admits
@@ -57,6 +61,7 @@
 from .load import LoadReport
 from .notices import LeavingUpstreams, Notice
 from .overload import retry_after_s
+from .owned_prefill import owned_ids, reserved_ids
 from .permitted import ANY_UPSTREAM, Permitted
 from .placement import Choice, PlacementRequest, choose_engine, choose_service
 from .pool_reports import (
@@ -134,6 +139,8 @@
     "is_pause_sensitive",
     "is_same_incarnation",
     "is_served_in_order",
+    "owned_ids",
+    "reserved_ids",
     "merge_cached_prefixes",
     "merge_limit_reports",
     "probe_order",
--- a/packages/buckthornwall/src/buckthornwall/pools/decision.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/decision.py
@@ -8,6 +8,8 @@
 
 from .expectation import calibration_factor, expected_on_engine_s, expected_s
 from .overload import is_hopeless, is_late
+from .owned_prefill import has_owners, long_prompt_engines
+from .permitted import ANY_UPSTREAM
 from .placement import (
     DISCOUNTED_TARGET_SHARE,
     Choice,
@@ -57,20 +59,41 @@
     route = traits.resolution.route
     # Rate-limited engines are avoided for pause-sensitive streams, if there are others.
     unlimited = [view for view in views if not view.rate_limit.is_limited(now)] or views
+    is_owned = has_owners(pools, pool.id)
     split = pools.reserved_engines(pool.id).split(
-        unlimited, now, route if traits.pause_sensitive else None
+        unlimited,
+        now,
+        route if traits.pause_sensitive else None,
+        _pool_views(pools, traits, tried, views) if is_owned else (),
     )
     request = _placement_request(pools, traits, split, zone)
-    eligible = (
-        split.eligible_engines(traits.id, now) if traits.pause_sensitive else views
-    )
-    choice = choose_engine(eligible, request, now)
+    sources = None
+    if traits.pause_sensitive:
+        eligible = split.eligible_engines(traits.id, now)
+    elif is_owned and split.reserved:
+        eligible = long_prompt_engines(pools, traits, views, split, now)
+        sources = views
+    else:
+        eligible = views
+    choice = choose_engine(eligible, request, now, sources)
     if choice is None or not _should_spread(pools, traits, choice, now):
         return choice
     preferred = _preferred_engines(pools, traits, choice, split, now)
     return choose_engine(preferred, request, now, copy_sources=views) or choice
 
 
+def _pool_views(
+    pools: PoolTable,
+    traits: RequestTraits,
+    tried: frozenset[UpstreamId] | set[UpstreamId],
+    views: list[UpstreamView],
+) -> list[UpstreamView]:
+    """Return all usable upstreams of a pool, given those that a request may go to."""
+    if not tried and traits.permitted is ANY_UPSTREAM:
+        return views
+    return pools.usable(traits.resolution.pool.id, frozenset())
+
+
 def _placement_request(
     pools: PoolTable, traits: RequestTraits, split: Split, zone: ZoneId
 ) -> PlacementRequest:
--- a/packages/buckthornwall/src/buckthornwall/pools/load.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/load.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from .recent_prefill import RecentPrefill
 from .slowdown import Slowdown, SlowdownEstimate
 from .waits import Waits
 
@@ -69,6 +70,8 @@
         How long work takes there, by the upstream's reports.
     waits : Waits
         How long requests of this instance have waited there.
+    recent_prefill : RecentPrefill
+        Prompt tokens of this instance sent there recently.
     peers : PeerLoad
         The same over the other instances, as last received.
     """
@@ -80,6 +83,7 @@
         self.memory = 0
         self.slowdown = SlowdownEstimate()
         self.waits = Waits()
+        self.recent_prefill = RecentPrefill()
         self.peers = NO_PEERS
         self.report: LoadReport | None = None
         self._report_at = 0.0
--- a/packages/buckthornwall/src/buckthornwall/pools/reserved.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/reserved.py
@@ -9,16 +9,18 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 from buckthornwall.engine_model import EngineModel
 from buckthornwall.routing import Pool, PromptShape, RequestRoute, ResponseMode
+from buckthornwall.telemetry import log_event
 from buckthornwall.utils import UpstreamId, hash_fraction, rendezvous_order
 
+from .stream_forecast import StreamForecast
 from .view import UpstreamView
 
-__all__ = ["ReservedEngines", "Split", "is_pause_sensitive"]
+__all__ = ["ReservedEngines", "Split", "is_pause_sensitive", "speed_class"]
 
 # A stream is pause-sensitive if an event of 90th-percentile prefill steps takes more
 # than this share of its longest allowed pause: one gap in ten is longer than that, and
@@ -27,12 +29,18 @@
 # Target utilization of the slots of reserved engines. It bounds the streams that the
 # loss of one engine cuts off, and leaves room for bursts.
 TARGET_UTILIZATION = 0.4
+# Where reserved engines have owners, this share of their slots holds the forecast
+# before some streams go to other engines: beside little prefill a full engine still
+# keeps pauses short. The rest is for streams sent since the reports.
+MAX_UTILIZATION = 0.75
 # Less demand, in streams, is only the tail of the exponential decay.
 MIN_DEMAND = 0.02
 # At most this share of a pool is reserved.
 MAX_RESERVED_SHARE = 1 / 3
 # Time constant with which demand decays, so that the reserved set does not flap.
 DEMAND_DECAY_S = 5.0
+# Changes of the reserved set are logged at most this often, in seconds.
+LOG_INTERVAL_S = 1.0
 
 
 def is_pause_sensitive(
@@ -61,6 +69,15 @@
     return model.decode_beside_prefill_s(prompt.max_output_tokens) > route.timeout_s
 
 
+def speed_class(view: UpstreamView, now: float) -> int:
+    """Return a coarse class of an engine's speed; lower classes are reserved first.
+
+    All are of one class as long as nothing is known of their lasting speed: what an
+    engine states of the present moment would change the reserved set with it.
+    """
+    return 0
+
+
 @dataclass(frozen=True, slots=True)
 class Split:
     """The reserved engines, and the others of a pool.
@@ -116,7 +133,10 @@
         self.model = model
         self._demand = 0.0
         self._demand_at = 0.0
+        self._forecast = StreamForecast()
         self._reserved: set[UpstreamId] = set()
+        self._logged: set[UpstreamId] = set()
+        self._logged_at = -math.inf
         self._event_tokens = 0
         self._pauses: list[float] = []
         self._min_seen_pause_s = math.inf
@@ -128,6 +148,11 @@
         self._event_tokens = tokens_per_event
         self._pauses = sorted(pauses)
 
+    @property
+    def ids(self) -> frozenset[UpstreamId]:
+        """Ids of the engines that are reserved now."""
+        return frozenset(self._reserved)
+
     @property
     def max_pause_s(self) -> float:
         """Lowest pause limit of pause-sensitive streams, in seconds.
@@ -142,11 +167,21 @@
             min_pause_s = math.inf
         return min(min_pause_s, self._min_seen_pause_s)
 
+    @property
+    def min_pause_s(self) -> float:
+        """Lowest pause limit of any stream of this pool, in seconds.
+
+        The limit where engines are reserved: some instance then runs streams that need
+        it, whatever the step times are that this one has learned.
+        """
+        return min(next(iter(self._pauses), math.inf), self._min_seen_pause_s)
+
     def split(
         self,
         views: list[UpstreamView],
         now: float,
         arriving: RequestRoute | None = None,
+        pool_views: Collection[UpstreamView] = (),
     ) -> Split:
         """Return which engines are reserved now, of those that a request may go to.
 
@@ -161,22 +196,36 @@
             counts as demand, so that even the first one finds a reserved engine;
             otherwise it would run beside the prefill of prompts that no engine has
             cached yet.
+        pool_views
+            All usable engines of the pool, if reserved engines have owners
+            (`prefill_owners`). Demand is then a forecast over all of them, since one
+            over the engines that a request may still go to would take each retry for a
+            change of the load.
         """
         if arriving is not None:
             self._min_seen_pause_s = min(self._min_seen_pause_s, arriving.max_pause_s)
-        self._update_demand(views, now, arriving is not None)
+        if pool_views:
+            running = self._running(pool_views) + (arriving is not None)
+            demand = self._forecast.update(running, now)
+            demand *= min(1.0, len(views) / len(pool_views))
+            utilization = MAX_UTILIZATION
+        else:
+            self._update_demand(views, now, arriving is not None)
+            demand, utilization = self._demand, TARGET_UTILIZATION
         by_id = {view.id: view for view in views}
         order = self._hash_order(list(by_id))
+        if pool_views:
+            order = sorted(order, key=lambda name: speed_class(by_id[name], now))
         max_size = int(len(order) * MAX_RESERVED_SHARE)
         slots = max((view.entry.slots for view in views), default=1)
-        needed = self._demand / (slots * TARGET_UTILIZATION)
-        size = min(max_size, math.ceil(needed)) if self._demand >= MIN_DEMAND else 0
-        self._reserved = set(order[:size])
-        capacity = size * slots * TARGET_UTILIZATION
+        needed = demand / (slots * TARGET_UTILIZATION)
+        size = min(max_size, math.ceil(needed)) if demand >= MIN_DEMAND else 0
+        self._set_reserved(set(order[:size]), demand, now)
+        capacity = size * slots * utilization
         return Split(
             reserved=[by_id[name] for name in order[:size]],
             others=[by_id[name] for name in order[size:]],
-            overflow=max(0.0, 1 - capacity / self._demand) if size else 0.0,
+            overflow=max(0.0, 1 - capacity / demand) if size else 0.0,
         )
 
     def _hash_order(self, ids: list[UpstreamId]) -> list[UpstreamId]:
@@ -189,13 +238,35 @@
     def _update_demand(
         self, views: list[UpstreamView], now: float, arriving: bool
     ) -> None:
+        running = arriving + self._running(views)
+        decayed = self._demand * math.exp((self._demand_at - now) / DEMAND_DECAY_S)
+        self._demand = max(running, decayed)
+        self._demand_at = now
+
+    def _running(self, views: Collection[UpstreamView]) -> float:
+        """Return how many streams would run if all were on reserved engines."""
         # A stream beside long prompts lasts longer than it would on a reserved engine.
         slowdown = self.model.prefill_step_s / self.model.decode_step_s
-        running = arriving + sum(
+        return sum(
             view.load.total_pause_sensitive()
             / (1 if view.id in self._reserved else slowdown)
             for view in views
         )
-        decayed = self._demand * math.exp((self._demand_at - now) / DEMAND_DECAY_S)
-        self._demand = max(running, decayed)
-        self._demand_at = now
+
+    def _set_reserved(
+        self, reserved: set[UpstreamId], demand: float, now: float
+    ) -> None:
+        """Set the reserved engines, and log them if they have changed."""
+        self._reserved = reserved
+        elapsed_s = now - self._logged_at
+        if reserved == self._logged or 0 <= elapsed_s < LOG_INTERVAL_S:
+            return
+        log_event(
+            "engines_reserved",
+            pool=self.pool,
+            engines=",".join(sorted(reserved)),
+            before=len(self._logged),
+            size=len(reserved),
+            demand=round(demand, 1),
+        )
+        self._logged, self._logged_at = reserved, now
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -1,7 +1,7 @@
 """Table of all registered upstreams and their state."""
 
 import math
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 
 from buckthornwall.engine_model import EngineModel
 from buckthornwall.routing import (
@@ -32,6 +32,7 @@
 from .notices import NoticeTable
 from .permitted import ANY_UPSTREAM, Permitted
 from .pool_reports import PoolReports, TeamTokens
+from .prefill_owners import PrefillOwners
 from .prefix_updates import CachedPrefixes, PrefixUpdates
 from .rate_limits import RateLimits
 from .reachability import Unreachable
@@ -75,6 +76,8 @@
         Whether this instance reaches no upstream.
     versions : SoftwareVersions
         Software versions of the upstreams.
+    prefill_owners : PrefillOwners
+        Which reserved engines this instance may prefill long prompts at.
     """
 
     def __init__(
@@ -98,6 +101,7 @@
         self._ledgers: dict[PoolId, AdmissionLedger] = {}
         self._team_shares: dict[PoolId, TeamShares] = {}
         self._limit_queues: dict[PoolId, LimitQueue] = {}
+        self.prefill_owners = PrefillOwners()
         self.prefix_updates = PrefixUpdates()
         self.evacuations = Evacuations()
         self.isolation = Isolation()
@@ -161,13 +165,17 @@
             self._members[view.entry.pool].pop(upstream, None)
             self.versions.replace(view.entry, None)
             self.notices.retain(view)
+            self.prefill_owners.forget(upstream)
             log_event("upstream_gone", upstream=upstream, pool=view.entry.pool)
 
     def note_prompt(self, view: UpstreamView, prompt: PromptShape) -> None:
         """Record a prompt sent to an engine, and report its segments to peers."""
+        now = self.clock.now()
+        uncached = prompt.prompt_tokens - view.prefixes.cached_tokens(prompt)
+        view.load.recent_prefill.record(max(0, uncached), now)
         view.prefixes.record(prompt)
         shared = [(segment.id, segment.tokens) for segment in prompt.segments[:-1]]
-        self.prefix_updates.record(view.id, shared, self.clock.now())
+        self.prefix_updates.record(view.id, shared, now)
 
     def receive_cached_prefixes(self, cached_prefixes: CachedPrefixes) -> None:
         """Record which segments other instances sent to engines."""
@@ -176,7 +184,7 @@
             if view is not None:
                 view.prefixes.record_segments(segments)
 
-    def members(self, pool: PoolId) -> Iterable[UpstreamView]:
+    def members(self, pool: PoolId) -> Collection[UpstreamView]:
         """Return every registered upstream of a pool."""
         return self._members.get(pool, {}).values()
 
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -217,6 +217,7 @@
 
     def _update_limit_shares(self, fleet: Digest, now: float) -> None:
         live = fleet.live(self.settings.peers.listen, self.zone)
+        self.pools.prefill_owners.set_fleet(live)
         self.fleet_memory.record(live, now)
         recent = self.fleet_memory.recent(live, now)
         users, ceding = self.peers.totals.limit_users(self._make_beacon(), now)
--- a/packages/buckthornwall/src/buckthornwall/router/operators.py
+++ b/packages/buckthornwall/src/buckthornwall/router/operators.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from buckthornwall.http1 import IncomingRequest, ResponseWriter
+from buckthornwall.pools import owned_ids, reserved_ids
 from buckthornwall.quarantine import format_fingerprint
 
 if TYPE_CHECKING:
@@ -72,6 +73,14 @@
             "Upstreams that have just started and bear little.",
             sum(1 for view in views if view.rate_limit.is_cold(router.clock.now())),
         ),
+        "engines_reserved": (
+            "Engines reserved for streams that may hardly pause.",
+            len(reserved_ids(router.pools)),
+        ),
+        "engines_owned": (
+            "Reserved engines that this instance alone prefills long prompts at.",
+            len(owned_ids(router.pools)),
+        ),
         "instances": ("Instances that serve.", router.fleet().count),
         "active": ("Requests being answered.", router.callers.active),
         "word_age_seconds": (
