Show operators demand and share of teams, and describe team shares

Cause: no page, metric or status told which team asked for how much of a pool, nor why a request was refused for overload but by its log line.

At most twelve teams of a rank are reported in place of sixteen: about 20 bytes each in all heartbeats.

--- a/packages/buckthornwall-ctl/src/buckthornwall_ctl/router_status.py
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/router_status.py
@@ -4,6 +4,8 @@
 
 __all__ = ["is_router", "format_router_status"]
 
+MAX_SHOWN_TEAMS = 5
+
 
 def is_router(status: dict[str, Any]) -> bool:
     """Return whether a status is that of an instance behind a load balancer."""
@@ -29,4 +31,16 @@
     outside = sorted({each["zone"] for each in upstreams} - regions.keys())
     if regions and outside:
         lines.append(f"  in no region: {', '.join(outside)}")
-    return lines
+    return lines + _format_teams(status.get("teams", []))
+
+
+def _format_teams(teams: list[dict[str, Any]]) -> list[str]:
+    """Return a line for each team that is refused for its share."""
+    beyond = [each for each in teams if each["refused"]]
+    beyond.sort(key=lambda each: each["share"] - each["demand"])
+    return [
+        f"  beyond its share: {each['team']} at {each['pool']}, rank {each['rank']}: "
+        f"asks for {each['demand']} tokens of work, its share is {each['share']}, "
+        f"{each['refused']:.0%} of its requests are refused"
+        for each in beyond[:MAX_SHOWN_TEAMS]
+    ]
--- a/packages/buckthornwall-ctl/src/buckthornwall_ctl/tests/test_router_status.py
+++ b/packages/buckthornwall-ctl/src/buckthornwall_ctl/tests/test_router_status.py
@@ -33,3 +33,20 @@
 def test_router_status_is_distinguished_from_gateway_status():
     assert is_router(STATUS)
     assert not is_router({"records": {}})
+
+
+def test_teams_beyond_their_share_are_shown_and_no_others():
+    within = {
+        "pool": "drafts",
+        "rank": 7,
+        "team": "small",
+        "demand": 100,
+        "share": 100,
+        "refused": 0.0,
+    }
+    beyond = within | {"team": "large", "demand": 900, "share": 300, "refused": 0.67}
+    lines = format_router_status(STATUS | {"teams": [within, beyond]})
+    assert lines[2:] == [
+        "  beyond its share: large at drafts, rank 7: asks for 900 tokens of work, "
+        "its share is 300, 67% of its requests are refused"
+    ]
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/__init__.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/__init__.py
@@ -10,6 +10,7 @@
 `instance`    one instance: its local counts, and the product's decisions
 `simulation`  all of these on one clock
 `large`       hundreds of instances at their worst load
+`team_surge`  a team that sends many times its usual
 ============= ============================================================
 """
 
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -12,7 +12,7 @@
     ResponseMode,
 )
 from buckthornwall.telemetry import log_event
-from buckthornwall.utils import Clock, RegionId, UpstreamId, ZoneId
+from buckthornwall.utils import Clock, RegionId, TeamId, UpstreamId, ZoneId
 
 from .availability import (
     ADVISORY,
@@ -39,7 +39,7 @@
 from .reserved import ReservedEngines
 from .settings import PoolSettings
 from .software_versions import SoftwareVersions
-from .team_shares import TeamShares
+from .team_shares import TeamShares, TeamStanding
 from .view import UpstreamView
 from .wait_calibration import WaitCalibration
 
@@ -227,6 +227,11 @@
             self._team_shares[pool] = TeamShares(pool)
         return self._team_shares[pool]
 
+    def team_standings(self) -> dict[PoolId, dict[int, dict[TeamId, TeamStanding]]]:
+        """Return demand and share of the largest teams, by pool and rank."""
+        now = self.clock.now()
+        return {pool: each.largest(now) for pool, each in self._team_shares.items()}
+
     def reports(self) -> PoolReports:
         """Return what this instance reports to its peers about pools under load."""
         now = self.clock.now()
--- a/packages/buckthornwall/src/buckthornwall/pools/team_refusal.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/team_refusal.py
@@ -73,13 +73,11 @@
         return None
     resolution = traits.resolution
     headroom = (MAX_TARGETS - queue) / (MAX_TARGETS - MIN_QUEUEING_TARGETS)
-    return pools.team_shares(resolution.pool.id).standing(
-        resolution.rank,
-        resolution.team,
-        _work_tokens(traits, choice),
-        max(MIN_HEADROOM, headroom),
-        now,
-    )
+    headroom = max(MIN_HEADROOM, headroom)
+    shares, rank = pools.team_shares(resolution.pool.id), resolution.rank
+    shares.record_headroom(rank, headroom, now)
+    tokens = _work_tokens(traits, choice)
+    return shares.standing(rank, resolution.team, tokens, headroom, now)
 
 
 def record_team_demand(
--- a/packages/buckthornwall/src/buckthornwall/pools/team_shares.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/team_shares.py
@@ -30,9 +30,9 @@
 # With a longer one a team would be refused for what it no longer asks for.
 WINDOW_S = 3.0
 SLICE_S = 0.5
-# A larger number than teams large enough to be refused: to exceed an equal share of a
-# pool by much, a team must have a good part of its demand.
-MAX_TEAMS = 16
+# Teams reported of a rank. A team whose share matters has a good part of the demand, so
+# there are fewer of them; each takes about 20 bytes of every report.
+MAX_TEAMS = 12
 # Different teams and ranks kept for half a second; the demand of more is summed.
 MAX_SLICE_ENTRIES = 2048
 # The sum of the teams that are not named. It stands for small ones: served in full.
@@ -42,6 +42,9 @@
 # No team is refused altogether, whatever it asks for.
 MAX_REFUSED_SHARE = 0.9
 
+# A headroom that was found longer ago says nothing of a queue that lasts as long.
+HEADROOM_S = 1.0
+
 # Tokens of work by team.
 TeamDemand = dict[TeamId, int]
 
@@ -85,6 +88,7 @@
         self.peers_at = 0.0
         self._slices: deque[tuple[int, dict[tuple[int, TeamId], int]]] = deque()
         self._reported_until: dict[int, float] = {}
+        self._headrooms: dict[int, tuple[float, float]] = {}
 
     def record_demand(self, rank: int, team: TeamId, tokens: int, now: float) -> None:
         """Record that a request of a team came, admitted or not."""
@@ -102,6 +106,10 @@
         """Report the demand of a rank to the peers from now on, for a window's time."""
         self._reported_until[rank] = now + WINDOW_S
 
+    def record_headroom(self, rank: int, headroom: float, now: float) -> None:
+        """Record for how much of a rank's demand there is room, for operators."""
+        self._headrooms[rank] = (headroom, now)
+
     def receive(self, peers: dict[int, TeamDemand], now: float) -> None:
         """Record the sums of what all other instances report."""
         if peers != self.peers:
@@ -160,6 +168,23 @@
             age_s=max(0.0, now - self.peers_at),
         )
 
+    def largest(self, now: float) -> dict[int, dict[TeamId, TeamStanding]]:
+        """Return the standing of the teams with the largest demand, by rank."""
+        ranks = {*self.peers, *(rank for _, each in self._slices for rank, _ in each)}
+        return {
+            rank: {
+                team: self.standing(rank, team, 0, self._headroom(rank, now), now)
+                for team in top_teams(self.demand(rank, now))
+                if team != OTHER_TEAMS
+            }
+            for rank in sorted(ranks)
+        }
+
+    def _headroom(self, rank: int, now: float) -> float:
+        """Return the last headroom of a rank; where none was found lately, there is."""
+        headroom, found_at = self._headrooms.get(rank, (1.0, now))
+        return headroom if 0 <= now - found_at <= HEADROOM_S else 1.0
+
     def _local_demand(self, rank: int, now: float) -> TeamDemand:
         self._expire(now)
         total: TeamDemand = {}
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_team_refusal.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_team_refusal.py
@@ -197,3 +197,15 @@
     surge(short, tokens=900_000)
     assert short.views["a"].load.pending_prefill_before(rank) == 0
     assert share_refusals(short, clock, "small1", FEW) == 0
+
+
+def test_operators_see_demand_and_share_of_the_largest_teams(short, clock):
+    """Nobody could tell which team of a pool asked for how much."""
+    decide(short, clock, review("large"))
+    rank = review("t").resolution.rank
+    teams = short.team_standings()[POOL][rank]
+    assert teams["large"].refused_share > 0.3
+    assert teams["large"].demand > teams["large"].share
+    assert not teams["small1"].refused_share
+    clock.time += 2.0
+    assert not short.team_standings()[POOL][rank]["large"].refused_share
--- a/packages/buckthornwall/src/buckthornwall/router/operators.py
+++ b/packages/buckthornwall/src/buckthornwall/router/operators.py
@@ -132,6 +132,7 @@
             "mark": fleet.change_revision,
             "speakers": dict(fleet.speakers),
         },
+        "teams": _describe_teams(router),
         "upstreams": {
             view.id: {
                 "pool": view.entry.pool,
@@ -153,6 +154,29 @@
     }
 
 
+def _describe_teams(router: "Router") -> list[dict[str, Any]]:
+    """Return demand and share of the largest teams of each pool and rank.
+
+    In tokens of work asked for in the last three seconds, by all instances where
+    requests wait and by this one elsewhere; `refused` is the share of the requests that
+    is refused.
+    """
+    return [
+        {
+            "pool": pool,
+            "rank": rank,
+            "team": team,
+            "demand": standing.demand,
+            "share": standing.share,
+            "refused": round(standing.refused_share, 2),
+            "age_s": round(standing.age_s, 3),
+        }
+        for pool, by_rank in router.pools.team_standings().items()
+        for rank, teams in by_rank.items()
+        for team, standing in teams.items()
+    ]
+
+
 def _finite(value: float) -> float | None:
     return value if math.isfinite(value) else None
 
