--- a/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/simulation.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/simulation.py
@@ -11,6 +11,7 @@
     CachedPrefixes,
     Fleet,
     PoolReports,
+    PoolSettings,
     RankTokens,
     Unreachable,
     add_rank_tokens,
@@ -92,6 +93,8 @@
         Speeds of the engines relative to `speed`, given to them in turn.
     disturbance
         What slows the engines' machines down at times.
+    settings
+        Which of the decisions under load are used.
 
     Attributes
     ----------
@@ -110,6 +113,7 @@
         faults: tuple[EngineFault, ...] = (),
         relative_speeds: tuple[float, ...] = (1.0,),
         disturbance: Disturbance | None = None,
+        settings: PoolSettings | None = None,
     ) -> None:
         self.rng = random.Random(seed)
         self.clock = _SimClock()
@@ -124,7 +128,7 @@
         for _ in range(engines):
             self._add_engine()
         self.instances = [
-            SimInstance(self.clock, list(self.engines.values()), traffic)
+            SimInstance(self.clock, list(self.engines.values()), traffic, settings)
             for _ in range(instances)
         ]
         members = tuple(f"i{number}" for number in range(instances))
@@ -210,7 +214,8 @@
         max_tokens = 2 * traffic.answer_tokens
         tokens = sum(segment.tokens for segment in segments)
         prompt = PromptShape(ModelId("m"), tokens, max_tokens, tuple(segments))
-        return SimRequest(traffic, at, prompt, answer)
+        team = traffic.sample_team(self.rng, at)
+        return SimRequest(traffic, at, prompt, answer, team=team)
 
     def _arrive(self, request: SimRequest) -> None:
         request.last_asked_at = self.clock.now()
