Measure shortage of room at the engines that all instances may send to

Cause: reserved engines that only their owners prefill long prompts at have hardly a queue, so the mean wait of a pool, by which teams beyond their share are refused, came out too short.

--- a/packages/buckthornwall/src/buckthornwall/pools/team_refusal.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/team_refusal.py
@@ -13,6 +13,7 @@
 from buckthornwall.utils import hash_fraction
 
 from .overload import MAX_TARGETS, MIN_QUEUEING_TARGETS
+from .owned_prefill import has_owners
 from .placement import Choice
 from .table import PoolTable
 from .team_shares import TeamStanding
@@ -110,14 +111,21 @@
 
     By the counts of pending prefill that all instances know alike. The wait at the
     chosen engine says less: one is often without a queue, or chosen in spite of one for
-    what it has cached.
+    what it has cached. Engines that their owners alone prefill long prompts at have
+    hardly a queue, and no room for others.
     """
     resolution = traits.resolution
-    model = pools.model(resolution.pool.id)
+    pool = resolution.pool.id
+    model = pools.model(pool)
+    closed = (
+        pools.reserved_engines(pool).ids if has_owners(pools, pool) else frozenset()
+    )
+    usable = list(usable)
+    open_engines = [view for view in usable if view.id not in closed] or usable
     waits = [
         view.slowness(now)
         * model.prefill_s(view.load.pending_prefill_before(resolution.rank))
-        for view in usable
+        for view in open_engines
     ]
     return sum(waits) / len(waits) / _target_s(traits) if waits else 0.0
 
