Refuse by the prefill pending in a pool, and spread retries

Cause: a pool counted as loaded with half of its slots in use, or with requests reported as waiting for one; prefill runs out long before. So nearly every request was sent, queued at its engine and held until its client left.

Change, where an instance sends under a twentieth of the work of a pool and [pools] prefill_admission is on: the wait at the median engine decides. From 0.2 targets on a share of the requests that are not urgent is refused, drawn by the hash of their id; from there on a late one is refused whatever slots are free; and what no engine can begin before its client leaves. Returns are spread about the time in which the pool works off what is pending and what was refused recently, within a third of the time left.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/instance.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/instance.py
@@ -81,11 +81,12 @@
         return traits, choose_upstream(self.pools, traits, tried, ZONE, now)
 
     def overload_retry_after_s(
-        self, traits: RequestTraits, choice: Choice
+        self, request: SimRequest, traits: RequestTraits, choice: Choice
     ) -> float | None:
         """Return the retry-after time of a refusal in seconds, or None if admitted."""
         now = self.clock.now()
-        overload = find_overload(self.pools, traits, choice, now)
+        time_left_s = request.deadline - now
+        overload = find_overload(self.pools, traits, choice, now, time_left_s)
         self._admission = record_decision(self.pools, traits, overload is None, now)
         return None if overload is None else overload.retry_after_s
 
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/simulation.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/simulation.py
@@ -216,7 +216,7 @@
             if choice is None:
                 break
             if not tried:
-                retry_after_s = instance.overload_retry_after_s(traits, choice)
+                retry_after_s = instance.overload_retry_after_s(request, traits, choice)
                 if retry_after_s is not None:
                     self._refuse(request, retry_after_s)
                     return
--- a/packages/buckthornwall/src/buckthornwall/forwarding/admissions.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/admissions.py
@@ -26,7 +26,8 @@
         if job.tried or job.runs:
             return None
         now = self.clock.now()
-        overload = find_overload(self.pools, job.traits, choice, now)
+        time_left_s = job.deadline - now
+        overload = find_overload(self.pools, job.traits, choice, now, time_left_s)
         job.admission = record_decision(self.pools, job.traits, overload is None, now)
         if overload is None:
             return None
--- a/packages/buckthornwall/src/buckthornwall/forwarding/request_telemetry.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/request_telemetry.py
@@ -39,6 +39,10 @@
     ) -> None:
         """Log and count a refusal; `job` is None if no route was resolved."""
         self.metrics.refusals.inc({"code": refusal.code.name})
+        if job is not None and job.overload is not None:
+            reason = job.overload.reason.value
+            tier = str(job.resolution.route.tier)
+            self.metrics.overload_refusals.inc({"tier": tier, "reason": reason})
         self._count_end(job, "refused")
         log_event(
             "request_refused",
@@ -235,9 +239,17 @@
         "refused_so_far": overload.balance.refused,
         "refused_above": overload.balance.refused_above,
         "waiting_below": overload.balance.waiting_below,
+        "mean_wait_ms": round(overload.mean_wait_s * 1000),
+        "shed_share": round(overload.shed_share, 2),
+        "remaining_ms": _format_time_left(overload.time_left_s),
     }
 
 
+def _format_time_left(time_left_s: float) -> int | str:
+    """Return how long a client still waits in milliseconds, or '' if unknown."""
+    return "" if math.isinf(time_left_s) else round(time_left_s * 1000)
+
+
 def _silent_ms(choice: Choice, now: float) -> int | str:
     """Return the time since the last data from an upstream, or '' if none."""
     answered_at = choice.view.reachability.answered_at
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -36,6 +36,8 @@
 `settings`          which of the decisions under load are used
 `ledger`            requests admitted and refused recently, by rank
 `overload`          limits of the expected wait, and the delay of retries
+`backlog`           share of new work to refuse, by the prefill pending in a pool
+`retry_delay`       when a request that was refused should come back
 `traits`            properties of a request that decisions depend on
 `expectation`       expected time to the first token
 `refusal`           whether a request is refused for overload
--- a/packages/buckthornwall/src/buckthornwall/pools/ledger.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/ledger.py
@@ -9,6 +9,7 @@
 ones.
 """
 
+import math
 from collections import deque
 from dataclasses import dataclass
 
@@ -121,6 +122,18 @@
         counts = self._counts(now)
         return sum(refused for other, (_, refused) in counts.items() if other <= rank)
 
+    def refused_work_s(self, rank: int, now: float) -> float:
+        """Return how long work of `rank` takes that was refused in the window.
+
+        In seconds, at the rate at which its rank and less urgent ones were admitted;
+        infinite if none were. These are what makes room for it when it comes back.
+        """
+        refused = self._counts(now).get(rank, (0, 0))[1]
+        admitted = self.admitted_below(rank - 1, now)
+        if not admitted:
+            return math.inf if refused else 0.0
+        return WINDOW_S * refused / admitted
+
     def admitted_below(self, rank: int, now: float) -> int:
         """Return the tokens admitted of ranks less urgent than `rank`."""
         counts = self._counts(now)
--- a/packages/buckthornwall/src/buckthornwall/pools/overload.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/overload.py
@@ -4,7 +4,14 @@
 
 from .view import UpstreamView
 
-__all__ = ["is_hopeless", "is_late", "is_loaded", "is_overloaded", "retry_after_s"]
+__all__ = [
+    "is_hopeless",
+    "is_late",
+    "is_loaded",
+    "is_overloaded",
+    "is_queueing_late",
+    "retry_after_s",
+]
 
 # A request is refused if its first token is expected after this many targets.
 MAX_TARGETS = 0.8
@@ -55,11 +62,15 @@
     now
         The time in seconds.
     """
+    is_queueing = is_queueing_late(expected_s, own_prefill_s, target_s)
+    return is_queueing and is_loaded(views, now)
+
+
+def is_queueing_late(expected_s: float, own_prefill_s: float, target_s: float) -> bool:
+    """Return whether a first token is late, and that for a wait for other requests."""
     if not is_late(expected_s, target_s):
         return False
-    if expected_s - own_prefill_s <= MIN_QUEUEING_TARGETS * target_s:
-        return False
-    return is_loaded(views, now)
+    return expected_s - own_prefill_s > MIN_QUEUEING_TARGETS * target_s
 
 
 def is_loaded(views: Iterable[UpstreamView], now: float) -> bool:
--- a/packages/buckthornwall/src/buckthornwall/pools/refusal.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/refusal.py
@@ -1,12 +1,18 @@
 """Decide which requests are refused for overload, and their retry delay."""
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
+from buckthornwall.engine_model import scale_model
+from buckthornwall.utils import hash_fraction
+
+from .backlog import Backlog, find_backlog, is_shared_by_many
 from .expectation import count_based_s, expected_on_engine_s, expected_s
 from .ledger import Admission
-from .overload import is_hopeless, is_loaded, is_overloaded, retry_after_s
+from .overload import is_hopeless, is_loaded, is_queueing_late, retry_after_s
 from .placement import Choice
+from .retry_delay import retry_delay_s
 from .table import PoolTable
 from .traits import RequestTraits
 from .view import UpstreamView
@@ -26,6 +32,8 @@
 
     LATE = "late"  # its first token would come too late
     YIELDS = "yields"  # more urgent requests were refused recently
+    BACKLOG = "backlog"  # one of the share that the whole pool cannot serve in time
+    DEADLINE = "deadline"  # no engine can begin it before its client leaves
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +84,12 @@
         Requests in flight per slot of the chosen engine.
     balance : TierBalance
         What was admitted and refused recently, on which the decision depends.
+    mean_wait_s : float
+        Mean wait for prefill at the engines that it may go to; 0 if that is not used.
+    shed_share : float
+        Share of such requests that is refused for it.
+    time_left_s : float
+        How long its client still waits; infinite if that is not known.
     """
 
     reason: RefusalReason
@@ -88,10 +102,17 @@
     retry_after_s: float
     slot_utilization: float
     balance: "TierBalance"
+    mean_wait_s: float = 0.0
+    shed_share: float = 0.0
+    time_left_s: float = math.inf
 
 
 def find_overload(
-    pools: PoolTable, traits: RequestTraits, choice: Choice, now: float
+    pools: PoolTable,
+    traits: RequestTraits,
+    choice: Choice,
+    now: float,
+    time_left_s: float = math.inf,
 ) -> Overload | None:
     """Return why a request is refused at once, or None to admit it.
 
@@ -106,15 +127,27 @@
         Upstream that it would be sent to.
     now
         The time in seconds.
+    time_left_s
+        How long its client still waits, in seconds; infinite if that is not known.
     """
     resolution = traits.resolution
     if traits.prompt is None or resolution.route.tier == 0:
         return None
     wait_s = expected_s(pools, traits, choice)
     usable = pools.usable(resolution.pool.id, frozenset(), traits.permitted)
-    reason = _refusal_reason(pools, traits, choice, usable, now)
+    backlog = _find_backlog(pools, traits, usable, now)
+    reason = _refusal_reason(pools, traits, choice, usable, now, backlog)
+    if reason is None and backlog is not None:
+        reason = _backlog_reason(pools, traits, now, backlog)
+        if not _may_begin(pools, traits, usable, now, time_left_s):
+            reason = RefusalReason.DEADLINE
     if reason is None:
         return None
+    balance = _tier_balance(pools, traits, usable, now)
+    if backlog is None:
+        delay_s = retry_after_s(wait_s)
+    else:
+        delay_s = _retry_delay_s(pools, traits, choice, backlog, now, time_left_s)
     return Overload(
         reason=reason,
         expected_s=wait_s,
@@ -125,9 +158,98 @@
         min_expected_s=min(
             expected_on_engine_s(pools, traits, view, now) for view in usable
         ),
-        retry_after_s=retry_after_s(wait_s),
+        retry_after_s=delay_s,
         slot_utilization=choice.slot_utilization,
-        balance=_tier_balance(pools, traits, usable, now),
+        balance=balance,
+        mean_wait_s=0.0 if backlog is None else backlog.mean_wait_s,
+        shed_share=0.0 if backlog is None else backlog.shed_share,
+        time_left_s=time_left_s,
+    )
+
+
+def _find_backlog(
+    pools: PoolTable,
+    traits: RequestTraits,
+    usable: list[UpstreamView],
+    now: float,
+) -> Backlog | None:
+    """Return the backlog before a request, or None where none is considered."""
+    if not pools.settings.prefill_admission or not is_shared_by_many(usable):
+        return None
+    resolution = traits.resolution
+    pool = resolution.pool.id
+    views = usable
+    if not traits.pause_sensitive:
+        # Room at engines reserved for others is none for this request.
+        views = pools.reserved_engines(pool).split(usable, now).others or usable
+    target_s = resolution.route.target_s
+    return find_backlog(views, pools.model(pool), resolution.rank, target_s, now)
+
+
+def _backlog_reason(
+    pools: PoolTable,
+    traits: RequestTraits,
+    now: float,
+    backlog: Backlog,
+) -> RefusalReason | None:
+    """Return BACKLOG if a request is of the share that is refused for the backlog.
+
+    The share is drawn by the hash of its id: instances that know the same need no
+    message to refuse as many together as none of them can count alone.
+    """
+    if traits.resolution.urgent or not backlog.shed_share:
+        return None
+    if hash_fraction(f"{traits.id}/backlog") >= backlog.shed_share:
+        return None
+    return None if has_deficit(pools, traits, now) else RefusalReason.BACKLOG
+
+
+def _may_begin(
+    pools: PoolTable,
+    traits: RequestTraits,
+    usable: list[UpstreamView],
+    now: float,
+    time_left_s: float,
+) -> bool:
+    """Return whether any engine can begin a request before its client leaves.
+
+    By what must be prefilled at least, without any allowance: answers are known by
+    their longest length only, so that more is not certain.
+    """
+    if time_left_s == math.inf:
+        return True
+    resolution, prompt = traits.resolution, traits.prompt
+    model = pools.model(resolution.pool.id)
+    for view in usable:
+        uncached = prompt.prompt_tokens - view.prefixes.cached_tokens(prompt)
+        pending = max(0, uncached) + view.load.pending_prefill_before(resolution.rank)
+        speed = scale_model(model, view.slowness(now))
+        if speed.prefill_s(pending) + speed.decode_step_s <= time_left_s:
+            return True
+    return False
+
+
+def _retry_delay_s(
+    pools: PoolTable,
+    traits: RequestTraits,
+    choice: Choice,
+    backlog: Backlog,
+    now: float,
+    time_left_s: float,
+) -> float:
+    """Return the delay of the retry of a refused request, in seconds.
+
+    Room is expected when the pool has prefilled what is pending and, at the rate at
+    which it admits work, what was refused recently and comes back.
+    """
+    resolution = traits.resolution
+    ledger = pools.ledger(resolution.pool.id)
+    refused_s = ledger.refused_work_s(resolution.rank, now)
+    model = pools.model(resolution.pool.id)
+    answer_s = model.decode_step_s * traits.prompt.max_output_tokens / 2
+    needed_s = choice.own_prefill_s + answer_s
+    return retry_delay_s(
+        backlog.mean_wait_s + refused_s, traits.id, time_left_s, needed_s
     )
 
 
@@ -170,18 +292,22 @@
     choice: Choice,
     usable: list[UpstreamView],
     now: float,
+    backlog: Backlog | None,
 ) -> RefusalReason | None:
     """Return why a request is refused at its chosen engine, or None to admit it."""
+    is_pool_loaded = is_loaded(usable, now) or (backlog is not None and backlog.is_high)
     if traits.resolution.urgent:
-        return _yield_reason(pools, traits, usable, now)
+        return _yield_reason(pools, traits, is_pool_loaded, now)
     wait_s = expected_s(pools, traits, choice)
     target_s = traits.resolution.route.target_s
     # Without a queue a prompt would only be refused for its own prefill.
     has_no_queue = choice.wait_s <= choice.own_prefill_s and not choice.oldest_wait_s
-    if has_no_queue or not is_overloaded(
-        wait_s, choice.own_prefill_s, target_s, usable, now
+    if (
+        has_no_queue
+        or not is_pool_loaded
+        or not is_queueing_late(wait_s, choice.own_prefill_s, target_s)
     ):
-        return _yield_reason(pools, traits, usable, now)
+        return _yield_reason(pools, traits, is_pool_loaded, now)
     if choice.slot_utilization >= 1 or is_hopeless(wait_s, target_s):
         return RefusalReason.LATE
     # With a deficit less urgent ranks yield before this one.
@@ -189,12 +315,12 @@
 
 
 def _yield_reason(
-    pools: PoolTable, traits: RequestTraits, usable: list[UpstreamView], now: float
+    pools: PoolTable, traits: RequestTraits, is_pool_loaded: bool, now: float
 ) -> RefusalReason | None:
     """Return YIELDS if a request yields to more urgent ones that were refused."""
     resolution = traits.resolution
     pool, rank = resolution.pool.id, resolution.rank
-    if not is_loaded(usable, now) and not pools.is_limited(pool, traits.permitted):
+    if not is_pool_loaded and not pools.is_limited(pool, traits.permitted):
         return None
     ledger, tokens = pools.ledger(pool), traits.prompt.prompt_tokens
     return RefusalReason.YIELDS if ledger.should_defer(rank, tokens, now) else None
--- a/packages/buckthornwall/src/buckthornwall/telemetry/metrics.py
+++ b/packages/buckthornwall/src/buckthornwall/telemetry/metrics.py
@@ -75,6 +75,9 @@
             "requests_total", "Requests ended, by tier and outcome."
         )
         self.refusals = self._counter("refusals_total", "Refusals, by code.")
+        self.overload_refusals = self._counter(
+            "overload_refusals_total", "Refusals for overload, by tier and reason."
+        )
         self.attempts = self._counter(
             "attempts_total", "Attempts ended, by upstream and end."
         )
