Test shares after a loss of all sums, and by size of a request

Cause: nothing showed what becomes of shares when all instances forget the demand in the middle of a surge, nor that the largest requests of a team are not refused for good.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_team_surge.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_team_surge.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from buckthornwall_standins.pool_sim import PoolSimulation
 from buckthornwall_standins.pool_sim.competing import ALIKE, REVIEWS
 from buckthornwall_standins.pool_sim.competing import ENGINES as ALL_ENGINES
 from buckthornwall_standins.pool_sim.team_surge import (
@@ -82,3 +83,49 @@
         for shares in (True, False)
     ]
     assert outcomes[0] == outcomes[1]
+
+
+def test_shares_are_found_again_after_all_instances_are_new(monkeypatch):
+    """In the surge all instances lose what they know of demand at the same moment.
+
+    Two seconds later the team that surges is refused again, and no other much.
+    """
+    forgets_at = 9.0
+
+    def refused_share(simulation, is_surging):
+        asked = [
+            each
+            for each in simulation.requests_of("review")
+            if (each.team == SURGING_TEAM) is is_surging
+            and forgets_at + 2 <= each.first_asked_at < SURGE[1]
+        ]
+        return mean(bool(each.refused_at) for each in asked)
+
+    def forget(simulation):
+        for instance in simulation.instances:
+            instance.pools._team_shares.clear()
+
+    run = PoolSimulation.run
+
+    def run_with_loss(simulation, seconds):
+        simulation._schedule(forgets_at, lambda: forget(simulation))
+        return run(simulation, seconds)
+
+    monkeypatch.setattr(PoolSimulation, "run", run_with_loss)
+    simulations = simulate(12.0)
+    assert mean(refused_share(each, True) for each in simulations) > 0.3
+    assert mean(refused_share(each, False) for each in simulations) < 0.1
+
+
+def test_largest_requests_of_a_team_are_refused_as_often_as_others(surges):
+    """Else the largest of a team that is beyond its share would be refused for good."""
+    asked = [
+        each
+        for simulation in surges
+        for each in simulation.requests_of("review")
+        if each.team == SURGING_TEAM and SURGE[0] <= each.first_asked_at < SURGE[1]
+    ]
+    asked.sort(key=lambda each: each.prompt.prompt_tokens)
+    largest = asked[-len(asked) // 10 :]
+    refused = mean(bool(each.refused_at) for each in asked)
+    assert mean(bool(each.refused_at) for each in largest) < refused + 0.15
