Learn the speed of each engine from steady prefill steps

Cause: a pool had one speed. Slow engines got an equal share of the requests, and waits and pauses there were predicted too short.

Two alike gaps in a row that are as long as any are made of whole chunks of prefill, the same work at every engine. Divided by the stated slowdown and put in a constant unit, their logarithms are summed over all instances; the usual engine is the median. An engine that differs by 1.3 or more has its own slowness, which placement, expected waits and pauses go by. Restarted and updated engines begin anew. Beacons and digests hold the samples of 2 s; heartbeats do not, and a speaker bounds what one instance may state.

The simulated engines state their slowdown, as those that share their machines do.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/engine.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/engine.py
@@ -9,7 +9,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field, replace
 
-from buckthornwall.pools import LoadReport
+from buckthornwall.pools import LoadReport, Slowdown
 from buckthornwall.utils import UpstreamId, hash_fraction
 
 from .request import SimRequest
@@ -121,11 +121,14 @@
         heapq.heappush(self.waiting, (rank, number, request))
         return True
 
-    def report(self) -> LoadReport:
-        """Return the load report that the engine adds to an answer."""
+    def report(self, now: float) -> LoadReport:
+        """Return the load report that the engine adds to an answer at `now`."""
         in_use = len(self.running) + len(self.waiting)
         running = min(in_use, self.speed.slots)
-        return LoadReport(running, in_use - running, self.speed.slots)
+        slowdown = None
+        if self.disturbance is not None:
+            slowdown = Slowdown(self.disturbance.slowdown_at(self.id, now))
+        return LoadReport(running, in_use - running, self.speed.slots, slowdown)
 
     def crash(self, now: float) -> None:
         """Fail all requests and clear the cache."""
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/instance.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/pool_sim/instance.py
@@ -6,6 +6,7 @@
     Choice,
     PoolTable,
     RequestTraits,
+    StepObserver,
     UpstreamEntry,
     UpstreamState,
     UpstreamView,
@@ -120,7 +121,12 @@
         """Count a request in its engine's load until the request ends."""
         load, rank = choice.view.load, traits.resolution.rank
         calibration, model = self.pools.wait_calibration(POOL), self.pools.model(POOL)
-        tokens_per_event = self.pool.engine.tokens_per_event
+        observer = StepObserver(
+            choice.view,
+            model,
+            self.pool.engine.tokens_per_event,
+            traits.pause_sensitive,
+        )
         sent_at = self.clock.now()
         admission, self._admission = self._admission, None
         load.requests += 1
@@ -130,8 +136,7 @@
         load.waits.begin(rank, request, sent_at)
         choice.view.health.record_sent(sent_at)
         self.pools.note_prompt(choice.view, request.prompt)
-        last_at: float | None = None
-        was_idle = False
+        has_begun = False
 
         def on_first(now: float) -> None:
             load.add_pending_prefill(rank, -choice.uncached_tokens)
@@ -141,27 +146,21 @@
                 return
             if admission is not None:
                 self.pools.ledger(POOL).record_begun(admission, now)
-            load.record_report(engine.report(), now)
+            load.record_report(engine.report(now), now)
             calibration.record(rank, choice.wait_s, now - sent_at)
             if choice.is_prefill_idle and not choice.copy_from:
-                model.record_first_token(choice.uncached_tokens, now - sent_at)
+                usual_s = (now - sent_at) / choice.view.slowness(now)
+                model.record_first_token(choice.uncached_tokens, usual_s)
 
         def on_event(now: float, done: bool) -> None:
-            nonlocal last_at, was_idle
-            if last_at is None:
+            nonlocal has_begun
+            if not has_begun:
+                has_begun = True
                 on_first(now)
             if not request.failed:
                 choice.view.reachability.record_answered(now)
-            is_idle = not load.total_pending_prefill()
-            if last_at is not None and not done:
-                gap_s = now - last_at
-                model.record_gap(
-                    gap_s,
-                    tokens_per_event,
-                    is_idle and was_idle,
-                    traits.pause_sensitive,
-                )
-            last_at, was_idle = now, is_idle
+            if not done:
+                observer.record(1, now)
             if done:
                 load.requests -= 1
                 load.pause_sensitive -= traits.pause_sensitive
--- a/packages/buckthornwall/src/buckthornwall/engine_model/model.py
+++ b/packages/buckthornwall/src/buckthornwall/engine_model/model.py
@@ -8,6 +8,7 @@
 """
 
 from .quantile import QuantileEstimate
+from .steady_steps import SteadySteps
 
 __all__ = ["EngineModel"]
 
@@ -26,9 +27,21 @@
 
 
 class EngineModel:
-    """Learned speed of a pool's engines; times are in seconds."""
+    """Learned speed of a pool's engines; times are in seconds.
+
+    Decode steps and prefill speeds are those of the usual engine: what one of another
+    speed takes is recorded as the usual one would have taken it. Prefill steps are
+    those of all engines as they are, since a stream that must not pause is to be safe
+    before it is known where it will run.
+
+    Attributes
+    ----------
+    steady_steps : SteadySteps
+        Usual steps by which the speeds of engines are compared.
+    """
 
     def __init__(self) -> None:
+        self.steady_steps = SteadySteps()
         self._decode_step = QuantileEstimate(INITIAL_DECODE_STEP_S, 0.5)
         self._prefill_step = QuantileEstimate(INITIAL_PREFILL_STEP_S, 0.5)
         self._p90_prefill_step = QuantileEstimate(
@@ -39,7 +52,12 @@
     # Samples
 
     def record_gap(
-        self, gap_s: float, tokens: int, is_decode_only: bool, is_reserved: bool = False
+        self,
+        gap_s: float,
+        tokens: int,
+        is_decode_only: bool,
+        is_reserved: bool = False,
+        slowness: float = 1.0,
     ) -> None:
         """Record the time between two events of a stream.
 
@@ -59,15 +77,17 @@
             Whether the engine is reserved, and so gets no long prompts. Its longer
             steps are not counted as prefill steps: a stream would otherwise look safe
             beside long prompts as soon as it ran apart from them.
+        slowness
+            How long work takes at the engine, relative to the usual one.
         """
         if tokens <= 0 or gap_s <= 0:
             return
-        step_s = gap_s / tokens
+        step_s = gap_s / tokens / slowness
         if is_decode_only:
             self._decode_step.record(step_s)
         if not is_reserved and step_s > MIN_PREFILL_STEP_RATIO * self.decode_step_s:
-            self._prefill_step.record(step_s)
-            self._p90_prefill_step.record(step_s)
+            self._prefill_step.record(step_s * slowness)
+            self._p90_prefill_step.record(step_s * slowness)
 
     def record_first_token(self, tokens: int, elapsed_s: float) -> None:
         """Record the first token of a prompt that did not wait for another one.
--- a/packages/buckthornwall/src/buckthornwall/engine_model/scaled.py
+++ b/packages/buckthornwall/src/buckthornwall/engine_model/scaled.py
@@ -47,8 +47,13 @@
         return self.model.prefill_s(tokens) * self.slowness
 
     def pause_s(self, tokens_per_event: int, pending_prefill: float) -> float:
-        """Return the longest pause of a stream beside some pending prefill tokens."""
-        return self.model.pause_s(tokens_per_event, pending_prefill) * self.slowness
+        """Return the longest pause of a stream beside some pending prefill tokens.
+
+        Prefill steps of the model are long at any engine of the pool. A fast one is not
+        taken to be safer: it may be disturbed a moment later, as all may.
+        """
+        pause_s = self.model.pause_s(tokens_per_event, pending_prefill)
+        return pause_s * max(1.0, self.slowness)
 
 
 def scale_model(model: EngineModel, slowness: float) -> EngineModel | ScaledEngineModel:
--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -8,7 +8,13 @@
 
 from buckthornwall.engine_model import EngineModel
 from buckthornwall.http1 import ClientConnection, ExchangeError, ExchangeFailure
-from buckthornwall.pools import Choice, Notice, Obstacle, UpstreamView
+from buckthornwall.pools import (
+    Choice,
+    Notice,
+    Obstacle,
+    StepObserver,
+    UpstreamView,
+)
 from buckthornwall.routing import (
     PromptShape,
     Resolution,
@@ -270,7 +276,7 @@
         The end of the stream is not sent if a peer could not complete it.
         """
         view = self.choice.view
-        observer = _StepObserver(
+        observer = StepObserver(
             view, self.model, self._tokens_per_event(), self.pause_sensitive
         )
         while data := await self._next_data(connection):
@@ -312,36 +318,6 @@
     return AttemptResult(AttemptEnd.BROKEN, reply.refusal.detail, reply)
 
 
-class _StepObserver:
-    """Records the gaps between a stream's events in the engine model."""
-
-    def __init__(
-        self,
-        view: UpstreamView,
-        model: EngineModel,
-        tokens_per_event: int,
-        is_reserved: bool,
-    ) -> None:
-        self.view = view
-        self.model = model
-        self.tokens_per_event = tokens_per_event
-        self.is_reserved = is_reserved
-        self._last_event_at: float | None = None
-        self._was_idle = False
-
-    def record(self, events: int, now: float) -> None:
-        """Record that `events` arrived together at `now`."""
-        is_idle = not self.view.load.total_pending_prefill()
-        if self._last_event_at is not None and events == 1:
-            gap_s = now - self._last_event_at
-            was_idle = is_idle and self._was_idle
-            self.model.record_gap(
-                gap_s, self.tokens_per_event, was_idle, self.is_reserved
-            )
-        self._last_event_at = now
-        self._was_idle = is_idle
-
-
 class _PendingPrefill:
     """A prompt that counts as pending prefill until its first token arrives."""
 
--- a/packages/buckthornwall/src/buckthornwall/forwarding/first_token.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/first_token.py
@@ -21,4 +21,5 @@
     seen_s = first_sent_at - sent_at
     pools.wait_calibration(pool).record(job.resolution.rank, choice.wait_s, seen_s)
     if choice.is_prefill_idle and not choice.copy_from:
-        pools.model(pool).record_first_token(choice.uncached_tokens, seen_s)
+        usual_s = seen_s / choice.view.slowness(first_sent_at)
+        pools.model(pool).record_first_token(choice.uncached_tokens, usual_s)
--- a/packages/buckthornwall/src/buckthornwall/peers/aggregation.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/aggregation.py
@@ -12,6 +12,7 @@
     Unreachable,
     add_rank_tokens,
     add_unreachable,
+    bound_pool_reports,
     merge_limit_reports,
     sum_pool_reports,
 )
@@ -81,7 +82,8 @@
 ) -> PoolReports:
     """Return the sums of what instances saw of pools under load."""
     zones = [zone.message.pool_reports for zone in remote]
-    return sum_pool_reports([*(each.pool_reports for each in beacons), *zones])
+    instances = [bound_pool_reports(each.pool_reports) for each in beacons]
+    return sum_pool_reports([*instances, *zones])
 
 
 def merge_limits(
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -169,7 +169,10 @@
         received.message.loads, cached_prefixes = counts
         received.message.unreachable = heartbeat.unreachable
         received.message.rank_tokens = heartbeat.rank_tokens
-        received.message.pool_reports = heartbeat.pool_reports
+        received.message.pool_reports = PoolReports(
+            received.message.pool_reports.engine_speeds,
+            heartbeat.pool_reports.team_tokens,
+        )
         if not is_local_zone:
             self.prefixes.remote_zones.receive(cached_prefixes, now)
         return cached_prefixes
@@ -330,7 +333,10 @@
         self._counts.fill(heartbeat, loads, cached_prefixes)
         heartbeat.unreachable = sum_unreachable(beacons, remote)
         heartbeat.rank_tokens = sum_rank_tokens(beacons, remote)
-        heartbeat.pool_reports = sum_reports(beacons, remote)
+        # Speeds change over seconds and would double the bytes of the counts, which a
+        # rate of bytes makes as much older: digests hold them.
+        reports = sum_reports(beacons, remote)
+        heartbeat.pool_reports = PoolReports(team_tokens=reports.team_tokens)
 
     def zone_beacons(self, local_beacon: Beacon) -> list[Beacon]:
         """Return the beacons of this instance and of the zone's members."""
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_relay_candidates.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_relay_candidates.py
@@ -8,7 +8,7 @@
 from buckthornwall.peers import PeerState, relay_candidates
 from buckthornwall.peers.aggregation import MAX_RELAYS_PER_ZONE
 from buckthornwall.peers.messages import PeerMessage, decode, encode
-from buckthornwall.pools import LimitNeed, PoolReports
+from buckthornwall.pools import LimitNeed, PoolReports, SpeedSamples
 
 from .test_peers import SILENCE_S, beacon, table
 
@@ -120,3 +120,31 @@
         assert not getattr(older, "ceding", 0)
         assert older.pool_reports == PoolReports()
         assert decode(cbor2.dumps([*fields, "later"]), PeerMessage) == message
+
+
+def test_speeds_of_engines_outlast_the_counts_between_two_digests():
+    speakers, beacons = exchange("1", 0.0)
+    speeds = {"e": SpeedSamples(3, 40)}
+    beacons["1"].pool_reports = PoolReports(speeds, {"p": {1: {"t": 5}}})
+    digest = speakers["1"].make_digest(beacons["1"], True, 0.0)
+    speakers["1"].assign_sequence(digest)
+    member = table("10.1.0.2:7340", "1")
+    member.receive_digest(decode(encode(digest), PeerMessage), 0.0)
+    beacons["1"].pool_reports = PoolReports(speeds, {"p": {1: {"t": 7}}})
+    heartbeat = speakers["1"].make_heartbeat(beacons["1"], True, 0.1)
+    speakers["1"].add_counts(heartbeat, beacons["1"], 0.1)
+    assert heartbeat.pool_reports.engine_speeds == {}
+    member.receive_heartbeat(decode(encode(heartbeat), PeerMessage), 0.1)
+    reports = member.speaker.message.pool_reports
+    assert reports == PoolReports(speeds, {"p": {1: {"t": 7}}})
+
+
+def test_nonsense_speeds_of_one_instance_are_bounded_by_its_speaker():
+    speakers, beacons = exchange("1", 0.0)
+    wild = beacon("10.1.0.2:7340", zone="1")
+    wild.pool_reports = PoolReports({"e": SpeedSamples(10**9, 10**12)}, {})
+    speakers["1"].receive_beacon(wild, 0.1)
+    digest = speakers["1"].make_digest(beacons["1"], True, 0.1)
+    samples = digest.pool_reports.engine_speeds["e"]
+    assert samples.count <= 8
+    assert samples.log_percent <= 150 * samples.count
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -27,6 +27,9 @@
 `slot_share`        shares of the instances in the slots of an upstream
 `fleet_memory`      instances that were live recently
 `limit_queue`       queue for the tokens of a pool whose upstreams are all limited
+`engine_speed`      relative speed of one engine, by samples of all instances
+`engine_speeds`     which engines of a pool differ in speed
+`step_observer`     what the gaps of a stream teach about speeds
 `view`              all of these for one upstream
 `table`             views by upstream; adopts registrations
 `reserved`          engines reserved for pause-sensitive streams
@@ -64,6 +67,7 @@
     PoolReports,
     SpeedSamples,
     TeamTokens,
+    bound_pool_reports,
     subtract_pool_reports,
     sum_pool_reports,
 )
@@ -76,6 +80,7 @@
 from .settings import PoolSettings
 from .slowdown import MAX_SLOWDOWN, Slowdown
 from .software_versions import SoftwareVersions, VersionHistory
+from .step_observer import StepObserver
 from .switching import is_served_in_order
 from .table import PoolTable
 from .team_shares import TeamShares
@@ -116,6 +121,7 @@
     "Slowdown",
     "SoftwareVersions",
     "SpeedSamples",
+    "StepObserver",
     "TeamShares",
     "TeamTokens",
     "Unreachable",
@@ -126,6 +132,7 @@
     "VersionHistory",
     "add_rank_tokens",
     "add_unreachable",
+    "bound_pool_reports",
     "choose_engine",
     "choose_service",
     "choose_upstream",
--- a/packages/buckthornwall/src/buckthornwall/pools/pool_reports.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/pool_reports.py
@@ -3,6 +3,7 @@
 Each instance reports what it saw itself; an instance reads the sums over all others.
 """
 
+import math
 from collections.abc import Iterable
 from typing import Annotated
 
@@ -12,14 +13,27 @@
 from buckthornwall.utils import TeamId, UpstreamId
 
 __all__ = [
+    "MAX_LOG_PERCENT",
+    "MAX_REPORTED_SAMPLES",
     "EngineSpeeds",
     "PoolReports",
     "SpeedSamples",
     "TeamTokens",
+    "bound_pool_reports",
+    "bound_samples",
+    "limit_log_percent",
     "subtract_pool_reports",
     "sum_pool_reports",
 ]
 
+# An instance counts as at most this many samples of an engine in one report, whatever
+# it states, so that it does not outweigh a fleet that sees some each second.
+MAX_REPORTED_SAMPLES = 4
+# An engine counts as no faster or slower than this; others than that are broken, which
+# health decides on.
+MAX_SLOWNESS = 4.0
+MAX_LOG_PERCENT = round(100 * math.log(MAX_SLOWNESS))
+
 
 class SpeedSamples(msgspec.Struct, array_like=True, frozen=True):
     """Recent samples of how long work takes at an engine.
@@ -30,7 +44,7 @@
         Number of samples.
     log_percent
         Sum of the natural logarithms of the samples, in hundredths. A sample is how
-        long work took there as a multiple of the time at the pool's usual engine.
+        long the same work took there as a multiple of a unit common to all instances.
     """
 
     count: Annotated[int, msgspec.Meta(ge=0)] = 0
@@ -60,6 +74,30 @@
     return PoolReports(speeds, tokens)
 
 
+def bound_pool_reports(report: PoolReports) -> PoolReports:
+    """Return the report of one instance with no more weight than an instance has."""
+    bounded = {
+        upstream: bound_samples(samples, MAX_REPORTED_SAMPLES)
+        for upstream, samples in report.engine_speeds.items()
+    }
+    return PoolReports(bounded, report.team_tokens)
+
+
+def bound_samples(samples: SpeedSamples, max_count: int) -> SpeedSamples:
+    """Return samples of the same mean that count as at most `max_count`, bounded."""
+    if samples.count <= 0:
+        return SpeedSamples()
+    count = min(samples.count, max_count)
+    log_percent = samples.log_percent * count // samples.count
+    return SpeedSamples(count, limit_log_percent(log_percent, count))
+
+
+def limit_log_percent(log_percent: int, count: int) -> int:
+    """Return the sum of some logarithms, in hundredths, with their mean bounded."""
+    limit = MAX_LOG_PERCENT * count
+    return min(limit, max(-limit, log_percent))
+
+
 def subtract_pool_reports(total: PoolReports, local: PoolReports) -> PoolReports:
     """Return sums less what one instance reported."""
     tokens: TeamTokens = {}
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -23,6 +23,8 @@
     wait_s,
 )
 from .brittle_upstreams import BrittleUpstreams
+from .engine_speed import USUAL_SLOWNESS
+from .engine_speeds import update_speeds
 from .entry import UpstreamEntry, is_same_incarnation
 from .evacuation import Evacuations
 from .health import Verdict, median_failure_share
@@ -31,7 +33,7 @@
 from .limit_queue import LimitQueue
 from .notices import NoticeTable
 from .permitted import ANY_UPSTREAM, Permitted
-from .pool_reports import PoolReports, TeamTokens
+from .pool_reports import EngineSpeeds, PoolReports, SpeedSamples, TeamTokens
 from .prefix_updates import CachedPrefixes, PrefixUpdates
 from .rate_limits import RateLimits
 from .reachability import Unreachable
@@ -131,6 +133,8 @@
         if view is None:
             view = self.views[entry.id] = UpstreamView(entry)
             view.load.slowdown.is_used = self.settings.stated_slowdown
+            if restarted:
+                view.speed.begin_anew(self.clock.now())
             self.notices.restore(view)
             self.brittle.adopt(view)
             log_event(
@@ -235,12 +239,30 @@
             for pool, shares in self._team_shares.items()
             if (by_rank := shares.local_tokens(now))
         }
-        return PoolReports(team_tokens=tokens)
+        return PoolReports(self._speeds_to_report(now), tokens)
+
+    def _speeds_to_report(self, now: float) -> EngineSpeeds:
+        if not self.settings.engine_speeds:
+            return {}
+        return {
+            view.id: samples
+            for view in self.views.values()
+            if (samples := view.speed.to_report(now)).count
+        }
 
     def receive_reports(self, peers: PoolReports) -> None:
         """Record the sums of what all other instances report."""
         for pool in {*self._team_shares, *peers.team_tokens}:
             self.team_shares(pool).peers = peers.team_tokens.get(pool, {})
+        if self.settings.engine_speeds:
+            self._update_speeds(peers.engine_speeds)
+
+    def _update_speeds(self, peers: EngineSpeeds) -> None:
+        now, nothing = self.clock.now(), SpeedSamples()
+        for view in self.views.values():
+            view.speed.receive(peers.get(view.id, nothing), now)
+        for members in self._members.values():
+            update_speeds([view.speed for view in members.values()], now)
 
     def model(self, pool: PoolId) -> EngineModel:
         """Return the model of the speed of a pool's engines."""
@@ -251,6 +273,21 @@
         for pool, model in self._models.items():
             if model.gap_count:
                 log_event("engine_speed", pool=pool, **model.describe())
+        for view in self.differing_engines():
+            log_event(
+                "engine_differs",
+                upstream=view.id,
+                slowness=round(view.speed.slowness, 2),
+                **view.speed.describe(self.clock.now()),
+            )
+
+    def differing_engines(self) -> list[UpstreamView]:
+        """Return the engines that are faster or slower than usual in their pools."""
+        return [
+            view
+            for view in self.views.values()
+            if view.speed.slowness != USUAL_SLOWNESS
+        ]
 
     def reserved_engines(self, pool: PoolId) -> ReservedEngines:
         """Return the engines of a pool reserved for pause-sensitive streams."""
--- a/packages/buckthornwall/src/buckthornwall/pools/view.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/view.py
@@ -3,6 +3,7 @@
 from buckthornwall.utils import UpstreamId
 
 from .brittleness import Brittleness
+from .engine_speed import EngineSpeed
 from .entry import UpstreamEntry, UpstreamState
 from .health import Health
 from .load import Load
@@ -22,7 +23,8 @@
     `reachability` combines this instance's attempts with the reports of its peers.
     `rate_limit` holds the requests a second that the upstream accepts, and the end of
     its cold start, and `notices` what the upstream has stated about itself.
-    `brittleness` limits the requests to one that must not reject many.
+    `brittleness` limits the requests to one that must not reject many. `speed` is how
+    fast it is among the engines of its pool.
     """
 
     def __init__(self, entry: UpstreamEntry) -> None:
@@ -34,6 +36,7 @@
         self.rate_limit = RateLimit()
         self.notices = UpstreamNotices()
         self.brittleness = Brittleness()
+        self.speed = EngineSpeed()
 
     def cold_s(self, now: float) -> float:
         """Return how much longer its cold start lasts, in seconds."""
@@ -41,7 +44,7 @@
 
     def slowness(self, now: float) -> float:
         """Return how long work takes there, relative to the pool's usual upstream."""
-        return self.load.slowdown.value(now)
+        return self.load.slowdown.value(now) * self.speed.slowness
 
     @property
     def is_leaving(self) -> bool:
--- a/packages/buckthornwall/src/buckthornwall/router/operators.py
+++ b/packages/buckthornwall/src/buckthornwall/router/operators.py
@@ -56,6 +56,14 @@
             "Upstreams that take only so many requests a second.",
             sum(1 for view in views if view.rate_limit.advertises_limit),
         ),
+        "upstreams_differing": (
+            "Engines that are faster or slower than usual in their pools.",
+            len(router.pools.differing_engines()),
+        ),
+        "upstream_slowness_max": (
+            "How long work takes at the slowest engine, relative to the usual one.",
+            max((view.speed.slowness for view in views), default=1.0),
+        ),
         "upstreams_leaving": (
             "Upstreams that leave, by their registration or their own answers.",
             sum(1 for view in views if view.is_leaving),
