--- a/packages/buckthornwall/src/buckthornwall/pools/settings.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/settings.py
@@ -22,7 +22,8 @@
     prefill_owners = ConfigItem(
         True,
         "Let one instance at a time prefill long prompts at an engine reserved for "
-        "pause-sensitive streams, where many instances share a pool.",
+        "pause-sensitive streams, and reserve engines ahead of a jump of these, where "
+        "many instances share a pool.",
     )
     prefill_admission = ConfigItem(
         True,
