--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_competing_streams.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_competing_streams.py
@@ -16,7 +16,7 @@
 # Of streams whose engine does not fail, one in twenty may pause for too long: callers
 # take a route for broken if more do.
 MAX_LONG_PAUSES = 0.05
-# With engines of unknown speeds, of which a third are slow: four in five are good.
+# With engines of unknown speeds, of which a third are slow, three in four are served.
 MIN_UNEQUAL_IN_TIME = 0.75
 # While the streams come five times as often, most callers are still served in time.
 MIN_JUMP_IN_TIME = 0.75
@@ -32,10 +32,7 @@
 
 @pytest.mark.parametrize("seed", [1, 2])
 def test_herd_of_instances_does_not_pause_streams(seed):
-    """Instances that saw room 0.3 s ago all sent long prompts to reserved engines.
-
-    Of the streams of the first nine seconds 0.14 to 0.17 then paused for too long.
-    """
+    """Instances that saw room 0.3 s ago all sent long prompts to reserved engines."""
     simulation = simulate_competing(ALIKE, REPORT_AGE_S, seed, 9.0, ENGINES, INSTANCES)
     streams = streams_of(simulation, 0.0, 9.0)
     paused = [
@@ -45,7 +42,7 @@
 
 
 def test_streams_before_unequal_engines_are_in_time():
-    """Mean of two seeds: it was 0.52."""
+    """Mean of two seeds, as single ones differ."""
     shares = []
     for seed in (1, 2):
         simulation = simulate_competing(
