Look for the speaker again soon after a start

Lookups now begin 0.05 s apart and double up to the 0.5 s of before; an instance without state does not go over to the slow interval.

--- a/packages/buckthornwall/src/buckthornwall/peers/speaker_lookup.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/speaker_lookup.py
@@ -12,6 +12,10 @@
 __all__ = ["LOOKUP_INTERVAL_S", "SpeakerLookup"]
 
 LOOKUP_INTERVAL_S = 0.5
+# Seeds that start at the same time may not receive the first lookup, and until an
+# instance finds its speaker it cannot serve, or serves by no knowledge at all. Lookups
+# start with this interval, a few round trips, which doubles up to the one above.
+FIRST_LOOKUP_INTERVAL_S = 0.05
 # A speaker that knows others still looks for unknown groups at this interval.
 SLOW_LOOKUP_INTERVAL_S = 2.0
 UNKNOWN_AGE_MS = 1_000_000_000
@@ -54,14 +58,17 @@
 
         A speaker continues, since another group may not know of this one.
         """
+        interval_s = FIRST_LOOKUP_INTERVAL_S
         while True:
-            now = self.clock.now()
-            is_speaker = self.table.is_speaker(now)
-            if is_speaker and self.make_beacon().state is not PeerState.LEAVING:
+            is_speaker = self.table.is_speaker(self.clock.now())
+            state = self.make_beacon().state
+            if is_speaker and state is not PeerState.LEAVING:
                 await self._query_seeds()
+            is_new = interval_s < LOOKUP_INTERVAL_S or state is PeerState.JOINING
             knows_others = self.table.members or self.table.zones
-            is_slow = not is_speaker or knows_others
-            await trio.sleep(SLOW_LOOKUP_INTERVAL_S if is_slow else LOOKUP_INTERVAL_S)
+            is_slow = not is_speaker or (knows_others and not is_new)
+            await trio.sleep(SLOW_LOOKUP_INTERVAL_S if is_slow else interval_s)
+            interval_s = min(LOOKUP_INTERVAL_S, 2 * interval_s)
 
     async def _query_seeds(self) -> None:
         port = self.table.address.rpartition(":")[2]
