Leave the first read of instances that start together to their speakers

After a loss of all 86 instances with a configuration of 1,605 routes, each of them read all of it from the store at once: 0.6 to 0.9 s until ready, on links of 10 Mbit/s and behind one link of the store, while views of peers, compressed to a tenth, had to share the link. 351 requests were refused as not ready (trial on code untouched, log of all instances). Imports, the listener and readiness were ruled out: instances listened from their start on.

An instance that starts now waits 0.16 s for a speaker to be found and 0.4 s for the speaker's read before it reads itself; takes a view of any peer as soon as one has a state, also while it reads, and ends that read; and reports at once when it has its first state. A request is held up to 0.75 s while no instance is known to serve, 0.25 s as before otherwise, and never more than half of its client's time.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
@@ -1,5 +1,6 @@
 """A simulated instance: the product's peers, discovery and state synchronisation."""
 
+import math
 from typing import TYPE_CHECKING
 
 import trio
@@ -71,6 +72,8 @@
             await trio.sleep(STORE_TIMEOUT_S)
             raise PeerError(ResultCode.PLATFORM_UNREACHABLE, "no answer in time")
         await trio.sleep(STORE_DELAY_S)
+        if is_snapshot:
+            await trio.sleep(self.simulation.snapshot_s(self.address))
         position = self.simulation.position
         return StoreUpdate(
             position.revision,
@@ -97,6 +100,8 @@
     ----------
     max_lag_s : float
         Longest time for which the store held a newer change than the one in force here.
+    ready_at : float
+        When this instance had its first configuration, in seconds.
     """
 
     def __init__(self, simulation: "PeersSimulation", address: str, zone: str) -> None:
@@ -106,6 +111,7 @@
         self.zone = ZoneId(zone)
         self.state = PeerState.JOINING
         self.max_lag_s = 0.0
+        self.ready_at = math.inf
         self.cancel_scope = trio.CancelScope()
         self.source = SimUpdateSource(simulation, address)
         self.pools = PoolTable(self.clock)
@@ -117,7 +123,11 @@
             self.pools,
             self.clock,
         )
-        settings = PeerSettings(listen=address, seeds=simulation.seeds)
+        settings = PeerSettings(
+            listen=address,
+            seeds=simulation.seeds,
+            weight=simulation.weights.get(address, 1.0),
+        )
         self.fleet_memory = FleetMemory(simulation.zones, self.clock.now())
         self.quarantine = QuarantineTable(QuarantineSettings())
         self.agent = PeerAgent(
@@ -128,6 +138,9 @@
         self.state_sync = StateSync(
             self.discovery, self.agent.table, self.make_beacon, views, self.clock
         )
+        self.state_sync.has_seeds = lambda: any(
+            seed != address for seed in simulation.seeds
+        )
         self.discovery.may_read = self.state_sync.may_read
         self.discovery.on_change = self._on_update_adopted
         self.agent.on_work = self._apply_peer_work
@@ -138,6 +151,8 @@
     def _on_update_adopted(self) -> None:
         if self.state is PeerState.JOINING:
             self.state = PeerState.READY
+            self.ready_at = self.clock.now()
+            self.agent.report_soon()
         self.update_shares()
 
     def update_shares(self) -> None:
@@ -164,7 +179,7 @@
             node=NodeId(self.address),
             incarnation=Incarnation(id(self)),
             address=self.address,
-            weight=1.0,
+            weight=self.agent.settings.weight,
             zone=self.zone,
             state=self.state,
             config_number=self.discovery.table.number,
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/simulation.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/simulation.py
@@ -50,6 +50,11 @@
         The store's position.
     without_store : set of str
         Addresses of instances that get no answer from the store.
+    weights : dict
+        Weights of instances by address, 1 if missing.
+    snapshot_s
+        Returns how long the link of an instance takes for all that the store holds, by
+        its address, in seconds.
     seeds : list of str
         Addresses of the instances that a starting instance asks for its speaker.
     make_loads, make_cached_prefixes, make_rank_tokens
@@ -76,6 +81,8 @@
         self.make_cached_prefixes: Callable[[str], CachedPrefixes] = lambda address: {}
         self.make_rank_tokens: Callable[[str], RankTokens] = lambda address: {}
         self.without_store: set[str] = set()
+        self.weights: dict[str, float] = {}
+        self.snapshot_s: Callable[[str], float] = lambda address: 0.0
         self.entries: dict[UpstreamId, UpstreamEntry] = {}
         self.removed: set[UpstreamId] = set()
         self.zones: list[ZoneId] = []
@@ -180,5 +187,7 @@
                 for peer in self.peers.values()
                 if peer.zone == zone and peer.is_speaker
             ),
-            key=lambda peer: election_priority(peer.address, 1.0),
+            key=lambda peer: election_priority(
+                peer.address, peer.agent.settings.weight
+            ),
         )
--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -28,6 +28,8 @@
 RETRY_FIRST_S = 0.05
 RETRY_LIMIT_S = 0.5
 POLL_S = 0.1
+# The same before the first state, when requests wait for it.
+FIRST_POLL_S = 0.02
 MS_PER_S = 1000.0
 # The uptime is unknown if the last answer is older than the longest watch by more than
 # this: an instance that was paused or cut off may not have noticed an outage yet.
@@ -117,6 +119,7 @@
         self.may_read: Callable[[], bool] = lambda: True
         self.on_call: Callable[[float, str], None] = lambda seconds, outcome: None
         self.deferral = Deferral()
+        self._read_scope = trio.CancelScope()
 
     async def run(self) -> None:
         """Read and watch the source until cancelled."""
@@ -125,8 +128,10 @@
         while True:
             await self._wait_until_reader()
             started = self.clock.now()
+            update = None
             try:
-                update = await self._read_next(needs_snapshot)
+                with trio.CancelScope() as self._read_scope:
+                    update = await self._read_next(needs_snapshot)
             except HistoryLost:
                 self.on_call(self.clock.now() - started, "history_lost")
                 log_event("history_lost", "WARNING", **self._describe_position())
@@ -137,6 +142,9 @@
                 self.record_failure(error)
                 await trio.sleep(backoff.next_delay())
                 continue
+            if update is None:
+                self.on_call(self.clock.now() - started, "superseded")
+                continue
             self.on_call(self.clock.now() - started, "answered")
             self.record_answer()
             backoff.reset()
@@ -154,7 +162,7 @@
             # Removals deferred while this instance read still apply; otherwise it would
             # try ended upstreams for seconds longer than readers do.
             self.remove_deferred()
-            await trio.sleep(POLL_S)
+            await trio.sleep(POLL_S if self.has_adopted else FIRST_POLL_S)
         self.answered_at = self._store_up_since = self.clock.now()
 
     async def _read_next(self, needs_snapshot: bool) -> StoreUpdate:
@@ -197,6 +205,9 @@
 
     def adopt(self, update: StoreUpdate) -> None:
         """Apply an update to routes, upstreams and zones."""
+        if update.is_relayed and not self.has_adopted:
+            # The rest of a first read would only delay callers on a slow link.
+            self._read_scope.cancel()
         if update.published is not None:
             self._adopt_published(update.published)
         if not self._is_older(update):
--- a/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
@@ -379,3 +379,30 @@
     agent.adopt(in_era(0, 12, entry("a", LEAVING)))
     assert agent.position == at(12)
     assert usable(agent) == set()
+
+
+class NeverAnswers:
+    """A store behind a link that is too slow for a complete read."""
+
+    async def read_all(self):
+        await trio.sleep_forever()
+
+
+async def test_first_read_ends_once_a_view_has_its_content(autojump_clock, nursery):
+    """Its rest took a slow link for 0.5 s more, while callers waited."""
+    pools, table = PoolTable(TrioClock()), RoutingTable()
+    agent = DiscoveryAgent(
+        DiscoverySettings(), NeverAnswers(), decode, table, pools, TrioClock()
+    )
+    outcomes = []
+    agent.on_call = lambda seconds, outcome: outcomes.append(outcome)
+    nursery.start_soon(agent.run)
+    await trio.sleep(0.1)
+    agent.may_read = lambda: False
+    agent.adopt(
+        replace(update(1, "a", is_snapshot=True, published=b"1"), is_relayed=True)
+    )
+    await trio.sleep(0.1)
+    assert outcomes == ["superseded"]
+    assert usable(agent) == {"a"}
+    nursery.cancel_scope.cancel()
--- a/packages/buckthornwall/src/buckthornwall/peers/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/agent.py
@@ -169,6 +169,7 @@
             lambda: settings.seeds, self.table, make_beacon, self._send, clock
         )
         self._was_speaker = False
+        self._is_report_due = trio.Event()
         self._socket: SocketType | None = None
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -200,6 +201,15 @@
         await self._send_speaker_reports(local_beacon, now)
         self.on_work()
 
+    def report_soon(self) -> None:
+        """Send the next reports without waiting for their interval.
+
+        Peers that start at the same time wait for a state that this instance now has.
+        """
+        for recipients in (self.speaker_recipients, self.member_recipients):
+            recipients.pacing.reset(self.clock.now())
+        self._is_report_due.set()
+
     async def _send_crash_reports(self, speaker: str | None, now: float) -> None:
         """Send the crash reports that are due."""
         for address, reports in self.crash_exchange.due(
@@ -283,7 +293,9 @@
                 if self._was_speaker
                 else self.settings.beacon_ms
             )
-            await trio.sleep(interval_ms / MS_PER_S)
+            with trio.move_on_after(interval_ms / MS_PER_S):
+                await self._is_report_due.wait()
+            self._is_report_due = trio.Event()
 
     async def _send(self, data: bytes, address: str) -> None:
         host, _, port = address.rpartition(":")
--- a/packages/buckthornwall/src/buckthornwall/router/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/router/__init__.py
@@ -2,6 +2,7 @@
 
 =================== ======================================================
 `core`              the components of one instance, and how they are connected
+`first_read`        what an instance that has just started waits for
 `state_sync`        when the store is read, and when a peer's view is fetched
 `staleness_monitor` log lines when the speaker's digest is overdue
 `operators`         metrics and status for operators
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -45,6 +45,7 @@
     new_id,
 )
 
+from .first_read import HOLD_REVIEW_S, max_hold_s
 from .operators import answer_operator
 from .relay_handler import accept_relayed
 from .staleness_monitor import StalenessMonitor
@@ -56,9 +57,6 @@
 HOUSEKEEPING_INTERVAL_S = 0.5
 # Interval between log lines on the estimated speed of engines.
 SPEED_LOG_INTERVAL_S = 5.0
-# A request that arrives before the first configuration waits for it this long, and is
-# then refused as not run: it is read sooner than a refused caller would retry.
-MAX_FIRST_CONFIG_WAIT_S = 0.25
 # A starting instance holds requests until a peer has reported which ones crash
 # upstreams, but no longer than this.
 MAX_CRASH_SYNC_WAIT_S = 0.5
@@ -138,6 +136,7 @@
         self.state_sync = StateSync(
             self.discovery, self.peers, self._make_beacon, ViewClient(), clock
         )
+        self.state_sync.has_seeds = self._has_seeds
         self.staleness_monitor = StalenessMonitor(self.peers, self.table)
         self.callers = HttpServer(clock, self._caller_limits, self._handle_caller)
         self.operators = HttpServer(
@@ -280,6 +279,13 @@
         self.pools.brittle.receive(self.peers.totals.brittle(local, now))
         self.pools.notices.receive(self.peers.totals.leaving(local, now))
 
+    def _has_seeds(self) -> bool:
+        """Return whether the settings name another instance to contact."""
+        local_ip = self.settings.peers.listen.rpartition(":")[0]
+        return any(
+            seed.partition(":")[0] != local_ip for seed in self.settings.peers.seeds
+        )
+
     def _count_store_call(self, seconds: float, outcome: str) -> None:
         self.metrics.store_call.add({"outcome": outcome}, seconds)
 
@@ -289,6 +295,7 @@
             self.state = PeerState.READY
             self.ready_at = self.clock.now()
             self.first_config.set()
+            self.peer_agent.report_soon()
             log_event(
                 "ready",
                 number=self.table.number,
@@ -328,11 +335,21 @@
             await self.forwarder.refuse_draining(request, answer)
             return
         if not self.table.number:
-            with trio.move_on_after(MAX_FIRST_CONFIG_WAIT_S):
-                await self.first_config.wait()
+            await self._wait_for_first_config(request.client_timeout_s)
         await self._wait_for_crash_sync()
         await self.forwarder.forward(request, answer)
 
+    async def _wait_for_first_config(self, client_timeout_s: float | None) -> None:
+        """Hold a request until the first configuration, while that is worth it."""
+        began_at = self.clock.now()
+        while not self.table.number:
+            limit_s = max_hold_s(self.fleet().count, client_timeout_s)
+            left_s = began_at + limit_s - self.clock.now()
+            if left_s <= 0:
+                return
+            with trio.move_on_after(min(left_s, HOLD_REVIEW_S)):
+                await self.first_config.wait()
+
     async def _wait_for_crash_sync(self) -> None:
         """Wait for the crash reports of peers if this instance has just started."""
         until = self.ready_at + MAX_CRASH_SYNC_WAIT_S
--- a/packages/buckthornwall/src/buckthornwall/router/state_sync.py
+++ b/packages/buckthornwall/src/buckthornwall/router/state_sync.py
@@ -19,11 +19,15 @@
 from buckthornwall.telemetry import log_event
 from buckthornwall.utils import Clock, StorePosition
 
+from .first_read import FirstRead, is_left_to_peers
+
 __all__ = ["StateSync"]
 
 MS_PER_S = 1000.0
 # Interval between checks whether a peer has newer state.
 POLL_INTERVAL_S = 0.1
+# The same before the first state, when requests wait for it.
+JOINING_POLL_INTERVAL_S = 0.02
 # An instance that reads the store itself fetches a peer's view only if its own watch
 # should have returned the changes long before.
 MAX_READER_LAG_S = 0.8
@@ -77,6 +81,8 @@
         self.views = views
         self.clock = clock
         self.max_read_age_ms = MAX_READ_AGE_MS + random.uniform(0, READ_AGE_JITTER_MS)
+        self.has_seeds: Callable[[], bool] = lambda: False
+        self._started_at = clock.now()
         self._stale_since: float | None = None
         self._view_failed = False
 
@@ -87,17 +93,33 @@
         watches by every instance would be most of the calls to the store.
         """
         now = self.clock.now()
-        if self.peers.is_speaker(now) or self._view_failed:
+        if self._view_failed:
+            return True
+        if is_left_to_peers(self._first_read(now)):
+            return False
+        if self.peers.is_speaker(now):
             return True
         staleness_s = self.peers.staleness_s(now)
         read_age_ms = self._fleet().read_age_ms + staleness_s * MS_PER_S
         return read_age_ms > self.max_read_age_ms or staleness_s > MAX_DIGEST_AGE_S
 
+    def _first_read(self, now: float) -> FirstRead:
+        return FirstRead(
+            age_s=now - self._started_at,
+            has_state=self.discovery.has_adopted,
+            has_seeds=self.has_seeds(),
+            is_speaker=self.peers.is_speaker(now),
+        )
+
     async def run(self) -> None:
         """Fetch newer state from peers until cancelled."""
         while True:
             slept_at = self.clock.now()
-            await trio.sleep(POLL_INTERVAL_S)
+            await trio.sleep(
+                POLL_INTERVAL_S
+                if self.discovery.has_adopted
+                else JOINING_POLL_INTERVAL_S
+            )
             fleet = self._fleet()
             # After a freeze, messages that were sent before it may still be queued.
             if self.clock.now() - slept_at < MAX_POLL_S:
@@ -134,6 +156,8 @@
         now = self.clock.now()
         if self._stale_since is None:
             self._stale_since = now
+        if not self.discovery.has_adopted:
+            return True  # whichever of the read and the view comes first is used
         reads = self.may_read() and not self.discovery.is_store_unavailable
         return not reads or now - self._stale_since > MAX_READER_LAG_S
 
