Reserve engines for a first stream of each instance that starts

After a loss of all 86 instances 74 of the first 85 streams that may hardly pause went to one engine: each instance knew only its own stream, which one reserved engine holds, and that is the same one everywhere. Wrong homes of prompts were ruled out: these are the engines that instances had before.

Where no peer has reported work and a stream of each known instance does not fit one reserved engine, engines are reserved for that many streams; it fades like all demand. [pools] start_demand switches it off.

--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -30,6 +30,7 @@
 `view`              all of these for one upstream
 `table`             views by upstream; adopts registrations
 `reserved`          engines reserved for pause-sensitive streams
+`start_demand`      streams expected when all instances have just started
 `placement`         choice of an upstream for a request
 `pool_reports`      what instances report to each other about pools under load
 `team_shares`       fair shares of teams in the work that a pool admits
--- a/packages/buckthornwall/src/buckthornwall/pools/reserved.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/reserved.py
@@ -128,6 +128,11 @@
         self._event_tokens = tokens_per_event
         self._pauses = sorted(pauses)
 
+    def assume_demand(self, streams: float, now: float) -> None:
+        """Expect at least this many streams at first, where any are pause-sensitive."""
+        if math.isfinite(self.max_pause_s) and streams > self._demand:
+            self._demand, self._demand_at = streams, now
+
     @property
     def max_pause_s(self) -> float:
         """Lowest pause limit of pause-sensitive streams, in seconds.
--- a/packages/buckthornwall/src/buckthornwall/pools/settings.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/settings.py
@@ -31,3 +31,7 @@
     team_shares = ConfigItem(
         True, "Refuse teams beyond their fair share first, where a pool is overloaded."
     )
+    start_demand = ConfigItem(
+        True,
+        "Reserve engines for a stream of each instance, where many start together.",
+    )
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -39,6 +39,7 @@
 from .reserved import ReservedEngines
 from .settings import PoolSettings
 from .software_versions import SoftwareVersions
+from .start_demand import assumed_streams
 from .team_shares import TeamShares
 from .view import UpstreamView
 from .wait_calibration import WaitCalibration
@@ -258,6 +259,14 @@
             self._reserved_engines[pool] = ReservedEngines(pool, self.model(pool))
         return self._reserved_engines[pool]
 
+    def assume_start_demand(self, instances: int) -> None:
+        """Reserve engines as if each of the known instances had a stream already."""
+        if not self.settings.start_demand:
+            return
+        for pool, reserved in self._reserved_engines.items():
+            streams = assumed_streams(list(self.members(pool)), instances)
+            reserved.assume_demand(streams, self.clock.now())
+
     def set_contracts(
         self, pools: Iterable[Pool], routes: Iterable[RequestRoute]
     ) -> None:
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -298,6 +298,7 @@
             held = self.first_config.statistics().tasks_waiting
             self.first_config.set()
             self.peer_agent.report_soon()
+            self.pools.assume_start_demand(self._known_instances())
             log_event(
                 "ready",
                 number=self.table.number,
