--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -37,6 +37,7 @@
 `prefill_owners`    owner and prefill budget of each reserved engine
 `recent_prefill`    prompt tokens that this instance sent to an engine recently
 `owned_prefill`     engines that long prompts may go to under owners
+`start_demand`      streams expected when all instances have just started
 `placement`         choice of an upstream for a request
 `pool_reports`      what instances report to each other about pools under load
 `team_shares`       fair shares of teams in the work that a pool admits
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -17,6 +17,7 @@
     PeerAgent,
     PeerState,
     ViewClient,
+    ViewEncoder,
     answer_view,
     outstanding_work,
     relay_candidates,
@@ -45,6 +46,7 @@
     new_id,
 )
 
+from .first_read import HOLD_REVIEW_S, has_other_seeds, max_hold_s
 from .operators import answer_operator
 from .relay_handler import accept_relayed
 from .staleness_monitor import StalenessMonitor
@@ -56,9 +58,6 @@
 HOUSEKEEPING_INTERVAL_S = 0.5
 # Interval between log lines on the estimated speed of engines.
 SPEED_LOG_INTERVAL_S = 5.0
-# A request that arrives before the first configuration waits for it this long, and is
-# then refused as not run: it is read sooner than a refused caller would retry.
-MAX_FIRST_CONFIG_WAIT_S = 0.25
 # A starting instance holds requests until a peer has reported which ones crash
 # upstreams, but no longer than this.
 MAX_CRASH_SYNC_WAIT_S = 0.5
@@ -89,6 +88,7 @@
         self.early_listeners = EarlyListeners()
         self.first_config = trio.Event()
         self.is_listening = False
+        self.built_at = clock.now()
         self.ready_at = float("-inf")
         self.stopping = trio.Event()
         self.refuses_requests = False
@@ -138,6 +138,8 @@
         self.state_sync = StateSync(
             self.discovery, self.peers, self._make_beacon, ViewClient(), clock
         )
+        self.encode_view = ViewEncoder(clock)
+        self.state_sync.has_seeds = lambda: has_other_seeds(settings.peers)
         self.staleness_monitor = StalenessMonitor(self.peers, self.table)
         self.callers = HttpServer(clock, self._caller_limits, self._handle_caller)
         self.operators = HttpServer(
@@ -281,6 +283,11 @@
         self.pools.brittle.receive(self.peers.totals.brittle(local, now))
         self.pools.notices.receive(self.peers.totals.leaving(local, now))
 
+    def _known_instances(self) -> int:
+        """Return about how many instances there are, starting ones included."""
+        zones = max(1, len(self.settings.node.region_by_zone()))
+        return zones * self.peers.zone_size()
+
     def _count_store_call(self, seconds: float, outcome: str) -> None:
         self.metrics.store_call.add({"outcome": outcome}, seconds)
 
@@ -289,11 +296,17 @@
         if self.state is PeerState.JOINING and self.table.number:
             self.state = PeerState.READY
             self.ready_at = self.clock.now()
+            held = self.first_config.statistics().tasks_waiting
             self.first_config.set()
+            self.peer_agent.report_soon()
+            self.pools.assume_start_demand(self._known_instances())
             log_event(
                 "ready",
                 number=self.table.number,
                 upstreams=len(self.pools.views),
+                after_ms=round((self.ready_at - self.built_at) * 1000),
+                is_from_peer=self.discovery.read_at == float("-inf"),
+                held=held,
             )
 
     # Listeners
@@ -329,11 +342,22 @@
             await self.forwarder.refuse_draining(request, answer)
             return
         if not self.table.number:
-            with trio.move_on_after(MAX_FIRST_CONFIG_WAIT_S):
-                await self.first_config.wait()
+            await self._wait_for_first_config(request.client_timeout_s)
         await self._wait_for_crash_sync()
         await self.forwarder.forward(request, answer)
 
+    async def _wait_for_first_config(self, client_timeout_s: float | None) -> None:
+        """Hold a request until the first configuration, while that is worth it."""
+        began_at = self.clock.now()
+        while not self.table.number:
+            serving, known = self.fleet().count, self._known_instances()
+            limit_s = max_hold_s(serving, known, client_timeout_s)
+            left_s = began_at + limit_s - self.clock.now()
+            if left_s <= 0:
+                return
+            with trio.move_on_after(min(left_s, HOLD_REVIEW_S)):
+                await self.first_config.wait()
+
     async def _wait_for_crash_sync(self) -> None:
         """Wait for the crash reports of peers if this instance has just started."""
         until = self.ready_at + MAX_CRASH_SYNC_WAIT_S
@@ -357,7 +381,13 @@
                 await self._wait_for_crash_sync()
                 await self.forwarder.forward(request, answer)
             return
-        await answer_view(incoming, answer, self.state_sync.view(), self.table.number)
+        await answer_view(
+            incoming,
+            answer,
+            self.state_sync.view(),
+            self.table.number,
+            self.encode_view,
+        )
 
     async def _handle_operator(
         self, incoming: IncomingRequest, answer: ResponseWriter
