Give reserved engines owners only where long prompts fit into their budget

Cause: where pauses are so short that the budget holds less than one and a half prefill steps, reserved engines were closed to nearly all prompts. With the condition its reserved engines are shared as before.

--- a/packages/buckthornwall/src/buckthornwall/pools/owned_prefill.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/owned_prefill.py
@@ -15,8 +15,13 @@
 
 def has_owners(pools: PoolTable, pool: PoolId) -> bool:
     """Return whether the reserved engines of a pool have owners."""
-    return pools.settings.prefill_owners and pools.prefill_owners.are_needed(
-        len(pools.members(pool))
+    if not pools.settings.prefill_owners:
+        return False
+    if not pools.prefill_owners.are_needed(len(pools.members(pool))):
+        return False
+    reserved = pools.reserved_engines(pool)
+    return PrefillBudget.holds_prompts(
+        pools.model(pool), reserved.tokens_per_event, reserved.min_pause_s
     )
 
 
--- a/packages/buckthornwall/src/buckthornwall/pools/prefill_owners.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/prefill_owners.py
@@ -24,6 +24,10 @@
 # steps of one event may take. The other half is for the prompts of the streams, whose
 # arrival reports show too late, and for steps that are longer than usual.
 BUDGET_PAUSE_SHARE = 0.5
+# With a budget of fewer prefill steps than this an owner could send only prompts of
+# less than a chunk: the engine would be closed to nearly all, and the others would have
+# to bear what it could.
+MIN_BUDGET_STEPS = 1.5
 
 
 class PrefillOwners:
@@ -106,6 +110,22 @@
         prefill_s = window_s - tokens_per_event * model.decode_step_s
         return cls(max(0.0, prefill_s * model.tokens_per_s), window_s)
 
+    @classmethod
+    def holds_prompts(
+        cls,
+        model: EngineModel,
+        tokens_per_event: int,
+        max_pause_s: float,
+    ) -> bool:
+        """Return whether long prompts fit into the budget of a pool's usual engine.
+
+        Parameters are those of `of`.
+        """
+        budget = cls.of(model, tokens_per_event, max_pause_s)
+        return budget.tokens >= MIN_BUDGET_STEPS * (
+            model.prefill_step_s * model.tokens_per_s
+        )
+
     def allows(
         self, tokens: int, recent: RecentPrefill, pending: int, now: float
     ) -> bool:
--- a/packages/buckthornwall/src/buckthornwall/pools/reserved.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/reserved.py
@@ -139,7 +139,7 @@
         self._reserved: set[UpstreamId] = set()
         self._logged: set[UpstreamId] = set()
         self._logged_at = -math.inf
-        self._event_tokens = 0
+        self.tokens_per_event = 0
         self._pauses: list[float] = []
         self._min_seen_pause_s = math.inf
         self._ordered_ids: list[UpstreamId] = []
@@ -147,7 +147,7 @@
 
     def set_contracts(self, tokens_per_event: int, pauses: Iterable[float]) -> None:
         """Set the longest pauses that streams of this pool allow, in seconds."""
-        self._event_tokens = tokens_per_event
+        self.tokens_per_event = tokens_per_event
         self._pauses = sorted(pauses)
 
     def assume_demand(self, streams: float, now: float) -> None:
@@ -171,7 +171,7 @@
         instances sees a pause-sensitive stream only every few seconds, and before its
         first one it would send long prompts to the reserved engines.
         """
-        event_s = self._event_tokens * self.model.p90_prefill_step_s
+        event_s = self.tokens_per_event * self.model.p90_prefill_step_s
         min_pause_s = next(iter(self._pauses), math.inf)
         if event_s <= SAFE_PAUSE_SHARE * min_pause_s:
             min_pause_s = math.inf
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_prefill_owners.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_prefill_owners.py
@@ -158,6 +158,18 @@
     assert budget.tokens == 0
 
 
+@pytest.mark.parametrize(
+    ("tokens_per_event", "max_pause_s", "expected"),
+    [(7, 0.3, True), (5, 0.25, True), (5, 0.15, False), (3, 0.12, False)],
+)
+def test_pool_whose_pauses_leave_no_prompt_any_room_has_no_owners(
+    tokens_per_event, max_pause_s, expected
+):
+    """Its reserved engines would be closed, and the others bear what they could."""
+    model = EngineModel()
+    assert PrefillBudget.holds_prompts(model, tokens_per_event, max_pause_s) is expected
+
+
 def test_streams_without_a_pause_limit_allow_any_prompt():
     budget = PrefillBudget.of(EngineModel(), 5, math.inf)
     assert budget.allows(10**7, RecentPrefill(), 10**7, 0.0)
