--- a/packages/buckthornwall/src/buckthornwall/quarantine/tests/test_crash_history.py
+++ b/packages/buckthornwall/src/buckthornwall/quarantine/tests/test_crash_history.py
@@ -41,6 +41,23 @@
     assert outcome.sound_refused <= MAX_REFUSED_SHARE * outcome.sound_sent
 
 
+def test_part_that_crashes_from_the_first_request_reaches_one_engine_too_many():
+    """Ten crashing requests a second, from the start on, reach four engines late."""
+    load = Load(
+        instances=6,
+        engines=12,
+        parts=5,
+        crashing_from_s=0.0,
+        bad_per_s=10.0,
+        bad_place=0,
+        sound_per_s=5.0,
+        sessions=5,
+        first_event_s=0.5,
+    )
+    outcome = CrashHistory(load, seed=2**32 - 1).play()
+    assert max(map(outcome.late, outcome.sent)) <= MAX_LATE
+
+
 @pytest.mark.parametrize(
     "ends",
     [
