Take an engine as fast only from many samples

Cause: parts of chunks look like whole chunks of a fast engine.

Faster engines are weighed against 16 samples of the usual speed, slower ones against 4 as before.

--- a/packages/buckthornwall/src/buckthornwall/pools/engine_speed.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/engine_speed.py
@@ -35,8 +35,11 @@
 MAX_REPORT_GAP_S = 1.0
 # All other instances together count as at most this many samples in one report.
 MAX_PEER_SAMPLES = 500
-# Weight of the usual speed, in samples.
+# Weight of the usual speed, in samples, against a slower and a faster one. Parts of
+# chunks look like whole chunks of a fast engine; nothing looks like those of a slow
+# one.
 PRIOR_SAMPLES = 4
+PRIOR_SAMPLES_IF_FAST = 16
 # An engine is compared with the others from this many samples on. Fewer may be of one
 # moment: a partial chunk, or a disturbance that no statement told in time.
 MIN_SAMPLES = 8
@@ -75,7 +78,7 @@
         self._peers_from = -math.inf
         self._seconds: deque[_Second] = deque(maxlen=WINDOW_S)
         self._mean_log: float | None = None
-        self._weight = 0.0
+        self._count = 0.0
         self._sampled_at = -math.inf
 
     def begin_anew(self, now: float) -> None:
@@ -127,7 +130,7 @@
         count = local.count + self._peer_count
         if count >= MIN_SAMPLES:
             self._mean_log = (local.log_percent / 100 + self._peer_log) / count
-            self._weight = count / (count + PRIOR_SAMPLES)
+            self._count = count
             self._sampled_at = now
         elif not 0 <= now - self._sampled_at <= HOLD_S:
             self._mean_log = None
@@ -146,4 +149,6 @@
         if self._mean_log is None:
             return 0.0
         limit = MAX_LOG_PERCENT / 100
-        return self._weight * min(limit, max(-limit, self._mean_log - usual_log))
+        log = min(limit, max(-limit, self._mean_log - usual_log))
+        prior = PRIOR_SAMPLES if log > 0 else PRIOR_SAMPLES_IF_FAST
+        return log * self._count / (self._count + prior)
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_engine_speeds.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_engine_speeds.py
@@ -17,6 +17,8 @@
     subtract_pool_reports,
     sum_pool_reports,
 )
+from buckthornwall.pools.engine_speed import EngineSpeed
+from buckthornwall.pools.engine_speeds import update_speeds
 
 from .helpers import POOL, adopt, choose, prompt
 
@@ -242,3 +244,18 @@
     view = table.views["a"]
     clock.time += 5.0  # statements have lost their meaning
     assert view.slowness(clock.now()) == pytest.approx(1 / 0.6, rel=0.2)
+
+
+def test_few_parts_of_chunks_do_not_make_an_engine_fast():
+    partial, whole = EngineSpeed(), [EngineSpeed() for _ in range(4)]
+    for _ in range(8):
+        partial.record(0.6, 100.0)
+        for speed in whole:
+            speed.record(1.0, 100.0)
+    update_speeds([partial, *whole], 100.0)
+    assert partial.slowness == 1.0
+    for second in range(1, 9):
+        for _ in range(8):
+            partial.record(0.6, 100.0 + second)
+    update_speeds([partial, *whole], 108.0)
+    assert partial.slowness < 0.75
