Reserve a share of what engines can do, not of their number

Cause: the fastest engines are reserved first, and a third of 45 engines of three speeds was half of what the pool can do, closed to nearly all reviews. Engines now count by their relative speed, both what they hold and what share of the pool they are; for alike engines nothing changes.

--- a/packages/buckthornwall/src/buckthornwall/pools/reserved.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/reserved.py
@@ -36,7 +36,7 @@
 MAX_UTILIZATION = 0.75
 # Less demand, in streams, is only the tail of the exponential decay.
 MIN_DEMAND = 0.02
-# At most this share of a pool is reserved.
+# At most this share of what the engines of a pool can do is reserved.
 MAX_RESERVED_SHARE = 1 / 3
 # Time constant with which demand decays, so that the reserved set does not flap.
 DEMAND_DECAY_S = 5.0
@@ -115,6 +115,21 @@
         return free or everywhere
 
 
+def _reserved_size(speeds: list[float], needed: float) -> int:
+    """Return how many engines to reserve, in the order of their relative speeds.
+
+    Fast engines hold more streams, as these end sooner, and are a larger part of what
+    the pool can do: both are counted in usual engines.
+    """
+    limit = MAX_RESERVED_SHARE * sum(speeds)
+    reserved = 0.0
+    for size, speed in enumerate(speeds):
+        if reserved >= needed or reserved + speed > limit:
+            return size
+        reserved += speed
+    return len(speeds)
+
+
 class ReservedEngines:
     """The engines of one pool that are reserved for pause-sensitive streams.
 
@@ -226,12 +241,12 @@
         order = self._hash_order(list(by_id))
         if pool_views:
             order = sorted(order, key=lambda name: speed_class(by_id[name]))
-        max_size = int(len(order) * MAX_RESERVED_SHARE)
+        speeds = [1 / by_id[name].speed.slowness for name in order]
         slots = max((view.entry.slots for view in views), default=1)
         needed = demand / (slots * TARGET_UTILIZATION)
-        size = min(max_size, math.ceil(needed)) if demand >= MIN_DEMAND else 0
+        size = _reserved_size(speeds, needed) if demand >= MIN_DEMAND else 0
         self._set_reserved(set(order[:size]), demand, now)
-        capacity = size * slots * utilization
+        capacity = sum(speeds[:size]) * slots * utilization
         return Split(
             reserved=[by_id[name] for name in order[:size]],
             others=[by_id[name] for name in order[size:]],
--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_reserved.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_reserved.py
@@ -8,6 +8,8 @@
     choose_engine,
     is_pause_sensitive,
 )
+from buckthornwall.pools.load import PeerLoad
+from buckthornwall.pools.reserved import ReservedEngines
 from buckthornwall.routing import (
     EngineSpec,
     Pool,
@@ -246,3 +248,37 @@
     fewer = [view for view in views if view is not first[0]]
     assert reserved_engines.split(fewer, 0.0).others == first[1:]
     assert reserved_engines.split(views, 0.0).others == first
+
+
+def stream_views(clock, slownesses):
+    """Return engines of 40 slots, each with two streams, of these relative speeds."""
+    table = PoolTable(clock)
+    for number, slowness in enumerate(slownesses):
+        adopt(table, f"e{number}", 40)
+        view = table.views[f"e{number}"]
+        view.speed.slowness = slowness
+        view.load.peers = PeerLoad(requests=2, pause_sensitive=2)
+    return list(table.members(POOL))
+
+
+def test_fast_engines_reserved_first_left_others_too_little(clock):
+    """A third of the engines, the fastest, is half of what the pool can do."""
+    slownesses = [0.6] * 15 + [1.0] * 15 + [1.7] * 15
+    views = stream_views(clock, slownesses)
+    reserved = ReservedEngines(POOL, model_with_prefill_step(0.04))
+    for _ in range(3):
+        split = reserved.split(views, clock.now(), pool_views=views)
+        clock.time += 0.2
+    speeds = {view.id: 1 / view.speed.slowness for view in views}
+    taken = sum(speeds[view.id] for view in split.reserved)
+    assert all(view.speed.slowness == 0.6 for view in split.reserved)
+    assert taken <= sum(speeds.values()) / 3
+
+
+def test_alike_engines_are_reserved_by_their_number(clock):
+    views = stream_views(clock, [1.0] * 45)
+    reserved = ReservedEngines(POOL, model_with_prefill_step(0.04))
+    for _ in range(3):
+        split = reserved.split(views, clock.now(), pool_views=views)
+        clock.time += 0.2
+    assert 1 <= len(split.reserved) <= 15
