Take what the backlog of a pool sheds from teams beyond their share first

Cause: where many instances share a pool a share of all requests is refused for its backlog from 0.2 targets of wait on, before shares of teams act, so a team that surged took the others' room with it. The share is now taken by max-min shares, and only what is left of it from all alike.

--- a/packages/buckthornwall/src/buckthornwall/pools/overload.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/overload.py
@@ -7,6 +7,7 @@
 __all__ = [
     "is_hopeless",
     "is_late",
+    "is_late_by_others",
     "is_loaded",
     "is_overloaded",
     "is_queueing_late",
@@ -18,6 +19,9 @@
 # At least this many targets of the expected time must be a wait for other requests;
 # otherwise the longest prompts would be refused on every retry for their own prefill.
 MIN_QUEUEING_TARGETS = 0.4
+# A wait for others of this many targets leaves the prompts of a pool, on average, no
+# time for their own prefill within `MAX_TARGETS`.
+MAX_QUEUEING_TARGETS = 0.65
 # Limit for a request with a deficit against less urgent ones that were admitted. Later
 # than that its client may have disconnected.
 MAX_TARGETS_WITH_DEFICIT = 3.0
@@ -66,6 +70,15 @@
     return is_queueing and is_loaded(views, now)
 
 
+def is_late_by_others(expected_s: float, own_prefill_s: float, target_s: float) -> bool:
+    """Return whether the wait for other requests alone leaves too little of a target.
+
+    The length of the request itself plays no part: where much is refused, the longest
+    prompts would otherwise be refused far more often than others.
+    """
+    return expected_s - own_prefill_s > MAX_QUEUEING_TARGETS * target_s
+
+
 def is_queueing_late(expected_s: float, own_prefill_s: float, target_s: float) -> bool:
     """Return whether a first token is late, and that for a wait for other requests."""
     if not is_late(expected_s, target_s):
--- a/packages/buckthornwall/src/buckthornwall/pools/refusal.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/refusal.py
@@ -10,11 +10,22 @@
 from .backlog import Backlog, find_backlog, is_shared_by_many
 from .expectation import count_based_s, expected_on_engine_s, expected_s
 from .ledger import Admission
-from .overload import is_hopeless, is_loaded, is_queueing_late, retry_after_s
+from .overload import (
+    is_hopeless,
+    is_late_by_others,
+    is_loaded,
+    is_queueing_late,
+    retry_after_s,
+)
 from .placement import Choice
 from .retry_delay import retry_delay_s
 from .table import PoolTable
-from .team_refusal import exceeds_team_share, record_team_demand, team_standing
+from .team_refusal import (
+    exceeds_team_share,
+    record_team_demand,
+    report_backlog,
+    team_standing,
+)
 from .team_shares import TeamStanding
 from .traits import RequestTraits
 from .view import UpstreamView
@@ -29,6 +40,10 @@
 ]
 
 
+# Less of the demand than this left by the shares of teams is not divided by.
+MIN_REMAINDER = 0.01
+
+
 class RefusalReason(Enum):
     """Why a request is refused for overload."""
 
@@ -142,9 +157,12 @@
     wait_s = expected_s(pools, traits, choice)
     usable = pools.usable(resolution.pool.id, frozenset(), traits.permitted)
     backlog = _find_backlog(pools, traits, usable, now)
+    if backlog is not None:
+        report_backlog(pools, traits, backlog, now)
     reason = _refusal_reason(pools, traits, choice, usable, now, backlog)
     if reason is None and backlog is not None:
-        reason = _backlog_reason(pools, traits, now, backlog)
+        team = team_standing(pools, traits, choice, usable, now, backlog)
+        reason = _backlog_reason(pools, traits, now, backlog, team)
         if not _may_begin(pools, traits, usable, now, time_left_s):
             reason = RefusalReason.DEADLINE
     if reason is None:
@@ -167,7 +185,7 @@
         retry_after_s=delay_s,
         slot_utilization=choice.slot_utilization,
         balance=balance,
-        team=team_standing(pools, traits, choice, usable, now),
+        team=team_standing(pools, traits, choice, usable, now, backlog),
         mean_wait_s=0.0 if backlog is None else backlog.mean_wait_s,
         shed_share=0.0 if backlog is None else backlog.shed_share,
         time_left_s=time_left_s,
@@ -199,15 +217,19 @@
     traits: RequestTraits,
     now: float,
     backlog: Backlog,
+    team: TeamStanding | None,
 ) -> RefusalReason | None:
     """Return BACKLOG if a request is of the share that is refused for the backlog.
 
     The share is drawn by the hash of its id: instances that know the same need no
-    message to refuse as many together as none of them can count alone.
+    message to refuse as many together as none of them can count alone. What teams
+    beyond their share lose is part of it.
     """
     if traits.resolution.urgent or not backlog.shed_share:
         return None
-    if hash_fraction(f"{traits.id}/backlog") >= backlog.shed_share:
+    of_teams = team.shed_share if team is not None else 0.0
+    left = (backlog.shed_share - of_teams) / max(1 - of_teams, MIN_REMAINDER)
+    if hash_fraction(f"{traits.id}/backlog") >= left:
         return None
     return None if has_deficit(pools, traits, now) else RefusalReason.BACKLOG
 
@@ -318,7 +340,7 @@
     backlog: Backlog | None,
 ) -> RefusalReason | None:
     """Return why a request is refused at its chosen engine, or None to admit it."""
-    if exceeds_team_share(pools, traits, choice, usable, now):
+    if exceeds_team_share(pools, traits, choice, usable, now, backlog):
         return RefusalReason.TEAM_SHARE
     is_pool_loaded = is_loaded(usable, now) or (backlog is not None and backlog.is_high)
     if traits.resolution.urgent:
@@ -327,11 +349,10 @@
     target_s = traits.resolution.route.target_s
     # Without a queue a prompt would only be refused for its own prefill.
     has_no_queue = choice.wait_s <= choice.own_prefill_s and not choice.oldest_wait_s
-    if (
-        has_no_queue
-        or not is_pool_loaded
-        or not is_queueing_late(wait_s, choice.own_prefill_s, target_s)
-    ):
+    has_time = not is_queueing_late(wait_s, choice.own_prefill_s, target_s)
+    if backlog is not None and not is_loaded(usable, now):
+        has_time = not is_late_by_others(wait_s, choice.own_prefill_s, target_s)
+    if has_no_queue or not is_pool_loaded or has_time:
         return _yield_reason(pools, traits, is_pool_loaded, now)
     if choice.slot_utilization >= 1 or is_hopeless(wait_s, target_s):
         return RefusalReason.LATE
--- a/packages/buckthornwall/src/buckthornwall/pools/team_refusal.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/team_refusal.py
@@ -12,6 +12,7 @@
 from buckthornwall.routing import OUTPUT_TOKEN_COST
 from buckthornwall.utils import hash_fraction
 
+from .backlog import Backlog
 from .overload import MAX_TARGETS, MIN_QUEUEING_TARGETS
 from .owned_prefill import has_owners
 from .placement import Choice
@@ -20,7 +21,12 @@
 from .traits import RequestTraits
 from .view import UpstreamView
 
-__all__ = ["exceeds_team_share", "record_team_demand", "team_standing"]
+__all__ = [
+    "exceeds_team_share",
+    "record_team_demand",
+    "report_backlog",
+    "team_standing",
+]
 
 # Demand is reported from a queue of this many targets on: peers need it by the time the
 # queue is four times as long, and not where requests hardly wait.
@@ -40,13 +46,14 @@
     choice: Choice,
     usable: list[UpstreamView],
     now: float,
+    backlog: Backlog | None = None,
 ) -> bool:
     """Return whether a request is refused since its team is beyond its fair share.
 
     A part of the team's requests is, whatever their lengths. None is while less urgent
     requests are admitted in place of it: these yield first.
     """
-    standing = team_standing(pools, traits, choice, usable, now)
+    standing = team_standing(pools, traits, choice, usable, now, backlog)
     if standing is None or not standing.refused_share:
         return False
     resolution = traits.resolution
@@ -62,18 +69,23 @@
     choice: Choice,
     usable: list[UpstreamView],
     now: float,
+    backlog: Backlog | None = None,
 ) -> TeamStanding | None:
     """Return the share of a request's team, or None while room is not short.
 
-    Urgent requests have none: they are never refused for the sake of others.
+    Urgent requests have none: they are never refused for the sake of others. Where a
+    share of all requests is refused for the backlog of the pool, there is room for the
+    rest of the demand, and that share is taken from teams beyond theirs first.
     """
     if not pools.settings.team_shares or traits.resolution.urgent:
         return None
-    queue = _queue_targets(pools, traits, usable, now)
-    if queue <= MIN_QUEUEING_TARGETS:
+    if backlog is None:
+        headroom = _headroom(_queue_targets(pools, traits, usable, now))
+    else:
+        headroom = 1 - backlog.shed_share
+    if headroom >= 1:
         return None
     resolution = traits.resolution
-    headroom = (MAX_TARGETS - queue) / (MAX_TARGETS - MIN_QUEUEING_TARGETS)
     headroom = max(MIN_HEADROOM, headroom)
     shares, rank = pools.team_shares(resolution.pool.id), resolution.rank
     shares.record_headroom(rank, headroom, now)
@@ -81,6 +93,20 @@
     return shares.standing(rank, resolution.team, tokens, headroom, now)
 
 
+def _headroom(queue_targets: float) -> float:
+    """Return the share of the demand for which there is room, by the mean wait."""
+    return (MAX_TARGETS - queue_targets) / (MAX_TARGETS - MIN_QUEUEING_TARGETS)
+
+
+def report_backlog(
+    pools: PoolTable, traits: RequestTraits, backlog: Backlog, now: float
+) -> None:
+    """Report the demand of a rank to the peers from now on, if its backlog is high."""
+    if pools.settings.team_shares and backlog.is_high:
+        resolution = traits.resolution
+        pools.team_shares(resolution.pool.id).report_rank(resolution.rank, now)
+
+
 def record_team_demand(
     pools: PoolTable, traits: RequestTraits, choice: Choice, now: float
 ) -> None:
--- a/packages/buckthornwall/src/buckthornwall/pools/team_shares.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/team_shares.py
@@ -63,12 +63,15 @@
         Share of its requests to refuse, from 0 to 1.
     age_s : float
         Age of the peers' report of demand, in seconds.
+    shed_share : float
+        Share of the whole demand of its rank that is refused for shares, 0 to 1.
     """
 
     demand: int
     share: int
     refused_share: float
     age_s: float
+    shed_share: float = 0.0
 
 
 class TeamShares:
@@ -157,7 +160,8 @@
         by_team = self.demand(rank, now)
         demand = by_team.get(team, 0)
         others = by_team.pop(OTHER_TEAMS, 0)
-        capacity = headroom * (sum(by_team.values()) + others) - others
+        total = sum(by_team.values()) + others
+        capacity = headroom * total - others
         level = fair_level(by_team.values(), capacity)
         allowed = level + FREE_REQUESTS * tokens
         excess = 1 - allowed / demand if demand > allowed else 0.0
@@ -166,6 +170,7 @@
             share=int(min(level, demand)),
             refused_share=min(MAX_REFUSED_SHARE, excess),
             age_s=max(0.0, now - self.peers_at),
+            shed_share=_shed_tokens(by_team.values(), allowed) / max(1, total),
         )
 
     def largest(self, now: float) -> dict[int, dict[TeamId, TeamStanding]]:
@@ -203,6 +208,14 @@
             self._slices.popleft()
 
 
+def _shed_tokens(demands: Iterable[int], allowed: float) -> float:
+    """Return the tokens that are refused of teams which ask for more than allowed."""
+    return sum(
+        min(MAX_REFUSED_SHARE * demand, max(0.0, demand - allowed))
+        for demand in demands
+    )
+
+
 def fair_level(demands: Iterable[float], capacity: float) -> float:
     """Return the most that one team gets of a capacity shared max-min fairly.
 
