--- a/packages/buckthornwall/src/buckthornwall/pools/tests/test_team_refusal.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/tests/test_team_refusal.py
@@ -13,6 +13,7 @@
     find_overload,
     record_decision,
 )
+from buckthornwall.pools.load import PeerLoad
 from buckthornwall.utils import TeamId
 
 from .helpers import POOL, ZONE, adopt, prompt, traits
@@ -203,9 +204,25 @@
     """Nobody could tell which team of a pool asked for how much."""
     decide(short, clock, review("large"))
     rank = review("t").resolution.rank
-    teams = short.team_standings()[POOL][rank]
+    teams = short.teams.standings(clock.now())[POOL][rank]
     assert teams["large"].refused_share > 0.3
     assert teams["large"].demand > teams["large"].share
     assert not teams["small1"].refused_share
     clock.time += 2.0
-    assert not short.team_standings()[POOL][rank]["large"].refused_share
+    teams = short.teams.standings(clock.now())[POOL][rank]
+    assert not teams["large"].refused_share
+
+
+def test_backlog_was_shed_from_all_teams_alike(table, clock):
+    """What a pool of many instances refuses is taken from the surging team alone."""
+    surge(table)
+    for view in table.members(POOL):
+        view.load.peers = PeerLoad(requests=100)
+    fill(table, 0.3, review("t").resolution.rank)
+    refused = {
+        team: [decide(table, clock, review(team, number)) for number in range(count)]
+        for team, count in (("large", REQUESTS), ("small1", FEW))
+    }
+    reasons = [each.reason for each in refused["large"] if each is not None]
+    assert reasons.count(RefusalReason.TEAM_SHARE) > 0.5 * len(reasons) > 0
+    assert not any(refused["small1"])
