--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_team_surge.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_team_surge.py
@@ -107,7 +107,7 @@
 
     def forget(simulation):
         for instance in simulation.instances:
-            instance.pools._team_shares.clear()
+            instance.pools.teams.by_pool.clear()
 
     run = PoolSimulation.run
 
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -41,6 +41,7 @@
 `placement`         choice of an upstream for a request
 `pool_reports`      what instances report to each other about pools under load
 `team_shares`       fair shares of teams in the work that a pool admits
+`team_table`        fair shares of teams in all pools
 `team_refusal`      whether a request is refused for its team's share
 `settings`          which of the decisions under load are used
 `ledger`            requests admitted and refused recently, by rank
--- a/packages/buckthornwall/src/buckthornwall/pools/engine_speeds.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/engine_speeds.py
@@ -10,8 +10,10 @@
 from collections.abc import Iterable
 
 from .engine_speed import USUAL_SLOWNESS, EngineSpeed
+from .pool_reports import EngineSpeeds, SpeedSamples
+from .view import UpstreamView
 
-__all__ = ["update_speeds"]
+__all__ = ["receive_speeds", "speeds_to_report", "update_speeds"]
 
 # An engine differs from this factor on; a wait or pause that is wrong by less is within
 # what calibration and the shares of targets and pauses allow for. One that differs is
@@ -22,6 +24,25 @@
 MIN_ENGINES = 3
 
 
+def speeds_to_report(views: Iterable[UpstreamView], now: float) -> EngineSpeeds:
+    """Return the samples of engines that are reported to peers."""
+    return {
+        view.id: samples
+        for view in views
+        if (samples := view.speed.to_report(now)).count
+    }
+
+
+def receive_speeds(
+    views: Iterable[UpstreamView], peers: EngineSpeeds, now: float
+) -> None:
+    """Take in what all other instances report of the engines of a pool."""
+    views, nothing = list(views), SpeedSamples()
+    for view in views:
+        view.speed.receive(peers.get(view.id, nothing), now)
+    update_speeds([view.speed for view in views], now)
+
+
 def update_speeds(speeds: Iterable[EngineSpeed], now: float) -> None:
     """Set the slowness of each engine of a pool by the samples of all."""
     speeds = list(speeds)
--- a/packages/buckthornwall/src/buckthornwall/pools/table.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/table.py
@@ -12,7 +12,7 @@
     ResponseMode,
 )
 from buckthornwall.telemetry import log_event
-from buckthornwall.utils import Clock, RegionId, TeamId, UpstreamId, ZoneId
+from buckthornwall.utils import Clock, RegionId, UpstreamId, ZoneId
 
 from .availability import (
     ADVISORY,
@@ -24,7 +24,7 @@
 )
 from .brittle_upstreams import BrittleUpstreams
 from .engine_speed import USUAL_SLOWNESS
-from .engine_speeds import update_speeds
+from .engine_speeds import receive_speeds, speeds_to_report
 from .entry import UpstreamEntry, is_same_incarnation
 from .evacuation import Evacuations
 from .health import Verdict, median_failure_share
@@ -33,7 +33,7 @@
 from .limit_queue import LimitQueue
 from .notices import NoticeTable
 from .permitted import ANY_UPSTREAM, Permitted
-from .pool_reports import EngineSpeeds, PoolReports, SpeedSamples, TeamTokens
+from .pool_reports import PoolReports
 from .prefill_owners import PrefillOwners
 from .prefix_updates import CachedPrefixes, PrefixUpdates
 from .rate_limits import RateLimits
@@ -43,7 +43,7 @@
 from .settings import PoolSettings
 from .software_versions import SoftwareVersions
 from .start_demand import assumed_streams
-from .team_shares import TeamShares, TeamStanding
+from .team_table import TeamTable
 from .view import UpstreamView
 from .wait_calibration import WaitCalibration
 
@@ -79,6 +79,8 @@
         Whether this instance reaches no upstream.
     versions : SoftwareVersions
         Software versions of the upstreams.
+    teams : TeamTable
+        Fair shares of teams.
     prefill_owners : PrefillOwners
         Which reserved engines this instance may prefill long prompts at.
     """
@@ -102,7 +104,7 @@
         self._models: dict[PoolId, EngineModel] = {}
         self._reserved_engines: dict[PoolId, ReservedEngines] = {}
         self._ledgers: dict[PoolId, AdmissionLedger] = {}
-        self._team_shares: dict[PoolId, TeamShares] = {}
+        self.teams = TeamTable()
         self._limit_queues: dict[PoolId, LimitQueue] = {}
         self.prefill_owners = PrefillOwners()
         self.prefix_updates = PrefixUpdates()
@@ -234,50 +236,22 @@
         for pool in {*self._ledgers, *peers}:
             self.ledger(pool).peers = peers.get(pool, {})
 
-    def team_shares(self, pool: PoolId) -> TeamShares:
-        """Return the fair shares of teams in a pool."""
-        if pool not in self._team_shares:
-            self._team_shares[pool] = TeamShares(pool)
-        return self._team_shares[pool]
-
-    def team_standings(self) -> dict[PoolId, dict[int, dict[TeamId, TeamStanding]]]:
-        """Return demand and share of the largest teams, by pool and rank."""
-        now = self.clock.now()
-        return {pool: each.largest(now) for pool, each in self._team_shares.items()}
-
     def reports(self) -> PoolReports:
         """Return what this instance reports to its peers about pools under load."""
         now = self.clock.now()
-        tokens: TeamTokens = {
-            pool: by_rank
-            for pool, shares in self._team_shares.items()
-            if (by_rank := shares.local_tokens(now))
-        }
-        return PoolReports(self._speeds_to_report(now), tokens)
-
-    def _speeds_to_report(self, now: float) -> EngineSpeeds:
-        if not self.settings.engine_speeds:
-            return {}
-        return {
-            view.id: samples
-            for view in self.views.values()
-            if (samples := view.speed.to_report(now)).count
-        }
+        speeds = speeds_to_report(self.views.values(), now)
+        return PoolReports(
+            speeds if self.settings.engine_speeds else {}, self.teams.to_report(now)
+        )
 
     def receive_reports(self, peers: PoolReports) -> None:
         """Record the sums of what all other instances report."""
-        for pool in {*self._team_shares, *peers.team_tokens}:
-            tokens = peers.team_tokens.get(pool, {})
-            self.team_shares(pool).receive(tokens, self.clock.now())
-        if self.settings.engine_speeds:
-            self._update_speeds(peers.engine_speeds)
-
-    def _update_speeds(self, peers: EngineSpeeds) -> None:
-        now, nothing = self.clock.now(), SpeedSamples()
-        for view in self.views.values():
-            view.speed.receive(peers.get(view.id, nothing), now)
+        now = self.clock.now()
+        self.teams.receive(peers.team_tokens, now)
+        if not self.settings.engine_speeds:
+            return
         for members in self._members.values():
-            update_speeds([view.speed for view in members.values()], now)
+            receive_speeds(members.values(), peers.engine_speeds, now)
 
     def model(self, pool: PoolId) -> EngineModel:
         """Return the model of the speed of a pool's engines."""
--- a/packages/buckthornwall/src/buckthornwall/pools/team_refusal.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/team_refusal.py
@@ -87,7 +87,7 @@
         return None
     resolution = traits.resolution
     headroom = max(MIN_HEADROOM, headroom)
-    shares, rank = pools.team_shares(resolution.pool.id), resolution.rank
+    shares, rank = pools.teams.shares(resolution.pool.id), resolution.rank
     shares.record_headroom(rank, headroom, now)
     tokens = _work_tokens(traits, choice)
     return shares.standing(rank, resolution.team, tokens, headroom, now)
@@ -104,7 +104,7 @@
     """Report the demand of a rank to the peers from now on, if its backlog is high."""
     if pools.settings.team_shares and backlog.is_high:
         resolution = traits.resolution
-        pools.team_shares(resolution.pool.id).report_rank(resolution.rank, now)
+        pools.teams.shares(resolution.pool.id).report_rank(resolution.rank, now)
 
 
 def record_team_demand(
@@ -114,7 +114,7 @@
     resolution = traits.resolution
     if not pools.settings.team_shares or resolution.urgent:
         return
-    shares, rank = pools.team_shares(resolution.pool.id), resolution.rank
+    shares, rank = pools.teams.shares(resolution.pool.id), resolution.rank
     shares.record_demand(rank, resolution.team, _work_tokens(traits, choice), now)
     if choice.wait_s - choice.own_prefill_s >= REPORTED_TARGETS * _target_s(traits):
         shares.report_rank(rank, now)
--- a/packages/buckthornwall/src/buckthornwall/router/operators.py
+++ b/packages/buckthornwall/src/buckthornwall/router/operators.py
@@ -188,7 +188,7 @@
             "refused": round(standing.refused_share, 2),
             "age_s": round(standing.age_s, 3),
         }
-        for pool, by_rank in router.pools.team_standings().items()
+        for pool, by_rank in router.pools.teams.standings(router.clock.now()).items()
         for rank, teams in by_rank.items()
         for team, standing in teams.items()
     ]
