--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_competing_admission.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_competing_admission.py
@@ -31,7 +31,7 @@
 
 
 def test_hardly_any_review_is_held_until_its_caller_leaves(simulation):
-    """Told at once, a caller could have come back. Crashes may fail a few."""
+    """A caller that is refused at once can come back. Crashes may fail a few."""
     assert share(each.failed for each in simulation.requests_of("review")) < 0.1
 
 
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_team_surge.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_team_surge.py
@@ -44,7 +44,7 @@
 def test_surge_of_one_team_made_all_teams_late(surges):
     """A team of 3 parts in 45 sends twelve times its usual for eight seconds.
 
-    Reviews were cut at their deadline whoever sent them, while hardly any was refused.
+    Reviews were cut at their deadline of every team, while hardly any was refused.
     The other teams are served in time in four cases of five: nearly as without it.
     """
     assert mean_credit(surges, False) > 0.8
--- a/packages/buckthornwall/src/buckthornwall/pools/backlog.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/backlog.py
@@ -29,7 +29,7 @@
 MEAN_PER_MEDIAN = 1 / math.log(2)
 # An instance that sends less than this share of a pool's work does not see the others'
 # last requests in time. One that sends more knows each engine well enough to decide by
-# the engine that was chosen, and a queue that is even is no reason to refuse.
+# the load of its choice, and a queue that is even is no reason to refuse.
 MAX_LOCAL_SHARE = 1 / 20
 # Not all are refused for the backlog alone, so that no kind of request starves. The
 # remaining ones are still refused if they are late at their own engine.
--- a/packages/buckthornwall/src/buckthornwall/pools/engine_speed.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/engine_speed.py
@@ -41,7 +41,7 @@
 PRIOR_SAMPLES = 4
 PRIOR_SAMPLES_IF_FAST = 16
 # An engine is compared with the others from this many samples on. Fewer may be of one
-# moment: a partial chunk, or a disturbance that no statement told in time.
+# moment: a partial chunk, or a disturbance that no statement showed in time.
 MIN_SAMPLES = 8
 # How long an engine keeps its speed without samples. Engines that are busy with prefill
 # give none, and are as slow as before; beyond a minute their machine may be another.
--- a/packages/buckthornwall/src/buckthornwall/pools/prefill_owners.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/prefill_owners.py
@@ -48,7 +48,7 @@
             self._owned.clear()
 
     def are_needed(self, engines: int) -> bool:
-        """Return whether reserved engines have owners in a pool of so many engines.
+        """Return whether reserved engines have owners in a pool of this many engines.
 
         With fewer instances than engines an owner would have several engines to itself
         and too few prompts for them.
@@ -129,7 +129,7 @@
     def allows(
         self, tokens: int, recent: RecentPrefill, pending: int, now: float
     ) -> bool:
-        """Return whether a prompt of so many uncached tokens may be sent now.
+        """Return whether a prompt of this many uncached tokens may be sent.
 
         Parameters
         ----------
--- a/packages/buckthornwall/src/buckthornwall/pools/retry_delay.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/retry_delay.py
@@ -1,8 +1,8 @@
 """Decide when a request that was refused for overload should come back.
 
 Those who are refused stand in a queue that nobody keeps: the pool serves them, when
-they return, besides what keeps coming. Told the same time they would return as one
-burst, so each is told a time of its own within it.
+they return, besides what keeps coming. Given the same time they would return as one
+burst, so each gets a time of its own within it.
 """
 
 import math
--- a/packages/buckthornwall/src/buckthornwall/pools/stream_forecast.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/stream_forecast.py
@@ -14,7 +14,7 @@
 # How far ahead to look: an engine with a usual backlog, up to about a second of
 # prefill, has read it by then.
 HORIZON_S = 1.0
-# Growth is measured over this time: longer than reports are old, so that it is not
+# Growth is taken over this time: longer than reports are old, so that it is not
 # that of one report, and far shorter than streams last.
 GROWTH_WINDOW_S = 0.5
 # Interval between samples of the growth, in seconds.
