--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,14 +7,17 @@
 from pathlib import Path
 
 CASE = Path(__file__).resolve().parent
+RECORD = Path(sys.argv[1])
 sys.path.insert(0, str(CASE.parent / "standins"))
 
-from fleet import Client, Fleet, route, run_case  # noqa: E402
+from fleet import KEY, Client, Fleet, Prompt, route, run_case  # noqa: E402
 
 ZONES = ["be-central-a", "be-central-b", "be-central-c"]
 MODELS = "planner-llm"
 STABLE_S = 4.0
 CLIENTS = 6
+# corridor-draft, as the sheet and the site file have it
+PROMPT = Prompt(((2520, 4), (3780, 1698)), 2890, 60)
 # An entry of 2,006 bytes that is no JSON: it breaks off inside its lists.
 UNREADABLE = b'{"x":' + b"[" * 2001
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -26,11 +29,16 @@
         fleet.start_engine(number, MODELS)
     await asyncio.sleep(0.5)
     routes = [route("draft", "/draft/", "stream", MODELS, gap_aim_ms=1000)]
-    await fleet.publish(routes, [MODELS])
+    engine = {"slots": 96, "kv_capacity": 278257, "stride": 6}
+    services = [{"name": MODELS, "engine": engine, "max_connections": 990}]
+    await fleet.publish(3, routes, services, {"one": KEY})
     for number in (1, 2, 3):
         await fleet.register(number, MODELS, "ready")
     await fleet.start_instances()
-    clients = {each: [Client(each) for _ in range(CLIENTS)] for each in fleet.instances}
+    clients = {
+        each: [Client(each, prompt=PROMPT) for _ in range(CLIENTS)]
+        for each in fleet.instances
+    }
     # Every connection has carried a request before; all is calm for stable_ms and more.
     everyone = [client for kept in clients.values() for client in kept]
     calm_until = time.time() + STABLE_S + 1.5
@@ -55,7 +63,7 @@
     # The platform starts ended processes again; a client tries once a second.
     served = 0
     for _ in range(8):
-        probes = [Client(each) for each in fleet.instances]
+        probes = [Client(each, prompt=PROMPT) for each in fleet.instances]
         asks = [
             each.ask("/draft/c", first_ms=50, gap_ms=5, events=3) for each in probes
         ]
@@ -93,4 +101,4 @@
     return 1 if is_broken else 0
 
 
-sys.exit(run_case(CASE, ZONES, play))
+sys.exit(run_case(RECORD, ZONES, play))
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -8,12 +8,14 @@
 import itertools
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import time
+from dataclasses import dataclass
 from pathlib import Path
 from urllib.parse import quote
 
@@ -175,13 +177,32 @@
         return f"{status}, {self.events} events, {self.end}"
 
 
+@dataclass(frozen=True)
+class Prompt:
+    """The sizes of a kind of generation, in tokens.
+
+    `shared` has the size of each part that other prompts share, and how many such parts
+    there are.
+    """
+
+    shared: tuple[tuple[int, int], ...]
+    own: int
+    tokens_out: int
+
+
 class Client:
     """A client with one connection to an instance, kept for many requests."""
 
     numbers = itertools.count(1)
+    seeds = itertools.count(1)
 
-    def __init__(self, instance: Instance) -> None:
+    def __init__(
+        self, instance: Instance, key: str = KEY, prompt: Prompt | None = None
+    ) -> None:
         self.instance = instance
+        self.key = key
+        self.prompt = prompt
+        self.random = random.Random(next(self.seeds))
         self.record = instance.fleet.record
         self.reader = self.writer = None
 
@@ -208,7 +229,8 @@
         head = (
             f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n"
             f"X-Buckthornwall-Attempt-Id: {answer.request}\r\n"
-            f"X-Buckthornwall-Key: {KEY}\r\n"
+            f"X-Buckthornwall-Key: {self.key}\r\n"
+            f"{self.prompt_headers(answer)}"
             f"X-Buckthornwall-Deadline-Ms: {timeout_ms}\r\n"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
@@ -228,6 +250,26 @@
         if "close" in found.headers.get("connection", ""):
             self.close()
 
+    def prompt_headers(self, answer: Answer) -> str:
+        """Return the headers of a generation: two parts that others share, one own."""
+        if not self.prompt:
+            return ""
+        prompt, out = self.prompt, self.prompt.tokens_out
+        parts = [
+            (f"a{self.random.randrange(count):07x}", tokens)
+            if index == 0
+            else (f"b{self.random.randrange(count):07x}", tokens)
+            for index, (tokens, count) in enumerate(prompt.shared)
+        ]
+        parts.append((f"{int(answer.request, 16):08x}", prompt.own))
+        tokens_in = sum(tokens for _, tokens in parts)
+        prefix = ",".join(f"{name}:{tokens}" for name, tokens in parts)
+        return (
+            "X-Buckthornwall-Model: m\r\n"
+            f"X-Buckthornwall-Token-Count: {tokens_in},{out}\r\n"
+            f"X-Buckthornwall-Prompt-Prefix: {prefix}\r\n"
+        )
+
     def close(self) -> None:
         if self.writer is not None:
             self.writer.close()
@@ -237,8 +279,8 @@
 class Fleet:
     """All processes of a case; they are ended at its end."""
 
-    def __init__(self, case: Path, zones: list[str]) -> None:
-        self.record = Record(case / "record.txt")
+    def __init__(self, record: Path, zones: list[str]) -> None:
+        self.record = Record(record)
         self.zones = zones
         self.temporary = tempfile.TemporaryDirectory(prefix="case-")
         self.folder = Path(self.temporary.name)
@@ -254,7 +296,6 @@
         self.engines: dict[str, subprocess.Popen] = {}
         self.runs_path = self.folder / "runs.jsonl"
         self.tasks: list[asyncio.Task] = []
-        self.config: dict = {}
 
     def spawn(self, words: list[str], env: dict, log: Path) -> subprocess.Popen:
         with open(log, "ab") as output:
@@ -294,14 +335,20 @@
         await self.call("PUT", f"/item?key={quote(key, safe='')}", raw)
         self.record.add(f"store: acknowledges {key} {text}")
 
-    async def publish(self, routes: list[dict], services: list[str]) -> None:
-        engine = {"slots": 64, "kv_capacity": 278257, "stride": 6}
+    async def publish(
+        self,
+        version: int,
+        routes: list[dict],
+        services: list[dict],
+        tenants: dict[str, str],
+    ) -> None:
+        """Write a version of the configuration, as the operator does."""
         config = {
-            "version": 3,
+            "version": version,
             "routes": routes,
             "services": [
-                {"name": s, "health_path": "/health", "max_connections": 990}
-                for s in services
+                {"health_path": "/health", "max_connections": 360} | each
+                for each in services
             ],
             "limits": {
                 "max_header_bytes": 16384,
@@ -309,11 +356,13 @@
                 "header_timeout_ms": 3000,
                 "idle_timeout_ms": 15000,
             },
-            "tenants": [{"name": "one", "api_keys": [KEY]}],
+            "tenants": [
+                {"name": name, "api_keys": [key] if key else []}
+                for name, key in tenants.items()
+            ],
         }
-        config["services"][0]["engine"] = engine
-        self.config = config
-        await self.put("op/config", json.dumps(config).encode(), "version 3")
+        raw = json.dumps(config).encode()
+        await self.put("op/config", raw, f"version {version}")
 
     def engine_address(self, number: int) -> str:
         return f"{ENGINE_NET}{number}:{self.ports + 4}"
@@ -374,9 +423,9 @@
         self.temporary.cleanup()
 
 
-def run_case(case: Path, zones: list[str], body) -> int:
+def run_case(record: Path, zones: list[str], body) -> int:
     """Play a case; return 1 if the rule was broken, 0 if it held, 2 if it can't run."""
-    fleet = Fleet(case, zones)
+    fleet = Fleet(record, zones)
     try:
         return asyncio.run(body(fleet))
     except Exception as error:
