Connects: an address that is none, or no descriptor left, is a failed connect

Cause: the socket was made outside of the try block, and the port was converted without a check of its range. A host that is no IPv4 address was looked up by name.

Change: one function splits addresses and checks octets and port, for connects and for the settings; all that fails before a connection is open is UNREACHABLE with nothing sent. A request that is not valid HTTP is refused before a byte is sent.

Evidence: the new cases of http1/tests/test_client.py (ports, no descriptors, a header with a line end) raise OverflowError, OSError and LocalProtocolError before, and pass.

--- a/packages/buckthornwall/src/buckthornwall/http1/client.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/client.py
@@ -8,6 +8,8 @@
 import h11
 import trio
 
+from buckthornwall.utils import split_address
+
 from .failures import ExchangeError, ExchangeFailure
 
 __all__ = [
@@ -105,20 +107,24 @@
         ExchangeError
             UNREACHABLE; no byte was sent.
         """
-        host, _, port = address.rpartition(":")
-        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock = None
         try:
+            destination = split_address(address)
+            # Fails if the process has no descriptor left.
+            sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             _set_options(sock)
             with trio.fail_after(timeout_s):
-                await sock.connect((host, int(port)))
+                await sock.connect(destination)
         except (OSError, ValueError, trio.TooSlowError) as error:
-            sock.close()
+            if sock is not None:
+                sock.close()
             detail = f"{address} {type(error).__name__}"
             raise ExchangeError(
                 ExchangeFailure.UNREACHABLE, detail, sent=False
             ) from error
         except BaseException:
-            sock.close()
+            if sock is not None:
+                sock.close()
             raise
         return cls(sock)
 
@@ -143,13 +149,20 @@
         Raises
         ------
         ExchangeError
-            RESET if the connection was lost.
+            RESET if the connection was lost, MALFORMED if the request is not valid
+            HTTP and nothing was sent.
         """
         self.exchanges += 1
         self.parser = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
-        self._request = h11.Request(method=method, target=target, headers=headers)
-        self._body = body
-        view = memoryview(self._write_request())
+        try:
+            self._request = h11.Request(method=method, target=target, headers=headers)
+            self._body = body
+            view = memoryview(self._write_request())
+        except h11.LocalProtocolError as error:
+            detail = f"request {error}"
+            raise ExchangeError(
+                ExchangeFailure.MALFORMED, detail, sent=False
+            ) from error
         try:
             while view:
                 view = view[await self.sock.send(view) :]
--- a/packages/buckthornwall/src/buckthornwall/http1/tests/test_client.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/tests/test_client.py
@@ -1,5 +1,6 @@
 """Tests of an exchange: complete, truncated, misdirected and unsolicited responses."""
 
+import errno
 import socket
 
 import pytest
@@ -23,6 +24,33 @@
     return connection, head, body
 
 
+@pytest.mark.parametrize(
+    "address", ["127.0.0.1:70000", "127.0.0.1:x", "nowhere:80", ""]
+)
+async def test_address_that_is_none_raised_an_unexpected_error(address):
+    with pytest.raises(ExchangeError) as caught:
+        await ClientConnection.connect(address, 1.0)
+    assert caught.value.failure is ExchangeFailure.UNREACHABLE
+    assert not caught.value.sent
+
+
+async def test_lack_of_descriptors_raised_an_unexpected_error(monkeypatch):
+    def fail(*args):
+        raise OSError(errno.EMFILE, "too many open files")
+
+    monkeypatch.setattr(trio.socket, "socket", fail)
+    with pytest.raises(ExchangeError) as caught:
+        await ClientConnection.connect("127.0.0.1:80", 1.0)
+    assert caught.value.failure is ExchangeFailure.UNREACHABLE
+
+
+async def test_header_that_is_not_valid_raised_an_unexpected_error(raw_upstream):
+    connection = await ClientConnection.connect(await raw_upstream(COMPLETE), 1.0)
+    with pytest.raises(ExchangeError) as caught:
+        await connection.send(b"GET", b"/", [*HEADERS, (b"a", b"b\nc")], b"")
+    assert not caught.value.sent
+
+
 async def test_connection_is_reusable_after_complete_response(raw_upstream):
     connection, head, body = await exchange(await raw_upstream(COMPLETE, COMPLETE))
     assert (head.status, body) == (200, b"ok")
--- a/packages/buckthornwall/src/buckthornwall/settings/sections.py
+++ b/packages/buckthornwall/src/buckthornwall/settings/sections.py
@@ -7,7 +7,7 @@
 from typing import Self
 
 from buckthornwall.codes import ResultCode, SettingsError
-from buckthornwall.utils import ConfigNamespace
+from buckthornwall.utils import ConfigNamespace, split_address
 
 __all__ = ["SettingsFile", "check_address", "read_sections", "read_text"]
 
@@ -101,16 +101,10 @@
     SettingsError
         SETTING_INVALID; the message names file, section and key.
     """
-    host, _, port = text.rpartition(":")
-    octets = host.split(".")
-    valid = (
-        len(octets) == 4
-        and all(octet.isdigit() and int(octet) < 256 for octet in octets)
-        and port.isdigit()
-        and int(port) < 65536
-    )
-    if not valid:
+    try:
+        split_address(text)
+    except ValueError as error:
         raise SettingsError(
             ResultCode.SETTING_INVALID,
             f"{origin} [{section}] {key}: expected IP:port, got {text!r}",
-        )
+        ) from error
--- a/packages/buckthornwall/src/buckthornwall/utils/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/utils/__init__.py
@@ -1,5 +1,6 @@
 """Helpers that several subpackages use."""
 
+from .addresses import split_address
 from .backoff import Backoff
 from .clock import Clock, TrioClock
 from .config import ConfigItem, ConfigNamespace
@@ -52,6 +53,7 @@
     "new_id",
     "rendezvous_order",
     "rendezvous_winner",
+    "split_address",
 ]
 
 __getattr__ = lazy_exports(__name__, {"TRANSPORT_ERRORS": "transport"})
