Bytes that no decoder reads: only their entry or message is refused

Cause: msgspec raises RecursionError on deeply nested JSON, which the decoders of registrations did not expect. It left the discovery task and ended the router. Ruled out: memory and the size of the entry (a flat one of the same size is refused).

The same on related paths, each shown by a test: records of zones and configurations; items that are no Base64 or have fields of another type, which refused the whole answer of the store; datagrams with addresses that are none, numbers of any size and cyclic CBOR, which ended the receiver; lists of instances, records, frames of links, request bodies, loads and adapters of the completions interface. A body nested less deeply could be decoded, but not encoded again further down the stack.

Change: utils.decoding decodes JSON and CBOR and raises one error whatever the bytes; callers turn it into their coded error. Items of the store are decoded one by one. Numbers in messages are bounded by their types. Registrations and peers' entries are checked by one function. A configuration that cannot be read no longer displaces an earlier one of the same answer. Pages of the store end after 200, or when their keys do not advance. What an update causes elsewhere ends neither the discovery task nor the receiver.

test_value_that_is_not_base64_is_refused asked that the whole answer is refused; it is replaced by one that asks for the item alone, the others and the last state.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/conftest.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/conftest.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+from loguru import logger
 
 from buckthornwall_standins.callers import Callers, plan_arrivals
 from buckthornwall_standins.deployments import MANIZALES
@@ -17,6 +18,15 @@
 )
 
 
+@pytest.fixture
+def event_log():
+    """Return the list of lines that are logged from now on."""
+    lines = []
+    handler = logger.add(lines.append, level="DEBUG", format="{message}")
+    yield lines
+    logger.remove(handler)
+
+
 @pytest.fixture
 def small_deployment():
     """Return a deployment of four instances before four engines."""
--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from buckthornwall.codes import PeerError, RecordError
+from buckthornwall.codes import PeerError, RecordError, ResultCode
 from buckthornwall.pools import PoolTable
 from buckthornwall.routing import PublishedConfig, RoutingTable
 from buckthornwall.telemetry import log_event
@@ -204,7 +204,24 @@
         self.answered_at = self.read_at = now
 
     def adopt(self, update: StoreUpdate) -> None:
-        """Apply an update to routes, upstreams and zones."""
+        """Apply an update to routes, upstreams and zones.
+
+        What the update causes elsewhere must not end the task: all instances read the
+        same store, so that all would end together, and again at their next read.
+        """
+        try:
+            self._adopt(update)
+        except Exception as error:
+            log_event(
+                "update_failed",
+                "ERROR",
+                code=ResultCode.RECORDS_MALFORMED.number,
+                revision=update.revision,
+                era=update.era,
+                detail=repr(error),
+            )
+
+    def _adopt(self, update: StoreUpdate) -> None:
         if update.is_relayed and not self.has_adopted:
             # The rest of a first read would only delay callers on a slow link.
             self._read_scope.cancel()
--- a/packages/buckthornwall/src/buckthornwall/forwarding/relay_messages.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/relay_messages.py
@@ -13,7 +13,12 @@
     RoutedRequest,
     StreamOrigin,
 )
-from buckthornwall.utils import SoftwareVersion, UpstreamId
+from buckthornwall.utils import (
+    DecodingError,
+    SoftwareVersion,
+    UpstreamId,
+    decode_cbor,
+)
 
 from .job import Job
 
@@ -152,8 +157,6 @@
         PEER_MESSAGE if `data` is not such a message.
     """
     try:
-        return msgspec.convert(
-            cbor2.loads(data), RelayedRequest, builtin_types=(bytes,)
-        )
-    except (cbor2.CBORError, msgspec.ValidationError, TypeError, EOFError) as error:
+        return decode_cbor(data, RelayedRequest)
+    except DecodingError as error:
         raise PeerError(ResultCode.PEER_MESSAGE, str(error)) from error
--- a/packages/buckthornwall/src/buckthornwall/gateway/job.py
+++ b/packages/buckthornwall/src/buckthornwall/gateway/job.py
@@ -8,6 +8,7 @@
 
 from buckthornwall.admission import AdmittedRequest
 from buckthornwall.codes import Executed, Refusal, ResultCode
+from buckthornwall.utils import DecodingError, decode_json
 
 from .completion_response import CompletionResponse
 
@@ -65,8 +66,8 @@
         return Refusal(ResultCode.MALFORMED_BODY, detail)
 
     try:
-        body = msgspec.json.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        body = decode_json(raw)
+    except DecodingError as error:
         raise malformed(str(error)) from error
     if not isinstance(body, dict):
         raise malformed("expected an object")
--- a/packages/buckthornwall/src/buckthornwall/gateway/tests/test_completions.py
+++ b/packages/buckthornwall/src/buckthornwall/gateway/tests/test_completions.py
@@ -157,6 +157,15 @@
 ).map(msgspec.json.encode)
 
 
+@pytest.mark.parametrize("depth", [250, 600, 5000])
+def test_nested_body_of_a_caller_ended_its_connection(depth):
+    """It could be decoded but not encoded again for an engine, or neither."""
+    body = b'{"model": "m", "prompt": ' + b"[" * depth + b"]" * depth + b"}"
+    with pytest.raises(Refusal) as caught:
+        check_body("/x", body)
+    assert caught.value.code is ResultCode.MALFORMED_BODY
+
+
 @given(json_bytes | st.binary(max_size=40), st.sampled_from([CHAT_PATH, "/x"]))
 def test_check_body_raises_only_refusals(raw, path):
     try:
--- a/packages/buckthornwall/src/buckthornwall/links/codec.py
+++ b/packages/buckthornwall/src/buckthornwall/links/codec.py
@@ -1,12 +1,12 @@
 """CBOR encoding of batches of messages."""
 
 from collections.abc import Iterable
-from typing import Any
 
 import cbor2
 import msgspec
 
 from buckthornwall.codes import PeerError, ResultCode
+from buckthornwall.utils import DecodingError, decode_cbor
 
 from .messages import Message
 
@@ -33,7 +33,6 @@
             ResultCode.PEER_MESSAGE, "expected a binary frame, got a text frame"
         )
     try:
-        items: Any = cbor2.loads(frame)
-        return msgspec.convert(items, list[Message], builtin_types=(bytes,))
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, TypeError) as error:
+        return decode_cbor(frame, list[Message])
+    except DecodingError as error:
         raise PeerError(ResultCode.PEER_MESSAGE, str(error)) from error
--- a/packages/buckthornwall/src/buckthornwall/links/tests/test_links.py
+++ b/packages/buckthornwall/src/buckthornwall/links/tests/test_links.py
@@ -122,7 +122,10 @@
     assert await exchange(one, two) == []
 
 
-@pytest.mark.parametrize("frame", ["text", b"\xff"])
+@pytest.mark.parametrize(
+    "frame",
+    ["text", b"\xff", b"\x81" * 50_000, b"\xd8\x1c\x81\xd8\x1d\x00", b"\xc0\x61a"],
+)
 def test_frame_that_is_not_a_batch_raises_peer_error(frame):
     with pytest.raises(PeerError):
         decode_batch(frame)
--- a/packages/buckthornwall/src/buckthornwall/peers/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/agent.py
@@ -6,12 +6,18 @@
 import trio
 from trio.socket import SocketType
 
-from buckthornwall.codes import PeerError
+from buckthornwall.codes import PeerError, ResultCode
 from buckthornwall.pools import CachedPrefixes
 from buckthornwall.quarantine import QuarantineTable
 from buckthornwall.stream_origins import StreamOriginTable
 from buckthornwall.telemetry import log_event
-from buckthornwall.utils import Clock, ConfigItem, ConfigNamespace, ZoneId
+from buckthornwall.utils import (
+    Clock,
+    ConfigItem,
+    ConfigNamespace,
+    ZoneId,
+    split_address,
+)
 
 from .crash_exchange import CrashExchange
 from .messages import (
@@ -298,26 +304,27 @@
             self._is_report_due = trio.Event()
 
     async def _send(self, data: bytes, address: str) -> None:
-        host, _, port = address.rpartition(":")
         try:
-            await self._socket.sendto(data, (host, int(port)))
+            await self._socket.sendto(data, split_address(address))
             self.bytes_sent += len(data)
-        except OSError as error:
+        except (OSError, ValueError) as error:
             log_event("beacon_not_sent", "DEBUG", address=address, detail=error)
 
     async def _run_receiver(self) -> None:
         while True:
             try:
                 data, _ = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
-                message = decode(data, PeerMessage)
             except OSError as error:
                 log_event("beacon_not_heard", "DEBUG", detail=error)
                 await trio.sleep(LOOKUP_INTERVAL_S)
                 continue
+            try:
+                await self._handle(decode(data, PeerMessage))
             except PeerError as error:
-                log_event("beacon_refused", "WARNING", detail=error)
-                continue
-            await self._handle(message)
+                _log_refused(error)
+            except Exception as error:
+                # A message that a peer could send must not end this instance.
+                _log_refused(PeerError(ResultCode.PEER_MESSAGE, repr(error)))
 
     async def _handle(self, message: PeerMessage) -> None:
         now = self.clock.now()
@@ -338,11 +345,7 @@
         await self._handle_beacon(message, now)
 
     def _handle_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
-        try:
-            cached_prefixes = self.table.receive_heartbeat(heartbeat, now)
-        except PeerError as error:
-            log_event("beacon_refused", "WARNING", detail=error)
-            return
+        cached_prefixes = self.table.receive_heartbeat(heartbeat, now)
         self._note_checksum(heartbeat, now)
         if cached_prefixes is None:
             return
@@ -381,3 +384,7 @@
             await self.speaker_lookup.redirect(digest.address, now)
         elif is_local_zone and digest.is_fleet:
             self.on_work()
+
+
+def _log_refused(error: PeerError) -> None:
+    log_event("beacon_refused", "WARNING", code=error.code.number, detail=error)
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -5,7 +5,6 @@
 
 import zlib
 from enum import Enum
-from typing import Annotated
 
 import cbor2
 import msgspec
@@ -25,7 +24,17 @@
     VersionHistory,
 )
 from buckthornwall.quarantine import CrashReport
-from buckthornwall.utils import Incarnation, NodeId, UpstreamId, ZoneId
+from buckthornwall.utils import (
+    Count,
+    DecodingError,
+    Incarnation,
+    NodeId,
+    Revision,
+    UpstreamId,
+    Weight,
+    ZoneId,
+    decode_cbor,
+)
 
 from .origin_messages import OriginMessage
 
@@ -69,11 +78,11 @@
         Tokens that the requests take in the engine's memory.
     """
 
-    requests: int = 0
-    pending_prefill: dict[int, int] = {}
-    pause_sensitive: int = 0
-    oldest_wait_ms: dict[int, int] = {}
-    memory: int = 0
+    requests: Count = 0
+    pending_prefill: dict[Count, Count] = {}
+    pause_sensitive: Count = 0
+    oldest_wait_ms: dict[Count, Count] = {}
+    memory: Count = 0
 
 
 class PeerState(Enum):
@@ -132,13 +141,13 @@
     node: NodeId
     incarnation: Incarnation
     address: str
-    weight: float
+    weight: Weight
     zone: ZoneId
     state: PeerState
-    config_number: int
-    change_revision: int
-    read_age_ms: int
-    store_uptime_ms: int
+    config_number: Revision
+    change_revision: Revision
+    read_age_ms: Count
+    store_uptime_ms: Count
     loads: dict[UpstreamId, Work]
     requests_speaker: bool = False
     cached_prefixes: CachedPrefixes = {}
@@ -147,7 +156,7 @@
     limits: LimitReports = {}
     rank_tokens: RankTokens = {}
     leaving: LeavingUpstreams = {}
-    store_era: Annotated[int, msgspec.Meta(ge=0)] = 0
+    store_era: Revision = 0
     is_isolated: bool = False
     brittle: LimitReports = {}
     keeps_origins: bool = False
@@ -214,33 +223,33 @@
     """
 
     address: str
-    weight: float
+    weight: Weight
     zone: ZoneId
     is_fleet: bool
-    count: int
-    members: dict[str, float]
+    count: Count
+    members: dict[str, Weight]
     speakers: dict[ZoneId, str]
-    config_number: int
-    change_revision: int
+    config_number: Revision
+    change_revision: Revision
     freshest_peer: str
-    read_age_ms: int
-    store_uptime_ms: int
+    read_age_ms: Count
+    store_uptime_ms: Count
     loads: dict[UpstreamId, Work]
     cached_prefixes: CachedPrefixes = {}
-    age_ms: int = 0
-    sequence: int = 0
+    age_ms: Count = 0
+    sequence: Count = 0
     unreachable: Unreachable = {}
     crash_checksum: int = 0
     limits: LimitReports = {}
     rank_tokens: RankTokens = {}
     leaving: LeavingUpstreams = {}
-    store_era: Annotated[int, msgspec.Meta(ge=0)] = 0
+    store_era: Revision = 0
     isolated: list[str] = []
     relays: dict[ZoneId, list[str]] = {}
     brittle: LimitReports = {}
     without_origins: list[str] = []
     limit_users: LimitUsers = {}
-    ceding: Annotated[int, msgspec.Meta(ge=0)] = 0
+    ceding: Count = 0
     pool_reports: PoolReports = PoolReports()
 
     def live(self, address: str, zone: ZoneId) -> Fleet:
@@ -273,15 +282,15 @@
     """
 
     address: str
-    weight: float
+    weight: Weight
     zone: ZoneId
     is_fleet: bool
-    config_number: int
-    change_revision: int
+    config_number: Revision
+    change_revision: Revision
     freshest_peer: str
-    read_age_ms: int
-    store_uptime_ms: int
-    sequence: int = 0
+    read_age_ms: Count
+    store_uptime_ms: Count
+    sequence: Count = 0
     packed_work: bytes = b""
     packed_prefixes: bytes = b""
     loads: dict[UpstreamId, Work] = {}
@@ -291,12 +300,12 @@
     limits: LimitReports = {}
     rank_tokens: RankTokens = {}
     leaving: LeavingUpstreams = {}
-    store_era: Annotated[int, msgspec.Meta(ge=0)] = 0
+    store_era: Revision = 0
     isolated: list[str] = []
     relays: dict[ZoneId, list[str]] = {}
     brittle: LimitReports = {}
     limit_users: LimitUsers = {}
-    ceding: Annotated[int, msgspec.Meta(ge=0)] = 0
+    ceding: Count = 0
     pool_reports: PoolReports = PoolReports()
 
 
@@ -331,13 +340,13 @@
         Software versions of upstreams, now and recently; None if not known.
     """
 
-    revision: int
-    change_revision: int
+    revision: Revision
+    change_revision: Revision
     published: bytes
     entries: list[UpstreamEntry]
-    evacuated: dict[ZoneId, int] = {}
-    store_era: Annotated[int, msgspec.Meta(ge=0)] = 0
-    evacuated_eras: dict[ZoneId, int] = {}
+    evacuated: dict[ZoneId, Revision] = {}
+    store_era: Revision = 0
+    evacuated_eras: dict[ZoneId, Revision] = {}
     versions: VersionHistory | None = None
 
 
@@ -358,14 +367,8 @@
     try:
         max_bytes = MAX_VIEW_BYTES if message_type is PeerView else MAX_DATAGRAM_BYTES
         plain = _decompress(data, max_bytes) if data[:1] == ZLIB_FIRST_BYTE else data
-        return msgspec.convert(cbor2.loads(plain), message_type, builtin_types=(bytes,))
-    except (
-        cbor2.CBORError,
-        msgspec.ValidationError,
-        zlib.error,
-        TypeError,
-        EOFError,
-    ) as error:
+        return decode_cbor(plain, message_type)
+    except (DecodingError, zlib.error) as error:
         raise PeerError(ResultCode.PEER_MESSAGE, str(error)) from error
 
 
--- a/packages/buckthornwall/src/buckthornwall/peers/views.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/views.py
@@ -27,6 +27,7 @@
 # compressing a large configuration for each of the members that start at once would
 # keep a speaker from serving. Only the cold time left of upstreams is older then.
 MAX_ENCODED_AGE_S = 0.1
+MAX_NUMBER_DIGITS = 19
 CBOR = [(b"Content-Type", b"application/cbor")]
 
 
@@ -109,7 +110,7 @@
     The configuration is left out if the peer has this number or a newer one.
     """
     path, _, known_number = incoming.target.partition(b"number=")
-    if not known_number.isdigit():
+    if not known_number.isdigit() or len(known_number) > MAX_NUMBER_DIGITS:
         await answer.send_complete(404, [], b"")
         return
     if int(known_number) >= config_number:
--- a/packages/buckthornwall/src/buckthornwall/platform/calls.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/calls.py
@@ -3,6 +3,7 @@
 import binascii
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
+from typing import Annotated, TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -10,7 +11,7 @@
 from buckthornwall.codes import PeerError, ResultCode
 from buckthornwall.discovery import HistoryLost
 from buckthornwall.telemetry import log_event
-from buckthornwall.utils import StorePosition
+from buckthornwall.utils import DecodingError, StorePosition, decode_json
 
 from .names import STORE_ERA
 
@@ -19,6 +20,11 @@
 HTTP_GONE = 410
 MS_PER_S = 1000.0
 MAX_ERA_DIGITS = 18
+MAX_REVISION = 2**63 - 1
+# A hundred times the keys of the largest planned fleet.
+MAX_PAGES = 200
+# A value that cannot be read: no decoder accepts it.
+UNREADABLE = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,7 +55,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredValue:
-    """A key, the revision of its last change, and its value; None if it was removed."""
+    """A key, the revision of its last change, and its value.
+
+    The value is None if it was removed, and `UNREADABLE` if it cannot be read.
+    """
 
     key: str
     revision: int
@@ -64,26 +73,38 @@
     values: list[StoredValue] = field(default_factory=list)
 
 
+Revision = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
+
+
 class _Item(msgspec.Struct):
     """An item or an event; `value` is in Base64."""
 
     key: str
-    revision: int = 0
+    revision: Revision = 0
     value: str | None = None
     removed: bool = False
 
 
+class _Key(msgspec.Struct):
+    """What is read of an item that cannot be decoded as a whole."""
+
+    key: str
+
+
 class _Page(msgspec.Struct):
     """A page of items; `truncated` if more of them follow."""
 
-    store_revision: int
-    items: list[_Item] = []
+    store_revision: Revision
+    items: list[msgspec.Raw] = []
     truncated: bool = False
 
 
 class _Events(msgspec.Struct):
-    store_revision: int
-    events: list[_Item] = []
+    store_revision: Revision
+    events: list[msgspec.Raw] = []
+
+
+Answer = TypeVar("Answer", _Page, _Events)
 
 
 class StoreCalls:
@@ -115,15 +136,20 @@
         """
         found: Changes | None = None
         after = ""
-        while True:
+        for _ in range(MAX_PAGES):
             era, page = await self._read_page(prefix, after)
             found = found or Changes(StorePosition(era, page.store_revision))
             if era != found.position.era:
                 raise HistoryLost
-            found.values += [_value(item) for item in page.items]
+            values = _values(page.items)
+            found.values += values
             if not page.truncated or not page.items:
                 return found
-            after = page.items[-1].key
+            last = values[-1].key if values else after
+            if last <= after:
+                break
+            after = last
+        raise PeerError(ResultCode.PLATFORM_UNREACHABLE, "pages without end")
 
     async def _read_page(self, prefix: str, after: str) -> tuple[int, _Page]:
         """Return the era of the store, and the page after a key."""
@@ -155,7 +181,7 @@
         events = _decode(answer, _Events)
         return Changes(
             StorePosition(answer.era, events.store_revision),
-            [_value(item) for item in events.events],
+            _values(events.events),
         )
 
     async def _call(self, target: str, wait_s: float) -> StoreAnswer:
@@ -167,21 +193,52 @@
         return answer
 
 
-def _decode(answer: StoreAnswer, schema: type) -> _Page | _Events:
+def _decode(answer: StoreAnswer, schema: type[Answer]) -> Answer:
     if answer.status != 200:
         detail = f"status {answer.status}"
         raise PeerError(ResultCode.PLATFORM_UNREACHABLE, detail)
     try:
-        return msgspec.json.decode(answer.body, type=schema)
-    except msgspec.DecodeError as error:
+        return decode_json(answer.body, schema)
+    except DecodingError as error:
         raise PeerError(ResultCode.PLATFORM_UNREACHABLE, str(error)) from error
 
 
-def _value(item: _Item) -> StoredValue:
+def _values(items: Iterable[msgspec.Raw]) -> list[StoredValue]:
+    """Return the values of items, without those whose keys cannot be read."""
+    values = [_value(bytes(item)) for item in items]
+    return [value for value in values if value is not None]
+
+
+def _value(raw: bytes) -> StoredValue | None:
+    """Return the value of an item, or None if its key cannot be read."""
+    try:
+        item = decode_json(raw, _Item)
+    except DecodingError as error:
+        key = _key_or_none(raw)
+        _log_refused(key or "", error)
+        return StoredValue(key, 0, UNREADABLE) if key is not None else None
     if item.removed or item.value is None:
         return StoredValue(item.key, item.revision, None)
     try:
-        raw = binascii.a2b_base64(item.value)
-    except binascii.Error as error:
-        raise PeerError(ResultCode.PLATFORM_UNREACHABLE, str(error)) from error
-    return StoredValue(item.key, item.revision, raw)
+        value = binascii.a2b_base64(item.value)
+    except ValueError as error:
+        _log_refused(item.key, error)
+        value = UNREADABLE
+    return StoredValue(item.key, item.revision, value)
+
+
+def _key_or_none(raw: bytes) -> str | None:
+    try:
+        return decode_json(raw, _Key).key
+    except DecodingError:
+        return None  # logged by the caller
+
+
+def _log_refused(key: str, error: ValueError) -> None:
+    log_event(
+        "item_refused",
+        "WARNING",
+        key=key,
+        code=ResultCode.RECORDS_MALFORMED.number,
+        detail=error,
+    )
--- a/packages/buckthornwall/src/buckthornwall/platform/client.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/client.py
@@ -11,7 +11,15 @@
 
 from buckthornwall.codes import PeerError, ResultCode
 from buckthornwall.discovery import HistoryLost
-from buckthornwall.utils import ConfigItem, ConfigNamespace, StorePosition, ZoneId
+from buckthornwall.telemetry import log_event
+from buckthornwall.utils import (
+    ConfigItem,
+    ConfigNamespace,
+    StorePosition,
+    ZoneId,
+    decode_json,
+    split_address,
+)
 
 from .calls import Changes, StoreAnswer, StoreCalls
 
@@ -112,6 +120,23 @@
                 self.values[each.key] = each.value
 
 
+def _instance_or_none(key: str, value: bytes) -> ListedInstance | None:
+    """Return an entry of the list, or None if it cannot be read."""
+    try:
+        instance = decode_json(value, ListedInstance)
+        split_address(instance.address)
+    except ValueError as error:
+        log_event(
+            "instance_refused",
+            "WARNING",
+            key=key,
+            code=ResultCode.RECORDS_MALFORMED.number,
+            detail=error,
+        )
+        return None
+    return instance
+
+
 class PlatformClient:
     """Watches the store over a pool of connections.
 
@@ -142,7 +167,7 @@
         """
         if not await self._records.update(wait_s):
             return None
-        return self._records.values.get(RECORDS_KEY)
+        return self._records.values.get(RECORDS_KEY) or None  # unreadable: refused
 
     async def watch_instances(self, wait_s: float) -> InstanceList | None:
         """Return the list of instances if it has changed, else None.
@@ -154,13 +179,11 @@
         """
         if not await self._instances.update(wait_s):
             return None
-        try:
-            listed = [
-                msgspec.json.decode(value, type=ListedInstance)
-                for value in self._instances.values.values()
-            ]
-        except msgspec.DecodeError as error:
-            raise PeerError(ResultCode.PLATFORM_UNREACHABLE, str(error)) from error
+        listed = [
+            instance
+            for key, value in self._instances.values.items()
+            if (instance := _instance_or_none(key, value)) is not None
+        ]
         return InstanceList(self._instances.position, listed)
 
     async def _call(self, target: str, wait_s: float) -> StoreAnswer:
--- a/packages/buckthornwall/src/buckthornwall/platform/published.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/published.py
@@ -16,21 +16,36 @@
     ResponseMode,
     TeamConfig,
 )
-from buckthornwall.utils import RegionId, RouteId, TeamId
+from buckthornwall.utils import (
+    Count,
+    DecodingError,
+    RegionId,
+    Revision,
+    RouteId,
+    TeamId,
+    Weight,
+    decode_json,
+)
 
 __all__ = ["decode_published"]
 
 MS_PER_S = 1000.0
 DEFAULT_TIMEOUT_MS = 30_000.0
 DEFAULT_TARGET_LATENCY_MS = 1_000.0
+MAX_MS = 1e9
+# Printable characters of ASCII, as in a header's value.
+HEADER_VALUE = r"\A[!-~]([ -~]*[!-~])?\Z"
 # Kinds of a route, as the platform names them.
 IDEMPOTENT = "idempotent"
 STREAM = "stream"
 
 
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]
+
+
 class _Split(msgspec.Struct):
     service: str
-    weight: float
+    weight: Weight
 
 
 class _Route(msgspec.Struct):
@@ -40,51 +55,51 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float = DEFAULT_TIMEOUT_MS
-    target_latency_ms: float = DEFAULT_TARGET_LATENCY_MS
-    priority: int = 0
+    timeout_ms: Milliseconds = DEFAULT_TIMEOUT_MS
+    target_latency_ms: Milliseconds = DEFAULT_TARGET_LATENCY_MS
+    priority: Count = 0
     service: str | None = None
     traffic_split: list[_Split] = []
-    max_attempts: int = 1
+    max_attempts: Count = 1
     public: bool = False
     resumable: bool = False
-    gap_aim_ms: float = 0.0
+    gap_aim_ms: Milliseconds = 0.0
     allowed_regions: list[str] | None = None
 
 
 class _Engine(msgspec.Struct):
     """An engine; `kv_capacity` is in tokens, `stride` in tokens per event."""
 
-    slots: int = 1
-    kv_capacity: int = 0
-    stride: int = 1
+    slots: Count = 1
+    kv_capacity: Count = 0
+    stride: Count = 1
 
 
 class _Service(msgspec.Struct):
     name: str
     health_path: str = "/"
-    max_connections: int = 100
+    max_connections: Count = 100
     engine: _Engine | None = None
-    cold_start_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
-    cold_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    cold_start_s: Weight = 0.0
+    cold_per_s: Weight = 0.0
 
 
 class _Tenant(msgspec.Struct):
-    name: str
+    name: Annotated[str, msgspec.Meta(pattern=HEADER_VALUE)]
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Count | None = None
     allowed_regions: list[str] | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    max_header_bytes: Count
+    max_body_bytes: Count
+    header_timeout_ms: Milliseconds
+    idle_timeout_ms: Milliseconds
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: Revision
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits | None = None
@@ -100,8 +115,8 @@
         RECORDS_MALFORMED if the value does not match the platform's schema.
     """
     try:
-        config = msgspec.json.decode(value, type=_Config)
-    except msgspec.DecodeError as error:
+        config = decode_json(value, _Config)
+    except DecodingError as error:
         raise RecordError(ResultCode.RECORDS_MALFORMED, str(error)) from error
     return PublishedConfig(
         number=config.version,
@@ -137,7 +152,7 @@
 
 
 def _shares(route: _Route) -> tuple[PoolShare, ...]:
-    if route.traffic_split:
+    if sum(split.weight for split in route.traffic_split) > 0:
         return tuple(
             PoolShare(PoolId(split.service), split.weight)
             for split in route.traffic_split
--- a/packages/buckthornwall/src/buckthornwall/platform/store.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/store.py
@@ -9,19 +9,22 @@
 from buckthornwall.codes import PeerError, RecordError, ResultCode
 from buckthornwall.discovery import StoreUpdate, UpdateSource
 from buckthornwall.http1 import ClientConnection, ExchangeError
-from buckthornwall.pools import UpstreamEntry, UpstreamState
+from buckthornwall.pools import UpstreamEntry, UpstreamState, check_entry
 from buckthornwall.routing import PoolId
 from buckthornwall.telemetry import log_event
 from buckthornwall.utils import (
     ConfigItem,
     ConfigNamespace,
+    DecodingError,
     SoftwareVersion,
     StorePosition,
     UpstreamId,
     ZoneId,
+    decode_json,
 )
 
 from .calls import Changes, StoreAnswer, StoreCalls, StoredValue
+from .published import decode_published
 
 __all__ = ["StoreClient", "StoreSettings", "to_store_update"]
 
@@ -31,8 +34,7 @@
 # One watch of all keys takes half as many calls as one for each of the two prefixes.
 ALL_KEYS = ""
 MS_PER_S = 1000.0
-# An IPv4 address and a port other than 0.
-ADDRESS = r"^\d{1,3}(\.\d{1,3}){3}:[1-9]\d{0,4}$"
+MAX_NAME_CHARS = 200
 
 
 class StoreSettings(ConfigNamespace):
@@ -58,6 +60,9 @@
     DRAINING = "draining"
 
 
+Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
+
+
 class _Registration(msgspec.Struct):
     """An engine's registration; its field `sequence`, a count of writes, is ignored.
 
@@ -65,15 +70,15 @@
     same id.
     """
 
-    service: str
-    address: Annotated[str, msgspec.Meta(pattern=ADDRESS)]
-    zone: str = ""
-    slots: Annotated[int, msgspec.Meta(ge=1)] = 1
+    service: Name
+    address: Name
+    zone: Name = ""
+    slots: int = 1
     state: _EngineState = _EngineState.READY
-    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    cold_remaining_ms: float = 0.0
     models: list[msgspec.Raw] | None = None
-    version: str = ""
-    born: int | float | str = ""
+    version: Name = ""
+    born: int | float | Name = ""
 
 
 class StoreClient(UpdateSource):
@@ -184,7 +189,7 @@
     """Add one change of a key to an update."""
     update.change_revision = max(update.change_revision, change.revision)
     if change.key == CONFIG_KEY:
-        update.published = change.value or update.published
+        _add_config(update, change.value)
     elif change.key.startswith(EVACUATIONS):
         _add_zone(update, ZoneId(change.key.removeprefix(EVACUATIONS)), change)
     elif change.key.startswith(REGISTRATIONS):
@@ -198,6 +203,22 @@
             update.entries[upstream] = entry
 
 
+def _add_config(update: StoreUpdate, value: bytes | None) -> None:
+    """Add a version of the configuration, which its removal leaves in force.
+
+    One that cannot be read does not displace an earlier version of the same update.
+    """
+    if value is None:
+        return
+    if update.published is not None:
+        try:
+            decode_published(value)
+        except RecordError as error:
+            log_event("config_refused", "ERROR", code=error.code.number, detail=error)
+            return
+    update.published = value
+
+
 def _add_zone(update: StoreUpdate, zone: ZoneId, change: StoredValue) -> None:
     """Add the record of a zone's evacuation, or its removal."""
     if change.value is None:
@@ -206,8 +227,8 @@
         update.reopened[zone] = StorePosition(update.era, change.revision)
         return
     try:
-        msgspec.json.decode(change.value, type=dict)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        decode_json(change.value, dict)
+    except DecodingError as error:
         update.unreadable_zones.add(zone)
         log_event(
             "evacuation_refused",
@@ -241,11 +262,11 @@
 
 def _entry(upstream: UpstreamId, raw: bytes) -> UpstreamEntry:
     try:
-        registration = msgspec.json.decode(raw, type=_Registration)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        registration = decode_json(raw, _Registration)
+    except DecodingError as error:
         raise RecordError(ResultCode.RECORDS_MALFORMED, str(error)) from error
     is_ready = registration.state is _EngineState.READY
-    return UpstreamEntry(
+    entry = UpstreamEntry(
         id=upstream,
         pool=PoolId(registration.service),
         address=registration.address,
@@ -257,3 +278,5 @@
         incarnation=str(registration.born),
         version=SoftwareVersion(registration.version),
     )
+    check_entry(entry)
+    return entry
--- a/packages/buckthornwall/src/buckthornwall/platform/tests/test_client.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/tests/test_client.py
@@ -6,7 +6,6 @@
 
 from buckthornwall.codes import PeerError
 from buckthornwall.platform import InstanceKind, PlatformClient, PlatformSettings
-from buckthornwall.platform.calls import StoreAnswer, StoreCalls
 from buckthornwall.platform.client import INSTANCES_PREFIX, RECORDS_KEY
 
 
@@ -120,10 +119,41 @@
     assert await watched.watch_records(1.0) is None
 
 
-async def test_value_that_is_not_base64_is_refused():
-    async def transport(target: str, wait_s: float) -> StoreAnswer:
-        body = b'{"store_revision": 1, "items": [{"key": "k", "value": "a"}]}'
-        return StoreAnswer(200, body)
+@pytest.mark.parametrize("text", ["a", "ü"])
+async def test_value_that_is_not_base64_hid_all_others(text):
+    """It alone cannot be read; the records in force stay."""
+    broken = {"key": RECORDS_KEY, "value": text, "revision": 2}
+    watched = client(
+        page(1, item(RECORDS_KEY, b"one", 1), item("other", b"two", 1)),
+        events(3, broken, item("other", b"three", 3)),
+    )
+    assert await watched.watch_records(1.0) == b"one"
+    assert await watched.watch_records(1.0) is None
+    assert watched._records.values["other"] == b"three"
+
 
+async def test_instance_that_cannot_be_read_hid_all_others():
+    watched = client(
+        page(
+            2,
+            item(INSTANCES_PREFIX + "a", listed("a"), 1),
+            item(INSTANCES_PREFIX + "b", b'{"x":' + b"[" * 2001, 2),
+            item(INSTANCES_PREFIX + "c", listed("c", address="10.0.0.1:99999"), 2),
+        )
+    )
+    found = await watched.watch_instances(0.0)
+    assert [each.id for each in found.instances] == ["a"]
+
+
+async def test_pages_without_end_were_read_for_ever():
+    """A store in trouble repeats a page, or goes on naming keys."""
+    for answers in ([page(1, item("k", b"", 1), truncated=True)] * 300,):
+        with pytest.raises(PeerError):
+            await client(*answers).watch_instances(0.0)
+    numbered = [
+        page(1, item(f"k{number:05}", b"", 1), truncated=True) for number in range(999)
+    ]
+    watched = client(*numbered)
     with pytest.raises(PeerError):
-        await StoreCalls(transport).read_all("k")
+        await watched.watch_instances(0.0)
+    assert len(watched.pool.targets) == 200
--- a/packages/buckthornwall/src/buckthornwall/pools/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/__init__.py
@@ -57,7 +57,7 @@
 
 from .availability import Obstacle
 from .decision import choose_upstream
-from .entry import UpstreamEntry, UpstreamState, is_same_incarnation
+from .entry import UpstreamEntry, UpstreamState, check_entry, is_same_incarnation
 from .expectation import expected_s
 from .fleet_memory import FleetMemory
 from .health import Verdict
@@ -144,6 +144,7 @@
     "add_rank_tokens",
     "add_unreachable",
     "bound_pool_reports",
+    "check_entry",
     "choose_engine",
     "choose_service",
     "choose_upstream",
--- a/packages/buckthornwall/src/buckthornwall/pools/ledger.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/ledger.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 
 from buckthornwall.routing import PoolId
+from buckthornwall.utils import Count
 
 __all__ = [
     "Admission",
@@ -34,7 +35,7 @@
 MIN_REFUSED_SHARE = 1 / 24
 
 # Admitted and refused tokens by rank.
-TokenCounts = dict[int, tuple[int, int]]
+TokenCounts = dict[Count, tuple[Count, Count]]
 # Those of each pool.
 RankTokens = dict[PoolId, TokenCounts]
 
--- a/packages/buckthornwall/src/buckthornwall/pools/pool_reports.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/pool_reports.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from buckthornwall.routing import PoolId
-from buckthornwall.utils import TeamId, UpstreamId
+from buckthornwall.utils import Count, TeamId, UpstreamId
 
 from .team_shares import top_teams
 
@@ -35,6 +35,8 @@
 # health decides on.
 MAX_SLOWNESS = 4.0
 MAX_LOG_PERCENT = round(100 * math.log(MAX_SLOWNESS))
+# Sums up to here are exact as floating-point numbers.
+MAX_SUM = 2**53
 
 
 class SpeedSamples(msgspec.Struct, array_like=True, frozen=True):
@@ -49,14 +51,14 @@
         long the same work took there as a multiple of a unit common to all instances.
     """
 
-    count: Annotated[int, msgspec.Meta(ge=0)] = 0
-    log_percent: int = 0
+    count: Count = 0
+    log_percent: Annotated[int, msgspec.Meta(ge=-MAX_SUM, le=MAX_SUM)] = 0
 
 
 # Samples of each engine that has any.
 EngineSpeeds = dict[UpstreamId, SpeedSamples]
 # Tokens of work asked for recently, by pool, rank and team.
-TeamTokens = dict[PoolId, dict[int, dict[TeamId, int]]]
+TeamTokens = dict[PoolId, dict[Count, dict[TeamId, Count]]]
 
 
 class PoolReports(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/buckthornwall/src/buckthornwall/pools/prefix_updates.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/prefix_updates.py
@@ -9,12 +9,12 @@
 import itertools
 from collections.abc import Iterable
 
-from buckthornwall.utils import UpstreamId
+from buckthornwall.utils import Count, UpstreamId
 
 __all__ = ["CachedPrefixes", "PrefixUpdates", "merge_cached_prefixes"]
 
 # Segments sent to each upstream: id and tokens.
-CachedPrefixes = dict[UpstreamId, list[tuple[str, int]]]
+CachedPrefixes = dict[UpstreamId, list[tuple[str, Count]]]
 
 # A segment is repeated in messages for this long, so that a lost datagram does not
 # matter.
--- a/packages/buckthornwall/src/buckthornwall/pools/rate_limit.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/rate_limit.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from buckthornwall.utils import UpstreamId
+from buckthornwall.utils import Count, UpstreamId
 
 __all__ = [
     "UNLIMITED",
@@ -36,7 +36,7 @@
     """Requests a second that an upstream advertised (None: no limit), and its age."""
 
     per_s: Annotated[float, msgspec.Meta(ge=0)] | None
-    age_ms: Annotated[int, msgspec.Meta(ge=0)]
+    age_ms: Count
 
 
 LimitReports = dict[UpstreamId, LimitReport]
--- a/packages/buckthornwall/src/buckthornwall/pools/reachability.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/reachability.py
@@ -5,13 +5,13 @@
 instances would find out for itself, by requests of its callers.
 """
 
-from buckthornwall.utils import UpstreamId
+from buckthornwall.utils import Count, UpstreamId
 
 __all__ = ["Reachability", "Unreachable", "add_unreachable"]
 
 # Number of instances that recently could not reach an upstream, or that it asked for a
 # rest, by upstream.
-Unreachable = dict[UpstreamId, int]
+Unreachable = dict[UpstreamId, Count]
 
 # A failure is reported for this many seconds. The next attempt then finds out anew, so
 # a recovered upstream is used again, and one still down costs a few attempts a second.
--- a/packages/buckthornwall/src/buckthornwall/pools/software_versions.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/software_versions.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from buckthornwall.routing import PoolId
-from buckthornwall.utils import Clock, SoftwareVersion
+from buckthornwall.utils import Clock, Count, SoftwareVersion
 
 from .entry import UpstreamEntry
 from .view import UpstreamView
@@ -39,9 +39,9 @@
 class VersionAges(msgspec.Struct, array_like=True, frozen=True):
     """Ages of the times in `VersionSpan`, in milliseconds."""
 
-    appeared_ms: int
-    absent_ms: int
-    seen_ms: int
+    appeared_ms: Count
+    absent_ms: Count
+    seen_ms: Count
 
 
 class VersionHistory(msgspec.Struct, array_like=True, frozen=True):
@@ -50,7 +50,7 @@
     Times are ages in milliseconds.
     """
 
-    complete_ms: int
+    complete_ms: Count
     spans: dict[PoolId, dict[SoftwareVersion, VersionAges]]
 
 
--- a/packages/buckthornwall/src/buckthornwall/quarantine/table.py
+++ b/packages/buckthornwall/src/buckthornwall/quarantine/table.py
@@ -16,6 +16,7 @@
 
 from buckthornwall.routing import PoolId
 from buckthornwall.telemetry import log_event
+from buckthornwall.utils import Count
 
 from .fingerprint import Fingerprint, format_fingerprint, is_part
 from .parts import PartQuarantine, RefusedParts
@@ -56,8 +57,8 @@
     fingerprint: NonNegativeInt
     terminations: list[Tag]
     cleared: list[Tag]
-    age_s: NonNegativeInt
-    ages_ms: list[NonNegativeInt] = []
+    age_s: Count
+    ages_ms: list[Count] = []
 
 
 class QuarantineTable:
--- a/packages/buckthornwall/src/buckthornwall/records/core.py
+++ b/packages/buckthornwall/src/buckthornwall/records/core.py
@@ -8,7 +8,16 @@
 import msgspec
 
 from buckthornwall.codes import RecordError, ResultCode
-from buckthornwall.utils import ClassId, ModelId, RouteId, TeamId, UpstreamId
+from buckthornwall.utils import (
+    ClassId,
+    DecodingError,
+    ModelId,
+    RouteId,
+    TeamId,
+    UpstreamId,
+    decode_json,
+    split_address,
+)
 
 from .schema import (
     SCHEMAS,
@@ -25,6 +34,8 @@
 __all__ = ["RecordView", "digest_of", "parse_records"]
 
 DIGEST_CHARS = 16
+# Numbers up to here are also exact as floating-point numbers.
+MAX_NUMBER = 2**53
 
 
 @dataclass
@@ -109,15 +120,16 @@
 
 def _decode_envelope(raw: bytes) -> tuple[int, list[Any]]:
     try:
-        document = msgspec.json.decode(raw)
-    except msgspec.DecodeError as error:
+        document = decode_json(raw)
+    except DecodingError as error:
         raise RecordError(ResultCode.RECORDS_MALFORMED, str(error)) from error
     if not isinstance(document, dict):
         raise RecordError(ResultCode.RECORDS_MALFORMED, "expected an object")
     number = document.get("number")
     entries = document.get("records")
-    if type(number) is not int or number < 1:
-        raise RecordError(ResultCode.RECORDS_MALFORMED, "number: expected 1 or more")
+    if type(number) is not int or not 1 <= number <= MAX_NUMBER:
+        detail = f"number: expected 1 to {MAX_NUMBER}"
+        raise RecordError(ResultCode.RECORDS_MALFORMED, detail)
     if not isinstance(entries, list):
         raise RecordError(ResultCode.RECORDS_MALFORMED, "records: expected a list")
     return number, entries
@@ -139,7 +151,9 @@
         return
     try:
         record = convert(entry, kind, schema)
-    except msgspec.ValidationError as error:
+        if isinstance(record, Upstream):
+            split_address(record.address)
+    except (msgspec.ValidationError, ValueError) as error:
         raise RecordError(
             ResultCode.RECORD_INVALID, f"{path} {kind} {record_id}: {error}"
         ) from error
--- a/packages/buckthornwall/src/buckthornwall/records/tests/test_records.py
+++ b/packages/buckthornwall/src/buckthornwall/records/tests/test_records.py
@@ -92,6 +92,8 @@
     [
         ({"urgent": {"tier": "high"}}, ResultCode.RECORD_INVALID, "$.tier"),
         ({"e1": {"address": "host:80"}}, ResultCode.RECORD_INVALID, "$.address"),
+        ({"e1": {"address": "10.0.0.1:70000"}}, ResultCode.RECORD_INVALID, "range"),
+        ({"e1": {"address": "10.0.0.999:80"}}, ResultCode.RECORD_INVALID, "range"),
         ({"one": {"classes": ["gone"]}}, ResultCode.RECORD_REFERENCE, "class gone"),
         ({"m": {"colour": "red"}}, ResultCode.RECORD_INVALID, "colour"),
         ({"low": {"floor": 1.5}}, ResultCode.RECORD_INVALID, "$.floor"),
@@ -104,7 +106,19 @@
     assert path in caught.value.detail
 
 
-@pytest.mark.parametrize("raw", [b"", b"[]", b"{", b'{"number": 0, "records": []}'])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"",
+        b"[]",
+        b"{",
+        b'{"number": 0, "records": []}',
+        b'{"number": 1' + b"0" * 400 + b', "records": []}',
+        b'{"number": 1, "records": ' + b"[" * 2001,
+        b'{"number": 1, "records": ' + b"[" * 600 + b"]" * 600 + b"}",
+    ],
+    ids=range(7),
+)
 def test_malformed_set_raises_record_error_with_its_code(raw):
     with pytest.raises(RecordError) as caught:
         parse_records(raw)
--- a/packages/buckthornwall/src/buckthornwall/router/state_sync.py
+++ b/packages/buckthornwall/src/buckthornwall/router/state_sync.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from buckthornwall.codes import PeerError
+from buckthornwall.codes import PeerError, RecordError
 from buckthornwall.discovery import DiscoveryAgent, StoreUpdate
 from buckthornwall.peers import (
     Beacon,
@@ -16,6 +16,7 @@
     ViewClient,
     freshness,
 )
+from buckthornwall.pools import UpstreamEntry, check_entry
 from buckthornwall.telemetry import log_event
 from buckthornwall.utils import Clock, StorePosition
 
@@ -184,7 +185,7 @@
                 is_snapshot=True,
                 change_revision=view.change_revision,
                 published=view.published or None,
-                entries={entry.id: entry for entry in view.entries},
+                entries={entry.id: entry for entry in _usable(view, peer)},
                 evacuated={
                     zone: StorePosition(
                         view.evacuated_eras.get(zone, view.store_era), revision
@@ -232,6 +233,26 @@
         }
 
 
+def _usable(view: PeerView, peer: str) -> list[UpstreamEntry]:
+    """Return the entries of a view that name upstreams, without the others."""
+    usable = []
+    for entry in view.entries:
+        try:
+            check_entry(entry)
+        except RecordError as error:
+            log_event(
+                "registration_refused",
+                "WARNING",
+                upstream=entry.id,
+                peer=peer,
+                code=error.code.number,
+                detail=error,
+            )
+        else:
+            usable.append(entry)
+    return usable
+
+
 def view_pause_s(took_s: float) -> float:
     """Return the pause after fetching a view that took `took_s`."""
     return min(VIEW_PAUSE_RATIO * took_s, MAX_VIEW_PAUSE_S)
--- a/packages/buckthornwall/src/buckthornwall/upstreams/adapter_reconciler.py
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/adapter_reconciler.py
@@ -23,7 +23,7 @@
 from buckthornwall.membership import FreezeDetector, MemberTable
 from buckthornwall.records import RecordStore, Upstream, UpstreamKind
 from buckthornwall.telemetry import log_event
-from buckthornwall.utils import TRANSPORT_ERRORS
+from buckthornwall.utils import TRANSPORT_ERRORS, DecodingError, decode_json
 
 from .engine import UpstreamSettings
 
@@ -33,6 +33,17 @@
 HTTP_CONFLICT = 409
 
 
+class _LoadedModel(msgspec.Struct):
+    """A model or adapter, and the version that it was loaded from."""
+
+    id: str
+    root: str | None = ""
+
+
+class _LoadedModels(msgspec.Struct):
+    data: list[_LoadedModel]
+
+
 class AdapterReconciler:
     """Load the adapters that engines' records name.
 
@@ -112,10 +123,10 @@
     async def _read_adapters(self, engine: Upstream) -> dict[str, str]:
         content = await self._request(engine, "GET", "/v1/models", None, 0)
         try:
-            models = msgspec.json.decode(content)["data"]
-            return {each["id"]: each.get("root", "") for each in models}
-        except (msgspec.DecodeError, KeyError, TypeError, AttributeError) as error:
+            models = decode_json(content, _LoadedModels).data
+        except DecodingError as error:
             raise UpstreamError(ResultCode.UPSTREAM_GARBAGE, repr(error)) from error
+        return {each.id: each.root for each in models}
 
     async def _load_adapter(
         self, engine: Upstream, name: str, version: str, number: int
--- a/packages/buckthornwall/src/buckthornwall/upstreams/engine.py
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/engine.py
@@ -8,13 +8,17 @@
 
 from buckthornwall.codes import ResultCode, UpstreamError
 from buckthornwall.records import Upstream
+from buckthornwall.telemetry import log_event
 from buckthornwall.utils import (
     TRANSPORT_ERRORS,
     AttemptId,
     Clock,
     ConfigItem,
     ConfigNamespace,
+    Count,
+    DecodingError,
     UpstreamId,
+    decode_json,
 )
 
 __all__ = ["EngineClient", "ResponseListener", "UpstreamSettings"]
@@ -65,6 +69,11 @@
     ]
 
 
+class _LoadReport(msgspec.Struct):
+    server_load: Count
+    leaving: bool = False
+
+
 class EngineClient:
     """Open streams to engines and classify their failures.
 
@@ -173,8 +182,8 @@
         chunks = []
         for event in events:
             try:
-                chunk = msgspec.json.decode(event)
-            except msgspec.DecodeError as error:
+                chunk = decode_json(event)
+            except DecodingError as error:
                 raise UpstreamError(ResultCode.UPSTREAM_GARBAGE, str(error)) from error
             if not isinstance(chunk, dict):
                 raise UpstreamError(
@@ -199,15 +208,8 @@
                 f"http://{engine.address}/load",
                 extensions={"timeout": self._timeouts()},
             )
-            report = msgspec.json.decode(response.content)
-            return int(report["server_load"]), bool(report.get("leaving", False))
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-            msgspec.DecodeError,
-            KeyError,
-            TypeError,
-            ValueError,
-        ):
+            report = decode_json(response.content, _LoadReport)
+        except (*TRANSPORT_ERRORS, DecodingError) as error:
+            log_event("load_not_read", "DEBUG", engine=engine.id, detail=error)
             return None
+        return report.server_load, report.leaving
--- a/packages/buckthornwall/src/buckthornwall/upstreams/tests/test_upstreams.py
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/tests/test_upstreams.py
@@ -73,6 +73,20 @@
     assert (headers[b"retry-after"], headers[b"server-leaving"]) == (b"3", b"1")
 
 
+@pytest.mark.parametrize(
+    "body", [b'{"x":' + b"[" * 2001, b'{"server_load": 1e400}', b'{"server_load": -1}']
+)
+async def test_load_that_cannot_be_read_ended_the_instance(
+    raw_upstream, view, clock, body
+):
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+    address = await raw_upstream(head + body)
+    engine = msgspec.structs.replace(view.upstreams["e1"], address=address)
+    async with httpcore.AsyncConnectionPool() as pool:
+        client = EngineClient(UpstreamSettings(), pool, clock)
+        assert await client.read_load(engine) is None
+
+
 async def test_listener_receives_the_response_of_a_service(raw_upstream, view):
     address = await raw_upstream(RESTING)
     service = msgspec.structs.replace(view.upstreams["e1"], address=address)
--- a/packages/buckthornwall/src/buckthornwall/utils/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/utils/__init__.py
@@ -4,6 +4,8 @@
 from .backoff import Backoff
 from .clock import Clock, TrioClock
 from .config import ConfigItem, ConfigNamespace
+from .counts import Count, Revision, Weight
+from .decoding import DecodingError, decode_cbor, decode_json
 from .hashing import HashRing, hash_fraction, rendezvous_order, rendezvous_winner
 from .ids import (
     AttemptId,
@@ -33,6 +35,8 @@
     "Clock",
     "ConfigItem",
     "ConfigNamespace",
+    "Count",
+    "DecodingError",
     "GrantId",
     "HashRing",
     "Incarnation",
@@ -40,6 +44,7 @@
     "NodeId",
     "RegionId",
     "RequestId",
+    "Revision",
     "RouteId",
     "SoftwareVersion",
     "StorePosition",
@@ -47,7 +52,10 @@
     "TeamId",
     "TrioClock",
     "UpstreamId",
+    "Weight",
     "ZoneId",
+    "decode_cbor",
+    "decode_json",
     "hash_fraction",
     "lazy_exports",
     "new_id",
