Token counts: what no message can state is refused, not counted

Cause: counts of callers and of upstreams' load reports were taken whatever their size. Large ones overflow floats, or make a digest that all peers would refuse.

Change: token counts are 0 to 100 million or the request is refused with 400 (1001), in requests of peers too; load reports with other counts are ignored as hints. Long numbers in refusals of peers and in event ids are not converted.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/events.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/events.py
@@ -6,6 +6,8 @@
 
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 LINE_BREAKS = b"\r\n"
+# Longer ids are compared as text.
+MAX_ID_DIGITS = 100
 EVENT_ID = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
 
 
@@ -82,6 +84,11 @@
         return b"".join(kept)
 
     def _is_duplicate(self, event_id: str) -> bool:
-        if event_id.isdigit() and self.last_id.isdigit():
+        if _is_number(event_id) and _is_number(self.last_id):
             return int(event_id) <= int(self.last_id)
         return event_id == self.last_id
+
+
+def _is_number(event_id: str) -> bool:
+    is_short = len(event_id) <= MAX_ID_DIGITS
+    return is_short and event_id.isascii() and event_id.isdecimal()
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_streams.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_streams.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from buckthornwall.forwarding.events import EventJoiner
 from buckthornwall.http1 import ResponseAborted
 from buckthornwall.routing import (
     ResponseMode,
@@ -163,6 +164,14 @@
     assert answer.body == event(1) + event(2) + event(3)
 
 
+@pytest.mark.parametrize("name", ["²", "9" * 5000, "٣"])
+def test_event_id_that_is_no_number_failed_a_resumed_stream(name):
+    joiner = EventJoiner("7")
+    joiner.resume()
+    event = f"id: {name}\ndata: x\n\n".encode("latin-1", "replace")
+    assert joiner.feed(event) == event
+
+
 async def test_broken_stream_that_is_not_resumable_is_cut_visibly(forward):
     with pytest.raises(ResponseAborted):
         await forward(
--- a/packages/buckthornwall/src/buckthornwall/platform/codec.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/codec.py
@@ -6,7 +6,12 @@
 from buckthornwall.forwarding import AttemptContext, Reply
 from buckthornwall.http1 import IncomingRequest, ResponseHead
 from buckthornwall.pools import MAX_SLOWDOWN, LoadReport, Notice, Slowdown
-from buckthornwall.routing import PromptSegment, PromptShape, RoutedRequest
+from buckthornwall.routing import (
+    MAX_TOKENS,
+    PromptSegment,
+    PromptShape,
+    RoutedRequest,
+)
 from buckthornwall.utils import ModelId
 
 from . import names
@@ -20,6 +25,7 @@
 PERCENT = 100.0
 # Counts of a load report; a slowdown in percent may follow.
 LOAD_COUNTS = 3
+MAX_LOAD_COUNT = 1_000_000
 MAX_ID_BYTES = 128
 MAX_EVENT_ID_BYTES = 1024
 
@@ -115,8 +121,8 @@
         tokens_in, _, tokens_out = counts.partition(b",")
         return PromptShape(
             model=ModelId(found.get(names.MODEL, b"").decode("latin-1")),
-            prompt_tokens=int(tokens_in),
-            max_output_tokens=int(tokens_out or b"0"),
+            prompt_tokens=_token_count(tokens_in),
+            max_output_tokens=_token_count(tokens_out or b"0"),
             segments=_segments(found.get(names.PROMPT_SEGMENTS, b"")),
         )
     except ValueError as error:
@@ -128,10 +134,25 @@
     for entry in value.split(b","):
         if entry.strip():
             segment_id, _, tokens = entry.strip().rpartition(b":")
-            segments.append(PromptSegment(segment_id.decode("latin-1"), int(tokens)))
+            name, count = segment_id.decode("latin-1"), _token_count(tokens)
+            segments.append(PromptSegment(name, count))
     return tuple(segments)
 
 
+def _token_count(value: bytes) -> int:
+    """Return a number of tokens.
+
+    Raises
+    ------
+    ValueError
+        If `value` is no number from 0 to `MAX_TOKENS`.
+    """
+    count = int(value)
+    if not 0 <= count <= MAX_TOKENS:
+        raise ValueError(f"not 0 to {MAX_TOKENS} tokens")
+    return count
+
+
 class PlatformCodec:
     """Encodes the headers of requests to upstreams, and decodes their responses."""
 
@@ -192,6 +213,8 @@
         running, waiting, slots = (int(part) for part in counts)
     except ValueError:
         return None  # only a hint; the counts of this instance apply
+    if not all(0 <= count <= MAX_LOAD_COUNT for count in (running, waiting, slots)):
+        return None
     return LoadReport(running, waiting, slots, _slowdown(slowdown))
 
 
--- a/packages/buckthornwall/src/buckthornwall/platform/relay_codec.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/relay_codec.py
@@ -1,5 +1,6 @@
 """Converts requests to peers and their responses, in which headers mark refusals."""
 
+import math
 import re
 from dataclasses import replace
 from urllib.parse import quote_from_bytes, unquote
@@ -26,6 +27,7 @@
 # requests differ.
 RELAYED_HEADERS: Headers = [(names.RELAYED, b"1")]
 MAX_DETAIL_BYTES = 80
+MAX_DIGITS = 6
 NOT_IN_HEADERS = re.compile(rb"[^!-~]")
 CODES = {code.number: code for code in ResultCode}
 
@@ -111,8 +113,8 @@
     if value is None:
         return None, 0
     number, count, detail = (*value.decode("latin-1").split(" ", 2), "", "")[:3]
-    code = CODES.get(int(number)) if number.isdecimal() else None
-    runs = int(count) if count.isdecimal() else 1  # unless it says so, it may have run
+    code = CODES.get(_number(number, 0))
+    runs = _number(count, 1)  # unless it says so, it may have run
     if code is None:  # of a later build
         code = ResultCode.UPSTREAM_BROKEN if runs else ResultCode.NO_ENGINE
     run = Executed.UNKNOWN if runs else Executed.NO
@@ -120,8 +122,14 @@
     return Refusal(code, detail, run, retry_after_s), runs
 
 
+def _number(text: str, default: int) -> int:
+    is_number = text.isascii() and text.isdecimal() and len(text) <= MAX_DIGITS
+    return int(text) if is_number else default
+
+
 def _retry_after_s(value: bytes | None) -> float | None:
     try:
-        return float(value) if value is not None else None
+        seconds = float(value) if value is not None else math.nan
     except ValueError:
         return None  # only a hint for the client
+    return seconds if 0 <= seconds < math.inf else None
--- a/packages/buckthornwall/src/buckthornwall/platform/tests/test_wire.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/tests/test_wire.py
@@ -7,7 +7,13 @@
 from buckthornwall.codes import RecordError, Refusal
 from buckthornwall.forwarding import AttemptContext
 from buckthornwall.http1 import IncomingRequest, ResponseHead
-from buckthornwall.platform import PlatformCodec, decode_published, decode_request
+from buckthornwall.platform import (
+    PlatformCodec,
+    RelayCodec,
+    decode_published,
+    decode_request,
+    names,
+)
 from buckthornwall.pools import LoadReport, Notice, UpstreamEntry, UpstreamState
 from buckthornwall.routing import PoolId, ResponseMode
 from buckthornwall.utils import TeamId, UpstreamId, ZoneId
@@ -153,6 +159,23 @@
     assert all(name != b"keep-alive" for name, _ in reply.headers)
 
 
+@pytest.mark.parametrize(
+    "stated", [b"-3,1,8", b"3,-1,8", b"3,1," + b"9" * 4000, b"3,1,1e3", b"", b",,"]
+)
+def test_load_report_of_any_size_failed_its_request(stated):
+    """It is a hint only: the reply counts without it."""
+    headers = [(PREFIX + b"engine-load", stated)]
+    assert PlatformCodec().decode(ResponseHead(200, headers)).load is None
+
+
+@pytest.mark.parametrize("value", [b"9" * 5000 + b" 1 x", b"2001 %s x" % (b"9" * 5000)])
+def test_refusal_of_a_peer_with_a_long_number_failed_its_request(value):
+    head = ResponseHead(503, [(names.RELAY_REFUSAL, value), (b"retry-after", b"inf")])
+    reply = RelayCodec().decode(head)
+    assert reply.refusal.retry_after_s is None
+    assert reply.runs == 1
+
+
 @pytest.mark.parametrize(
     ("stated", "slowdown"),
     [
@@ -250,7 +273,19 @@
     assert published.teams[0].tier == 1
 
 
-@pytest.mark.parametrize("raw", [b"{", b'{"routes": []}', b'{"version": "x"}'])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"{",
+        b'{"routes": []}',
+        b'{"version": "x"}',
+        b'{"x":' + b"[" * 2001,
+        b'{"version": -1}',
+        b'{"version": 1, "tenants": [{"name": "\xc3\xa9"}]}',
+        b'{"version": 1, "services": [{"name": "s", "max_connections": -1}]}',
+    ],
+    ids=range(7),
+)
 def test_invalid_configuration_is_refused(raw):
     with pytest.raises(RecordError):
         decode_published(raw)
--- a/packages/buckthornwall/src/buckthornwall/routing/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/routing/__init__.py
@@ -19,6 +19,7 @@
     TeamConfig,
 )
 from .request import (
+    MAX_TOKENS,
     OUTPUT_TOKEN_COST,
     PromptSegment,
     PromptShape,
@@ -29,6 +30,7 @@
 from .table import Resolution, RoutingTable
 
 __all__ = [
+    "MAX_TOKENS",
     "OUTPUT_TOKEN_COST",
     "ClientLimits",
     "EngineSpec",
--- a/packages/buckthornwall/src/buckthornwall/routing/request.py
+++ b/packages/buckthornwall/src/buckthornwall/routing/request.py
@@ -1,12 +1,16 @@
 """A client's request, as routing and placement see it."""
 
 from dataclasses import dataclass
+from typing import Annotated
+
+import msgspec
 
 from buckthornwall.utils import ModelId, SoftwareVersion, UpstreamId
 
 from .config import PoolId
 
 __all__ = [
+    "MAX_TOKENS",
     "OUTPUT_TOKEN_COST",
     "PromptSegment",
     "PromptShape",
@@ -17,6 +21,11 @@
 
 # A generated token takes about as long as ten prompt tokens.
 OUTPUT_TOKEN_COST = 10
+# More than the memory of any engine. Sums over all requests of a fleet stay within what
+# messages may state.
+MAX_TOKENS = 100_000_000
+
+TokenCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,7 +33,7 @@
     """A segment of a prompt, which other prompts may share."""
 
     id: str
-    tokens: int
+    tokens: TokenCount
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,8 +41,8 @@
     """What is known of a generation request before it runs."""
 
     model: ModelId
-    prompt_tokens: int
-    max_output_tokens: int
+    prompt_tokens: TokenCount
+    max_output_tokens: TokenCount
     segments: tuple[PromptSegment, ...] = ()
 
     @property
