Store cut off from readers: members find it by the age of reads, in time

Cause: a speaker that cannot read goes on reporting, and its members read only once the newest read in the fleet was 3 s old, plus a random part of up to 1 s. A reader in touch has an answer every 1.9 s, so no limit under 2 s was possible. The claim names the limit; the cycle of watches behind it is the other half. Ruled out: the relay of changes, the read itself, and the limit on the age of digests (1.5 s, not reached).

Change: watches of 0.5 s, 0.3 s apart. A read is overdue after 1.1 s; then the first four members of each zone in the order of succession read too, 0.1 s apart, until 2 s after the last overdue read. Everyone reads after 3 to 4 s as before, so an outage is not met by calls of all.

An idle reader makes at most 1.3 calls a second (0.53 before).

--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -44,10 +44,13 @@
     section = "discovery"
 
     watch_ms = ConfigItem(
-        1500.0, "Milliseconds that a watch waits for a change.", minimum=50
+        500.0,
+        "Milliseconds that a watch waits for a change; with `gap_ms` the longest time "
+        "between two answers of a store that is in touch.",
+        minimum=50,
     )
     gap_ms = ConfigItem(
-        400.0,
+        300.0,
         "Milliseconds between two watches, so that one call returns the changes of "
         "several upstreams.",
         minimum=0,
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -220,7 +220,7 @@
             return True
         silent_s = now - speaker.last_seen_at
         if silent_s > self.silence_s and (
-            silent_s > self.silence_s + self._takeover_delay_s(speaker.message)
+            silent_s > self.silence_s + self._takeover_delay_s()
         ):
             return True
         return election_priority(self.address, self.weight) > sender_priority(
@@ -237,10 +237,16 @@
             )
         return sender_priority(self.speaker.message) > sender_priority(digest)
 
-    def _takeover_delay_s(self, digest: Digest) -> float:
+    def _takeover_delay_s(self) -> float:
         """Return the time that instances of higher priority have to take over first."""
-        higher = count_higher_members(digest, self.address, self.weight)
-        return higher * self.stagger_s
+        return self.succession_place() * self.stagger_s
+
+    def succession_place(self) -> int:
+        """Return how many members would take over from the speaker before this one.
+
+        The instance must have a speaker.
+        """
+        return count_higher_members(self.speaker.message, self.address, self.weight)
 
     def speaker_address(self, now: float) -> str | None:
         """Return the speaker's address, or None if this instance is the speaker."""
--- a/packages/buckthornwall/src/buckthornwall/router/state_sync.py
+++ b/packages/buckthornwall/src/buckthornwall/router/state_sync.py
@@ -1,5 +1,6 @@
 """When an instance reads the store, and when it fetches a peer's view instead."""
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import replace
@@ -36,6 +37,15 @@
 # waits for an additional random time of up to the jitter.
 MAX_READ_AGE_MS = 3000
 READ_AGE_JITTER_MS = 1000
+# A read is overdue this long after a reader in touch would have had the next answer:
+# the interval of heartbeats, and an answer that takes a while.
+READ_MARGIN_S = 0.3
+# While reads are overdue, this many members of each zone read too. Each waits for those
+# before it in the order of priority, which may be out of touch themselves.
+MAX_SUBSTITUTES = 4
+SUBSTITUTE_STAGGER_S = 0.1
+# How long such a member goes on reading: its own reads hide whether others are overdue.
+SUBSTITUTION_S = 2.0
 # An instance that has had no digest from its speaker for this long reads the store,
 # whichever instance is the speaker: a change must be in force everywhere 2 s after it
 # was acknowledged.
@@ -86,12 +96,16 @@
         self._started_at = clock.now()
         self._stale_since: float | None = None
         self._view_failed = False
+        self._reads = False
+        self._substitutes_until = -math.inf
 
     def may_read(self) -> bool:
         """Return whether this instance reads the store itself.
 
         The speaker of each zone (its elected leader) does, and reports to its zone:
-        watches by every instance would be most of the calls to the store.
+        watches by every instance would be most of the calls to the store. The digests
+        of a speaker that is cut off from the store go on, so others take over by the
+        age of the newest read.
         """
         now = self.clock.now()
         if self._view_failed:
@@ -100,9 +114,29 @@
             return False
         if self.peers.is_speaker(now):
             return True
-        staleness_s = self.peers.staleness_s(now)
-        read_age_ms = self._fleet().read_age_ms + staleness_s * MS_PER_S
-        return read_age_ms > self.max_read_age_ms or staleness_s > MAX_DIGEST_AGE_S
+        if self.peers.staleness_s(now) > MAX_DIGEST_AGE_S:
+            return True
+        return self._is_substitute(now)
+
+    def _is_substitute(self, now: float) -> bool:
+        """Return whether this member reads in place of speakers that cannot."""
+        age_s = self._fleet_read_age_s(now)
+        if age_s * MS_PER_S > self.max_read_age_ms:
+            return True
+        overdue_s = age_s - self.max_cycle_s()
+        place = self.peers.succession_place()
+        if place < MAX_SUBSTITUTES and overdue_s > place * SUBSTITUTE_STAGGER_S:
+            self._substitutes_until = now + SUBSTITUTION_S
+        return now < self._substitutes_until
+
+    def max_cycle_s(self) -> float:
+        """Return the longest time between two answers to a reader that is in touch."""
+        settings = self.discovery.settings
+        return (settings.watch_ms + settings.gap_ms) / MS_PER_S + READ_MARGIN_S
+
+    def _fleet_read_age_s(self, now: float) -> float:
+        """Return how long ago the store last answered any instance, in seconds."""
+        return self._fleet().read_age_ms / MS_PER_S + self.peers.staleness_s(now)
 
     def _first_read(self, now: float) -> FirstRead:
         return FirstRead(
@@ -116,6 +150,7 @@
     async def run(self) -> None:
         """Fetch newer state from peers until cancelled."""
         while True:
+            self._log_role()
             slept_at = self.clock.now()
             await trio.sleep(
                 POLL_INTERVAL_S
@@ -133,6 +168,23 @@
                 await self.fetch_view(fleet.freshest_peer)
                 await trio.sleep(view_pause_s(self.clock.now() - started))
 
+    def _log_role(self) -> None:
+        """Log when this instance begins or ceases to read the store."""
+        reads = self.may_read()
+        if reads is self._reads:
+            return
+        self._reads = reads
+        now = self.clock.now()
+        is_speaker = self.peers.is_speaker(now)
+        log_event(
+            "store_reader",
+            own=reads,
+            is_speaker=is_speaker,
+            place=0 if is_speaker else self.peers.succession_place() + 1,
+            fleet_read_age_ms=round(self._fleet_read_age_s(now) * MS_PER_S),
+            **self.describe_freshness(),
+        )
+
     def _record_known(self, fleet: Digest) -> None:
         """Record as of when all registrations are known here."""
         known_at = self.discovery.read_at
