Late answers of the store: what was adopted meanwhile is not undone

Cause: an answer of the store was taken to be the newest state. While a watch is held up, the view of a peer may be adopted; the answer then put older registrations in force, and the position stayed that of the view, so nothing corrected it. Ruled out: the peer's view, deferred removals, eras.

Change: an answer applies only if the position is still the one that the call began at; adopting a view that moves it ends the call, which is made again from there.

--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -130,7 +130,7 @@
         needs_snapshot = True
         while True:
             await self._wait_until_reader()
-            started = self.clock.now()
+            started, asked_at = self.clock.now(), self.position
             update = None
             try:
                 with trio.CancelScope() as self._read_scope:
@@ -145,7 +145,8 @@
                 self.record_failure(error)
                 await trio.sleep(backoff.next_delay())
                 continue
-            if update is None:
+            if update is None or self.position != asked_at:
+                # A view that was adopted meanwhile may be newer than the answer.
                 self.on_call(self.clock.now() - started, "superseded")
                 continue
             self.on_call(self.clock.now() - started, "answered")
@@ -225,13 +226,15 @@
             )
 
     def _adopt(self, update: StoreUpdate) -> None:
-        if update.is_relayed and not self.has_adopted:
-            # The rest of a first read would only delay callers on a slow link.
-            self._read_scope.cancel()
+        before = self.position
         if update.published is not None:
             self._adopt_published(update.published)
         if not self._is_older(update):
             self._adopt_state(update)
+        if update.is_relayed and (not self.has_adopted or self.position != before):
+            # The answer of a call that is under way may be older than the view. That of
+            # a first read would only delay callers on a slow link.
+            self._read_scope.cancel()
         self.has_adopted = True
         self.pools.set_contracts(self.table.pools.values(), self.table.routes)
         self.on_change()
