Answers without end: bounded in memory and time, and told truthfully

Cause: limits held for each read, or for one reply. Informational responses, slow heads, foreign replies and non-events were read until the deadline, bytes without an event were kept without bound or forwarded as events, and answers of the store and views of peers were kept until their timeout. The timeouts of httpcore are for each read.

A statement that a request has not run counts although its body does not end.

--- a/packages/buckthornwall/src/buckthornwall/conftest.py
+++ b/packages/buckthornwall/src/buckthornwall/conftest.py
@@ -186,6 +186,55 @@
     return start_server
 
 
+class EndlessServer:
+    """A server that answers each request with bytes that do not end."""
+
+    def __init__(self, first, repeated, interval_s):
+        self.first = first
+        self.repeated = repeated
+        self.interval_s = interval_s
+        self.address = ""
+        self.open = 0
+        self.sent_bytes = 0
+
+    async def handle(self, stream):
+        """Answer a request until the client closes the connection."""
+        self.open += 1
+        try:
+            await stream.receive_some()
+            await stream.send_all(self.first)
+            while True:
+                await stream.send_all(self.repeated)
+                self.sent_bytes += len(self.repeated)
+                await trio.sleep(self.interval_s)
+        except trio.BrokenResourceError:
+            pass  # the client has closed the connection
+        finally:
+            self.open -= 1
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(stream)
+
+    async def wait_closed(self):
+        """Wait until no connection is open."""
+        with trio.fail_after(1.0):
+            while self.open:
+                await trio.sleep(0.01)
+
+
+@pytest.fixture
+async def endless_server(nursery):
+    """Return a function that starts a server whose answers do not end."""
+
+    async def start_server(first, repeated, interval_s=0.0):
+        server = EndlessServer(first, repeated, interval_s)
+        serve = partial(trio.serve_tcp, server.handle, 0, host="127.0.0.1")
+        listeners = await nursery.start(serve)
+        server.address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        return server
+
+    return start_server
+
+
 async def _serve_until_closed(handler, listeners):
     try:
         await trio.serve_listeners(handler, listeners)
--- a/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
@@ -138,7 +138,7 @@
 
 
 async def test_late_answer_that_is_newer_than_the_view_is_asked_for_again(held_up):
-    """It holds changes of before the view too, so that it cannot be applied as it is."""
+    """It holds changes of before the view too, and cannot be applied as it is."""
     agent = await held_up(update(4, "b", "c"))
     agent.adopt(view_of(3, entry("a"), entry("b", UpstreamState.LEAVING)))
     agent.release.set()
--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -28,10 +28,14 @@
 from .delivery import Delivery
 from .patience import Patience, Reviews
 from .reply import AttemptContext, Reply, WireCodec
+from .reply_memory import HeldReply, ReplyMemory
 
 __all__ = ["Attempt", "AttemptEnd", "AttemptResult"]
 
-MAX_BODY_BYTES = 4 * 2**20
+# Of a reply to another request, or after a statement that the request has not run.
+MAX_SKIPPED_BYTES = 64 * 2**10
+# How long the rest of a reply is read that states that the request has not run.
+SKIP_TIMEOUT_S = 0.25
 # How an exchange fails when its upstream ends during it.
 CONNECTION_LOST = frozenset({ExchangeFailure.RESET, ExchangeFailure.CLOSED})
 # Heads that are read to find the reply to this request. If all name other requests, the
@@ -90,7 +94,7 @@
     for each event after it, in seconds; None is as long as the client waits. After
     that, the attempt ends once `should_give_up` returns True. `find_obstacle` returns
     why the upstream is not to get the request any more, if so. `completeness` checks a
-    reply that has ended.
+    reply that has ended. `reply_memory` bounds the memory of replies that have not.
     `note_prompt` records that the prompt is sent to the upstream, `record_rate_limit`
     the limit that it names, `record_brittle` the rejections that it survives,
     `record_notice` what it states about itself, and `model` learns the speed of the
@@ -116,6 +120,7 @@
     should_give_up: Callable[[], bool]
     find_obstacle: Callable[[UpstreamView], Obstacle | None]
     completeness: CompletenessChecks
+    reply_memory: ReplyMemory
     event_timeout_s: float | None = None
     pause_sensitive: bool = False
     reviews: Reviews = field(default_factory=Reviews)
@@ -223,7 +228,7 @@
             reply = self.codec.decode(head)
             if reply.request_id in ("", self.request.id):
                 return reply
-            await patience.wait(connection.skip_response)
+            await patience.wait(lambda: connection.skip_response(MAX_SKIPPED_BYTES))
         raise ExchangeError(ExchangeFailure.MALFORMED, "replies to other requests")
 
     async def _handle_reply(
@@ -238,12 +243,21 @@
             if reply.is_given_up:
                 return None, _given_up(reply)
             return reply, AttemptResult(AttemptEnd.DONE)
-        body = await self._read_body(connection)
+        if reply.not_run:
+            is_reusable = await _skip_rest(connection)
+            result = AttemptResult(AttemptEnd.NOT_RUN, str(reply.status), reply)
+            return reply if is_reusable else None, result
+        with self.reply_memory.hold() as held:
+            return await self._pass_on(connection, reply, held)
+
+    async def _pass_on(
+        self, connection: ClientConnection, reply: Reply, held: HeldReply
+    ) -> tuple[Reply | None, AttemptResult]:
+        """Receive a complete reply, and send it to the client if it is good."""
+        body = await _read_body(connection, held)
         reply = self.codec.decode_trailers(reply, connection.trailers)
         if reply.is_given_up:
             return None, _given_up(reply)
-        if reply.not_run:
-            return reply, AttemptResult(AttemptEnd.NOT_RUN, str(reply.status), reply)
         await self.completeness.check_body(
             self.choice.view, self.resolution.route, self.delivery.framing
         )
@@ -257,14 +271,6 @@
         await self.delivery.send_complete(reply, body)
         return reply, AttemptResult(AttemptEnd.DONE)
 
-    async def _read_body(self, connection: ClientConnection) -> bytes:
-        body = bytearray()
-        while data := await connection.receive_data():
-            body += data
-            if len(body) > MAX_BODY_BYTES:
-                raise ExchangeError(ExchangeFailure.MALFORMED, "reply too large")
-        return bytes(body)
-
     async def _relay_events(
         self,
         connection: ClientConnection,
@@ -279,11 +285,15 @@
         observer = StepObserver(
             view, self.model, self._tokens_per_event(), self.pause_sensitive
         )
-        while data := await self._next_data(connection):
+        patience = self._event_patience()
+        while data := await patience.wait(connection.receive_data):
             now = self.clock.now()
             view.reachability.record_answered(now)
             events = await self.delivery.send_events(reply, data)
+            if self.delivery.joiner.is_malformed:
+                raise ExchangeError(ExchangeFailure.MALFORMED, "no event")
             if events:
+                patience = self._event_patience()
                 self._record_begun()
                 pending_prefill.clear(is_served=True)
                 observer.record(events, now)
@@ -308,9 +318,28 @@
         engine = self.resolution.pool.engine
         return engine.tokens_per_event if engine is not None else 0
 
-    async def _next_data(self, connection: ClientConnection) -> bytes:
-        patience = Patience(self.event_timeout_s, self.should_give_up, self.reviews)
-        return await patience.wait(connection.receive_data)
+    def _event_patience(self) -> Patience:
+        """Return how long to wait for the next event, whatever else arrives."""
+        return Patience(self.event_timeout_s, self.should_give_up, self.reviews)
+
+
+async def _read_body(connection: ClientConnection, held: HeldReply) -> bytes:
+    body = bytearray()
+    while data := await connection.receive_data():
+        body += data
+        held.grow(len(body))
+    return bytes(body)
+
+
+async def _skip_rest(connection: ClientConnection) -> bool:
+    """Read the rest of a reply; return whether its connection may be used again."""
+    with trio.move_on_after(SKIP_TIMEOUT_S):
+        try:
+            await connection.skip_body(MAX_SKIPPED_BYTES)
+        except ExchangeError:
+            return False  # the head was complete, and says all that is needed
+        return True
+    return False
 
 
 def _given_up(reply: Reply) -> AttemptResult:
--- a/packages/buckthornwall/src/buckthornwall/forwarding/connections.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/connections.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from buckthornwall.http1 import ClientConnection, ExchangeError
+from buckthornwall.http1 import ClientConnection, ExchangeError, find_readable
 from buckthornwall.utils import Clock, UpstreamId
 
 __all__ = ["ConnectionCache"]
@@ -126,13 +126,25 @@
         idle.append(connection)
 
     def expire(self) -> None:
-        """Close connections that have been idle for too long."""
+        """Close connections that have been idle for too long, or are not sound.
+
+        A server may send bytes to an idle connection until it is closed.
+        """
         now = self.clock.now()
+        self._close_unhealthy()
         for upstream, idle in self._idle.items():
             limit_s = self._idle_timeouts.get(upstream, DEFAULT_IDLE_TIMEOUT_S)
             while idle and now - idle[0].idle_since > limit_s:
                 idle.pop(0).close()
 
+    def _close_unhealthy(self) -> None:
+        connections = (each for idle in self._idle.values() for each in idle)
+        unhealthy = set(find_readable(connections))
+        for upstream, idle in self._idle.items() if unhealthy else ():
+            self._idle[upstream] = [each for each in idle if each not in unhealthy]
+        for connection in unhealthy:
+            connection.close()
+
     def forget(self, upstream: UpstreamId) -> None:
         """Close the idle connections to an upstream that is gone."""
         for connection in self._idle.pop(upstream, ()):
--- a/packages/buckthornwall/src/buckthornwall/forwarding/events.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/events.py
@@ -5,6 +5,18 @@
 __all__ = ["EventJoiner"]
 
 EVENT_END = re.compile(rb"\r?\n\r?\n")
+# The end of an event that has any line.
+FILLED_EVENT_END = re.compile(rb"[^\r\n]\r?\n\r?\n")
+# Lines of events and comments, as the standard on server-sent events has them.
+LINES = re.compile(
+    rb"(?:[A-Za-z0-9_-]{0,64}:[^\n]*\n|(?:data|event|id|retry)\r?\n|\r?\n)*+"
+)
+# The beginning of a line that is not complete yet.
+LINE_BEGIN = re.compile(rb"[A-Za-z0-9_-]{0,64}(?::.*|\r)?", re.DOTALL)
+# An incomplete event of more bytes is none.
+MAX_EVENT_BYTES = 256 * 2**10
+# Line breaks between two events; an upstream in trouble may send nothing else.
+MAX_BLANK_BYTES = 4096
 LINE_BREAKS = b"\r\n"
 # Longer ids are compared as text.
 MAX_ID_DIGITS = 100
@@ -22,6 +34,8 @@
         Number of events returned.
     is_event_missing : bool
         Whether an earlier attempt ended inside an event, and none was returned since.
+    is_malformed : bool
+        Whether this attempt has sent bytes that are no part of an event.
     """
 
     def __init__(self, last_id: str = "") -> None:
@@ -29,17 +43,32 @@
         self.event_count = 0
         self._partial = b""
         self.is_event_missing = False
+        self.is_malformed = False
         self._resumed = False
+        self._blank_bytes = 0
 
     def feed(self, data: bytes) -> bytes:
         """Return the complete events up to the end of `data`."""
+        self._count_blank(data)
         data = self._partial + data
+        valid = LINES.match(data).end()
         end = 0
-        for match in EVENT_END.finditer(data):
+        for match in EVENT_END.finditer(data, 0, valid):
             end = match.end()
+        if not data[:end].strip(LINE_BREAKS):
+            end = 0  # sent with the next event
         self._partial = data[end:]
+        self.is_malformed |= (
+            len(self._partial) > MAX_EVENT_BYTES
+            or self._blank_bytes > MAX_BLANK_BYTES
+            or LINE_BEGIN.fullmatch(data, valid) is None
+        )
         return self._forward(data[:end]) if end else b""
 
+    def _count_blank(self, data: bytes) -> None:
+        is_blank = not data.strip(LINE_BREAKS)
+        self._blank_bytes = self._blank_bytes + len(data) if is_blank else 0
+
     @property
     def partial_bytes(self) -> int:
         """Bytes received after the last complete event."""
@@ -59,6 +88,8 @@
         """Expect another attempt, which continues after `last_id`."""
         self.is_event_missing |= self.is_inside_event
         self._partial = b""
+        self.is_malformed = False
+        self._blank_bytes = 0
         self._resumed = True
 
     def _forward(self, events: bytes) -> bytes:
@@ -67,7 +98,7 @@
         ids = EVENT_ID.findall(events)
         if ids:
             self.last_id = ids[-1].decode("latin-1")
-        self.event_count += len(EVENT_END.findall(events))
+        self.event_count += len(FILLED_EVENT_END.findall(events))
         self.is_event_missing &= not events
         return events
 
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -53,6 +53,7 @@
 from .patience import Reviews
 from .relaying import Relaying, reached_before
 from .reply import WireCodec
+from .reply_memory import ReplyMemory
 from .request_telemetry import RequestTelemetry
 from .settings import ForwardingSettings
 from .verdicts import health_verdict
@@ -124,6 +125,7 @@
         )
         self.isolation_monitor.is_known_ended = self.liveness.is_known_ended
         self.completeness = CompletenessChecks(pools, self.liveness)
+        self.reply_memory = ReplyMemory()
         self.crash_guard = CrashGuard(quarantine, pools, self.liveness, clock)
         self.limit_gate = LimitGate(pools, clock, self._choose)
         self.admissions = Admissions(pools, clock)
@@ -139,6 +141,7 @@
             settings.once_idle_ms / 1000,
             self.budgets,
             self.completeness,
+            self.reply_memory,
             self._spend_retry,
             metrics,
             lambda job: self.continuations.is_bound(job),
@@ -292,6 +295,7 @@
             should_give_up=lambda: self._should_give_up(job, choice),
             find_obstacle=self.pools.forbidding_obstacle,
             completeness=self.completeness,
+            reply_memory=self.reply_memory,
             event_timeout_s=event_timeout_s(job),
             pause_sensitive=job.traits.pause_sensitive,
             reviews=self.reviews,
--- a/packages/buckthornwall/src/buckthornwall/forwarding/relaying.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/relaying.py
@@ -38,6 +38,7 @@
 )
 from .relay_order import choose_peer
 from .reply import WireCodec
+from .reply_memory import ReplyMemory
 
 __all__ = ["Relaying", "reached_before"]
 
@@ -76,6 +77,7 @@
     once_idle_s: float
     budgets: RetryBudgets
     completeness: CompletenessChecks
+    reply_memory: ReplyMemory
     spend_retry: Callable[[Job], bool]
     metrics: RouterMetrics
     is_bound: Callable[[Job], bool]
@@ -181,6 +183,7 @@
             should_give_up=lambda: self.is_due(job) and self.spend_retry(job),
             find_obstacle=lambda view: None,
             completeness=self.completeness,
+            reply_memory=self.reply_memory,
             event_timeout_s=pause_s and pause_s * SILENT_UPSTREAMS,
         )
 
--- a/packages/buckthornwall/src/buckthornwall/http1/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/__init__.py
@@ -12,6 +12,7 @@
     BodyFraming,
     ClientConnection,
     ResponseHead,
+    find_readable,
     refuses_connections,
 )
 from .failures import ExchangeError, ExchangeFailure
@@ -29,5 +30,6 @@
     "ResponseHead",
     "ResponseWriter",
     "ServerLimits",
+    "find_readable",
     "refuses_connections",
 ]
--- a/packages/buckthornwall/src/buckthornwall/http1/client.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/client.py
@@ -1,7 +1,8 @@
 """A client connection that carries one exchange (request and response) at a time."""
 
+import select
 import socket
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 
@@ -16,6 +17,7 @@
     "BodyFraming",
     "ClientConnection",
     "ResponseHead",
+    "find_readable",
     "refuses_connections",
 ]
 
@@ -31,6 +33,10 @@
 # 15 minutes. It also decides when probes give up, whatever their count (tcp(7)), so it
 # is as long as all of them.
 USER_TIMEOUT_MS = 1000 * (KEEPALIVE_IDLE_S + KEEPALIVE_PROBES * KEEPALIVE_INTERVAL_S)
+# What every head of a response begins with.
+HEAD_PREFIX = b"HTTP/"
+# Informational responses before the final one.
+MAX_INFORMATIONAL = 16
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -183,13 +189,14 @@
         ExchangeError
             RESET, CLOSED or MALFORMED.
         """
-        while True:
+        for _ in range(MAX_INFORMATIONAL + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 framing = _find_framing(event, self._request.method)
                 return ResponseHead(event.status_code, list(event.headers), framing)
             if not isinstance(event, h11.InformationalResponse):
                 raise ExchangeError(ExchangeFailure.CLOSED, "before a response")
+        raise ExchangeError(ExchangeFailure.MALFORMED, "no final response")
 
     async def receive_data(self) -> bytes:
         """Return the next bytes of the body, or ``b""`` at its end.
@@ -207,16 +214,45 @@
                 self.trailers = list(event.headers)
                 return b""
 
-    async def skip_response(self) -> None:
+    async def receive_body(self, max_bytes: int) -> bytes:
+        """Return the rest of the body.
+
+        Raises
+        ------
+        ExchangeError
+            RESET, CLOSED or MALFORMED: the body is incomplete, or has more than
+            `max_bytes`.
+        """
+        body = bytearray()
+        while data := await self.receive_data():
+            body += data
+            if len(body) > max_bytes:
+                raise ExchangeError(ExchangeFailure.MALFORMED, "body too large")
+        return bytes(body)
+
+    async def skip_body(self, max_bytes: int) -> None:
+        """Read the rest of the body without keeping it.
+
+        Raises
+        ------
+        ExchangeError
+            As of `receive_body`.
+        """
+        size = 0
+        while data := await self.receive_data():
+            size += len(data)
+            if size > max_bytes:
+                raise ExchangeError(ExchangeFailure.MALFORMED, "body too large")
+
+    async def skip_response(self, max_bytes: int) -> None:
         """Read a response to another request to its end; the next one may follow.
 
         Raises
         ------
         ExchangeError
-            RESET, CLOSED or MALFORMED.
+            As of `receive_body`.
         """
-        while await self.receive_data():
-            pass
+        await self.skip_body(max_bytes)
         rest, ended = self.parser.trailing_data
         self.parser = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._write_request()  # the new parser needs the request to parse a response
@@ -234,11 +270,20 @@
             and not self.parser.trailing_data[0]
         )
 
+    def _check_head_prefix(self) -> None:
+        """Check what has been received of a head, which may go on slowly."""
+        if self.parser.their_state is not h11.SEND_RESPONSE:
+            return
+        received = self.parser.trailing_data[0][: len(HEAD_PREFIX)]
+        if not HEAD_PREFIX.startswith(received):
+            raise ExchangeError(ExchangeFailure.MALFORMED, "no HTTP")
+
     async def _next_event(self) -> h11.Event:
         try:
             while True:
                 event = self.parser.next_event()
                 if event is h11.NEED_DATA:
+                    self._check_head_prefix()
                     self.parser.receive_data(await self.sock.recv(RECEIVE_BYTES))
                 elif isinstance(event, h11.ConnectionClosed):
                     raise ExchangeError(ExchangeFailure.CLOSED)
@@ -257,6 +302,21 @@
             raise ExchangeError(ExchangeFailure.MALFORMED, str(error)) from error
 
 
+def find_readable(connections: Iterable[ClientConnection]) -> list[ClientConnection]:
+    """Return the idle connections among some that cannot carry another exchange.
+
+    See `ClientConnection.is_healthy`; one system call serves for all of them.
+    """
+    poll, by_descriptor = select.poll(), {}
+    for connection in connections:
+        descriptor = connection.sock.fileno()
+        by_descriptor[descriptor] = connection
+        poll.register(descriptor, select.POLLIN)
+    if not by_descriptor:
+        return []
+    return [by_descriptor[descriptor] for descriptor, _ in poll.poll(0)]
+
+
 async def refuses_connections(address: str, timeout_s: float) -> bool:
     """Return whether no process listens at ``IP:port``, whose host answers.
 
--- a/packages/buckthornwall/src/buckthornwall/http1/tests/test_client.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/tests/test_client.py
@@ -77,7 +77,7 @@
     )
     await connection.send(b"GET", b"/", HEADERS, b"")
     await connection.receive_head()
-    await connection.skip_response()
+    await connection.skip_response(1000)
     await connection.receive_head()
     assert await connection.receive_data() == b"ok"
 
--- a/packages/buckthornwall/src/buckthornwall/peers/views.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/views.py
@@ -28,6 +28,7 @@
 # keep a speaker from serving. Only the cold time left of upstreams is older then.
 MAX_ENCODED_AGE_S = 0.1
 MAX_NUMBER_DIGITS = 19
+MAX_ENCODED_VIEW_BYTES = 4 * 2**20
 CBOR = [(b"Content-Type", b"application/cbor")]
 
 
@@ -56,14 +57,12 @@
                 b"GET", VIEW_PATH + b"%d" % config_number, headers, b""
             )
             head = await connection.receive_head()
-            body = bytearray()
-            while data := await connection.receive_data():
-                body += data
+            body = await connection.receive_body(MAX_ENCODED_VIEW_BYTES)
         finally:
             connection.close()
         if head.status != 200:
             raise PeerError(ResultCode.PEER_MESSAGE, f"status {head.status}")
-        return decode(bytes(body), PeerView)
+        return decode(body, PeerView)
 
 
 class ViewEncoder:
--- a/packages/buckthornwall/src/buckthornwall/platform/client.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/client.py
@@ -15,9 +15,11 @@
 from buckthornwall.utils import (
     ConfigItem,
     ConfigNamespace,
+    ReplyLimits,
     StorePosition,
     ZoneId,
     decode_json,
+    request_bounded,
     split_address,
 )
 
@@ -36,6 +38,7 @@
 RECORDS_KEY = "buckthornwall/records"
 INSTANCES_PREFIX = "instances/"
 ANSWER_MARGIN_S = 3.0
+MAX_ANSWER_BYTES = 8 * 2**20
 
 
 class PlatformSettings(ConfigNamespace):
@@ -191,8 +194,12 @@
         limit_s = wait_s + ANSWER_MARGIN_S
         timeouts = {"connect": ANSWER_MARGIN_S, "read": limit_s, "pool": limit_s}
         try:
-            response = await self.pool.request(
-                "GET", url, extensions={"timeout": timeouts}
+            response, content = await request_bounded(
+                self.pool,
+                "GET",
+                url,
+                limits=ReplyLimits(MAX_ANSWER_BYTES, limit_s + ANSWER_MARGIN_S),
+                extensions={"timeout": timeouts},
             )
         except (
             httpcore.NetworkError,
@@ -200,6 +207,4 @@
             httpcore.ProtocolError,
         ) as error:
             raise PeerError(ResultCode.PLATFORM_UNREACHABLE, repr(error)) from error
-        return StoreAnswer.from_response(
-            response.status, response.headers, response.content
-        )
+        return StoreAnswer.from_response(response.status, response.headers, content)
--- a/packages/buckthornwall/src/buckthornwall/platform/store.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/store.py
@@ -35,6 +35,8 @@
 ALL_KEYS = ""
 MS_PER_S = 1000.0
 MAX_NAME_CHARS = 200
+# Several values of the largest size, encoded as text.
+MAX_ANSWER_BYTES = 8 * 2**20
 
 
 class StoreSettings(ConfigNamespace):
@@ -164,10 +166,8 @@
         headers = [(b"host", self.settings.address.encode())]
         await connection.send(b"GET", target.encode(), headers, b"")
         head = await connection.receive_head()
-        body = bytearray()
-        while data := await connection.receive_data():
-            body += data
-        return StoreAnswer.from_response(head.status, head.headers, bytes(body))
+        body = await connection.receive_body(MAX_ANSWER_BYTES)
+        return StoreAnswer.from_response(head.status, head.headers, body)
 
 
 def to_store_update(changes: Changes, is_snapshot: bool) -> StoreUpdate:
--- a/packages/buckthornwall/src/buckthornwall/platform/tests/test_client.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/tests/test_client.py
@@ -1,5 +1,7 @@
 """Tests of the client that reads records and instances of completions deployments."""
 
+from contextlib import asynccontextmanager
+
 import httpcore
 import msgspec
 import pytest
@@ -16,14 +18,18 @@
         self.answers = list(answers)
         self.targets: list[str] = []
 
-    async def request(self, method, url, extensions):
+    @asynccontextmanager
+    async def stream(self, method, url, headers, content, extensions):
         self.targets.append(url.removeprefix("http://10.0.0.1:80"))
         status, body, *era = self.answers.pop(0)
         headers = [(b"Store-Era", b"%d" % each) for each in era]
-        content = msgspec.json.encode(body)
-        response = httpcore.Response(status, headers=headers, content=content)
-        response.read()
-        return response
+        content = _in_parts(msgspec.json.encode(body))
+        yield httpcore.Response(status, headers=headers, content=content)
+
+
+async def _in_parts(content):
+    for start in range(0, len(content), 100):
+        yield content[start : start + 100]
 
 
 def client(*answers) -> PlatformClient:
--- a/packages/buckthornwall/src/buckthornwall/upstreams/adapter_reconciler.py
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/adapter_reconciler.py
@@ -23,7 +23,13 @@
 from buckthornwall.membership import FreezeDetector, MemberTable
 from buckthornwall.records import RecordStore, Upstream, UpstreamKind
 from buckthornwall.telemetry import log_event
-from buckthornwall.utils import TRANSPORT_ERRORS, DecodingError, decode_json
+from buckthornwall.utils import (
+    TRANSPORT_ERRORS,
+    DecodingError,
+    ReplyLimits,
+    decode_json,
+    request_bounded,
+)
 
 from .engine import UpstreamSettings
 
@@ -31,6 +37,7 @@
 
 RECONCILE_INTERVAL_S = 1.0
 HTTP_CONFLICT = 409
+MAX_REPLY_BYTES = 2**20
 
 
 class _LoadedModel(msgspec.Struct):
@@ -148,9 +155,11 @@
         if number:
             headers.append(("x-fencing-number", str(number)))
         try:
-            response = await self.pool.request(
+            response, reply = await request_bounded(
+                self.pool,
                 method,
                 f"http://{engine.address}{path}",
+                limits=ReplyLimits(MAX_REPLY_BYTES, 3 * timeout_s),
                 headers=headers,
                 content=msgspec.json.encode(body) if body else b"",
                 extensions={
@@ -169,4 +178,4 @@
         if response.status != 200:
             detail = f"{engine.id} status {response.status}"
             raise UpstreamError(ResultCode.UPSTREAM_BROKEN, detail)
-        return response.content
+        return reply
--- a/packages/buckthornwall/src/buckthornwall/upstreams/engine.py
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/engine.py
@@ -1,10 +1,12 @@
 """Streams from engines that speak the OpenAI-style API."""
 
 from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack
 from typing import Any
 
 import httpcore
 import msgspec
+import trio
 
 from buckthornwall.codes import ResultCode, UpstreamError
 from buckthornwall.records import Upstream
@@ -17,8 +19,10 @@
     ConfigNamespace,
     Count,
     DecodingError,
+    ReplyLimits,
     UpstreamId,
     decode_json,
+    request_bounded,
 )
 
 __all__ = ["EngineClient", "ResponseListener", "UpstreamSettings"]
@@ -28,6 +32,10 @@
 DONE_DATA = b"[DONE]"
 MAX_EVENT_BYTES = 2**20
 MAX_ERROR_BYTES = 300
+ERROR_TIMEOUT_S = 1.0
+MAX_REPORT_BYTES = 65_536
+# Chunks of other attempts in a row.
+MAX_FOREIGN_CHUNKS = 1000
 # Called with the upstream, the status and the headers of each response.
 ResponseListener = Callable[[UpstreamId, int, list[tuple[bytes, bytes]]], None]
 NOT_EXECUTED_STATUSES = {429, 503}  # sent before an engine starts the request
@@ -139,7 +147,9 @@
             extensions={"timeout": self._timeouts()},
         )
         try:
-            async with response_context as response:
+            async with AsyncExitStack() as stack:
+                with trio.fail_after(self._head_timeout_s()):
+                    response = await stack.enter_async_context(response_context)
                 self.on_response(engine.id, response.status, response.headers)
                 if response.status != 200:
                     await self._raise_for_status(response)
@@ -151,9 +161,15 @@
             ) from error
         except TRANSPORT_ERRORS as error:
             raise UpstreamError(ResultCode.UPSTREAM_BROKEN, repr(error)) from error
+        except trio.TooSlowError as error:
+            raise UpstreamError(ResultCode.UPSTREAM_TIMEOUT, "no head") from error
+
+    def _head_timeout_s(self) -> float:
+        """Return how long a head may take, informational ones included."""
+        return self.settings.connect_s + 3 * self.settings.stall_s
 
     async def _raise_for_status(self, response: httpcore.Response) -> None:
-        text = (await response.aread())[:MAX_ERROR_BYTES].decode(errors="replace")
+        text = (await _read_start(response)).decode(errors="replace")
         detail = f"status {response.status}: {text}"
         if response.status in NOT_EXECUTED_STATUSES:
             raise UpstreamError(ResultCode.UPSTREAM_UNREACHABLE, detail, sent=False)
@@ -165,15 +181,23 @@
         self, response: httpcore.Response, attempt: AttemptId
     ) -> AsyncIterator[list[dict[str, Any]]]:
         buffer = bytearray()
-        async for data in response.aiter_stream():
+        foreign_before = self.foreign_chunks
+        parts = aiter(response.aiter_stream())
+        stalls_at = trio.current_time() + self.settings.stall_s
+        while data := await _next_part(parts, stalls_at):
             buffer += data
             if len(buffer) > MAX_EVENT_BYTES:
                 raise UpstreamError(ResultCode.UPSTREAM_GARBAGE, "event too long")
+            if EVENT_END in buffer:
+                stalls_at = trio.current_time() + self.settings.stall_s
             events = extract_sse_events(buffer)
             done = bool(events) and events[-1] == DONE_DATA
             chunks = self._decode(events[:-1] if done else events, attempt)
             if chunks:
+                foreign_before = self.foreign_chunks
                 yield chunks
+            if self.foreign_chunks - foreign_before > MAX_FOREIGN_CHUNKS:
+                raise UpstreamError(ResultCode.UPSTREAM_GARBAGE, "other attempts")
             if done:
                 return
         raise UpstreamError(ResultCode.UPSTREAM_BROKEN, "stream ended before [DONE]")
@@ -203,13 +227,39 @@
         None if the engine could not be read.
         """
         try:
-            response = await self.pool.request(
+            _, content = await request_bounded(
+                self.pool,
                 "GET",
                 f"http://{engine.address}/load",
+                limits=ReplyLimits(MAX_REPORT_BYTES, self.settings.stall_s),
                 extensions={"timeout": self._timeouts()},
             )
-            report = decode_json(response.content, _LoadReport)
+            report = decode_json(content, _LoadReport)
         except (*TRANSPORT_ERRORS, DecodingError) as error:
             log_event("load_not_read", "DEBUG", engine=engine.id, detail=error)
             return None
         return report.server_load, report.leaving
+
+
+async def _next_part(parts: AsyncIterator[bytes], stalls_at: float) -> bytes:
+    """Return the next bytes, or b'' at the end.
+
+    Raises
+    ------
+    UpstreamError
+        UPSTREAM_BROKEN at the time `stalls_at`: bytes may go on that end no event.
+    """
+    with trio.CancelScope(deadline=stalls_at):
+        return await anext(parts, b"")
+    raise UpstreamError(ResultCode.UPSTREAM_BROKEN, "no event in time")
+
+
+async def _read_start(response: httpcore.Response) -> bytes:
+    """Return the first bytes of a body, within `ERROR_TIMEOUT_S`."""
+    start = bytearray()
+    with trio.move_on_after(ERROR_TIMEOUT_S):
+        async for data in response.aiter_stream():
+            start += data
+            if len(start) >= MAX_ERROR_BYTES:
+                break
+    return bytes(start[:MAX_ERROR_BYTES])
--- a/packages/buckthornwall/src/buckthornwall/upstreams/service.py
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/service.py
@@ -5,7 +5,7 @@
 from buckthornwall.codes import ResultCode, UpstreamError
 from buckthornwall.http1 import refuses_connections
 from buckthornwall.records import Upstream
-from buckthornwall.utils import TRANSPORT_ERRORS
+from buckthornwall.utils import TRANSPORT_ERRORS, ReplyLimits, request_bounded
 
 from .engine import ResponseListener, UpstreamSettings
 
@@ -26,6 +26,7 @@
     b"server",
 }
 FRAMING_HEADERS = {b"content-length", b"transfer-encoding"}
+MAX_BODY_BYTES = 4 * 2**20
 STATUSES_WITHOUT_BODY = {204, 304}
 ServiceResponse = tuple[int, list[tuple[str, str]], bytes]
 
@@ -82,9 +83,11 @@
             sending = sending or event.endswith("send_request_headers.started")
 
         try:
-            response = await self.pool.request(
+            response, content = await request_bounded(
+                self.pool,
                 method,
                 f"http://{upstream.address}{path}",
+                limits=ReplyLimits(MAX_BODY_BYTES, self.settings.connect_s + timeout_s),
                 headers=raw_headers,
                 content=body,
                 extensions={"timeout": timeouts, "trace": trace},
@@ -103,7 +106,7 @@
             for name, value in response.headers
             if name.lower() not in DROPPED_HEADERS
         ]
-        return response.status, forwarded, response.content
+        return response.status, forwarded, content
 
     async def _check_complete(
         self, upstream: Upstream, method: str, response: httpcore.Response
--- a/packages/buckthornwall/src/buckthornwall/upstreams/tests/test_upstreams.py
+++ b/packages/buckthornwall/src/buckthornwall/upstreams/tests/test_upstreams.py
@@ -3,6 +3,7 @@
 import httpcore
 import msgspec
 import pytest
+import trio
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -87,6 +88,40 @@
         assert await client.read_load(engine) is None
 
 
+ENDLESS = [
+    (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n", 0.01),
+    (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65536, 0.0),
+    (b"HTTP/1.1 200 OK\r\n\r\n", b" ", 0.01),
+    (b"HTTP/1.1 503 Busy\r\n\r\n", b"x" * 65536, 0.0),
+    (b"HTTP/1.1 400 Bad\r\n\r\n", b" ", 0.01),
+    (b"HTTP/1.1 200 OK\r\n\r\n", b'data: {"id": "other"}\n\n' * 99, 0.0),
+]
+SHORT = UpstreamSettings(connect_s=0.1, stall_s=0.3)
+
+
+@pytest.mark.parametrize(("first", "repeated", "interval_s"), ENDLESS, ids=range(6))
+async def test_response_without_end_was_read_for_ever(
+    endless_server, view, clock, first, repeated, interval_s
+):
+    """Each read is in time, so that no timeout of the library applies."""
+    server = await endless_server(first, repeated, interval_s)
+    engine = msgspec.structs.replace(view.upstreams["e1"], address=server.address)
+    async with httpcore.AsyncConnectionPool() as pool:
+        client = EngineClient(SHORT, pool, clock)
+        with trio.fail_after(2.5):
+            assert await client.read_load(engine) is None
+        await server.wait_closed()
+        with trio.fail_after(2.5), pytest.raises(UpstreamError):
+            async for _ in client.stream(engine, "/x", {}, "a", None):
+                pass
+        await server.wait_closed()
+        service = ServiceClient(SHORT, pool)
+        with trio.fail_after(2.5), pytest.raises(UpstreamError):
+            await service.call(engine, "GET", "/", [], b"", 0.5)
+        await server.wait_closed()
+    assert server.sent_bytes < 32 * 2**20
+
+
 async def test_listener_receives_the_response_of_a_service(raw_upstream, view):
     address = await raw_upstream(RESTING)
     service = msgspec.structs.replace(view.upstreams["e1"], address=address)
--- a/packages/buckthornwall/src/buckthornwall/utils/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/utils/__init__.py
@@ -43,6 +43,7 @@
     "ModelId",
     "NodeId",
     "RegionId",
+    "ReplyLimits",  # noqa: F822 - imported at its first use
     "RequestId",
     "Revision",
     "RouteId",
@@ -61,7 +62,15 @@
     "new_id",
     "rendezvous_order",
     "rendezvous_winner",
+    "request_bounded",  # noqa: F822 - imported at its first use
     "split_address",
 ]
 
-__getattr__ = lazy_exports(__name__, {"TRANSPORT_ERRORS": "transport"})
+__getattr__ = lazy_exports(
+    __name__,
+    {
+        "ReplyLimits": "bounded",
+        "TRANSPORT_ERRORS": "transport",
+        "request_bounded": "bounded",
+    },
+)
