Start: a signal to reload does not end a process that is importing

Cause: handlers were set for SIGTERM and SIGINT only before the imports, which take most of the start, and the default of SIGHUP ends the process.

Change: SIGHUP is ignored until the router handles it. The settings are read after the imports, so that nothing is missed.

Evidence: the new case of test_start.py exits with -1 before, and with 0.

--- a/packages/buckthornwall/src/buckthornwall/start.py
+++ b/packages/buckthornwall/src/buckthornwall/start.py
@@ -86,6 +86,8 @@
     """Listen, import and run; return the exit status."""
     for number in STOP_SIGNALS:
         signal.signal(number, _end_before_start)
+    # The settings are read after the imports, so nothing is missed.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     early = open_listeners(sys.argv[1:])
     # Imported objects are never freed, and garbage collection during the imports takes
     # a considerable part of the start.
--- a/packages/buckthornwall/src/buckthornwall/tests/test_start.py
+++ b/packages/buckthornwall/src/buckthornwall/tests/test_start.py
@@ -77,3 +77,17 @@
     code = "import sys, buckthornwall.start; print('trio' in sys.modules)"
     process = subprocess.run([sys.executable, "-c", code], capture_output=True)
     assert process.stdout.strip() == b"False"
+
+
+def test_reload_signal_during_the_import_ended_the_process():
+    """The settings files of instances change while some of them start."""
+    code = """
+import os, signal, sys, types
+node, main = types.ModuleType("buckthornwall.node"), types.ModuleType("main")
+main.main = lambda early: os.kill(os.getpid(), signal.SIGHUP) or 0
+sys.modules["buckthornwall.node"] = node
+sys.modules["buckthornwall.node.main"] = main
+from buckthornwall.start import main
+sys.exit(main())
+"""
+    assert subprocess.run([sys.executable, "-c", code], timeout=30).returncode == 0
