Age of reads: members take it from their speaker's report

A member looked it up ten times a second through a digest of the fleet, for which it built a beacon of all its work that was not used. The order of succession is looked up only while reads are overdue. No change in what is decided: test_store_cut.py and the router's tests pass as before.

--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -423,6 +423,13 @@
             return 0
         return int((now - self.speaker.last_seen_at) * MS_PER_S)
 
+    def read_age_s(self, now: float) -> float:
+        """Return how long ago the store last answered any instance, in seconds.
+
+        The instance must have a speaker.
+        """
+        return self.speaker.message.read_age_ms / MS_PER_S + self.staleness_s(now)
+
     def staleness_s(self, now: float) -> float:
         """Return the age in seconds of the report that this instance follows.
 
--- a/packages/buckthornwall/src/buckthornwall/router/state_sync.py
+++ b/packages/buckthornwall/src/buckthornwall/router/state_sync.py
@@ -120,24 +120,24 @@
 
     def _is_substitute(self, now: float) -> bool:
         """Return whether this member reads in place of speakers that cannot."""
-        age_s = self._fleet_read_age_s(now)
+        age_s = self.peers.read_age_s(now)
         if age_s * MS_PER_S > self.max_read_age_ms:
             return True
         overdue_s = age_s - self.max_cycle_s()
-        place = self.peers.succession_place()
-        if place < MAX_SUBSTITUTES and overdue_s > place * SUBSTITUTE_STAGGER_S:
+        if overdue_s > 0 and self._is_first_in_line(overdue_s):
             self._substitutes_until = now + SUBSTITUTION_S
         return now < self._substitutes_until
 
+    def _is_first_in_line(self, overdue_s: float) -> bool:
+        """Return whether this member is the next that reads are due from."""
+        place = self.peers.succession_place()
+        return place < MAX_SUBSTITUTES and overdue_s > place * SUBSTITUTE_STAGGER_S
+
     def max_cycle_s(self) -> float:
         """Return the longest time between two answers to a reader that is in touch."""
         settings = self.discovery.settings
         return (settings.watch_ms + settings.gap_ms) / MS_PER_S + READ_MARGIN_S
 
-    def _fleet_read_age_s(self, now: float) -> float:
-        """Return how long ago the store last answered any instance, in seconds."""
-        return self._fleet().read_age_ms / MS_PER_S + self.peers.staleness_s(now)
-
     def _first_read(self, now: float) -> FirstRead:
         return FirstRead(
             age_s=now - self._started_at,
@@ -175,15 +175,11 @@
             return
         self._reads = reads
         now = self.clock.now()
-        is_speaker = self.peers.is_speaker(now)
-        log_event(
-            "store_reader",
-            own=reads,
-            is_speaker=is_speaker,
-            place=0 if is_speaker else self.peers.succession_place() + 1,
-            fleet_read_age_ms=round(self._fleet_read_age_s(now) * MS_PER_S),
-            **self.describe_freshness(),
-        )
+        fleet: dict[str, int] = {}
+        if not self.peers.is_speaker(now):
+            fleet["place"] = self.peers.succession_place() + 1
+            fleet["fleet_read_age_ms"] = round(self.peers.read_age_s(now) * MS_PER_S)
+        log_event("store_reader", own=reads, **fleet, **self.describe_freshness())
 
     def _record_known(self, fleet: Digest) -> None:
         """Record as of when all registrations are known here."""
