Types of numbers: one for revisions, one for values of the configuration

No change in what is accepted but for weights and cold times, up to 1e9. A connection that is closed already is left out when idle ones are looked through.

--- a/packages/buckthornwall/src/buckthornwall/http1/client.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/client.py
@@ -310,6 +310,8 @@
     poll, by_descriptor = select.poll(), {}
     for connection in connections:
         descriptor = connection.sock.fileno()
+        if descriptor < 0:
+            continue  # closed already
         by_descriptor[descriptor] = connection
         poll.register(descriptor, select.POLLIN)
     if not by_descriptor:
--- a/packages/buckthornwall/src/buckthornwall/platform/calls.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/calls.py
@@ -3,7 +3,7 @@
 import binascii
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
-from typing import Annotated, TypeVar
+from typing import TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -11,7 +11,7 @@
 from buckthornwall.codes import PeerError, ResultCode
 from buckthornwall.discovery import HistoryLost
 from buckthornwall.telemetry import log_event
-from buckthornwall.utils import DecodingError, StorePosition, decode_json
+from buckthornwall.utils import DecodingError, Revision, StorePosition, decode_json
 
 from .names import STORE_ERA
 
@@ -20,7 +20,6 @@
 HTTP_GONE = 410
 MS_PER_S = 1000.0
 MAX_ERA_DIGITS = 18
-MAX_REVISION = 2**63 - 1
 # A hundred times the keys of the largest planned fleet.
 MAX_PAGES = 200
 # A value that cannot be read: no decoder accepts it.
@@ -73,9 +72,6 @@
     values: list[StoredValue] = field(default_factory=list)
 
 
-Revision = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
-
-
 class _Item(msgspec.Struct):
     """An item or an event; `value` is in Base64."""
 
--- a/packages/buckthornwall/src/buckthornwall/platform/published.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/published.py
@@ -23,7 +23,6 @@
     Revision,
     RouteId,
     TeamId,
-    Weight,
     decode_json,
 )
 
@@ -33,6 +32,7 @@
 DEFAULT_TIMEOUT_MS = 30_000.0
 DEFAULT_TARGET_LATENCY_MS = 1_000.0
 MAX_MS = 1e9
+MAX_VALUE = 1e9
 # Printable characters of ASCII, as in a header's value.
 HEADER_VALUE = r"\A[!-~]([ -~]*[!-~])?\Z"
 # Kinds of a route, as the platform names them.
@@ -41,11 +41,12 @@
 
 
 Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]
+NonNegative = Annotated[float, msgspec.Meta(ge=0, le=MAX_VALUE)]
 
 
 class _Split(msgspec.Struct):
     service: str
-    weight: Weight
+    weight: NonNegative
 
 
 class _Route(msgspec.Struct):
@@ -80,8 +81,8 @@
     health_path: str = "/"
     max_connections: Count = 100
     engine: _Engine | None = None
-    cold_start_s: Weight = 0.0
-    cold_per_s: Weight = 0.0
+    cold_start_s: NonNegative = 0.0
+    cold_per_s: NonNegative = 0.0
 
 
 class _Tenant(msgspec.Struct):
