Extreme values of peers: a fingerprint or a sum ends no task and blinds nobody

A crash report whose fingerprint has over 64 bits raised OverflowError when it was received, which the receiver logs, and again when it expired, in the housekeeping: the process ended. Counts near the bound of what a message may state, of two peers, made sums over it, so that all members refused their speaker's digests.

Cause: fingerprints had no upper bound, as the types of messages cannot state one of 64 bits, and the record was added before its checksum failed. Sums were not bounded at all.

Change: a report checks its fingerprint when it is decoded; sums end at the largest count that a message may state.

--- a/packages/buckthornwall/src/buckthornwall/peers/aggregation.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/aggregation.py
@@ -16,7 +16,7 @@
     merge_limit_reports,
     sum_pool_reports,
 )
-from buckthornwall.utils import UpstreamId, ZoneId
+from buckthornwall.utils import UpstreamId, ZoneId, add_counts
 
 from .messages import Beacon, PeerState, Work
 from .received_message import ReceivedMessage
@@ -154,4 +154,4 @@
 def count_ceding(beacons: Iterable[Beacon], remote: Iterable[ReceivedMessage]) -> int:
     """Return how many instances cede most of their shares of rate limits."""
     ceding = sum(beacon.limit_need is LimitNeed.LITTLE for beacon in beacons)
-    return ceding + sum(zone.message.ceding for zone in remote)
+    return add_counts(ceding, *(zone.message.ceding for zone in remote))
--- a/packages/buckthornwall/src/buckthornwall/peers/freshness.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/freshness.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+from buckthornwall.utils import add_counts
+
 from .messages import Beacon, Digest, Heartbeat
 from .received_message import ReceivedMessage
 
@@ -49,7 +51,8 @@
 
 def merge_read_age(heartbeat: Heartbeat, received: ReceivedMessage, now: float) -> None:
     """Lower the read age to that of another instance, aged since it was sent."""
-    age_ms = received.message.read_age_ms + int((now - received.sent_at) * MS_PER_S)
+    elapsed_ms = int((now - received.sent_at) * MS_PER_S)
+    age_ms = add_counts(received.message.read_age_ms, elapsed_ms)
     heartbeat.read_age_ms = min(heartbeat.read_age_ms, age_ms)
 
 
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -13,7 +13,7 @@
     PoolReports,
     RankTokens,
 )
-from buckthornwall.utils import UpstreamId, ZoneId
+from buckthornwall.utils import UpstreamId, ZoneId, add_counts
 
 from .aggregation import (
     count_ceding,
@@ -295,7 +295,7 @@
             weight=self.weight,
             zone=self.zone,
             is_fleet=is_fleet,
-            count=count + sum(zone.message.count for zone in remote),
+            count=add_counts(count, *(zone.message.count for zone in remote)),
             members={beacon.address: beacon.weight for beacon in beacons},
             speakers={self.zone: self.address} | self.other_speakers(),
             config_number=newest.config_number,
--- a/packages/buckthornwall/src/buckthornwall/peers/work.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/work.py
@@ -1,7 +1,7 @@
 """Outstanding work of instances at upstreams, and sums of it."""
 
 from buckthornwall.pools.load import NO_PEERS, Load, PeerLoad
-from buckthornwall.utils import UpstreamId
+from buckthornwall.utils import UpstreamId, add_counts
 
 from .messages import Work
 
@@ -38,16 +38,16 @@
         previous = total.get(upstream, NO_WORK)
         pending_prefill = dict(previous.pending_prefill)
         for rank, tokens in work.pending_prefill.items():
-            pending_prefill[rank] = pending_prefill.get(rank, 0) + tokens
+            pending_prefill[rank] = add_counts(pending_prefill.get(rank, 0), tokens)
         oldest_wait_ms = dict(previous.oldest_wait_ms)
         for rank, age in work.oldest_wait_ms.items():
             oldest_wait_ms[rank] = max(age, oldest_wait_ms.get(rank, 0))
         total[upstream] = Work(
-            previous.requests + work.requests,
+            add_counts(previous.requests, work.requests),
             pending_prefill,
-            previous.pause_sensitive + work.pause_sensitive,
+            add_counts(previous.pause_sensitive, work.pause_sensitive),
             oldest_wait_ms,
-            previous.memory + work.memory,
+            add_counts(previous.memory, work.memory),
         )
 
 
--- a/packages/buckthornwall/src/buckthornwall/pools/ledger.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/ledger.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 
 from buckthornwall.routing import PoolId
-from buckthornwall.utils import Count
+from buckthornwall.utils import Count, add_counts
 
 __all__ = [
     "Admission",
@@ -193,7 +193,10 @@
     total = dict(first)
     for rank, (admitted, refused) in second.items():
         before = total.get(rank, (0, 0))
-        total[rank] = (before[0] + admitted, before[1] + refused)
+        total[rank] = (
+            add_counts(before[0], admitted),
+            add_counts(before[1], refused),
+        )
     return total
 
 
--- a/packages/buckthornwall/src/buckthornwall/pools/pool_reports.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/pool_reports.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from buckthornwall.routing import PoolId
-from buckthornwall.utils import Count, TeamId, UpstreamId
+from buckthornwall.utils import MAX_COUNT, Count, TeamId, UpstreamId, add_counts
 
 from .team_shares import top_teams
 
@@ -35,8 +35,6 @@
 # health decides on.
 MAX_SLOWNESS = 4.0
 MAX_LOG_PERCENT = round(100 * math.log(MAX_SLOWNESS))
-# Sums up to here are exact as floating-point numbers.
-MAX_SUM = 2**53
 
 
 class SpeedSamples(msgspec.Struct, array_like=True, frozen=True):
@@ -52,7 +50,7 @@
     """
 
     count: Count = 0
-    log_percent: Annotated[int, msgspec.Meta(ge=-MAX_SUM, le=MAX_SUM)] = 0
+    log_percent: Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)] = 0
 
 
 # Samples of each engine that has any.
@@ -122,7 +120,8 @@
     for upstream, samples in part.items():
         before = total.get(upstream, SpeedSamples())
         total[upstream] = SpeedSamples(
-            before.count + samples.count, before.log_percent + samples.log_percent
+            add_counts(before.count, samples.count),
+            max(-MAX_COUNT, add_counts(before.log_percent, samples.log_percent)),
         )
 
 
@@ -138,7 +137,7 @@
         for rank, by_team in by_rank.items():
             teams = total.setdefault(pool, {}).setdefault(rank, {})
             for team, tokens in by_team.items():
-                left = teams.get(team, 0) + sign * tokens
+                left = add_counts(teams.get(team, 0), sign * tokens)
                 if left > 0:
                     teams[team] = left
                 else:
--- a/packages/buckthornwall/src/buckthornwall/pools/rate_limit.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/rate_limit.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from buckthornwall.utils import Count, UpstreamId
+from buckthornwall.utils import Count, UpstreamId, add_counts
 
 __all__ = [
     "UNLIMITED",
@@ -56,7 +56,7 @@
     for reports, sent_s_ago in timed_reports:
         sent_ms_ago = math.ceil(sent_s_ago * MS_PER_S)
         for upstream, report in reports.items():
-            age_ms = report.age_ms + sent_ms_ago
+            age_ms = add_counts(report.age_ms, sent_ms_ago)
             if upstream not in newest or age_ms < newest[upstream].age_ms:
                 newest[upstream] = LimitReport(report.per_s, age_ms)
     return newest
--- a/packages/buckthornwall/src/buckthornwall/pools/reachability.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/reachability.py
@@ -5,7 +5,7 @@
 instances would find out for itself, by requests of its callers.
 """
 
-from buckthornwall.utils import Count, UpstreamId
+from buckthornwall.utils import Count, UpstreamId, add_counts
 
 __all__ = ["Reachability", "Unreachable", "add_unreachable"]
 
@@ -68,4 +68,4 @@
 def add_unreachable(total: Unreachable, part: Unreachable) -> None:
     """Add the counts of some instances to a total."""
     for upstream, reporters in part.items():
-        total[upstream] = total.get(upstream, 0) + reporters
+        total[upstream] = add_counts(total.get(upstream, 0), reporters)
--- a/packages/buckthornwall/src/buckthornwall/pools/team_shares.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/team_shares.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 
 from buckthornwall.routing import PoolId
-from buckthornwall.utils import TeamId
+from buckthornwall.utils import TeamId, add_counts
 
 __all__ = [
     "OTHER_TEAMS",
@@ -238,7 +238,7 @@
     named = [team for team in demand if team != OTHER_TEAMS]
     named.sort(key=lambda team: (-demand[team], team))
     top = {team: demand[team] for team in named[: MAX_TEAMS - 1]}
-    top[OTHER_TEAMS] = sum(demand.values()) - sum(top.values())
+    top[OTHER_TEAMS] = add_counts(sum(demand.values()) - sum(top.values()))
     return top
 
 
--- a/packages/buckthornwall/src/buckthornwall/quarantine/table.py
+++ b/packages/buckthornwall/src/buckthornwall/quarantine/table.py
@@ -18,7 +18,7 @@
 from buckthornwall.telemetry import log_event
 from buckthornwall.utils import Count
 
-from .fingerprint import Fingerprint, format_fingerprint, is_part
+from .fingerprint import FINGERPRINT_BYTES, Fingerprint, format_fingerprint, is_part
 from .parts import PartQuarantine, RefusedParts
 from .record import TAG_BYTES, CrashRecord, IncarnationTag, pool_of, pool_tag
 from .settings import QuarantineSettings
@@ -60,6 +60,11 @@
     age_s: Count
     ages_ms: list[Count] = []
 
+    def __post_init__(self) -> None:
+        """Raise ValueError for a fingerprint that no request can have."""
+        if self.fingerprint >= 1 << 8 * FINGERPRINT_BYTES:
+            raise ValueError("fingerprint out of range")
+
 
 class QuarantineTable:
     """Crash records of requests and parts of prompts, by fingerprint.
--- a/packages/buckthornwall/src/buckthornwall/utils/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/utils/__init__.py
@@ -4,7 +4,7 @@
 from .backoff import Backoff
 from .clock import Clock, TrioClock
 from .config import ConfigItem, ConfigNamespace
-from .counts import Count, Revision, Weight
+from .counts import MAX_COUNT, Count, Revision, Weight, add_counts
 from .decoding import DecodingError, decode_cbor, decode_json
 from .hashing import HashRing, hash_fraction, rendezvous_order, rendezvous_winner
 from .ids import (
@@ -28,6 +28,7 @@
 from .suspension import SuspensionClock
 
 __all__ = [
+    "MAX_COUNT",
     "TRANSPORT_ERRORS",  # noqa: F822 - imported at its first use
     "AttemptId",
     "Backoff",
@@ -55,6 +56,7 @@
     "UpstreamId",
     "Weight",
     "ZoneId",
+    "add_counts",
     "decode_cbor",
     "decode_json",
     "hash_fraction",
