Prompts on routes to plain services: placed like other requests, not failed

Seen: by mutating each field of the store's records and sending requests; a request that describes a prompt, on a route whose pool describes no engine, lost its connection without an answer. Callers get there when a configuration moves a route to a plain service.

Cause: RequestTraits took the prompt from the request, although a prompt is None for a plain service by its own description, and placement relied on the pool's engine (AttributeError in the handler of the connection).

Change: the prompt counts only where the pool describes an engine.

--- a/packages/buckthornwall/src/buckthornwall/pools/traits.py
+++ b/packages/buckthornwall/src/buckthornwall/pools/traits.py
@@ -45,8 +45,8 @@
     ) -> "RequestTraits":
         """Return the traits of a request whose route and pool are known."""
         pool = resolution.pool
+        # A client may describe a prompt on a route to a plain service.
+        prompt = request.prompt if pool.engine is not None else None
         model = pools.model(pool.id)
-        pause_sensitive = is_pause_sensitive(
-            resolution.route, pool, request.prompt, model
-        )
-        return cls(request.id, request.prompt, resolution, pause_sensitive, versions)
+        pause_sensitive = is_pause_sensitive(resolution.route, pool, prompt, model)
+        return cls(request.id, prompt, resolution, pause_sensitive, versions)
