Relayed requests: one that is no valid HTTP is refused when it is read

Seen: by mutating relayed requests against whole instances; an id of the last event that no header can hold raised UnicodeEncodeError, and the peer's connection was closed without an answer. Other fields failed only when an attempt sent them to an upstream.

Cause: fields were checked for their types, not for whether a request can be made of them.

Change: a request is made of them when the message is decoded; one that fails is refused as malformed, not run.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/relay_messages.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/relay_messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from buckthornwall.codes import PeerError, ResultCode
+from buckthornwall.http1 import is_valid_request
 from buckthornwall.routing import (
     PoolId,
     PromptShape,
@@ -157,6 +158,20 @@
         PEER_MESSAGE if `data` is not such a message.
     """
     try:
-        return decode_cbor(data, RelayedRequest)
+        message = decode_cbor(data, RelayedRequest)
     except DecodingError as error:
         raise PeerError(ResultCode.PEER_MESSAGE, str(error)) from error
+    # The id of the last event is sent as a header.
+    event_id = (b"last-event-id", message.resume_after.encode("latin-1", "replace"))
+    headers = [each for each in message.headers if each[0].lower() != b"host"]
+    if not (
+        _is_latin_1(message.resume_after)
+        and is_valid_request(message.method, message.target, [event_id, *headers])
+    ):
+        raise PeerError(ResultCode.PEER_MESSAGE, "no valid HTTP request")
+    return message
+
+
+def _is_latin_1(text: str) -> bool:
+    """Return whether text can be sent in a header."""
+    return all(ord(character) < 256 for character in text)
--- a/packages/buckthornwall/src/buckthornwall/http1/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/__init__.py
@@ -13,6 +13,7 @@
     ClientConnection,
     ResponseHead,
     find_readable,
+    is_valid_request,
     refuses_connections,
 )
 from .failures import ExchangeError, ExchangeFailure
@@ -31,5 +32,6 @@
     "ResponseWriter",
     "ServerLimits",
     "find_readable",
+    "is_valid_request",
     "refuses_connections",
 ]
--- a/packages/buckthornwall/src/buckthornwall/http1/client.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/client.py
@@ -18,6 +18,7 @@
     "ClientConnection",
     "ResponseHead",
     "find_readable",
+    "is_valid_request",
     "refuses_connections",
 ]
 
@@ -319,6 +320,15 @@
     return [by_descriptor[descriptor] for descriptor, _ in poll.poll(0)]
 
 
+def is_valid_request(method: bytes, target: bytes, headers: Headers) -> bool:
+    """Return whether a request with these can be sent; a host header is added."""
+    try:
+        h11.Request(method=method, target=target, headers=[(b"host", b""), *headers])
+    except h11.LocalProtocolError:
+        return False
+    return True
+
+
 async def refuses_connections(address: str, timeout_s: float) -> bool:
     """Return whether no process listens at ``IP:port``, whose host answers.
 
