Answers without end at relays and probed connections: tests

A peer's answer without end, in its head or body, is left for another peer, or fails truthfully where it may have run; a connection that a probe opened closes once bytes arrive that nobody asked for.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_connections.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_connections.py
@@ -41,3 +41,24 @@
     assert await connection.receive_data() == b""
     cache.release(ENGINE, connection, None)
     assert await cache.acquire(ENGINE, address, 1.0) is connection
+
+
+async def test_bytes_on_a_connection_that_a_probe_opened_kept_it_open(
+    endless_server, clock
+):
+    """A server may send bytes that nobody asked for until the connection closes."""
+    server = await endless_server(b"", b"x" * 4096)
+    cache = ConnectionCache(clock, 1.0)
+    await cache.open_idle(ENGINE, server.address)
+    await cache._idle[ENGINE][0].sock.send(b"any")  # the server waits for bytes
+    await trio.sleep(0.05)
+    cache.expire()
+    await server.wait_closed()
+
+
+async def test_sound_idle_connection_is_kept(raw_upstream, clock):
+    address = await raw_upstream(60.0, b"")
+    cache = ConnectionCache(clock, 1.0)
+    await cache.open_idle(ENGINE, address)
+    cache.expire()
+    assert cache._idle[ENGINE][0].is_healthy()
--- a/packages/buckthornwall/src/buckthornwall/router/tests/test_relaying.py
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/test_relaying.py
@@ -399,3 +399,31 @@
     unaware, peer = await start(UNREACHABLE), await start([reply()])
     answer = await relay(unaware, peer, upstreams=([None],), prepare=isolate_on_failure)
     assert answer.status == 200
+
+
+ENDLESS_HEAD = b"HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signed: 1\r\n"
+
+
+@pytest.mark.parametrize(
+    "first", [b"", ENDLESS_HEAD, ENDLESS_HEAD + b"\r\n"], ids=["none", "head", "body"]
+)
+async def test_answer_of_a_peer_without_end_is_left(
+    relay, start, endless_server, first
+):
+    """Another peer answers where the request may be repeated."""
+    endless = await endless_server(wire(first, is_relayed=True), b"x" * 4096)
+    sound = await start([reply(body=b"good")])
+    answer = await relay(endless.address, sound)
+    assert (answer.status, answer.body) == (200, b"good")
+    await endless.wait_closed()
+
+
+async def test_answer_of_a_peer_without_end_that_may_have_run_has_failed(
+    relay, start, endless_server
+):
+    first = wire(ENDLESS_HEAD + b"\r\n", is_relayed=True)
+    endless = await endless_server(first, b"x" * 4096)
+    sound = await start([reply()])
+    answer = await relay(endless.address, sound, retryable=False)
+    assert (answer.status, answer.run) == (502, "unknown")
+    await endless.wait_closed()
