Reads of the store: how often follows from the time that a change may take

Cause: the bound was known to the code as constants only, not from the settings.

Change: [discovery] apply_ms, filled from the deployment's bound. The cycle of a reader is that time less takeover, reading and reports by the settings of [peers]; watch_ms is its upper limit. Settings that leave no time are refused.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/simulation.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/simulation.py
@@ -17,6 +17,7 @@
 
 PORT = 7340
 CHANGE_INTERVAL_S = 0.08
+STORE_DELAY_S = 0.004
 
 
 @dataclass(frozen=True)
@@ -52,6 +53,11 @@
         Addresses of instances that get no answer from the store.
     weights : dict
         Weights of instances by address, 1 if missing.
+    apply_ms : float
+        In which a change must be in force everywhere, in milliseconds.
+    store_delay_s
+        Returns how long an answer of the store to an instance takes, by its address, in
+        seconds.
     snapshot_s
         Returns how long the link of an instance takes for all that the store holds, by
         its address, in seconds.
@@ -82,6 +88,8 @@
         self.make_rank_tokens: Callable[[str], RankTokens] = lambda address: {}
         self.without_store: set[str] = set()
         self.weights: dict[str, float] = {}
+        self.apply_ms = 2000.0
+        self.store_delay_s: Callable[[str], float] = lambda address: STORE_DELAY_S
         self.snapshot_s: Callable[[str], float] = lambda address: 0.0
         self.entries: dict[UpstreamId, UpstreamEntry] = {}
         self.removed: set[UpstreamId] = set()
--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -43,10 +43,16 @@
 
     section = "discovery"
 
+    apply_ms = ConfigItem(
+        2000.0,
+        "Milliseconds from the store's acknowledgement of a change in which it must be "
+        "in force everywhere. The lower, the more often the store is called.",
+        minimum=1,
+    )
     watch_ms = ConfigItem(
-        500.0,
-        "Milliseconds that a watch waits for a change; with `gap_ms` the longest time "
-        "between two answers of a store that is in touch.",
+        1500.0,
+        "Maximum milliseconds that a watch waits for a change; shorter as `apply_ms` "
+        "requires.",
         minimum=50,
     )
     gap_ms = ConfigItem(
@@ -122,6 +128,7 @@
         self.may_read: Callable[[], bool] = lambda: True
         self.on_call: Callable[[float, str], None] = lambda seconds, outcome: None
         self.deferral = Deferral()
+        self.watch_s: Callable[[], float] = lambda: self.settings.watch_ms / MS_PER_S
         self._read_scope = trio.CancelScope()
 
     async def run(self) -> None:
@@ -176,7 +183,7 @@
 
     def max_watch_s(self) -> float:
         """Return the longest duration of the next watch, in seconds."""
-        limit_s = self.settings.watch_ms / MS_PER_S
+        limit_s = self.watch_s()
         left_s = self.deferral.left_s(self.clock.now())
         if left_s is not None:
             limit_s = min(limit_s, left_s, MAX_DEFERRED_WATCH_S)
@@ -400,7 +407,7 @@
         0 if the source has not answered lately, or other instances read for this one.
         """
         now = self.clock.now()
-        max_age_s = self.settings.watch_ms / MS_PER_S + UPTIME_MARGIN_S
+        max_age_s = self.watch_s() + UPTIME_MARGIN_S
         if self.is_store_unavailable or now - self.read_at > max_age_s:
             return 0.0
         return now - self._store_up_since
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -136,8 +136,14 @@
             self.fleet().isolated
         )
         self.state_sync = StateSync(
-            self.discovery, self.peers, self._make_beacon, ViewClient(), clock
+            self.discovery,
+            self.peers,
+            self._make_beacon,
+            ViewClient(),
+            clock,
+            settings.read_budget,
         )
+        self.discovery.watch_s = lambda: self.state_sync.budget.watch_s
         self.encode_view = ViewEncoder(clock)
         self.state_sync.has_seeds = lambda: has_other_seeds(settings.peers)
         self.staleness_monitor = StalenessMonitor(self.peers, self.table)
@@ -175,6 +181,7 @@
         self.settings.peers.seeds = settings.peers.seeds
         self.settings.stop = settings.stop
         self.settings.discovery = self.discovery.settings = settings.discovery
+        self.state_sync.budget = self.settings.read_budget
         self.store.settings.address = settings.store.address
 
     # Tasks
--- a/packages/buckthornwall/src/buckthornwall/router/state_sync.py
+++ b/packages/buckthornwall/src/buckthornwall/router/state_sync.py
@@ -18,6 +18,11 @@
     freshness,
 )
 from buckthornwall.pools import UpstreamEntry, check_entry
+from buckthornwall.settings import (
+    MAX_SUBSTITUTES,
+    SUBSTITUTE_STAGGER_S,
+    ReadBudget,
+)
 from buckthornwall.telemetry import log_event
 from buckthornwall.utils import Clock, StorePosition
 
@@ -37,14 +42,8 @@
 # waits for an additional random time of up to the jitter.
 MAX_READ_AGE_MS = 3000
 READ_AGE_JITTER_MS = 1000
-# A read is overdue this long after a reader in touch would have had the next answer:
-# the interval of heartbeats, and an answer that takes a while.
-READ_MARGIN_S = 0.3
-# While reads are overdue, this many members of each zone read too. Each waits for those
-# before it in the order of priority, which may be out of touch themselves.
-MAX_SUBSTITUTES = 4
-SUBSTITUTE_STAGGER_S = 0.1
-# How long such a member goes on reading: its own reads hide whether others are overdue.
+# How long a member goes on reading in place of a speaker whose reads are overdue: its
+# own reads hide whether the others still are.
 SUBSTITUTION_S = 2.0
 # An instance that has had no digest from its speaker for this long reads the store,
 # whichever instance is the speaker: a change must be in force everywhere 2 s after it
@@ -76,6 +75,8 @@
         Fetches the state in force at a peer.
     clock
         Source of time.
+    budget
+        How old the newest read of the fleet may be.
     """
 
     def __init__(
@@ -85,7 +86,9 @@
         make_beacon: Callable[[], Beacon],
         views: ViewClient,
         clock: Clock,
+        budget: ReadBudget,
     ) -> None:
+        self.budget = budget
         self.discovery = discovery
         self.peers = peers
         self.make_beacon = make_beacon
@@ -123,7 +126,7 @@
         age_s = self.peers.read_age_s(now)
         if age_s * MS_PER_S > self.max_read_age_ms:
             return True
-        overdue_s = age_s - self.max_cycle_s()
+        overdue_s = age_s - self.budget.overdue_s
         if overdue_s > 0 and self._is_first_in_line(overdue_s):
             self._substitutes_until = now + SUBSTITUTION_S
         return now < self._substitutes_until
@@ -133,11 +136,6 @@
         place = self.peers.succession_place()
         return place < MAX_SUBSTITUTES and overdue_s > place * SUBSTITUTE_STAGGER_S
 
-    def max_cycle_s(self) -> float:
-        """Return the longest time between two answers to a reader that is in touch."""
-        settings = self.discovery.settings
-        return (settings.watch_ms + settings.gap_ms) / MS_PER_S + READ_MARGIN_S
-
     def _first_read(self, now: float) -> FirstRead:
         return FirstRead(
             age_s=now - self._started_at,
--- a/packages/buckthornwall/src/buckthornwall/settings/router.py
+++ b/packages/buckthornwall/src/buckthornwall/settings/router.py
@@ -13,6 +13,7 @@
 from buckthornwall.utils import ConfigItem, ConfigNamespace
 
 from .node import NodeSettings
+from .read_budget import ReadBudget
 from .sections import SettingsFile, check_address
 
 __all__ = ["EdgeSettings", "RouterSettings", "StopSettings"]
@@ -69,6 +70,11 @@
     stop: StopSettings
     telemetry: TelemetrySettings
 
+    @property
+    def read_budget(self) -> ReadBudget:
+        """How often the store must answer by these settings."""
+        return ReadBudget(self.discovery, self.peers)
+
     def _check_consistency(self, origin: str) -> None:
         """Check what depends on several settings or on the format of one."""
         addresses = (
@@ -86,6 +92,12 @@
             raise SettingsError(
                 ResultCode.SETTING_INVALID, f"{origin} [node] regions: {error}"
             ) from error
+        if not self.read_budget.is_sufficient:
+            raise SettingsError(
+                ResultCode.SETTING_INVALID,
+                f"{origin} [discovery] apply_ms: too short for the reports of [peers] "
+                "and gap_ms",
+            )
         if self.stop.notice_s >= self.stop.grace_s:
             raise SettingsError(
                 ResultCode.SETTING_INVALID,
