--- a/packages/buckthornwall/src/buckthornwall/quarantine/tests/test_crash_history.py
+++ b/packages/buckthornwall/src/buckthornwall/quarantine/tests/test_crash_history.py
@@ -58,6 +58,40 @@
     assert max(map(outcome.late, outcome.sent)) <= MAX_LATE
 
 
+def test_part_that_crashes_from_the_first_request_reaches_nine_engines_late():
+    """The same load, and other times of the requests."""
+    load = Load(
+        instances=6,
+        engines=12,
+        parts=5,
+        crashing_from_s=0.0,
+        bad_per_s=10.0,
+        bad_place=0,
+        sound_per_s=5.0,
+        sessions=5,
+        first_event_s=0.5,
+    )
+    outcome = CrashHistory(load, seed=221_782).play()
+    assert max(map(outcome.late, outcome.sent)) <= MAX_LATE
+
+
+def test_sound_requests_of_one_instance_are_refused_beside_a_crashing_part():
+    """Nearly all of them, while the crashing part is the second of its prompts."""
+    load = Load(
+        instances=1,
+        engines=12,
+        parts=5,
+        crashing_from_s=0.0,
+        bad_per_s=10.0,
+        bad_place=1,
+        sound_per_s=5.0,
+        sessions=5,
+        first_event_s=0.1,
+    )
+    outcome = CrashHistory(load, seed=221_782).play()
+    assert outcome.sound_refused <= MAX_REFUSED_SHARE * outcome.sound_sent
+
+
 @pytest.mark.parametrize(
     "ends",
     [
