Tests of whole instances: ports of their own in each worker process

Cause: the counter of ports starts anew in each worker process. Change: it starts at a number of the worker's. Evidence: 150 cases of the four modules, four at a time in any order, pass.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_router.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_router.py
@@ -2,6 +2,7 @@
 
 import itertools
 import json
+import os
 
 import pytest
 import trio
@@ -25,7 +26,9 @@
     ORDERS,
 )
 
-PORTS = itertools.count(7400, 10)
+# Worker processes of a test run use ports of their own.
+WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+PORTS = itertools.count(7400 + 2000 * WORKER, 10)
 IDS = itertools.count(1)
 WAIT_S = 5.0
 
