Discovery: settings and zone records in modules of their own

agent.py had grown to 440 lines and two jobs. Tests of late answers stand apart. test_versions.py takes a header's name from platform.names; test_seeds_that_start_last_are_waited_for also asks that no more than one complete read a zone is made, which is stricter than the two calls a zone of before.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
@@ -47,9 +47,11 @@
         self.simulation = simulation
         self.address = address
         self.calls = 0
+        self.complete_reads = 0
 
     async def read_all(self) -> StoreUpdate:
         """Return the newest change."""
+        self.complete_reads += 1
         return await self._answer(is_snapshot=True)
 
     async def watch(self, after: StorePosition, wait_s: float) -> StoreUpdate:
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_start_at_size.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_start_at_size.py
@@ -100,6 +100,7 @@
     started = await restart(fleet, nursery, list(fleet.peers), last=fleet.weights)
     assert waits(started)[-1] <= MAX_LEFT_S
     assert len([peer for peer in started if peer.source.calls]) <= ZONES
+    assert sum(peer.source.complete_reads for peer in started) <= ZONES
     nursery.cancel_scope.cancel()
 
 
--- a/packages/buckthornwall/src/buckthornwall/discovery/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/__init__.py
@@ -1,14 +1,16 @@
 """Service discovery: keep the configuration and the upstreams up to date.
 
-============= ============================================================
-`updates`     updates of the store, and the protocol of their source
-`deferral`    removals and reopenings that are not applied yet
-`restoration` what is kept when the store has returned from an older copy
-`agent`       the task that watches the source and applies its updates
-============= ============================================================
+============== ===========================================================
+`updates`      updates of the store, and the protocol of their source
+`deferral`     removals and reopenings that are not applied yet
+`restoration`  what is kept when the store has returned from an older copy
+`zone_records` applies the records of evacuated and reopened zones
+`agent`        the task that watches the source and applies its updates
+============== ===========================================================
 """
 
-from .agent import DiscoveryAgent, DiscoverySettings
+from .agent import DiscoveryAgent
+from .settings import DiscoverySettings
 from .updates import HistoryLost, StoreUpdate, UpdateSource
 
 __all__ = [
--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -12,18 +12,17 @@
 from buckthornwall.utils import (
     Backoff,
     Clock,
-    ConfigItem,
-    ConfigNamespace,
     StorePosition,
     UpstreamId,
-    ZoneId,
 )
 
 from .deferral import Deferral
 from .restoration import reconcile_registration
+from .settings import DiscoverySettings
 from .updates import HistoryLost, StoreUpdate, UpdateSource
+from .zone_records import adopt_zones, reopen_zone
 
-__all__ = ["DiscoveryAgent", "DiscoverySettings"]
+__all__ = ["DiscoveryAgent"]
 
 RETRY_FIRST_S = 0.05
 RETRY_LIMIT_S = 0.5
@@ -38,40 +37,6 @@
 MAX_DEFERRED_WATCH_S = 0.3
 
 
-class DiscoverySettings(ConfigNamespace):
-    """Settings of the watch on the platform's store."""
-
-    section = "discovery"
-
-    apply_ms = ConfigItem(
-        2000.0,
-        "Milliseconds from the store's acknowledgement of a change in which it must be "
-        "in force everywhere. The lower, the more often the store is called.",
-        minimum=1,
-    )
-    watch_ms = ConfigItem(
-        1500.0,
-        "Maximum milliseconds that a watch waits for a change; shorter as `apply_ms` "
-        "requires.",
-        minimum=50,
-    )
-    gap_ms = ConfigItem(
-        300.0,
-        "Milliseconds between two watches, so that one call returns the changes of "
-        "several upstreams.",
-        minimum=0,
-    )
-    outage_ms = ConfigItem(
-        500.0, "Milliseconds without an answer that count as an outage.", minimum=1
-    )
-    settle_ms = ConfigItem(
-        2200.0,
-        "Milliseconds after an outage during which missing registrations are not "
-        "removed yet, since they may be renewed.",
-        minimum=0,
-    )
-
-
 class DiscoveryAgent:
     """Applies the newest updates to routes and upstreams.
 
@@ -277,7 +242,7 @@
         if is_restored or (update.is_snapshot and not update.is_relayed):
             self.pools.versions.begin_history()
         self._adopt_removals(update)
-        self._adopt_zones(update)
+        adopt_zones(self.pools, self.deferral, update, self.clock.now())
         era = self.position.era
         position = update.position.in_era(era)
         # A complete read gives the store's position even if it names no era.
@@ -356,51 +321,6 @@
                 teams=len(published.teams),
             )
 
-    def _adopt_zones(self, update: StoreUpdate) -> None:
-        """Apply the evacuation records that are newer than the known ones."""
-        evacuations = self.pools.evacuations
-        for zone, position in update.evacuated.items():
-            if not self.pools.knows_zone(zone):
-                log_event(
-                    "evacuation_refused",
-                    "WARNING",
-                    zone=zone,
-                    revision=position.revision,
-                    detail="unknown zone",
-                )
-            elif evacuations.record(zone, position, True):
-                log_event(
-                    "zone_evacuated",
-                    "WARNING",
-                    zone=zone,
-                    revision=position.revision,
-                    era=position.era,
-                )
-        for zone, position in update.reopened.items():
-            self._reopen(zone, position)
-        if update.is_snapshot:
-            present = update.evacuated.keys() | update.unreadable_zones
-            for zone in evacuations.absent(present):
-                if self.deferral.defers_reopenings(self.clock.now()):
-                    self.deferral.reopenings[zone] = update.position
-                else:
-                    self._reopen(zone, update.position)
-
-    def _reopen(self, zone: ZoneId, position: StorePosition) -> None:
-        """End the evacuation of a zone as of a position, unless there is a newer one.
-
-        Its upstreams may have become cold meanwhile.
-        """
-        if self.pools.evacuations.record(zone, position, False):
-            log_event(
-                "zone_reopened",
-                "WARNING",
-                zone=zone,
-                revision=position.revision,
-                era=position.era,
-            )
-            self.pools.rate_limits.assume_cold(self.pools.in_zone(zone))
-
     def store_uptime_s(self) -> float:
         """Return the time since the last outage as seen by this instance, in seconds.
 
@@ -417,7 +337,7 @@
         removals, reopenings = self.deferral.take_due(self.clock.now())
         self._remove(removals)
         for zone, position in reopenings.items():
-            self._reopen(zone, position)
+            reopen_zone(self.pools, zone, position)
 
     def receive_store_uptime(self, seconds: float) -> None:
         """Stop deferring removals if only this instance could not reach the source.
--- a/packages/buckthornwall/src/buckthornwall/links/core.py
+++ b/packages/buckthornwall/src/buckthornwall/links/core.py
@@ -265,7 +265,13 @@
             try:
                 messages = decode_batch(frame)
             except PeerError as error:
-                log_event("peer_message_refused", "WARNING", peer=peer, detail=error)
+                log_event(
+                    "peer_message_refused",
+                    "WARNING",
+                    peer=peer,
+                    code=error.code.number,
+                    detail=error,
+                )
                 continue
             for message in messages:
                 self.deliver(peer, message)
--- a/packages/buckthornwall/src/buckthornwall/router/tests/test_versions.py
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/test_versions.py
@@ -7,7 +7,7 @@
 from buckthornwall.codes import Refusal, ResultCode
 from buckthornwall.forwarding.tests.helpers import POOL, Recorder, event, stream
 from buckthornwall.http1 import IncomingRequest, ResponseAborted
-from buckthornwall.platform import decode_request
+from buckthornwall.platform import decode_request, names
 from buckthornwall.platform.calls import Changes, StoredValue
 from buckthornwall.platform.store import to_store_update
 from buckthornwall.utils import StorePosition
@@ -37,7 +37,7 @@
 
 async def send(router, **headers):
     """Send a request to an instance as a client does; return its response."""
-    headers = {"x-buckthornwall-attempt-id": "r", "host": "h"} | headers
+    headers = {names.REQUEST_ID.decode(): "r", "host": "h"} | headers
     pairs = [
         (name.replace("_", "-").encode(), value.encode())
         for name, value in headers.items()
