--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -82,7 +82,7 @@
         self.events = []
         self.lost_before = 0
         self.changed = asyncio.Event()
-        self.watches = {}  # last watch by the IP address that asked
+        self.waiting = set()  # the ends of the watches that wait, on the steady clock
         self.server = None
 
     async def start(self):
@@ -111,6 +111,13 @@
         self._add_event({"key": key, "revision": self.revision, "removed": True})
         return self.revision
 
+    def forget_history(self):
+        """Discard all history; watches that wait are cut, older ones get 410."""
+        self.events.clear()
+        self.lost_before = self.revision
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def _add_event(self, event):
         now = time.monotonic()
         self.events.append((now, event))
@@ -173,10 +180,21 @@
             left = until - time.monotonic()
             if found or left <= 0:
                 return 200, {"events": found, "store_revision": self.revision}
+            self.waiting.add(until)
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
             except asyncio.TimeoutError:
                 pass
+            finally:
+                self.waiting.discard(until)
+
+    async def all_wait(self, count):
+        """Wait for a moment at which `count` watches wait, and go on for 50 ms."""
+        while True:
+            soon = time.monotonic() + 0.05
+            if len(self.waiting) >= count and min(self.waiting) > soon:
+                return
+            await asyncio.sleep(0.005)
 
 
 class Instance:
