--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -77,17 +77,28 @@
 
     def __init__(self, address):
         self.address = address
+        self.turned_away = set()  # IP addresses of the store that refuse all calls
+        self.writers = {}  # connections by the IP address of the store
         self.revision = 1
         self.items = {}
         self.events = []
         self.lost_before = 0
         self.changed = asyncio.Event()
         self.waiting = set()  # the ends of the watches that wait, on the steady clock
-        self.server = None
+        self.servers = []
 
-    async def start(self):
-        ip, _, port = self.address.rpartition(":")
-        self.server = await asyncio.start_server(self._serve, ip, int(port))
+    async def start(self, ips):
+        """Listen at some IP addresses, by which callers are told apart."""
+        port = int(self.address.rpartition(":")[2])
+        for ip in ips:
+            self.servers.append(await asyncio.start_server(self._serve, ip, port))
+
+    def turn_away(self, ips):
+        """Refuse all calls at some IP addresses; reset those that wait."""
+        self.turned_away = set(ips)
+        for ip in ips:
+            for writer in self.writers.get(ip, ()):
+                writer.transport.abort()
 
     def put(self, key, value):
         """Write an item; return the revision (the acknowledgement)."""
@@ -118,6 +129,14 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    async def all_wait(self, count):
+        """Wait for a moment at which `count` watches wait, and go on for 50 ms."""
+        while True:
+            soon = time.monotonic() + 0.05
+            if len(self.waiting) >= count and min(self.waiting) > soon:
+                return
+            await asyncio.sleep(0.005)
+
     def _add_event(self, event):
         now = time.monotonic()
         self.events.append((now, event))
@@ -127,13 +146,18 @@
         self.changed = asyncio.Event()
 
     async def _serve(self, reader, writer):
+        ip = writer.get_extra_info("sockname")[0]
+        self.writers.setdefault(ip, set()).add(writer)
         try:
             while True:
                 first, _ = await read_head(reader)
                 target = urlsplit(first.split(" ")[1])
                 query = {k: v[0] for k, v in parse_qs(target.query).items()}
                 await asyncio.sleep(0.004)
-                status, body = await self._answer(target.path, query)
+                if ip in self.turned_away:
+                    status, body = 503, {}
+                else:
+                    status, body = await self._answer(target.path, query)
                 data = json.dumps(body).encode()
                 head = f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
                 head += f"Content-Length: {len(data)}\r\n\r\n"
@@ -142,6 +166,7 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # the instance has gone, or the case is over
         finally:
+            self.writers[ip].discard(writer)
             writer.close()
 
     async def _answer(self, path, query):
@@ -188,14 +213,6 @@
             finally:
                 self.waiting.discard(until)
 
-    async def all_wait(self, count):
-        """Wait for a moment at which `count` watches wait, and go on for 50 ms."""
-        while True:
-            soon = time.monotonic() + 0.05
-            if len(self.waiting) >= count and min(self.waiting) > soon:
-                return
-            await asyncio.sleep(0.005)
-
 
 class Instance:
     """One process of the system."""
@@ -204,6 +221,7 @@
         self.name, self.zone, self.ip, self.fleet = name, zone, ip, fleet
         self.settings = fleet.directory / f"{name}.ini"
         self.log = fleet.directory / f"{name}.log"
+        self.store_ip = f"127.{fleet.block}.{240 + int(ip.split('.')[2])}.{ip.split('.')[3]}"
         self.process = None
 
     @property
@@ -235,6 +253,10 @@
                 own = "own=True" in line
         return own
 
+    def has_read(self):
+        """Return whether its log says that it has read the store by itself."""
+        return "event=store_reader own=True" in self.log.read_text(errors="replace")
+
     async def is_ready(self):
         try:
             status, _, _, _ = await asyncio.wait_for(
@@ -254,19 +276,19 @@
     def __init__(self, zones, block):
         self.directory = Path(tempfile.mkdtemp(prefix="case-"))
         self.zones = zones
+        self.block = block
         self.instances = []
         for z, (zone, count) in enumerate(zones.items(), 1):
             for n in range(1, count + 1):
                 ip = f"127.{block}.{z}.{n}"
                 self.instances.append(Instance(f"front-{zone}-{n}", zone, ip, self))
         ips = [each.ip for each in self.instances]
-        store_ip = f"127.{block}.250.1"
-        first = free_port([*ips, store_ip])
+        first = free_port([*ips, *(each.store_ip for each in self.instances)])
         self.front_port = first
         self.ready_port = free_port(ips, first + 1)
         self.metrics_port = free_port(ips, self.ready_port + 1)
         self.peer_port = free_port(ips, self.metrics_port + 1)
-        self.store = Store(f"{store_ip}:{first}")
+        self.store = Store(f":{first}")
         self.children = []
 
     def settings_of(self, instance):
@@ -287,7 +309,7 @@
 metrics = {instance.ip}:{self.metrics_port}
 
 [store]
-address = {self.store.address}
+address = {instance.store_ip}{self.store.address}
 
 [discovery]
 apply_ms = 2000
@@ -306,7 +328,7 @@
 """
 
     async def start(self, timeout_s=30):
-        await self.store.start()
+        await self.store.start([each.store_ip for each in self.instances])
         for each in self.instances:
             each.start()
         until = time.monotonic() + timeout_s
