Review case 6: the same after the readers were killed, in place of lost history

Three of nine instances, those that read the store, are killed for 2 s, and an engine's entry is removed 0.1 s later by a store that nothing disturbs. Two or three undisturbed instances send to the engine until the case ends.

--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -122,13 +122,6 @@
         self._add_event({"key": key, "revision": self.revision, "removed": True})
         return self.revision
 
-    def forget_history(self):
-        """Discard all history; watches that wait are cut, older ones get 410."""
-        self.events.clear()
-        self.lost_before = self.revision
-        self.changed.set()
-        self.changed = asyncio.Event()
-
     async def all_wait(self, count):
         """Wait for a moment at which `count` watches wait, and go on for 50 ms."""
         while True:
