--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -271,14 +271,14 @@
     `zones` gives the number of instances in each zone.
     """
 
-    def __init__(self, zones, block):
+    def __init__(self, zones):
         self.directory = Path(tempfile.mkdtemp(prefix="case-"))
         self.zones = zones
-        self.block = block
+        self.block = 20 + os.getpid() % 200  # runs beside each other differ
         self.instances = []
         for z, (zone, count) in enumerate(zones.items(), 1):
             for n in range(1, count + 1):
-                ip = f"127.{block}.{z}.{n}"
+                ip = f"127.{self.block}.{z}.{n}"
                 self.instances.append(Instance(f"front-{zone}-{n}", zone, ip, self))
         ips = [each.ip for each in self.instances]
         first = free_port([*ips, *(each.store_ip for each in self.instances)])
@@ -325,6 +325,12 @@
 grace_s = 8
 """
 
+    def engine_addresses(self, count):
+        """Return addresses for engines."""
+        ips = [f"127.{self.block}.100.{n}" for n in range(1, count + 1)]
+        port = free_port(ips, self.peer_port + 1)
+        return [f"{ip}:{port}" for ip in ips]
+
     async def start(self, timeout_s=30):
         await self.store.start([each.store_ip for each in self.instances])
         for each in self.instances:
@@ -335,6 +341,8 @@
                 if time.monotonic() > until or each.process.poll() is not None:
                     raise CannotRun(f"{each.name} does not get ready")
                 await asyncio.sleep(0.1)
+        if any(child.poll() is not None for child in self.children):
+            raise CannotRun("a stand-in has ended")
 
     def spawn(self, *arguments):
         """Start a stand-in as a process of its own."""
