Review cases: instances in sessions of their own

Five copies of case 5 ran while the shell that had started them ended. What is shown, an instance that stays frozen for 3.5 s, needs a session of its own.

--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -248,6 +248,8 @@
                 env=env,
                 stdout=log,
                 stderr=log,
+                # Else the end of the caller's shell may wake a stopped instance.
+                start_new_session=True,
             )
 
     def is_speaker(self):
@@ -353,7 +355,8 @@
 
     def spawn(self, *arguments):
         """Start a stand-in as a process of its own."""
-        child = subprocess.Popen([sys.executable, *map(str, arguments)])
+        command = [sys.executable, *map(str, arguments)]
+        child = subprocess.Popen(command, start_new_session=True)
         self.children.append(child)
         return child
 
