Review cases: callers end with the case

One run of case 6 with TROUBLE=0 did not end: a caller's cancellation was lost when its instance ended at the same moment. Callers end by a mark of their own now, and a case waits up to 10 s for its speaker.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -58,12 +58,13 @@
     def __init__(self, fleet, record):
         self.fleet, self.record = fleet, record
         self.count = 0
+        self.stopped = False
         self.taken_by = {}
         self.answers = {}
 
     async def run(self, instance):
         rng = random.Random(instance.name)
-        while True:
+        while not self.stopped:
             await asyncio.sleep(rng.uniform(0.1, 0.3))
             self.count += 1
             request = f"req{self.count:06d}"
@@ -84,7 +85,7 @@
 
 
 async def play(record):
-    fleet = Fleet(ZONES)
+    fleet, callers = Fleet(ZONES), None
     try:
         addresses = dict(zip(ENGINES, fleet.engine_addresses(len(ENGINES))))
         runs = fleet.directory / "engines.jsonl"
@@ -101,8 +102,12 @@
         callers = Callers(fleet, record)
         tasks = [asyncio.create_task(callers.run(each)) for each in fleet.instances]
         await asyncio.sleep(4)
-        cut = [e for e in fleet.instances if e.zone == "everett" and e.is_speaker()]
-        if len(cut) != 1:
+        for _ in range(100):
+            cut = [e for e in fleet.instances if e.zone == "everett" and e.is_speaker()]
+            if len(cut) == 1:
+                break
+            await asyncio.sleep(0.1)
+        else:
             raise CannotRun(f"{len(cut)} speakers")
         removed_at = {}
         for name in ENGINES[:ROUNDS]:
@@ -120,6 +125,7 @@
                 record.write(f"{cut[0].name} reaches the store again")
             await asyncio.sleep(SERVES_ON_S)
         away = {cut[0].name}
+        callers.stopped = True
         for task in tasks:
             task.cancel()
         record.write(f"answers: {callers.answers}")
@@ -143,6 +149,8 @@
         record.write(f"runs of all engines: {sum(e['event'] == 'runs' for e in entries)}")
         return late
     finally:
+        if callers is not None:
+            callers.stopped = True  # a cancellation may get lost in `wait_for`
         fleet.end()
 
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -59,12 +59,13 @@
     def __init__(self, fleet, record):
         self.fleet, self.record = fleet, record
         self.count = 0
+        self.stopped = False
         self.taken_by = {}
         self.answers = {}
 
     async def run(self, instance):
         rng = random.Random(instance.name)
-        while True:
+        while not self.stopped:
             await asyncio.sleep(rng.uniform(0.1, 0.3))
             self.count += 1
             request = f"req{self.count:06d}"
@@ -104,7 +105,7 @@
 
 
 async def play(record):
-    fleet = Fleet(ZONES)
+    fleet, callers = Fleet(ZONES), None
     try:
         addresses = dict(zip(ENGINES, fleet.engine_addresses(len(ENGINES))))
         runs = fleet.directory / "engines.jsonl"
@@ -156,6 +157,7 @@
             record.write(f"started again: {names}")
         away = {each.name for each in speakers} if TROUBLE else set()
         await asyncio.sleep(SERVES_ON_S - DOWN_S)
+        callers.stopped = True
         for task in tasks:
             task.cancel()
         record.write(f"answers: {callers.answers}")
@@ -178,6 +180,8 @@
         record.write(f"runs of all engines: {sum(e['event'] == 'runs' for e in entries)}")
         return late
     finally:
+        if callers is not None:
+            callers.stopped = True  # a cancellation may get lost in `wait_for`
         fleet.end()
 
 
