Views of peers: states merge by the position of each registration

Cause: an instance that returns to the store defers the removals in its first answer, but told their revision at once. Members took its view for that revision, with the upstream still in it, and entered it anew. The end of the deferral raised no number, so nobody fetched the view again.

Ruled out: the deferral's end (in time at the reader), losses of datagrams.

A deferred removal raises nothing until it is in force; then removal_revision does, the last part of the order by which states are compared. A member that takes over the reads goes on from before the deferred removals.

Before, with the conversion of views taken out of the old code: three tests of test_view_merging.py fail (member_kept_an_upstream, brought_an_upstream_back, missed_a_deferred_removal).

The simulated store names the revision of each record, as the platform's does.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
@@ -52,42 +52,35 @@
     async def read_all(self) -> StoreUpdate:
         """Return the newest change."""
         self.complete_reads += 1
-        return await self._answer(is_snapshot=True)
+        return await self._answer(None)
 
     async def watch(self, after: StorePosition, wait_s: float) -> StoreUpdate:
         """Return the store's state once newer than `after`, or after `wait_s`."""
         with trio.move_on_after(wait_s):
             while self._is_current(after):
                 await self.simulation.changed.wait()
-        update = await self._answer(is_snapshot=False)
+        update = await self._answer(after)
+        if after.revision < self.simulation.history_since:
+            raise HistoryLost
         if after.is_in_former_era(update.position) or after > update.position:
             raise HistoryLost
         return update
 
     def _is_current(self, after: StorePosition) -> bool:
-        position = self.simulation.position
+        position = self.simulation.store.position
         return after.in_era(position.era) == position
 
-    async def _answer(self, is_snapshot: bool) -> StoreUpdate:
+    async def _answer(self, after: StorePosition | None) -> StoreUpdate:
         self.calls += 1
         if self.address in self.simulation.without_store:
             await trio.sleep(STORE_TIMEOUT_S)
             raise PeerError(ResultCode.PLATFORM_UNREACHABLE, "no answer in time")
         await trio.sleep(self.simulation.store_delay_s(self.address))
-        if is_snapshot:
+        if after is None:
             await trio.sleep(self.simulation.snapshot_s(self.address))
-        position = self.simulation.position
-        return StoreUpdate(
-            position.revision,
-            is_snapshot,
-            position.revision,
-            b"%d" % self.simulation.published_number,
-            self.simulation.registrations(),
-            removed=set(self.simulation.removed),
-            evacuated=dict(self.simulation.evacuated),
-            reopened=dict(self.simulation.reopened),
-            era=position.era,
-        )
+        if after is None:
+            return self.simulation.read_all()
+        return self.simulation.changes_after(after)
 
 
 def decode_number(raw: bytes) -> PublishedConfig:
@@ -204,6 +197,7 @@
             store_era=self.discovery.change_position.era,
             is_isolated=self.pools.isolation.is_isolated,
             limit_need=self.pools.rate_limits.demand.need,
+            removal_revision=self.discovery.positions.removal_revision,
         )
 
     @property
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/simulation.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/simulation.py
@@ -2,9 +2,10 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import trio
+from buckthornwall.discovery import StoreUpdate
 from buckthornwall.peers import Work
 from buckthornwall.peers.election import election_priority
 from buckthornwall.pools import CachedPrefixes, RankTokens, UpstreamEntry
@@ -12,6 +13,7 @@
 
 from .network import SimNetwork
 from .peer import SimPeer
+from .store import SimStore
 
 __all__ = ["PeersSimulation"]
 
@@ -20,17 +22,6 @@
 STORE_DELAY_S = 0.004
 
 
-@dataclass(frozen=True)
-class SimCopy:
-    """The contents of the store at some time."""
-
-    published_number: int
-    revision: int
-    entries: dict[UpstreamId, UpstreamEntry]
-    removed: set[UpstreamId]
-    evacuated: dict[ZoneId, StorePosition]
-
-
 class PeersSimulation:
     """Instances by address, the store's changes, and the network.
 
@@ -45,12 +36,12 @@
     ----------
     change_number : int
         Number of the newest change, and of the configuration that it publishes.
-    published_number : int
-        Number of the configuration that the store holds.
-    position : StorePosition
-        The store's position.
+    store : SimStore
+        What the store holds.
     without_store : set of str
         Addresses of instances that get no answer from the store.
+    history_since : int
+        Revision after which the store still holds the changes.
     weights : dict
         Weights of instances by address, 1 if missing.
     apply_ms : float
@@ -68,14 +59,6 @@
         the tokens that it admitted and refused, by its address.
     zones : list of str
         All zones, as named in the settings.
-    entries : dict
-        Registered upstreams.
-    removed : set
-        Upstreams whose registrations were removed.
-    cold_until : dict
-        Times until which upstreams are cold, in seconds.
-    evacuated, reopened : dict
-        Positions of the changes by which zones were evacuated or reopened.
     """
 
     def __init__(self, nursery: trio.Nursery, seed: int = 1) -> None:
@@ -87,19 +70,14 @@
         self.make_cached_prefixes: Callable[[str], CachedPrefixes] = lambda address: {}
         self.make_rank_tokens: Callable[[str], RankTokens] = lambda address: {}
         self.without_store: set[str] = set()
+        self.history_since = 0
         self.weights: dict[str, float] = {}
         self.apply_ms = 2000.0
         self.store_delay_s: Callable[[str], float] = lambda address: STORE_DELAY_S
         self.snapshot_s: Callable[[str], float] = lambda address: 0.0
-        self.entries: dict[UpstreamId, UpstreamEntry] = {}
-        self.removed: set[UpstreamId] = set()
         self.zones: list[ZoneId] = []
-        self.cold_until: dict[UpstreamId, float] = {}
-        self.evacuated: dict[ZoneId, StorePosition] = {}
-        self.reopened: dict[ZoneId, StorePosition] = {}
         self.change_number = 1
-        self.published_number = 1
-        self.position = StorePosition(1, 1)
+        self.store = SimStore()
         self.changed = trio.Event()
         self._change_times: deque[float] = deque([trio.current_time()])
 
@@ -110,62 +88,72 @@
             self.change_once()
 
     def change_once(self) -> int:
-        """Change the store; return the number of the change."""
+        """Publish a configuration; return the number of the change."""
         self.change_number += 1
-        self.published_number = self.change_number
-        self.position = replace(self.position, revision=self.position.revision + 1)
+        self._advance()
+        self.store.published_number = self.change_number
+        self.store.published_revision = self.store.position.revision
         self._change_times.append(trio.current_time())
-        self.changed.set()
-        self.changed = trio.Event()
         return self.change_number
 
-    def make_copy(self) -> SimCopy:
-        """Return a copy to which the store may return."""
-        return SimCopy(
-            self.published_number,
-            self.position.revision,
-            dict(self.entries),
-            set(self.removed),
-            dict(self.evacuated),
-        )
+    def _advance(self) -> StorePosition:
+        """Count a change of the store, and end the watches; return its position."""
+        position = self.store.position
+        self.store.position = replace(position, revision=position.revision + 1)
+        self._end_watches()
+        return self.store.position
 
-    def restore(self, copy: SimCopy) -> None:
-        """Return to an older copy, in the next era of the store."""
-        self.published_number = copy.published_number
-        self.position = StorePosition(self.position.era + 1, copy.revision)
-        self.entries, self.removed = dict(copy.entries), set(copy.removed)
-        self.evacuated, self.reopened = dict(copy.evacuated), {}
+    def _end_watches(self) -> None:
         self.changed.set()
         self.changed = trio.Event()
 
-    def registrations(self) -> dict[UpstreamId, UpstreamEntry]:
-        """Return the upstreams' registrations with the cold time left."""
+    def compact(self) -> None:
+        """Let the store forget its history; watches that wait find out."""
+        self.history_since = self.store.position.revision + 1
+        self._advance()
+
+    def restore(self, copy: SimStore) -> None:
+        """Return to an older copy, in the next era of the store."""
+        era = self.store.position.era + 1
+        self.store, self.history_since = copy.copy(), 0
+        self.store.position = replace(copy.position, era=era)
+        self._end_watches()
+
+    def read_all(self) -> StoreUpdate:
+        """Return all that the store holds."""
+        return self._with_cold_time(self.store.read_all())
+
+    def changes_after(self, position: StorePosition) -> StoreUpdate:
+        """Return the store's changes after a position."""
+        return self._with_cold_time(self.store.changes_after(position.revision))
+
+    def _with_cold_time(self, update: StoreUpdate) -> StoreUpdate:
         now = trio.current_time()
-        return {
-            name: replace(entry, cold_s=max(0.0, self.cold_until.get(name, 0.0) - now))
-            for name, entry in self.entries.items()
-        }
+        for name, entry in update.entries.items():
+            left_s = max(0.0, self.store.cold_until.get(name, 0.0) - now)
+            update.entries[name] = replace(entry, cold_s=left_s)
+        return update
+
+    def register(self, entry: UpstreamEntry) -> None:
+        """Write a registration, without a configuration."""
+        self._advance()
+        self.store.entries[entry.id] = entry
 
     def remove(self, upstream: UpstreamId) -> None:
-        """Remove the registration of an upstream."""
-        del self.entries[upstream]
-        self.removed.add(upstream)
-        self.change_once()
+        """Remove the registration of an upstream, without a configuration."""
+        revision = self._advance().revision
+        del self.store.entries[upstream]
+        self.store.removed[upstream] = revision
 
     def evacuate(self, zone: ZoneId) -> None:
         """Write the record of a zone's evacuation."""
-        self.evacuated[zone] = self._next_position()
-        self.reopened.pop(zone, None)
-        self.change_once()
+        self.store.evacuated[zone] = self._advance()
+        self.store.reopened.pop(zone, None)
 
     def reopen(self, zone: ZoneId) -> None:
         """Remove the record of a zone's evacuation."""
-        del self.evacuated[zone]
-        self.reopened[zone] = self._next_position()
-        self.change_once()
-
-    def _next_position(self) -> StorePosition:
-        return replace(self.position, revision=self.position.revision + 1)
+        self.store.reopened[zone] = self._advance()
+        del self.store.evacuated[zone]
 
     def lag_s(self, number: int) -> float:
         """Return for how long the store has held a newer change than `number`."""
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_cold_at_size.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_cold_at_size.py
@@ -55,7 +55,7 @@
     fleet = PeersSimulation(nursery)
     fleet.seeds = ["10.1.0.1:7340", "10.2.0.1:7340"]
     fleet.zones = [ZoneId(f"z{place}") for place in range(1, zones + 1)]
-    fleet.entries = {"u1": entry("u1", ZoneId("z2"))}
+    fleet.store.entries = {"u1": entry("u1", ZoneId("z2"))}
     for place in range(1, zones + 1):
         fleet.start_zone(f"z{place}", place, zone_size)
     await trio.sleep(SETTLE_S)
@@ -64,9 +64,9 @@
 
 
 def start_upstream(fleet, name="u2", cold_unreported=False):
-    fleet.entries[UpstreamId(name)] = entry(name)
+    fleet.store.entries[UpstreamId(name)] = entry(name)
     if not cold_unreported:
-        fleet.cold_until[UpstreamId(name)] = trio.current_time() + COLD_S
+        fleet.store.cold_until[UpstreamId(name)] = trio.current_time() + COLD_S
     fleet.change_once()
 
 
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_limits_at_size.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_limits_at_size.py
@@ -56,7 +56,7 @@
 async def start_fleet(nursery, zones, zone_size, per_s):
     fleet = PeersSimulation(nursery)
     fleet.seeds = ["10.1.0.1:7340", "10.2.0.1:7340"]
-    fleet.entries = {ENTRY.id: ENTRY}
+    fleet.store.entries = {ENTRY.id: ENTRY}
     for place in range(1, zones + 1):
         fleet.start_zone(f"z{place}", place, zone_size)
     upstream = LimitedUpstream(fleet)
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_notices_at_size.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_notices_at_size.py
@@ -24,7 +24,7 @@
 async def start_fleet(nursery, zone_size):
     fleet = PeersSimulation(nursery)
     fleet.seeds = ["10.1.0.1:7340", "10.2.0.1:7340"]
-    fleet.entries = {each.id: each for each in map(entry, range(12))}
+    fleet.store.entries = {each.id: each for each in map(entry, range(12))}
     for place in range(1, ZONES + 1):
         fleet.start_zone(f"z{place}", place, zone_size)
     await trio.sleep(SETTLE_S)
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_restore_at_size.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_restore_at_size.py
@@ -27,7 +27,7 @@
 async def start_fleet(nursery, zone_size):
     fleet = PeersSimulation(nursery)
     fleet.seeds = ["10.1.0.1:7340", "10.2.0.1:7340"]
-    fleet.entries = {each.id: each for each in map(entry, range(12))}
+    fleet.store.entries = {each.id: each for each in map(entry, range(12))}
     for place in range(1, ZONES + 1):
         fleet.start_zone(f"z{place}", place, zone_size)
     await trio.sleep(SETTLE_S)
@@ -35,7 +35,9 @@
 
 
 def drain(fleet, name):
-    fleet.entries[name] = replace(fleet.entries[name], state=UpstreamState.LEAVING)
+    fleet.store.entries[name] = replace(
+        fleet.store.entries[name], state=UpstreamState.LEAVING
+    )
     fleet.change_once()
 
 
@@ -53,7 +55,7 @@
     return [
         peer.address
         for peer in fleet.peers.values()
-        if peer.is_live and peer.discovery.table.number < fleet.published_number
+        if peer.is_live and peer.discovery.table.number < fleet.store.published_number
     ]
 
 
@@ -93,10 +95,10 @@
     autojump_clock, nursery, fault, zone_size
 ):
     fleet = await start_fleet(nursery, zone_size)
-    copy = fleet.make_copy()
+    copy = fleet.store.copy()
     drain(fleet, DRAINED)
     fleet.remove(REMOVED)
-    fleet.entries[ADDED] = entry(40)
+    fleet.store.entries[ADDED] = entry(40)
     for _ in range(5):
         fleet.change_once()
     await trio.sleep(BOUND_S)
@@ -110,7 +112,7 @@
     assert len(sending(fleet, ADDED)) == len(live)
     drain(fleet, DRAINED)
     fleet.remove(REMOVED)
-    fleet.entries[ADDED] = entry(40)
+    fleet.store.entries[ADDED] = entry(40)
     fleet.change_once()
     for _ in range(int(SETTLE_S / 0.05)):
         await trio.sleep(0.05)
@@ -124,7 +126,7 @@
     autojump_clock, nursery, zone_size
 ):
     fleet = await start_fleet(nursery, zone_size)
-    copy = fleet.make_copy()
+    copy = fleet.store.copy()
     for _ in range(3):
         fleet.change_once()
     await trio.sleep(BOUND_S)
--- a/packages/buckthornwall/src/buckthornwall/discovery/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/__init__.py
@@ -2,6 +2,7 @@
 
 ============== ===========================================================
 `updates`      updates of the store, and the protocol of their source
+`positions`    positions of the records in force, by which states are merged
 `deferral`     removals and reopenings that are not applied yet
 `restoration`  what is kept when the store has returned from an older copy
 `zone_records` applies the records of evacuated and reopened zones
--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -1,7 +1,7 @@
 """The task that watches the source and applies its updates."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import trio
 
@@ -17,6 +17,7 @@
 )
 
 from .deferral import Deferral
+from .positions import StatePositions
 from .restoration import reconcile_registration
 from .settings import DiscoverySettings
 from .updates import HistoryLost, StoreUpdate, UpdateSource
@@ -79,8 +80,7 @@
         self.table = table
         self.pools = pools
         self.clock = clock
-        self.position = StorePosition()
-        self.change_position = StorePosition()
+        self.positions = StatePositions()
         self.raw_config = b""
         self.has_adopted = False
         self.answered_at = clock.now()
@@ -96,6 +96,16 @@
         self.watch_s: Callable[[], float] = lambda: self.settings.watch_ms / MS_PER_S
         self._read_scope = trio.CancelScope()
 
+    @property
+    def position(self) -> StorePosition:
+        """The position from which the next watch continues."""
+        return self.positions.read
+
+    @property
+    def change_position(self) -> StorePosition:
+        """The position of the newest change in force."""
+        return self.positions.change
+
     async def run(self) -> None:
         """Read and watch the source until cancelled."""
         backoff = Backoff(RETRY_FIRST_S, RETRY_LIMIT_S)
@@ -142,7 +152,8 @@
         self.answered_at = self._store_up_since = self.clock.now()
 
     async def _read_next(self, needs_snapshot: bool) -> StoreUpdate:
-        if needs_snapshot:
+        # No watch returns what the store lacks since its return from an older copy.
+        if needs_snapshot or not self.position.revision:
             return await self.source.read_all()
         return await self.source.watch(self.position, self.max_watch_s())
 
@@ -201,7 +212,7 @@
         before = self.position
         if update.published is not None:
             self._adopt_published(update.published)
-        if not self._is_older(update):
+        if not self._is_of_former_era(update):
             self._adopt_state(update)
         if update.is_relayed and (not self.has_adopted or self.position != before):
             # The answer of a call that is under way may be older than the view. That of
@@ -211,26 +222,22 @@
         self.pools.set_contracts(self.table.pools.values(), self.table.routes)
         self.on_change()
 
-    def _is_older(self, update: StoreUpdate) -> bool:
-        """Return whether an update holds an older state than the one in force.
-
-        A late answer of the store may be of a former era, and a peer's view may be
-        newer by its configuration alone.
-        """
-        if update.position.is_in_former_era(self.position):
-            log_event(
-                "update_outdated",
-                "WARNING",
-                era=update.era,
-                revision=update.revision,
-                known_era=self.position.era,
-            )
-            return True
-        position = update.change_position.in_era(self.change_position.era)
-        return update.is_relayed and position < self.change_position
+    def _is_of_former_era(self, update: StoreUpdate) -> bool:
+        """Return whether an update was made before the store's last return."""
+        if not update.position.is_in_former_era(self.position):
+            return False
+        log_event(
+            "update_outdated",
+            "WARNING",
+            era=update.era,
+            revision=update.revision,
+            known_era=self.position.era,
+        )
+        return True
 
     def _adopt_state(self, update: StoreUpdate) -> None:
-        """Apply the registrations and evacuations of an update."""
+        """Merge the registrations and evacuations of an update."""
+        complete = self.positions.complete
         is_restored = self.has_adopted and self.position.is_in_former_era(
             update.position
         )
@@ -238,19 +245,32 @@
             self._begin_era(update)
         if update.is_relayed:
             self.pools.versions.merge(update.versions)
+        self.positions.rewind(update)
         self._adopt_entries(update, is_restored)
         if is_restored or (update.is_snapshot and not update.is_relayed):
             self.pools.versions.begin_history()
-        self._adopt_removals(update)
-        adopt_zones(self.pools, self.deferral, update, self.clock.now())
-        era = self.position.era
-        position = update.position.in_era(era)
-        # A complete read gives the store's position even if it names no era.
-        is_read = update.is_snapshot and not update.is_relayed
-        self.position = position if is_read else max(self.position, position)
-        self.change_position = max(
-            self.change_position, update.change_position.in_era(era)
-        )
+        removed = self._adopt_removals(update)
+        known, now = self.positions.known, self.clock.now()
+        removed += adopt_zones(self.pools, self.deferral, update, known, now)
+        self.positions.advance(update)
+        self._record_in_force(update, complete, removed)
+
+    def _record_in_force(
+        self, update: StoreUpdate, before: StorePosition, removed: list[StorePosition]
+    ) -> None:
+        """Record up to which position the changes of an update are in force."""
+        if not self.deferral.is_pending:
+            self.positions.release()
+            self.positions.record_change(update.change_position)
+        else:
+            self.positions.hold(before)
+            for upstream in update.entries:
+                self.positions.record_change(update.position_of(upstream))
+            for position in (*update.evacuated.values(), *update.reopened.values()):
+                self.positions.record_change(position)
+        self.positions.record_removals(removed)
+        if update.is_relayed:
+            self.positions.adopt_peer(update)
 
     def _begin_era(self, update: StoreUpdate) -> None:
         """Defer what follows from the lack of records that the store may have lost."""
@@ -275,34 +295,47 @@
 
         The first update is an exception: its upstreams need not have just started.
         """
-        known = set(self.pools.views)
-        restarted = set()
+        started = set()
         for entry in update.entries.values():
-            self.deferral.removals.discard(entry.id)
+            if self.positions.is_in_force(update, entry.id):
+                continue
+            self.deferral.renew(entry.id, update.position_of(entry.id))
             if is_restored:
                 entry = reconcile_registration(self.pools, entry)
+            if entry.id not in self.pools.views:
+                started.add(entry.id)
             if self.pools.adopt(entry):
-                restarted.add(entry.id)
+                started.add(entry.id)
                 self.on_restart(entry.id)
+            self.positions.registrations[entry.id] = update.position_of(entry.id)
         if self.has_adopted:
-            started = (update.entries.keys() - known) | restarted
             self.pools.rate_limits.assume_cold(
                 self.pools.views[name] for name in started
             )
 
-    def _adopt_removals(self, update: StoreUpdate) -> None:
+    def _adopt_removals(self, update: StoreUpdate) -> list[StorePosition]:
         """Remove upstreams, or defer it where their registrations may be renewed.
 
         What is missing in a snapshot of the store may be missing since before its
         return, however late the snapshot is read; a removal was made after it.
+
+        Returns
+        -------
+        list
+            Positions of the removals that now are in force.
         """
-        missing = set(update.removed)
-        if update.is_snapshot:
-            missing |= set(self.pools.views) - set(update.entries)
+        removals = self.positions.removed_by(update)
         if self.deferral.defers_removals(update, self.clock.now()):
-            self.deferral.removals |= missing
-        else:
-            self._remove(missing)
+            self.deferral.removals |= removals
+            return []
+        if not update.is_relayed:
+            # The store is no newer source on what it did not list before.
+            for upstream in self.deferral.removals:
+                removals.pop(upstream, None)
+        self._remove(removals)
+        return [
+            position for name, position in removals.items() if name in update.removed
+        ]
 
     def _adopt_published(self, raw: bytes) -> None:
         try:
@@ -335,9 +368,12 @@
     def remove_deferred(self) -> None:
         """Apply what was not written again in time after an outage or a return."""
         removals, reopenings = self.deferral.take_due(self.clock.now())
+        if not removals and not reopenings:
+            return
         self._remove(removals)
         for zone, position in reopenings.items():
             reopen_zone(self.pools, zone, position)
+        self.positions.release()
 
     def receive_store_uptime(self, seconds: float) -> None:
         """Stop deferring removals if only this instance could not reach the source.
@@ -357,7 +393,9 @@
     def _describe_position(self) -> dict[str, int]:
         return {"era": self.position.era, "revision": self.position.revision}
 
-    def _remove(self, missing: set[UpstreamId]) -> None:
-        for upstream in missing:
+    def _remove(self, removals: Iterable[UpstreamId]) -> None:
+        for upstream in removals:
             self.pools.remove(upstream)
+            self.positions.registrations.pop(upstream, None)
+            self.deferral.removals.pop(upstream, None)
             self.on_removed(upstream)
--- a/packages/buckthornwall/src/buckthornwall/discovery/deferral.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/deferral.py
@@ -15,10 +15,16 @@
     """What follows only from records that are missing after an outage or a return.
 
     Their owners may write them again until the deferral ends. Times are in seconds.
+
+    Attributes
+    ----------
+    removals, reopenings : dict
+        Upstreams and zones without a record, and the positions of the store as of which
+        it was missing.
     """
 
     def __init__(self) -> None:
-        self.removals: set[UpstreamId] = set()
+        self.removals: dict[UpstreamId, StorePosition] = {}
         self.reopenings: dict[ZoneId, StorePosition] = {}
         self.ends_at = 0.0
         self._removals_until = 0.0
@@ -48,22 +54,33 @@
         is_read = update.is_snapshot and not update.is_relayed
         return now < self._removals_until or (is_read and now < self._snapshots_until)
 
+    def renew(self, upstream: UpstreamId, position: StorePosition) -> None:
+        """Record that a registration was written, which undoes an earlier removal."""
+        removed = self.removals.get(upstream)
+        if removed is not None and position.is_after(removed):
+            del self.removals[upstream]
+
     def defers_reopenings(self, now: float) -> bool:
         """Return whether zones without a record stay evacuated for now."""
         return now < self._snapshots_until
 
+    @property
+    def is_pending(self) -> bool:
+        """Whether anything is deferred."""
+        return bool(self.removals or self.reopenings)
+
     def left_s(self, now: float) -> float | None:
         """Return how long until something deferred applies, None if nothing is."""
-        if not self.removals and not self.reopenings:
+        if not self.is_pending:
             return None
         return max(0.0, self.ends_at - now)
 
     def take_due(
         self, now: float
-    ) -> tuple[set[UpstreamId], dict[ZoneId, StorePosition]]:
+    ) -> tuple[dict[UpstreamId, StorePosition], dict[ZoneId, StorePosition]]:
         """Return and forget the removals and reopenings that apply now."""
         if now < self.ends_at:
-            return set(), {}
+            return {}, {}
         due = self.removals, self.reopenings
-        self.removals, self.reopenings = set(), {}
+        self.removals, self.reopenings = {}, {}
         return due
--- a/packages/buckthornwall/src/buckthornwall/discovery/updates.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/updates.py
@@ -43,6 +43,14 @@
         Whether this is the view of a peer, which may be older than what is known.
     versions
         Software versions that the peer knows; None if it does not say.
+    positions
+        Positions of the changes in `entries` and `removed`, `change_position` where one
+        is missing.
+    removal_revision
+        Of a view: revision up to which all removals are in force at the peer.
+    known_revision
+        Of a view: revision up to which all changes are in force at the peer, but for
+        removals that are deferred. None if that is `revision`.
     """
 
     revision: int
@@ -57,6 +65,9 @@
     era: int = 0
     is_relayed: bool = False
     versions: VersionHistory | None = None
+    positions: dict[UpstreamId, StorePosition] = field(default_factory=dict)
+    removal_revision: int = 0
+    known_revision: int | None = None
 
     @property
     def position(self) -> StorePosition:
@@ -68,6 +79,17 @@
         """The position of the newest change contained here."""
         return StorePosition(self.era, self.change_revision)
 
+    @property
+    def known_position(self) -> StorePosition:
+        """The position as of which a snapshot lacks what was removed."""
+        if self.known_revision is None:
+            return self.position
+        return StorePosition(self.era, self.known_revision)
+
+    def position_of(self, upstream: UpstreamId) -> StorePosition:
+        """Return the position of the change of an upstream's registration."""
+        return self.positions.get(upstream, self.change_position)
+
 
 class UpdateSource(Protocol):
     """A source of updates."""
--- a/packages/buckthornwall/src/buckthornwall/discovery/zone_records.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/zone_records.py
@@ -12,21 +12,49 @@
 
 
 def adopt_zones(
-    pools: PoolTable, deferral: Deferral, update: StoreUpdate, now: float
-) -> None:
-    """Apply the evacuation records of an update that are newer than the known ones."""
+    pools: PoolTable,
+    deferral: Deferral,
+    update: StoreUpdate,
+    known_to: StorePosition,
+    now: float,
+) -> list[StorePosition]:
+    """Apply the evacuation records of an update that are newer than the known ones.
+
+    Parameters
+    ----------
+    pools, deferral
+        What the records apply to, and what is not applied yet.
+    update
+        The update.
+    known_to
+        Position up to which every change is known here.
+    now
+        The time in seconds.
+
+    Returns
+    -------
+    list
+        Positions of the removals of records that now are in force.
+    """
     for zone, position in update.evacuated.items():
-        _evacuate(pools, zone, position)
-    for zone, position in update.reopened.items():
-        reopen_zone(pools, zone, position)
-    if not update.is_snapshot:
-        return
-    present = update.evacuated.keys() | update.unreadable_zones
-    for zone in pools.evacuations.absent(present):
+        is_removed = update.is_relayed and not position.is_after(known_to)
+        if pools.evacuations.is_evacuated(zone) or not is_removed:
+            _evacuate(pools, zone, position)
+    reopened = dict(update.reopened)
+    if update.is_snapshot:
+        present = update.evacuated.keys() | update.unreadable_zones
+        missing = dict.fromkeys(
+            pools.evacuations.absent(present), update.known_position
+        )
         if deferral.defers_reopenings(now):
-            deferral.reopenings[zone] = update.position
+            deferral.reopenings |= missing
         else:
-            reopen_zone(pools, zone, update.position)
+            reopened |= missing
+    return [
+        position
+        for zone, position in reopened.items()
+        if reopen_zone(pools, zone, position)
+    ]
 
 
 def _evacuate(pools: PoolTable, zone: ZoneId, position: StorePosition) -> None:
@@ -50,17 +78,19 @@
         )
 
 
-def reopen_zone(pools: PoolTable, zone: ZoneId, position: StorePosition) -> None:
+def reopen_zone(pools: PoolTable, zone: ZoneId, position: StorePosition) -> bool:
     """End the evacuation of a zone as of a position, unless there is a newer record.
 
-    Its upstreams may have become cold meanwhile.
+    Its upstreams may have become cold meanwhile. Returns whether it was evacuated.
     """
-    if pools.evacuations.record(zone, position, False):
-        log_event(
-            "zone_reopened",
-            "WARNING",
-            zone=zone,
-            revision=position.revision,
-            era=position.era,
-        )
-        pools.rate_limits.assume_cold(pools.in_zone(zone))
+    if not pools.evacuations.record(zone, position, False):
+        return False
+    log_event(
+        "zone_reopened",
+        "WARNING",
+        zone=zone,
+        revision=position.revision,
+        era=position.era,
+    )
+    pools.rate_limits.assume_cold(pools.in_zone(zone))
+    return True
--- a/packages/buckthornwall/src/buckthornwall/peers/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/__init__.py
@@ -31,7 +31,7 @@
 """
 
 from .agent import PeerAgent, PeerSettings
-from .freshness import freshness
+from .freshness import StateKey, freshness
 from .messages import Beacon, Digest, Heartbeat, PeerState, PeerView, Work
 from .relay_candidates import RelayCandidate, relay_candidates
 from .table import PeerTable
@@ -53,6 +53,7 @@
     "Work",
     "add_work",
     "answer_view",
+    "StateKey",
     "freshness",
     "subtract_local",
     "outstanding_work",
--- a/packages/buckthornwall/src/buckthornwall/peers/freshness.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/freshness.py
@@ -8,6 +8,7 @@
 from .received_message import ReceivedMessage
 
 __all__ = [
+    "StateKey",
     "current_era",
     "freshness",
     "merge_newer_revision",
@@ -16,6 +17,9 @@
 ]
 
 MS_PER_S = 1000.0
+# The store's era, the number of the configuration, the revision of the newest change,
+# and that up to which all removals are in force.
+StateKey = tuple[int, int, int, int]
 
 
 def current_era(messages: Iterable[Beacon | Digest]) -> int:
@@ -23,17 +27,19 @@
     return max(each.store_era for each in messages)
 
 
-def freshness(message: Beacon | Digest | Heartbeat, era: int) -> tuple[int, int, int]:
+def freshness(message: Beacon | Digest | Heartbeat, era: int) -> StateKey:
     """Return the key by which the states of instances are ordered.
 
     The era of the store comes first: an instance in a later era has the state of a read
     after the store returned from an older copy. An instance of an earlier build reports
-    no era and is assumed to be in the current one, `era`.
+    no era and is assumed to be in the current one, `era`. Removals come last: those
+    that are seen as missing records, or deferred, do not follow from the newest change.
     """
     return (
         message.store_era or era,
         message.config_number,
         message.change_revision,
+        message.removal_revision,
     )
 
 
@@ -46,6 +52,7 @@
         target.store_era = source.store_era
         target.config_number = source.config_number
         target.change_revision = source.change_revision
+        target.removal_revision = source.removal_revision
         target.freshest_peer = source.freshest_peer
 
 
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -136,6 +136,8 @@
         What the sender needs of its share of rate limits.
     pool_reports
         What the sender saw of pools under load.
+    removal_revision
+        Revision up to which all removals are in force at the sender.
     """
 
     node: NodeId
@@ -162,6 +164,7 @@
     keeps_origins: bool = False
     limit_need: LimitNeed = LimitNeed.SHARE
     pool_reports: PoolReports = PoolReports()
+    removal_revision: Revision = 0
 
 
 class Digest(msgspec.Struct, array_like=True, tag="d"):
@@ -220,6 +223,8 @@
         Number of instances that cede most of theirs.
     pool_reports
         Sums of what instances saw of pools under load.
+    removal_revision
+        Revision up to which all removals are in force at `freshest_peer`.
     """
 
     address: str
@@ -251,6 +256,7 @@
     limit_users: LimitUsers = {}
     ceding: Count = 0
     pool_reports: PoolReports = PoolReports()
+    removal_revision: Revision = 0
 
     def live(self, address: str, zone: ZoneId) -> Fleet:
         """Return the live fleet for an instance that follows this digest."""
@@ -307,6 +313,7 @@
     limit_users: LimitUsers = {}
     ceding: Count = 0
     pool_reports: PoolReports = PoolReports()
+    removal_revision: Revision = 0
 
 
 class CrashReports(msgspec.Struct, array_like=True, tag="c"):
@@ -325,7 +332,7 @@
     Attributes
     ----------
     revision
-        A watch of the store from here returns all later changes.
+        All changes up to here are in force; a watch from here returns the others.
     change_revision
         Revision of the newest change.
     published
@@ -338,6 +345,15 @@
         Eras that count the revisions in `evacuated`, by zone.
     versions
         Software versions of upstreams, now and recently; None if not known.
+    entry_revisions
+        Revisions of `entries`, in their order; empty from an earlier build.
+    entry_eras
+        Eras that count these revisions, where they differ from `store_era`.
+    removal_revision
+        Revision up to which all removals are in force.
+    known_revision
+        Revision up to which all changes are in force, but for the removals of upstreams
+        in `entries` that are deferred; None from an earlier build.
     """
 
     revision: Revision
@@ -348,6 +364,10 @@
     store_era: Revision = 0
     evacuated_eras: dict[ZoneId, Revision] = {}
     versions: VersionHistory | None = None
+    entry_revisions: list[Revision] = []
+    entry_eras: dict[UpstreamId, Revision] = {}
+    removal_revision: Revision = 0
+    known_revision: Revision | None = None
 
 
 def encode(message: PeerMessage | PeerView) -> bytes:
--- a/packages/buckthornwall/src/buckthornwall/peers/views.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/views.py
@@ -87,8 +87,10 @@
             view.store_era,
             view.revision,
             view.change_revision,
+            view.removal_revision,
             view.published,
             [entry.id for entry in view.entries],
+            view.entry_revisions,
             view.evacuated,
         )
         if state != self._state or not 0 <= now - self._encoded_at < MAX_ENCODED_AGE_S:
--- a/packages/buckthornwall/src/buckthornwall/platform/store.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/store.py
@@ -194,6 +194,9 @@
         _add_zone(update, ZoneId(change.key.removeprefix(EVACUATIONS)), change)
     elif change.key.startswith(REGISTRATIONS):
         upstream = UpstreamId(change.key.removeprefix(REGISTRATIONS))
+        # The revision of a record that cannot be decoded may be unknown.
+        revision = change.revision or update.revision
+        update.positions[upstream] = StorePosition(update.era, revision)
         entry = _entry_or_none(upstream, change.value)
         if entry is None:
             update.entries.pop(upstream, None)
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -276,6 +276,7 @@
             keeps_origins=True,
             limit_need=self.pools.rate_limits.demand.need,
             pool_reports=self.pools.reports(),
+            removal_revision=self.discovery.positions.removal_revision,
         )
 
     def _apply_peer_work(self) -> None:
--- a/packages/buckthornwall/src/buckthornwall/router/state_sync.py
+++ b/packages/buckthornwall/src/buckthornwall/router/state_sync.py
@@ -3,30 +3,30 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import replace
 
 import trio
 
-from buckthornwall.codes import PeerError, RecordError
-from buckthornwall.discovery import DiscoveryAgent, StoreUpdate
+from buckthornwall.codes import PeerError
+from buckthornwall.discovery import DiscoveryAgent
 from buckthornwall.peers import (
     Beacon,
     Digest,
     PeerTable,
     PeerView,
+    StateKey,
     ViewClient,
     freshness,
 )
-from buckthornwall.pools import UpstreamEntry, check_entry
 from buckthornwall.settings import (
     MAX_SUBSTITUTES,
     SUBSTITUTE_STAGGER_S,
     ReadBudget,
 )
 from buckthornwall.telemetry import log_event
-from buckthornwall.utils import Clock, StorePosition
+from buckthornwall.utils import Clock
 
 from .first_read import FirstRead, is_left_to_peers
+from .peer_views import make_view, to_update
 
 __all__ = ["StateSync"]
 
@@ -53,6 +53,9 @@
 # fetched at each change, would saturate slow links and delay callers' responses.
 VIEW_PAUSE_RATIO = 4.0
 MAX_VIEW_PAUSE_S = 0.8
+# A view does not bring this instance up to date while it defers removals itself: the
+# same state is not fetched again so soon.
+REFETCH_INTERVAL_S = 0.5
 NEVER_READ_MS = 1_000_000_000
 # A poll that takes longer shows that this instance did not run meanwhile.
 MAX_POLL_S = 0.6
@@ -101,6 +104,8 @@
         self._view_failed = False
         self._reads = False
         self._substitutes_until = -math.inf
+        self._fetched: StateKey | None = None
+        self._fetched_at = -math.inf
 
     def may_read(self) -> bool:
         """Return whether this instance reads the store itself.
@@ -162,7 +167,8 @@
             if not 0 < fleet.store_era < self.discovery.position.era:
                 self.discovery.receive_store_uptime(fleet.store_uptime_ms / MS_PER_S)
             if self.should_fetch_view(fleet):
-                started = self.clock.now()
+                started = self._fetched_at = self.clock.now()
+                self._fetched = freshness(fleet, fleet.store_era)
                 await self.fetch_view(fleet.freshest_peer)
                 await trio.sleep(view_pause_s(self.clock.now() - started))
 
@@ -192,7 +198,12 @@
         """Return whether any instance knows a newer state."""
         known = self.discovery.change_position
         era = max(known.era, fleet.store_era)
-        local = (known.era or era, self.discovery.table.number, known.revision)
+        local = (
+            known.era or era,
+            self.discovery.table.number,
+            known.revision,
+            self.discovery.positions.removal_revision,
+        )
         return freshness(fleet, era) > local
 
     def should_fetch_view(self, fleet: Digest) -> bool:
@@ -206,9 +217,16 @@
             self._stale_since = now
         if not self.discovery.has_adopted:
             return True  # whichever of the read and the view comes first is used
+        if self._is_fetched(fleet, now):
+            return False
         reads = self.may_read() and not self.discovery.is_store_unavailable
         return not reads or now - self._stale_since > MAX_READER_LAG_S
 
+    def _is_fetched(self, fleet: Digest, now: float) -> bool:
+        """Return whether the newest state was fetched a short time ago."""
+        is_same = self._fetched == freshness(fleet, fleet.store_era)
+        return is_same and now - self._fetched_at < REFETCH_INTERVAL_S
+
     def _fleet(self) -> Digest:
         return self.peers.fleet_digest(self.make_beacon(), self.clock.now())
 
@@ -225,44 +243,11 @@
         log_event(
             "view_taken", peer=peer, mark=view.change_revision, era=view.store_era
         )
-        self.discovery.adopt(
-            StoreUpdate(
-                revision=view.revision,
-                is_snapshot=True,
-                change_revision=view.change_revision,
-                published=view.published or None,
-                entries={entry.id: entry for entry in _usable(view, peer)},
-                evacuated={
-                    zone: StorePosition(
-                        view.evacuated_eras.get(zone, view.store_era), revision
-                    )
-                    for zone, revision in view.evacuated.items()
-                },
-                era=view.store_era,
-                is_relayed=True,
-                versions=view.versions,
-            )
-        )
+        self.discovery.adopt(to_update(view, peer))
 
     def view(self) -> PeerView:
         """Return the state in force here, for a peer that requests it."""
-        discovery = self.discovery
-        now = self.clock.now()
-        entries = [
-            replace(view.entry, cold_s=view.cold_s(now))
-            for view in discovery.pools.views.values()
-        ]
-        evacuated = discovery.pools.evacuations.zones()
-        return PeerView(
-            discovery.position.revision,
-            discovery.change_position.revision,
-            discovery.raw_config,
-            entries,
-            {zone: position.revision for zone, position in evacuated.items()},
-            discovery.position.era,
-            {zone: position.era for zone, position in evacuated.items()},
-            discovery.pools.versions.history(),
-        )
+        return make_view(self.discovery, self.clock.now())
 
     def read_age_ms(self) -> int:
         """Return the time since the store last answered here, or NEVER_READ_MS."""
@@ -279,26 +264,6 @@
         }
 
 
-def _usable(view: PeerView, peer: str) -> list[UpstreamEntry]:
-    """Return the entries of a view that name upstreams, without the others."""
-    usable = []
-    for entry in view.entries:
-        try:
-            check_entry(entry)
-        except RecordError as error:
-            log_event(
-                "registration_refused",
-                "WARNING",
-                upstream=entry.id,
-                peer=peer,
-                code=error.code.number,
-                detail=error,
-            )
-        else:
-            usable.append(entry)
-    return usable
-
-
 def view_pause_s(took_s: float) -> float:
     """Return the pause after fetching a view that took `took_s`."""
     return min(VIEW_PAUSE_RATIO * took_s, MAX_VIEW_PAUSE_S)
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/test_view_merging.py
@@ -0,0 +1,240 @@
+"""Instances that merge the store's answers and each other's views.
+
+A reader of the store that had deferred a removal told the position of the removal,
+while its view still held the upstream. Members that took the view kept it for good.
+"""
+
+import msgspec
+import pytest
+
+from buckthornwall.codes import PeerError, ResultCode
+from buckthornwall.discovery import DiscoveryAgent, DiscoverySettings, HistoryLost
+from buckthornwall.peers import PeerView
+from buckthornwall.peers.messages import decode, encode
+from buckthornwall.platform.calls import Changes, StoredValue
+from buckthornwall.platform.published import decode_published
+from buckthornwall.platform.store import to_store_update
+from buckthornwall.pools import PoolTable
+from buckthornwall.router.peer_views import make_view, to_update
+from buckthornwall.routing import RoutingTable
+from buckthornwall.utils import StorePosition
+
+SETTLE_S = DiscoverySettings().settle_ms / 1000
+ZONE = "z"
+
+
+def registration(version=""):
+    fields = {"service": "p", "address": "10.0.0.1:80", "zone": ZONE}
+    return msgspec.json.encode(fields | {"version": version})
+
+
+def config(number):
+    services = [{"name": "p", "health_path": "/h", "max_connections": 10}]
+    return msgspec.json.encode({"version": number, "routes": [], "services": services})
+
+
+class Store:
+    """The platform's store: its items, and the changes of its history."""
+
+    def __init__(self):
+        self.era, self.revision, self.history_since = 1, 1, 0
+        self.items, self.changes = {}, []
+
+    def write(self, key, value):
+        """Write an item, or remove it if `value` is None."""
+        self.revision += 1
+        change = StoredValue(key, self.revision, value)
+        self.changes.append(change)
+        self.items.pop(key, None)
+        if value is not None:
+            self.items[key] = change
+
+    def read_all(self):
+        position = StorePosition(self.era, self.revision)
+        changes = Changes(position, list(self.items.values()))
+        return to_store_update(changes, is_snapshot=True)
+
+    def watch(self, after):
+        if after.era != self.era or after.revision < self.history_since:
+            raise HistoryLost
+        changes = [each for each in self.changes if each.revision > after.revision]
+        position = StorePosition(self.era, self.revision)
+        return to_store_update(Changes(position, changes), is_snapshot=False)
+
+
+class Instance:
+    """What one instance has in force."""
+
+    def __init__(self, clock, store):
+        self.clock, self.store = clock, store
+        self.agent = DiscoveryAgent(
+            DiscoverySettings(),
+            None,
+            decode_published,
+            RoutingTable(),
+            PoolTable(clock, regions={ZONE: "r"}),
+            clock,
+        )
+
+    @property
+    def upstreams(self):
+        return set(self.agent.pools.views)
+
+    @property
+    def evacuated(self):
+        return set(self.agent.pools.evacuations.zones())
+
+    @property
+    def key(self):
+        change = self.agent.change_position
+        removal = self.agent.positions.removal_revision
+        return change.era, self.agent.table.number, change.revision, removal
+
+    def read(self, is_complete=False):
+        """Let the store answer, completely if it no longer holds the changes."""
+        try:
+            if is_complete or not self.agent.position.revision:
+                raise HistoryLost
+            update = self.store.watch(self.agent.position)
+        except HistoryLost:
+            update = self.store.read_all()
+        self.agent.record_answer()
+        self.agent.adopt(update)
+        self.agent.remove_deferred()
+
+    def lose_store(self):
+        """Notice that the store has not answered for long."""
+        self.agent.answered_at = self.clock.now() - 1.0
+        self.agent.record_failure(PeerError(ResultCode.PLATFORM_UNREACHABLE, "cut"))
+
+    def follow(self, peer):
+        """Take the view of a peer that has a newer state; return whether it has."""
+        if not peer.agent.has_adopted or peer.key <= self.key:
+            return False
+        view = decode(encode(make_view(peer.agent, self.clock.now())), PeerView)
+        self.agent.adopt(to_update(view, "peer"))
+        return True
+
+
+@pytest.fixture
+def store():
+    store = Store()
+    store.write("op/config", config(1))
+    for name in "abc":
+        store.write(f"servers/{name}", registration())
+    return store
+
+
+@pytest.fixture
+def instances(clock, store):
+    """Return a reader and two members that hold what the store holds."""
+    made = [Instance(clock, store) for _ in range(3)]
+    made[0].read()
+    for member in made[1:]:
+        member.follow(made[0])
+    return made
+
+
+def defer_removal(reader, clock, name, *added):
+    """Let an instance return to the store, which has removed an upstream meanwhile."""
+    reader.lose_store()
+    reader.store.write(f"servers/{name}", None)
+    for each in added:
+        reader.store.write(f"servers/{each}", registration())
+    reader.read()
+    assert name in reader.upstreams
+
+
+def test_member_kept_an_upstream_whose_removal_its_reader_had_deferred(
+    instances, clock
+):
+    reader, member, _ = instances
+    defer_removal(reader, clock, "a", "d")
+    assert member.follow(reader)
+    assert member.upstreams == {"a", "b", "c", "d"}
+    assert not member.follow(reader)
+    clock.time += SETTLE_S + 0.1
+    reader.agent.remove_deferred()
+    assert member.follow(reader)
+    assert member.upstreams == reader.upstreams == {"b", "c", "d"}
+    assert not member.follow(reader)
+
+
+def test_view_with_a_deferred_removal_brought_an_upstream_back(instances, clock):
+    """The member has the removal from another reader, which was in touch."""
+    returned, member, in_touch = instances
+    defer_removal(returned, clock, "a")
+    in_touch.read()
+    member.follow(in_touch)
+    assert member.upstreams == {"b", "c"}
+    returned.store.write("servers/d", registration())
+    returned.read()
+    assert member.follow(returned)
+    assert member.upstreams == {"b", "c", "d"}
+    clock.time += 0.6
+    assert returned.follow(member)
+    assert returned.upstreams == {"b", "c", "d"}
+
+
+def test_member_that_reads_in_place_of_its_reader_missed_a_deferred_removal(
+    instances, clock
+):
+    """The reader ends while it defers the removal."""
+    reader, member, _ = instances
+    defer_removal(reader, clock, "a", "d")
+    member.follow(reader)
+    member.read()
+    assert member.upstreams == {"b", "c", "d"}
+
+
+def test_registration_that_is_newer_than_its_removal_was_lost(instances, clock):
+    """It was written again before the deferral ended, and a member knows it."""
+    reader, member, other = instances
+    defer_removal(reader, clock, "a")
+    reader.store.write("servers/a", registration())
+    other.read()
+    assert member.follow(other)
+    reader.follow(other)
+    clock.time += SETTLE_S + 0.1
+    reader.agent.remove_deferred()
+    assert "a" in reader.upstreams
+    member.follow(reader)
+    assert "a" in member.upstreams
+
+
+def test_upstreams_are_merged_with_views_of_an_earlier_build(instances, clock):
+    """Its views give no positions of entries: these count as of its newest change."""
+    reader, member, _ = instances
+    reader.store.write("servers/a", None)
+    reader.store.write("servers/d", registration())
+    reader.read()
+    view = make_view(reader.agent, clock.now())
+    fields = msgspec.to_builtins(view, builtin_types=(bytes,))[:-4]
+    older = msgspec.convert(fields, PeerView)
+    member.agent.adopt(to_update(older, "peer"))
+    assert member.upstreams == {"b", "c", "d"}
+
+
+def test_removed_upstream_does_not_come_back_by_a_late_view(instances, clock):
+    reader, member, _ = instances
+    late = make_view(reader.agent, clock.now())
+    reader.store.write("servers/a", None)
+    reader.read()
+    assert member.follow(reader)
+    member.agent.adopt(to_update(replace_number(late), "peer"))
+    assert member.upstreams == {"b", "c"}
+
+
+def replace_number(view):
+    """Return a view with a newer configuration."""
+    return msgspec.structs.replace(view, published=config(9))
+
+
+def test_newly_registered_upstream_is_not_lost_by_a_late_view(instances, clock):
+    reader, member, _ = instances
+    late = make_view(reader.agent, clock.now())
+    reader.store.write("servers/d", registration())
+    reader.read()
+    assert member.follow(reader)
+    member.agent.adopt(to_update(replace_number(late), "peer"))
+    assert member.upstreams == {"a", "b", "c", "d"}
--- a/packages/buckthornwall/src/buckthornwall/utils/store_position.py
+++ b/packages/buckthornwall/src/buckthornwall/utils/store_position.py
@@ -24,3 +24,7 @@
     def is_in_former_era(self, current: "StorePosition") -> bool:
         """Return whether this is known to be of an era before that of `current`."""
         return 0 < self.era < current.era
+
+    def is_after(self, other: "StorePosition") -> bool:
+        """Return whether this is later; an era that is not known equals any other."""
+        return self.in_era(other.era) > other.in_era(self.era)
