Complete reads: they raise the position up to which removals are in force

Cause: the first read of an instance that takes over is a complete one. The removal is missing there and left no revision, so members had no reason to fetch the reader's view. An instance that reads for the first time, and so misses nothing, told the position of those that still held the upstream. Records of evacuated zones were concerned, too.

Ruled out: the takeover (in time), the watch of members that had read before.

The change: a complete read contains all changes up to its position and raises removal_revision to it.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/model/check.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/model/check.py
@@ -10,7 +10,15 @@
 
 from minicheck import check_safety
 
-from . import at_most_once, pool_parts, removals, restoration, spread, succession
+from . import (
+    at_most_once,
+    pool_parts,
+    removals,
+    restoration,
+    spread,
+    succession,
+    views,
+)
 
 __all__ = ["Verdict", "check_all", "render"]
 
@@ -25,6 +33,7 @@
     removals,
     restoration,
     succession,
+    views,
 )
 
 
--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -271,6 +271,9 @@
         self.positions.record_removals(removed)
         if update.is_relayed:
             self.positions.adopt_peer(update)
+        elif update.is_snapshot and not self.deferral.is_pending:
+            # What was registered and removed since the last read has left no trace.
+            self.positions.record_removals([update.position])
 
     def _begin_era(self, update: StoreUpdate) -> None:
         """Defer what follows from the lack of records that the store may have lost."""
@@ -333,9 +336,7 @@
             for upstream in self.deferral.removals:
                 removals.pop(upstream, None)
         self._remove(removals)
-        return [
-            position for name, position in removals.items() if name in update.removed
-        ]
+        return list(removals.values())
 
     def _adopt_published(self, raw: bytes) -> None:
         try:
--- a/packages/buckthornwall/src/buckthornwall/router/tests/test_view_merging.py
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/test_view_merging.py
@@ -4,10 +4,13 @@
 while its view still held the upstream. Members that took the view kept it for good.
 """
 
+import random
+
 import msgspec
 import pytest
 
 from buckthornwall.codes import PeerError, ResultCode
+from buckthornwall.conftest import ManualClock
 from buckthornwall.discovery import DiscoveryAgent, DiscoverySettings, HistoryLost
 from buckthornwall.peers import PeerView
 from buckthornwall.peers.messages import decode, encode
@@ -21,6 +24,7 @@
 
 SETTLE_S = DiscoverySettings().settle_ms / 1000
 ZONE = "z"
+MAX_EXCHANGES = 20
 
 
 def registration(version=""):
@@ -49,6 +53,21 @@
         if value is not None:
             self.items[key] = change
 
+    def forget_history(self):
+        self.history_since = self.revision + 1
+
+    def return_from(self, copy):
+        """Return from an older copy, in the next era."""
+        self.revision, items = copy
+        self.items = dict(items)
+        self.era, self.changes, self.history_since = self.era + 1, [], 0
+
+    def copy(self):
+        return self.revision, dict(self.items)
+
+    def upstreams(self):
+        return {key[8:] for key in self.items if key.startswith("servers/")}
+
     def read_all(self):
         position = StorePosition(self.era, self.revision)
         changes = Changes(position, list(self.items.values()))
@@ -67,6 +86,7 @@
 
     def __init__(self, clock, store):
         self.clock, self.store = clock, store
+        self.dropped = {}
         self.agent = DiscoveryAgent(
             DiscoverySettings(),
             None,
@@ -80,6 +100,18 @@
     def upstreams(self):
         return set(self.agent.pools.views)
 
+    @property
+    def registrations(self):
+        return self.agent.positions.registrations
+
+    def record_dropped(self, before):
+        """Check that no registration returns that has been dropped."""
+        for name in before.keys() - self.registrations.keys():
+            self.dropped[name] = before[name]
+        for name in self.registrations.keys() - before.keys():
+            dropped = self.dropped.get(name)
+            assert dropped is None or self.registrations[name] > dropped, name
+
     @property
     def evacuated(self):
         return set(self.agent.pools.evacuations.zones())
@@ -215,6 +247,159 @@
     assert member.upstreams == {"b", "c", "d"}
 
 
+def check_equal_positions(instances):
+    """Check that instances with the same position hold the same."""
+    held = {}
+    for instance in instances:
+        if instance.agent.deferral.is_pending or not instance.agent.has_adopted:
+            continue
+        state = instance.upstreams, instance.evacuated
+        assert held.setdefault(instance.key, state) == state
+
+
+class History:
+    """Drawn changes, reads, cuts and views.
+
+    Attributes
+    ----------
+    gone : set
+        Upstreams that left, and were not registered again.
+    """
+
+    def __init__(self, seed, with_eras):
+        self.rng = random.Random(seed)
+        self.clock, self.store = ManualClock(), Store()
+        self.store.write("op/config", config(1))
+        self.number = 1
+        self.instances = [Instance(self.clock, self.store) for _ in range(4)]
+        self.steps = [
+            self.register,
+            self.leave,
+            self.evacuate,
+            self.publish,
+            self.store.forget_history,
+            self.read,
+            self.read,
+            self.read_completely,
+            self.lose_store,
+            self.tell_uptime,
+            self.restart,
+            self.wait,
+            *([self.follow] * 6),
+        ]
+        if with_eras:
+            self.steps.append(self.return_from_copy)
+        self.copied = self.store.copy()
+
+    def any(self):
+        return self.rng.choice(self.instances)
+
+    def register(self):
+        name = self.rng.choice("abcdefgh")
+        self.store.write(f"servers/{name}", registration(self.rng.choice(["1", "2"])))
+
+    def leave(self):
+        upstreams = sorted(self.store.upstreams())
+        if upstreams:
+            self.store.write(f"servers/{self.rng.choice(upstreams)}", None)
+
+    def evacuate(self):
+        key = f"op/evacuate/{ZONE}"
+        self.store.write(key, None if key in self.store.items else b"{}")
+
+    def publish(self):
+        self.number += 1
+        self.store.write("op/config", config(self.number))
+
+    def read(self):
+        self.any().read()
+
+    def read_completely(self):
+        self.any().read(is_complete=True)
+
+    def lose_store(self):
+        self.any().lose_store()
+
+    def tell_uptime(self):
+        self.any().agent.receive_store_uptime(10.0)
+
+    def restart(self):
+        place = self.rng.randrange(len(self.instances))
+        self.instances[place] = Instance(self.clock, self.store)
+
+    def wait(self):
+        self.clock.time += self.rng.choice([0.1, 0.6, SETTLE_S])
+        for instance in self.instances:
+            instance.agent.remove_deferred()
+
+    def follow(self):
+        self.any().follow(self.any())
+
+    def return_from_copy(self):
+        if self.rng.random() < 0.2:
+            self.copied = self.store.copy()
+        elif self.rng.random() < 0.1:
+            self.store.return_from(self.copied)
+            self.number += 1
+            self.store.write("op/config", config(self.number))
+
+    def step(self):
+        """Take a step; check that no removal is undone and positions are right."""
+        before = [(each, dict(each.registrations)) for each in self.instances]
+        self.rng.choice(self.steps)()
+        for instance, held in before:
+            instance.record_dropped(held)
+        check_equal_positions(self.instances)
+
+    def settle(self):
+        """Let one instance read, and the others follow until nobody is behind."""
+        reader = self.any()
+        for _ in range(3):
+            reader.read()
+            self.clock.time += SETTLE_S + 0.1
+            for instance in self.instances:
+                instance.agent.remove_deferred()
+            self.exchange_views()
+
+    def exchange_views(self):
+        """Let each instance follow the newest until none is behind."""
+        for _ in range(MAX_EXCHANGES):
+            newest = max(self.instances, key=lambda each: each.key)
+            behind = [each for each in self.instances if each.follow(newest)]
+            if all(each.agent.deferral.is_pending for each in behind):
+                return
+        pytest.fail("instances fetch views for ever")
+
+
+@pytest.mark.parametrize("seed", range(150))
+def test_instances_with_the_same_position_held_other_upstreams(seed):
+    """Reads, deferrals and views in any order; at last all hold the store's records."""
+    history = History(seed, with_eras=False)
+    for _ in range(300):
+        history.step()
+    history.settle()
+    for instance in history.instances:
+        assert instance.upstreams == history.store.upstreams()
+        is_evacuated = f"op/evacuate/{ZONE}" in history.store.items
+        assert instance.evacuated == ({ZONE} if is_evacuated else set())
+        assert instance.agent.table.number == history.number
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_instances_differed_after_returns_of_the_store_from_a_copy(seed):
+    """What the copy lacks is written again at last, and what it had is removed."""
+    history = History(1000 + seed, with_eras=True)
+    for _ in range(300):
+        history.rng.choice(history.steps)()
+    for name in sorted(history.store.upstreams()):
+        history.store.write(f"servers/{name}", None)
+        history.store.write(f"servers/{name}", registration("3"))
+    history.publish()
+    history.settle()
+    for instance in history.instances:
+        assert instance.upstreams == history.store.upstreams()
+
+
 def test_removed_upstream_does_not_come_back_by_a_late_view(instances, clock):
     reader, member, _ = instances
     late = make_view(reader.agent, clock.now())
