Instances at the same position: differences are noticed and resolved

Positions of states are compared as numbers, and two faults in a row came from places where a number did not say what its sender held. Whatever the cause, nothing noticed such a difference before a request reached a wrong upstream, and nothing ended it before the next change.

Beacons, digests and heartbeats have a checksum of the registrations and evacuated zones.

Ruled out: merging views once more (what one has lost would be lost at both), and XOR of the entries' CRCs (names that differ by one digit cancel out: the checksum of twelve upstreams u0 to u11 was 0).

Tests: a member and a speaker that lack one upstream each have it again 4 s later; none is reported while a store that changes every 80 ms and loses a tenth of the datagrams spreads its changes to 24 instances.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
@@ -198,6 +198,7 @@
             is_isolated=self.pools.isolation.is_isolated,
             limit_need=self.pools.rate_limits.demand.need,
             removal_revision=self.discovery.positions.removal_revision,
+            state_checksum=self.discovery.checksum,
         )
 
     @property
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_removals_at_size.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_removals_at_size.py
@@ -249,3 +249,31 @@
             await disturb(fleet, watcher, rng)
             await trio.sleep(rng.uniform(0.0, 4.0))
     await check_settled(fleet, watcher)
+
+
+async def test_difference_at_the_same_position_lasted_until_the_next_change(
+    autojump_clock, fleet
+):
+    """A member and a speaker hold less than the store, for whatever reason."""
+    await start_fleet(fleet, (6, 3))
+    speaker = fleet.speaker("z")
+    member = next(peer for peer in live(fleet) if not peer.is_speaker)
+    for peer, name in ((speaker, NAMES[1]), (member, NAMES[2])):
+        peer.pools.remove(name)
+        del peer.discovery.positions.registrations[name]
+        peer.discovery.update_checksum()
+    await trio.sleep(2 * DRAIN_LIMIT_S)
+    assert all(set(peer.pools.views) == set(NAMES) for peer in live(fleet))
+    assert member.state_sync.difference.count == 1
+
+
+@pytest.mark.parametrize("sizes", [(24,), (8, 8, 8)])
+async def test_no_difference_is_reported_while_changes_spread(
+    autojump_clock, fleet, nursery, sizes
+):
+    await start_fleet(fleet, sizes)
+    watcher = Watcher(fleet)
+    nursery.start_soon(fleet.change_periodically)
+    fleet.network.loss = 0.1
+    await change_registrations(fleet, watcher, random.Random(1), 20)
+    assert not any(peer.state_sync.difference.count for peer in live(fleet))
--- a/packages/buckthornwall/src/buckthornwall/discovery/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/__init__.py
@@ -3,6 +3,7 @@
 ============== ===========================================================
 `updates`      updates of the store, and the protocol of their source
 `positions`    positions of the records in force, by which states are merged
+`checksum`     checksum of the state in force, by which differences are noticed
 `deferral`     removals and reopenings that are not applied yet
 `restoration`  what is kept when the store has returned from an older copy
 `zone_records` applies the records of evacuated and reopened zones
--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -16,6 +16,7 @@
     UpstreamId,
 )
 
+from .checksum import UNKNOWN_CHECKSUM, state_checksum
 from .deferral import Deferral
 from .positions import StatePositions
 from .restoration import reconcile_registration
@@ -81,6 +82,7 @@
         self.pools = pools
         self.clock = clock
         self.positions = StatePositions()
+        self.checksum = UNKNOWN_CHECKSUM
         self.raw_config = b""
         self.has_adopted = False
         self.answered_at = clock.now()
@@ -95,6 +97,8 @@
         self.deferral = Deferral()
         self.watch_s: Callable[[], float] = lambda: self.settings.watch_ms / MS_PER_S
         self._read_scope = trio.CancelScope()
+        self.is_complete_read_due = True
+        self.is_reread_due = False
 
     @property
     def position(self) -> StorePosition:
@@ -109,18 +113,18 @@
     async def run(self) -> None:
         """Read and watch the source until cancelled."""
         backoff = Backoff(RETRY_FIRST_S, RETRY_LIMIT_S)
-        needs_snapshot = True
         while True:
             await self._wait_until_reader()
             started, asked_at = self.clock.now(), self.position
+            is_complete = self.is_complete_read_due
             update = None
             try:
                 with trio.CancelScope() as self._read_scope:
-                    update = await self._read_next(needs_snapshot)
+                    update = await self._read_next()
             except HistoryLost:
                 self.on_call(self.clock.now() - started, "history_lost")
                 log_event("history_lost", "WARNING", **self._describe_position())
-                needs_snapshot = True
+                self.is_complete_read_due = True
                 continue
             except PeerError as error:
                 self.on_call(self.clock.now() - started, "failed")
@@ -134,7 +138,8 @@
             self.on_call(self.clock.now() - started, "answered")
             self.record_answer()
             backoff.reset()
-            needs_snapshot = False
+            if is_complete:
+                self.is_complete_read_due = self.is_reread_due = False
             self.adopt(update)
             self.remove_deferred()
             await trio.sleep(self.settings.gap_ms / MS_PER_S)
@@ -151,9 +156,9 @@
             await trio.sleep(POLL_S if self.has_adopted else FIRST_POLL_S)
         self.answered_at = self._store_up_since = self.clock.now()
 
-    async def _read_next(self, needs_snapshot: bool) -> StoreUpdate:
+    async def _read_next(self) -> StoreUpdate:
         # No watch returns what the store lacks since its return from an older copy.
-        if needs_snapshot or not self.position.revision:
+        if self.is_complete_read_due or not self.position.revision:
             return await self.source.read_all()
         return await self.source.watch(self.position, self.max_watch_s())
 
@@ -190,6 +195,10 @@
             log_event("store_regained", away_ms=outage_ms, **self._describe_position())
         self.answered_at = self.read_at = now
 
+    def request_reread(self) -> None:
+        """Read everything again, also while other instances read for this one."""
+        self.is_complete_read_due = self.is_reread_due = True
+
     def adopt(self, update: StoreUpdate) -> None:
         """Apply an update to routes, upstreams and zones.
 
@@ -219,6 +228,7 @@
             # a first read would only delay callers on a slow link.
             self._read_scope.cancel()
         self.has_adopted = True
+        self.update_checksum()
         self.pools.set_contracts(self.table.pools.values(), self.table.routes)
         self.on_change()
 
@@ -375,6 +385,7 @@
         for zone, position in reopenings.items():
             reopen_zone(self.pools, zone, position)
         self.positions.release()
+        self.update_checksum()
 
     def receive_store_uptime(self, seconds: float) -> None:
         """Stop deferring removals if only this instance could not reach the source.
@@ -391,6 +402,11 @@
         if seconds * MS_PER_S > self.settings.settle_ms:
             self.deferral.end(self.clock.now())
 
+    def update_checksum(self) -> None:
+        """Compute the checksum of what is in force now."""
+        entries = [view.entry for view in self.pools.views.values()]
+        self.checksum = state_checksum(entries, self.pools.evacuations.zones())
+
     def _describe_position(self) -> dict[str, int]:
         return {"era": self.position.era, "revision": self.position.revision}
 
--- a/packages/buckthornwall/src/buckthornwall/peers/freshness.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/freshness.py
@@ -53,6 +53,7 @@
         target.config_number = source.config_number
         target.change_revision = source.change_revision
         target.removal_revision = source.removal_revision
+        target.state_checksum = source.state_checksum
         target.freshest_peer = source.freshest_peer
 
 
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -138,6 +138,8 @@
         What the sender saw of pools under load.
     removal_revision
         Revision up to which all removals are in force at the sender.
+    state_checksum
+        Checksum of what is in force at the sender; 0 if it does not say.
     """
 
     node: NodeId
@@ -165,6 +167,7 @@
     limit_need: LimitNeed = LimitNeed.SHARE
     pool_reports: PoolReports = PoolReports()
     removal_revision: Revision = 0
+    state_checksum: Count = 0
 
 
 class Digest(msgspec.Struct, array_like=True, tag="d"):
@@ -225,6 +228,8 @@
         Sums of what instances saw of pools under load.
     removal_revision
         Revision up to which all removals are in force at `freshest_peer`.
+    state_checksum
+        Checksum of what is in force there; 0 if it does not say.
     """
 
     address: str
@@ -257,6 +262,7 @@
     ceding: Count = 0
     pool_reports: PoolReports = PoolReports()
     removal_revision: Revision = 0
+    state_checksum: Count = 0
 
     def live(self, address: str, zone: ZoneId) -> Fleet:
         """Return the live fleet for an instance that follows this digest."""
@@ -314,6 +320,7 @@
     ceding: Count = 0
     pool_reports: PoolReports = PoolReports()
     removal_revision: Revision = 0
+    state_checksum: Count = 0
 
 
 class CrashReports(msgspec.Struct, array_like=True, tag="c"):
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -301,6 +301,7 @@
             config_number=newest.config_number,
             change_revision=newest.change_revision,
             removal_revision=newest.removal_revision,
+            state_checksum=newest.state_checksum,
             freshest_peer=newest.freshest_peer,
             read_age_ms=newest.read_age_ms,
             store_uptime_ms=newest.store_uptime_ms,
@@ -380,6 +381,7 @@
             config_number=best.config_number,
             change_revision=best.change_revision,
             removal_revision=best.removal_revision,
+            state_checksum=best.state_checksum,
             freshest_peer=best.address,
             read_age_ms=local_beacon.read_age_ms,
             store_uptime_ms=max(uptime_ms(beacon, era) for beacon in beacons),
@@ -410,6 +412,13 @@
             return self.make_digest(local_beacon, is_fleet=True, now=now)
         return self.speaker.message
 
+    def newest_reports(self, now: float) -> list[Beacon | Digest]:
+        """Return the messages that tell an instance what others have in force."""
+        if not self.is_speaker(now):
+            return [self.speaker.message]
+        received = [*self.members.values(), *self.zones.values()]
+        return [each.message for each in received]
+
     def relayed_digest(self, local_beacon: Beacon, now: float) -> Digest:
         """Return the digest of the fleet for an instance that looks up its speaker.
 
--- a/packages/buckthornwall/src/buckthornwall/peers/tests/test_relay_candidates.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/tests/test_relay_candidates.py
@@ -103,9 +103,9 @@
 def test_builds_before_and_after_read_each_others_messages():
     speakers, beacons = exchange("1", 0.0, ["10.1.0.2:7340"])
     made = [
-        (isolated_beacon("a"), 6),
-        (speakers["1"].make_digest(beacons["1"], True, 0.0), 8),
-        (speakers["1"].make_heartbeat(beacons["1"], True, 0.0), 7),
+        (isolated_beacon("a"), 7),
+        (speakers["1"].make_digest(beacons["1"], True, 0.0), 9),
+        (speakers["1"].make_heartbeat(beacons["1"], True, 0.0), 8),
     ]
     for message, added in made:
         fields = read_fields(message)
@@ -120,6 +120,7 @@
         assert not getattr(older, "ceding", 0)
         assert older.pool_reports == PoolReports()
         assert not older.removal_revision
+        assert not older.state_checksum
         assert decode(cbor2.dumps([*fields, "later"]), PeerMessage) == message
 
 
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -277,6 +277,7 @@
             limit_need=self.pools.rate_limits.demand.need,
             pool_reports=self.pools.reports(),
             removal_revision=self.discovery.positions.removal_revision,
+            state_checksum=self.discovery.checksum,
         )
 
     def _apply_peer_work(self) -> None:
--- a/packages/buckthornwall/src/buckthornwall/router/operators.py
+++ b/packages/buckthornwall/src/buckthornwall/router/operators.py
@@ -90,6 +90,10 @@
             len(owned_ids(router.pools)),
         ),
         "instances": ("Instances that serve.", router.fleet().count),
+        "state_differences": (
+            "How often another instance held something else at the same position.",
+            router.state_sync.difference.count,
+        ),
         "active": ("Requests being answered.", router.callers.active),
         "word_age_seconds": (
             "Age of the speaker's digest that this instance goes by; 0 if it speaks.",
--- a/packages/buckthornwall/src/buckthornwall/router/state_sync.py
+++ b/packages/buckthornwall/src/buckthornwall/router/state_sync.py
@@ -27,6 +27,7 @@
 
 from .first_read import FirstRead, is_left_to_peers
 from .peer_views import make_view, to_update
+from .state_difference import StateDifference
 
 __all__ = ["StateSync"]
 
@@ -93,6 +94,7 @@
     ) -> None:
         self.budget = budget
         self.discovery = discovery
+        self.difference = StateDifference(discovery.settings.apply_ms / MS_PER_S)
         self.peers = peers
         self.make_beacon = make_beacon
         self.views = views
@@ -116,7 +118,7 @@
         age of the newest read.
         """
         now = self.clock.now()
-        if self._view_failed:
+        if self._view_failed or self.discovery.is_reread_due:
             return True
         if is_left_to_peers(self._first_read(now)):
             return False
@@ -166,6 +168,7 @@
                 self._record_known(fleet)
             if not 0 < fleet.store_era < self.discovery.position.era:
                 self.discovery.receive_store_uptime(fleet.store_uptime_ms / MS_PER_S)
+            self._resolve_difference()
             if self.should_fetch_view(fleet):
                 started = self._fetched_at = self.clock.now()
                 self._fetched = freshness(fleet, fleet.store_era)
@@ -196,15 +199,26 @@
 
     def _is_behind(self, fleet: Digest) -> bool:
         """Return whether any instance knows a newer state."""
+        era = max(self.discovery.change_position.era, fleet.store_era)
+        return freshness(fleet, era) > self._local_state(era)
+
+    def _local_state(self, era: int) -> StateKey:
+        """Return the key by which the state in force here is ordered."""
         known = self.discovery.change_position
-        era = max(known.era, fleet.store_era)
-        local = (
+        return (
             known.era or era,
             self.discovery.table.number,
             known.revision,
             self.discovery.positions.removal_revision,
         )
-        return freshness(fleet, era) > local
+
+    def _resolve_difference(self) -> None:
+        """Read the store again if others differ at the same position."""
+        now = self.clock.now()
+        local = self._local_state(self.discovery.change_position.era)
+        reports = self.peers.newest_reports(now)
+        if self.difference.is_due(local, self.discovery.checksum, reports, now):
+            self.discovery.request_reread()
 
     def should_fetch_view(self, fleet: Digest) -> bool:
         """Return whether to fetch the newer view of a peer."""
@@ -240,10 +254,17 @@
             self._view_failed = True
             log_event("view_not_had", "WARNING", peer=peer, detail=error)
             return
+        before = len(self.discovery.pools.views)
+        self.discovery.adopt(to_update(view, peer))
         log_event(
-            "view_taken", peer=peer, mark=view.change_revision, era=view.store_era
+            "view_taken",
+            peer=peer,
+            mark=view.change_revision,
+            removal=view.removal_revision,
+            era=view.store_era,
+            upstreams=len(self.discovery.pools.views),
+            before=before,
         )
-        self.discovery.adopt(to_update(view, peer))
 
     def view(self) -> PeerView:
         """Return the state in force here, for a peer that requests it."""
