Replies without length: a leaving upstream that ended with one may have cut it

Cause: for a leaving upstream and a route that may not be repeated it was not asked whether the upstream had ended with the connection, so that its last reply would not be lost. What it cuts as it ends is far more than what it finishes within the milliseconds of the check.

Ruled out: the check of liveness; an end inside an event.

The change: the exception is gone, for streams and plain bodies.

Before, two tests of test_unframed.py fail (leaving_upstream_that_ended_looked _complete); now the tests of forwarding pass.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -258,9 +258,7 @@
         reply = self.codec.decode_trailers(reply, connection.trailers)
         if reply.is_given_up:
             return None, _given_up(reply)
-        await self.completeness.check_body(
-            self.choice.view, self.resolution.route, self.delivery.framing
-        )
+        await self.completeness.check_body(self.choice.view, self.delivery.framing)
         if 200 <= reply.status < 300 and not reply.is_attested_success:
             return None, AttemptResult(AttemptEnd.BROKEN, "success not attested")
         if reply.status >= 500:
@@ -301,10 +299,7 @@
         if reply.is_given_up:
             return reply
         await self.completeness.check_stream(
-            view,
-            self.resolution.route,
-            self.delivery.framing,
-            self.delivery.joiner,
+            view, self.delivery.framing, self.delivery.joiner
         )
         await self.delivery.end(reply)
         return reply
--- a/packages/buckthornwall/src/buckthornwall/forwarding/completeness.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/completeness.py
@@ -5,8 +5,7 @@
 """
 
 from buckthornwall.http1 import BodyFraming, ExchangeError, ExchangeFailure
-from buckthornwall.pools import PoolTable, UpstreamView
-from buckthornwall.routing import RequestRoute
+from buckthornwall.pools import UpstreamView
 
 from .events import EventJoiner
 from .liveness import LivenessChecks
@@ -19,20 +18,16 @@
 
     Parameters
     ----------
-    pools
-        Registered upstreams.
     liveness
         Distinguishes an upstream that ended from a closed connection.
     """
 
-    def __init__(self, pools: PoolTable, liveness: LivenessChecks) -> None:
-        self.pools = pools
+    def __init__(self, liveness: LivenessChecks) -> None:
         self.liveness = liveness
 
     async def check_stream(
         self,
         view: UpstreamView,
-        route: RequestRoute,
         framing: BodyFraming | None,
         joiner: EventJoiner,
     ) -> None:
@@ -51,19 +46,15 @@
         has_events = joiner.event_count or joiner.last_id
         if framing is BodyFraming.CLOSE and not has_events:
             raise ExchangeError(ExchangeFailure.CLOSED, "before the first event")
-        await self.check_body(view, route, framing)
+        await self.check_body(view, framing)
 
-    async def check_body(
-        self, view: UpstreamView, route: RequestRoute, framing: BodyFraming | None
-    ) -> None:
+    async def check_body(self, view: UpstreamView, framing: BodyFraming | None) -> None:
         """Check the body of a reply.
 
         Parameters
         ----------
         view
             The upstream.
-        route
-            The route of the request.
         framing
             What marks the end of the body.
 
@@ -74,12 +65,5 @@
         """
         if framing is not BodyFraming.CLOSE:
             return
-        # An upstream that leaves may end right after its last reply, which is lost if
-        # it counts as incomplete and may not be retried.
-        if self._is_leaving(view) and not route.may_repeat:
-            return
         if await self.liveness.has_ended(view.entry):
             raise ExchangeError(ExchangeFailure.CLOSED, "with its upstream")
-
-    def _is_leaving(self, view: UpstreamView) -> bool:
-        return self.pools.views.get(view.id) is not view or view.is_leaving
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -124,7 +124,7 @@
             clock, connect_timeout_s, self.isolation_monitor.check
         )
         self.isolation_monitor.is_known_ended = self.liveness.is_known_ended
-        self.completeness = CompletenessChecks(pools, self.liveness)
+        self.completeness = CompletenessChecks(self.liveness)
         self.reply_memory = ReplyMemory()
         self.crash_guard = CrashGuard(quarantine, pools, self.liveness, clock)
         self.limit_gate = LimitGate(pools, clock, self._choose)
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_unframed.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_unframed.py
@@ -135,6 +135,28 @@
     assert answer.body == b"whole"
 
 
+async def test_unframed_stream_of_leaving_upstream_that_ended_looked_complete(
+    forward, ending_upstream
+):
+    """Its route may not be resumed, and half of its events were missing."""
+    with pytest.raises(ResponseAborted):
+        await forward(
+            await ending_upstream(LEAVING_HEAD + event(1)),
+            response_mode=STREAM,
+            retryable=False,
+        )
+
+
+async def test_unframed_reply_of_leaving_upstream_that_ended_looked_complete(
+    forward, ending_upstream
+):
+    answer = await forward(
+        await ending_upstream(LEAVING_HEAD + b"who"), retryable=False
+    )
+    assert answer.status == 502
+    assert answer.run == "unknown"
+
+
 @pytest.mark.parametrize("rest", [[HEAD, b""], [stream()]])
 async def test_resumed_stream_without_the_event_that_had_begun_is_cut_visibly(
     forward, rest
