Replies without length: their upstream is identified if their end is read late

Cause: a host that accepts connections was taken for the upstream, though another incarnation may have taken the address before the end was read. A slow client delays the reading as a freeze does.

Ruled out: what the store lists (later than the restart).

Before, with the question left out, four tests of test_unframed.py fail: in three a reply looks complete though another upstream listens, and one counts the request.

--- a/packages/buckthornwall/src/buckthornwall/forwarding/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/__init__.py
@@ -12,6 +12,7 @@
 `verdicts`          what the end of an attempt says about the health of its upstream
 `isolation_monitor` probes that find whether this instance reaches no upstream
 `liveness`          whether an upstream has ended, or only a connection to it
+`identity`          which upstream listens at an address
 `completeness`      whether a reply that has ended is complete
 `continuation`      streams continue at the software version that began them
 `crash_guard`       detection and refusal of requests that crash upstreams
--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -7,7 +7,12 @@
 import trio
 
 from buckthornwall.engine_model import EngineModel
-from buckthornwall.http1 import ClientConnection, ExchangeError, ExchangeFailure
+from buckthornwall.http1 import (
+    BodyFraming,
+    ClientConnection,
+    ExchangeError,
+    ExchangeFailure,
+)
 from buckthornwall.pools import (
     Choice,
     Notice,
@@ -99,7 +104,8 @@
     the limit that it names, `record_brittle` the rejections that it survives,
     `record_notice` what it states about itself, and `model` learns the speed of the
     stream. `reviews` lists its waits. `on_first_event` is called when the first event
-    of a stream arrives, and `has_begun` is whether it has.
+    of a stream arrives, and `has_begun` is whether it has. `open_at` is when the
+    connection was last known to be open, in seconds.
     """
 
     request: RoutedRequest
@@ -126,6 +132,7 @@
     reviews: Reviews = field(default_factory=Reviews)
     on_first_event: Callable[[], None] = lambda: None
     has_begun: bool = False
+    open_at: float = 0.0
 
     async def run(self) -> AttemptResult:
         """Make the attempt, and count its load while it lasts."""
@@ -179,6 +186,7 @@
                 self.codec.encode(self.request, self._context()),
                 self.request.body,
             )
+            self.open_at = self.clock.now()
             reply = await self._receive_reply(connection)
             self._record_reply(reply)
             return await self._handle_reply(connection, reply, pending_prefill)
@@ -254,19 +262,24 @@
         self, connection: ClientConnection, reply: Reply, held: HeldReply
     ) -> tuple[Reply | None, AttemptResult]:
         """Receive a complete reply, and send it to the client if it is good."""
-        body = await _read_body(connection, held)
+        body = bytearray()
+        while data := await self._receive_data(connection):
+            body += data
+            held.grow(len(body))
         reply = self.codec.decode_trailers(reply, connection.trailers)
         if reply.is_given_up:
             return None, _given_up(reply)
-        await self.completeness.check_body(self.choice.view, self.delivery.framing)
+        await self.completeness.check_body(
+            self.choice.view, self.delivery.framing, self._unseen_s()
+        )
         if 200 <= reply.status < 300 and not reply.is_attested_success:
             return None, AttemptResult(AttemptEnd.BROKEN, "success not attested")
         if reply.status >= 500:
             detail = f"status {reply.status}"
-            return reply, AttemptResult(AttemptEnd.FAILED, detail, reply, body)
+            return reply, AttemptResult(AttemptEnd.FAILED, detail, reply, bytes(body))
         if self.delivery.started:
             return None, AttemptResult(AttemptEnd.BROKEN, f"resumed {reply.status}")
-        await self.delivery.send_complete(reply, body)
+        await self.delivery.send_complete(reply, bytes(body))
         return reply, AttemptResult(AttemptEnd.DONE)
 
     async def _relay_events(
@@ -284,7 +297,7 @@
             view, self.model, self._tokens_per_event(), self.pause_sensitive
         )
         patience = self._event_patience()
-        while data := await patience.wait(connection.receive_data):
+        while data := await patience.wait(lambda: self._receive_data(connection)):
             now = self.clock.now()
             view.reachability.record_answered(now)
             events = await self.delivery.send_events(reply, data)
@@ -299,11 +312,24 @@
         if reply.is_given_up:
             return reply
         await self.completeness.check_stream(
-            view, self.delivery.framing, self.delivery.joiner
+            view, self.delivery.framing, self.delivery.joiner, self._unseen_s()
         )
         await self.delivery.end(reply)
         return reply
 
+    async def _receive_data(self, connection: ClientConnection) -> bytes:
+        """Return the next part of a body, and b'' after its end."""
+        if self.delivery.framing is BodyFraming.CLOSE and connection.is_quiet():
+            self.open_at = self.clock.now()
+        return await connection.receive_data()
+
+    def _unseen_s(self) -> float:
+        """Return for how long the connection may have been closed, in seconds.
+
+        This instance may have been suspended, or have waited for a slow client.
+        """
+        return self.clock.now() - self.open_at
+
     def _record_begun(self) -> None:
         if not self.has_begun:
             self.has_begun = True
@@ -318,14 +344,6 @@
         return Patience(self.event_timeout_s, self.should_give_up, self.reviews)
 
 
-async def _read_body(connection: ClientConnection, held: HeldReply) -> bytes:
-    body = bytearray()
-    while data := await connection.receive_data():
-        body += data
-        held.grow(len(body))
-    return bytes(body)
-
-
 async def _skip_rest(connection: ClientConnection) -> bool:
     """Read the rest of a reply; return whether its connection may be used again."""
     with trio.move_on_after(SKIP_TIMEOUT_S):
--- a/packages/buckthornwall/src/buckthornwall/forwarding/reply.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/reply.py
@@ -92,3 +92,11 @@
 
     def decode_trailers(self, reply: Reply, trailers: Headers) -> Reply:
         """Return a reply with what the trailers after its body add."""
+
+    def encode_identity_check(self, upstream: UpstreamEntry) -> Headers:
+        """Return the headers of a health request that is meant for one upstream."""
+
+    def decode_identity(
+        self, head: ResponseHead, upstream: UpstreamEntry
+    ) -> bool | None:
+        """Return whether a health response is that of an upstream, None if unknown."""
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/helpers.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/helpers.py
@@ -77,6 +77,13 @@
     def decode_trailers(self, reply, trailers):
         return reply
 
+    def encode_identity_check(self, upstream):
+        return [(b"host", b"h")]
+
+    def decode_identity(self, head, upstream):
+        instance = dict(head.headers).get(b"x-instance")
+        return None if instance is None else instance.decode() == upstream.id
+
 
 def _rest_s(found):
     return float(found[b"x-rest"]) if b"x-rest" in found else None
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_unframed.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_unframed.py
@@ -1,11 +1,13 @@
 """Tests of replies without length or chunks, which end with their connection."""
 
 import pytest
+import trio
 
+from buckthornwall.forwarding import completeness
 from buckthornwall.http1 import ResponseAborted
 from buckthornwall.routing import ResponseMode
 
-from .helpers import event, stream
+from .helpers import Recorder, event, stream
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signed: 1\r\nConnection: close\r\n\r\n"
 LEAVING_HEAD = HEAD.replace(b"X-Id", b"X-Leaving: 1\r\nX-Id")
@@ -165,3 +167,51 @@
         await forward(
             [HEAD + event(1) + FIRST_HALF, b""], rest, response_mode=STREAM, max_runs=2
         )
+
+
+def identity(name):
+    return b"HTTP/1.1 200 OK\r\nX-Instance: %s\r\nContent-Length: 0\r\n\r\n" % name
+
+
+@pytest.fixture
+def slow_client(monkeypatch):
+    """Let clients take so long that an upstream may have restarted."""
+
+    async def begin(self, status, headers, data=b""):
+        self.started, self.status, self.body = True, status, data
+        await trio.sleep(0.3)
+
+    monkeypatch.setattr(Recorder, "begin", begin)
+    monkeypatch.setattr(completeness, "MIN_RESTART_S", 0.1)
+
+
+@pytest.mark.parametrize("other", [identity(b"u9"), b"HTTP/1.1 200 OK\r\n\r\n"])
+async def test_unframed_stream_looked_complete_though_another_upstream_listens(
+    forward, slow_client, other
+):
+    """Its upstream ended with it, and its address was taken before the end was read."""
+    with pytest.raises(ResponseAborted):
+        await forward(
+            [HEAD + event(1), b"", other, b""], response_mode=STREAM, retryable=False
+        )
+
+
+async def test_unframed_stream_of_the_same_upstream_is_complete_for_a_slow_client(
+    forward, slow_client
+):
+    answer = await forward(
+        [HEAD + event(1), b"", identity(b"u0")], response_mode=STREAM, retryable=False
+    )
+    assert answer.body == event(1)
+    assert answer.ended
+    assert forward.arrivals() == [2]
+
+
+async def test_unframed_reply_looked_complete_though_another_upstream_listens(
+    forward, monkeypatch
+):
+    """It is read after a wait in which its upstream may restart."""
+    monkeypatch.setattr(completeness, "MIN_RESTART_S", 0.0)
+    answer = await forward([HEAD + b"who", b"", identity(b"u9")], retryable=False)
+    assert answer.status == 502
+    assert answer.run == "unknown"
--- a/packages/buckthornwall/src/buckthornwall/http1/client.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/client.py
@@ -262,6 +262,10 @@
         if ended:
             raise ExchangeError(ExchangeFailure.CLOSED, "after another response")
 
+    def is_quiet(self) -> bool:
+        """Return whether the server has neither sent anything unread nor closed."""
+        return not self.closed and not find_readable([self])
+
     def is_reusable(self) -> bool:
         """Return whether the response was read completely and no bytes follow it."""
         return (
--- a/packages/buckthornwall/src/buckthornwall/platform/codec.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/codec.py
@@ -5,7 +5,13 @@
 from buckthornwall.codes import Refusal, ResultCode
 from buckthornwall.forwarding import AttemptContext, Reply
 from buckthornwall.http1 import IncomingRequest, ResponseHead
-from buckthornwall.pools import MAX_SLOWDOWN, LoadReport, Notice, Slowdown
+from buckthornwall.pools import (
+    MAX_SLOWDOWN,
+    LoadReport,
+    Notice,
+    Slowdown,
+    UpstreamEntry,
+)
 from buckthornwall.routing import (
     MAX_TOKENS,
     PromptSegment,
@@ -177,6 +183,23 @@
             headers.append((b"content-length", b"%d" % len(request.body)))
         return headers
 
+    def encode_identity_check(self, upstream: UpstreamEntry) -> Headers:
+        """Return the headers of a health request that is meant for one upstream."""
+        expected = upstream.id.encode("latin-1")
+        return [
+            (b"host", upstream.address.encode("latin-1")),
+            (names.EXPECT_INSTANCE, expected),
+        ]
+
+    def decode_identity(
+        self, head: ResponseHead, upstream: UpstreamEntry
+    ) -> bool | None:
+        """Return whether a health response is that of an upstream, None if unknown."""
+        if head.status == HTTP_MISDIRECTED:
+            return False
+        instance = dict(head.headers).get(names.INSTANCE)
+        return None if instance is None else instance.decode("latin-1") == upstream.id
+
     def decode_trailers(self, reply: Reply, trailers: Headers) -> Reply:
         """Return the reply: trailers of upstreams have no meaning."""
         return reply
