Views of peers: which removals are deferred is told by upstream

- A member of an instance that defers removals took everything up to what that instance had read as known, also for an upstream whose removal was deferred.
It then removed a newer registration of that upstream, which may be sound.
- What a peer held and was known to be removed raised no position.
- While an instance deferred a removal, a complete read did not raise its position to that of the read.

The change: a view names the upstreams whose removals are deferred, with the positions up to which their changes are in force, and what is known merges by upstream. The newest change is told at once, deferred or not; the position of removals tells them apart.

--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -247,7 +247,6 @@
 
     def _adopt_state(self, update: StoreUpdate) -> None:
         """Merge the registrations and evacuations of an update."""
-        complete = self.positions.complete
         is_restored = self.has_adopted and self.position.is_in_former_era(
             update.position
         )
@@ -262,26 +261,29 @@
         removed = self._adopt_removals(update)
         known, now = self.positions.known, self.clock.now()
         removed += adopt_zones(self.pools, self.deferral, update, known, now)
-        self.positions.advance(update)
-        self._record_in_force(update, complete, removed)
+        if update.is_relayed and self._lacks_records_of(update):
+            removed.append(known)
+        self.positions.advance(update, self.deferral.removals)
+        self._record_in_force(update, known, removed)
+
+    def _lacks_records_of(self, update: StoreUpdate) -> bool:
+        """Return whether a peer holds records that are known to be removed here."""
+        return bool(
+            update.entries.keys() - self.positions.registrations.keys()
+            or update.evacuated.keys() - self.pools.evacuations.zones().keys()
+        )
 
     def _record_in_force(
         self, update: StoreUpdate, before: StorePosition, removed: list[StorePosition]
     ) -> None:
         """Record up to which position the changes of an update are in force."""
-        if not self.deferral.is_pending:
-            self.positions.release()
-            self.positions.record_change(update.change_position)
-        else:
-            self.positions.hold(before)
-            for upstream in update.entries:
-                self.positions.record_change(update.position_of(upstream))
-            for position in (*update.evacuated.values(), *update.reopened.values()):
-                self.positions.record_change(position)
+        if self.deferral.reopenings:
+            self.positions.defer_reopenings(before)
+        self.positions.record_change(update.change_position)
         self.positions.record_removals(removed)
         if update.is_relayed:
             self.positions.adopt_peer(update)
-        elif update.is_snapshot and not self.deferral.is_pending:
+        elif update.is_snapshot:
             # What was registered and removed since the last read has left no trace.
             self.positions.record_removals([update.position])
 
@@ -384,7 +386,7 @@
         self._remove(removals)
         for zone, position in reopenings.items():
             reopen_zone(self.pools, zone, position)
-        self.positions.release()
+        self.positions.end_deferral()
         self.update_checksum()
 
     def receive_store_uptime(self, seconds: float) -> None:
@@ -413,6 +415,6 @@
     def _remove(self, removals: Iterable[UpstreamId]) -> None:
         for upstream in removals:
             self.pools.remove(upstream)
-            self.positions.registrations.pop(upstream, None)
+            self.positions.remove(upstream)
             self.deferral.removals.pop(upstream, None)
             self.on_removed(upstream)
--- a/packages/buckthornwall/src/buckthornwall/discovery/positions.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/positions.py
@@ -1,6 +1,6 @@
 """Positions of the records in force, by which instances merge their states.
 
-The store orders all changes. An instance that holds every change up to a position takes
+The store orders all changes. An instance that knows every change up to a position takes
 a registration of that position or an earlier one, which it does not have, as removed.
 Removed registrations thus need not be remembered, and merging is right in any order.
 """
@@ -24,10 +24,12 @@
     read : StorePosition
         The position from which the next watch continues.
     known : StorePosition
-        The position up to which every change is in force, but for removals that this
-        instance or the peers that it followed have deferred: these upstreams are held.
+        The position up to which every change is in force, but those in `deferred`.
+    deferred : dict
+        Upstreams whose removals this instance has deferred, or a peer that it followed,
+        and the positions up to which their changes are in force.
     change : StorePosition
-        The newest change in force.
+        The newest change that is in force or deferred.
     removal : StorePosition
         A position up to which all removals are in force. It rises with those that do
         not raise `change`, as they were deferred or are seen as missing records.
@@ -37,14 +39,20 @@
         self.registrations: dict[UpstreamId, StorePosition] = {}
         self.read = StorePosition()
         self.known = StorePosition()
+        self.deferred: dict[UpstreamId, StorePosition] = {}
         self.change = StorePosition()
         self.removal = StorePosition()
-        self._complete: StorePosition | None = None
+        self._before_reopenings: StorePosition | None = None
 
     @property
     def complete(self) -> StorePosition:
         """The position up to which every change is in force, and none is deferred."""
-        return self.read if self._complete is None else self._complete
+        floor = self._before_reopenings or self.known
+        return min(self.known, floor, *self.deferred.values())
+
+    def known_of(self, upstream: UpstreamId) -> StorePosition:
+        """Return the position up to which the changes of an upstream are in force."""
+        return self.deferred.get(upstream, self.known)
 
     def is_in_force(self, update: StoreUpdate, upstream: UpstreamId) -> bool:
         """Return whether a registration of an update, or a later change, is in force.
@@ -56,7 +64,7 @@
         known = self.registrations.get(upstream)
         if not update.is_relayed:
             return known is not None and known.is_after(position)
-        return not position.is_after(known or self.known)
+        return not position.is_after(known or self.known_of(upstream))
 
     def removed_by(self, update: StoreUpdate) -> dict[UpstreamId, StorePosition]:
         """Return the upstreams in force that an update removes, as of which position.
@@ -66,7 +74,7 @@
         as_of = {upstream: update.position_of(upstream) for upstream in update.removed}
         if update.is_snapshot:
             missing = self.registrations.keys() - update.entries.keys()
-            as_of = dict.fromkeys(missing, update.known_position) | as_of
+            as_of = {name: update.known_of(name) for name in missing} | as_of
         return {
             upstream: position
             for upstream, position in as_of.items()
@@ -74,17 +82,38 @@
             and not self.registrations[upstream].is_after(position)
         }
 
-    def advance(self, update: StoreUpdate) -> None:
-        """Record up to where the store was read by this instance or by a peer."""
+    def advance(self, update: StoreUpdate, removals: Iterable[UpstreamId]) -> None:
+        """Record up to where the store was read by this instance or by a peer.
+
+        Parameters
+        ----------
+        update
+            The update.
+        removals
+            Upstreams whose removals are deferred here.
+        """
         era = self.read.era
         position = update.position.in_era(era)
         # A complete read gives the store's position even if it names no era.
         is_read = update.is_snapshot and not update.is_relayed
         self.read = position if is_read else max(self.read, position)
-        known = update.known_position.in_era(era)
-        self.known = max(self.known, known, self.read)
-        if self._complete is not None and self._complete.is_in_former_era(self.read):
-            self._complete = StorePosition(self.read.era)
+        known = max(self.known, update.known_position.in_era(era), self.read)
+        if not update.is_relayed:
+            deferred = {name: self.known_of(name) for name in removals}
+        else:
+            named = self.deferred.keys() | update.deferred.keys() | set(removals)
+            deferred = {name: self._merge_known(update, name) for name in named}
+            deferred |= {name: self.known_of(name) for name in removals}
+        self.known = known
+        self.deferred = {
+            name: position
+            for name, position in deferred.items()
+            if known.is_after(position)
+        }
+
+    def _merge_known(self, update: StoreUpdate, upstream: UpstreamId) -> StorePosition:
+        peers = update.known_of(upstream).in_era(self.read.era)
+        return max(self.known_of(upstream), peers)
 
     def rewind(self, update: StoreUpdate) -> None:
         """Forget newer positions if a store without eras returns from an older copy."""
@@ -95,17 +124,19 @@
             if not known.era and known > position:
                 self.registrations[upstream] = position
 
-    def hold(self, before: StorePosition) -> None:
-        """Record that removals after `before` are not in force yet."""
-        if self._complete is None:
-            is_former = before.is_in_former_era(self.read)
-            self._complete = StorePosition(self.read.era) if is_former else before
-
-    def release(self) -> None:
-        """Record that all changes up to the last read are in force."""
-        if self._complete is not None:
-            self._complete = None
-            self.record_removals([self.read])
+    def defer_reopenings(self, before: StorePosition) -> None:
+        """Record that zones are not reopened yet that were evacuated at a position."""
+        self._before_reopenings = self._before_reopenings or before
+
+    def remove(self, upstream: UpstreamId) -> None:
+        """Record that the removal of an upstream is in force."""
+        self.registrations.pop(upstream, None)
+        self.deferred.pop(upstream, None)
+
+    def end_deferral(self) -> None:
+        """Record that this instance defers nothing: its last read is in force."""
+        self._before_reopenings = None
+        self.record_removals([self.read])
 
     def record_change(self, position: StorePosition) -> None:
         """Record that a change is in force."""
--- a/packages/buckthornwall/src/buckthornwall/discovery/updates.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/updates.py
@@ -49,8 +49,11 @@
     removal_revision
         Of a view: revision up to which all removals are in force at the peer.
     known_revision
-        Of a view: revision up to which all changes are in force at the peer, but for
-        removals that are deferred. None if that is `revision`.
+        Of a view: revision up to which all changes are in force at the peer, but those
+        in `deferred`. None if that is `revision`.
+    deferred
+        Of a view: upstreams whose removals are deferred, and the positions up to which
+        their changes are in force.
     """
 
     revision: int
@@ -68,6 +71,7 @@
     positions: dict[UpstreamId, StorePosition] = field(default_factory=dict)
     removal_revision: int = 0
     known_revision: int | None = None
+    deferred: dict[UpstreamId, StorePosition] = field(default_factory=dict)
 
     @property
     def position(self) -> StorePosition:
@@ -86,6 +90,10 @@
             return self.position
         return StorePosition(self.era, self.known_revision)
 
+    def known_of(self, upstream: UpstreamId) -> StorePosition:
+        """Return the position as of which a snapshot lacks an upstream's removals."""
+        return self.deferred.get(upstream, self.known_position)
+
     def position_of(self, upstream: UpstreamId) -> StorePosition:
         """Return the position of the change of an upstream's registration."""
         return self.positions.get(upstream, self.change_position)
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -359,8 +359,11 @@
     removal_revision
         Revision up to which all removals are in force.
     known_revision
-        Revision up to which all changes are in force, but for the removals of upstreams
-        in `entries` that are deferred; None from an earlier build.
+        Revision up to which all changes are in force, but those in `deferred`; None
+        from an earlier build.
+    deferred
+        Upstreams whose removals are deferred, and the revisions up to which their
+        changes are in force; 0 if that was in a former era.
     """
 
     revision: Revision
@@ -375,6 +378,7 @@
     entry_eras: dict[UpstreamId, Revision] = {}
     removal_revision: Revision = 0
     known_revision: Revision | None = None
+    deferred: dict[UpstreamId, Revision] = {}
 
 
 def encode(message: PeerMessage | PeerView) -> bytes:
--- a/packages/buckthornwall/src/buckthornwall/router/peer_views.py
+++ b/packages/buckthornwall/src/buckthornwall/router/peer_views.py
@@ -27,7 +27,7 @@
     at = [positions.registrations.get(entry.id, positions.change) for entry in entries]
     evacuated = pools.evacuations.zones()
     return PeerView(
-        positions.complete.revision,
+        _revision_in(era, positions.complete),
         positions.change.revision,
         discovery.raw_config,
         entries,
@@ -43,9 +43,15 @@
         },
         positions.removal_revision,
         positions.known.revision,
+        {name: _revision_in(era, at) for name, at in positions.deferred.items()},
     )
 
 
+def _revision_in(era: int, position: StorePosition) -> int:
+    """Return the revision of a position, 0 if it is of a former era."""
+    return 0 if position.is_in_former_era(StorePosition(era)) else position.revision
+
+
 def to_update(view: PeerView, peer: str) -> StoreUpdate:
     """Return the update that a peer's view amounts to."""
     return StoreUpdate(
@@ -64,6 +70,10 @@
         positions=_entry_positions(view),
         removal_revision=view.removal_revision,
         known_revision=view.known_revision,
+        deferred={
+            upstream: StorePosition(view.store_era, revision)
+            for upstream, revision in view.deferred.items()
+        },
     )
 
 
