Checks of liveness: an upstream that is ending may still accept a connection

Cause: a process that is killed closes its connections some milliseconds before its listener. The check connected in between and was accepted; or the connection was reset before it was established, which did not count as refused. A kept log shows a stream finished 5 ms after the kill, and two others at the same instance that found the upstream ended 3 ms later.

Ruled out: results reused from an earlier check (each is of its own time), the isolation of the instance.

The change: the connection of a check is observed for 50 ms. If it is lost, or was before it was established, a second one decides. A server that ends connections beyond its limit is still alive.

--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -107,7 +107,7 @@
 
     @property
     def change_position(self) -> StorePosition:
-        """The position of the newest change in force."""
+        """The position of the newest change, in force or deferred."""
         return self.positions.change
 
     async def run(self) -> None:
@@ -196,7 +196,10 @@
         self.answered_at = self.read_at = now
 
     def request_reread(self) -> None:
-        """Read everything again, also while other instances read for this one."""
+        """Read everything again, also while other instances read for this one.
+
+        That ends with the read, or when `is_reread_due` is reset.
+        """
         self.is_complete_read_due = self.is_reread_due = True
 
     def adopt(self, update: StoreUpdate) -> None:
@@ -344,7 +347,7 @@
             self.deferral.removals |= removals
             return []
         if not update.is_relayed:
-            # The store is no newer source on what it did not list before.
+            # The answer repeats what the deferral is about.
             for upstream in self.deferral.removals:
                 removals.pop(upstream, None)
         self._remove(removals)
--- a/packages/buckthornwall/src/buckthornwall/http1/client.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/client.py
@@ -23,6 +23,9 @@
 ]
 
 RECEIVE_BYTES = 65_536
+# Within which a process that is ending closes its listener after its connections.
+ENDING_S = 0.05
+LIVENESS_CONNECTS = 2
 MAX_HEAD_BYTES = 65_536
 # An idle path is probed after 1 s, then every second, and is dead a second after the
 # third unanswered probe. A silence of up to 2 s that begins just before the first probe
@@ -336,11 +339,28 @@
 async def refuses_connections(address: str, timeout_s: float) -> bool:
     """Return whether no process listens at ``IP:port``, whose host answers.
 
-    A host that does not answer within `timeout_s` seconds may be partitioned.
+    A host that does not answer within `timeout_s` seconds may be partitioned. A process
+    that is ending may still be listening although it has closed other connections: a
+    connection that it accepts is lost soon after.
     """
-    try:
-        connection = await ClientConnection.connect(address, timeout_s)
-    except ExchangeError as error:
-        return isinstance(error.__cause__, ConnectionRefusedError)
-    connection.close()
+    for _ in range(LIVENESS_CONNECTS):
+        try:
+            connection = await ClientConnection.connect(address, timeout_s)
+        except ExchangeError as error:
+            if isinstance(error.__cause__, ConnectionResetError):
+                continue  # accepted, and lost before it was established here
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        try:
+            if not await _is_lost_soon(connection):
+                return False
+        finally:
+            connection.close()
+    return False  # it ends connections, as a server with too many does
+
+
+async def _is_lost_soon(connection: ClientConnection) -> bool:
+    """Return whether the server ends a connection that it has just accepted."""
+    with trio.move_on_after(ENDING_S):
+        await trio.lowlevel.wait_readable(connection.sock)
+        return True
     return False
--- a/packages/buckthornwall/src/buckthornwall/router/state_difference.py
+++ b/packages/buckthornwall/src/buckthornwall/router/state_difference.py
@@ -36,6 +36,11 @@
         self._since = math.inf
         self._reported_at = -math.inf
 
+    @property
+    def is_present(self) -> bool:
+        """Whether another instance differed when this was last checked."""
+        return self._since < math.inf
+
     def is_due(
         self,
         key: StateKey,
--- a/packages/buckthornwall/src/buckthornwall/router/state_sync.py
+++ b/packages/buckthornwall/src/buckthornwall/router/state_sync.py
@@ -219,6 +219,8 @@
         reports = self.peers.newest_reports(now)
         if self.difference.is_due(local, self.discovery.checksum, reports, now):
             self.discovery.request_reread()
+        elif not self.difference.is_present:
+            self.discovery.is_reread_due = False
 
     def should_fetch_view(self, fleet: Digest) -> bool:
         """Return whether to fetch the newer view of a peer."""
