--- a/packages/buckthornwall-standins/src/buckthornwall_standins/model/views.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/model/views.py
@@ -44,7 +44,7 @@
     complete
         Up to where all changes are in force: no removal is deferred.
     change, removal
-        The position that it tells: the newest change, and up to where all removals are
+        The position that it reports: the newest change, and up to where all removals are
         in force.
     deferred
         Position as of which the upstream was removed, 0 if nothing is deferred.
@@ -65,7 +65,7 @@
 
     @property
     def key(self) -> tuple[int, int]:
-        """The position that it tells."""
+        """The position that it reports."""
         return self.change, self.removal
 
 
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/peers_sim/peer.py
@@ -197,8 +197,8 @@
             store_era=self.discovery.change_position.era,
             is_isolated=self.pools.isolation.is_isolated,
             limit_need=self.pools.rate_limits.demand.need,
-            removal_revision=self.discovery.positions.removal_revision,
-            state_checksum=self.discovery.checksum,
+            removal_revision=self.discovery.state.positions.removal_revision,
+            state_checksum=self.discovery.state.checksum,
         )
 
     @property
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_removals_at_size.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_removals_at_size.py
@@ -260,8 +260,8 @@
     member = next(peer for peer in live(fleet) if not peer.is_speaker)
     for peer, name in ((speaker, NAMES[1]), (member, NAMES[2])):
         peer.pools.remove(name)
-        del peer.discovery.positions.registrations[name]
-        peer.discovery.update_checksum()
+        del peer.discovery.state.positions.registrations[name]
+        peer.discovery.state.update_checksum()
     await trio.sleep(2 * DRAIN_LIMIT_S)
     assert all(set(peer.pools.views) == set(NAMES) for peer in live(fleet))
     assert member.state_sync.difference.count == 1
--- a/packages/buckthornwall/src/buckthornwall/discovery/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/__init__.py
@@ -6,6 +6,7 @@
 `checksum`     checksum of the state in force, by which differences are noticed
 `deferral`     removals and reopenings that are not applied yet
 `restoration`  what is kept when the store has returned from an older copy
+`state`        the registrations and evacuations in force, merged from updates
 `zone_records` applies the records of evacuated and reopened zones
 `agent`        the task that watches the source and applies its updates
 ============== ===========================================================
--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -1,7 +1,7 @@
 """The task that watches the source and applies its updates."""
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import trio
 
@@ -13,16 +13,11 @@
     Backoff,
     Clock,
     StorePosition,
-    UpstreamId,
 )
 
-from .checksum import UNKNOWN_CHECKSUM, state_checksum
-from .deferral import Deferral
-from .positions import StatePositions
-from .restoration import reconcile_registration
 from .settings import DiscoverySettings
+from .state import StateInForce
 from .updates import HistoryLost, StoreUpdate, UpdateSource
-from .zone_records import adopt_zones, reopen_zone
 
 __all__ = ["DiscoveryAgent"]
 
@@ -81,8 +76,7 @@
         self.table = table
         self.pools = pools
         self.clock = clock
-        self.positions = StatePositions()
-        self.checksum = UNKNOWN_CHECKSUM
+        self.state = StateInForce(settings.settle_ms / MS_PER_S, pools, clock)
         self.raw_config = b""
         self.has_adopted = False
         self.answered_at = clock.now()
@@ -90,11 +84,8 @@
         self.is_store_unavailable = False
         self._store_up_since = clock.now()
         self.on_change: Callable[[], None] = lambda: None
-        self.on_removed: Callable[[UpstreamId], None] = lambda upstream: None
-        self.on_restart: Callable[[UpstreamId], None] = lambda upstream: None
         self.may_read: Callable[[], bool] = lambda: True
         self.on_call: Callable[[float, str], None] = lambda seconds, outcome: None
-        self.deferral = Deferral()
         self.watch_s: Callable[[], float] = lambda: self.settings.watch_ms / MS_PER_S
         self._read_scope = trio.CancelScope()
         self.is_complete_read_due = True
@@ -103,12 +94,12 @@
     @property
     def position(self) -> StorePosition:
         """The position from which the next watch continues."""
-        return self.positions.read
+        return self.state.positions.read
 
     @property
     def change_position(self) -> StorePosition:
         """The position of the newest change, in force or deferred."""
-        return self.positions.change
+        return self.state.positions.change
 
     async def run(self) -> None:
         """Read and watch the source until cancelled."""
@@ -141,7 +132,7 @@
             if is_complete:
                 self.is_complete_read_due = self.is_reread_due = False
             self.adopt(update)
-            self.remove_deferred()
+            self.state.remove_deferred()
             await trio.sleep(self.settings.gap_ms / MS_PER_S)
 
     async def _wait_until_reader(self) -> None:
@@ -152,7 +143,7 @@
         while not self.may_read():
             # Removals deferred while this instance read still apply; otherwise it would
             # try ended upstreams for seconds longer than readers do.
-            self.remove_deferred()
+            self.state.remove_deferred()
             await trio.sleep(POLL_S if self.has_adopted else FIRST_POLL_S)
         self.answered_at = self._store_up_since = self.clock.now()
 
@@ -165,7 +156,7 @@
     def max_watch_s(self) -> float:
         """Return the longest duration of the next watch, in seconds."""
         limit_s = self.watch_s()
-        left_s = self.deferral.left_s(self.clock.now())
+        left_s = self.state.deferral.left_s(self.clock.now())
         if left_s is not None:
             limit_s = min(limit_s, left_s, MAX_DEFERRED_WATCH_S)
         return limit_s
@@ -190,7 +181,7 @@
         if self.is_store_unavailable:
             self.is_store_unavailable = False
             self._store_up_since = now
-            self._begin_deferral(is_new_era=False)
+            self.state.begin_deferral(is_new_era=False)
             outage_ms = round((now - self.answered_at) * MS_PER_S)
             log_event("store_regained", away_ms=outage_ms, **self._describe_position())
         self.answered_at = self.read_at = now
@@ -224,135 +215,16 @@
         before = self.position
         if update.published is not None:
             self._adopt_published(update.published)
-        if not self._is_of_former_era(update):
-            self._adopt_state(update)
+        if self.state.merge(update):
+            self._store_up_since = self.clock.now()
         if update.is_relayed and (not self.has_adopted or self.position != before):
             # The answer of a call that is under way may be older than the view. That of
             # a first read would only delay callers on a slow link.
             self._read_scope.cancel()
         self.has_adopted = True
-        self.update_checksum()
         self.pools.set_contracts(self.table.pools.values(), self.table.routes)
         self.on_change()
 
-    def _is_of_former_era(self, update: StoreUpdate) -> bool:
-        """Return whether an update was made before the store's last return."""
-        if not update.position.is_in_former_era(self.position):
-            return False
-        log_event(
-            "update_outdated",
-            "WARNING",
-            era=update.era,
-            revision=update.revision,
-            known_era=self.position.era,
-        )
-        return True
-
-    def _adopt_state(self, update: StoreUpdate) -> None:
-        """Merge the registrations and evacuations of an update."""
-        is_restored = self.has_adopted and self.position.is_in_former_era(
-            update.position
-        )
-        if is_restored:
-            self._begin_era(update)
-        if update.is_relayed:
-            self.pools.versions.merge(update.versions)
-        self.positions.rewind(update)
-        self._adopt_entries(update, is_restored)
-        if is_restored or (update.is_snapshot and not update.is_relayed):
-            self.pools.versions.begin_history()
-        removed = self._adopt_removals(update)
-        known, now = self.positions.known, self.clock.now()
-        removed += adopt_zones(self.pools, self.deferral, update, known, now)
-        if update.is_relayed and self._lacks_records_of(update):
-            removed.append(known)
-        self.positions.advance(update, self.deferral.removals)
-        self._record_in_force(update, known, removed)
-
-    def _lacks_records_of(self, update: StoreUpdate) -> bool:
-        """Return whether a peer holds records that are known to be removed here."""
-        return bool(
-            update.entries.keys() - self.positions.registrations.keys()
-            or update.evacuated.keys() - self.pools.evacuations.zones().keys()
-        )
-
-    def _record_in_force(
-        self, update: StoreUpdate, before: StorePosition, removed: list[StorePosition]
-    ) -> None:
-        """Record up to which position the changes of an update are in force."""
-        if self.deferral.reopenings:
-            self.positions.defer_reopenings(before)
-        self.positions.record_change(update.change_position)
-        self.positions.record_removals(removed)
-        if update.is_relayed:
-            self.positions.adopt_peer(update)
-        elif update.is_snapshot:
-            # What was registered and removed since the last read has left no trace.
-            self.positions.record_removals([update.position])
-
-    def _begin_era(self, update: StoreUpdate) -> None:
-        """Defer what follows from the lack of records that the store may have lost."""
-        log_event(
-            "store_restored",
-            "WARNING",
-            era=update.era,
-            revision=update.revision,
-            before=self.position.era,
-            revision_before=self.position.revision,
-            is_from_peer=update.is_relayed,
-        )
-        self._store_up_since = self.clock.now()
-        self._begin_deferral(is_new_era=True)
-
-    def _begin_deferral(self, is_new_era: bool) -> None:
-        settle_s = self.settings.settle_ms / MS_PER_S
-        self.deferral.begin(self.clock.now(), settle_s, is_new_era)
-
-    def _adopt_entries(self, update: StoreUpdate, is_restored: bool) -> None:
-        """Apply registrations, and assume new upstreams to be cold.
-
-        The first update is an exception: its upstreams need not have just started.
-        """
-        started = set()
-        for entry in update.entries.values():
-            if self.positions.is_in_force(update, entry.id):
-                continue
-            self.deferral.renew(entry.id, update.position_of(entry.id))
-            if is_restored:
-                entry = reconcile_registration(self.pools, entry)
-            if entry.id not in self.pools.views:
-                started.add(entry.id)
-            if self.pools.adopt(entry):
-                started.add(entry.id)
-                self.on_restart(entry.id)
-            self.positions.registrations[entry.id] = update.position_of(entry.id)
-        if self.has_adopted:
-            self.pools.rate_limits.assume_cold(
-                self.pools.views[name] for name in started
-            )
-
-    def _adopt_removals(self, update: StoreUpdate) -> list[StorePosition]:
-        """Remove upstreams, or defer it where their registrations may be renewed.
-
-        What is missing in a snapshot of the store may be missing since before its
-        return, however late the snapshot is read; a removal was made after it.
-
-        Returns
-        -------
-        list
-            Positions of the removals that now are in force.
-        """
-        removals = self.positions.removed_by(update)
-        if self.deferral.defers_removals(update, self.clock.now()):
-            self.deferral.removals |= removals
-            return []
-        if not update.is_relayed:
-            # The answer repeats what the deferral is about.
-            for upstream in self.deferral.removals:
-                removals.pop(upstream, None)
-        self._remove(removals)
-        return list(removals.values())
-
     def _adopt_published(self, raw: bytes) -> None:
         try:
             published = self.decode(raw)
@@ -381,17 +253,6 @@
             return 0.0
         return now - self._store_up_since
 
-    def remove_deferred(self) -> None:
-        """Apply what was not written again in time after an outage or a return."""
-        removals, reopenings = self.deferral.take_due(self.clock.now())
-        if not removals and not reopenings:
-            return
-        self._remove(removals)
-        for zone, position in reopenings.items():
-            reopen_zone(self.pools, zone, position)
-        self.positions.end_deferral()
-        self.update_checksum()
-
     def receive_store_uptime(self, seconds: float) -> None:
         """Stop deferring removals if only this instance could not reach the source.
 
@@ -405,19 +266,7 @@
             outage. If it exceeds `settle_ms`, the registrations are complete.
         """
         if seconds * MS_PER_S > self.settings.settle_ms:
-            self.deferral.end(self.clock.now())
-
-    def update_checksum(self) -> None:
-        """Compute the checksum of what is in force now."""
-        entries = [view.entry for view in self.pools.views.values()]
-        self.checksum = state_checksum(entries, self.pools.evacuations.zones())
+            self.state.deferral.end(self.clock.now())
 
     def _describe_position(self) -> dict[str, int]:
         return {"era": self.position.era, "revision": self.position.revision}
-
-    def _remove(self, removals: Iterable[UpstreamId]) -> None:
-        for upstream in removals:
-            self.pools.remove(upstream)
-            self.positions.remove(upstream)
-            self.deferral.removals.pop(upstream, None)
-            self.on_removed(upstream)
--- a/packages/buckthornwall/src/buckthornwall/discovery/checksum.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/checksum.py
@@ -8,7 +8,7 @@
 
 __all__ = ["UNKNOWN_CHECKSUM", "state_checksum"]
 
-# Of an instance that does not tell its checksum, as it is of an earlier build.
+# Of an instance that reports no checksum, such as one of an earlier build.
 UNKNOWN_CHECKSUM = 0
 
 
--- a/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/tests/test_agent.py
@@ -95,7 +95,7 @@
     clock.time += 1.0
     agent.adopt(update(3, "a"))
     clock.time += 2.0
-    agent.remove_deferred()
+    agent.state.remove_deferred()
     assert list(agent.pools.views) == ["a"]
 
 
@@ -117,7 +117,7 @@
     agent.receive_store_uptime(30.0)
     assert agent.max_watch_s() == 0.0
     agent.adopt(update(2))
-    agent.remove_deferred()
+    agent.state.remove_deferred()
     assert list(agent.pools.views) == ["b"]
     agent.adopt(update(3, removed=["b"]))
     assert not agent.pools.views
@@ -129,7 +129,7 @@
     agent.adopt(update(2, removed=["a"]))
     agent.receive_store_uptime(9.0)
     agent.adopt(update(3, "a"))
-    agent.remove_deferred()
+    agent.state.remove_deferred()
     assert list(agent.pools.views) == ["a"]
 
 
@@ -140,10 +140,10 @@
     agent.receive_store_uptime(0.3)
     clock.time += 1.8
     agent.receive_store_uptime(2.1)
-    agent.remove_deferred()
+    agent.state.remove_deferred()
     assert list(agent.pools.views) == ["a"]
     clock.time += 0.4
-    agent.remove_deferred()
+    agent.state.remove_deferred()
     assert not agent.pools.views
 
 
@@ -341,7 +341,7 @@
     agent.adopt(in_era(2, 13, entry("b")))
     assert usable(agent) == {"a", "b"}
     clock.time += 1.3
-    agent.remove_deferred()
+    agent.state.remove_deferred()
     assert usable(agent) == {"b"}
 
 
@@ -352,7 +352,7 @@
     agent.adopt(in_era(2, 12, entry("a")))
     assert usable(agent) == set()
     clock.time += 2.3
-    agent.remove_deferred()
+    agent.state.remove_deferred()
     assert usable(agent) == {"a"}
 
 
@@ -362,7 +362,7 @@
     evacuated = {ZoneId("z"): at(13, era=2)}
     agent.adopt(StoreUpdate(13, False, 13, evacuated=evacuated, era=2))
     clock.time += 2.3
-    agent.remove_deferred()
+    agent.state.remove_deferred()
     assert usable(agent) == set()
 
 
--- a/packages/buckthornwall/src/buckthornwall/forwarding/identity.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/identity.py
@@ -38,7 +38,7 @@
     async def is_listening(self, entry: UpstreamEntry) -> bool:
         """Return whether the registered upstream itself listens at its address.
 
-        If nobody tells, it counts as gone.
+        It counts as gone if no response identifies it.
         """
         answered, detail = None, "no answer in time"
         try:
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -413,7 +413,7 @@
         return self.speaker.message
 
     def newest_reports(self, now: float) -> list[Beacon | Digest]:
-        """Return the messages that tell an instance what others have in force."""
+        """Return the reports of what other instances have in force."""
         if not self.is_speaker(now):
             return [self.speaker.message]
         received = [*self.members.values(), *self.zones.values()]
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -157,12 +157,12 @@
         self.view_server = HttpServer(clock, self._peer_limits, self._handle_peer)
         self.discovery.may_read = self.state_sync.may_read
         self.discovery.on_change = self._update_adopted
-        self.discovery.on_removed = self.forwarder.forget_upstream
+        self.discovery.state.on_removed = self.forwarder.forget_upstream
         self.forwarder.relaying.codec = RelayCodec()
         self.forwarder.relay_candidates = lambda: relay_candidates(
             self.peers, clock.now()
         )
-        self.discovery.on_restart = self.forwarder.connections.close_all
+        self.discovery.state.on_restart = self.forwarder.connections.close_all
         self.discovery.on_call = self._count_store_call
         self.peer_agent.on_work = self._apply_peer_work
         self.peer_agent.on_cached_prefixes = self.pools.receive_cached_prefixes
@@ -276,8 +276,8 @@
             keeps_origins=True,
             limit_need=self.pools.rate_limits.demand.need,
             pool_reports=self.pools.reports(),
-            removal_revision=self.discovery.positions.removal_revision,
-            state_checksum=self.discovery.checksum,
+            removal_revision=self.discovery.state.positions.removal_revision,
+            state_checksum=self.discovery.state.checksum,
         )
 
     def _apply_peer_work(self) -> None:
--- a/packages/buckthornwall/src/buckthornwall/router/peer_views.py
+++ b/packages/buckthornwall/src/buckthornwall/router/peer_views.py
@@ -19,7 +19,7 @@
     Upstreams whose removals are deferred are in force, and the revision is one before
     these removals: the peer neither removes the upstreams nor misses their removals.
     """
-    pools, positions = discovery.pools, discovery.positions
+    pools, positions = discovery.pools, discovery.state.positions
     era = discovery.position.era
     entries = [
         replace(view.entry, cold_s=view.cold_s(now)) for view in pools.views.values()
--- a/packages/buckthornwall/src/buckthornwall/router/state_sync.py
+++ b/packages/buckthornwall/src/buckthornwall/router/state_sync.py
@@ -209,7 +209,7 @@
             known.era or era,
             self.discovery.table.number,
             known.revision,
-            self.discovery.positions.removal_revision,
+            self.discovery.state.positions.removal_revision,
         )
 
     def _resolve_difference(self) -> None:
@@ -217,7 +217,7 @@
         now = self.clock.now()
         local = self._local_state(self.discovery.change_position.era)
         reports = self.peers.newest_reports(now)
-        if self.difference.is_due(local, self.discovery.checksum, reports, now):
+        if self.difference.is_due(local, self.discovery.state.checksum, reports, now):
             self.discovery.request_reread()
         elif not self.difference.is_present:
             self.discovery.is_reread_due = False
--- a/packages/buckthornwall/src/buckthornwall/router/tests/test_view_merging.py
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/test_view_merging.py
@@ -1,6 +1,6 @@
 """Instances that merge the store's answers and each other's views.
 
-A reader of the store that had deferred a removal told the position of the removal,
+A reader of the store that had deferred a removal reported the position of the removal,
 while its view still held the upstream. Members that took the view kept it for good.
 """
 
@@ -103,7 +103,7 @@
 
     @property
     def registrations(self):
-        return self.agent.positions.registrations
+        return self.agent.state.positions.registrations
 
     def record_dropped(self, before):
         """Check that no registration returns that has been dropped."""
@@ -115,7 +115,7 @@
 
     @property
     def deferred(self):
-        return set(self.agent.positions.deferred)
+        return set(self.agent.state.positions.deferred)
 
     @property
     def evacuated(self):
@@ -124,7 +124,7 @@
     @property
     def key(self):
         change = self.agent.change_position
-        removal = self.agent.positions.removal_revision
+        removal = self.agent.state.positions.removal_revision
         return change.era, self.agent.table.number, change.revision, removal
 
     def read(self, is_complete=False):
@@ -137,7 +137,7 @@
             update = self.store.read_all()
         self.agent.record_answer()
         self.agent.adopt(update)
-        self.agent.remove_deferred()
+        self.agent.state.remove_deferred()
 
     def lose_store(self):
         """Notice that the store has not answered for long."""
@@ -191,7 +191,7 @@
     assert member.upstreams == {"a", "b", "c", "d"}
     assert not member.follow(reader)
     clock.time += SETTLE_S + 0.1
-    reader.agent.remove_deferred()
+    reader.agent.state.remove_deferred()
     assert member.follow(reader)
     assert member.upstreams == reader.upstreams == {"b", "c", "d"}
     assert not member.follow(reader)
@@ -233,7 +233,7 @@
     assert member.follow(other)
     reader.follow(other)
     clock.time += SETTLE_S + 0.1
-    reader.agent.remove_deferred()
+    reader.agent.state.remove_deferred()
     assert "a" in reader.upstreams
     member.follow(reader)
     assert "a" in member.upstreams
@@ -339,7 +339,7 @@
     def wait(self):
         self.clock.time += self.rng.choice([0.1, 0.6, SETTLE_S])
         for instance in self.instances:
-            instance.agent.remove_deferred()
+            instance.agent.state.remove_deferred()
 
     def follow(self):
         self.any().follow(self.any())
@@ -367,7 +367,7 @@
             reader.read()
             self.clock.time += SETTLE_S + 0.1
             for instance in self.instances:
-                instance.agent.remove_deferred()
+                instance.agent.state.remove_deferred()
             self.exchange_views()
 
     def exchange_views(self):
@@ -375,7 +375,7 @@
         for _ in range(MAX_EXCHANGES):
             newest = max(self.instances, key=lambda each: each.key)
             behind = [each for each in self.instances if each.follow(newest)]
-            if all(each.agent.deferral.is_pending for each in behind):
+            if all(each.agent.state.deferral.is_pending for each in behind):
                 return
         pytest.fail("instances fetch views for ever")
 
