--- a/packages/buckthornwall-standins/src/buckthornwall_standins/model/views.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/model/views.py
@@ -44,8 +44,8 @@
     complete
         Up to where all changes are in force: no removal is deferred.
     change, removal
-        The position that it reports: the newest change, and up to where all removals are
-        in force.
+        The position that it reports: the newest change, and up to where all removals
+        are in force.
     deferred
         Position as of which the upstream was removed, 0 if nothing is deferred.
     is_away
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -22,7 +22,7 @@
     fingerprint_of,
     part_fingerprints,
 )
-from buckthornwall.routing import PoolId, RoutedRequest, RoutingTable
+from buckthornwall.routing import RoutedRequest, RoutingTable
 from buckthornwall.stream_origins import StreamOriginTable
 from buckthornwall.telemetry import RouterMetrics
 from buckthornwall.utils import (
@@ -125,7 +125,7 @@
             clock, connect_timeout_s, self.isolation_monitor.check
         )
         self.isolation_monitor.is_known_ended = self.liveness.is_known_ended
-        identity = IdentityCheck(codec, self._health_path)
+        identity = IdentityCheck(codec, lambda pool: table.pools[pool].health_path)
         self.completeness = CompletenessChecks(self.liveness, identity)
         self.reply_memory = ReplyMemory()
         self.crash_guard = CrashGuard(quarantine, pools, self.liveness, clock)
@@ -202,9 +202,6 @@
         self.connections.forget(upstream)
         self.liveness.forget(upstream)
 
-    def _health_path(self, pool: PoolId) -> str:
-        return self.table.pools[pool].health_path
-
     async def refuse_unreadable(self, answer: ResponseWriter, refusal: Refusal) -> None:
         """Refuse a request that could not be decoded."""
         await self._refuse("", None, answer, refusal)
--- a/packages/buckthornwall/src/buckthornwall/peers/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/__init__.py
@@ -6,7 +6,8 @@
 between digests.
 
 ==================== =========================================================
-`messages`           beacons, digests, heartbeats, and the view of the state in force
+`messages`           beacons, digests and heartbeats
+`peer_view`          the view of the state in force
 `table`              the election, and the aggregation of what peers report
 `received_message`   the last message of a peer, and when it was received
 `relay_candidates`   instances that an isolated one may forward through
--- a/packages/buckthornwall/src/buckthornwall/peers/messages.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/messages.py
@@ -20,8 +20,6 @@
     PoolReports,
     RankTokens,
     Unreachable,
-    UpstreamEntry,
-    VersionHistory,
 )
 from buckthornwall.quarantine import CrashReport
 from buckthornwall.utils import (
@@ -37,6 +35,7 @@
 )
 
 from .origin_messages import OriginMessage
+from .peer_view import PeerView
 
 __all__ = [
     "Beacon",
@@ -333,54 +332,6 @@
 PeerMessage = Beacon | Digest | Heartbeat | CrashReports | OriginMessage
 
 
-class PeerView(msgspec.Struct, array_like=True):
-    """The state in force at an instance.
-
-    Attributes
-    ----------
-    revision
-        All changes up to here are in force; a watch from here returns the others.
-    change_revision
-        Revision of the newest change.
-    published
-        The configuration, or b'' if the client has it already.
-    evacuated
-        Evacuated zones, with the revisions of their records.
-    store_era
-        Era of the store that counts the revisions; 0 if it is not known.
-    evacuated_eras
-        Eras that count the revisions in `evacuated`, by zone.
-    versions
-        Software versions of upstreams, now and recently; None if not known.
-    entry_revisions
-        Revisions of `entries`, in their order; empty from an earlier build.
-    entry_eras
-        Eras that count these revisions, where they differ from `store_era`.
-    removal_revision
-        Revision up to which all removals are in force.
-    known_revision
-        Revision up to which all changes are in force, but those in `deferred`; None
-        from an earlier build.
-    deferred
-        Upstreams whose removals are deferred, and the revisions up to which their
-        changes are in force; 0 if that was in a former era.
-    """
-
-    revision: Revision
-    change_revision: Revision
-    published: bytes
-    entries: list[UpstreamEntry]
-    evacuated: dict[ZoneId, Revision] = {}
-    store_era: Revision = 0
-    evacuated_eras: dict[ZoneId, Revision] = {}
-    versions: VersionHistory | None = None
-    entry_revisions: list[Revision] = []
-    entry_eras: dict[UpstreamId, Revision] = {}
-    removal_revision: Revision = 0
-    known_revision: Revision | None = None
-    deferred: dict[UpstreamId, Revision] = {}
-
-
 def encode(message: PeerMessage | PeerView) -> bytes:
     """Return the encoded message, compressed unless it is short."""
     data = cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
