--- a/packages/buckthornwall/src/buckthornwall/peers/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/__init__.py
@@ -8,6 +8,7 @@
 ==================== =========================================================
 `messages`           beacons, digests and heartbeats
 `peer_view`          the view of the state in force
+`report_builder`     digests and heartbeats that a speaker builds
 `table`              the election, and the aggregation of what peers report
 `received_message`   the last message of a peer, and when it was received
 `relay_candidates`   instances that an isolated one may forward through
--- a/packages/buckthornwall/src/buckthornwall/peers/table.py
+++ b/packages/buckthornwall/src/buckthornwall/peers/table.py
@@ -13,16 +13,9 @@
     PoolReports,
     RankTokens,
 )
-from buckthornwall.utils import UpstreamId, ZoneId, add_counts
+from buckthornwall.utils import UpstreamId, ZoneId
 
 from .aggregation import (
-    count_ceding,
-    list_isolated,
-    list_limit_users,
-    list_relays,
-    merge_brittle,
-    merge_leaving,
-    merge_limits,
     sum_loads,
     sum_rank_tokens,
     sum_reports,
@@ -32,15 +25,12 @@
 from .departures import DepartingPeers
 from .election import count_higher_members, election_priority, sender_priority
 from .freshness import (
-    current_era,
-    freshness,
     merge_newer_revision,
-    merge_read_age,
-    uptime_ms,
 )
 from .messages import Beacon, Digest, Heartbeat, PeerState, Work
 from .prefix_relay import PrefixRelay
 from .received_message import ReceivedMessage
+from .report_builder import build_digest, build_heartbeat
 from .totals import PeerTotals
 
 __all__ = ["PeerTable"]
@@ -276,53 +266,8 @@
         return known
 
     def make_digest(self, local_beacon: Beacon, is_fleet: bool, now: float) -> Digest:
-        """Return the digest that this instance sends as a speaker.
-
-        Parameters
-        ----------
-        local_beacon
-            The beacon that it would send to a speaker.
-        is_fleet
-            Whether to include other zones, as for members.
-        now
-            The time in seconds.
-        """
-        beacons, remote = self.zone_beacons(local_beacon), self.remote_zones(is_fleet)
-        count = sum(1 for beacon in beacons if beacon.state is not PeerState.JOINING)
-        newest = self.make_heartbeat(local_beacon, is_fleet, now)
-        return Digest(
-            address=self.address,
-            weight=self.weight,
-            zone=self.zone,
-            is_fleet=is_fleet,
-            count=add_counts(count, *(zone.message.count for zone in remote)),
-            members={beacon.address: beacon.weight for beacon in beacons},
-            speakers={self.zone: self.address} | self.other_speakers(),
-            config_number=newest.config_number,
-            change_revision=newest.change_revision,
-            removal_revision=newest.removal_revision,
-            state_checksum=newest.state_checksum,
-            freshest_peer=newest.freshest_peer,
-            read_age_ms=newest.read_age_ms,
-            store_uptime_ms=newest.store_uptime_ms,
-            loads=sum_loads(beacons, remote),
-            cached_prefixes=self.prefixes.current(local_beacon, is_fleet, now),
-            unreachable=sum_unreachable(beacons, remote),
-            rank_tokens=sum_rank_tokens(beacons, remote),
-            pool_reports=sum_reports(beacons, remote),
-            crash_checksum=local_beacon.crash_checksum,
-            limits=newest.limits,
-            leaving=newest.leaving,
-            store_era=newest.store_era,
-            isolated=newest.isolated,
-            relays=newest.relays,
-            brittle=newest.brittle,
-            without_origins=[
-                each.address for each in beacons if not each.keeps_origins
-            ],
-            limit_users=newest.limit_users,
-            ceding=newest.ceding,
-        )
+        """Return the digest that this instance sends; see `build_digest`."""
+        return build_digest(self, local_beacon, is_fleet, now)
 
     def assign_sequence(self, digest: Digest) -> None:
         """Set the sequence by which heartbeats refer to the order of upstreams."""
@@ -363,46 +308,8 @@
     def make_heartbeat(
         self, local_beacon: Beacon, is_fleet: bool, now: float
     ) -> Heartbeat:
-        """Return the heartbeat that this instance sends between two digests.
-
-        Parameters are those of `make_digest`. Received values are aged since they were
-        sent.
-        """
-        beacons, remote = self.zone_beacons(local_beacon), self.remote_zones(is_fleet)
-        messages = [*self.members.values(), *remote]
-        era = current_era([*beacons, *(each.message for each in remote)])
-        is_any_isolated = list_isolated(beacons, self.zones.values())
-        best = max(beacons, key=lambda beacon: freshness(beacon, era))
-        heartbeat = Heartbeat(
-            address=self.address,
-            weight=self.weight,
-            zone=self.zone,
-            is_fleet=is_fleet,
-            config_number=best.config_number,
-            change_revision=best.change_revision,
-            removal_revision=best.removal_revision,
-            state_checksum=best.state_checksum,
-            freshest_peer=best.address,
-            read_age_ms=local_beacon.read_age_ms,
-            store_uptime_ms=max(uptime_ms(beacon, era) for beacon in beacons),
-            crash_checksum=local_beacon.crash_checksum,
-            limits=merge_limits(local_beacon, messages, now),
-            leaving=merge_leaving(local_beacon, messages),
-            store_era=best.store_era,
-            isolated=list_isolated(beacons, remote),
-            relays=list_relays(beacons, remote) if is_any_isolated else {},
-            brittle=merge_brittle(local_beacon, messages, now),
-            limit_users=list_limit_users(beacons, remote),
-            ceding=count_ceding(beacons, remote),
-        )
-        for received in messages:
-            merge_read_age(heartbeat, received, now)
-        for received in remote:
-            heartbeat.store_uptime_ms = max(
-                heartbeat.store_uptime_ms, uptime_ms(received.message, era)
-            )
-            merge_newer_revision(heartbeat, received.message)
-        return heartbeat
+        """Return the heartbeat that this instance sends; see `build_heartbeat`."""
+        return build_heartbeat(self, local_beacon, is_fleet, now)
 
     # State as seen by this instance
 
