Takeover of reads soon after an outage: removals are deferred

What callers would see: no request reaches a sound upstream for up to two seconds after an outage of the store, if the instances that read it are killed meanwhile.

Cause: a member that did not read during the outage did not notice it. Its first read lacks the registrations that expired, and it dropped them at once; members of its zone then took its view.

Ruled out: an uptime of 0 as a sign of an outage (a new speaker reports 0 before its first read, and so do all that are cut off: removals would be late).

The change: an instance that begins to read while the newest report of the store's uptime is shorter than the settling time defers for the rest of it.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_removals_drawn.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_removals_drawn.py
@@ -9,6 +9,7 @@
 from .test_removals_at_size import (
     DRAIN_LIMIT_S,
     NAMES,
+    SETTLE_S,
     Watcher,
     check_settled,
     entry,
@@ -104,3 +105,49 @@
     fleet.network.loss = 0.1
     await change_registrations(fleet, watcher, random.Random(1), 20)
     assert not any(peer.state_sync.difference.count for peer in live(fleet))
+
+
+async def expire_in_outage(fleet, names):
+    """Let the store be down while registrations of sound upstreams expire.
+
+    They are written again 1.5 s after its return, during which the caller goes on.
+    """
+    addresses = set(fleet.peers)
+    expired = {name: fleet.store.entries[name] for name in names}
+    fleet.without_store |= addresses
+    await trio.sleep(4.0)
+    for name in names:
+        fleet.remove(name)
+    await trio.sleep(2.0)
+    fleet.without_store -= addresses
+    return expired
+
+
+@pytest.mark.parametrize("kill_at", [0.05, 0.3, 1.0, None])
+@pytest.mark.parametrize("sizes", [(3,), (3, 3, 3), (24, 3)])
+async def test_sound_upstream_was_lost_by_a_takeover_soon_after_an_outage(
+    autojump_clock, fleet, nursery, sizes, kill_at
+):
+    """Its registration has expired, and is written again 1.5 s after the return."""
+    await start_fleet(fleet, sizes)
+    expired = await expire_in_outage(fleet, NAMES[:4])
+    lost = set()
+
+    async def watch():
+        while True:
+            for peer in live(fleet):
+                missing = set(NAMES) - peer.pools.views.keys()
+                lost.update((peer.address, name) for name in missing)
+            await trio.sleep(0.02)
+
+    nursery.start_soon(watch)
+    await trio.sleep(kill_at or 0.0)
+    if kill_at is not None:
+        for address in speakers(fleet):
+            fleet.peers[address].kill()
+    await trio.sleep(1.5 - (kill_at or 0.0))
+    for entry_again in expired.values():
+        fleet.register(entry_again)
+    await trio.sleep(SETTLE_S)
+    assert not lost
+    assert all(peer.pools.views.keys() == set(NAMES) for peer in live(fleet))
--- a/packages/buckthornwall/src/buckthornwall/discovery/agent.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/agent.py
@@ -88,6 +88,7 @@
         self.on_call: Callable[[float, str], None] = lambda seconds, outcome: None
         self.watch_s: Callable[[], float] = lambda: self.settings.watch_ms / MS_PER_S
         self._read_scope = trio.CancelScope()
+        self._fleet_up_since = -math.inf
         self.is_complete_read_due = True
         self.is_reread_due = False
 
@@ -145,7 +146,15 @@
             # try ended upstreams for seconds longer than readers do.
             self.state.remove_deferred()
             await trio.sleep(POLL_S if self.has_adopted else FIRST_POLL_S)
-        self.answered_at = self._store_up_since = self.clock.now()
+        self._take_over_reads()
+
+    def _take_over_reads(self) -> None:
+        """Begin to read in place of others, which may have noticed an outage."""
+        now = self.clock.now()
+        self.answered_at = self._store_up_since = now
+        left_s = self._fleet_up_since + self.state.settle_s - now
+        if left_s > 0:
+            self.state.begin_deferral(left_s)
 
     async def _read_next(self) -> StoreUpdate:
         # No watch returns what the store lacks since its return from an older copy.
@@ -181,7 +190,7 @@
         if self.is_store_unavailable:
             self.is_store_unavailable = False
             self._store_up_since = now
-            self.state.begin_deferral(is_new_era=False)
+            self.state.begin_deferral(self.state.settle_s)
             outage_ms = round((now - self.answered_at) * MS_PER_S)
             log_event("store_regained", away_ms=outage_ms, **self._describe_position())
         self.answered_at = self.read_at = now
@@ -263,8 +272,11 @@
         ----------
         seconds
             Longest time for which the source has answered any instance without an
-            outage. If it exceeds `settle_ms`, the registrations are complete.
+            outage, 0 if it has answered none lately. If it exceeds `settle_ms`, the
+            registrations are complete.
         """
+        if seconds > 0:
+            self._fleet_up_since = self.clock.now() - seconds
         if seconds * MS_PER_S > self.settings.settle_ms:
             self.state.deferral.end(self.clock.now())
 
--- a/packages/buckthornwall/src/buckthornwall/discovery/state.py
+++ b/packages/buckthornwall/src/buckthornwall/discovery/state.py
@@ -129,11 +129,11 @@
             revision_before=self.positions.read.revision,
             is_from_peer=update.is_relayed,
         )
-        self.begin_deferral(is_new_era=True)
+        self.deferral.begin(self.clock.now(), self.settle_s, is_new_era=True)
 
-    def begin_deferral(self, is_new_era: bool) -> None:
-        """Defer the removals that may only follow from an outage or a return."""
-        self.deferral.begin(self.clock.now(), self.settle_s, is_new_era)
+    def begin_deferral(self, seconds: float) -> None:
+        """Defer removals that may only follow from an outage of the store."""
+        self.deferral.begin(self.clock.now(), seconds, is_new_era=False)
 
     def _adopt_entries(self, update: StoreUpdate, is_restored: bool) -> None:
         """Apply registrations, and assume new upstreams to be cold.
