Tests of clients that take memory, descriptors and time, and what is held for them

Nothing bounds the sum of what an instance holds for its clients. The tests start an instance as a process of its own before stand-ins, with a crowd of clients that each stay within or go over their limits, and check that it lives within a machine of 88 MiB, keeps 200 descriptors for files, and answers ordinary requests. They contain no times and no shares.

They run one at a time after the other tests.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.stamp
 # Modules run side by side, the tests of one module in turn: those that start processes
-# use the same ports.
+# use the same ports. Tests of memory and descriptors follow one at a time.
 TEST_WORKERS ?= 4
 PACKAGES := packages/buckthornwall packages/buckthornwall-ctl packages/buckthornwall-standins
 
@@ -19,7 +19,8 @@
 	$(BIN)/python -m buckthornwall_standins.demo
 
 test: $(STAMP)
-	$(BIN)/python -m pytest -n $(TEST_WORKERS) --dist loadfile packages
+	$(BIN)/python -m pytest -n $(TEST_WORKERS) --dist loadfile -m "not crowd" packages
+	$(BIN)/python -m pytest -m crowd packages
 
 lint: $(STAMP)
 	$(BIN)/ruff check packages
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/deployment.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/users_platform/deployment.py
@@ -14,6 +14,13 @@
 DRAFTS = "drafts"
 ORDERS = "orders"
 STORE_IP = "127.0.9.1"
+# Limits on what a client may send.
+CLIENT_LIMITS = {
+    "max_header_bytes": 16_384,
+    "max_body_bytes": 1_000_000,
+    "header_timeout_ms": 2000,
+    "idle_timeout_ms": 5000,
+}
 
 
 def format_settings(
@@ -98,6 +105,8 @@
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
     keys: list[str] = field(default_factory=lambda: [API_KEY])
+    limits: dict[str, int] = field(default_factory=lambda: dict(CLIENT_LIMITS))
+    extra_services: list[str] = field(default_factory=list)
     routes: list[dict[str, Any]] = field(
         default_factory=lambda: [
             make_route("draft", "/draft/", "stream", DRAFTS, resumable=True),
@@ -126,14 +135,12 @@
                         "stride": 1,
                     },
                 },
-                {"name": ORDERS, "health_path": "/health", "max_connections": 100},
+                *(
+                    {"name": name, "health_path": "/health", "max_connections": 100}
+                    for name in (ORDERS, *self.extra_services)
+                ),
             ],
-            "limits": {
-                "max_header_bytes": 16_384,
-                "max_body_bytes": 1_000_000,
-                "header_timeout_ms": 2000,
-                "idle_timeout_ms": 5000,
-            },
+            "limits": self.limits,
             "tenants": [{"name": "one", "api_keys": self.keys}],
         }
         self.store.put("op/config", config)
