Unfinished requests: one account of what they hold, and who gives way

What callers saw: processes ended for lack of memory when many clients sent bodies at once and stopped short of their end, or went on without end.

Cause: each connection has limits, and nothing bounds their sum. A body took up to 5.5 MB for 4 MiB received: the buffer's growth, the parser's buffer, the frames of a refusal's exception while its connection lingers, and reference cycles that kept bodies until a garbage collection. glibc kept what had been freed, as it raises its threshold for large blocks.

Evidence: 100 bodies of 1 MiB that stop 1 KiB short took 145 MiB (chunks of 64 KiB), 156 (512 bytes) and 153 (announced), those without end 156, the same at the listener for peers 148.

The change: a memory budget for the process (section [capacity]) is charged with the real cost before bytes are read, on every listener. When it is full, an unfinished request is refused with 503 and code 2016: of those that hold at least half of what the largest does, the one that was silent longest. Large buffers are mapped, and freed memory is released to the system once 4 MiB less are held.

Ruled out: leaving it to garbage collection (11 bodies stayed for seconds), and malloc_trim alone (55 MiB resident afterwards).

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/client_crowd.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/client_crowd.py
@@ -8,7 +8,7 @@
 import os
 import resource
 from collections.abc import Awaitable, Callable, Iterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
 import trio
@@ -19,7 +19,7 @@
 from .users_platform.deployment import API_KEY, DRAFTS, HOST, ORDERS, make_route
 from .users_platform.headers import make_request_headers
 
-__all__ = ["CrowdRun", "InstanceProcess", "open_run"]
+__all__ = ["CrowdRun", "InstanceProcess", "open_run", "read_until_end"]
 
 MIB = 2**20
 # Only stops a run that hangs: a request that takes longer has no answer.
@@ -248,12 +248,11 @@
         settled.set()
 
 
-async def read_all(stream: trio.SocketStream) -> bytes:
-    """Return what arrives until the instance closes the connection."""
-    data = b""
-    while received := await stream.receive_some(DISCARD_BYTES):
-        data += received
-    return data
+async def read_until_end(stream: trio.SocketStream) -> None:
+    """Read and drop what arrives until the instance closes the connection."""
+    with suppress(trio.BrokenResourceError):
+        while await stream.receive_some(DISCARD_BYTES):
+            pass
 
 
 @asynccontextmanager
--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_client_crowds.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_client_crowds.py
@@ -4,6 +4,7 @@
 MiB, and keeps 200 of its descriptors for files.
 """
 
+from contextlib import suppress
 from functools import partial
 
 import pytest
@@ -16,7 +17,7 @@
     SLOW_PATH,
     SLOW_S,
     open_run,
-    read_all,
+    read_until_end,
 )
 from buckthornwall_standins.users_platform import Upstream
 from buckthornwall_standins.users_platform.deployment import API_KEY, HOST
@@ -61,6 +62,14 @@
     assert run.process.peak_mib + run.process.unread_mib < MACHINE_MIB
 
 
+async def expect_released(run):
+    """Assert that the memory is given back once the crowd has gone."""
+    with trio.move_on_after(HANG_S):
+        while run.process.resident_mib >= OWN_MIB:
+            await trio.sleep(0.1)
+    assert run.process.resident_mib < OWN_MIB
+
+
 async def send_part(run, head, body, stream):
     """Send a request that stops short."""
     await stream.send_all(head() + body)
@@ -69,10 +78,11 @@
 async def send_without_end(run, head, piece, stream):
     """Send a request that goes on until it is refused, or for 16 MiB."""
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(read_all, stream)
-        await stream.send_all(head())
-        for _ in range(16 * MIB // len(piece)):
-            await stream.send_all(piece)
+        nursery.start_soon(read_until_end, stream)
+        with suppress(trio.BrokenResourceError):  # refused and closed
+            await stream.send_all(head())
+            for _ in range(16 * MIB // len(piece)):
+                await stream.send_all(piece)
         nursery.cancel_scope.cancel()
 
 
@@ -86,7 +96,7 @@
         assert await run.ask(kept) == 200
         await expect_sound(run)
     await expect_sound(run)
-    assert run.process.resident_mib < OWN_MIB
+    await expect_released(run)
 
 
 async def test_bodies_of_known_length_that_stop_short_took_the_memory(run):
@@ -104,7 +114,7 @@
     async with run.crowd(CROWD, partial(send_without_end, run, head, piece)):
         await expect_sound(run)
     await expect_sound(run)
-    assert run.process.resident_mib < OWN_MIB
+    await expect_released(run)
 
 
 async def test_announced_bodies_over_the_limit_are_refused(run):
--- /dev/null
+++ b/packages/buckthornwall/src/buckthornwall/capacity/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the account of what is held for clients."""
--- a/packages/buckthornwall/src/buckthornwall/codes/core.py
+++ b/packages/buckthornwall/src/buckthornwall/codes/core.py
@@ -142,6 +142,13 @@
         "change that part of the prompt, or send it again after Retry-After",
     )
 
+    CLIENT_MEMORY_FULL = (
+        2016,
+        503,
+        "the instance holds as much for its clients as its memory allows",
+        "send again after Retry-After",
+    )
+
     UPSTREAM_UNREACHABLE = (3001, 503, "no upstream could be reached", "send again")
     UPSTREAM_BROKEN = (
         3002,
--- a/packages/buckthornwall/src/buckthornwall/http1/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/__init__.py
@@ -8,6 +8,7 @@
 `request_body` bodies of requests, decoded as their bytes arrive
 `response`     the response to one request, written complete or in pieces
 `messages`     what a server reads, and its limits
+`shared`       what the listeners of one process share
 `refusals`     requests that are refused before they are complete
 `failures`     failures of an exchange below the level of HTTP
 ============== ===========================================================
@@ -25,6 +26,7 @@
 from .messages import IncomingRequest, ServerLimits
 from .response import ResponseAborted, ResponseWriter
 from .server import HttpServer
+from .shared import SharedResources
 
 __all__ = [
     "BodyFraming",
@@ -37,6 +39,7 @@
     "ResponseHead",
     "ResponseWriter",
     "ServerLimits",
+    "SharedResources",
     "find_readable",
     "is_valid_request",
     "refuses_connections",
--- a/packages/buckthornwall/src/buckthornwall/http1/connection.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/connection.py
@@ -8,6 +8,12 @@
 import h11
 import trio
 
+from buckthornwall.capacity import (
+    CONNECTION_BYTES,
+    MemoryFull,
+    growing_bytes,
+    head_bytes,
+)
 from buckthornwall.codes import ResultCode
 from buckthornwall.telemetry import log_event
 
@@ -49,9 +55,13 @@
         self.server = server
         self.sock = sock
         self.unparsed = bytearray()
+        self.body: RequestBody | None = None
+        self.head_cost = 0
         self.disconnected = False
         self.idle_scope: trio.CancelScope | None = None
+        self.read_scope: trio.CancelScope | None = None
         self.is_write_partial = False
+        self.holding = server.memory.hold()
 
     async def write(self, data: bytes) -> None:
         """Send all of `data`; raise ResponseAborted if the client has disconnected."""
@@ -67,12 +77,17 @@
     async def run(self) -> None:
         """Serve until the client, a limit or a graceful shutdown closes it."""
         try:
+            self._charge()
             while await self._serve_one():
                 pass
         except (ConnectionEnded, ResponseAborted, OSError):
             pass  # an ordinary end of a connection; no client is left to answer
+        except MemoryFull:
+            pass  # logged by the budget; no request has been read
         finally:
             self.sock.close()
+            self._drop_request()
+            self.holding.close()
 
     def set_reset_on_close(self, is_reset: bool) -> None:
         """Set whether the end of this connection, or of its process, is a reset."""
@@ -83,19 +98,57 @@
         parser = h11.Connection(h11.SERVER, self.server.limits().max_head_bytes)
         try:
             await self._await_first_bytes()
-            request = await self._read_request(parser)
+            request = await self._read_or_give_way(parser)
         except RequestRefused as refused:
             # Its traceback holds the body that was read.
             refusal = refused.with_traceback(None)
+        except MemoryFull:
+            refusal = RequestRefused.for_memory("refused")
         else:
             response = ResponseWriter(self, parser)
             disconnected = await self._handle(request, response)
             if disconnected or not response.ended:
                 return False
             return parser.our_state is h11.DONE and not self.server.closing
+        self._drop_request()
         await self._refuse(refusal)
         return False
 
+    async def _read_or_give_way(self, parser: h11.Connection) -> IncomingRequest:
+        """Read a request, which may be evicted until it is complete."""
+        with trio.CancelScope() as self.read_scope:
+            self.holding.begin_unfinished(self._give_way)
+            try:
+                return await self._read_request(parser)
+            finally:
+                self.holding.end_unfinished()
+        raise RequestRefused.for_memory("evicted")
+
+    def _give_way(self) -> None:
+        """Free what is held of a request that is not complete, and stop reading it."""
+        self._drop_request()
+        self.read_scope.cancel()
+
+    def _drop_request(self) -> None:
+        if self.body is not None:
+            self.body.clear()
+        self.body = None
+        self.head_cost = 0
+        self.unparsed.clear()
+        self.holding.charge(CONNECTION_BYTES)
+
+    def _charge(self, more: int = 0) -> None:
+        """Charge what is held, and `more` bytes that are about to be read.
+
+        Raises
+        ------
+        MemoryFull
+            If there is no room for it.
+        """
+        body = growing_bytes(len(self.body.data)) if self.body is not None else 0
+        held = CONNECTION_BYTES + len(self.unparsed) + self.head_cost + body
+        self.holding.resize(held + more)
+
     async def _handle(self, request: IncomingRequest, response: ResponseWriter) -> bool:
         """Run the handler; return whether the client disconnected.
 
@@ -146,8 +199,14 @@
     def _read(self, max_bytes: int) -> None:
         """Add received bytes, if any, to those that are not parsed yet.
 
-        Nothing else runs between the read and the bookkeeping of its bytes.
+        Room for them is found before they are read.
+
+        Raises
+        ------
+        MemoryFull
+            If there is none.
         """
+        self._charge(max_bytes)
         try:
             data = os.read(self.sock.fileno(), max_bytes)
         except BlockingIOError:
@@ -155,6 +214,8 @@
         if not data:
             raise ConnectionEnded
         self.unparsed += data
+        self.holding.record_progress()
+        self._charge()
 
     async def _read_request(self, parser: h11.Connection) -> IncomingRequest:
         limits = self.server.limits()
@@ -163,8 +224,10 @@
         if scope.cancelled_caught:
             raise RequestRefused(408, ResultCode.BODY_TOO_SLOW, "head")
         received_at = self.server.clock.now()
+        self.head_cost = head_bytes(len(head), head.count(b"\n"))
+        self._charge()
         request = parse_head(parser, head)
-        body = RequestBody(
+        body = self.body = RequestBody(
             announced_length(request), limits.max_body_bytes, limits.max_head_bytes
         )
         if parser.they_are_waiting_for_100_continue:
@@ -172,6 +235,7 @@
                 parser.send(h11.InformationalResponse(status_code=100, headers=[]))
             )
         await self._read_body(body, limits)
+        self.body = None
         return IncomingRequest(
             request.method,
             request.target,
@@ -218,6 +282,8 @@
             refused.code.meaning.encode(),
         )
         head = b"HTTP/1.1 %d Refused\r\nContent-Type: application/json\r\n"
+        if refused.retry_after_s is not None:
+            head += b"Retry-After: %.2f\r\n" % refused.retry_after_s
         head += b"Content-Length: %d\r\nConnection: close\r\n\r\n"
         await self.write(head % (refused.status, len(body)) + body)
         self.sock.shutdown(socket.SHUT_WR)
@@ -229,5 +295,5 @@
         while True:
             await trio.lowlevel.wait_readable(self.sock)
             async with self.server.body_turns:
-                self.unparsed.clear()
-                self._read(BODY_RECEIVE_BYTES)
+                if not os.read(self.sock.fileno(), BODY_RECEIVE_BYTES):
+                    raise ConnectionEnded
--- a/packages/buckthornwall/src/buckthornwall/http1/request_body.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/request_body.py
@@ -65,6 +65,11 @@
         elif unparsed:
             self._decode_chunks(unparsed)
 
+    def clear(self) -> None:
+        """Free what has been decoded."""
+        self.data.clear()
+        self._chunks = None
+
     def _take_data(self, unparsed: bytearray) -> None:
         taken = unparsed[: self.length - len(self.data)]
         del unparsed[: len(taken)]
--- a/packages/buckthornwall/src/buckthornwall/http1/server.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/server.py
@@ -11,6 +11,7 @@
 from .connection import ServerConnection
 from .messages import IncomingRequest, ServerLimits
 from .response import ResponseWriter
+from .shared import SharedResources
 
 __all__ = ["Handler", "HttpServer"]
 
@@ -30,9 +31,8 @@
         Returns the limits in force.
     handler
         Called with each complete request and the writer of its response.
-    body_turns
-        Held by a connection while it reads and parses a part of a body; listeners of
-        one process share it.
+    shared
+        What the listeners of one process share.
     """
 
     def __init__(
@@ -40,12 +40,14 @@
         clock: Clock,
         limits: Callable[[], ServerLimits],
         handler: Handler,
-        body_turns: trio.Lock | None = None,
+        shared: SharedResources | None = None,
     ) -> None:
         self.clock = clock
         self.limits = limits
         self.handler = handler
-        self.body_turns = body_turns or trio.Lock()
+        shared = shared or SharedResources.unlimited(clock)
+        self.memory = shared.memory
+        self.body_turns = shared.body_turns
         self.active = 0
         self.closing = False
         self.idle: set[ServerConnection] = set()
--- a/packages/buckthornwall/src/buckthornwall/node/main.py
+++ b/packages/buckthornwall/src/buckthornwall/node/main.py
@@ -11,6 +11,7 @@
 from buckthornwall.codes import SettingsError
 from buckthornwall.start import EarlyListeners
 from buckthornwall.telemetry import configure_logs, log_event
+from buckthornwall.utils.allocator import return_large_buffers
 
 __all__ = ["main"]
 
@@ -56,6 +57,7 @@
         signal.signal(signal_number, _exit_before_start)
     options = build_parser().parse_args(arguments)
     early = early or EarlyListeners()
+    return_large_buffers()
     try:
         if options.interface == PLATFORM:
             _run_platform(options.settings, early)
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from buckthornwall.capacity import FreedMemory, MemoryBudget
 from buckthornwall.codes import Refusal
 from buckthornwall.discovery import DiscoveryAgent
 from buckthornwall.forwarding import RELAY_PATH, RELAY_STREAM_PATH, Forwarder
@@ -10,6 +11,7 @@
     IncomingRequest,
     ResponseWriter,
     ServerLimits,
+    SharedResources,
 )
 from buckthornwall.peers import (
     Beacon,
@@ -45,6 +47,7 @@
     ZoneId,
     new_id,
 )
+from buckthornwall.utils.allocator import release_freed_memory
 
 from .first_read import HOLD_REVIEW_S, has_other_seeds, max_hold_s
 from .operators import answer_operator
@@ -147,18 +150,20 @@
         self.encode_view = ViewEncoder(clock)
         self.state_sync.has_seeds = lambda: has_other_seeds(settings.peers)
         self.staleness_monitor = StalenessMonitor(self.peers, self.table)
-        body_turns = trio.Lock()
+        self.memory = MemoryBudget(settings.capacity.client_memory_bytes, clock)
+        self.freed_memory = FreedMemory(self.memory, release_freed_memory)
+        shared = SharedResources(self.memory)
         self.callers = HttpServer(
-            clock, self._caller_limits, self._handle_caller, body_turns
+            clock, self._caller_limits, self._handle_caller, shared
         )
         self.operators = HttpServer(
-            clock, lambda: OPERATOR_LIMITS, self._handle_operator, body_turns
+            clock, lambda: OPERATOR_LIMITS, self._handle_operator, shared
         )
         self.balancer = HttpServer(
-            clock, lambda: OPERATOR_LIMITS, self._handle_readiness, body_turns
+            clock, lambda: OPERATOR_LIMITS, self._handle_readiness, shared
         )
         self.view_server = HttpServer(
-            clock, self._peer_limits, self._handle_peer, body_turns
+            clock, self._peer_limits, self._handle_peer, shared
         )
         self.discovery.may_read = self.state_sync.may_read
         self.discovery.on_change = self._update_adopted
@@ -224,6 +229,7 @@
             self.origins.expire(now)
             await self.forwarder.continuations.publish_unpublished()
             self.pools.notices.expire()
+            self.freed_memory.review()
             self.staleness_monitor.check(now)
             if now - logged_at >= SPEED_LOG_INTERVAL_S:
                 logged_at = now
--- a/packages/buckthornwall/src/buckthornwall/router/operators.py
+++ b/packages/buckthornwall/src/buckthornwall/router/operators.py
@@ -94,6 +94,26 @@
             "How often another instance held something else at the same position.",
             router.state_sync.difference.count,
         ),
+        "client_memory_bytes": (
+            "Bytes that are held for clients.",
+            router.memory.used_bytes,
+        ),
+        "client_memory_peak_bytes": (
+            "Most bytes that were held for clients.",
+            router.memory.peak_bytes,
+        ),
+        "client_memory_limit_bytes": (
+            "Most bytes that may be held for clients.",
+            router.memory.limit_bytes,
+        ),
+        "client_requests_evicted": (
+            "Incomplete requests that were refused to make room for others.",
+            router.memory.evicted,
+        ),
+        "client_memory_refusals": (
+            "Requests and replies for which there was no room.",
+            router.memory.refused,
+        ),
         "active": ("Requests being answered.", router.callers.active),
         "word_age_seconds": (
             "Age of the speaker's digest that this instance goes by; 0 if it speaks.",
--- a/packages/buckthornwall/src/buckthornwall/settings/router.py
+++ b/packages/buckthornwall/src/buckthornwall/settings/router.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from buckthornwall.capacity import CapacitySettings
 from buckthornwall.codes import ResultCode, SettingsError
 from buckthornwall.discovery import DiscoverySettings
 from buckthornwall.forwarding import ForwardingSettings
@@ -68,6 +69,7 @@
     pools: PoolSettings
     quarantine: QuarantineSettings
     stop: StopSettings
+    capacity: CapacitySettings
     telemetry: TelemetrySettings
 
     @property
@@ -98,6 +100,10 @@
                 f"{origin} [discovery] apply_ms: too short for the reports of [peers] "
                 "and gap_ms",
             )
+        if fault := self.capacity.find_fault():
+            raise SettingsError(
+                ResultCode.SETTING_INVALID, f"{origin} [capacity] {fault}"
+            )
         if self.stop.notice_s >= self.stop.grace_s:
             raise SettingsError(
                 ResultCode.SETTING_INVALID,
