Connections: a number for each listener, and who gives way to a new one

What callers saw: with 600 connections that say nothing to any listener of an instance that may open 600 descriptors, no ordinary request was answered; 2,500 heads that stop short took 94 MiB.

Cause: nothing bounds the connections of a listener but the idle timeout, so accepting fails for lack of descriptors, and so do connections to upstreams.

The change: the most connections of each listener follow from the descriptors less those kept for files, and from the memory for clients. The rest stays for upstreams, the store and peers. A new connection takes the place of one that lingers after a refusal, else of the longest idle one, else of the request that has been incomplete and silent longest. A connection on which a request is being answered stays; if all are, the new one is closed unread.

--- a/packages/buckthornwall/src/buckthornwall/capacity/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/capacity/__init__.py
@@ -11,12 +11,13 @@
 from .costs import CONNECTION_BYTES, REQUEST_BYTES, growing_bytes, head_bytes
 from .freed_memory import FreedMemory
 from .memory_budget import Holding, MemoryBudget, MemoryFull
-from .settings import CapacitySettings
+from .settings import CapacitySettings, ConnectionLimits
 
 __all__ = [
     "CONNECTION_BYTES",
     "REQUEST_BYTES",
     "CapacitySettings",
+    "ConnectionLimits",
     "FreedMemory",
     "Holding",
     "MemoryBudget",
--- a/packages/buckthornwall/src/buckthornwall/capacity/settings.py
+++ b/packages/buckthornwall/src/buckthornwall/capacity/settings.py
@@ -1,12 +1,37 @@
 """The machine's memory and descriptors, and the shares of them."""
 
+import resource
+from dataclasses import dataclass
+
 from buckthornwall.utils import ConfigItem, ConfigNamespace
 
-__all__ = ["CapacitySettings"]
+from .costs import CONNECTION_BYTES
+
+__all__ = ["CapacitySettings", "ConnectionLimits"]
 
 BYTES_PER_MB = 10**6
 # For two requests with bodies of the usual limit, and small ones beside them.
 MIN_CLIENT_MB = 16.0
+# Share of the memory for clients that connections may take which say nothing.
+IDLE_MEMORY_SHARE = 0.25
+# Connections of the balancer, and of operators, each.
+SMALL_LISTENER_CONNECTIONS = 32
+# Listeners, datagrams, the store, checks of upstreams.
+OTHER_SOCKETS = 32
+# Shares of the other sockets. Requests in flight need a connection to an upstream each.
+CALLER_SHARE = 0.4
+PEER_SHARE = 0.08
+MIN_SOCKETS = 256
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionLimits:
+    """Most connections of each listener."""
+
+    callers: int
+    peers: int
+    ready: int
+    operators: int
 
 
 class CapacitySettings(ConfigNamespace):
@@ -25,6 +50,32 @@
         minimum=1,
     )
 
+    descriptors = ConfigItem(
+        0,
+        "Descriptors that the process may open; 0 for the limit of the process.",
+        minimum=0,
+    )
+    file_descriptors = ConfigItem(
+        200, "Descriptors of these that are kept for files.", minimum=0
+    )
+
+    @property
+    def sockets(self) -> int:
+        """Descriptors that sockets may take."""
+        limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        return (self.descriptors or limit) - self.file_descriptors
+
+    def connection_limits(self) -> ConnectionLimits:
+        """Return how many connections each listener may have."""
+        shared = self.sockets - 2 * SMALL_LISTENER_CONNECTIONS - OTHER_SOCKETS
+        by_memory = int(self.client_memory_bytes * IDLE_MEMORY_SHARE / CONNECTION_BYTES)
+        return ConnectionLimits(
+            callers=min(int(shared * CALLER_SHARE), by_memory),
+            peers=min(int(shared * PEER_SHARE), by_memory),
+            ready=SMALL_LISTENER_CONNECTIONS,
+            operators=SMALL_LISTENER_CONNECTIONS,
+        )
+
     @property
     def client_memory_bytes(self) -> int:
         """Most bytes that are held for clients."""
@@ -37,4 +88,9 @@
                 f"own_memory_mb: leaves under {MIN_CLIENT_MB:.0f} MB of "
                 "machine_memory_mb for clients"
             )
+        if self.sockets < MIN_SOCKETS:
+            return (
+                f"descriptors: leaves under {MIN_SOCKETS} for sockets beside "
+                "file_descriptors"
+            )
         return ""
--- a/packages/buckthornwall/src/buckthornwall/http1/connection.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/connection.py
@@ -3,6 +3,7 @@
 import os
 import socket
 import struct
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import h11
@@ -26,7 +27,7 @@
 if TYPE_CHECKING:
     from .server import HttpServer
 
-__all__ = ["ServerConnection"]
+__all__ = ["ConnectionState", "ServerConnection"]
 
 # Read at once before a body is known to be large.
 FIRST_RECEIVE_BYTES = 16_384
@@ -44,6 +45,15 @@
 FLUSH_ON_CLOSE = struct.pack("ii", 0, 0)
 
 
+class ConnectionState(Enum):
+    """What a connection does; those listed first are the first to give way."""
+
+    LINGERING = 0  # a refusal was sent
+    IDLE = 1  # no request has begun
+    READING = 2  # a request is not complete
+    ANSWERING = 3  # a request is being answered; the connection stays
+
+
 class ConnectionEnded(Exception):
     """The client closed the connection, or left it idle for too long."""
 
@@ -58,7 +68,8 @@
         self.body: RequestBody | None = None
         self.head_cost = 0
         self.disconnected = False
-        self.idle_scope: trio.CancelScope | None = None
+        self.state = ConnectionState.IDLE
+        self.scope = trio.CancelScope()
         self.read_scope: trio.CancelScope | None = None
         self.is_write_partial = False
         self.holding = server.memory.hold()
@@ -77,9 +88,11 @@
     async def run(self) -> None:
         """Serve until the client, a limit or a graceful shutdown closes it."""
         try:
-            self._charge()
-            while await self._serve_one():
-                pass
+            with self.scope:
+                self.holding.record_progress()
+                self._charge()
+                while await self._serve_one():
+                    pass
         except (ConnectionEnded, ResponseAborted, OSError):
             pass  # an ordinary end of a connection; no client is left to answer
         except MemoryFull:
@@ -89,6 +102,10 @@
             self._drop_request()
             self.holding.close()
 
+    def close_soon(self) -> None:
+        """End the connection, on which no request is being answered."""
+        self.scope.cancel()
+
     def set_reset_on_close(self, is_reset: bool) -> None:
         """Set whether the end of this connection, or of its process, is a reset."""
         linger = RESET_ON_CLOSE if is_reset else FLUSH_ON_CLOSE
@@ -111,11 +128,13 @@
                 return False
             return parser.our_state is h11.DONE and not self.server.closing
         self._drop_request()
+        self.state = ConnectionState.LINGERING
         await self._refuse(refusal)
         return False
 
     async def _read_or_give_way(self, parser: h11.Connection) -> IncomingRequest:
         """Read a request, which may be evicted until it is complete."""
+        self.state = ConnectionState.READING
         with trio.CancelScope() as self.read_scope:
             self.holding.begin_unfinished(self._give_way)
             try:
@@ -155,6 +174,7 @@
         The handler is cancelled when that happens.
         """
         self.server.active += 1
+        self.state = ConnectionState.ANSWERING
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._watch_for_disconnect, nursery.cancel_scope)
@@ -180,14 +200,9 @@
         """Wait for the first bytes of a request, at most for the idle time-out."""
         if self.unparsed:
             return
-        with trio.CancelScope() as scope:
-            scope.deadline = trio.current_time() + self.server.limits().idle_timeout_s
-            self.idle_scope = scope
-            self.server.idle.add(self)
-            try:
-                await self._receive(FIRST_RECEIVE_BYTES)
-            finally:
-                self.server.idle.discard(self)
+        self.state = ConnectionState.IDLE
+        with trio.move_on_after(self.server.limits().idle_timeout_s) as scope:
+            await self._receive(FIRST_RECEIVE_BYTES)
         if scope.cancelled_caught:
             raise ConnectionEnded
 
--- a/packages/buckthornwall/src/buckthornwall/http1/server.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/server.py
@@ -1,5 +1,6 @@
 """A listener, its client connections, and graceful shutdown."""
 
+import math
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -8,7 +9,7 @@
 from buckthornwall.telemetry import log_event
 from buckthornwall.utils import Clock
 
-from .connection import ServerConnection
+from .connection import ConnectionState, ServerConnection
 from .messages import IncomingRequest, ServerLimits
 from .response import ResponseWriter
 from .shared import SharedResources
@@ -33,6 +34,16 @@
         Called with each complete request and the writer of its response.
     shared
         What the listeners of one process share.
+    max_connections
+        Most connections at once. Beyond that, one on which no request is being
+        answered gives way to a new one.
+
+    Attributes
+    ----------
+    active : int
+        Requests that are being answered.
+    evicted, refused : int
+        Connections that gave way to new ones, and new ones that were closed.
     """
 
     def __init__(
@@ -41,6 +52,7 @@
         limits: Callable[[], ServerLimits],
         handler: Handler,
         shared: SharedResources | None = None,
+        max_connections: float = math.inf,
     ) -> None:
         self.clock = clock
         self.limits = limits
@@ -50,7 +62,10 @@
         self.body_turns = shared.body_turns
         self.active = 0
         self.closing = False
-        self.idle: set[ServerConnection] = set()
+        self.max_connections = max_connections
+        self.connections: set[ServerConnection] = set()
+        self.evicted = 0
+        self.refused = 0
 
     async def run(
         self,
@@ -83,16 +98,49 @@
 
     def close_idle(self) -> None:
         """Close the connections on which no request is being read."""
-        for connection in list(self.idle):
-            connection.idle_scope.cancel()
+        for connection in self.connections:
+            if connection.state is ConnectionState.IDLE:
+                connection.close_soon()
 
     async def _accept(self, stream: trio.SocketStream) -> None:
+        if len(self.connections) >= self.max_connections and not self._evict():
+            stream.socket.close()
+            return
         connection = ServerConnection(self, stream.socket)
+        self.connections.add(connection)
         try:
             await connection.run()
         except Exception as error:
             # A fault on one connection must not affect the others.
             log_event("connection_failed", "ERROR", detail=repr(error))
+        finally:
+            self.connections.discard(connection)
+
+    def _evict(self) -> bool:
+        """Close a connection in favor of a new one; return whether there was one.
+
+        No request that has been read is lost. Those of one state give way by how long
+        they have been silent.
+        """
+        victim = min(
+            self.connections,
+            key=lambda each: (each.state.value, each.holding.progressed_at),
+        )
+        is_found = victim.state is not ConnectionState.ANSWERING
+        log_event(
+            "connection_evicted" if is_found else "connection_refused",
+            "WARNING",
+            state=victim.state.name.lower(),
+            silent_ms=round((self.clock.now() - victim.holding.progressed_at) * 1000),
+            connections=len(self.connections),
+        )
+        if not is_found:
+            self.refused += 1
+            return False
+        self.evicted += 1
+        self.connections.discard(victim)
+        victim.close_soon()
+        return True
 
 
 async def _listening_socket(address: str) -> trio.socket.SocketType:
--- a/packages/buckthornwall/src/buckthornwall/http1/tests/test_server.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/tests/test_server.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from buckthornwall.codes import Refusal, ResultCode
 from buckthornwall.http1 import ResponseAborted
@@ -182,3 +183,35 @@
         data = await client.read_all()
     assert b"X-Reason" not in data
     assert not data.endswith(b"\r\n0\r\n\r\n")
+
+
+async def test_new_connections_found_no_room_beside_silent_ones(serve):
+    """The one that was idle longest gives way, a request in flight does not."""
+    server, connect = await serve(echo)
+    server.max_connections = 3
+    idle = [await connect() for _ in range(3)]
+    await trio.testing.wait_all_tasks_blocked()
+    new = await connect()
+    await new.send(HEAD + b"Content-Length: 2\r\n\r\nok")
+    assert (await new.read_until(b"ok")).endswith(b"ok")
+    assert await idle[0].read_all() == b""
+    assert (server.evicted, server.refused) == (1, 0)
+
+
+async def test_connection_with_a_request_in_flight_does_not_give_way(serve):
+    release = trio.Event()
+
+    async def wait(request, response):
+        await release.wait()
+        await echo(request, response)
+
+    server, connect = await serve(wait)
+    server.max_connections = 1
+    busy = await connect()
+    await busy.send(HEAD + b"Content-Length: 2\r\n\r\nok")
+    await trio.testing.wait_all_tasks_blocked()
+    with contextlib.suppress(trio.BrokenResourceError):
+        assert await (await connect()).read_all() == b""
+    release.set()
+    assert (await busy.read_until(b"ok")).endswith(b"ok")
+    assert (server.evicted, server.refused) == (0, 1)
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -153,17 +153,22 @@
         self.memory = MemoryBudget(settings.capacity.client_memory_bytes, clock)
         self.freed_memory = FreedMemory(self.memory, release_freed_memory)
         shared = SharedResources(self.memory)
+        most = settings.capacity.connection_limits()
         self.callers = HttpServer(
-            clock, self._caller_limits, self._handle_caller, shared
+            clock, self._caller_limits, self._handle_caller, shared, most.callers
         )
         self.operators = HttpServer(
-            clock, lambda: OPERATOR_LIMITS, self._handle_operator, shared
+            clock,
+            lambda: OPERATOR_LIMITS,
+            self._handle_operator,
+            shared,
+            most.operators,
         )
         self.balancer = HttpServer(
-            clock, lambda: OPERATOR_LIMITS, self._handle_readiness, shared
+            clock, lambda: OPERATOR_LIMITS, self._handle_readiness, shared, most.ready
         )
         self.view_server = HttpServer(
-            clock, self._peer_limits, self._handle_peer, shared
+            clock, self._peer_limits, self._handle_peer, shared, most.peers
         )
         self.discovery.may_read = self.state_sync.may_read
         self.discovery.on_change = self._update_adopted
--- a/packages/buckthornwall/src/buckthornwall/router/operators.py
+++ b/packages/buckthornwall/src/buckthornwall/router/operators.py
@@ -114,6 +114,18 @@
             "Requests and replies for which there was no room.",
             router.memory.refused,
         ),
+        "client_connections": (
+            "Connections of clients.",
+            len(router.callers.connections),
+        ),
+        "client_connections_evicted": (
+            "Connections of clients that were closed in favor of new ones.",
+            router.callers.evicted,
+        ),
+        "client_connections_refused": (
+            "New connections of clients for which there was no room.",
+            router.callers.refused,
+        ),
         "active": ("Requests being answered.", router.callers.active),
         "word_age_seconds": (
             "Age of the speaker's digest that this instance goes by; 0 if it speaks.",
