Requests in flight: charged as a whole, limited by pool, sent without copies

What callers saw: 100 requests of 1 MiB that wait for a slow upstream took 231 MiB, 100 with heads of 4,000 lines 163, 2,500 small ones 106, 100 of peers 248, where a machine has 88.

Cause: nothing counts complete requests. A body was joined with its head and framing to be sent, twice; a head line takes over 300 bytes as objects.

The change: the account is charged with the head's objects, the tasks and the upstream connection of a request before it is handled; without room it is refused with 503, as nothing has run. Requests in flight leave a quarter of a listener's connections to others, and one pool may have five eighths of what the memory allows, so that a slow pool does not take the room of all (code 2016). Bodies are sent as pieces of their own. Responses that are written in parts are charged until their client has taken them; a client that takes nothing for the idle timeout is cut off, also from a refusal.

--- a/packages/buckthornwall/src/buckthornwall/capacity/settings.py
+++ b/packages/buckthornwall/src/buckthornwall/capacity/settings.py
@@ -5,7 +5,8 @@
 
 from buckthornwall.utils import ConfigItem, ConfigNamespace
 
-from .costs import CONNECTION_BYTES
+from .costs import CONNECTION_BYTES, REQUEST_BYTES
+from .memory_budget import SMALL_REQUEST_SHARE
 
 __all__ = ["CapacitySettings", "ConnectionLimits"]
 
@@ -22,6 +23,8 @@
 CALLER_SHARE = 0.4
 PEER_SHARE = 0.08
 MIN_SOCKETS = 256
+# Share of the requests in flight that one pool may have.
+POOL_SHARE = 0.625
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +79,13 @@
             operators=SMALL_LISTENER_CONNECTIONS,
         )
 
+    @property
+    def requests_per_pool(self) -> int:
+        """Most requests in flight to one pool."""
+        memory = self.client_memory_bytes * SMALL_REQUEST_SHARE
+        by_memory = memory / (CONNECTION_BYTES + REQUEST_BYTES)
+        return int(min(by_memory, self.connection_limits().callers) * POOL_SHARE)
+
     @property
     def client_memory_bytes(self) -> int:
         """Most bytes that are held for clients."""
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -41,11 +41,12 @@
 from .budgets import RetryBudgets
 from .completeness import CompletenessChecks
 from .connections import ConnectionCache
-from .continuation import Continuations
+from .continuation import Continuations, Target
 from .crash_guard import CrashGuard
 from .delivery import Delivery
 from .first_token import record_first_token
 from .identity import IdentityCheck
+from .in_flight import InFlightLimit
 from .isolation_monitor import IsolationMonitor
 from .job import Job
 from .limit_gate import LimitGate
@@ -131,6 +132,7 @@
         self.crash_guard = CrashGuard(quarantine, pools, self.liveness, clock)
         self.limit_gate = LimitGate(pools, clock, self._choose)
         self.admissions = Admissions(pools, clock)
+        self.in_flight = InFlightLimit()
         self.reviews = Reviews()
         self.isolation.on_isolated = self.reviews.review_now
         self.relay_candidates: Callable[[], list[RelayCandidate]] = list
@@ -163,9 +165,16 @@
         try:
             resolution = self.table.resolve(request)
             target = await self.continuations.find_target(request, resolution)
+            slot = self.in_flight.take(target.resolution.pool.id)
         except Refusal as refusal:
             await self._refuse(request.id, None, answer, refusal)
             return
+        with slot:
+            await self._forward_to(request, answer, target)
+
+    async def _forward_to(
+        self, request: RoutedRequest, answer: ResponseWriter, target: Target
+    ) -> None:
         resolution, route = target.resolution, target.resolution.route
         self.budgets.earn(resolution.pool.id)
         timeout_s = route.timeout_s
--- a/packages/buckthornwall/src/buckthornwall/http1/client.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/client.py
@@ -12,6 +12,7 @@
 from buckthornwall.utils import split_address
 
 from .failures import ExchangeError, ExchangeFailure
+from .pieces import encode_pieces, send_pieces
 
 __all__ = [
     "BodyFraming",
@@ -167,23 +168,22 @@
         try:
             self._request = h11.Request(method=method, target=target, headers=headers)
             self._body = body
-            view = memoryview(self._write_request())
+            pieces = self._write_request()
         except h11.LocalProtocolError as error:
             detail = f"request {error}"
             raise ExchangeError(
                 ExchangeFailure.MALFORMED, detail, sent=False
             ) from error
         try:
-            while view:
-                view = view[await self.sock.send(view) :]
+            await send_pieces(self.sock, pieces)
         except (OSError, trio.ClosedResourceError) as error:
             raise ExchangeError(ExchangeFailure.RESET, str(error)) from error
 
-    def _write_request(self) -> bytes:
-        data = self.parser.send(self._request)
+    def _write_request(self) -> list[bytes]:
+        events = [self._request, h11.EndOfMessage()]
         if self._body:
-            data += self.parser.send(h11.Data(data=self._body))
-        return data + self.parser.send(h11.EndOfMessage())
+            events.insert(1, h11.Data(data=self._body))
+        return encode_pieces(self.parser, events)
 
     async def receive_head(self) -> ResponseHead:
         """Return the head of the final response, skipping informational ones.
--- a/packages/buckthornwall/src/buckthornwall/http1/connection.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/connection.py
@@ -11,6 +11,7 @@
 
 from buckthornwall.capacity import (
     CONNECTION_BYTES,
+    REQUEST_BYTES,
     MemoryFull,
     growing_bytes,
     head_bytes,
@@ -19,6 +20,7 @@
 from buckthornwall.telemetry import log_event
 
 from .messages import IncomingRequest, ServerLimits
+from .pieces import send_pieces
 from .refusals import RequestRefused
 from .request_body import RequestBody
 from .request_head import announced_length, parse_head, take_head
@@ -34,7 +36,7 @@
 BODY_RECEIVE_BYTES = 65_536
 # Parsing takes far longer where each chunk has a few bytes only.
 CHUNKED_RECEIVE_BYTES = 16_384
-# Bytes that a client may send ahead of its response; no more are read before it ends.
+# Bytes that are read of what a client sends ahead of its response.
 MAX_PIPELINED_BYTES = 65_536
 # After a refusal the rest of the body is still read for this long: closing with
 # unread bytes resets the connection, and the client would lose the refusal.
@@ -66,7 +68,10 @@
         self.sock = sock
         self.unparsed = bytearray()
         self.body: RequestBody | None = None
+        # What a complete head and request take beside the bytes that are not parsed.
         self.head_cost = 0
+        self.request_cost = 0
+        self.write_cost = 0
         self.disconnected = False
         self.state = ConnectionState.IDLE
         self.scope = trio.CancelScope()
@@ -74,17 +79,35 @@
         self.is_write_partial = False
         self.holding = server.memory.hold()
 
-    async def write(self, data: bytes) -> None:
-        """Send all of `data`; raise ResponseAborted if the client has disconnected."""
-        view = memoryview(data)
+    async def write(self, pieces: list[bytes]) -> None:
+        """Send all bytes of `pieces`.
+
+        Raises
+        ------
+        ResponseAborted
+            If the client has disconnected, or takes nothing for as long as a
+            connection may be idle.
+        """
         self.is_write_partial = True
         try:
-            while view:
-                view = view[await self.sock.send(view) :]
-        except OSError as error:
+            await send_pieces(self.sock, pieces, self.server.limits().idle_timeout_s)
+        except (OSError, trio.TooSlowError) as error:
             raise ResponseAborted(str(error)) from error
         self.is_write_partial = False
 
+    async def write_stream(self, pieces: list[bytes]) -> None:
+        """Send a part of a response, which is charged until its client has taken it.
+
+        It is there already, so that it finds room whatever else is held.
+        """
+        self.write_cost = sum(map(len, pieces))
+        self.holding.charge(self._held_bytes())
+        try:
+            await self.write(pieces)
+        finally:
+            self.write_cost = 0
+            self.holding.charge(self._held_bytes())
+
     async def run(self) -> None:
         """Serve until the client, a limit or a graceful shutdown closes it."""
         try:
@@ -124,6 +147,8 @@
         else:
             response = ResponseWriter(self, parser)
             disconnected = await self._handle(request, response)
+            self.head_cost = self.request_cost = 0
+            self.holding.charge(self._held_bytes())
             if disconnected or not response.ended:
                 return False
             return parser.our_state is h11.DONE and not self.server.closing
@@ -152,7 +177,7 @@
         if self.body is not None:
             self.body.clear()
         self.body = None
-        self.head_cost = 0
+        self.head_cost = self.request_cost = 0
         self.unparsed.clear()
         self.holding.charge(CONNECTION_BYTES)
 
@@ -164,9 +189,12 @@
         MemoryFull
             If there is no room for it.
         """
+        self.holding.resize(self._held_bytes() + more)
+
+    def _held_bytes(self) -> int:
         body = growing_bytes(len(self.body.data)) if self.body is not None else 0
-        held = CONNECTION_BYTES + len(self.unparsed) + self.head_cost + body
-        self.holding.resize(held + more)
+        request = self.head_cost + self.request_cost + body
+        return CONNECTION_BYTES + len(self.unparsed) + request + self.write_cost
 
     async def _handle(self, request: IncomingRequest, response: ResponseWriter) -> bool:
         """Run the handler; return whether the client disconnected.
@@ -195,6 +223,8 @@
                 self.disconnected = True
                 scope.cancel()
                 return
+            except MemoryFull:
+                return  # nothing more is read before the response ends
 
     async def _await_first_bytes(self) -> None:
         """Wait for the first bytes of a request, at most for the idle time-out."""
@@ -246,11 +276,14 @@
             announced_length(request), limits.max_body_bytes, limits.max_head_bytes
         )
         if parser.they_are_waiting_for_100_continue:
-            await self.write(
-                parser.send(h11.InformationalResponse(status_code=100, headers=[]))
-            )
+            accepted = h11.InformationalResponse(status_code=100, headers=[])
+            await self.write([parser.send(accepted)])
         await self._read_body(body, limits)
+        if self.server.is_busy():
+            raise RequestRefused.for_memory("in flight")
         self.body = None
+        self.request_cost = REQUEST_BYTES + len(body.data)
+        self._charge()
         return IncomingRequest(
             request.method,
             request.target,
@@ -300,7 +333,7 @@
         if refused.retry_after_s is not None:
             head += b"Retry-After: %.2f\r\n" % refused.retry_after_s
         head += b"Content-Length: %d\r\nConnection: close\r\n\r\n"
-        await self.write(head % (refused.status, len(body)) + body)
+        await self.write([head % (refused.status, len(body)) + body])
         self.sock.shutdown(socket.SHUT_WR)
         with trio.move_on_after(LINGER_S):
             await self._drain()
--- a/packages/buckthornwall/src/buckthornwall/http1/response.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/response.py
@@ -9,6 +9,8 @@
 from buckthornwall.codes import Refusal
 from buckthornwall.utils import SoftwareVersion
 
+from .pieces import encode_pieces
+
 if TYPE_CHECKING:
     from .connection import ServerConnection
 
@@ -55,11 +57,8 @@
         """Send a complete response in one write."""
         self.started = True
         sized = [*headers, (b"Content-Length", b"%d" % len(body))]
-        data = self._head(status, sized)
-        if body:
-            data += self.parser.send(h11.Data(data=body))
-        data += self.parser.send(h11.EndOfMessage())
-        await self.connection.write(data)
+        events = [self._head(status, sized), *_data(body), h11.EndOfMessage()]
+        await self.connection.write(encode_pieces(self.parser, events))
         self.ended = True
 
     async def begin(
@@ -67,12 +66,10 @@
     ) -> None:
         """Send the head of a response of unknown length, and its first bytes."""
         self.started = True
-        out = self._head(status, headers)
-        if data:
-            out += self.parser.send(h11.Data(data=data))
+        pieces = encode_pieces(self.parser, [self._head(status, headers), *_data(data)])
         if not self.is_chunked:
             self.connection.set_reset_on_close(True)
-        await self.connection.write(out)
+        await self.connection.write_stream(pieces)
 
     def add_version(self, version: SoftwareVersion) -> None:
         """Name the software version that sends the response, before it begins."""
@@ -80,13 +77,13 @@
 
     async def send(self, data: bytes) -> None:
         """Send more bytes of a response that was begun."""
-        await self.connection.write(self.parser.send(h11.Data(data=data)))
+        pieces = encode_pieces(self.parser, [h11.Data(data=data)])
+        await self.connection.write_stream(pieces)
 
     async def end(self, data: bytes = b"") -> None:
         """Send the last bytes and the end of the message."""
-        out = self.parser.send(h11.Data(data=data)) if data else b""
-        out += self.parser.send(h11.EndOfMessage())
-        await self.connection.write(out)
+        pieces = encode_pieces(self.parser, [*_data(data), h11.EndOfMessage()])
+        await self.connection.write_stream(pieces)
         if not self.is_chunked:
             self.connection.set_reset_on_close(False)
         self.ended = True
@@ -113,7 +110,7 @@
         if trailers and self.is_chunked and not self.connection.is_write_partial:
             data = self.parser.send(h11.EndOfMessage(headers=trailers))
             with trio.move_on_after(ABORT_TIMEOUT_S):
-                await self.connection.write(data)
+                await self.connection.write([data])
         raise ResponseAborted(refusal.detail)
 
     @property
@@ -124,8 +121,13 @@
         """
         return self.parser.their_http_version != b"1.0"
 
-    def _head(self, status: int, headers: list[tuple[bytes, bytes]]) -> bytes:
+    def _head(self, status: int, headers: list[tuple[bytes, bytes]]) -> h11.Response:
         headers = [*headers, *self.extra_headers]
         if self.connection.server.closing:
             headers = [*headers, (b"Connection", b"close")]
-        return self.parser.send(h11.Response(status_code=status, headers=headers))
+        return h11.Response(status_code=status, headers=headers)
+
+
+def _data(data: bytes) -> list[h11.Data]:
+    """Return the event of some data, none if it is empty."""
+    return [h11.Data(data=data)] if data else []
--- a/packages/buckthornwall/src/buckthornwall/http1/server.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/server.py
@@ -17,6 +17,9 @@
 __all__ = ["Handler", "HttpServer"]
 
 BACKLOG = 1024
+# Of the connections, those that may have a request in flight. The others are told that
+# theirs is refused.
+MAX_ACTIVE_SHARE = 0.75
 
 Handler = Callable[[IncomingRequest, ResponseWriter], Awaitable[None]]
 
@@ -96,6 +99,10 @@
                 task_status=task_status,
             )
 
+    def is_busy(self) -> bool:
+        """Return whether requests in flight leave no connections for others."""
+        return self.active >= self.max_connections * MAX_ACTIVE_SHARE
+
     def close_idle(self) -> None:
         """Close the connections on which no request is being read."""
         for connection in self.connections:
--- a/packages/buckthornwall/src/buckthornwall/http1/tests/test_server.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/tests/test_server.py
@@ -215,3 +215,26 @@
     release.set()
     assert (await busy.read_until(b"ok")).endswith(b"ok")
     assert (server.evicted, server.refused) == (0, 1)
+
+
+async def test_requests_in_flight_leave_connections_for_others(serve):
+    """A request beyond them is told that it has not run."""
+    release = trio.Event()
+
+    async def wait(request, response):
+        await release.wait()
+        await echo(request, response)
+
+    server, connect = await serve(wait)
+    server.max_connections = 4
+    clients = [await connect() for _ in range(4)]
+    for client in clients[:3]:
+        await client.send(HEAD + b"Content-Length: 2\r\n\r\nok")
+    await trio.testing.wait_all_tasks_blocked()
+    await clients[3].send(HEAD + b"Content-Length: 2\r\n\r\nok")
+    data = (await clients[3].read_all()).lower()
+    assert data.startswith(b"http/1.1 503")
+    assert b"retry-after: " in data
+    release.set()
+    for client in clients[:3]:
+        assert (await client.read_until(b"ok")).endswith(b"ok")
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -114,6 +114,7 @@
             self.quarantine,
             self.origins,
         )
+        self.forwarder.in_flight.most_per_pool = settings.capacity.requests_per_pool
         self.store = StoreClient(settings.store)
         self.discovery = DiscoveryAgent(
             settings.discovery,
--- a/packages/buckthornwall/src/buckthornwall/router/operators.py
+++ b/packages/buckthornwall/src/buckthornwall/router/operators.py
@@ -126,6 +126,10 @@
             "New connections of clients for which there was no room.",
             router.callers.refused,
         ),
+        "pool_limit_refusals": (
+            "Requests refused as too many were in flight to one pool.",
+            router.forwarder.in_flight.refused,
+        ),
         "active": ("Requests being answered.", router.callers.active),
         "word_age_seconds": (
             "Age of the speaker's digest that this instance goes by; 0 if it speaks.",
