Bytes ahead of a response: fewer are read, the system holds fewer unread

What callers saw: 500 clients that go on sending while their requests wait took 102 MiB with what the kernel held unread, which counts on the users' machines, where a machine has 88.

Cause: 64 KiB and one receive were read ahead, and the kernel's buffer grew beyond that, without a count of either.

Evidence: test_bytes_sent_ahead_of_a_response_took_the_memory, red before, passes.

The change: 16 KiB are read ahead, and a socket's buffer is limited to 64 KiB, which is charged once it may fill. Without room what is ahead is dropped while the client is still watched, and its connection closes after the response: none of that was read as a request. Sockets to upstreams have the same limit, so that a stream that is read slowly does not fill them.

--- a/packages/buckthornwall/src/buckthornwall/http1/__init__.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/__init__.py
@@ -8,6 +8,7 @@
 `request_body` bodies of requests, decoded as their bytes arrive
 `response`     the response to one request, written complete or in pieces
 `pieces`       messages as pieces that are sent in turn
+`socket_buffers` what the system may hold unread
 `messages`     what a server reads, and its limits
 `shared`       what the listeners of one process share
 `refusals`     requests that are refused before they are complete
--- a/packages/buckthornwall/src/buckthornwall/http1/client.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/client.py
@@ -13,6 +13,7 @@
 
 from .failures import ExchangeError, ExchangeFailure
 from .pieces import encode_pieces, send_pieces
+from .socket_buffers import limit_receive_buffer
 
 __all__ = [
     "BodyFraming",
@@ -74,6 +75,7 @@
 
 
 def _set_options(sock: trio.socket.SocketType) -> None:
+    limit_receive_buffer(sock)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
--- a/packages/buckthornwall/src/buckthornwall/http1/connection.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/connection.py
@@ -25,6 +25,7 @@
 from .request_body import RequestBody
 from .request_head import announced_length, parse_head, take_head
 from .response import ResponseAborted, ResponseWriter
+from .socket_buffers import RECEIVE_BUFFER_BYTES
 
 if TYPE_CHECKING:
     from .server import HttpServer
@@ -37,7 +38,7 @@
 # Parsing takes far longer where each chunk has a few bytes only.
 CHUNKED_RECEIVE_BYTES = 16_384
 # Bytes that are read of what a client sends ahead of its response.
-MAX_PIPELINED_BYTES = 65_536
+MAX_PIPELINED_BYTES = 16_384
 # After a refusal the rest of the body is still read for this long: closing with
 # unread bytes resets the connection, and the client would lose the refusal.
 LINGER_S = 0.5
@@ -72,6 +73,8 @@
         self.head_cost = 0
         self.request_cost = 0
         self.write_cost = 0
+        self.unread_cost = 0
+        self.is_overrun = False
         self.disconnected = False
         self.state = ConnectionState.IDLE
         self.scope = trio.CancelScope()
@@ -147,9 +150,9 @@
         else:
             response = ResponseWriter(self, parser)
             disconnected = await self._handle(request, response)
-            self.head_cost = self.request_cost = 0
+            self.head_cost = self.request_cost = self.unread_cost = 0
             self.holding.charge(self._held_bytes())
-            if disconnected or not response.ended:
+            if disconnected or self.is_overrun or not response.ended:
                 return False
             return parser.our_state is h11.DONE and not self.server.closing
         self._drop_request()
@@ -194,7 +197,8 @@
     def _held_bytes(self) -> int:
         body = growing_bytes(len(self.body.data)) if self.body is not None else 0
         request = self.head_cost + self.request_cost + body
-        return CONNECTION_BYTES + len(self.unparsed) + request + self.write_cost
+        ahead = len(self.unparsed) + self.unread_cost
+        return CONNECTION_BYTES + ahead + request + self.write_cost
 
     async def _handle(self, request: IncomingRequest, response: ResponseWriter) -> bool:
         """Run the handler; return whether the client disconnected.
@@ -216,15 +220,33 @@
         return self.disconnected
 
     async def _watch_for_disconnect(self, scope: trio.CancelScope) -> None:
-        while len(self.unparsed) < MAX_PIPELINED_BYTES:
-            try:
+        """Read what the client sends ahead of its response, until it disconnects.
+
+        Beyond a limit it stays unread. Where there is no room for that, it is dropped,
+        and the connection closes after the response.
+        """
+        try:
+            while len(self.unparsed) < MAX_PIPELINED_BYTES:
                 await self._receive(FIRST_RECEIVE_BYTES)
-            except (ConnectionEnded, OSError):
-                self.disconnected = True
-                scope.cancel()
-                return
-            except MemoryFull:
-                return  # nothing more is read before the response ends
+            self.unread_cost = RECEIVE_BUFFER_BYTES
+            self._charge()
+            return
+        except MemoryFull:
+            self.is_overrun = True
+        except (ConnectionEnded, OSError):
+            self._record_disconnect(scope)
+            return
+        self.unread_cost = 0
+        self.unparsed.clear()
+        self.holding.charge(self._held_bytes())
+        try:
+            await self._drain()
+        except (ConnectionEnded, OSError):
+            self._record_disconnect(scope)
+
+    def _record_disconnect(self, scope: trio.CancelScope) -> None:
+        self.disconnected = True
+        scope.cancel()
 
     async def _await_first_bytes(self) -> None:
         """Wait for the first bytes of a request, at most for the idle time-out."""
--- a/packages/buckthornwall/src/buckthornwall/http1/server.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/server.py
@@ -13,6 +13,7 @@
 from .messages import IncomingRequest, ServerLimits
 from .response import ResponseWriter
 from .shared import SharedResources
+from .socket_buffers import limit_receive_buffer
 
 __all__ = ["Handler", "HttpServer"]
 
@@ -89,6 +90,7 @@
         if bound_socket is None:
             sock = await _listening_socket(address)
         else:
+            limit_receive_buffer(bound_socket)
             sock = trio.socket.from_stdlib_socket(bound_socket)
         listener = trio.SocketListener(sock)
         async with trio.open_nursery() as nursery:
@@ -154,6 +156,7 @@
     host, _, port = address.rpartition(":")
     sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    limit_receive_buffer(sock)
     await sock.bind((host, int(port)))
     sock.listen(BACKLOG)
     return sock
