Replies: charged to the account, held once, also those kept for a failure

What callers saw: 100 replies of 3 MiB that nobody reads took 91 MiB where a machine has 88.

Cause: the limit on large replies counted their bodies once, while these were held twice and joined with their heads. A reply that reports a failure was not counted any more once it was kept as the possible response. The message to a peer copies the body of the request, and so does the peer.

The change: replies are charged to the account until they are delivered or another one takes their place; unfinished requests give way to them. The copy in a message to a peer is charged, the peer drops the message once it is decoded.

--- a/packages/buckthornwall/src/buckthornwall/capacity/memory_budget.py
+++ b/packages/buckthornwall/src/buckthornwall/capacity/memory_budget.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from typing import Self
 
 from buckthornwall.telemetry import log_event
 from buckthornwall.utils import Clock
@@ -45,6 +46,14 @@
         self.progressed_at = 0.0
         self.on_evicted: Callable[[], None] = _ignore
 
+    def __enter__(self) -> Self:
+        """Return the holding."""
+        return self
+
+    def __exit__(self, *raised: object) -> None:
+        """Release what is held."""
+        self.close()
+
     def resize(self, size: int) -> None:
         """Charge `size` bytes in place of what is charged now.
 
--- a/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/attempt.py
@@ -64,7 +64,7 @@
     """The end of an attempt, with `reply` and `body` if a complete reply arrived.
 
     `failure` is how the exchange failed, if it did, and `began` whether the upstream
-    sent an event of a stream.
+    sent an event of a stream. `held` is the memory of the body of a reply that failed.
     """
 
     end: AttemptEnd
@@ -73,6 +73,7 @@
     body: bytes = b""
     failure: ExchangeFailure | None = None
     began: bool = False
+    held: HeldReply | None = None
 
     @property
     def is_misdirected(self) -> bool:
@@ -255,8 +256,17 @@
             is_reusable = await _skip_rest(connection)
             result = AttemptResult(AttemptEnd.NOT_RUN, str(reply.status), reply)
             return reply if is_reusable else None, result
-        with self.reply_memory.hold() as held:
-            return await self._pass_on(connection, reply, held)
+        held = self.reply_memory.hold()
+        try:
+            reusable, result = await self._pass_on(connection, reply, held)
+        except BaseException:
+            held.close()
+            raise
+        if result.end is AttemptEnd.FAILED:
+            result.held = held  # its body may become the response
+        else:
+            held.close()
+        return reusable, result
 
     async def _pass_on(
         self, connection: ClientConnection, reply: Reply, held: HeldReply
@@ -274,12 +284,14 @@
         )
         if 200 <= reply.status < 300 and not reply.is_attested_success:
             return None, AttemptResult(AttemptEnd.BROKEN, "success not attested")
+        content = bytes(body)
+        body.clear()
         if reply.status >= 500:
             detail = f"status {reply.status}"
-            return reply, AttemptResult(AttemptEnd.FAILED, detail, reply, bytes(body))
+            return reply, AttemptResult(AttemptEnd.FAILED, detail, reply, content)
         if self.delivery.started:
             return None, AttemptResult(AttemptEnd.BROKEN, f"resumed {reply.status}")
-        await self.delivery.send_complete(reply, bytes(body))
+        await self.delivery.send_complete(reply, content)
         return reply, AttemptResult(AttemptEnd.DONE)
 
     async def _relay_events(
--- a/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/forwarder.py
@@ -1,11 +1,13 @@
 """The attempts of a request until it is answered or refused."""
 
 import json
+import math
 from collections.abc import Callable
 from functools import partial
 
 import trio
 
+from buckthornwall.capacity import MemoryBudget
 from buckthornwall.codes import Executed, Refusal, ResultCode
 from buckthornwall.http1 import ExchangeFailure, ResponseAborted, ResponseWriter
 from buckthornwall.peers.relay_candidates import RelayCandidate
@@ -95,6 +97,8 @@
         Records of requests that crash upstreams.
     origins
         Records of what began streams.
+    memory
+        The account of what is held for clients; without limit by default.
     """
 
     def __init__(
@@ -108,6 +112,7 @@
         metrics: RouterMetrics,
         quarantine: QuarantineTable,
         origins: StreamOriginTable | None = None,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.metrics = metrics
         self.telemetry = RequestTelemetry(metrics, clock)
@@ -128,7 +133,7 @@
         self.isolation_monitor.is_known_ended = self.liveness.is_known_ended
         identity = IdentityCheck(codec, lambda pool: table.pools[pool].health_path)
         self.completeness = CompletenessChecks(self.liveness, identity)
-        self.reply_memory = ReplyMemory()
+        self.reply_memory = ReplyMemory(memory or MemoryBudget(math.inf, clock))
         self.crash_guard = CrashGuard(quarantine, pools, self.liveness, clock)
         self.limit_gate = LimitGate(pools, clock, self._choose)
         self.admissions = Admissions(pools, clock)
@@ -204,6 +209,7 @@
             )
             raise
         finally:
+            job.record_failed(None)
             self.admissions.record_unserved(job)
 
     def forget_upstream(self, upstream: UpstreamId) -> None:
@@ -358,7 +364,7 @@
     def _may_try_another(self, job: Job, result: AttemptResult) -> bool:
         """Return whether another upstream may be tried after this result."""
         if result.end is AttemptEnd.FAILED:
-            job.last_failed = result
+            job.record_failed(result)
         if job.deadline - self.clock.now() < MIN_REMAINING_S:
             return False
         if result.end in UNSENT_ENDS:
--- a/packages/buckthornwall/src/buckthornwall/forwarding/job.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/job.py
@@ -62,6 +62,12 @@
     is_settled: bool = False
     origin: StreamOrigin | None = None
 
+    def record_failed(self, result: AttemptResult | None) -> None:
+        """Keep the last reply that reports a failure, and drop the one before."""
+        if self.last_failed is not None and self.last_failed.held is not None:
+            self.last_failed.held.close()
+        self.last_failed = result
+
     @property
     def run(self) -> Executed:
         """Whether any attempt may have run."""
--- a/packages/buckthornwall/src/buckthornwall/forwarding/relaying.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/relaying.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
+from buckthornwall.capacity import MemoryFull
 from buckthornwall.codes import Executed, Refusal, ResultCode
 from buckthornwall.engine_model import EngineModel
 from buckthornwall.peers.relay_candidates import RelayCandidate
@@ -115,13 +116,22 @@
         """
         peer = self._next_peer(job)
         job.peers.append(peer.address)
+        with self.reply_memory.budget.hold() as held:
+            try:
+                held.resize(len(job.request.body))  # the message has a copy
+            except MemoryFull:
+                return AttemptResult(AttemptEnd.NOT_SENT, "memory")
+            return await self._attempt_at(job, peer)
+
+    async def _attempt_at(self, job: Job, peer: RelayCandidate) -> AttemptResult:
         attempt = self._make_attempt(job, peer)
         job.last_choice, job.prediction = attempt.choice, None
         self._log_sent(job, peer, attempt.remaining_s)
         # The peer may run it until it says otherwise.
         job.runs += 1
         sent_at = self.clock.now()
-        result = await attempt.run()
+        received = await attempt.run()
+        result = received
         if result.end in (AttemptEnd.NOT_SENT, AttemptEnd.NOT_RUN):
             job.runs -= 1
         elif result.reply is not None:
@@ -138,7 +148,9 @@
                 refusal.code, refusal.detail, job.run, refusal.retry_after_s
             )
         elif result.end is AttemptEnd.FAILED:
-            job.last_failed = result
+            job.record_failed(result)
+        if received.held is not None and job.last_failed is not result:
+            received.held.close()
         job.is_settled = refusal is not None or result.end is AttemptEnd.FAILED
         self.metrics.relays.inc({"end": result.end.value})
         return result
--- a/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_endless.py
+++ b/packages/buckthornwall/src/buckthornwall/forwarding/tests/test_endless.py
@@ -1,10 +1,12 @@
 """Replies of upstreams in trouble whose bytes do not end."""
 
+import math
 from contextlib import ExitStack
 
 import pytest
 import trio
 
+from buckthornwall.capacity import MemoryBudget
 from buckthornwall.forwarding.reply_memory import (
     FREE_BYTES,
     MAX_BODY_BYTES,
@@ -105,9 +107,9 @@
     await server.wait_closed()
 
 
-def test_large_replies_took_the_memory_of_the_instance_together():
+def test_large_replies_took_the_memory_of_the_instance_together(clock):
     """Small ones are received all the same."""
-    memory = ReplyMemory()
+    memory = ReplyMemory(MemoryBudget(math.inf, clock))
     with ExitStack() as stack:
         held = [stack.enter_context(memory.hold()) for _ in range(40)]
         refused = 0
@@ -121,3 +123,20 @@
         with memory.hold() as small:
             small.grow(FREE_BYTES)
     assert memory.shared_bytes == 0
+
+
+def test_replies_find_no_room_beside_requests_that_are_held(clock):
+    """Unfinished requests give way; small replies are received all the same."""
+    budget = MemoryBudget(8 * MAX_BODY_BYTES, clock)
+    memory = ReplyMemory(budget)
+    unfinished = budget.hold()
+    unfinished.resize(MAX_BODY_BYTES)
+    unfinished.begin_unfinished(lambda: unfinished.charge(0))
+    budget.hold().charge(7 * MAX_BODY_BYTES)
+    with memory.hold() as large, memory.hold() as small:
+        large.grow(MAX_BODY_BYTES // 2)
+        assert unfinished.size == 0
+        with pytest.raises(ExchangeError):
+            large.grow(MAX_BODY_BYTES)
+        small.grow(FREE_BYTES)
+    assert budget.used_bytes == 7 * MAX_BODY_BYTES
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -103,6 +103,8 @@
         self.quarantine = QuarantineTable(settings.quarantine)
         self.quarantine.parts.is_selected = self._is_selected
         self.origins = StreamOriginTable()
+        self.memory = MemoryBudget(settings.capacity.client_memory_bytes, clock)
+        self.freed_memory = FreedMemory(self.memory, release_freed_memory)
         self.forwarder = Forwarder(
             settings.forwarding,
             self.zone,
@@ -113,6 +115,7 @@
             self.metrics,
             self.quarantine,
             self.origins,
+            self.memory,
         )
         self.forwarder.in_flight.most_per_pool = settings.capacity.requests_per_pool
         self.store = StoreClient(settings.store)
@@ -151,8 +154,6 @@
         self.encode_view = ViewEncoder(clock)
         self.state_sync.has_seeds = lambda: has_other_seeds(settings.peers)
         self.staleness_monitor = StalenessMonitor(self.peers, self.table)
-        self.memory = MemoryBudget(settings.capacity.client_memory_bytes, clock)
-        self.freed_memory = FreedMemory(self.memory, release_freed_memory)
         shared = SharedResources(self.memory)
         most = settings.capacity.connection_limits()
         self.callers = HttpServer(
--- a/packages/buckthornwall/src/buckthornwall/router/relay_handler.py
+++ b/packages/buckthornwall/src/buckthornwall/router/relay_handler.py
@@ -36,6 +36,7 @@
         refusal = Refusal(error.code, error.detail)
         await router.forwarder.refuse_unreadable(answer, refusal)
         return None
+    incoming.body = b""  # the message has a copy
     reason = decline_reason(
         message.number,
         router.table.number,
