Completions interface: bodies are charged to an account, and give way

What callers saw: 100 bodies of 1 MB that stop short took 149 MiB (chunks of 64 KiB), 153 (announced) and 160 (512 bytes) where a machine has 88.

Cause: the same as of the other interface: each body has a limit and a timeout, and nothing bounds their sum.

Evidence: the three cases of test_gateway_crowds.py, red before, pass.

The change: an exchange charges its body as it arrives, with what the server and its parser hold, and what its decoded form takes until it ends. Without room an incomplete body is refused with code 2016, by the same rule; the status shows the account. Its server, hypercorn, still bounds no connections: docs/design/client-limits.md names that as open.

--- a/packages/buckthornwall/src/buckthornwall/gateway/app.py
+++ b/packages/buckthornwall/src/buckthornwall/gateway/app.py
@@ -5,6 +5,7 @@
 import trio
 
 from buckthornwall.admission import Admission
+from buckthornwall.capacity import MemoryBudget
 from buckthornwall.codes import Executed, Refusal, ResultCode
 from buckthornwall.telemetry import Metrics, log_event
 from buckthornwall.utils import ConfigItem, ConfigNamespace
@@ -58,6 +59,8 @@
         Handlers of the requests.
     metrics
         Metrics of this instance.
+    memory
+        The account of what is held for clients.
     """
 
     def __init__(
@@ -67,12 +70,14 @@
         completions: CompletionHandler,
         services: ServiceHandler,
         metrics: Metrics,
+        memory: MemoryBudget,
     ) -> None:
         self.settings = settings
         self.admission = admission
         self.completions = completions
         self.services = services
         self.metrics = metrics
+        self.memory = memory
         self.in_flight = 0
         self.draining = False
         self.idle = trio.Event()
@@ -90,11 +95,12 @@
             return
         if scope["type"] != "http":
             return
-        exchange = Exchange(scope, receive, send)
-        exchange.close_after = self.draining
         self.in_flight += 1
         try:
-            await self._serve(exchange)
+            with self.memory.hold() as holding:
+                exchange = Exchange(scope, receive, send, holding)
+                exchange.close_after = self.draining
+                await self._serve(exchange)
         finally:
             self.in_flight -= 1
             if self.draining and not self.in_flight:
--- a/packages/buckthornwall/src/buckthornwall/gateway/http.py
+++ b/packages/buckthornwall/src/buckthornwall/gateway/http.py
@@ -6,12 +6,26 @@
 import msgspec
 import trio
 
+from buckthornwall.capacity import (
+    REQUEST_BYTES,
+    Holding,
+    MemoryBudget,
+    MemoryFull,
+    growing_bytes,
+)
 from buckthornwall.codes import Refusal, ResultCode
 from buckthornwall.telemetry import log_event
+from buckthornwall.utils import TrioClock
 
 __all__ = ["ClientDisconnected", "Exchange", "error_body"]
 
 JSON = "application/json"
+# A body beside its decoded form and what is sent to the upstream.
+PARSED_COPIES = 3
+# What the server and its parser hold of a body that is not complete.
+SERVER_BUFFER_BYTES = 128 * 2**10
+# Time in which requests that are in flight end, and stalled ones give way.
+MEMORY_RETRY_S = 0.5
 EVENT_STREAM = "text/event-stream"
 
 
@@ -32,6 +46,10 @@
     return {"error": error}
 
 
+def _no_room(detail: str) -> Refusal:
+    return Refusal(ResultCode.CLIENT_MEMORY_FULL, detail, retry_after_s=MEMORY_RETRY_S)
+
+
 class Exchange:
     """A request and its response.
 
@@ -39,9 +57,13 @@
     ----------
     scope, receive, send
         Arguments of an ASGI application.
+    holding
+        The account of what is held for the request, by default one without limit.
     """
 
-    def __init__(self, scope: dict, receive: Any, send: Any) -> None:
+    def __init__(
+        self, scope: dict, receive: Any, send: Any, holding: Holding | None = None
+    ) -> None:
         self.method: str = scope["method"]
         self.path: str = scope["path"]
         self.query: bytes = scope["query_string"]
@@ -51,6 +73,7 @@
         }
         self.receive = receive
         self.send = send
+        self.holding = holding or MemoryBudget(math.inf, TrioClock()).hold()
         self.started = False
         self.ended = False
         self.close_after = False
@@ -61,26 +84,57 @@
         Raises
         ------
         Refusal
-            If the body is too large or arrives too slowly.
+            If the body is too large, arrives too slowly, or finds no room.
         ClientDisconnected
             If the client closes the connection before the body is complete.
         """
         body = bytearray()
         try:
             with trio.fail_after(timeout_s):
-                while True:
-                    event = await self.receive()
-                    if event["type"] == "http.disconnect":
-                        raise ClientDisconnected
-                    body += event.get("body", b"")
-                    if len(body) > limit_bytes:
-                        self.close_after = True
-                        raise Refusal(ResultCode.BODY_TOO_LARGE, f"{limit_bytes} bytes")
-                    if not event.get("more_body", False):
-                        return bytes(body)
+                await self._receive_or_give_way(body, limit_bytes)
+            self.holding.resize(REQUEST_BYTES + PARSED_COPIES * len(body))
         except trio.TooSlowError:
             self.close_after = True
             raise Refusal(ResultCode.BODY_TOO_SLOW, f"{timeout_s} s") from None
+        except MemoryFull:
+            self.close_after = True
+            raise _no_room("refused") from None
+        return bytes(body)
+
+    async def _receive_or_give_way(self, body: bytearray, limit_bytes: int) -> None:
+        """Receive a body, which may be evicted until it is complete."""
+
+        def give_way() -> None:
+            body.clear()
+            self.holding.charge(REQUEST_BYTES)
+            scope.cancel()
+
+        with trio.CancelScope() as scope:
+            self.holding.begin_unfinished(give_way)
+            try:
+                await self._receive_body(body, limit_bytes)
+            finally:
+                self.holding.end_unfinished()
+        if scope.cancelled_caught:
+            self.close_after = True
+            raise _no_room("evicted")
+
+    async def _receive_body(self, body: bytearray, limit_bytes: int) -> None:
+        buffered = 0  # a body that arrives with its head is not buffered by the server
+        while True:
+            held = REQUEST_BYTES + buffered + growing_bytes(len(body))
+            self.holding.resize(held)
+            event = await self.receive()
+            buffered = SERVER_BUFFER_BYTES
+            if event["type"] == "http.disconnect":
+                raise ClientDisconnected
+            body += event.get("body", b"")
+            self.holding.record_progress()
+            if len(body) > limit_bytes:
+                self.close_after = True
+                raise Refusal(ResultCode.BODY_TOO_LARGE, f"{limit_bytes} bytes")
+            if not event.get("more_body", False):
+                return
 
     async def wait_for_disconnect(self) -> None:
         """Return once the client has closed the connection."""
--- a/packages/buckthornwall/src/buckthornwall/node/core.py
+++ b/packages/buckthornwall/src/buckthornwall/node/core.py
@@ -5,6 +5,7 @@
 import trio
 
 from buckthornwall.admission import Admission, TeamConcurrencyLimiter
+from buckthornwall.capacity import FreedMemory, MemoryBudget
 from buckthornwall.gateway import (
     CompletionHandler,
     GatewayApp,
@@ -53,6 +54,7 @@
     ZoneId,
     new_id,
 )
+from buckthornwall.utils.allocator import release_freed_memory
 
 from .announcer import Announcer
 from .connections import Connections
@@ -115,6 +117,8 @@
             self.incarnation, self.zone, self.members, self.store, self.hub, clock
         )
         self.metrics = Metrics()
+        self.memory = MemoryBudget(settings.capacity.client_memory_bytes, clock)
+        self.freed_memory = FreedMemory(self.memory, release_freed_memory)
         self.tracing = Tracing(settings.node.id, settings.telemetry.trace_ratio)
         self._make_upstreams()
         self._make_agents()
@@ -220,7 +224,12 @@
             self.members.is_unavailable,
         )
         self.app = GatewayApp(
-            settings.gateway, admission, completions, self.services, self.metrics
+            settings.gateway,
+            admission,
+            completions,
+            self.services,
+            self.metrics,
+            self.memory,
         )
         self.operator_app = OperatorApp(
             self.status,
@@ -363,6 +372,7 @@
     async def _send_heartbeats(self) -> None:
         while True:
             self.announcer.send_heartbeats()
+            self.freed_memory.review()
             await trio.sleep(self.settings.membership.heartbeat_s)
 
     # Listeners
--- a/packages/buckthornwall/src/buckthornwall/node/status.py
+++ b/packages/buckthornwall/src/buckthornwall/node/status.py
@@ -44,6 +44,13 @@
             "bytes_received": node.hub.bytes_received,
             "messages_sent": node.hub.messages_sent,
         },
+        "client_memory": {
+            "used_bytes": node.memory.used_bytes,
+            "peak_bytes": node.memory.peak_bytes,
+            "limit_bytes": node.memory.limit_bytes,
+            "evicted": node.memory.evicted,
+            "refused": node.memory.refused,
+        },
         "entry": {
             "held": len(node.entry.held),
             "waiting": len(node.entry.pending),
--- a/packages/buckthornwall/src/buckthornwall/settings/core.py
+++ b/packages/buckthornwall/src/buckthornwall/settings/core.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, fields
 
+from buckthornwall.capacity import CapacitySettings
 from buckthornwall.codes import ResultCode, SettingsError
 from buckthornwall.gateway import GatewaySettings, OperatorSettings
 from buckthornwall.idempotency import IdempotencySettings
@@ -36,6 +37,7 @@
     scheduling: SchedulingSettings
     idempotency: IdempotencySettings
     upstreams: UpstreamSettings
+    capacity: CapacitySettings
     telemetry: TelemetrySettings
 
     def _check_consistency(self, origin: str) -> None:
@@ -63,6 +65,10 @@
                 ResultCode.SETTING_INVALID,
                 f"{origin} [membership] suspect_after_s: must be >= two heartbeats",
             )
+        if fault := self.capacity.find_fault():
+            raise SettingsError(
+                ResultCode.SETTING_INVALID, f"{origin} [capacity] {fault}"
+            )
         self._check_tls(origin)
 
     def _check_tls(self, origin: str) -> None:
