Connections that give way: a request that completes meanwhile is not lost

What callers would see: a request on a kept connection that arrives in the moment in which idle connections are closed, by a planned stop or for a new connection, is read and gets no answer; or, of a request that gives way, the bytes that follow are taken for a request of their own; or the response to a client that sent too much ahead is lost to a reset.

A task that had been woken by new bytes reads them before it notices, also after what it had read was dropped. And a connection was closed with unread bytes after its response.

The change: only the present step is cancelled, so that a request that is complete goes on, and a connection that has given way reads no more. After a response that is the last, what the client still sends is read for a while, as after a refusal.

A crowd with heads of many lines is answered beside as before: a guard.

--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_client_crowds.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_client_crowds.py
@@ -279,6 +279,23 @@
     await expect_sound(run)
 
 
+async def test_heads_of_many_lines_stopped_the_event_loop(run):
+    await run.start()
+    kept = await run.connect()
+    assert await run.ask(kept) == 200
+    piece = run.head("/nowhere/", "a:\r\n" * 4000 + "Content-Length: 0")
+
+    async def send(stream):
+        for _ in range(4 * MIB // len(piece)):
+            await stream.send_all(piece)
+
+    async with run.crowd(400, send, settle=False):
+        for _ in range(2):
+            assert await run.ask(kept) == 200
+            assert await run.ask() == 200
+    await expect_sound(run)
+
+
 async def test_bodies_at_the_listener_for_peers_took_the_memory(run):
     await run.start()
     head = b"POST /relay HTTP/1.1\r\nHost: h\r\n" + CHUNKED.encode() + b"\r\n\r\n"
--- a/packages/buckthornwall/src/buckthornwall/http1/connection.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/connection.py
@@ -39,8 +39,8 @@
 CHUNKED_RECEIVE_BYTES = 16_384
 # Bytes that are read of what a client sends ahead of its response.
 MAX_PIPELINED_BYTES = 16_384
-# After a refusal the rest of the body is still read for this long: closing with
-# unread bytes resets the connection, and the client would lose the refusal.
+# What a client goes on sending after its last response is still read for this long:
+# closing with unread bytes resets the connection, and the response would be lost.
 LINGER_S = 0.5
 # SO_LINGER with a timeout of zero: closing the socket resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -77,8 +77,10 @@
         self.is_overrun = False
         self.disconnected = False
         self.state = ConnectionState.IDLE
+        # Of the step that may end before a request is complete, or after a refusal.
         self.scope = trio.CancelScope()
-        self.read_scope: trio.CancelScope | None = None
+        self.has_given_way = False
+        self.is_closing = False
         self.is_write_partial = False
         self.holding = server.memory.hold()
 
@@ -114,11 +116,10 @@
     async def run(self) -> None:
         """Serve until the client, a limit or a graceful shutdown closes it."""
         try:
-            with self.scope:
-                self.holding.record_progress()
-                self._charge()
-                while await self._serve_one():
-                    pass
+            self.holding.record_progress()
+            self._charge()
+            while await self._serve_one():
+                pass
         except (ConnectionEnded, ResponseAborted, OSError):
             pass  # an ordinary end of a connection; no client is left to answer
         except MemoryFull:
@@ -129,7 +130,8 @@
             self.holding.close()
 
     def close_soon(self) -> None:
-        """End the connection, on which no request is being answered."""
+        """End the connection, unless a request is complete by then."""
+        self.is_closing = True
         self.scope.cancel()
 
     def set_reset_on_close(self, is_reset: bool) -> None:
@@ -152,29 +154,34 @@
             disconnected = await self._handle(request, response)
             self.head_cost = self.request_cost = self.unread_cost = 0
             self.holding.charge(self._held_bytes())
-            if disconnected or self.is_overrun or not response.ended:
+            if disconnected or not response.ended:
+                return False
+            if self.is_overrun:
+                await self._linger()
                 return False
             return parser.our_state is h11.DONE and not self.server.closing
         self._drop_request()
-        self.state = ConnectionState.LINGERING
         await self._refuse(refusal)
         return False
 
     async def _read_or_give_way(self, parser: h11.Connection) -> IncomingRequest:
         """Read a request, which may be evicted until it is complete."""
         self.state = ConnectionState.READING
-        with trio.CancelScope() as self.read_scope:
+        with trio.CancelScope() as self.scope:
             self.holding.begin_unfinished(self._give_way)
             try:
                 return await self._read_request(parser)
             finally:
                 self.holding.end_unfinished()
+        if self.is_closing:
+            raise ConnectionEnded
         raise RequestRefused.for_memory("evicted")
 
     def _give_way(self) -> None:
         """Free what is held of a request that is not complete, and stop reading it."""
         self._drop_request()
-        self.read_scope.cancel()
+        self.has_given_way = True
+        self.scope.cancel()
 
     def _drop_request(self) -> None:
         if self.body is not None:
@@ -253,10 +260,11 @@
         if self.unparsed:
             return
         self.state = ConnectionState.IDLE
-        with trio.move_on_after(self.server.limits().idle_timeout_s) as scope:
+        with trio.move_on_after(self.server.limits().idle_timeout_s) as self.scope:
             await self._receive(FIRST_RECEIVE_BYTES)
-        if scope.cancelled_caught:
+        if self.scope.cancelled_caught:
             raise ConnectionEnded
+        self.is_closing = False
 
     async def _receive(self, max_bytes: int) -> None:
         """Wait for bytes, and add them to those that are not parsed yet."""
@@ -272,7 +280,11 @@
         ------
         MemoryFull
             If there is none.
+        RequestRefused
+            If the request has given way.
         """
+        if self.has_given_way:  # as this task was about to read more
+            raise RequestRefused.for_memory("evicted")
         self._charge(max_bytes)
         try:
             data = os.read(self.sock.fileno(), max_bytes)
@@ -356,8 +368,13 @@
             head += b"Retry-After: %.2f\r\n" % refused.retry_after_s
         head += b"Content-Length: %d\r\nConnection: close\r\n\r\n"
         await self.write([head % (refused.status, len(body)) + body])
+        await self._linger()
+
+    async def _linger(self) -> None:
+        """End the responses, and drop what the client still sends for a while."""
+        self.state = ConnectionState.LINGERING
         self.sock.shutdown(socket.SHUT_WR)
-        with trio.move_on_after(LINGER_S):
+        with trio.move_on_after(LINGER_S) as self.scope:
             await self._drain()
 
     async def _drain(self) -> None:
--- a/packages/buckthornwall/src/buckthornwall/http1/tests/test_sent_ahead.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/tests/test_sent_ahead.py
@@ -54,6 +54,8 @@
     client = await connect()
     with trio.fail_after(3):
         await client.send(REQUEST + b"x" * AHEAD_BYTES)
+        while not any(each.is_overrun for each in server.connections):
+            await trio.sleep(0.01)
         if disconnects:
             await client.stream.aclose()
             await handler.cancelled.wait()
@@ -62,4 +64,7 @@
         assert (await client.read_until(b"answered")).endswith(b"answered")
         # Nothing that follows is taken for a request.
         assert b"HTTP" not in await client.read_until(b"HTTP")
-        assert server.memory.used_bytes == 0
+        await client.stream.aclose()
+        while server.connections:
+            await trio.sleep(0.01)
+    assert server.memory.used_bytes == 0
--- a/packages/buckthornwall/src/buckthornwall/http1/tests/test_server.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/tests/test_server.py
@@ -8,6 +8,7 @@
 
 from buckthornwall.codes import Refusal, ResultCode
 from buckthornwall.http1 import ResponseAborted
+from buckthornwall.http1.connection import ConnectionState
 
 HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\n"
 
@@ -238,3 +239,57 @@
     release.set()
     for client in clients[:3]:
         assert (await client.read_until(b"ok")).endswith(b"ok")
+
+
+@pytest.mark.parametrize("closes", ["idle", "for_another"])
+async def test_request_that_was_read_as_its_connection_closed_was_lost(serve, closes):
+    """A connection that is no longer idle answers, whoever closes idle ones."""
+    read = []
+
+    async def answer(request, response):
+        read.append(request)
+        await echo(request, response)
+
+    server, connect = await serve(answer)
+    answered = 0
+    for _ in range(30):
+        client = await connect()
+        await trio.testing.wait_all_tasks_blocked()
+        client.stream.socket._sock.send(HEAD + b"Content-Length: 2\r\n\r\nok")
+        await trio.lowlevel.checkpoint()  # its task may have been woken
+        if closes == "idle":
+            server.close_idle()
+        else:
+            server.max_connections = len(server.connections)
+            other = await connect()
+            await trio.testing.wait_all_tasks_blocked()
+            await other.stream.aclose()
+        with contextlib.suppress(trio.BrokenResourceError):
+            answered += (await client.read_until(b"ok")).endswith(b"ok")
+        await client.stream.aclose()
+    assert len(read) == answered
+
+
+async def test_evicted_head_is_not_continued_by_later_bytes(serve):
+    """What follows bytes that were dropped is never taken for a request."""
+    read = []
+
+    async def answer(request, response):
+        read.append(request.target)
+        await echo(request, response)
+
+    server, connect = await serve(answer)
+    for _ in range(30):
+        client = await connect()
+        await client.send(b"POST /first HTTP/1.1\r\nHost: h\r\nX: ")
+        await trio.testing.wait_all_tasks_blocked()
+        client.stream.socket._sock.send(b"GET /inner HTTP/1.1\r\nHost: h\r\n\r\n\r\n")
+        await trio.lowlevel.checkpoint()
+        for connection in server.connections:
+            if connection.state is ConnectionState.READING:
+                connection.holding.on_evicted()
+        with contextlib.suppress(trio.BrokenResourceError):
+            await client.read_until(b"\r\n\r\n")
+        await client.stream.aclose()
+        await trio.testing.wait_all_tasks_blocked()
+    assert b"/inner" not in read
