--- a/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_router.py
+++ b/packages/buckthornwall-standins/src/buckthornwall_standins/tests/test_router.py
@@ -135,6 +135,17 @@
     assert b"x-buckthornwall-key" not in arrived
 
 
+@pytest.mark.parametrize(("max_body_bytes", "lines"), [(4 * 2**20, 0), (10**8, 1)])
+async def test_limit_on_bodies_beyond_the_memory_is_logged(
+    cluster, event_log, max_body_bytes, lines
+):
+    cluster.deployment.limits["max_body_bytes"] = max_body_bytes
+    await cluster.start(1)
+    cluster.deployment.register("e9", DRAFTS, f"127.0.7.9:{cluster.ports}")
+    await cluster.wait_until(lambda: "e9" in cluster.routers[1].pools.views)
+    assert sum("limits_exceed_memory" in line for line in event_log) == lines
+
+
 @pytest.mark.parametrize(
     ("path", "key", "status"),
     [("/nowhere/", API_KEY, 404), ("/order/x", "stolen", 401), ("/order/x", "", 401)],
--- a/packages/buckthornwall/src/buckthornwall/capacity/memory_budget.py
+++ b/packages/buckthornwall/src/buckthornwall/capacity/memory_budget.py
@@ -136,6 +136,11 @@
         self.evicted = 0
         self.refused = 0
 
+    @property
+    def largest_request_bytes(self) -> float:
+        """Most bytes that one request may hold beside nothing else."""
+        return self.limit_bytes * LARGE_REQUEST_SHARE
+
     def hold(self, is_reply: bool = False) -> Holding:
         """Return a holding without bytes; its owner closes it."""
         return Holding(self, is_reply)
--- a/packages/buckthornwall/src/buckthornwall/router/core.py
+++ b/packages/buckthornwall/src/buckthornwall/router/core.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from buckthornwall.capacity import FreedMemory, MemoryBudget
+from buckthornwall.capacity import FreedMemory, MemoryBudget, growing_bytes
 from buckthornwall.codes import Refusal
 from buckthornwall.discovery import DiscoveryAgent
 from buckthornwall.forwarding import RELAY_PATH, RELAY_STREAM_PATH, Forwarder
@@ -91,6 +91,7 @@
         self.early_listeners = EarlyListeners()
         self.first_config = trio.Event()
         self.is_listening = False
+        self.checked_body_bytes = 0
         self.built_at = clock.now()
         self.ready_at = float("-inf")
         self.stopping = trio.Event()
@@ -319,6 +320,7 @@
         self.metrics.store_call.add({"outcome": outcome}, seconds)
 
     def _update_adopted(self) -> None:
+        self._check_limits()
         self._update_limit_shares(self.fleet(), self.clock.now())
         if self.state is PeerState.JOINING and self.table.number:
             self.state = PeerState.READY
@@ -336,6 +338,21 @@
                 held=held,
             )
 
+    def _check_limits(self) -> None:
+        """Log if the published limits are beyond the memory of this machine."""
+        body_bytes = self.table.limits.max_body_bytes
+        available = self.memory.largest_request_bytes
+        if body_bytes == self.checked_body_bytes:
+            return
+        self.checked_body_bytes = body_bytes
+        if growing_bytes(body_bytes) > available:
+            log_event(
+                "limits_exceed_memory",
+                "WARNING",
+                max_body_bytes=body_bytes,
+                available_bytes=round(available),
+            )
+
     # Listeners
 
     def _caller_limits(self) -> ServerLimits:
