Relayed requests: a refusal by a full peer is no answer of an upstream

What callers would see: a request of an isolated instance is answered 503 as soon as one peer has no room, though another one has.

Cause, of the limits before: a peer that refuses a request before it is handled does not mark its response, and an unmarked 503 counted as the failure of an upstream.

Evidence: test_refusal_by_a_full_peer_was_taken_for_that_of_an_upstream fails before and passes now.

The change: an unmarked 503 means, as an unmarked 4xx, that the request was not handled, so that the next peer is asked.

--- a/packages/buckthornwall/src/buckthornwall/platform/relay_codec.py
+++ b/packages/buckthornwall/src/buckthornwall/platform/relay_codec.py
@@ -26,6 +26,7 @@
 # In all responses to requests from a peer, so that those of a build that knows no such
 # requests differ.
 RELAYED_HEADERS: Headers = [(names.RELAYED, b"1")]
+HTTP_UNAVAILABLE = 503
 MAX_DETAIL_BYTES = 80
 MAX_DIGITS = 6
 NOT_IN_HEADERS = re.compile(rb"[^!-~]")
@@ -85,11 +86,14 @@
         found = dict(head.headers)
         reply = self._platform.decode(head)
         refusal, runs = _refusal(found)
-        is_other_build = names.RELAYED not in found and 400 <= head.status < 500
+        # The peer is of another build, or refused the request before it was read.
+        is_unhandled = names.RELAYED not in found and (
+            400 <= head.status < 500 or head.status == HTTP_UNAVAILABLE
+        )
         is_refused_unrun = refusal is not None and refusal.run is Executed.NO
         return replace(
             reply,
-            not_run=is_other_build or is_refused_unrun,
+            not_run=is_unhandled or is_refused_unrun,
             misdirected=False,
             load=None,
             rate_limit=None,
--- a/packages/buckthornwall/src/buckthornwall/router/tests/test_relaying.py
+++ b/packages/buckthornwall/src/buckthornwall/router/tests/test_relaying.py
@@ -174,6 +174,16 @@
     assert answer.status == 200
 
 
+async def test_refusal_by_a_full_peer_was_taken_for_that_of_an_upstream(
+    relay, start, raw_upstream
+):
+    """It has not read the request, so that another peer is asked."""
+    full = await raw_upstream(b"HTTP/1.1 503 Any\r\nContent-Length: 0\r\n\r\n")
+    peer = await start([0.3, reply()], retryable=False)
+    answer = await relay(full, peer, retryable=False)
+    assert answer.status == 200
+
+
 async def test_refusal_by_a_peer_reaches_the_client(relay, start):
     peer = await start()
     answer = await relay(peer, await start([reply()]))
