Connections: refusals give way too, and reads ask for what is missing

A client that does not take its refusal now gives way like one that lingers; a connection that went on as it was closed is counted again; a body of known length asks for room for its missing bytes only, so that small requests keep their part of the account. Found by reading; the crowds and the tests of the server pass as before.

--- a/packages/buckthornwall/src/buckthornwall/http1/connection.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/connection.py
@@ -264,7 +264,9 @@
             await self._receive(FIRST_RECEIVE_BYTES)
         if self.scope.cancelled_caught:
             raise ConnectionEnded
-        self.is_closing = False
+        if self.is_closing:  # as the bytes arrived
+            self.is_closing = False
+            self.server.connections.add(self)
 
     async def _receive(self, max_bytes: int) -> None:
         """Wait for bytes, and add them to those that are not parsed yet."""
@@ -286,13 +288,10 @@
         if self.has_given_way:  # as this task was about to read more
             raise RequestRefused.for_memory("evicted")
         self._charge(max_bytes)
-        try:
-            data = os.read(self.sock.fileno(), max_bytes)
-        except BlockingIOError:
-            return  # another read has taken them
-        if not data:
+        data = self._take(max_bytes)
+        if data == b"":
             raise ConnectionEnded
-        self.unparsed += data
+        self.unparsed += data or b""
         self.holding.record_progress()
         self._charge()
 
@@ -339,7 +338,6 @@
         more than one receive in each turn, so that bodies that take long to parse do
         not delay other requests by more than that.
         """
-        max_bytes = CHUNKED_RECEIVE_BYTES if body.length is None else BODY_RECEIVE_BYTES
         body.feed(self.unparsed)
         while not body.is_complete:
             with trio.move_on_after(limits.idle_timeout_s) as scope:
@@ -347,6 +345,11 @@
             if scope.cancelled_caught:
                 raise RequestRefused(408, ResultCode.BODY_TOO_SLOW)
             async with self.server.body_turns:
+                if body.length is None:
+                    max_bytes = CHUNKED_RECEIVE_BYTES
+                else:
+                    missing = body.length - len(body.data)
+                    max_bytes = min(missing, BODY_RECEIVE_BYTES)
                 self._read(max_bytes)
                 body.feed(self.unparsed)
 
@@ -367,7 +370,9 @@
         if refused.retry_after_s is not None:
             head += b"Retry-After: %.2f\r\n" % refused.retry_after_s
         head += b"Content-Length: %d\r\nConnection: close\r\n\r\n"
-        await self.write([head % (refused.status, len(body)) + body])
+        self.state = ConnectionState.LINGERING
+        with trio.CancelScope() as self.scope:
+            await self.write([head % (refused.status, len(body)) + body])
         await self._linger()
 
     async def _linger(self) -> None:
@@ -382,5 +387,12 @@
         while True:
             await trio.lowlevel.wait_readable(self.sock)
             async with self.server.body_turns:
-                if not os.read(self.sock.fileno(), BODY_RECEIVE_BYTES):
+                if self._take(BODY_RECEIVE_BYTES) == b"":
                     raise ConnectionEnded
+
+    def _take(self, max_bytes: int) -> bytes | None:
+        """Return received bytes, b"" at the end, or None if there are none yet."""
+        try:
+            return os.read(self.sock.fileno(), max_bytes)
+        except BlockingIOError:
+            return None  # it was readable, and is no longer
