--- a/packages/buckthornwall/src/buckthornwall/http1/connection.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/connection.py
@@ -84,7 +84,11 @@
         self.is_write_partial = False
         self.holding = server.memory.hold()
 
-    async def write(self, pieces: list[bytes]) -> None:
+    async def write(self, data: bytes) -> None:
+        """Send all of `data`; see `write_pieces`."""
+        await self.write_pieces([data])
+
+    async def write_pieces(self, pieces: list[bytes]) -> None:
         """Send all bytes of `pieces`.
 
         Raises
@@ -108,7 +112,7 @@
         self.write_cost = sum(map(len, pieces))
         self.holding.charge(self._held_bytes())
         try:
-            await self.write(pieces)
+            await self.write_pieces(pieces)
         finally:
             self.write_cost = 0
             self.holding.charge(self._held_bytes())
@@ -310,7 +314,7 @@
         )
         if parser.they_are_waiting_for_100_continue:
             accepted = h11.InformationalResponse(status_code=100, headers=[])
-            await self.write([parser.send(accepted)])
+            await self.write(parser.send(accepted))
         await self._read_body(body, limits)
         if self.server.is_busy():
             raise RequestRefused.for_memory("in flight")
@@ -372,7 +376,7 @@
         head += b"Content-Length: %d\r\nConnection: close\r\n\r\n"
         self.state = ConnectionState.LINGERING
         with trio.CancelScope() as self.scope:
-            await self.write([head % (refused.status, len(body)) + body])
+            await self.write(head % (refused.status, len(body)) + body)
         await self._linger()
 
     async def _linger(self) -> None:
--- a/packages/buckthornwall/src/buckthornwall/http1/response.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/response.py
@@ -58,7 +58,7 @@
         self.started = True
         sized = [*headers, (b"Content-Length", b"%d" % len(body))]
         events = [self._head(status, sized), *_data(body), h11.EndOfMessage()]
-        await self.connection.write(encode_pieces(self.parser, events))
+        await self.connection.write_pieces(encode_pieces(self.parser, events))
         self.ended = True
 
     async def begin(
@@ -110,7 +110,7 @@
         if trailers and self.is_chunked and not self.connection.is_write_partial:
             data = self.parser.send(h11.EndOfMessage(headers=trailers))
             with trio.move_on_after(ABORT_TIMEOUT_S):
-                await self.connection.write([data])
+                await self.connection.write(data)
         raise ResponseAborted(refusal.detail)
 
     @property
