--- a/packages/buckthornwall/src/buckthornwall/gateway/tests/test_http.py
+++ b/packages/buckthornwall/src/buckthornwall/gateway/tests/test_http.py
@@ -59,7 +59,7 @@
 
 
 async def test_incomplete_bodies_gave_no_way_to_others(clock):
-    """The one that is refused for another is told that it has not run."""
+    """The evicted request gets a refusal that states that it has not run."""
     memory = MemoryBudget(1_200_000, clock)
     stalled = receiving(b"x" * 300_000, memory=memory)
     refusals = []
--- a/packages/buckthornwall/src/buckthornwall/http1/server.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/server.py
@@ -18,8 +18,8 @@
 __all__ = ["Handler", "HttpServer"]
 
 BACKLOG = 1024
-# Of the connections, those that may have a request in flight. The others are told that
-# theirs is refused.
+# Share of the connections that may have a request in flight; requests on the others are
+# refused.
 MAX_ACTIVE_SHARE = 0.75
 
 Handler = Callable[[IncomingRequest, ResponseWriter], Awaitable[None]]
--- a/packages/buckthornwall/src/buckthornwall/http1/tests/test_server.py
+++ b/packages/buckthornwall/src/buckthornwall/http1/tests/test_server.py
@@ -219,7 +219,7 @@
 
 
 async def test_requests_in_flight_leave_connections_for_others(serve):
-    """A request beyond them is told that it has not run."""
+    """A request beyond the limit is refused with a status that means it did not run."""
     release = trio.Event()
 
     async def wait(request, response):
@@ -243,7 +243,7 @@
 
 @pytest.mark.parametrize("closes", ["idle", "for_another"])
 async def test_request_that_was_read_as_its_connection_closed_was_lost(serve, closes):
-    """A connection that is no longer idle answers, whoever closes idle ones."""
+    """Closing idle connections does not cancel one that has begun to read."""
     read = []
 
     async def answer(request, response):
